Start the workspace with the design, messages and store client

Ruled out: a single crate (the coordination parts are meant to be embedded by others), and oxhttp on the platform client (it closes the connection after each call). Conclusion: the frame is in place; no role runs yet.

--- /dev/null
+++ b/dogwoodtray_agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agent that runs beside each endpoint and admits its work.
--- /dev/null
+++ b/dogwoodtray_cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Daemons and the operators' command line.
--- /dev/null
+++ b/dogwoodtray_config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration objects, their checks and their publication format.
--- /dev/null
+++ b/dogwoodtray_coord/src/write.rs
@@ -0,0 +1,136 @@
+//! One conditional write, driven to a certain result.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Expect;
+use crate::ObjectKey;
+use crate::StoreOp;
+use crate::StoreReply;
+use crate::Version;
+
+/// Certain result of a conditional write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteResult {
+    /// The write took effect.
+    Written {
+        /// Version after the write.
+        version: Version,
+    },
+    /// Another writer came first; the write did not and will not take effect.
+    Fenced {
+        /// The object as it is now; `None` if it does not exist.
+        current: Option<(Version, Arc<[u8]>)>,
+    },
+    /// The value is larger than the store holds.
+    TooLarge,
+}
+
+/// What the owner of a [`StampedWrite`] does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteStep {
+    /// Run this call and hand its reply to [`StampedWrite::on_reply`].
+    Call(StoreOp),
+    /// Wait, then run [`StampedWrite::next_call`].
+    Wait(Duration),
+    /// The write ended.
+    Finished(WriteResult),
+}
+
+/// Drives one conditional write until its result is certain.
+///
+/// A lost reply is resolved by reading the object back and looking for the stamp of the writer in
+/// its value. The write is repeated only when the object still has the expected version, which is
+/// safe because the write is conditional.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+/// use dogwoodtray_coord::{Expect, ObjectKey, StampedWrite, StoreReply, Version};
+/// use dogwoodtray_coord::{WriteResult, WriteStep};
+///
+/// let key = ObjectKey::new("jobs", "a");
+/// let mut write = StampedWrite::new(key, Expect::Absent, Arc::from(&b"stamp-1"[..]));
+/// let is_mine = |value: &[u8]| value == b"stamp-1";
+///
+/// // The reply is lost, and the object read back carries the stamp of this writer.
+/// let step = write.on_reply(StoreReply::Ambiguous, is_mine);
+/// assert!(matches!(step, WriteStep::Call(_)));
+/// let found = StoreReply::Found { version: Version(7), value: Arc::from(&b"stamp-1"[..]) };
+/// let step = write.on_reply(found, is_mine);
+/// assert_eq!(step, WriteStep::Finished(WriteResult::Written { version: Version(7) }));
+/// ```
+#[derive(Clone, Debug)]
+pub struct StampedWrite {
+    key: ObjectKey,
+    expect: Expect,
+    value: Arc<[u8]>,
+    reading: bool,
+}
+
+impl StampedWrite {
+    /// Creates a write. The value must carry a stamp that no other write has.
+    #[must_use]
+    pub const fn new(key: ObjectKey, expect: Expect, value: Arc<[u8]>) -> Self {
+        Self { key, expect, value, reading: false }
+    }
+
+    /// Returns the call to run now.
+    #[must_use]
+    pub fn next_call(&self) -> StoreOp {
+        if self.reading {
+            return StoreOp::Get { key: self.key.clone() };
+        }
+        StoreOp::Put { key: self.key.clone(), expect: self.expect, value: Arc::clone(&self.value) }
+    }
+
+    /// Takes the reply of the last call. `is_mine` recognizes the stamp of this write in a value.
+    pub fn on_reply(&mut self, reply: StoreReply, is_mine: impl Fn(&[u8]) -> bool) -> WriteStep {
+        match reply {
+            StoreReply::Unavailable { retry_after } => WriteStep::Wait(retry_after),
+            StoreReply::Written { version } => {
+                WriteStep::Finished(WriteResult::Written { version })
+            }
+            StoreReply::TooLarge => WriteStep::Finished(WriteResult::TooLarge),
+            // A conflict may be with the own write whose reply was lost, so it is read back too.
+            StoreReply::Ambiguous | StoreReply::Conflict => {
+                self.reading = true;
+                WriteStep::Call(self.next_call())
+            }
+            StoreReply::Found { version, value } => self.on_found(version, value, is_mine),
+            StoreReply::Missing => self.on_missing(),
+            StoreReply::Deleted | StoreReply::Listed { .. } => {
+                debug_assert!(false, "reply does not belong to a read or a write");
+                WriteStep::Wait(Duration::ZERO)
+            }
+        }
+    }
+
+    fn on_found(
+        &mut self,
+        version: Version,
+        value: Arc<[u8]>,
+        is_mine: impl Fn(&[u8]) -> bool,
+    ) -> WriteStep {
+        if is_mine(&value) {
+            return WriteStep::Finished(WriteResult::Written { version });
+        }
+        if self.expect == Expect::Version(version) {
+            return self.repeat();
+        }
+        WriteStep::Finished(WriteResult::Fenced { current: Some((version, value)) })
+    }
+
+    fn on_missing(&mut self) -> WriteStep {
+        if self.expect == Expect::Absent {
+            return self.repeat();
+        }
+        WriteStep::Finished(WriteResult::Fenced { current: None })
+    }
+
+    fn repeat(&mut self) -> WriteStep {
+        self.reading = false;
+        WriteStep::Call(self.next_call())
+    }
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry that accepts requests and jobs from callers and routes them to agents.
--- /dev/null
+++ b/dogwoodtray_load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generator, experiments and reports.
--- /dev/null
+++ b/dogwoodtray_platform/src/http.rs
@@ -0,0 +1,348 @@
+//! The store over HTTP.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use dogwoodtray_coord::Expect;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::StoreOp;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Version;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+
+use crate::budget::BudgetConfig;
+use crate::budget::CallBudget;
+use crate::store::BoxFuture;
+use crate::store::Store;
+use crate::store::VmEntry;
+use crate::store::WatchReply;
+
+/// Default wait before a call that failed is tried again.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Time that a watch may take beyond its wait before it counts as failed.
+const WATCH_GRACE: Duration = Duration::from_secs(2);
+
+/// Settings of [`HttpStore`].
+#[derive(Clone, Debug)]
+pub struct HttpStoreConfig {
+    /// IP address and port of the object API.
+    pub addr: String,
+    /// Time after which a call counts as failed.
+    pub timeout: Duration,
+    /// Longest wait for the budget before a call is refused.
+    pub max_budget_wait: Duration,
+    /// Share of the platform's rates that this process may use.
+    pub budget: BudgetConfig,
+}
+
+impl HttpStoreConfig {
+    /// Creates settings with the usual limits.
+    #[must_use]
+    pub fn new(addr: impl Into<String>) -> Self {
+        Self {
+            addr: addr.into(),
+            timeout: Duration::from_secs(2),
+            max_budget_wait: Duration::from_secs(1),
+            budget: BudgetConfig::default(),
+        }
+    }
+
+    /// Sets the time after which a call counts as failed.
+    #[must_use]
+    pub fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Sets the rates that this process may use.
+    #[must_use]
+    pub fn budget(mut self, budget: BudgetConfig) -> Self {
+        self.budget = budget;
+        self
+    }
+}
+
+/// Calls the object API over HTTP/1.1 with kept connections.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    cfg: HttpStoreConfig,
+    client: Client<HttpConnector, Full<Bytes>>,
+    budget: Mutex<CallBudget>,
+    start: Instant,
+}
+
+/// Answer of the platform, or how the call failed.
+enum Answer {
+    Response { status: StatusCode, version: Option<Version>, body: Bytes },
+    NotSent,
+    Lost,
+}
+
+#[derive(Deserialize)]
+struct ListBody {
+    entries: Vec<ListEntry>,
+    more: bool,
+}
+
+#[derive(Deserialize)]
+struct ListEntry {
+    name: Name,
+    version: Version,
+}
+
+#[derive(Deserialize)]
+struct VmsBody {
+    vms: Vec<VmEntry>,
+}
+
+impl HttpStore {
+    /// Opens a client. Connections are made when the first call needs one.
+    #[must_use]
+    pub fn open(cfg: HttpStoreConfig) -> Self {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let budget = Mutex::new(CallBudget::new(cfg.budget));
+        Self { inner: Arc::new(Inner { cfg, client, budget, start: Instant::now() }) }
+    }
+}
+
+impl Store for HttpStore {
+    fn call(&self, op: StoreOp) -> BoxFuture<StoreReply> {
+        let inner = Arc::clone(&self.inner);
+        Box::pin(async move { inner.call(op).await })
+    }
+
+    fn watch(&self, key: ObjectKey, after: Version, wait: Duration) -> BoxFuture<WatchReply> {
+        let inner = Arc::clone(&self.inner);
+        Box::pin(async move { inner.watch(key, after, wait).await })
+    }
+
+    fn vms(&self) -> BoxFuture<Option<Vec<VmEntry>>> {
+        let inner = Arc::clone(&self.inner);
+        Box::pin(async move { inner.vms().await })
+    }
+}
+
+impl Inner {
+    async fn call(&self, op: StoreOp) -> StoreReply {
+        let write = op.is_write();
+        if !self.wait_for_budget(write).await {
+            metrics::counter!("dogwoodtray_platform_refused_total").increment(1);
+            return unavailable();
+        }
+        count_call(&op);
+        let Some(req) = self.request(&op) else {
+            return unavailable();
+        };
+        match self.send(req, self.cfg.timeout).await {
+            Answer::Response { status, version, body } => reply_of(&op, status, version, body),
+            Answer::NotSent => unavailable(),
+            Answer::Lost if write => StoreReply::Ambiguous,
+            Answer::Lost => unavailable(),
+        }
+    }
+
+    async fn watch(&self, key: ObjectKey, after: Version, wait: Duration) -> WatchReply {
+        let failed = WatchReply::Unavailable { retry_after: RETRY_AFTER };
+        if !self.wait_for_budget(false).await {
+            return failed;
+        }
+        metrics::counter!("dogwoodtray_platform_calls_total", "op" => "watch").increment(1);
+        let path = format!(
+            "/v1/watch/{}/{}?after={}&wait_ms={}",
+            escape(&key.kind),
+            escape(&key.name),
+            after.0,
+            wait.as_millis()
+        );
+        let Some(req) = self.builder(Method::GET, &path, Full::default()) else {
+            return failed;
+        };
+        match self.send(req, wait + WATCH_GRACE).await {
+            Answer::Response { status: StatusCode::OK, version: Some(version), body } => {
+                WatchReply::Changed { version, value: Arc::from(body.as_ref()) }
+            }
+            Answer::Response { status: StatusCode::NO_CONTENT, .. } => WatchReply::Unchanged,
+            _ => failed,
+        }
+    }
+
+    async fn vms(&self) -> Option<Vec<VmEntry>> {
+        if !self.wait_for_budget(false).await {
+            return None;
+        }
+        metrics::counter!("dogwoodtray_platform_calls_total", "op" => "vms").increment(1);
+        let req = self.builder(Method::GET, "/v1/vms", Full::default())?;
+        let Answer::Response { status: StatusCode::OK, body, .. } =
+            self.send(req, self.cfg.timeout).await
+        else {
+            return None;
+        };
+        let list: VmsBody = serde_json::from_slice(&body).ok()?;
+        Some(list.vms)
+    }
+
+    async fn wait_for_budget(&self, write: bool) -> bool {
+        let wait = {
+            let now = Timestamp::ZERO + self.start.elapsed();
+            let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+            budget.reserve(now, write)
+        };
+        if wait > self.cfg.max_budget_wait {
+            return false;
+        }
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        true
+    }
+
+    fn request(&self, op: &StoreOp) -> Option<Request<Full<Bytes>>> {
+        match op {
+            StoreOp::Get { key } => self.builder(Method::GET, &object_path(key), Full::default()),
+            StoreOp::Put { key, expect, value } => {
+                let body = Full::new(Bytes::copy_from_slice(value));
+                let mut req = self.builder(Method::PUT, &object_path(key), body)?;
+                let (name, condition) = match expect {
+                    Expect::Absent => (header::IF_NONE_MATCH, "*".to_owned()),
+                    Expect::Version(version) => (header::IF_MATCH, etag(*version)),
+                };
+                req.headers_mut().insert(name, condition.parse().ok()?);
+                Some(req)
+            }
+            StoreOp::Delete { key, expect } => {
+                let mut req = self.builder(Method::DELETE, &object_path(key), Full::default())?;
+                req.headers_mut().insert(header::IF_MATCH, etag(*expect).parse().ok()?);
+                Some(req)
+            }
+            StoreOp::List { kind, prefix, after, limit } => {
+                let mut path =
+                    format!("/v1/objects/{}?prefix={}&limit={limit}", escape(kind), escape(prefix));
+                if let Some(after) = after {
+                    path.push_str("&after=");
+                    path.push_str(&escape(after));
+                }
+                self.builder(Method::GET, &path, Full::default())
+            }
+        }
+    }
+
+    fn builder(
+        &self,
+        method: Method,
+        path: &str,
+        body: Full<Bytes>,
+    ) -> Option<Request<Full<Bytes>>> {
+        let uri = format!("http://{}{path}", self.cfg.addr);
+        Request::builder().method(method).uri(uri).body(body).ok()
+    }
+
+    async fn send(&self, req: Request<Full<Bytes>>, timeout: Duration) -> Answer {
+        let exchange = async {
+            let response = match self.client.request(req).await {
+                Ok(response) => response,
+                Err(err) if err.is_connect() => return Answer::NotSent,
+                Err(_) => return Answer::Lost,
+            };
+            let status = response.status();
+            let version = parse_etag(response.headers());
+            match response.into_body().collect().await {
+                Ok(body) => Answer::Response { status, version, body: body.to_bytes() },
+                Err(_) => Answer::Lost,
+            }
+        };
+        tokio::time::timeout(timeout, exchange).await.unwrap_or(Answer::Lost)
+    }
+}
+
+fn count_call(op: &StoreOp) {
+    let name = match op {
+        StoreOp::Get { .. } => "get",
+        StoreOp::Put { .. } => "put",
+        StoreOp::Delete { .. } => "delete",
+        StoreOp::List { .. } => "list",
+    };
+    metrics::counter!("dogwoodtray_platform_calls_total", "op" => name).increment(1);
+}
+
+fn reply_of(op: &StoreOp, status: StatusCode, version: Option<Version>, body: Bytes) -> StoreReply {
+    match status {
+        StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED => StoreReply::Conflict,
+        StatusCode::NOT_FOUND => StoreReply::Missing,
+        StatusCode::PAYLOAD_TOO_LARGE => StoreReply::TooLarge,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => unavailable(),
+        status if status.is_success() => success_of(op, version, body),
+        // Any other answer of a proxy on the way says nothing about what the store did.
+        _ if op.is_write() => StoreReply::Ambiguous,
+        _ => unavailable(),
+    }
+}
+
+fn success_of(op: &StoreOp, version: Option<Version>, body: Bytes) -> StoreReply {
+    match (op, version) {
+        (StoreOp::Get { .. }, Some(version)) => {
+            StoreReply::Found { version, value: Arc::from(body.as_ref()) }
+        }
+        (StoreOp::Put { .. }, Some(version)) => StoreReply::Written { version },
+        (StoreOp::Put { .. }, None) => StoreReply::Ambiguous,
+        (StoreOp::Delete { .. }, _) => StoreReply::Deleted,
+        (StoreOp::List { .. }, _) => match serde_json::from_slice::<ListBody>(&body) {
+            Ok(list) => StoreReply::Listed {
+                entries: list.entries.into_iter().map(|e| (e.name, e.version)).collect(),
+                more: list.more,
+            },
+            Err(_) => unavailable(),
+        },
+        (StoreOp::Get { .. }, None) => unavailable(),
+    }
+}
+
+fn unavailable() -> StoreReply {
+    StoreReply::Unavailable { retry_after: RETRY_AFTER }
+}
+
+fn object_path(key: &ObjectKey) -> String {
+    format!("/v1/objects/{}/{}", escape(&key.kind), escape(&key.name))
+}
+
+fn etag(version: Version) -> String {
+    format!("\"{}\"", version.0)
+}
+
+fn parse_etag(headers: &header::HeaderMap) -> Option<Version> {
+    let text = headers.get(header::ETAG)?.to_str().ok()?;
+    text.trim_matches('"').parse().ok().map(Version)
+}
+
+/// Escapes all bytes that are not unreserved in a URI.
+fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            escaped.push(char::from(byte));
+        } else {
+            escaped.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    escaped
+}
--- /dev/null
+++ b/dogwoodtray_platform/src/lib.rs
@@ -0,0 +1,23 @@
+//! Client of the platform's object API, with a budget of calls.
+//!
+//! The API counts each call for the whole fleet, so every call passes a [`CallBudget`]. A call
+//! that was stopped before it was sent is told apart from one whose fate is unknown: only the
+//! second may have taken effect.
+
+mod budget;
+mod http;
+mod memory;
+mod store;
+
+pub use crate::budget::BudgetConfig;
+pub use crate::budget::CallBudget;
+pub use crate::http::HttpStore;
+pub use crate::http::HttpStoreConfig;
+pub use crate::memory::MemoryFault;
+pub use crate::memory::MemoryStore;
+pub use crate::store::BoxFuture;
+pub use crate::store::Store;
+pub use crate::store::VmEntry;
+pub use crate::store::VmRole;
+pub use crate::store::VmState;
+pub use crate::store::WatchReply;
--- /dev/null
+++ b/dogwoodtray_policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, admission and batch scheduling policies.
--- /dev/null
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -0,0 +1,1 @@
+//! Kernel, links, event log and operators' port shared by the daemons.
