Add the runtime, the agent and the online core of the entry, not yet running

Cause: the roles need a kernel, links, an event log and an operator port. Ruled out: oxhttp on the token path (it gathers 1,024 bytes before a chunk). Change: dogwoodtray_runtime; agent decisions with fencing, credits, reattachment and crash detection; online decisions with retries, hedging and not-run proof.

--- /dev/null
+++ b/dogwoodtray_agent/src/core/mod.rs
@@ -0,0 +1,20 @@
+//! Decisions of the agent.
+
+mod attempt;
+mod credit;
+mod decide;
+mod fence;
+mod message;
+mod reply;
+
+pub use self::decide::AgentConfig;
+pub use self::decide::AgentCore;
+pub use self::message::AgentAction;
+pub use self::message::AgentEvent;
+pub use self::message::AgentMessage;
+pub use self::message::AttemptEnd;
+pub use self::message::Backlog;
+pub use self::message::EndpointEvent;
+pub use self::message::NotRun;
+pub use self::message::PeerId;
+pub use self::message::Work;
--- a/dogwoodtray_agent/src/lib.rs
+++ b/dogwoodtray_agent/src/lib.rs
@@ -1,1 +1,23 @@
-//! Agent that runs beside each endpoint and admits its work.
+//! Agent role: the only path to the endpoint beside it.
+//!
+//! [`AgentCore`] decides without clock, socket or thread. [`Agent`] is the running process around
+//! it: it accepts links from entries, calls the endpoint and serves the operator port.
+
+mod core;
+mod shell;
+
+pub use crate::core::AgentAction;
+pub use crate::core::AgentConfig;
+pub use crate::core::AgentCore;
+pub use crate::core::AgentEvent;
+pub use crate::core::AgentMessage;
+pub use crate::core::AttemptEnd;
+pub use crate::core::Backlog;
+pub use crate::core::EndpointEvent;
+pub use crate::core::NotRun;
+pub use crate::core::PeerId;
+pub use crate::core::Work;
+pub use crate::shell::Agent;
+pub use crate::shell::AgentError;
+pub use crate::shell::AgentSettings;
+pub use crate::shell::EndpointKind;
--- /dev/null
+++ b/dogwoodtray_agent/src/shell/convert.rs
@@ -0,0 +1,99 @@
+//! Conversion between wire messages and the types of the decisions.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Name;
+use dogwoodtray_policy::Class;
+use dogwoodtray_policy::Cost;
+use dogwoodtray_wire::messages;
+use dogwoodtray_wire::messages::NotRunReason;
+use dogwoodtray_wire::messages::Outcome;
+use dogwoodtray_wire::messages::WorkClass;
+
+use crate::core::AttemptEnd;
+use crate::core::Backlog;
+use crate::core::NotRun;
+use crate::core::Work;
+
+pub(super) fn attempt(id: Option<messages::AttemptId>) -> Option<AttemptId> {
+    let id = id?;
+    Some(AttemptId { incarnation: Incarnation(id.incarnation), counter: id.counter })
+}
+
+pub(super) fn wire_attempt(id: AttemptId) -> Option<messages::AttemptId> {
+    Some(messages::AttemptId { incarnation: id.incarnation.0, counter: id.counter })
+}
+
+pub(super) fn work(dispatch: messages::Dispatch) -> Option<Work> {
+    let class = match dispatch.class() {
+        WorkClass::Online => Class::Online,
+        WorkClass::Batch => Class::Batch,
+        WorkClass::Unspecified => return None,
+    };
+    let cost = dispatch.cost.unwrap_or_default();
+    let claim = Name::from(dispatch.claim.as_str());
+    Some(Work {
+        attempt: attempt(dispatch.attempt)?,
+        request: dispatch.request_id.into(),
+        class,
+        model: dispatch.model.into(),
+        method: dispatch.method.into(),
+        path: dispatch.path.into(),
+        body: dispatch.body,
+        idempotent: dispatch.idempotent,
+        idempotency_key: dispatch.idempotency_key.into(),
+        fence: (!claim.is_empty()).then_some((claim, Epoch(dispatch.epoch))),
+        deadline: (dispatch.deadline_ms > 0).then(|| Duration::from_millis(dispatch.deadline_ms)),
+        cost: Cost { prompt_tokens: cost.prompt_tokens, output_tokens: cost.output_tokens },
+        resume_from: dispatch.resume_from,
+        content: ContentHash(dispatch.content),
+        suspect: dispatch.suspect,
+    })
+}
+
+pub(super) fn backlog(waiting: Vec<messages::Backlog>) -> Vec<Backlog> {
+    waiting
+        .into_iter()
+        .map(|b| Backlog { model: b.model.into(), items: b.items, slack_ms: b.slack_ms })
+        .collect()
+}
+
+/// Fills the fields of a `Done` message that tell how the attempt ended.
+pub(super) fn fill_end(done: &mut messages::Done, end: AttemptEnd) {
+    let outcome = match end {
+        AttemptEnd::Answered { status } => {
+            done.status = u32::from(status);
+            Outcome::Answered
+        }
+        AttemptEnd::Failed => Outcome::Failed,
+        AttemptEnd::Crashed { death } => {
+            done.death = death;
+            Outcome::Crashed
+        }
+        AttemptEnd::Cancelled => Outcome::Cancelled,
+        AttemptEnd::Preempted => Outcome::Preempted,
+        AttemptEnd::NotRun(reason) => {
+            done.set_reason(wire_reason(reason));
+            Outcome::NotRun
+        }
+        AttemptEnd::Unknown => Outcome::Unknown,
+    };
+    done.set_outcome(outcome);
+}
+
+const fn wire_reason(reason: NotRun) -> NotRunReason {
+    match reason {
+        NotRun::Busy => NotRunReason::Busy,
+        NotRun::Leaving => NotRunReason::Leaving,
+        NotRun::Fenced => NotRunReason::Fenced,
+        NotRun::WrongModel => NotRunReason::WrongModel,
+        NotRun::Deadline => NotRunReason::Deadline,
+        NotRun::EndpointDown => NotRunReason::EndpointDown,
+        NotRun::Cancelled => NotRunReason::Cancelled,
+        NotRun::NeverReceived => NotRunReason::Unspecified,
+    }
+}
--- /dev/null
+++ b/dogwoodtray_agent/src/shell/endpoint.rs
@@ -0,0 +1,205 @@
+//! Client of the endpoint.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::Name;
+use dogwoodtray_runtime::Mailbox;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use tokio::time;
+
+use super::service::AgentInput;
+use super::sse::EventSplitter;
+use crate::core::EndpointEvent;
+use crate::core::Work;
+
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Idle connections are dropped soon, because something between the two ends may forget them.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Runs exchanges with the endpoint on the tokio runtime.
+#[derive(Debug)]
+pub(super) struct EndpointClient {
+    addr: SocketAddr,
+    runtime: Handle,
+    client: HttpClient,
+    mailbox: Mailbox<AgentInput>,
+    running: HashMap<AttemptId, oneshot::Sender<()>>,
+}
+
+impl EndpointClient {
+    pub(super) fn new(addr: SocketAddr, runtime: Handle, mailbox: Mailbox<AgentInput>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(HEALTH_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .build(connector);
+        Self { addr, runtime, client, mailbox, running: HashMap::new() }
+    }
+
+    pub(super) fn forward(&mut self, work: Arc<Work>) {
+        let (abort, aborted) = oneshot::channel();
+        let attempt = work.attempt;
+        self.running.insert(attempt, abort);
+        let exchange = Exchange {
+            addr: self.addr,
+            client: self.client.clone(),
+            mailbox: self.mailbox.clone(),
+            attempt,
+        };
+        self.runtime.spawn(exchange.run(work, aborted));
+    }
+
+    /// Aborts an exchange. `EndpointEvent::Aborted` follows if it still ran.
+    pub(super) fn abort(&mut self, attempt: AttemptId) {
+        if let Some(abort) = self.running.remove(&attempt) {
+            let _ = abort.send(());
+        }
+    }
+
+    /// Drops the abort handle of an exchange that has ended.
+    pub(super) fn ended(&mut self, attempt: AttemptId) {
+        self.running.remove(&attempt);
+    }
+
+    pub(super) fn check_health(&self) {
+        let uri = format!("http://{}/health", self.addr);
+        let client = self.client.clone();
+        let mailbox = self.mailbox.clone();
+        self.runtime.spawn(async move {
+            let up = get_ok(&client, uri).await;
+            mailbox.send(AgentInput::Health(up));
+        });
+    }
+}
+
+async fn get_ok(client: &HttpClient, uri: String) -> bool {
+    let Ok(req) = Request::get(uri).body(Full::default()) else {
+        return false;
+    };
+    let answer = time::timeout(HEALTH_TIMEOUT, client.request(req)).await;
+    matches!(answer, Ok(Ok(response)) if response.status().is_success())
+}
+
+struct Exchange {
+    addr: SocketAddr,
+    client: HttpClient,
+    mailbox: Mailbox<AgentInput>,
+    attempt: AttemptId,
+}
+
+impl Exchange {
+    async fn run(self, work: Arc<Work>, aborted: oneshot::Receiver<()>) {
+        let event = tokio::select! {
+            event = self.exchange(&work) => event,
+            _ = aborted => {
+                self.cancel_at_endpoint().await;
+                EndpointEvent::Aborted
+            }
+        };
+        self.emit(event);
+    }
+
+    fn emit(&self, event: EndpointEvent) {
+        self.mailbox.send(AgentInput::Endpoint { attempt: self.attempt, event });
+    }
+
+    async fn exchange(&self, work: &Work) -> EndpointEvent {
+        let Some(req) = self.request(work) else {
+            return EndpointEvent::ConnectFailed;
+        };
+        let response = match self.client.request(req).await {
+            Ok(response) => response,
+            Err(err) if err.is_connect() => return EndpointEvent::ConnectFailed,
+            Err(_) => return EndpointEvent::Broken,
+        };
+        let content_type = content_type(&response);
+        let status = response.status().as_u16();
+        let streams = content_type.starts_with(EVENT_STREAM);
+        self.emit(EndpointEvent::Head { status, content_type });
+        self.read(response.into_body(), streams).await
+    }
+
+    async fn read(&self, mut body: Incoming, streams: bool) -> EndpointEvent {
+        let mut splitter = EventSplitter::default();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return EndpointEvent::Broken;
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if !streams {
+                self.emit(EndpointEvent::Data { data, tokens: 0 });
+            } else if let Some((data, tokens)) = splitter.push(&data) {
+                self.emit(EndpointEvent::Data { data, tokens });
+            }
+        }
+        if let Some(data) = splitter.finish() {
+            self.emit(EndpointEvent::Data { data, tokens: 0 });
+        }
+        EndpointEvent::End
+    }
+
+    fn request(&self, work: &Work) -> Option<Request<Full<Bytes>>> {
+        let uri = format!("http://{}{}", self.addr, work.path);
+        let mut builder = Request::builder()
+            .method(&*work.method)
+            .uri(uri)
+            .header(CONTENT_TYPE, "application/json")
+            .header("x-attempt", work.attempt.to_string())
+            .header("x-request-id", &*work.request);
+        if !work.idempotency_key.is_empty() {
+            builder = builder.header("idempotency-key", &*work.idempotency_key);
+        }
+        if let Some((_, epoch)) = &work.fence {
+            builder = builder.header("x-fence", epoch.0);
+        }
+        builder.body(Full::new(body_of(work))).ok()
+    }
+
+    async fn cancel_at_endpoint(&self) {
+        let uri = format!("http://{}/v1/cancel/{}", self.addr, self.attempt);
+        let Ok(req) = Request::post(uri).body(Full::default()) else { return };
+        let _ = time::timeout(CANCEL_TIMEOUT, self.client.request(req)).await;
+    }
+}
+
+/// Adds the count of tokens that need not be generated again.
+fn body_of(work: &Work) -> Bytes {
+    if work.resume_from == 0 {
+        return work.body.clone();
+    }
+    let Ok(mut body) = serde_json::from_slice::<serde_json::Value>(&work.body) else {
+        return work.body.clone();
+    };
+    let Some(fields) = body.as_object_mut() else {
+        return work.body.clone();
+    };
+    fields.insert("resume_from".to_owned(), work.resume_from.into());
+    Bytes::from(body.to_string())
+}
+
+fn content_type(response: &Response<Incoming>) -> Name {
+    let value = response.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    Name::from(value.unwrap_or_default())
+}
--- /dev/null
+++ b/dogwoodtray_agent/src/shell/mod.rs
@@ -0,0 +1,14 @@
+//! The running process around the decisions.
+
+mod agent;
+mod convert;
+mod endpoint;
+mod service;
+mod settings;
+mod snapshot;
+mod sse;
+
+pub use self::agent::Agent;
+pub use self::agent::AgentError;
+pub use self::settings::AgentSettings;
+pub use self::settings::EndpointKind;
--- /dev/null
+++ b/dogwoodtray_agent/src/shell/service.rs
@@ -0,0 +1,327 @@
+//! Service that feeds events into the decisions and carries out the actions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_runtime::EventLog;
+use dogwoodtray_runtime::Flow;
+use dogwoodtray_runtime::LinkEvent;
+use dogwoodtray_runtime::LinkHandle;
+use dogwoodtray_runtime::Service;
+use dogwoodtray_runtime::catalogue;
+use dogwoodtray_wire::messages;
+use dogwoodtray_wire::messages::frame::Kind;
+
+use super::convert;
+use super::endpoint::EndpointClient;
+use super::snapshot::Snapshot;
+use crate::core::AgentAction;
+use crate::core::AgentCore;
+use crate::core::AgentEvent;
+use crate::core::AgentMessage;
+use crate::core::EndpointEvent;
+use crate::core::PeerId;
+
+const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time that a drain waits for entries to confirm the last answers.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What reaches the service.
+#[derive(Debug)]
+pub(super) enum AgentInput {
+    Link(LinkEvent),
+    Endpoint { attempt: AttemptId, event: EndpointEvent },
+    Health(bool),
+    Drain,
+}
+
+/// State that the operator port and the greetings read.
+#[derive(Debug, Default)]
+pub(super) struct Shared {
+    pub(super) generation: AtomicU64,
+    pub(super) leaving: AtomicBool,
+    pub(super) endpoint_up: AtomicBool,
+    pub(super) running: AtomicU64,
+    pub(super) peers: AtomicU64,
+    pub(super) finished: AtomicBool,
+}
+
+pub(super) struct AgentService {
+    pub(super) core: AgentCore,
+    pub(super) endpoint: EndpointClient,
+    pub(super) events: EventLog,
+    pub(super) shared: Arc<Shared>,
+    pub(super) drain_timeout: Duration,
+    pub(super) links: HashMap<PeerId, Peer>,
+    pub(super) snapshot: Snapshot,
+    pub(super) actions: Vec<AgentAction>,
+    pub(super) heartbeat_seq: u64,
+    pub(super) next_health: Timestamp,
+    pub(super) drain: Option<Drain>,
+}
+
+pub(super) struct Peer {
+    node: Name,
+    link: LinkHandle,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Drain {
+    deadline: Timestamp,
+    idle_since: Option<Timestamp>,
+}
+
+impl Service for AgentService {
+    type Event = AgentInput;
+
+    fn on_event(&mut self, now: Timestamp, event: AgentInput) -> Flow {
+        match event {
+            AgentInput::Link(event) => self.on_link(now, event),
+            AgentInput::Endpoint { attempt, event } => {
+                if ends_exchange(&event) {
+                    self.endpoint.ended(attempt);
+                }
+                self.decide(now, AgentEvent::Endpoint { attempt, event });
+            }
+            AgentInput::Health(up) => self.decide(now, AgentEvent::Health { up }),
+            AgentInput::Drain => self.start_drain(now),
+        }
+        Flow::Continue
+    }
+
+    fn on_tick(&mut self, now: Timestamp) -> Flow {
+        if now >= self.next_health {
+            self.next_health = now + HEALTH_INTERVAL;
+            self.endpoint.check_health();
+        }
+        self.decide(now, AgentEvent::Tick);
+        self.publish_state();
+        self.check_drain(now)
+    }
+}
+
+/// # Links
+impl AgentService {
+    fn on_link(&mut self, now: Timestamp, event: LinkEvent) {
+        match event {
+            LinkEvent::Up { link, hello } => {
+                let peer = PeerId(link.id().0);
+                self.events.observe(hello.clock);
+                self.events.emit(&catalogue::LINK_UP, None, &[("peer", &hello.node)]);
+                self.catch_up(&link, hello.generation);
+                self.links.insert(peer, Peer { node: hello.node.into(), link });
+                self.decide(now, AgentEvent::PeerUp { peer });
+            }
+            LinkEvent::Down { link, reason } => {
+                let peer = PeerId(link.0);
+                if let Some(known) = self.links.remove(&peer) {
+                    let fields: [(&str, &dyn std::fmt::Display); 2] =
+                        [("peer", &known.node), ("reason", &reason)];
+                    self.events.emit(&catalogue::LINK_DOWN, None, &fields);
+                }
+                self.decide(now, AgentEvent::PeerDown { peer });
+            }
+            LinkEvent::Frame { link, kind } => self.on_frame(now, PeerId(link.0), kind),
+        }
+    }
+
+    fn on_frame(&mut self, now: Timestamp, peer: PeerId, kind: Kind) {
+        match kind {
+            Kind::Heartbeat(heartbeat) => {
+                self.events.observe(heartbeat.clock);
+                if let Some(known) = self.links.get(&peer) {
+                    self.catch_up(&known.link, heartbeat.generation);
+                }
+                let backlog = convert::backlog(heartbeat.backlog);
+                self.decide(now, AgentEvent::PeerBacklog { peer, backlog });
+            }
+            Kind::Dispatch(dispatch) => {
+                self.events.observe(dispatch.clock);
+                if let Some(work) = convert::work(dispatch) {
+                    self.decide(now, AgentEvent::Dispatch { peer, work });
+                }
+            }
+            Kind::Cancel(message) => {
+                if let Some(attempt) = convert::attempt(message.attempt) {
+                    self.decide(now, AgentEvent::Cancel { attempt });
+                }
+            }
+            Kind::Reattach(message) => {
+                if let Some(attempt) = convert::attempt(message.attempt) {
+                    let offset = message.offset;
+                    self.decide(now, AgentEvent::Reattach { peer, attempt, offset });
+                }
+            }
+            Kind::Ack(message) => {
+                if let Some(attempt) = convert::attempt(message.attempt) {
+                    self.decide(now, AgentEvent::Ack { attempt });
+                }
+            }
+            Kind::ConfigFetch(_) => self.send(peer, self.snapshot.message()),
+            Kind::ConfigSet(set) => self.on_config(set),
+            // The other kinds are not sent to an agent.
+            _ => {}
+        }
+    }
+
+    /// Fetches the configuration from a peer that is ahead, or hands it to one that is behind.
+    fn catch_up(&self, link: &LinkHandle, generation: u64) {
+        let known = self.snapshot.generation().0;
+        if generation > known {
+            link.send(messages::ConfigFetch { generation });
+        } else if generation < known {
+            link.send(self.snapshot.message());
+        }
+    }
+
+    fn on_config(&mut self, set: messages::ConfigSet) {
+        let generation = set.generation;
+        if self.snapshot.apply(set) {
+            self.shared.generation.store(generation, Ordering::Relaxed);
+            let fields: [(&str, &dyn std::fmt::Display); 1] = [("generation", &generation)];
+            self.events.emit(&catalogue::CONFIG_APPLIED, None, &fields);
+        }
+    }
+
+    fn send(&self, peer: PeerId, message: impl Into<messages::Frame>) {
+        if let Some(known) = self.links.get(&peer) {
+            known.link.send(message);
+        }
+    }
+}
+
+/// # Decisions
+impl AgentService {
+    fn decide(&mut self, now: Timestamp, event: AgentEvent) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.core.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Send { peer, message } => self.send_message(peer, message),
+            AgentAction::Forward { work } => {
+                self.events.emit(&catalogue::WORK_FORWARDED, Some(&work.request), &[]);
+                self.endpoint.forward(work);
+            }
+            AgentAction::Abort { attempt } => self.endpoint.abort(attempt),
+            AgentAction::CheckHealth => self.endpoint.check_health(),
+            AgentAction::EndpointDown => {
+                self.events.emit(&catalogue::ENDPOINT_DOWN, None, &[]);
+            }
+            AgentAction::EndpointUp => self.events.emit(&catalogue::ENDPOINT_UP, None, &[]),
+        }
+    }
+
+    fn send_message(&mut self, peer: PeerId, message: AgentMessage) {
+        match message {
+            AgentMessage::Started { attempt } => {
+                let attempt = convert::wire_attempt(attempt);
+                self.send(peer, messages::Started { attempt });
+            }
+            AgentMessage::Chunk { attempt, offset, data, tokens } => {
+                let attempt = convert::wire_attempt(attempt);
+                self.send(peer, messages::Chunk { attempt, offset, data, tokens });
+            }
+            AgentMessage::Done { attempt, end, content_type, total_bytes, tokens } => {
+                let mut done = messages::Done {
+                    attempt: convert::wire_attempt(attempt),
+                    content_type: content_type.to_string(),
+                    total_bytes,
+                    tokens,
+                    free_online: self.core.free_online(),
+                    free_batch: self.core.free_batch(),
+                    ..messages::Done::default()
+                };
+                convert::fill_end(&mut done, end);
+                self.send(peer, done);
+            }
+            AgentMessage::Credit { places } => {
+                self.send(peer, messages::Credit { model: String::new(), places });
+            }
+            AgentMessage::Heartbeat => {
+                let heartbeat = self.heartbeat();
+                self.send(peer, heartbeat);
+            }
+        }
+    }
+
+    fn heartbeat(&mut self) -> messages::Heartbeat {
+        self.heartbeat_seq += 1;
+        messages::Heartbeat {
+            seq: self.heartbeat_seq,
+            clock: Some(self.events.clock()),
+            generation: self.snapshot.generation().0,
+            leaving: self.core.is_leaving(),
+            free_online: self.core.free_online(),
+            free_batch: self.core.free_batch(),
+            queued_online: self.core.queued_online(),
+            ..messages::Heartbeat::default()
+        }
+    }
+
+    fn publish_state(&self) {
+        let shared = &self.shared;
+        shared.leaving.store(self.core.is_leaving(), Ordering::Relaxed);
+        shared.endpoint_up.store(self.core.is_endpoint_up(), Ordering::Relaxed);
+        shared.running.store(self.core.running() as u64, Ordering::Relaxed);
+        shared.peers.store(self.links.len() as u64, Ordering::Relaxed);
+    }
+}
+
+/// # Graceful shutdown
+impl AgentService {
+    fn start_drain(&mut self, now: Timestamp) {
+        if self.drain.is_some() {
+            return;
+        }
+        self.events.emit(&catalogue::DRAIN_STARTED, None, &[]);
+        self.drain = Some(Drain { deadline: now + self.drain_timeout, idle_since: None });
+        self.decide(now, AgentEvent::Drain);
+    }
+
+    fn check_drain(&mut self, now: Timestamp) -> Flow {
+        let Some(mut drain) = self.drain else {
+            return Flow::Continue;
+        };
+        let running = self.core.running();
+        if now >= drain.deadline {
+            let fields: [(&str, &dyn std::fmt::Display); 1] = [("running", &running)];
+            self.events.emit(&catalogue::DRAIN_TIMEOUT, None, &fields);
+            return self.finish();
+        }
+        if running > 0 {
+            drain.idle_since = None;
+            self.drain = Some(drain);
+            return Flow::Continue;
+        }
+        let idle_since = *drain.idle_since.get_or_insert(now);
+        self.drain = Some(drain);
+        if self.core.unconfirmed() > 0 && now - idle_since < CONFIRM_TIMEOUT {
+            return Flow::Continue;
+        }
+        self.events.emit(&catalogue::DRAIN_FINISHED, None, &[]);
+        self.finish()
+    }
+
+    fn finish(&self) -> Flow {
+        self.shared.finished.store(true, Ordering::Release);
+        Flow::Stop
+    }
+}
+
+const fn ends_exchange(event: &EndpointEvent) -> bool {
+    !matches!(event, EndpointEvent::Head { .. } | EndpointEvent::Data { .. })
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/online/mod.rs
@@ -0,0 +1,26 @@
+//! Online requests: routing, retries, hedging and whole answers.
+
+mod attempt;
+mod core;
+mod endpoints;
+mod event;
+mod place;
+mod request;
+mod stream;
+mod tick;
+
+pub use self::attempt::NotRunProof;
+pub use self::core::OnlineConfig;
+pub use self::core::OnlineCore;
+pub use self::event::AttemptDone;
+pub use self::event::AttemptEnd;
+pub use self::event::BatchEnd;
+pub use self::event::DispatchMode;
+pub use self::event::LinkNo;
+pub use self::event::NotRunReason;
+pub use self::event::OnlineAction;
+pub use self::event::OnlineEvent;
+pub use self::event::PeerInfo;
+pub use self::event::RequestEnd;
+pub use self::event::RequestNo;
+pub use self::event::RequestSpec;
--- /dev/null
+++ b/dogwoodtray_entry/src/online/request.rs
@@ -0,0 +1,60 @@
+//! One online request.
+
+use std::sync::Arc;
+
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_policy::EndpointKey;
+
+use super::RequestSpec;
+use super::attempt::Queued;
+use super::attempt::Sent;
+
+/// Stage of a request.
+#[derive(Debug)]
+pub(super) enum Stage {
+    Queued(Queued),
+    Sent(Sent),
+}
+
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) spec: Arc<RequestSpec>,
+    pub(super) stage: Option<Stage>,
+    pub(super) deadline: Timestamp,
+    /// Attempts that are out.
+    pub(super) out: Vec<AttemptId>,
+    /// Attempt whose tokens are delivered.
+    pub(super) winner: Option<AttemptId>,
+    /// Tokens delivered so far.
+    pub(super) delivered: u32,
+    /// Attempts that failed and count against the limit.
+    pub(super) failures: u32,
+    /// Endpoints that refused or failed it, not to be picked again at once.
+    pub(super) exclude: Vec<EndpointKey>,
+    /// When a queued request is placed again.
+    pub(super) retry_at: Timestamp,
+    pub(super) hedged: bool,
+}
+
+impl Request {
+    pub(super) fn new(spec: Arc<RequestSpec>, now: Timestamp) -> Self {
+        let deadline = now + spec.timeout;
+        Self {
+            spec,
+            stage: Some(Stage::Queued(Queued::new())),
+            deadline,
+            out: Vec::new(),
+            winner: None,
+            delivered: 0,
+            failures: 0,
+            exclude: Vec::new(),
+            retry_at: now,
+            hedged: false,
+        }
+    }
+
+    pub(super) const fn is_queued(&self) -> bool {
+        matches!(self.stage, Some(Stage::Queued(_)))
+    }
+}
--- /dev/null
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -0,0 +1,108 @@
+//! All numbered events. `docs/events.md` lists them, and a test compares the two.
+
+use super::EventCode;
+use super::Level;
+
+macro_rules! catalogue {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        $(
+            $(#[$doc])*
+            pub const $name: EventCode =
+                EventCode { number: $number, level: Level::$level, text: $text };
+        )*
+
+        /// Every event, in order of number.
+        pub const ALL: &[&EventCode] = &[$(&$name),*];
+    };
+}
+
+catalogue! {
+    /// The process serves.
+    PROCESS_STARTED = 1001, Info, "process started";
+    /// A graceful shutdown began.
+    DRAIN_STARTED = 1002, Info, "drain started";
+    /// A graceful shutdown ended.
+    DRAIN_FINISHED = 1003, Info, "drain finished";
+    /// A graceful shutdown still waits.
+    DRAIN_WAITING = 1004, Info, "drain waits for running work";
+    /// The drain reached its time limit with work still running.
+    DRAIN_TIMEOUT = 1005, Warn, "drain timed out with work still running";
+
+    /// A link came up.
+    LINK_UP = 1101, Info, "link up";
+    /// A link ended.
+    LINK_DOWN = 1102, Warn, "link down";
+    /// A peer announced that it is leaving.
+    PEER_LEAVING = 1103, Info, "peer is leaving";
+    /// A frame belonged to no known attempt.
+    STALE_FRAME = 1104, Debug, "frame of an unknown attempt dropped";
+
+    /// A request was accepted.
+    REQUEST_ACCEPTED = 2001, Debug, "request accepted";
+    /// An attempt was dispatched.
+    ATTEMPT_DISPATCHED = 2002, Debug, "attempt dispatched";
+    /// An attempt was forwarded to an endpoint.
+    ATTEMPT_STARTED = 2003, Debug, "attempt started";
+    /// An attempt ended.
+    ATTEMPT_ENDED = 2004, Debug, "attempt ended";
+    /// A request was answered.
+    REQUEST_ANSWERED = 2005, Debug, "request answered";
+    /// A request was refused or failed.
+    REQUEST_REFUSED = 2006, Info, "request refused";
+    /// A request is retried.
+    REQUEST_RETRIED = 2007, Info, "request retried";
+    /// A second attempt was started beside a slow one.
+    REQUEST_HEDGED = 2008, Debug, "request hedged";
+    /// An attempt was taken up again on a new link.
+    ATTEMPT_REATTACHED = 2009, Info, "attempt reattached";
+    /// A request was refused because it was present at two endpoint deaths.
+    REQUEST_QUARANTINED = 2010, Warn, "request quarantined";
+    /// A caller went away before its answer was whole.
+    CALLER_GONE = 2011, Debug, "caller disconnected";
+
+    /// A job was accepted.
+    JOB_ACCEPTED = 3001, Info, "job accepted";
+    /// A job was cancelled.
+    JOB_CANCELLED = 3002, Info, "job cancelled";
+    /// A job finished.
+    JOB_FINISHED = 3003, Info, "job finished";
+    /// A job was claimed.
+    JOB_CLAIMED = 3004, Info, "job claimed";
+    /// A write of this process was fenced.
+    JOB_FENCED = 3005, Warn, "job taken over by another entry";
+    /// A job was refused.
+    JOB_REFUSED = 3006, Info, "job refused";
+
+    /// A key range was claimed.
+    RANGE_CLAIMED = 3101, Info, "key range claimed";
+    /// A key range was lost to another entry.
+    RANGE_FENCED = 3102, Warn, "key range taken over by another entry";
+    /// A resend was answered from its record.
+    ONCE_REPLAYED = 3103, Info, "answer replayed from its record";
+    /// A resend was refused because the first request may have run.
+    ONCE_UNKNOWN = 3104, Warn, "request may have run and will not be run again";
+
+    /// A request was forwarded to the endpoint.
+    WORK_FORWARDED = 4001, Debug, "work forwarded to the endpoint";
+    /// Work was refused before it was forwarded.
+    WORK_REFUSED = 4002, Debug, "work refused";
+    /// Batch work was preempted for online work.
+    WORK_PREEMPTED = 4003, Debug, "batch work preempted";
+    /// The endpoint died.
+    ENDPOINT_DOWN = 4004, Error, "endpoint down";
+    /// The endpoint answers again.
+    ENDPOINT_UP = 4005, Info, "endpoint up";
+    /// A dispatch carried an old fencing token.
+    DISPATCH_FENCED = 4006, Warn, "dispatch with an old fencing token refused";
+    /// The entry of an attempt stayed away.
+    ATTEMPT_ORPHANED = 4007, Info, "attempt cancelled because its entry stayed away";
+
+    /// A generation came into force.
+    CONFIG_APPLIED = 5001, Info, "configuration applied";
+    /// A snapshot could not be used.
+    CONFIG_REJECTED = 5002, Error, "configuration snapshot rejected";
+    /// The platform cannot be reached.
+    PLATFORM_DOWN = 5101, Warn, "platform unavailable";
+    /// The platform answers again.
+    PLATFORM_UP = 5102, Info, "platform available";
+}
--- /dev/null
+++ b/dogwoodtray_runtime/src/events/log.rs
@@ -0,0 +1,177 @@
+//! Event log of one process.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_wire::messages;
+use serde::Serialize;
+
+use super::EventCode;
+use super::Level;
+use crate::kernel::Clock;
+
+/// Events kept for the time line. At about 300 bytes each they take 1.2 MB.
+const RING_EVENTS: usize = 4096;
+
+/// One event on the time line.
+#[derive(Clone, Debug, Serialize)]
+pub struct EventRecord {
+    /// Counts the events of this process.
+    pub seq: u64,
+    /// Wall time of the hybrid logical clock, in microseconds since the Unix epoch.
+    pub wall_us: u64,
+    /// Logical part of the hybrid logical clock.
+    pub logical: u32,
+    /// Number of the event.
+    pub code: String,
+    /// Severity.
+    pub level: Level,
+    /// Fixed text of the event.
+    pub text: &'static str,
+    /// Request or job that it belongs to.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request: Option<Name>,
+    /// What else is known.
+    pub fields: serde_json::Map<String, serde_json::Value>,
+}
+
+/// Writes numbered events to the log and keeps the latest for the time line.
+#[derive(Clone)]
+pub struct EventLog {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    node: Name,
+    state: Mutex<State>,
+}
+
+struct State {
+    wall_us: u64,
+    logical: u32,
+    next_seq: u64,
+    ring: VecDeque<EventRecord>,
+}
+
+impl EventLog {
+    /// Opens the event log of a process.
+    #[must_use]
+    pub fn open(node: Name) -> Self {
+        let state = State { wall_us: 0, logical: 0, next_seq: 0, ring: VecDeque::new() };
+        Self { inner: Arc::new(Inner { node, state: Mutex::new(state) }) }
+    }
+
+    /// Returns the name of the process.
+    #[must_use]
+    pub fn node(&self) -> &Name {
+        &self.inner.node
+    }
+
+    /// Writes an event.
+    pub fn emit(
+        &self,
+        code: &EventCode,
+        request: Option<&Name>,
+        fields: &[(&str, &dyn fmt::Display)],
+    ) {
+        let level = log::Level::from(code.level);
+        if log::log_enabled!(level) {
+            log::log!(level, "{}", render(code, request, fields));
+        }
+        let mut state = self.lock();
+        let (wall_us, logical) = state.advance(Clock::wall_us());
+        let seq = state.next_seq;
+        state.next_seq += 1;
+        if state.ring.len() == RING_EVENTS {
+            state.ring.pop_front();
+        }
+        let fields = fields.iter().map(|(k, v)| ((*k).to_owned(), v.to_string().into())).collect();
+        state.ring.push_back(EventRecord {
+            seq,
+            wall_us,
+            logical,
+            code: code.to_string(),
+            level: code.level,
+            text: code.text,
+            request: request.cloned(),
+            fields,
+        });
+    }
+
+    /// Reads the hybrid logical clock for a message.
+    #[must_use]
+    pub fn clock(&self) -> messages::Clock {
+        let (wall_us, logical) = self.lock().advance(Clock::wall_us());
+        messages::Clock { wall_us, logical }
+    }
+
+    /// Takes over the clock reading of a received message, so that later events sort after it.
+    pub fn observe(&self, clock: Option<messages::Clock>) {
+        let Some(clock) = clock else { return };
+        self.lock().observe(clock, Clock::wall_us());
+    }
+
+    /// Returns the events from `after` on, and the number to ask for next.
+    #[must_use]
+    pub fn since(&self, after: u64, request: Option<&str>) -> (Vec<EventRecord>, u64) {
+        let state = self.lock();
+        let events = state
+            .ring
+            .iter()
+            .filter(|event| event.seq >= after)
+            .filter(|event| request.is_none() || event.request.as_deref() == request)
+            .cloned()
+            .collect();
+        (events, state.next_seq)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.inner.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl fmt::Debug for EventLog {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EventLog").field("node", &self.inner.node).finish_non_exhaustive()
+    }
+}
+
+impl State {
+    fn advance(&mut self, wall_us: u64) -> (u64, u32) {
+        if wall_us > self.wall_us {
+            self.wall_us = wall_us;
+            self.logical = 0;
+        } else {
+            self.logical += 1;
+        }
+        (self.wall_us, self.logical)
+    }
+
+    fn observe(&mut self, clock: messages::Clock, wall_us: u64) {
+        if (clock.wall_us, clock.logical) > (self.wall_us, self.logical) {
+            self.wall_us = clock.wall_us;
+            self.logical = clock.logical;
+        }
+        self.advance(wall_us);
+    }
+}
+
+fn render(
+    code: &EventCode,
+    request: Option<&Name>,
+    fields: &[(&str, &dyn fmt::Display)],
+) -> String {
+    let mut line = format!("{code} {}", code.text);
+    if let Some(request) = request {
+        line.push_str(&format!(" request={request}"));
+    }
+    for (name, value) in fields {
+        line.push_str(&format!(" {name}={value}"));
+    }
+    line
+}
--- /dev/null
+++ b/dogwoodtray_runtime/src/events/mod.rs
@@ -0,0 +1,10 @@
+//! Numbered log events and the time line that is made of them.
+
+pub mod catalogue;
+mod code;
+mod log;
+
+pub use self::code::EventCode;
+pub use self::code::Level;
+pub use self::log::EventLog;
+pub use self::log::EventRecord;
--- /dev/null
+++ b/dogwoodtray_runtime/src/kernel/clock.rs
@@ -0,0 +1,34 @@
+//! Clocks of one process.
+
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use dogwoodtray_coord::Timestamp;
+
+/// Reads the monotonic time of this process and the wall time.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts a clock at zero.
+    #[must_use]
+    pub fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Returns the time since the start.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.start.elapsed()
+    }
+
+    /// Returns the wall time in microseconds since the Unix epoch.
+    #[must_use]
+    pub fn wall_us() -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/dogwoodtray_runtime/src/kernel/mod.rs
@@ -0,0 +1,13 @@
+//! Services, their mailboxes and the registry in which they find each other.
+
+mod clock;
+mod registry;
+mod service;
+
+pub use self::clock::Clock;
+pub use self::registry::Kernel;
+pub use self::service::Flow;
+pub use self::service::Mailbox;
+pub use self::service::Service;
+pub use self::service::ServiceHandle;
+pub use self::service::spawn;
--- /dev/null
+++ b/dogwoodtray_runtime/src/kernel/service.rs
@@ -0,0 +1,126 @@
+//! A service on its own thread.
+
+use std::fmt;
+use std::io;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam::channel;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use crossbeam::select;
+use dogwoodtray_coord::Timestamp;
+
+use super::Clock;
+
+/// Tells the thread of a service whether to go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flow {
+    /// Wait for the next event.
+    Continue,
+    /// End the thread.
+    Stop,
+}
+
+/// Sends events to a service.
+pub struct Mailbox<E> {
+    tx: Sender<E>,
+}
+
+impl<E> Mailbox<E> {
+    /// Creates a mailbox and the receiver of its events.
+    #[must_use]
+    pub fn channel() -> (Self, Receiver<E>) {
+        let (tx, rx) = channel::unbounded();
+        (Self { tx }, rx)
+    }
+
+    /// Sends an event. Returns `false` if the service has ended.
+    pub fn send(&self, event: E) -> bool {
+        self.tx.send(event).is_ok()
+    }
+
+    /// Returns the number of events that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.tx.len()
+    }
+
+    /// Tells whether no event waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.tx.is_empty()
+    }
+}
+
+impl<E> Clone for Mailbox<E> {
+    fn clone(&self) -> Self {
+        Self { tx: self.tx.clone() }
+    }
+}
+
+impl<E> fmt::Debug for Mailbox<E> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Mailbox").field("waiting", &self.tx.len()).finish()
+    }
+}
+
+/// Handles events one at a time.
+pub trait Service: Send + 'static {
+    /// Events that the service takes.
+    type Event: Send + 'static;
+
+    /// Handles one event.
+    fn on_event(&mut self, now: Timestamp, event: Self::Event) -> Flow;
+
+    /// Handles the passing of time.
+    fn on_tick(&mut self, now: Timestamp) -> Flow;
+}
+
+/// Handle of a running service.
+#[derive(Debug)]
+pub struct ServiceHandle {
+    thread: JoinHandle<()>,
+}
+
+impl ServiceHandle {
+    /// Waits until the service has ended. Returns `false` if it panicked.
+    pub fn join(self) -> bool {
+        self.thread.join().is_ok()
+    }
+}
+
+/// Spawns a service on its own thread. `rx` belongs to the mailbox that its users send to.
+///
+/// # Errors
+///
+/// Fails if the operating system refuses the thread.
+pub fn spawn<S: Service>(
+    name: &str,
+    rx: Receiver<S::Event>,
+    clock: Clock,
+    tick: Duration,
+    service: S,
+) -> io::Result<ServiceHandle> {
+    let thread = thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || run(service, &rx, clock, tick))?;
+    Ok(ServiceHandle { thread })
+}
+
+fn run<S: Service>(mut service: S, rx: &Receiver<S::Event>, clock: Clock, tick: Duration) {
+    let ticker = channel::tick(tick);
+    loop {
+        let flow = select! {
+            recv(rx) -> event => match event {
+                Ok(event) => service.on_event(clock.now(), event),
+                Err(_) => Flow::Stop,
+            },
+            recv(ticker) -> _ => service.on_tick(clock.now()),
+        };
+        if flow == Flow::Stop {
+            return;
+        }
+    }
+}
--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -1,1 +1,34 @@
-//! Kernel, links, event log and operators' port shared by the daemons.
+//! Kernel, links, event log and operator port that the daemons share.
+//!
+//! The [`Kernel`] is a registry of services by name. A service runs on its own thread, receives
+//! events from a crossbeam channel and finds the other services in the registry. Sockets are served
+//! by tokio tasks that feed events into the mailboxes of services.
+
+mod events;
+mod kernel;
+mod link;
+mod operator;
+
+pub use crate::events::EventCode;
+pub use crate::events::EventLog;
+pub use crate::events::EventRecord;
+pub use crate::events::Level;
+pub use crate::events::catalogue;
+pub use crate::kernel::Clock;
+pub use crate::kernel::Flow;
+pub use crate::kernel::Kernel;
+pub use crate::kernel::Mailbox;
+pub use crate::kernel::Service;
+pub use crate::kernel::ServiceHandle;
+pub use crate::kernel::spawn;
+pub use crate::link::DialHandle;
+pub use crate::link::LinkConfig;
+pub use crate::link::LinkEvent;
+pub use crate::link::LinkHandle;
+pub use crate::link::LinkId;
+pub use crate::link::LinkListener;
+pub use crate::link::dial;
+pub use crate::operator::MetricsHandle;
+pub use crate::operator::OperatorPort;
+pub use crate::operator::OperatorService;
+pub use crate::operator::install_metrics;
--- /dev/null
+++ b/dogwoodtray_runtime/src/link/mod.rs
@@ -0,0 +1,13 @@
+//! Framed connections between the processes of the system.
+
+mod connection;
+mod dialer;
+mod listener;
+
+pub use self::connection::LinkConfig;
+pub use self::connection::LinkEvent;
+pub use self::connection::LinkHandle;
+pub use self::connection::LinkId;
+pub use self::dialer::DialHandle;
+pub use self::dialer::dial;
+pub use self::listener::LinkListener;
--- /dev/null
+++ b/dogwoodtray_runtime/src/operator/metrics.rs
@@ -0,0 +1,31 @@
+//! Metrics of the process, rendered as text.
+
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+static HANDLE: OnceLock<MetricsHandle> = OnceLock::new();
+
+/// Renders the metrics of the process.
+#[derive(Clone, Debug)]
+pub struct MetricsHandle {
+    inner: Option<PrometheusHandle>,
+}
+
+impl MetricsHandle {
+    /// Returns the metrics in the text format of Prometheus.
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.inner.as_ref().map(PrometheusHandle::render).unwrap_or_default()
+    }
+}
+
+/// Installs the recorder of the process once and returns its handle.
+///
+/// Metrics stay empty if another recorder was installed first.
+pub fn install_metrics() -> MetricsHandle {
+    HANDLE
+        .get_or_init(|| MetricsHandle { inner: PrometheusBuilder::new().install_recorder().ok() })
+        .clone()
+}
