Add the policy crate with admission, routing and batch order

Change: the traits AdmissionPolicy and RoutePolicy, a first working version of Admission, AdaptiveLimit, Router, HedgePolicy and BatchOrder, and the baselines Fifo, FixedLimit, RoundRobin and LeastOutstanding, selectable by name. The routing trait has suspect_sent and suspect_finished, because sent and finished do not say whether the work is suspect.

--- /dev/null
+++ b/dogwoodtray_policy/src/admission/controller.rs
@@ -0,0 +1,268 @@
+//! Admission by class, with preemption of batch.
+
+use std::collections::VecDeque;
+
+use dogwoodtray_coord::Timestamp;
+
+use super::AdaptiveLimit;
+use super::AdmissionAction;
+use super::AdmissionConfig;
+use super::AdmissionEvent;
+use super::AdmissionPolicy;
+use super::RefuseReason;
+use super::queue::OnlineQueue;
+use super::reserve::OnlineReserve;
+use super::running::RunningSet;
+use crate::Class;
+use crate::Cost;
+use crate::WorkId;
+
+/// A waiting batch item.
+#[derive(Clone, Copy, Debug)]
+struct BatchItem {
+    id: WorkId,
+    cost: Cost,
+    deadline: Option<Timestamp>,
+}
+
+/// Admits work to one engine: online before batch, short before long.
+///
+/// An online request enters at once while the limit allows it or a batch stream can be preempted.
+/// It enters together with the preemption, because the engine drops a cancelled stream at its next
+/// step; waiting for that would only add latency. Long online requests wait while other long
+/// requests hold their share of the places.
+///
+/// # Examples
+///
+/// ```
+/// use dogwoodtray_coord::Timestamp;
+/// use dogwoodtray_policy::{Admission, AdmissionAction, AdmissionConfig, AdmissionEvent};
+/// use dogwoodtray_policy::{AdmissionPolicy, Class, Cost, WorkId};
+///
+/// let cfg = AdmissionConfig { max_places: 1, min_places: 1, ..AdmissionConfig::default() };
+/// let mut admission = Admission::new(cfg);
+/// let mut out = Vec::new();
+/// let cost = Cost { prompt_tokens: 10, output_tokens: 10 };
+/// for (id, class) in [(WorkId(1), Class::Batch), (WorkId(2), Class::Online)] {
+///     let event = AdmissionEvent::Arrive { id, class, cost, deadline: None };
+///     admission.handle(Timestamp::ZERO, event, &mut out);
+/// }
+/// assert_eq!(out, [
+///     AdmissionAction::Forward { id: WorkId(1) },
+///     AdmissionAction::Preempt { id: WorkId(1) },
+///     AdmissionAction::Forward { id: WorkId(2) },
+/// ]);
+/// ```
+#[derive(Debug)]
+pub struct Admission {
+    cfg: AdmissionConfig,
+    limit: AdaptiveLimit,
+    reserve: OnlineReserve,
+    online: OnlineQueue,
+    batch: VecDeque<BatchItem>,
+    running: RunningSet,
+    leaving: bool,
+    down: bool,
+}
+
+impl Admission {
+    /// Creates an admission controller for an idle engine.
+    #[must_use]
+    pub fn new(cfg: AdmissionConfig) -> Self {
+        Self {
+            cfg,
+            limit: AdaptiveLimit::new(cfg.limit()),
+            reserve: OnlineReserve::new(&cfg),
+            online: OnlineQueue::default(),
+            batch: VecDeque::new(),
+            running: RunningSet::default(),
+            leaving: false,
+            down: false,
+        }
+    }
+
+    /// Returns the number of streams now allowed inside the engine.
+    #[must_use]
+    pub fn places(&self) -> u32 {
+        self.limit.places()
+    }
+
+    fn long_places(&self) -> u32 {
+        let share = f64::from(self.places()) * self.cfg.long_share;
+        (share as u32).max(1)
+    }
+
+    fn batch_places(&self) -> u32 {
+        self.places().saturating_sub(self.reserve.places())
+    }
+}
+
+/// # Events
+impl Admission {
+    fn arrive(
+        &mut self,
+        now: Timestamp,
+        id: WorkId,
+        class: Class,
+        cost: Cost,
+        deadline: Option<Timestamp>,
+        out: &mut Vec<AdmissionAction>,
+    ) {
+        debug_assert!(!self.running.contains(id), "work arrived twice");
+        if class == Class::Online {
+            self.reserve.arrived(now);
+        }
+        if let Some(reason) = self.refusal(now, class, deadline) {
+            out.push(AdmissionAction::Refuse { id, reason });
+            return;
+        }
+        match class {
+            Class::Online => {
+                let long = cost.work() >= self.cfg.long_work;
+                self.online.push(now, id, cost, long, deadline, self.cfg.ageing);
+            }
+            Class::Batch => self.batch.push_back(BatchItem { id, cost, deadline }),
+        }
+    }
+
+    fn refusal(
+        &self,
+        now: Timestamp,
+        class: Class,
+        deadline: Option<Timestamp>,
+    ) -> Option<RefuseReason> {
+        if self.leaving {
+            return Some(RefuseReason::Leaving);
+        }
+        if deadline.is_some_and(|deadline| deadline <= now) {
+            return Some(RefuseReason::Deadline);
+        }
+        let full = match class {
+            Class::Online => self.online.len() >= self.cfg.max_queued_online,
+            Class::Batch => self.batch.len() >= self.cfg.max_queued_batch as usize,
+        };
+        (self.down || full).then_some(RefuseReason::Busy)
+    }
+
+    fn progress(&mut self, now: Timestamp, id: WorkId, tokens: u32) {
+        if let Some(gap) = self.running.progress(now, id, tokens) {
+            self.limit.observe_gap(gap);
+        }
+        self.running.reclassify(id, self.cfg.long_work);
+    }
+
+    fn withdraw(&mut self, id: WorkId) {
+        if self.running.contains(id) {
+            self.running.mark_exiting(id);
+        } else if self.online.remove(id).is_none() {
+            self.batch.retain(|item| item.id != id);
+        }
+    }
+
+    /// Refuses what waits, so that it can run elsewhere.
+    fn go_down(&mut self, out: &mut Vec<AdmissionAction>) {
+        self.down = true;
+        let reason = RefuseReason::Busy;
+        while let Some(waiting) = self.online.pop(true) {
+            out.push(AdmissionAction::Refuse { id: waiting.id, reason });
+        }
+        out.extend(
+            self.batch.drain(..).map(|item| AdmissionAction::Refuse { id: item.id, reason }),
+        );
+    }
+
+    fn go_up(&mut self) {
+        self.down = false;
+        self.limit = AdaptiveLimit::new(self.cfg.limit());
+    }
+}
+
+/// # Dispatch
+impl Admission {
+    fn dispatch(&mut self, now: Timestamp, out: &mut Vec<AdmissionAction>) {
+        if self.down {
+            return;
+        }
+        self.expire(now, out);
+        self.dispatch_online(out);
+        self.dispatch_batch(out);
+    }
+
+    fn expire(&mut self, now: Timestamp, out: &mut Vec<AdmissionAction>) {
+        let reason = RefuseReason::Deadline;
+        while let Some(id) = self.online.pop_expired(now) {
+            out.push(AdmissionAction::Refuse { id, reason });
+        }
+        self.batch.retain(|item| {
+            let expired = item.deadline.is_some_and(|deadline| deadline <= now);
+            if expired {
+                out.push(AdmissionAction::Refuse { id: item.id, reason });
+            }
+            !expired
+        });
+    }
+
+    fn dispatch_online(&mut self, out: &mut Vec<AdmissionAction>) {
+        loop {
+            let allow_long = self.running.long() < self.long_places();
+            if self.online.peek(allow_long).is_none() {
+                return;
+            }
+            if self.running.staying() >= self.places() {
+                let Some(victim) = self.running.cheapest_batch() else { return };
+                self.running.mark_exiting(victim);
+                out.push(AdmissionAction::Preempt { id: victim });
+            }
+            let Some(next) = self.online.pop(allow_long) else { return };
+            self.running.enter(next.id, Class::Online, next.cost, next.long);
+            out.push(AdmissionAction::Forward { id: next.id });
+        }
+    }
+
+    fn dispatch_batch(&mut self, out: &mut Vec<AdmissionAction>) {
+        while self.running.inside() < self.batch_places() {
+            let Some(item) = self.batch.pop_front() else { return };
+            self.running.enter(item.id, Class::Batch, item.cost, false);
+            out.push(AdmissionAction::Forward { id: item.id });
+        }
+    }
+}
+
+impl AdmissionPolicy for Admission {
+    fn handle(&mut self, now: Timestamp, event: AdmissionEvent, out: &mut Vec<AdmissionAction>) {
+        match event {
+            AdmissionEvent::Arrive { id, class, cost, deadline } => {
+                self.arrive(now, id, class, cost, deadline, out);
+            }
+            AdmissionEvent::FirstToken { id } => self.progress(now, id, 1),
+            AdmissionEvent::Progress { id, tokens } => self.progress(now, id, tokens),
+            AdmissionEvent::Finished { id } => _ = self.running.remove(id),
+            AdmissionEvent::Withdrawn { id } => self.withdraw(id),
+            AdmissionEvent::Leaving => self.leaving = true,
+            AdmissionEvent::EndpointDown => self.go_down(out),
+            AdmissionEvent::EndpointUp => self.go_up(),
+            AdmissionEvent::Tick => self.reserve.advance(now),
+        }
+        self.limit.update(now, self.running.inside());
+        self.dispatch(now, out);
+    }
+
+    fn free_online(&self) -> u32 {
+        if self.leaving || self.down {
+            return 0;
+        }
+        self.places().saturating_sub(self.running.online() + self.online.len())
+    }
+
+    fn free_batch(&self) -> u32 {
+        if self.leaving || self.down || self.online.len() > 0 {
+            return 0;
+        }
+        let waiting = u32::try_from(self.batch.len()).unwrap_or(u32::MAX);
+        self.batch_places().saturating_sub(self.running.inside().saturating_add(waiting))
+    }
+
+    fn queued_online(&self) -> u32 {
+        self.online.len()
+    }
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/admission/limit.rs
@@ -0,0 +1,124 @@
+//! Limit of the number of streams inside an engine.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::Timestamp;
+
+/// Time over which the observed gaps are averaged before the limit changes.
+const WINDOW: Duration = Duration::from_millis(250);
+/// Fewest gaps that make a usable average.
+const MIN_SAMPLES: u32 = 8;
+/// Largest decrease in one window.
+const MAX_DECREASE: f64 = 0.8;
+/// Smallest decrease in one window, so that a slight excess is corrected too.
+const MIN_DECREASE: f64 = 0.98;
+/// Growth of the lowest level in each window. It lets the limit recover when an engine has become
+/// slower for good: a fivefold slowdown is accepted after about seven minutes.
+const BASE_DRIFT: f64 = 1.001;
+
+/// Settings of an [`AdaptiveLimit`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitConfig {
+    /// Lowest limit.
+    pub min_places: u32,
+    /// Highest limit.
+    pub max_places: u32,
+    /// Time between tokens that counts as saturation, whatever the lowest level is.
+    pub target_token_gap: Duration,
+    /// Ratio of the time between tokens to its lowest level that counts as saturation.
+    pub gap_tolerance: f64,
+}
+
+/// Keeps the number of streams inside an engine below its saturation knee.
+///
+/// The limit grows by one place per window while it is in use and the time between tokens is
+/// short, and shrinks in proportion to the excess otherwise.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use dogwoodtray_coord::Timestamp;
+/// use dogwoodtray_policy::{AdaptiveLimit, AdmissionConfig, LimitConfig};
+///
+/// let cfg = LimitConfig {
+///     min_places: 2,
+///     max_places: 16,
+///     target_token_gap: Duration::from_millis(50),
+///     gap_tolerance: 1.5,
+/// };
+/// let mut limit = AdaptiveLimit::new(cfg);
+/// assert_eq!(limit.places(), 8);
+/// for step in 0..10 {
+///     limit.observe_gap(Duration::from_millis(90));
+///     limit.update(Timestamp(step * 100_000), 8);
+/// }
+/// assert!(limit.places() < 8);
+/// ```
+#[derive(Clone, Debug)]
+pub struct AdaptiveLimit {
+    cfg: LimitConfig,
+    places: f64,
+    base_gap: Option<f64>,
+    window_start: Timestamp,
+    gap_sum: f64,
+    samples: u32,
+    peak_inside: u32,
+}
+
+impl AdaptiveLimit {
+    /// Creates a limit at half of its highest value.
+    #[must_use]
+    pub fn new(cfg: LimitConfig) -> Self {
+        debug_assert!(cfg.min_places >= 1, "a limit of zero would stop the endpoint");
+        debug_assert!(cfg.min_places <= cfg.max_places, "limits are out of order");
+        Self {
+            cfg,
+            places: f64::from((cfg.max_places / 2).max(cfg.min_places)),
+            base_gap: None,
+            window_start: Timestamp::ZERO,
+            gap_sum: 0.0,
+            samples: 0,
+            peak_inside: 0,
+        }
+    }
+
+    /// Returns the number of streams allowed inside the engine.
+    #[must_use]
+    pub fn places(&self) -> u32 {
+        self.places as u32
+    }
+
+    /// Takes the time between two tokens of one stream.
+    pub fn observe_gap(&mut self, gap: Duration) {
+        self.gap_sum += gap.as_secs_f64();
+        self.samples += 1;
+    }
+
+    /// Adjusts the limit at the end of each window. `inside` is the number of streams now inside.
+    pub fn update(&mut self, now: Timestamp, inside: u32) {
+        self.peak_inside = self.peak_inside.max(inside);
+        if now - self.window_start < WINDOW || self.samples < MIN_SAMPLES {
+            return;
+        }
+        let mean = self.gap_sum / f64::from(self.samples);
+        let base = self.base_gap.map_or(mean, |base| mean.min(base * BASE_DRIFT));
+        self.base_gap = Some(base);
+        self.adjust(mean, base);
+        self.window_start = now;
+        self.gap_sum = 0.0;
+        self.samples = 0;
+        self.peak_inside = inside;
+    }
+
+    fn adjust(&mut self, mean: f64, base: f64) {
+        let bound = (base * self.cfg.gap_tolerance).min(self.cfg.target_token_gap.as_secs_f64());
+        if mean > bound {
+            self.places *= (bound / mean).clamp(MAX_DECREASE, MIN_DECREASE);
+        } else if self.peak_inside + 1 >= self.places() {
+            self.places += 1.0;
+        }
+        let min = f64::from(self.cfg.min_places);
+        self.places = self.places.clamp(min, f64::from(self.cfg.max_places));
+    }
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/baseline/fifo.rs
@@ -0,0 +1,99 @@
+//! First come, first served.
+
+use std::collections::HashSet;
+use std::collections::VecDeque;
+
+use dogwoodtray_coord::Timestamp;
+
+use crate::AdmissionAction;
+use crate::AdmissionConfig;
+use crate::AdmissionEvent;
+use crate::AdmissionPolicy;
+use crate::Class;
+use crate::RefuseReason;
+use crate::WorkId;
+
+/// Admits work in the order of arrival up to a fixed number of places, whatever its class.
+#[derive(Debug)]
+pub struct Fifo {
+    places: u32,
+    max_queued: u32,
+    queue: VecDeque<(WorkId, Class)>,
+    inside: HashSet<WorkId>,
+    leaving: bool,
+    down: bool,
+}
+
+impl Fifo {
+    /// Creates a queue for an idle engine.
+    #[must_use]
+    pub fn new(cfg: AdmissionConfig) -> Self {
+        Self {
+            places: cfg.max_places,
+            max_queued: cfg.max_queued_online.saturating_add(cfg.max_queued_batch),
+            queue: VecDeque::new(),
+            inside: HashSet::new(),
+            leaving: false,
+            down: false,
+        }
+    }
+
+    fn arrive(&mut self, id: WorkId, class: Class, out: &mut Vec<AdmissionAction>) {
+        if self.leaving {
+            out.push(AdmissionAction::Refuse { id, reason: RefuseReason::Leaving });
+        } else if self.down || self.queue.len() >= self.max_queued as usize {
+            out.push(AdmissionAction::Refuse { id, reason: RefuseReason::Busy });
+        } else {
+            self.queue.push_back((id, class));
+        }
+    }
+
+    fn dispatch(&mut self, out: &mut Vec<AdmissionAction>) {
+        while !self.down && self.inside.len() < self.places as usize {
+            let Some((id, _)) = self.queue.pop_front() else { return };
+            self.inside.insert(id);
+            out.push(AdmissionAction::Forward { id });
+        }
+    }
+
+    fn free(&self) -> u32 {
+        let taken = u32::try_from(self.inside.len() + self.queue.len()).unwrap_or(u32::MAX);
+        if self.leaving || self.down { 0 } else { self.places.saturating_sub(taken) }
+    }
+}
+
+impl AdmissionPolicy for Fifo {
+    fn handle(&mut self, _now: Timestamp, event: AdmissionEvent, out: &mut Vec<AdmissionAction>) {
+        match event {
+            AdmissionEvent::Arrive { id, class, .. } => self.arrive(id, class, out),
+            AdmissionEvent::Finished { id } => _ = self.inside.remove(&id),
+            AdmissionEvent::Withdrawn { id } => self.queue.retain(|(queued, _)| *queued != id),
+            AdmissionEvent::Leaving => self.leaving = true,
+            AdmissionEvent::EndpointDown => {
+                self.down = true;
+                let reason = RefuseReason::Busy;
+                out.extend(
+                    self.queue.drain(..).map(|(id, _)| AdmissionAction::Refuse { id, reason }),
+                );
+            }
+            AdmissionEvent::EndpointUp => self.down = false,
+            AdmissionEvent::FirstToken { .. }
+            | AdmissionEvent::Progress { .. }
+            | AdmissionEvent::Tick => (),
+        }
+        self.dispatch(out);
+    }
+
+    fn free_online(&self) -> u32 {
+        self.free()
+    }
+
+    fn free_batch(&self) -> u32 {
+        self.free()
+    }
+
+    fn queued_online(&self) -> u32 {
+        let online = self.queue.iter().filter(|(_, class)| *class == Class::Online);
+        u32::try_from(online.count()).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/baseline/least_outstanding.rs
@@ -0,0 +1,72 @@
+//! The endpoint with the least work sent from here.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::simple_endpoints::SimpleEndpoints;
+use crate::Ask;
+use crate::Class;
+use crate::Cost;
+use crate::EndpointKey;
+use crate::RoutePolicy;
+
+/// Picks the endpoint with the fewest requests sent from here, at random among equals.
+#[derive(Debug, Default)]
+pub struct LeastOutstanding {
+    endpoints: SimpleEndpoints,
+}
+
+impl LeastOutstanding {
+    /// Creates a policy without endpoints.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
+
+impl RoutePolicy for LeastOutstanding {
+    fn add(&mut self, models: &[Name], _data_centre: &Name) -> EndpointKey {
+        self.endpoints.add(models)
+    }
+
+    fn remove(&mut self, key: EndpointKey) {
+        self.endpoints.remove(key);
+    }
+
+    fn set_available(&mut self, key: EndpointKey, available: bool) {
+        self.endpoints.set_available(key, available);
+    }
+
+    fn pick(&mut self, _now: Timestamp, ask: &Ask, rng: &mut StdRng) -> Option<EndpointKey> {
+        let least = self.endpoints.candidates(ask).map(|(_, outstanding)| outstanding).min()?;
+        let equals = || self.endpoints.candidates(ask).filter(|(_, n)| *n == least);
+        let turn = rng.random_range(0..equals().count());
+        equals().nth(turn).map(|(key, _)| key)
+    }
+
+    fn sent(&mut self, _now: Timestamp, key: EndpointKey, _class: Class, _cost: Cost) {
+        self.endpoints.sent(key);
+    }
+
+    fn first_token(&mut self, _now: Timestamp, _key: EndpointKey, _took: Duration) {}
+
+    fn token_gap(&mut self, _now: Timestamp, _key: EndpointKey, _gap: Duration) {}
+
+    fn finished(&mut self, _now: Timestamp, key: EndpointKey, _: Class, _: Cost, _ok: bool) {
+        self.endpoints.finished(key);
+    }
+
+    fn report(&mut self, _now: Timestamp, _key: EndpointKey, _: u32, _: u32, _: u32) {}
+
+    fn suspect_sent(&mut self, key: EndpointKey) {
+        self.endpoints.suspect_sent(key);
+    }
+
+    fn suspect_finished(&mut self, key: EndpointKey) {
+        self.endpoints.suspect_finished(key);
+    }
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/baseline/round_robin.rs
@@ -0,0 +1,74 @@
+//! Each endpoint in turn.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use rand::rngs::StdRng;
+
+use super::simple_endpoints::SimpleEndpoints;
+use crate::Ask;
+use crate::Class;
+use crate::Cost;
+use crate::EndpointKey;
+use crate::RoutePolicy;
+
+/// Picks the endpoints in turn.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    endpoints: SimpleEndpoints,
+    turn: usize,
+}
+
+impl RoundRobin {
+    /// Creates a policy without endpoints.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
+
+impl RoutePolicy for RoundRobin {
+    fn add(&mut self, models: &[Name], _data_centre: &Name) -> EndpointKey {
+        self.endpoints.add(models)
+    }
+
+    fn remove(&mut self, key: EndpointKey) {
+        self.endpoints.remove(key);
+    }
+
+    fn set_available(&mut self, key: EndpointKey, available: bool) {
+        self.endpoints.set_available(key, available);
+    }
+
+    fn pick(&mut self, _now: Timestamp, ask: &Ask, _rng: &mut StdRng) -> Option<EndpointKey> {
+        let count = self.endpoints.candidates(ask).count();
+        if count == 0 {
+            return None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        self.endpoints.candidates(ask).nth(self.turn % count).map(|(key, _)| key)
+    }
+
+    fn sent(&mut self, _now: Timestamp, key: EndpointKey, _class: Class, _cost: Cost) {
+        self.endpoints.sent(key);
+    }
+
+    fn first_token(&mut self, _now: Timestamp, _key: EndpointKey, _took: Duration) {}
+
+    fn token_gap(&mut self, _now: Timestamp, _key: EndpointKey, _gap: Duration) {}
+
+    fn finished(&mut self, _now: Timestamp, key: EndpointKey, _: Class, _: Cost, _ok: bool) {
+        self.endpoints.finished(key);
+    }
+
+    fn report(&mut self, _now: Timestamp, _key: EndpointKey, _: u32, _: u32, _: u32) {}
+
+    fn suspect_sent(&mut self, key: EndpointKey) {
+        self.endpoints.suspect_sent(key);
+    }
+
+    fn suspect_finished(&mut self, key: EndpointKey) {
+        self.endpoints.suspect_finished(key);
+    }
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/baseline/select.rs
@@ -0,0 +1,41 @@
+//! Policies by name.
+
+use super::Fifo;
+use super::FixedLimit;
+use super::LeastOutstanding;
+use super::RoundRobin;
+use crate::Admission;
+use crate::AdmissionConfig;
+use crate::AdmissionPolicy;
+use crate::RoutePolicy;
+use crate::Router;
+use crate::RouterConfig;
+
+/// Creates a routing policy: `router`, `round-robin` or `least-outstanding`.
+///
+/// # Examples
+///
+/// ```
+/// assert!(dogwoodtray_policy::route_policy("router").is_some());
+/// assert!(dogwoodtray_policy::route_policy("unknown").is_none());
+/// ```
+#[must_use]
+pub fn route_policy(name: &str) -> Option<Box<dyn RoutePolicy>> {
+    match name {
+        "router" => Some(Box::new(Router::new(RouterConfig::default()))),
+        "round-robin" => Some(Box::new(RoundRobin::new())),
+        "least-outstanding" => Some(Box::new(LeastOutstanding::new())),
+        _ => None,
+    }
+}
+
+/// Creates an admission policy: `admission`, `fixed-limit` or `fifo`.
+#[must_use]
+pub fn admission_policy(name: &str, cfg: AdmissionConfig) -> Option<Box<dyn AdmissionPolicy>> {
+    match name {
+        "admission" => Some(Box::new(Admission::new(cfg))),
+        "fixed-limit" => Some(Box::new(FixedLimit::new(cfg))),
+        "fifo" => Some(Box::new(Fifo::new(cfg))),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/baseline/simple_endpoints.rs
@@ -0,0 +1,75 @@
+//! What the simple routing policies know about the endpoints.
+
+use dogwoodtray_coord::Name;
+use slotmap::SlotMap;
+
+use crate::Ask;
+use crate::EndpointKey;
+
+/// One endpoint.
+#[derive(Debug)]
+struct SimpleEndpoint {
+    models: Vec<Name>,
+    available: bool,
+    outstanding: u32,
+    suspects: u32,
+}
+
+/// Endpoints with the counts that the simple policies need.
+#[derive(Debug, Default)]
+pub(super) struct SimpleEndpoints {
+    endpoints: SlotMap<EndpointKey, SimpleEndpoint>,
+}
+
+impl SimpleEndpoints {
+    pub(super) fn add(&mut self, models: &[Name]) -> EndpointKey {
+        let models = models.to_vec();
+        let endpoint = SimpleEndpoint { models, available: true, outstanding: 0, suspects: 0 };
+        self.endpoints.insert(endpoint)
+    }
+
+    pub(super) fn remove(&mut self, key: EndpointKey) {
+        self.endpoints.remove(key);
+    }
+
+    pub(super) fn set_available(&mut self, key: EndpointKey, available: bool) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.available = available;
+        }
+    }
+
+    pub(super) fn sent(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.outstanding += 1;
+        }
+    }
+
+    pub(super) fn finished(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.outstanding = endpoint.outstanding.saturating_sub(1);
+        }
+    }
+
+    pub(super) fn suspect_sent(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.suspects += 1;
+        }
+    }
+
+    pub(super) fn suspect_finished(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.suspects = endpoint.suspects.saturating_sub(1);
+        }
+    }
+
+    /// Returns the endpoints that a request may go to, with their outstanding work.
+    pub(super) fn candidates(&self, ask: &Ask) -> impl Iterator<Item = (EndpointKey, u32)> {
+        let allowed = |(key, endpoint): &(EndpointKey, &SimpleEndpoint)| {
+            endpoint.available
+                && endpoint.models.contains(&ask.model)
+                && !ask.exclude.contains(key)
+                && !(ask.suspect && endpoint.suspects > 0)
+        };
+        self.endpoints.iter().filter(allowed).map(|(key, endpoint)| (key, endpoint.outstanding))
+    }
+}
--- a/dogwoodtray_policy/src/lib.rs
+++ b/dogwoodtray_policy/src/lib.rs
@@ -1,1 +1,37 @@
 //! Routing, admission and batch scheduling policies.
+//!
+//! Everything here decides without a clock, a socket or a thread: the caller passes in the current
+//! time and a seeded random generator, and carries out what is returned.
+
+mod admission;
+mod baseline;
+mod batch;
+mod routing;
+mod types;
+
+pub use crate::admission::AdaptiveLimit;
+pub use crate::admission::Admission;
+pub use crate::admission::AdmissionAction;
+pub use crate::admission::AdmissionConfig;
+pub use crate::admission::AdmissionEvent;
+pub use crate::admission::AdmissionPolicy;
+pub use crate::admission::LimitConfig;
+pub use crate::admission::RefuseReason;
+pub use crate::baseline::Fifo;
+pub use crate::baseline::FixedLimit;
+pub use crate::baseline::LeastOutstanding;
+pub use crate::baseline::RoundRobin;
+pub use crate::baseline::admission_policy;
+pub use crate::baseline::route_policy;
+pub use crate::batch::BatchOrder;
+pub use crate::batch::JobKey;
+pub use crate::routing::Ask;
+pub use crate::routing::EndpointKey;
+pub use crate::routing::HedgeConfig;
+pub use crate::routing::HedgePolicy;
+pub use crate::routing::RoutePolicy;
+pub use crate::routing::Router;
+pub use crate::routing::RouterConfig;
+pub use crate::types::Class;
+pub use crate::types::Cost;
+pub use crate::types::WorkId;
--- /dev/null
+++ b/dogwoodtray_policy/src/routing/config.rs
@@ -0,0 +1,27 @@
+//! Settings of routing.
+
+use std::time::Duration;
+
+/// Settings of a [`Router`](crate::Router).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouterConfig {
+    /// Time per token, as a multiple of the median of the peers, from which an endpoint is slow.
+    pub slow_ratio: f64,
+    /// Time between two probes of a slow endpoint.
+    pub probe_interval: Duration,
+    /// Load of the preferred endpoint, as a multiple of the mean, up to which affinity holds.
+    pub affinity_load_bound: f64,
+    /// Whether requests with a common prefix prefer the same endpoint.
+    pub affinity: bool,
+}
+
+impl Default for RouterConfig {
+    fn default() -> Self {
+        Self {
+            slow_ratio: 2.0,
+            probe_interval: Duration::from_secs(1),
+            affinity_load_bound: 1.25,
+            affinity: true,
+        }
+    }
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/routing/hedge.rs
@@ -0,0 +1,165 @@
+//! Second attempts for online requests whose first token is late.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+
+/// Ratio between the bounds of neighbouring buckets.
+const BUCKET_RATIO: f64 = 1.1;
+/// Upper bound of the first bucket.
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+/// Number of buckets; the last one begins at about 190 s.
+const BUCKETS: usize = 128;
+
+/// Settings of a [`HedgePolicy`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HedgeConfig {
+    /// Share of the requests that may be hedged.
+    pub budget: f64,
+    /// Hedges that may be saved up.
+    pub max_saved: f64,
+    /// Quantile of the time to first token after which a request is hedged.
+    pub quantile: f64,
+    /// Readings before the quantile is used.
+    pub min_samples: u32,
+    /// Readings after which older ones count half.
+    pub half_life_samples: u32,
+}
+
+impl Default for HedgeConfig {
+    fn default() -> Self {
+        Self {
+            budget: 0.03,
+            max_saved: 10.0,
+            quantile: 0.95,
+            min_samples: 50,
+            half_life_samples: 1_000,
+        }
+    }
+}
+
+/// Decides when an idempotent online request is sent a second time.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+/// use std::time::Duration;
+/// use dogwoodtray_coord::Name;
+/// use dogwoodtray_policy::{HedgeConfig, HedgePolicy};
+///
+/// let mut hedge = HedgePolicy::new(HedgeConfig::default());
+/// let model: Name = Arc::from("m");
+/// assert_eq!(hedge.should_hedge_after(&model), None);
+/// for _ in 0..100 {
+///     hedge.request_sent();
+///     hedge.first_token(&model, Duration::from_millis(100));
+/// }
+/// let after = hedge.should_hedge_after(&model).unwrap();
+/// assert!(after >= Duration::from_millis(100) && after < Duration::from_millis(111));
+/// // A budget of 3% allows three hedges for a hundred requests.
+/// assert_eq!((0..5).filter(|_| hedge.try_spend()).count(), 3);
+/// ```
+#[derive(Clone, Debug)]
+pub struct HedgePolicy {
+    cfg: HedgeConfig,
+    saved: f64,
+    models: HashMap<Name, Histogram>,
+}
+
+impl HedgePolicy {
+    /// Creates a policy without readings and without budget.
+    #[must_use]
+    pub fn new(cfg: HedgeConfig) -> Self {
+        Self { cfg, saved: 0.0, models: HashMap::new() }
+    }
+
+    /// Records that a request was sent for the first time; hedges do not count.
+    pub fn request_sent(&mut self) {
+        self.saved = (self.saved + self.cfg.budget).min(self.cfg.max_saved);
+    }
+
+    /// Records the time from sending a request to its first token.
+    pub fn first_token(&mut self, model: &Name, took: Duration) {
+        if let Some(histogram) = self.models.get_mut(model) {
+            histogram.add(took, self.cfg.half_life_samples);
+            return;
+        }
+        let mut histogram = Histogram::default();
+        histogram.add(took, self.cfg.half_life_samples);
+        self.models.insert(model.clone(), histogram);
+    }
+
+    /// Returns the time without a first token after which a request is worth a second attempt.
+    #[must_use]
+    pub fn should_hedge_after(&self, model: &Name) -> Option<Duration> {
+        let histogram = self.models.get(model)?;
+        if histogram.total < self.cfg.min_samples {
+            return None;
+        }
+        Some(histogram.quantile(self.cfg.quantile))
+    }
+
+    /// Takes one hedge from the budget and tells whether there was one.
+    pub fn try_spend(&mut self) -> bool {
+        // Sums of the budget share are not exact, so a whole hedge may be short of one by a little.
+        const ROUNDING: f64 = 1e-6;
+        if self.saved + ROUNDING < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// Counts of readings in buckets of exponentially growing width.
+#[derive(Clone, Debug)]
+struct Histogram {
+    counts: [u32; BUCKETS],
+    total: u32,
+}
+
+impl Default for Histogram {
+    fn default() -> Self {
+        Self { counts: [0; BUCKETS], total: 0 }
+    }
+}
+
+impl Histogram {
+    fn add(&mut self, reading: Duration, half_life: u32) {
+        let ratio = reading.as_secs_f64() / FIRST_BUCKET_SECONDS;
+        let bucket =
+            if ratio <= 1.0 { 0 } else { (ratio.ln() / BUCKET_RATIO.ln()).ceil() as usize };
+        self.counts[bucket.min(BUCKETS - 1)] += 1;
+        self.total += 1;
+        if self.total >= half_life.saturating_mul(2) {
+            self.halve();
+        }
+    }
+
+    fn halve(&mut self) {
+        self.total = 0;
+        for count in &mut self.counts {
+            *count /= 2;
+            self.total += *count;
+        }
+    }
+
+    /// Returns the upper bound of the bucket that holds the quantile.
+    fn quantile(&self, quantile: f64) -> Duration {
+        let wanted = (f64::from(self.total) * quantile).ceil();
+        let mut seen = 0.0;
+        for (bucket, count) in self.counts.iter().enumerate() {
+            seen += f64::from(*count);
+            if seen >= wanted {
+                return bucket_bound(bucket);
+            }
+        }
+        bucket_bound(BUCKETS - 1)
+    }
+}
+
+fn bucket_bound(bucket: usize) -> Duration {
+    Duration::from_secs_f64(FIRST_BUCKET_SECONDS * BUCKET_RATIO.powi(bucket as i32))
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/routing/mod.rs
@@ -0,0 +1,16 @@
+//! Choice of the endpoint that a request is sent to.
+
+mod affinity;
+mod config;
+mod endpoint;
+mod hedge;
+mod policy;
+mod router;
+
+pub use self::config::RouterConfig;
+pub use self::hedge::HedgeConfig;
+pub use self::hedge::HedgePolicy;
+pub use self::policy::Ask;
+pub use self::policy::EndpointKey;
+pub use self::policy::RoutePolicy;
+pub use self::router::Router;
--- /dev/null
+++ b/dogwoodtray_policy/src/routing/router.rs
@@ -0,0 +1,219 @@
+//! Routing by own observations.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use rand::Rng;
+use rand::rngs::StdRng;
+use slotmap::SlotMap;
+
+use super::Ask;
+use super::EndpointKey;
+use super::RoutePolicy;
+use super::RouterConfig;
+use super::affinity;
+use super::endpoint::Endpoint;
+use crate::Class;
+use crate::Cost;
+
+/// Least time per token, so that a reading of zero does not hide an endpoint's load.
+const MIN_GAP_SECONDS: f64 = 1e-4;
+
+/// An endpoint that a request may go to.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    key: EndpointKey,
+    load: f64,
+    /// Time per token as a multiple of the median of the peers.
+    slowness: f64,
+}
+
+impl Candidate {
+    fn expected(&self) -> f64 {
+        (self.load + 1.0) * self.slowness
+    }
+}
+
+/// Picks the less loaded of two random endpoints, with prefix affinity and slow endpoints set
+/// aside.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+/// use dogwoodtray_coord::{Name, Timestamp};
+/// use dogwoodtray_policy::{Ask, Cost, RoutePolicy, Router, RouterConfig};
+/// use rand::SeedableRng;
+/// use rand::rngs::StdRng;
+///
+/// let mut router = Router::new(RouterConfig::default());
+/// let model: Name = Arc::from("m");
+/// let key = router.add(&[model.clone()], &Arc::from("dc-1"));
+/// let ask = Ask::new(model, Cost { prompt_tokens: 10, output_tokens: 10 });
+/// let mut rng = StdRng::seed_from_u64(1);
+/// assert_eq!(router.pick(Timestamp::ZERO, &ask, &mut rng), Some(key));
+/// router.set_available(key, false);
+/// assert_eq!(router.pick(Timestamp::ZERO, &ask, &mut rng), None);
+/// ```
+#[derive(Debug)]
+pub struct Router {
+    cfg: RouterConfig,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    /// Reused between picks.
+    candidates: Vec<Candidate>,
+    gaps: Vec<f64>,
+}
+
+impl Router {
+    /// Creates a router without endpoints.
+    #[must_use]
+    pub fn new(cfg: RouterConfig) -> Self {
+        Self { cfg, endpoints: SlotMap::with_key(), candidates: Vec::new(), gaps: Vec::new() }
+    }
+
+    /// Collects the endpoints that a request may go to.
+    fn collect(&mut self, now: Timestamp, ask: &Ask) {
+        self.gaps.clear();
+        let peers = self.endpoints.values().filter(|e| e.available && e.serves(&ask.model));
+        self.gaps.extend(peers.filter_map(Endpoint::gap));
+        let median = median(&mut self.gaps);
+        self.candidates.clear();
+        for (key, endpoint) in &self.endpoints {
+            if !endpoint.available || !endpoint.serves(&ask.model) || ask.exclude.contains(&key) {
+                continue;
+            }
+            if ask.suspect && endpoint.suspects > 0 {
+                continue;
+            }
+            let slowness = match (endpoint.gap(), median) {
+                (Some(gap), Some(median)) => gap / median.max(MIN_GAP_SECONDS),
+                _ => 1.0,
+            };
+            self.candidates.push(Candidate { key, load: endpoint.load(now), slowness });
+        }
+    }
+
+    /// Returns a slow endpoint whose next probe is due.
+    fn due_probe(&mut self, now: Timestamp) -> Option<EndpointKey> {
+        for candidate in &self.candidates {
+            let endpoint = &mut self.endpoints[candidate.key];
+            if candidate.slowness >= self.cfg.slow_ratio
+                && now - endpoint.last_probe >= self.cfg.probe_interval
+            {
+                endpoint.last_probe = now;
+                return Some(candidate.key);
+            }
+        }
+        None
+    }
+
+    /// Drops the slow candidates, unless none would be left.
+    fn drop_slow(&mut self) {
+        let slow_ratio = self.cfg.slow_ratio;
+        if self.candidates.iter().any(|c| c.slowness < slow_ratio) {
+            self.candidates.retain(|c| c.slowness < slow_ratio);
+        }
+    }
+
+    /// Returns the endpoint that the prefix prefers, unless it is loaded above the bound.
+    fn preferred(&self, prefix: u64) -> Option<EndpointKey> {
+        if !self.cfg.affinity || prefix == 0 {
+            return None;
+        }
+        let total: f64 = self.candidates.iter().map(|c| c.load).sum();
+        let mean = (total + 1.0) / self.candidates.len() as f64;
+        let best = self.candidates.iter().max_by_key(|c| affinity::rank(prefix, c.key))?;
+        (best.load + 1.0 <= (mean * self.cfg.affinity_load_bound).ceil()).then_some(best.key)
+    }
+
+    fn better_of_two(&self, rng: &mut StdRng) -> Option<EndpointKey> {
+        let count = self.candidates.len();
+        if count <= 1 {
+            return self.candidates.first().map(|c| c.key);
+        }
+        let first = rng.random_range(0..count);
+        let second = (first + rng.random_range(1..count)) % count;
+        let (first, second) = (self.candidates[first], self.candidates[second]);
+        Some(if second.expected() < first.expected() { second.key } else { first.key })
+    }
+}
+
+/// Returns the median of the values, which are reordered.
+fn median(values: &mut [f64]) -> Option<f64> {
+    if values.is_empty() {
+        return None;
+    }
+    let middle = values.len() / 2;
+    Some(*values.select_nth_unstable_by(middle, f64::total_cmp).1)
+}
+
+impl RoutePolicy for Router {
+    fn add(&mut self, models: &[Name], _data_centre: &Name) -> EndpointKey {
+        self.endpoints.insert(Endpoint::new(models))
+    }
+
+    fn remove(&mut self, key: EndpointKey) {
+        self.endpoints.remove(key);
+    }
+
+    fn set_available(&mut self, key: EndpointKey, available: bool) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.available = available;
+        }
+    }
+
+    fn pick(&mut self, now: Timestamp, ask: &Ask, rng: &mut StdRng) -> Option<EndpointKey> {
+        self.collect(now, ask);
+        if let Some(key) = self.due_probe(now) {
+            return Some(key);
+        }
+        self.drop_slow();
+        self.preferred(ask.prefix).or_else(|| self.better_of_two(rng))
+    }
+
+    fn sent(&mut self, _now: Timestamp, key: EndpointKey, class: Class, _cost: Cost) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.sent(class);
+        }
+    }
+
+    fn first_token(&mut self, _now: Timestamp, _key: EndpointKey, _took: Duration) {}
+
+    fn token_gap(&mut self, _now: Timestamp, key: EndpointKey, gap: Duration) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.token_gap(gap);
+        }
+    }
+
+    fn finished(&mut self, _now: Timestamp, key: EndpointKey, class: Class, _: Cost, _ok: bool) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.finished(class);
+        }
+    }
+
+    fn report(
+        &mut self,
+        now: Timestamp,
+        key: EndpointKey,
+        free_online: u32,
+        _free_batch: u32,
+        queued_online: u32,
+    ) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.report(now, free_online, queued_online);
+        }
+    }
+
+    fn suspect_sent(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.suspects += 1;
+        }
+    }
+
+    fn suspect_finished(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.suspects = endpoint.suspects.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/types/mod.rs
@@ -0,0 +1,7 @@
+//! Vocabulary of the policies.
+
+mod work;
+
+pub use self::work::Class;
+pub use self::work::Cost;
+pub use self::work::WorkId;
