--- a/dogwoodtray_agent/src/core/decide.rs
+++ b/dogwoodtray_agent/src/core/decide.rs
@@ -178,7 +178,13 @@
         }
     }
 
-    fn on_dispatch(&mut self, now: Timestamp, peer: PeerId, work: Work, out: &mut Vec<AgentAction>) {
+    fn on_dispatch(
+        &mut self,
+        now: Timestamp,
+        peer: PeerId,
+        work: Work,
+        out: &mut Vec<AgentAction>,
+    ) {
         if self.attempts.get(work.attempt).is_some() {
             return self.on_reattach(peer, work.attempt, 0, out);
         }
--- a/dogwoodtray_agent/src/shell/agent.rs
+++ b/dogwoodtray_agent/src/shell/agent.rs
@@ -209,7 +209,7 @@
         plain_service: settings.kind == EndpointKind::Service,
     };
     LinkConfig::new(hello, move |event| {
-        mailbox.send(AgentInput::Link(event));
+        mailbox.send(AgentInput::Link(Box::new(event)));
     })
 }
 
--- a/dogwoodtray_agent/src/shell/service.rs
+++ b/dogwoodtray_agent/src/shell/service.rs
@@ -37,7 +37,7 @@
 /// What reaches the service.
 #[derive(Debug)]
 pub(super) enum AgentInput {
-    Link(LinkEvent),
+    Link(Box<LinkEvent>),
     Endpoint { attempt: AttemptId, event: EndpointEvent },
     Health(bool),
     Drain,
@@ -84,7 +84,7 @@
 
     fn on_event(&mut self, now: Timestamp, event: AgentInput) -> Flow {
         match event {
-            AgentInput::Link(event) => self.on_link(now, event),
+            AgentInput::Link(event) => self.on_link(now, *event),
             AgentInput::Endpoint { attempt, event } => {
                 if ends_exchange(&event) {
                     self.endpoint.ended(attempt);
--- /dev/null
+++ b/dogwoodtray_entry/src/http/batches.rs
@@ -0,0 +1,319 @@
+//! Batch jobs.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use dogwoodtray_coord::Name;
+use hyper::Response;
+use hyper::StatusCode;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use serde_json::value::RawValue;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::error::ApiError;
+use super::error::bytes_response;
+use super::error::json_response;
+use super::request::CallerHeaders;
+use super::request::SharedState;
+use super::resolve::resolve;
+use super::resolve::unix_ms;
+use super::stream::Body;
+use crate::jobs::Counts;
+use crate::jobs::ItemOutcome;
+use crate::jobs::ItemResult;
+use crate::jobs::JobReply;
+use crate::jobs::JobState;
+use crate::jobs::Refusal;
+use crate::jobs::Submission;
+use crate::shell::JobsInput;
+use crate::shell::Question;
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BatchRequest<'a> {
+    model: Option<String>,
+    #[serde(borrow)]
+    requests: Vec<ItemRequest<'a>>,
+    #[serde(default = "yes")]
+    idempotent: bool,
+    due_in_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ItemRequest<'a> {
+    custom_id: String,
+    #[serde(borrow)]
+    body: &'a RawValue,
+}
+
+const fn yes() -> bool {
+    true
+}
+
+/// Answers `POST /v1/batches`.
+pub(super) async fn create(
+    shared: SharedState,
+    headers: CallerHeaders,
+    body: Bytes,
+) -> Result<Response<Body>, ApiError> {
+    let request: BatchRequest<'_> = serde_json::from_slice(&body).map_err(|err| {
+        ApiError::bad_request("bad_json", format!("the body is not a valid batch: {err}"))
+    })?;
+    let submission = submission(&shared, &headers, request)?;
+    let reply = ask(&shared, Question::Submit(submission)).await?;
+    match reply {
+        JobReply::Accepted { job, resent } => {
+            let status = if resent { StatusCode::OK } else { StatusCode::CREATED };
+            let body = json!({ "id": &*job, "object": "batch", "status": "in_progress" });
+            Ok(json_response(status, &body))
+        }
+        JobReply::Conflict { job } => Err(ApiError::not_run(
+            StatusCode::CONFLICT,
+            "key_reused",
+            format!("the key belongs to job {job}, which has other content"),
+        )),
+        JobReply::NotRun(refusal) => Err(refused(&refusal)),
+        JobReply::Unknown { job } => Err(ApiError::unknown(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unknown",
+            format!("job {job} may have been stored; send it again with the same key"),
+        )),
+        other => Err(unexpected(&other)),
+    }
+}
+
+fn submission(
+    shared: &SharedState,
+    headers: &CallerHeaders,
+    request: BatchRequest<'_>,
+) -> Result<Submission, ApiError> {
+    let first = request.requests.first().map(|item| item.body.get());
+    let named = request.model.clone().or_else(|| first.and_then(model_of));
+    let Some(public) = named else {
+        return Err(ApiError::bad_request("bad_request", "the batch names no model"));
+    };
+    let target = resolve(shared, &public, CHAT_PATH, &headers.organization, false)?;
+    let mut items = Vec::with_capacity(request.requests.len());
+    for item in request.requests {
+        let body = item_body(&item, &public, &target.model)?;
+        items.push((Name::from(item.custom_id), body));
+    }
+    Ok(Submission {
+        organization: Name::clone(&headers.organization),
+        key: headers.key.clone(),
+        model: target.model,
+        items,
+        idempotent: request.idempotent && target.idempotent && !headers.non_idempotent,
+        due_unix_ms: request.due_in_ms.map(|ms| unix_ms().saturating_add(ms)),
+    })
+}
+
+fn model_of(body: &str) -> Option<String> {
+    let body: Value = serde_json::from_str(body).ok()?;
+    body["model"].as_str().map(ToOwned::to_owned)
+}
+
+/// Checks an item and fills in what the endpoint needs.
+fn item_body(item: &ItemRequest<'_>, public: &str, model: &str) -> Result<Bytes, ApiError> {
+    let bad = |what: &str| {
+        let message = format!("item {}: {what}", item.custom_id);
+        Err(ApiError::bad_request("bad_item", message))
+    };
+    if item.custom_id.is_empty() {
+        return bad("custom_id is empty");
+    }
+    let Ok(mut body) = serde_json::from_str::<Value>(item.body.get()) else {
+        return bad("body is not valid JSON");
+    };
+    if !body.is_object() {
+        return bad("body must be a JSON object");
+    }
+    if body["messages"].as_array().is_none_or(Vec::is_empty) {
+        return bad("messages must be a list with at least one message");
+    }
+    if body["model"].as_str().is_some_and(|named| named != public) {
+        return bad("all items of a batch use one model");
+    }
+    body["model"] = Value::String(model.to_owned());
+    body["stream"] = Value::Bool(true);
+    Ok(Bytes::from(body.to_string()))
+}
+
+/// Answers `GET /v1/batches/{id}`.
+pub(super) async fn status(shared: SharedState, job: &str) -> Result<Response<Body>, ApiError> {
+    match ask(&shared, Question::Status(Name::from(job))).await? {
+        JobReply::Status { state, counts, due_unix_ms, .. } => {
+            Ok(json_response(StatusCode::OK, &render_status(job, state, &counts, due_unix_ms)))
+        }
+        other => Err(not_read(job, &other)),
+    }
+}
+
+fn render_status(job: &str, state: JobState, counts: &Counts, due_unix_ms: u64) -> Value {
+    json!({
+        "id": job,
+        "object": "batch",
+        "status": state_name(state),
+        "due_unix_ms": due_unix_ms,
+        "request_counts": {
+            "total": counts.total,
+            "completed": counts.done,
+            "failed": counts.failed,
+            "cancelled": counts.cancelled,
+        },
+    })
+}
+
+const fn state_name(state: JobState) -> &'static str {
+    match state {
+        JobState::Open => "in_progress",
+        JobState::Cancelled => "cancelled",
+        JobState::Finished => "completed",
+    }
+}
+
+/// Answers `GET /v1/batches/{id}/results` with JSON lines.
+pub(super) async fn results(shared: SharedState, job: &str) -> Result<Response<Body>, ApiError> {
+    let mut replies = send(&shared, Question::Results(Name::from(job)))?;
+    let mut lines = String::new();
+    loop {
+        match replies.recv().await {
+            Some(JobReply::ResultsPart(results)) => {
+                for result in &results {
+                    lines.push_str(&render_result(result).to_string());
+                    lines.push('\n');
+                }
+            }
+            Some(JobReply::ResultsEnd { .. }) => {
+                let body = Bytes::from(lines);
+                return Ok(bytes_response(StatusCode::OK, "application/jsonl", body));
+            }
+            Some(other) => return Err(not_read(job, &other)),
+            None => return Err(stopping()),
+        }
+    }
+}
+
+fn render_result(result: &ItemResult) -> Value {
+    let parse = |body: &[u8]| {
+        serde_json::from_slice(body)
+            .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(body).into_owned()))
+    };
+    let mut fields: HashMap<&str, Value> = HashMap::new();
+    fields.insert("custom_id", Value::String(result.custom_id.to_string()));
+    match &result.outcome {
+        ItemOutcome::Done { status, body } => {
+            fields.insert("status", json!("done"));
+            fields.insert("response", json!({ "status_code": status, "body": parse(body) }));
+        }
+        ItemOutcome::Failed { reason, status, body } => {
+            fields.insert("status", json!("failed"));
+            let error = json!({ "code": reason, "status_code": status, "body": parse(body) });
+            fields.insert("error", error);
+        }
+        ItemOutcome::Cancelled => {
+            fields.insert("status", json!("cancelled"));
+        }
+    }
+    json!(fields)
+}
+
+/// Answers `POST /v1/batches/{id}/cancel`.
+pub(super) async fn cancel(shared: SharedState, job: &str) -> Result<Response<Body>, ApiError> {
+    match ask(&shared, Question::Cancel(Name::from(job))).await? {
+        JobReply::Cancelled { counts } => {
+            let status = render_status(job, JobState::Cancelled, &counts, 0);
+            Ok(json_response(StatusCode::OK, &status))
+        }
+        JobReply::AlreadyFinished => Err(ApiError {
+            run: super::error::Run::Ran,
+            ..ApiError::not_run(
+                StatusCode::CONFLICT,
+                "already_finished",
+                format!("job {job} finished before the cancellation"),
+            )
+        }),
+        JobReply::CancelUnknown => Err(ApiError::unknown(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unknown",
+            "the cancellation may have been stored; send it again",
+        )),
+        other => Err(not_read(job, &other)),
+    }
+}
+
+fn not_read(job: &str, reply: &JobReply) -> ApiError {
+    match reply {
+        JobReply::NoSuchJob => ApiError::not_found("unknown_job", format!("no job {job}")),
+        JobReply::Unavailable => {
+            ApiError::unavailable("store_unavailable", "the platform cannot be reached")
+        }
+        other => unexpected(other),
+    }
+}
+
+fn refused(refusal: &Refusal) -> ApiError {
+    match refusal {
+        Refusal::StoreUnavailable => {
+            ApiError::unavailable("store_unavailable", "the platform cannot be reached")
+        }
+        Refusal::Busy => ApiError::unavailable("busy", "too many submissions are in hand"),
+        Refusal::Abandoned => ApiError::unavailable("abandoned", "send the job again"),
+        Refusal::ServiceClosed => {
+            ApiError::not_run(StatusCode::GONE, "service_closed", "the service is closed")
+        }
+        Refusal::Empty => ApiError::bad_request("empty", "the batch has no items"),
+        Refusal::Overdue => ApiError::bad_request("overdue", "the due time has passed"),
+        Refusal::TooManyItems { limit } => {
+            too_large("too_many_items", format!("a batch has at most {limit} items"))
+        }
+        Refusal::JobTooLarge { limit } => {
+            too_large("job_too_large", format!("a batch has at most {limit} bytes"))
+        }
+        Refusal::ItemTooLarge { custom_id, limit } => {
+            too_large("item_too_large", format!("item {custom_id} has more than {limit} bytes"))
+        }
+        Refusal::DuplicateId { custom_id } => ApiError::bad_request(
+            "duplicate_custom_id",
+            format!("custom_id {custom_id} is used twice"),
+        ),
+    }
+}
+
+fn too_large(code: &'static str, message: String) -> ApiError {
+    ApiError::not_run(StatusCode::PAYLOAD_TOO_LARGE, code, message)
+}
+
+fn unexpected(reply: &JobReply) -> ApiError {
+    let code = if *reply == JobReply::Damaged { "damaged" } else { "internal" };
+    ApiError::unknown(StatusCode::INTERNAL_SERVER_ERROR, code, "the job cannot be read")
+}
+
+fn stopping() -> ApiError {
+    ApiError::unknown(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "stopping",
+        "the process stopped before the request ended",
+    )
+}
+
+fn send(
+    shared: &SharedState,
+    make: Question,
+) -> Result<UnboundedReceiver<JobReply>, ApiError> {
+    let (reply, replies) = mpsc::unbounded_channel();
+    if !shared.tell_jobs(JobsInput::Ask { make, reply }) {
+        return Err(stopping());
+    }
+    Ok(replies)
+}
+
+async fn ask(shared: &SharedState, make: Question) -> Result<JobReply, ApiError> {
+    send(shared, make)?.recv().await.ok_or_else(stopping)
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/http/chat.rs
@@ -0,0 +1,252 @@
+//! Chat completions and calls of plain services.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Name;
+use dogwoodtray_policy::Class;
+use dogwoodtray_policy::Cost;
+use dogwoodtray_runtime::catalogue;
+use hyper::Response;
+use hyper::StatusCode;
+use serde_json::Value;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::error::ApiError;
+use super::error::bytes_response;
+use super::error::json_response;
+use super::request::CallerHeaders;
+use super::request::SharedState;
+use super::request::next_request;
+use super::resolve::Target;
+use super::resolve::resolve;
+use super::stream::Body;
+use super::stream::CallerGuard;
+use super::stream::TokenStream;
+use crate::online::DispatchMode;
+use crate::online::RequestEnd;
+use crate::online::RequestSpec;
+use crate::shell::AnswerPart;
+use crate::shell::ChatAnswer;
+use crate::shell::RouterInput;
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Bytes of text that make about one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Tokens that a request generates if it names no limit.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+
+/// Bytes of a prompt that decide which endpoint has it in its cache.
+const PREFIX_BYTES: usize = 256;
+
+/// Chat request after its checks.
+struct ChatRequest {
+    model: Name,
+    stream: bool,
+    body: Value,
+}
+
+/// Answers `POST /v1/chat/completions`.
+pub(super) async fn chat(
+    shared: SharedState,
+    headers: CallerHeaders,
+    body: Bytes,
+) -> Result<Response<Body>, ApiError> {
+    let mut req = parse(&body)?;
+    let target = resolve(&shared, &req.model, CHAT_PATH, &headers.organization, false)?;
+    // The endpoint always streams, so that a broken answer can be resumed.
+    req.body["stream"] = Value::Bool(true);
+    req.body["model"] = Value::String(target.model.to_string());
+    let sent = Bytes::from(req.body.to_string());
+    let mut spec = spec_of(&headers, &target, "POST", CHAT_PATH, sent, ContentHash::of(&body));
+    spec.prefix = prefix_of(&req.body);
+    let (parts, guard) = submit(&shared, &headers, &target, spec)?;
+    let id = Name::clone(&headers.request_id);
+    if req.stream {
+        return stream(parts, guard, id).await;
+    }
+    whole(parts, guard, &id, &req.model).await
+}
+
+/// Answers a call of a plain service.
+pub(super) async fn service(
+    shared: SharedState,
+    headers: CallerHeaders,
+    method: &str,
+    route: &str,
+    path: &str,
+    body: Bytes,
+) -> Result<Response<Body>, ApiError> {
+    let target = resolve(&shared, route, path, &headers.organization, true)?;
+    let mut content = Vec::with_capacity(path.len() + body.len());
+    content.extend_from_slice(path.as_bytes());
+    content.extend_from_slice(&body);
+    let hash = ContentHash::of(&content);
+    let mut spec = spec_of(&headers, &target, method, path, body, hash);
+    spec.mode = DispatchMode::Whole;
+    let (mut parts, _guard) = submit(&shared, &headers, &target, spec)?;
+    match parts.recv().await {
+        Some(AnswerPart::Data { status, content_type, data }) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            Ok(bytes_response(status, &content_type, data))
+        }
+        Some(AnswerPart::End(end)) => Err(ApiError::of_end(&end)),
+        None => Err(stopped()),
+    }
+}
+
+/// Estimates the size of a chat request.
+pub(crate) fn chat_cost(body: &[u8]) -> Cost {
+    let parsed: Option<Value> = serde_json::from_slice(body).ok();
+    let limit = parsed.as_ref().and_then(|body| body["max_tokens"].as_u64());
+    let output = limit.and_then(|limit| u32::try_from(limit).ok());
+    Cost {
+        prompt_tokens: u32::try_from(body.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
+        output_tokens: output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
+    }
+}
+
+fn parse(body: &[u8]) -> Result<ChatRequest, ApiError> {
+    let body: Value = serde_json::from_slice(body).map_err(|err| {
+        ApiError::bad_request("bad_json", format!("the body is not valid JSON: {err}"))
+    })?;
+    let bad = |message: &str| Err(ApiError::bad_request("bad_request", message));
+    if !body.is_object() {
+        return bad("the body must be a JSON object");
+    }
+    let Some(model) = body["model"].as_str() else {
+        return bad("model must be a string");
+    };
+    if body["messages"].as_array().is_none_or(Vec::is_empty) {
+        return bad("messages must be a list with at least one message");
+    }
+    let stream = match &body["stream"] {
+        Value::Null => false,
+        Value::Bool(stream) => *stream,
+        _ => return bad("stream must be true or false"),
+    };
+    match &body["max_tokens"] {
+        Value::Null => {}
+        Value::Number(limit) if limit.as_u64().is_some_and(|limit| limit > 0) => {}
+        _ => return bad("max_tokens must be a whole number above 0"),
+    }
+    if !matches!(&body["n"], Value::Null) && body["n"].as_u64() != Some(1) {
+        return bad("n must be 1");
+    }
+    Ok(ChatRequest { model: Name::from(model), stream, body })
+}
+
+fn prefix_of(body: &Value) -> u64 {
+    let first = body["messages"][0]["content"].as_str().unwrap_or_default().as_bytes();
+    ContentHash::of(&first[..first.len().min(PREFIX_BYTES)]).0
+}
+
+fn spec_of(
+    headers: &CallerHeaders,
+    target: &Target,
+    method: &str,
+    path: &str,
+    body: Bytes,
+    content: ContentHash,
+) -> RequestSpec {
+    RequestSpec {
+        id: Name::clone(&headers.request_id),
+        class: Class::Online,
+        model: Name::clone(&target.model),
+        method: Name::from(method),
+        path: Name::from(path),
+        cost: chat_cost(&body),
+        body,
+        idempotent: target.idempotent && !headers.non_idempotent,
+        idempotency_key: headers.key.clone().unwrap_or_else(|| Name::from("")),
+        fence: None,
+        timeout: headers.deadline.unwrap_or(target.timeout),
+        prefix: 0,
+        content,
+        organization: Name::clone(&headers.organization),
+        mode: DispatchMode::Tokens,
+    }
+}
+
+fn submit(
+    shared: &SharedState,
+    headers: &CallerHeaders,
+    target: &Target,
+    spec: RequestSpec,
+) -> Result<(UnboundedReceiver<AnswerPart>, CallerGuard), ApiError> {
+    debug_assert_eq!(target.model, spec.model, "spec and target name the same model");
+    if !spec.idempotent && headers.key.is_none() {
+        return Err(ApiError::bad_request(
+            "key_required",
+            "a non-idempotent request needs an Idempotency-Key",
+        ));
+    }
+    let request = next_request(shared);
+    let (reply, parts) = mpsc::unbounded_channel();
+    let guard = CallerGuard::new(Arc::clone(shared), request);
+    shared.events.emit(&catalogue::REQUEST_ACCEPTED, Some(&spec.id), &[]);
+    let spec = Arc::new(spec);
+    if !shared.tell_router(RouterInput::Submit { request, spec, reply }) {
+        return Err(stopped());
+    }
+    Ok((parts, guard))
+}
+
+async fn stream(
+    mut parts: UnboundedReceiver<AnswerPart>,
+    guard: CallerGuard,
+    id: Name,
+) -> Result<Response<Body>, ApiError> {
+    match parts.recv().await {
+        Some(AnswerPart::Data { status: 200, content_type, data })
+            if content_type.is_empty() || content_type.starts_with(EVENT_STREAM) =>
+        {
+            let tokens = TokenStream::new(data, parts, id, guard);
+            let mut response = bytes_response(StatusCode::OK, EVENT_STREAM, Bytes::new());
+            *response.body_mut() = Body::Tokens(tokens);
+            Ok(response)
+        }
+        Some(AnswerPart::Data { status, content_type, data }) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            Ok(bytes_response(status, &content_type, data))
+        }
+        Some(AnswerPart::End(end)) => Err(ApiError::of_end(&end)),
+        None => Err(stopped()),
+    }
+}
+
+async fn whole(
+    mut parts: UnboundedReceiver<AnswerPart>,
+    _guard: CallerGuard,
+    id: &str,
+    model: &str,
+) -> Result<Response<Body>, ApiError> {
+    let mut answer = ChatAnswer::default();
+    loop {
+        match parts.recv().await {
+            Some(AnswerPart::Data { status: 200, data, .. }) => answer.push(&data),
+            Some(AnswerPart::Data { status, content_type, data }) => {
+                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+                return Ok(bytes_response(status, &content_type, data));
+            }
+            Some(AnswerPart::End(RequestEnd::Answered { .. })) if answer.complete => {
+                return Ok(json_response(StatusCode::OK, &answer.render(id, model)));
+            }
+            Some(AnswerPart::End(end)) => return Err(ApiError::of_end(&end)),
+            None => return Err(stopped()),
+        }
+    }
+}
+
+fn stopped() -> ApiError {
+    ApiError::unknown(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "stopping",
+        "the process stopped before the request ended",
+    )
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/http/mod.rs
@@ -0,0 +1,13 @@
+//! Callers' interface.
+
+mod batches;
+mod chat;
+mod error;
+mod models;
+mod port;
+mod request;
+mod resolve;
+mod stream;
+
+pub(crate) use self::chat::chat_cost;
+pub(crate) use self::port::CallerPort;
--- /dev/null
+++ b/dogwoodtray_entry/src/http/port.rs
@@ -0,0 +1,176 @@
+//! HTTP server for callers.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodtray_runtime::catalogue;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use super::batches;
+use super::chat;
+use super::error::ApiError;
+use super::error::bytes_response;
+use super::models;
+use super::request::CallerHeaders;
+use super::request::SharedState;
+use super::request::read_body;
+use super::stream::Body;
+
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Handle of the port for callers.
+#[derive(Debug)]
+pub(crate) struct CallerPort {
+    addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl CallerPort {
+    pub(crate) async fn bind(addr: SocketAddr, shared: SharedState) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, shared));
+        Ok(Self { addr, task })
+    }
+
+    pub(crate) const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+impl Drop for CallerPort {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, shared: SharedState) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Accepting fails when file descriptors run out; some close soon.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        tokio::spawn(serve(stream, Arc::clone(&shared)));
+    }
+}
+
+async fn serve(stream: TcpStream, shared: SharedState) {
+    // Token events are small, and Nagle's algorithm would hold them back.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| handle(Arc::clone(&shared), req));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    // A connection that fails is the caller's; its requests end through their guards.
+    let _ = connection.await;
+}
+
+async fn handle(
+    shared: SharedState,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let headers = match CallerHeaders::parse(&shared, req.headers()) {
+        Ok(headers) => headers,
+        Err(err) => return Ok(err.response("")),
+    };
+    let id = headers.request_id.clone();
+    let mut response = match route(&shared, headers, req).await {
+        Ok(response) => {
+            shared.events.emit(&catalogue::REQUEST_ANSWERED, Some(&id), &[]);
+            response
+        }
+        Err(err) => {
+            let fields: [(&str, &dyn std::fmt::Display); 1] = [("code", &err.code)];
+            shared.events.emit(&catalogue::REQUEST_REFUSED, Some(&id), &fields);
+            err.response(&id)
+        }
+    };
+    if let Ok(value) = id.parse() {
+        response.headers_mut().insert("x-request-id", value);
+    }
+    if shared.leaving.load(Ordering::Relaxed) {
+        // The caller opens its next connection at another entry.
+        let close = hyper::header::HeaderValue::from_static("close");
+        response.headers_mut().insert(hyper::header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+async fn route(
+    shared: &SharedState,
+    headers: CallerHeaders,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, ApiError> {
+    let path = req.uri().path().to_owned();
+    let method = req.method().clone();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (&method, parts.as_slice()) {
+        (&Method::GET, ["healthz"]) => Ok(plain(StatusCode::OK, "ok\n")),
+        (&Method::GET, ["readyz"]) if shared.is_ready() => Ok(plain(StatusCode::OK, "ready\n")),
+        (&Method::GET, ["readyz"]) => Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
+        (&Method::GET, ["v1", "models"]) => Ok(models::list(shared)),
+        (&Method::POST, ["v1", "chat", "completions"]) => {
+            check_accepting(shared)?;
+            let body = read_body(req.into_body(), shared.settings.max_body_bytes).await?;
+            chat::chat(Arc::clone(shared), headers, body).await
+        }
+        (&Method::POST, ["v1", "batches"]) => {
+            check_accepting(shared)?;
+            let body = read_body(req.into_body(), shared.settings.max_job_bytes).await?;
+            batches::create(Arc::clone(shared), headers, body).await
+        }
+        (&Method::GET, ["v1", "batches", job]) => batches::status(Arc::clone(shared), job).await,
+        (&Method::GET, ["v1", "batches", job, "results"]) => {
+            batches::results(Arc::clone(shared), job).await
+        }
+        (&Method::POST, ["v1", "batches", job, "cancel"]) => {
+            batches::cancel(Arc::clone(shared), job).await
+        }
+        (_, ["v1", "services", name, ..]) => {
+            check_accepting(shared)?;
+            let name = (*name).to_owned();
+            let below = service_path(req.uri(), &name);
+            let body = read_body(req.into_body(), shared.settings.max_body_bytes).await?;
+            let shared = Arc::clone(shared);
+            chat::service(shared, headers, method.as_str(), &name, &below, body).await
+        }
+        _ => Err(ApiError::not_found("no_such_resource", format!("{method} {path}"))),
+    }
+}
+
+/// During a drain the balancer stops sending new connections; requests on open ones still run.
+fn check_accepting(shared: &SharedState) -> Result<(), ApiError> {
+    if shared.is_ready() || shared.leaving.load(Ordering::Relaxed) {
+        return Ok(());
+    }
+    Err(ApiError::unavailable("not_ready", "the configuration is not known yet"))
+}
+
+fn service_path(uri: &hyper::Uri, name: &str) -> String {
+    let full = uri.path_and_query().map_or("/", |path| path.as_str());
+    let prefix = format!("/v1/services/{name}");
+    let below = full.strip_prefix(prefix.as_str()).unwrap_or("/");
+    if below.starts_with('/') { below.to_owned() } else { format!("/{below}") }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
+    bytes_response(status, "text/plain; charset=utf-8", Bytes::from_static(text.as_bytes()))
+}
--- a/dogwoodtray_entry/src/lib.rs
+++ b/dogwoodtray_entry/src/lib.rs
@@ -1,3 +1,13 @@
 //! Entry role: accepts requests and jobs from callers and routes them to agents.
+//!
+//! [`online::OnlineCore`] and [`jobs::JobCore`] decide without clock, socket or thread. [`Entry`]
+//! is the running process around them.
 
+mod http;
+pub mod jobs;
 pub mod online;
+mod shell;
+
+pub use crate::shell::Entry;
+pub use crate::shell::EntryError;
+pub use crate::shell::EntrySettings;
--- a/dogwoodtray_entry/src/online/endpoints.rs
+++ b/dogwoodtray_entry/src/online/endpoints.rs
@@ -65,11 +65,7 @@
     }
 
     /// Returns the agent whose current link this was.
-    pub(super) fn link_down(
-        &mut self,
-        router: &mut dyn RoutePolicy,
-        link: LinkNo,
-    ) -> Option<Name> {
+    pub(super) fn link_down(&mut self, router: &mut dyn RoutePolicy, link: LinkNo) -> Option<Name> {
         let node = self.by_link.remove(&link)?;
         let endpoint = self.by_node.get_mut(&node)?;
         if endpoint.link != Some(link) {
--- a/dogwoodtray_entry/src/online/tick.rs
+++ b/dogwoodtray_entry/src/online/tick.rs
@@ -39,11 +39,7 @@
     }
 
     const fn detach_timeout(&self, attempt: &Attempt) -> Duration {
-        if attempt.spec.idempotent {
-            self.cfg.detach_timeout
-        } else {
-            self.cfg.detach_timeout_once
-        }
+        if attempt.spec.idempotent { self.cfg.detach_timeout } else { self.cfg.detach_timeout_once }
     }
 
     fn place_waiting(&mut self, now: Timestamp, out: &mut Vec<OnlineAction>) {
--- /dev/null
+++ b/dogwoodtray_entry/src/shell/convert.rs
@@ -0,0 +1,123 @@
+//! Conversion between wire messages and the types of the decisions.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Suspicion;
+use dogwoodtray_policy::Class;
+use dogwoodtray_wire::messages;
+use dogwoodtray_wire::messages::Outcome;
+use dogwoodtray_wire::messages::WorkClass;
+
+use crate::online::AttemptDone;
+use crate::online::AttemptEnd;
+use crate::online::NotRunReason;
+use crate::online::RequestSpec;
+
+pub(super) fn attempt(id: Option<messages::AttemptId>) -> Option<AttemptId> {
+    let id = id?;
+    Some(AttemptId { incarnation: Incarnation(id.incarnation), counter: id.counter })
+}
+
+pub(super) fn wire_attempt(id: AttemptId) -> Option<messages::AttemptId> {
+    Some(messages::AttemptId { incarnation: id.incarnation.0, counter: id.counter })
+}
+
+pub(super) fn dispatch(
+    attempt: AttemptId,
+    spec: &RequestSpec,
+    time_left: Duration,
+    resume_from: u32,
+    suspect: bool,
+) -> messages::Dispatch {
+    let class = match spec.class {
+        Class::Online => WorkClass::Online,
+        Class::Batch => WorkClass::Batch,
+    };
+    let (claim, epoch) = match &spec.fence {
+        Some((claim, epoch)) => (claim.to_string(), epoch.0),
+        None => (String::new(), 0),
+    };
+    messages::Dispatch {
+        attempt: wire_attempt(attempt),
+        request_id: spec.id.to_string(),
+        class: class.into(),
+        model: spec.model.to_string(),
+        method: spec.method.to_string(),
+        path: spec.path.to_string(),
+        body: spec.body.clone(),
+        idempotent: spec.idempotent,
+        epoch,
+        claim,
+        deadline_ms: u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX).max(1),
+        cost: Some(messages::Cost {
+            prompt_tokens: spec.cost.prompt_tokens,
+            output_tokens: spec.cost.output_tokens,
+        }),
+        resume_from,
+        content: spec.content.0,
+        suspect,
+        organization: spec.organization.to_string(),
+        idempotency_key: spec.idempotency_key.to_string(),
+        clock: None,
+        prefix: spec.prefix,
+    }
+}
+
+pub(super) fn done(message: messages::Done) -> AttemptDone {
+    let end = match message.outcome() {
+        Outcome::Answered => {
+            AttemptEnd::Answered { status: u16::try_from(message.status).unwrap_or(502) }
+        }
+        Outcome::Failed => AttemptEnd::Failed,
+        Outcome::Crashed => AttemptEnd::Crashed { death: message.death },
+        Outcome::Cancelled => AttemptEnd::Cancelled,
+        Outcome::Preempted => AttemptEnd::Preempted,
+        Outcome::NotRun => AttemptEnd::NotRun(reason(message.reason())),
+        Outcome::Unknown | Outcome::Unspecified => AttemptEnd::Unknown,
+    };
+    AttemptDone {
+        end,
+        content_type: message.content_type.into(),
+        total_bytes: message.total_bytes,
+        tokens: message.tokens,
+    }
+}
+
+const fn reason(reason: messages::NotRunReason) -> NotRunReason {
+    use dogwoodtray_wire::messages::NotRunReason as Wire;
+    match reason {
+        Wire::Busy | Wire::Quarantined | Wire::StoreDown => NotRunReason::Busy,
+        Wire::Leaving => NotRunReason::Leaving,
+        Wire::Fenced => NotRunReason::Fenced,
+        Wire::WrongModel => NotRunReason::WrongModel,
+        Wire::Deadline => NotRunReason::Deadline,
+        Wire::EndpointDown => NotRunReason::EndpointDown,
+        Wire::Cancelled => NotRunReason::Cancelled,
+        Wire::Unspecified => NotRunReason::NeverReceived,
+    }
+}
+
+pub(super) fn suspicions(suspects: Vec<messages::Suspect>) -> Vec<Suspicion> {
+    suspects
+        .into_iter()
+        .map(|s| Suspicion {
+            content: ContentHash(s.content),
+            deaths: s.deaths,
+            completed: s.cleared,
+        })
+        .collect()
+}
+
+pub(super) fn wire_suspicions(suspicions: Vec<Suspicion>) -> Vec<messages::Suspect> {
+    suspicions
+        .into_iter()
+        .map(|s| messages::Suspect {
+            content: s.content.0,
+            deaths: s.deaths,
+            cleared: s.completed,
+        })
+        .collect()
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -0,0 +1,365 @@
+//! Service that accepts and drives jobs.
+
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_policy::Class;
+use dogwoodtray_runtime::Clock;
+use dogwoodtray_runtime::Flow;
+use dogwoodtray_runtime::LinkHandle;
+use dogwoodtray_runtime::Service;
+use dogwoodtray_runtime::ask;
+use dogwoodtray_runtime::catalogue;
+use dogwoodtray_wire::messages;
+use dogwoodtray_wire::messages::Frame;
+use dogwoodtray_wire::messages::frame::Kind;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::ChatAnswer;
+use super::RouterInput;
+use super::Shared;
+use super::store::StoreRunner;
+use crate::http::chat_cost;
+use crate::jobs::CallId;
+use crate::jobs::ItemEnd;
+use crate::jobs::JobAction;
+use crate::jobs::JobCore;
+use crate::jobs::JobEvent;
+use crate::jobs::JobReply;
+use crate::jobs::ReplyToken;
+use crate::online::AttemptEnd;
+use crate::online::BatchEnd;
+use crate::online::DispatchMode;
+use crate::online::RequestSpec;
+
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between reports of waiting work. Work for a model that had none is reported at once;
+/// agents count down what they offer places for, so more reports would not fill places sooner.
+const BACKLOG_INTERVAL: Duration = Duration::from_millis(500);
+
+const MICROS_PER_MILLI: u64 = 1_000;
+const SERVER_ERROR: u16 = 500;
+
+/// What reaches the service.
+#[derive(Debug)]
+pub(crate) enum JobsInput {
+    /// A question of a caller; the replies go to the channel.
+    Ask { make: Question, reply: UnboundedSender<JobReply> },
+    Stored { call: CallId, reply: StoreReply },
+    Credit { link: u64, models: Vec<Name>, places: u32 },
+    Started(AttemptId),
+    Ended { attempt: AttemptId, end: BatchEnd },
+    Probe { probe: messages::Probe, link: LinkHandle },
+    ProbeAnswer { holder: Incarnation, object: Name, epoch: Epoch, held: Option<bool> },
+    JobCancelled(Name),
+    LiveEntries(Vec<Name>),
+    ResultsTaken(ReplyToken),
+    Drain,
+}
+
+/// Question of a caller.
+#[derive(Debug)]
+pub(crate) enum Question {
+    Submit(crate::jobs::Submission),
+    Status(Name),
+    Results(Name),
+    Cancel(Name),
+}
+
+/// Text that earlier attempts at an item generated.
+struct Running {
+    request: Name,
+    partial: Bytes,
+}
+
+/// Accepts and drives jobs.
+pub(super) struct JobsService {
+    pub(super) core: JobCore,
+    pub(super) shared: Arc<Shared>,
+    pub(super) store: StoreRunner,
+    callers: HashMap<ReplyToken, UnboundedSender<JobReply>>,
+    running: HashMap<AttemptId, Running>,
+    actions: Vec<JobAction>,
+    next_token: u64,
+    next_backlog: Timestamp,
+    reported: Vec<Name>,
+}
+
+impl JobsService {
+    pub(super) fn new(core: JobCore, shared: Arc<Shared>, store: StoreRunner) -> Self {
+        Self {
+            core,
+            shared,
+            store,
+            callers: HashMap::new(),
+            running: HashMap::new(),
+            actions: Vec::new(),
+            next_token: 0,
+            next_backlog: Timestamp::ZERO,
+            reported: Vec::new(),
+        }
+    }
+}
+
+impl Service for JobsService {
+    type Event = JobsInput;
+
+    fn on_event(&mut self, now: Timestamp, event: JobsInput) -> Flow {
+        match event {
+            JobsInput::Ask { make, reply } => self.on_question(now, make, reply),
+            JobsInput::Stored { call, reply } => {
+                self.decide(now, JobEvent::Stored { call, reply });
+            }
+            JobsInput::Credit { link, models, places } => {
+                for model in models {
+                    self.decide(now, JobEvent::Credit { endpoint: link, model, places });
+                }
+            }
+            JobsInput::Started(attempt) => self.decide(now, JobEvent::ItemStarted { attempt }),
+            JobsInput::Ended { attempt, end } => {
+                let end = self.item_end(attempt, end);
+                self.decide(now, JobEvent::ItemDone { attempt, end });
+            }
+            JobsInput::Probe { probe, link } => {
+                let held = self.core.holds(&probe.object, Epoch(probe.epoch));
+                let (object, epoch) = (probe.object, probe.epoch);
+                link.send(messages::ProbeReply { object, epoch, held });
+            }
+            JobsInput::ProbeAnswer { holder, object, epoch, held } => {
+                self.decide(now, JobEvent::ProbeAnswer { holder, object, epoch, held });
+            }
+            JobsInput::JobCancelled(job) => self.decide(now, JobEvent::JobCancelled { job }),
+            JobsInput::LiveEntries(names) => self.decide(now, JobEvent::LiveEntries { names }),
+            JobsInput::ResultsTaken(token) => self.decide(now, JobEvent::ResultsTaken { token }),
+            JobsInput::Drain => self.decide(now, JobEvent::Drain),
+        }
+        self.report_backlog(now);
+        Flow::Continue
+    }
+
+    fn on_tick(&mut self, now: Timestamp) -> Flow {
+        let gone: Vec<ReplyToken> =
+            self.callers.iter().filter(|(_, tx)| tx.is_closed()).map(|(token, _)| *token).collect();
+        for token in gone {
+            self.callers.remove(&token);
+            self.decide(now, JobEvent::CallerGone { token });
+        }
+        self.decide(now, JobEvent::Tick { now_unix_ms: unix_ms() });
+        self.report_backlog(now);
+        self.shared.jobs_drained.store(self.core.drained(), Ordering::Release);
+        if self.shared.finished.load(Ordering::Acquire) { Flow::Stop } else { Flow::Continue }
+    }
+}
+
+impl JobsService {
+    fn on_question(&mut self, now: Timestamp, make: Question, tx: UnboundedSender<JobReply>) {
+        self.next_token += 1;
+        let token = ReplyToken(self.next_token);
+        self.callers.insert(token, tx);
+        let event = match make {
+            Question::Submit(submission) => {
+                JobEvent::Submit { token, submission, now_unix_ms: unix_ms() }
+            }
+            Question::Status(job) => JobEvent::Status { token, job },
+            Question::Results(job) => JobEvent::Results { token, job },
+            Question::Cancel(job) => JobEvent::Cancel { token, job },
+        };
+        self.decide(now, event);
+    }
+
+    fn decide(&mut self, now: Timestamp, event: JobEvent) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.core.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: JobAction) {
+        match action {
+            JobAction::Store { call, op } => {
+                let shared = Arc::clone(&self.shared);
+                self.store.run(op, move |reply| {
+                    shared.tell_jobs(JobsInput::Stored { call, reply });
+                });
+            }
+            JobAction::Reply { token, reply } => self.reply(token, reply),
+            JobAction::CancelAttempt { attempt } => {
+                self.shared.tell_router(RouterInput::CancelBatch { attempt });
+            }
+            JobAction::Probe { addr, holder, object, epoch } => {
+                self.probe(addr, holder, object, epoch);
+            }
+            JobAction::NotifyCancel { addr, job } => self.notify_cancel(addr, &job),
+            dispatch @ JobAction::Dispatch { .. } => self.dispatch(dispatch),
+        }
+    }
+
+    fn reply(&mut self, token: ReplyToken, reply: JobReply) {
+        log_reply(&self.shared, &reply);
+        let part = matches!(reply, JobReply::ResultsPart(_));
+        let Some(caller) = self.callers.get(&token) else { return };
+        // A caller that is gone is noticed at the next tick.
+        let _ = caller.send(reply);
+        if part {
+            // The channel holds the whole result; parts are asked for one after the other.
+            self.shared.tell_jobs(JobsInput::ResultsTaken(token));
+        } else {
+            self.callers.remove(&token);
+        }
+    }
+
+    fn dispatch(&mut self, action: JobAction) {
+        let JobAction::Dispatch {
+            endpoint,
+            attempt,
+            job,
+            epoch,
+            item,
+            model,
+            body,
+            idempotent,
+            deadline,
+            resume_from,
+            partial,
+            content,
+        } = action
+        else {
+            return;
+        };
+        let request = Name::from(format!("{job}.{item}"));
+        self.running.insert(attempt, Running { request: Name::clone(&request), partial });
+        let spec = RequestSpec {
+            id: Name::clone(&request),
+            class: Class::Batch,
+            model,
+            method: Name::from("POST"),
+            path: Name::from("/v1/chat/completions"),
+            cost: chat_cost(&body),
+            body,
+            idempotent,
+            idempotency_key: request,
+            fence: Some((Name::from(format!("jobs/{job}")), epoch)),
+            timeout: deadline,
+            prefix: 0,
+            content,
+            organization: Name::from(""),
+            mode: DispatchMode::Whole,
+        };
+        let spec = Arc::new(spec);
+        let link = endpoint;
+        self.shared.tell_router(RouterInput::SubmitBatch { attempt, link, spec, resume_from });
+    }
+
+    /// Renders a whole answer, or keeps the text that was generated so far.
+    fn item_end(&mut self, attempt: AttemptId, end: BatchEnd) -> ItemEnd {
+        let running = self.running.remove(&attempt);
+        let BatchEnd::Ended { end, content_type, answer, tokens } = end else {
+            return ItemEnd::Quarantined;
+        };
+        let partial = running.as_ref().map(|r| r.partial.clone()).unwrap_or_default();
+        match end {
+            AttemptEnd::Answered { status } if status < SERVER_ERROR => {
+                let streamed = content_type.starts_with("text/event-stream");
+                let body = if streamed {
+                    render(&running, [partial, answer])
+                } else {
+                    answer
+                };
+                if status < 400 {
+                    ItemEnd::Answered { status, body }
+                } else {
+                    ItemEnd::Failed { status, body }
+                }
+            }
+            AttemptEnd::Answered { status } => ItemEnd::Failed { status, body: answer },
+            AttemptEnd::Failed => ItemEnd::Failed { status: 502, body: Bytes::new() },
+            AttemptEnd::Crashed { .. } => ItemEnd::Crashed,
+            AttemptEnd::Cancelled => ItemEnd::Cancelled,
+            AttemptEnd::Preempted => {
+                let partial = Bytes::from([partial, answer].concat());
+                ItemEnd::Preempted { partial, tokens }
+            }
+            AttemptEnd::NotRun(_) => ItemEnd::NotRun,
+            AttemptEnd::Unknown => ItemEnd::Unknown,
+        }
+    }
+
+    fn probe(&self, addr: Name, holder: Incarnation, object: Name, epoch: Epoch) {
+        let shared = Arc::clone(&self.shared);
+        let hello = shared.hello();
+        self.store.runtime.spawn(async move {
+            let question =
+                messages::Probe { object: object.to_string(), epoch: epoch.0 };
+            let held = match ask(&addr, hello, Frame::from(question), PROBE_TIMEOUT).await {
+                Some((greeting, _)) if greeting.incarnation != holder.0 => Some(false),
+                Some((_, Kind::ProbeReply(reply))) => Some(reply.held),
+                Some(_) | None => None,
+            };
+            shared.tell_jobs(JobsInput::ProbeAnswer { holder, object, epoch, held });
+        });
+    }
+
+    fn notify_cancel(&self, addr: Name, job: &str) {
+        let hello = self.shared.hello();
+        let note = Frame::from(messages::JobCancelled { job: job.to_owned() });
+        self.store.runtime.spawn(async move {
+            // No answer follows; the driver also learns it at its next write.
+            let _ = ask(&addr, hello, note, PROBE_TIMEOUT).await;
+        });
+    }
+
+    fn report_backlog(&mut self, now: Timestamp) {
+        let backlog = self.core.backlog();
+        let models: Vec<Name> = backlog.iter().map(|b| Name::clone(&b.model)).collect();
+        let changed = models != self.reported;
+        if !changed && (models.is_empty() || now < self.next_backlog) {
+            return;
+        }
+        self.next_backlog = now + BACKLOG_INTERVAL;
+        self.reported = models;
+        self.shared.tell_router(RouterInput::Backlog(backlog));
+    }
+}
+
+fn render(running: &Option<Running>, parts: [Bytes; 2]) -> Bytes {
+    let mut answer = ChatAnswer::default();
+    for part in &parts {
+        answer.push(part);
+    }
+    let id = running.as_ref().map_or("", |r| &*r.request);
+    let model = answer.model.clone();
+    Bytes::from(answer.render(id, &model).to_string())
+}
+
+fn log_reply(shared: &Shared, reply: &JobReply) {
+    match reply {
+        JobReply::Accepted { job, resent } => {
+            let fields: [(&str, &dyn Display); 1] = [("resent", resent)];
+            shared.events.emit(&catalogue::JOB_ACCEPTED, Some(job), &fields);
+        }
+        JobReply::NotRun(refusal) => {
+            let reason = format!("{refusal:?}");
+            let fields: [(&str, &dyn Display); 1] = [("reason", &reason)];
+            shared.events.emit(&catalogue::JOB_REFUSED, None, &fields);
+        }
+        JobReply::Cancelled { .. } => shared.events.emit(&catalogue::JOB_CANCELLED, None, &[]),
+        _ => {}
+    }
+}
+
+fn unix_ms() -> u64 {
+    Clock::wall_us() / MICROS_PER_MILLI
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/shell/mod.rs
@@ -0,0 +1,28 @@
+//! The running process around the decisions.
+
+mod assemble;
+mod config;
+mod convert;
+mod entry;
+mod jobs;
+mod members;
+mod router;
+mod settings;
+mod shared;
+mod store;
+
+pub(crate) use self::assemble::ChatAnswer;
+pub use self::entry::Entry;
+pub use self::entry::EntryError;
+pub(crate) use self::jobs::JobsInput;
+pub(crate) use self::jobs::Question;
+pub(crate) use self::router::AnswerPart;
+pub(crate) use self::router::RouterInput;
+pub use self::settings::EntrySettings;
+pub(crate) use self::shared::Shared;
+
+/// Name of the service that owns the links and routes requests.
+pub(crate) const ROUTER: &str = "router";
+
+/// Name of the service that accepts and drives jobs.
+pub(crate) const JOBS: &str = "jobs";
--- /dev/null
+++ b/dogwoodtray_entry/src/shell/shared.rs
@@ -0,0 +1,124 @@
+//! State that several services and the HTTP handlers read.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use crossbeam::sync::ShardedLock;
+use dogwoodtray_config::Snapshot;
+use dogwoodtray_config::View;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Name;
+use dogwoodtray_runtime::EventLog;
+use dogwoodtray_runtime::Kernel;
+use dogwoodtray_runtime::Mailbox;
+
+use super::EntrySettings;
+use super::JOBS;
+use super::JobsInput;
+use super::ROUTER;
+use super::RouterInput;
+
+/// Status of a link for operators.
+#[derive(Clone, Debug, serde::Serialize)]
+pub(crate) struct PeerStatus {
+    pub(crate) node: String,
+    pub(crate) state: &'static str,
+    pub(crate) generation: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: EntrySettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) kernel: Kernel,
+    pub(crate) events: EventLog,
+    view: ShardedLock<Arc<View>>,
+    models: ShardedLock<Arc<[Name]>>,
+    peers: ShardedLock<Vec<PeerStatus>>,
+    pub(crate) generation: AtomicU64,
+    pub(crate) config_known: AtomicBool,
+    pub(crate) leaving: AtomicBool,
+    pub(crate) finished: AtomicBool,
+    pub(crate) requests: AtomicU64,
+    pub(crate) attempts: AtomicU64,
+    pub(crate) jobs_driven: AtomicU64,
+    pub(crate) jobs_drained: AtomicBool,
+    pub(crate) next_request: AtomicU64,
+    pub(crate) open_answers: AtomicU64,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: EntrySettings,
+        incarnation: Incarnation,
+        kernel: Kernel,
+        events: EventLog,
+    ) -> Self {
+        Self {
+            settings,
+            incarnation,
+            kernel,
+            events,
+            view: ShardedLock::new(Arc::new(View::new(&Snapshot::empty()))),
+            models: ShardedLock::new(Arc::from([])),
+            peers: ShardedLock::new(Vec::new()),
+            generation: AtomicU64::new(0),
+            config_known: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            finished: AtomicBool::new(false),
+            requests: AtomicU64::new(0),
+            attempts: AtomicU64::new(0),
+            jobs_driven: AtomicU64::new(0),
+            jobs_drained: AtomicBool::new(false),
+            next_request: AtomicU64::new(0),
+            open_answers: AtomicU64::new(0),
+        }
+    }
+
+    pub(crate) fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub(crate) fn set_view(&self, view: View) {
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    }
+
+    pub(crate) fn models(&self) -> Arc<[Name]> {
+        Arc::clone(&self.models.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub(crate) fn set_models(&self, models: Arc<[Name]>) {
+        *self.models.write().unwrap_or_else(PoisonError::into_inner) = models;
+    }
+
+    pub(crate) fn peers(&self) -> Vec<PeerStatus> {
+        self.peers.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_peers(&self, peers: Vec<PeerStatus>) {
+        *self.peers.write().unwrap_or_else(PoisonError::into_inner) = peers;
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.config_known.load(Ordering::Relaxed) && !self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn router(&self) -> Option<Mailbox<RouterInput>> {
+        self.kernel.find(ROUTER)
+    }
+
+    pub(crate) fn jobs(&self) -> Option<Mailbox<JobsInput>> {
+        self.kernel.find(JOBS)
+    }
+
+    pub(crate) fn tell_router(&self, input: RouterInput) -> bool {
+        self.router().is_some_and(|mailbox| mailbox.send(input))
+    }
+
+    pub(crate) fn tell_jobs(&self, input: JobsInput) -> bool {
+        self.jobs().is_some_and(|mailbox| mailbox.send(input))
+    }
+}
--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -27,6 +27,7 @@
 pub use crate::link::LinkHandle;
 pub use crate::link::LinkId;
 pub use crate::link::LinkListener;
+pub use crate::link::ask;
 pub use crate::link::dial;
 pub use crate::operator::MetricsHandle;
 pub use crate::operator::OperatorPort;
--- a/dogwoodtray_runtime/src/link/mod.rs
+++ b/dogwoodtray_runtime/src/link/mod.rs
@@ -1,9 +1,11 @@
 //! Framed connections between the processes of the system.
 
+mod ask;
 mod connection;
 mod dialer;
 mod listener;
 
+pub use self::ask::ask;
 pub use self::connection::LinkConfig;
 pub use self::connection::LinkEvent;
 pub use self::connection::LinkHandle;
