Add claims, membership, retry budget, quarantine and clocks

Ruled out: taking over a claim with the version that was read when the watch began (a holder that wrote since then would cost a second watch of 3 s), and judging silence by time alone (an observer that was paused has seen no silence, so four probes must be unanswered as well). Change: modules backoff, claim, hlc, members, quarantine, retry and subset.

--- a/dogwoodtray_coord/src/lib.rs
+++ b/dogwoodtray_coord/src/lib.rs
@@ -4,9 +4,31 @@
 //! returns or appends the actions that its owner carries out. Nothing here reads a clock or does
 //! I/O, so the same code runs in the daemons, in model checks and in tests.
 
+mod backoff;
+mod calls;
+mod claim;
+mod hlc;
+mod members;
+mod quarantine;
+mod retry;
+mod subset;
 mod types;
 mod write;
 
+pub use crate::backoff::Backoff;
+pub use crate::claim::*;
+pub use crate::hlc::Hlc;
+pub use crate::hlc::HlcStamp;
+pub use crate::hlc::MAX_CLOCK_AHEAD;
+pub use crate::members::MemberConfig;
+pub use crate::members::MemberState;
+pub use crate::members::MemberView;
+pub use crate::quarantine::Quarantine;
+pub use crate::quarantine::Suspicion;
+pub use crate::quarantine::Verdict;
+pub use crate::retry::RetryBudget;
+pub use crate::retry::RetryBudgetConfig;
+pub use crate::subset::choose_subset;
 pub use crate::types::*;
 pub use crate::write::StampedWrite;
 pub use crate::write::WriteResult;
--- a/dogwoodtray_coord/src/types/mod.rs
+++ b/dogwoodtray_coord/src/types/mod.rs
@@ -12,6 +12,7 @@
 pub use self::id::Name;
 pub use self::id::Version;
 pub use self::id::WriteStamp;
+pub use self::store::CallId;
 pub use self::store::Expect;
 pub use self::store::ObjectKey;
 pub use self::store::StoreOp;
--- a/dogwoodtray_coord/src/types/store.rs
+++ b/dogwoodtray_coord/src/types/store.rs
@@ -30,8 +30,12 @@
     }
 }
 
+/// Names one store call of a module, so that its reply finds it. Unique within the module.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
 /// State that an object must be in for a write to take effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Expect {
     /// The object does not exist.
     Absent,
@@ -40,7 +44,7 @@
 }
 
 /// One call to the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum StoreOp {
     /// Reads an object.
     Get {
@@ -85,7 +89,7 @@
 }
 
 /// Result of one call to the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum StoreReply {
     /// The object, for `Get`.
     Found {
--- a/dogwoodtray_coord/src/write.rs
+++ b/dogwoodtray_coord/src/write.rs
@@ -61,7 +61,7 @@
 /// let step = write.on_reply(found, is_mine);
 /// assert_eq!(step, WriteStep::Finished(WriteResult::Written { version: Version(7) }));
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct StampedWrite {
     key: ObjectKey,
     expect: Expect,
