Add group commit and publication of generations

Cause: at-most-once records, job outcomes and configuration need writes that survive lost replies and racing writers. Ruled out: write stamps counted from 1 in each instance (a process that claims an object again would take its former stamp for that of the new write, so the epoch is part of the stamp), and judging a publication by the newest stamp alone (a publisher whose reply was lost would report a race that it won once another publication has followed, so the pointer keeps the last 16 stamps). Change: modules commit and publication. Conclusion: ready for the at-most-once records.

--- a/dogwoodtray_coord/src/calls.rs
+++ b/dogwoodtray_coord/src/calls.rs
@@ -26,6 +26,11 @@
 }
 
 impl CallSlot {
+    /// Creates a slot without a call.
+    pub(crate) const fn idle(backoff: Backoff) -> Self {
+        Self { next_id: 0, state: SlotState::Idle, backoff }
+    }
+
     /// Creates a slot whose first try is due at once.
     pub(crate) const fn due(backoff: Backoff) -> Self {
         Self { next_id: 0, state: SlotState::RetryAt(Timestamp::ZERO), backoff }
--- a/dogwoodtray_coord/src/lib.rs
+++ b/dogwoodtray_coord/src/lib.rs
@@ -7,8 +7,10 @@
 mod backoff;
 mod calls;
 mod claim;
+mod commit;
 mod hlc;
 mod members;
+mod publication;
 mod quarantine;
 mod retry;
 mod subset;
@@ -17,12 +19,14 @@
 
 pub use crate::backoff::Backoff;
 pub use crate::claim::*;
+pub use crate::commit::*;
 pub use crate::hlc::Hlc;
 pub use crate::hlc::HlcStamp;
 pub use crate::hlc::MAX_CLOCK_AHEAD;
 pub use crate::members::MemberConfig;
 pub use crate::members::MemberState;
 pub use crate::members::MemberView;
+pub use crate::publication::*;
 pub use crate::quarantine::Quarantine;
 pub use crate::quarantine::Suspicion;
 pub use crate::quarantine::Verdict;
