Add stand-ins for the platform, the engine and a plain service

Ruled out: a stand-in of the platform inside the client crate (it would not exercise HTTP, lost replies and closed connections), and formatting tokens in the step loop of the engine (all streams would wait for it). Change: a shared HTTP/1.1 server that can drop all connections, and on it the object API, an engine with continuous batching, and an echo service, each with faults over HTTP.

--- /dev/null
+++ b/dogwoodtray_standin/src/http/call.rs
@@ -0,0 +1,133 @@
+//! Calls as the stand-ins see them.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use serde::de::DeserializeOwned;
+
+use super::Failure;
+use super::bad_request;
+use super::error;
+
+/// Longest body that is read at all. Limits of the protocols lie below it.
+const BODY_LIMIT_BYTES: usize = 16 << 20;
+
+/// One call with its whole body.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    /// Parts of the path between slashes, unescaped.
+    pub(crate) path: Vec<String>,
+    pub(crate) query: Vec<(String, String)>,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Value that can be read from a query parameter.
+pub(crate) trait FromQuery: Sized {
+    fn from_query(text: &str) -> Option<Self>;
+}
+
+impl FromQuery for u64 {
+    fn from_query(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+impl FromQuery for String {
+    fn from_query(text: &str) -> Option<Self> {
+        Some(text.to_owned())
+    }
+}
+
+impl Call {
+    /// Reads a request to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that says what is wrong with the request.
+    pub(crate) async fn read(req: Request<Incoming>) -> Result<Self, Failure> {
+        let (parts, body) = req.into_parts();
+        let path = parts.uri.path().trim_start_matches('/').split('/').map(unescape);
+        let path = path
+            .collect::<Option<Vec<_>>>()
+            .ok_or_else(|| bad_request("path is not valid UTF-8"))?;
+        let query = parse_query(parts.uri.query().unwrap_or_default())
+            .ok_or_else(|| bad_request("query is not valid UTF-8"))?;
+        let body = match Limited::new(body, BODY_LIMIT_BYTES).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(err) => {
+                return Err(error(StatusCode::PAYLOAD_TOO_LARGE, "body_not_read", err));
+            }
+        };
+        Ok(Self { method: parts.method, path, query, headers: parts.headers, body })
+    }
+
+    /// Returns the parts of the path, for matching.
+    pub(crate) fn route(&self) -> Vec<&str> {
+        self.path.iter().map(String::as_str).collect()
+    }
+
+    /// Returns the text of a header.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Reads a query parameter; `None` when it is missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure with status 400 when the parameter can't be read.
+    pub(crate) fn param<T: FromQuery>(&self, name: &str) -> Result<Option<T>, Failure> {
+        let Some((_, text)) = self.query.iter().find(|(key, _)| key == name) else {
+            return Ok(None);
+        };
+        T::from_query(text)
+            .map(Some)
+            .ok_or_else(|| bad_request(format!("query parameter {name} is not valid")))
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure with status 400 when the body can't be read.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Failure> {
+        serde_json::from_slice(&self.body).map_err(|err| bad_request(format!("body: {err}")))
+    }
+}
+
+fn parse_query(query: &str) -> Option<Vec<(String, String)>> {
+    query
+        .split('&')
+        .filter(|pair| !pair.is_empty())
+        .map(|pair| {
+            let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+            Some((unescape(key)?, unescape(value)?))
+        })
+        .collect()
+}
+
+/// Resolves percent escapes. Returns `None` when the result is not UTF-8.
+fn unescape(text: &str) -> Option<String> {
+    let bytes = text.as_bytes();
+    let mut unescaped = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while let Some(&byte) = bytes.get(at) {
+        let escaped = bytes.get(at + 1..at + 3).filter(|_| byte == b'%').and_then(hex_byte);
+        unescaped.push(escaped.unwrap_or(byte));
+        at += if escaped.is_some() { 3 } else { 1 };
+    }
+    String::from_utf8(unescaped).ok()
+}
+
+fn hex_byte(digits: &[u8]) -> Option<u8> {
+    let high = char::from(*digits.first()?).to_digit(16)?;
+    let low = char::from(*digits.get(1)?).to_digit(16)?;
+    u8::try_from(high * 16 + low).ok()
+}
--- /dev/null
+++ b/dogwoodtray_standin/src/platform/objects.rs
@@ -0,0 +1,102 @@
+//! Objects with versions.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dogwoodtray_coord::Expect;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::Version;
+use serde::Serialize;
+
+/// Result of a conditional update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Update {
+    Written(Version),
+    Deleted,
+    Missing,
+    Conflict,
+}
+
+/// Name and version of an object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct ListEntry {
+    name: Name,
+    version: Version,
+}
+
+/// Page of a list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct ListPage {
+    entries: Vec<ListEntry>,
+    more: bool,
+}
+
+/// Objects in order of kind and name. Versions grow over all objects, so that an object that was
+/// deleted and created again never has an old version.
+#[derive(Debug, Default)]
+pub(crate) struct Objects {
+    objects: BTreeMap<ObjectKey, (Version, Bytes)>,
+    last_version: u64,
+}
+
+impl Objects {
+    /// Returns an object.
+    pub(crate) fn get(&self, key: &ObjectKey) -> Option<(Version, Bytes)> {
+        self.objects.get(key).cloned()
+    }
+
+    /// Writes an object if it is in the expected state.
+    pub(crate) fn put(&mut self, key: ObjectKey, expect: Expect, value: Bytes) -> Update {
+        let current = self.objects.get(&key).map(|(version, _)| *version);
+        let expected = match expect {
+            Expect::Absent => None,
+            Expect::Version(version) => Some(version),
+        };
+        if current != expected {
+            return Update::Conflict;
+        }
+        self.last_version += 1;
+        let version = Version(self.last_version);
+        self.objects.insert(key, (version, value));
+        Update::Written(version)
+    }
+
+    /// Deletes an object if it has the expected version.
+    pub(crate) fn delete(&mut self, key: &ObjectKey, expect: Version) -> Update {
+        match self.objects.get(key) {
+            None => Update::Missing,
+            Some((version, _)) if *version != expect => Update::Conflict,
+            Some(_) => {
+                self.objects.remove(key);
+                Update::Deleted
+            }
+        }
+    }
+
+    /// Lists the names of a kind that start with a prefix and follow another name.
+    pub(crate) fn list(
+        &self,
+        kind: &str,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> ListPage {
+        let start = match after {
+            Some(after) if after >= prefix => Bound::Excluded(ObjectKey::new(kind, after)),
+            _ => Bound::Included(ObjectKey::new(kind, prefix)),
+        };
+        let mut matching = self
+            .objects
+            .range((start, Bound::Unbounded))
+            .take_while(|(key, _)| &*key.kind == kind && key.name.starts_with(prefix))
+            .map(|(key, (version, _))| ListEntry {
+                name: Arc::clone(&key.name),
+                version: *version,
+            });
+        let entries = matching.by_ref().take(limit).collect();
+        ListPage { entries, more: matching.next().is_some() }
+    }
+}
--- /dev/null
+++ b/dogwoodtray_standin/src/platform/routes.rs
@@ -0,0 +1,239 @@
+//! Calls of the object API.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::Expect;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::Version;
+use hyper::Method;
+use hyper::StatusCode;
+use hyper::header;
+use hyper::header::HeaderValue;
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::counts::Op;
+use super::counts::Refusal;
+use super::objects::Update;
+use super::state::Shared;
+use super::state::Verdict;
+use super::vm::Vm;
+use crate::faults::patched;
+use crate::http::Call;
+use crate::http::Dropped;
+use crate::http::Failure;
+use crate::http::Handler;
+use crate::http::Reply;
+use crate::http::bad_request;
+use crate::http::empty;
+use crate::http::error;
+use crate::http::json;
+use crate::http::no_route;
+use crate::http::raw;
+
+/// Entries of a list without a limit.
+const LIST_LIMIT: u64 = 1_000;
+
+/// Longest wait of a watch.
+const WATCH_LIMIT: Duration = Duration::from_secs(300);
+
+/// Counted kind of calls for the list of VMs.
+const VMS_KIND: &str = "vms";
+
+impl Handler for Shared {
+    async fn handle(&self, call: Call) -> Result<Reply, Failure> {
+        let route = call.route();
+        match (&call.method, route.as_slice()) {
+            (&Method::POST, ["standin", "faults"]) => self.post_faults(&call),
+            (&Method::GET, ["standin", "calls"]) => {
+                Ok(json(StatusCode::OK, &self.lock().counts.report()))
+            }
+            (&Method::PUT, ["standin", "vms", name]) => self.put_vm(name, &call),
+            (&Method::DELETE, ["standin", "vms", name]) => self.delete_vm(name),
+            (method, ["v1", "objects", kind, name]) => {
+                let key = ObjectKey::new(*kind, *name);
+                let op = match *method {
+                    Method::GET => Op::Get,
+                    Method::PUT => Op::Put,
+                    Method::DELETE => Op::Delete,
+                    _ => return Err(no_method()),
+                };
+                self.serve(kind, op, self.object(key, op, &call)).await
+            }
+            (&Method::GET, ["v1", "objects", kind]) => {
+                self.serve(kind, Op::List, async { self.list(kind, &call) }).await
+            }
+            (&Method::GET, ["v1", "watch", kind, name]) => {
+                let key = ObjectKey::new(*kind, *name);
+                self.serve(kind, Op::Watch, self.watch(key, &call)).await
+            }
+            (&Method::GET, ["v1", "vms"]) => {
+                let list = async { Ok(json(StatusCode::OK, &json!({ "vms": self.vms() }))) };
+                self.serve(VMS_KIND, Op::Vms, list).await
+            }
+            _ => Err(no_route()),
+        }
+    }
+}
+
+impl Shared {
+    /// Passes a call through counters, limits and faults.
+    async fn serve(
+        &self,
+        kind: &str,
+        op: Op,
+        call: impl Future<Output = Result<Reply, Failure>>,
+    ) -> Result<Reply, Failure> {
+        let delay_ms = self.faults.borrow().delay_ms;
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        let lose_reply = match self.admit(kind, op) {
+            Verdict::Serve { lose_reply } => lose_reply,
+            Verdict::Refuse(refusal) => return Err(refused(refusal)),
+        };
+        let reply = call.await;
+        if lose_reply {
+            self.lock().counts.add_lost_reply();
+            return Err(Dropped.into());
+        }
+        reply
+    }
+
+    async fn object(&self, key: ObjectKey, op: Op, call: &Call) -> Result<Reply, Failure> {
+        match op {
+            Op::Put => self.put(key, call),
+            Op::Delete => self.delete(&key, call),
+            _ => match self.lock().objects.get(&key) {
+                Some((version, value)) => Ok(with_etag(raw(StatusCode::OK, value), version)),
+                None => Err(missing()),
+            },
+        }
+    }
+
+    fn put(&self, key: ObjectKey, call: &Call) -> Result<Reply, Failure> {
+        if call.body.len() > self.value_limit {
+            let message = format!("value is larger than {} bytes", self.value_limit);
+            return Err(error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message));
+        }
+        let Some(expect) = condition(call) else {
+            return Err(bad_request("PUT needs If-Match: \"N\" or If-None-Match: *"));
+        };
+        let mut state = self.lock();
+        let update = state.objects.put(key.clone(), expect, call.body.clone());
+        state.wake(&key);
+        updated(update)
+    }
+
+    fn delete(&self, key: &ObjectKey, call: &Call) -> Result<Reply, Failure> {
+        let Some(Expect::Version(version)) = condition(call) else {
+            return Err(bad_request("DELETE needs If-Match: \"N\""));
+        };
+        updated(self.lock().objects.delete(key, version))
+    }
+
+    fn list(&self, kind: &str, call: &Call) -> Result<Reply, Failure> {
+        let prefix = call.param::<String>("prefix")?.unwrap_or_default();
+        let after = call.param::<String>("after")?;
+        let limit = call.param("limit")?.unwrap_or(LIST_LIMIT).min(LIST_LIMIT);
+        let page = self.lock().objects.list(kind, &prefix, after.as_deref(), limit as usize);
+        Ok(json(StatusCode::OK, &page))
+    }
+
+    async fn watch(&self, key: ObjectKey, call: &Call) -> Result<Reply, Failure> {
+        let after = Version(call.param("after")?.unwrap_or_default());
+        let wait = Duration::from_millis(call.param("wait_ms")?.unwrap_or_default());
+        let wait = wait.min(WATCH_LIMIT);
+        let deadline = Instant::now() + wait;
+        let waker = self.lock().waker(&key);
+        let mut faults = self.faults.subscribe();
+        loop {
+            // Registered before the read, so that no change in between is missed.
+            let mut changed = std::pin::pin!(waker.notified());
+            changed.as_mut().enable();
+            let current = self.lock().objects.get(&key);
+            if let Some((version, value)) = current.filter(|(version, _)| *version != after) {
+                return Ok(with_etag(raw(StatusCode::OK, value), version));
+            }
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep_until(deadline) => {
+                    return Ok(empty(StatusCode::NO_CONTENT));
+                }
+                _ = faults.wait_for(|faults| faults.outage) => return Err(refused(Refusal::Outage)),
+            }
+        }
+    }
+
+    fn post_faults(&self, call: &Call) -> Result<Reply, Failure> {
+        let current = self.faults.borrow().clone();
+        let next = patched(&current, &call.body)?;
+        self.faults.send_replace(next.clone());
+        Ok(json(StatusCode::OK, &next))
+    }
+
+    fn put_vm(&self, name: &str, call: &Call) -> Result<Reply, Failure> {
+        let vm = call.json::<Vm>()?;
+        if &*vm.name != name {
+            return Err(bad_request("name differs from the path"));
+        }
+        self.set_vm(vm);
+        Ok(empty(StatusCode::NO_CONTENT))
+    }
+
+    fn delete_vm(&self, name: &str) -> Result<Reply, Failure> {
+        if !self.remove_vm(name) {
+            return Err(missing());
+        }
+        Ok(empty(StatusCode::NO_CONTENT))
+    }
+}
+
+fn condition(call: &Call) -> Option<Expect> {
+    let if_match = call.headers.get(header::IF_MATCH);
+    let if_none_match = call.headers.get(header::IF_NONE_MATCH);
+    match (if_match, if_none_match) {
+        (None, Some(any)) if any == "*" => Some(Expect::Absent),
+        (Some(etag), None) => {
+            let quoted = etag.to_str().ok()?;
+            let version = quoted.strip_prefix('"')?.strip_suffix('"')?.parse().ok()?;
+            Some(Expect::Version(Version(version)))
+        }
+        _ => None,
+    }
+}
+
+fn updated(update: Update) -> Result<Reply, Failure> {
+    match update {
+        Update::Written(version) => Ok(with_etag(empty(StatusCode::OK), version)),
+        Update::Deleted => Ok(empty(StatusCode::NO_CONTENT)),
+        Update::Missing => Err(missing()),
+        Update::Conflict => {
+            Err(error(StatusCode::CONFLICT, "conflict", "object is not in the expected state"))
+        }
+    }
+}
+
+fn refused(refusal: Refusal) -> Failure {
+    let (status, code) = match refusal {
+        Refusal::Outage => (StatusCode::SERVICE_UNAVAILABLE, "outage"),
+        Refusal::Fault => (StatusCode::SERVICE_UNAVAILABLE, "refused"),
+        Refusal::RateLimit => (StatusCode::TOO_MANY_REQUESTS, "rate_limit"),
+    };
+    error(status, code, "the call had no effect")
+}
+
+fn with_etag(mut reply: Reply, version: Version) -> Reply {
+    if let Ok(etag) = HeaderValue::from_str(&format!("\"{}\"", version.0)) {
+        reply.headers_mut().insert(header::ETAG, etag);
+    }
+    reply
+}
+
+fn missing() -> Failure {
+    error(StatusCode::NOT_FOUND, "missing", "no such object")
+}
+
+fn no_method() -> Failure {
+    error(StatusCode::METHOD_NOT_ALLOWED, "no_method", "method is not served here")
+}
--- /dev/null
+++ b/dogwoodtray_standin/src/platform/standin.rs
@@ -0,0 +1,94 @@
+//! The running stand-in.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::config::PlatformConfig;
+use super::config::PlatformFaults;
+use super::state::Shared;
+use super::vm::Vm;
+use crate::faults::FaultSet;
+use crate::http::Server;
+
+/// Serves the platform's object API from memory.
+///
+/// # Examples
+///
+/// ```
+/// use dogwoodtray_standin::PlatformConfig;
+/// use dogwoodtray_standin::PlatformStandin;
+///
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let platform = PlatformStandin::bind(PlatformConfig::default()).await.unwrap();
+/// platform.set_outage(true);
+/// assert!(platform.faults().outage);
+/// platform.shutdown();
+/// # });
+/// ```
+#[derive(Debug)]
+pub struct PlatformStandin {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl PlatformStandin {
+    /// Binds the listener and starts to serve on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the listener, or `InvalidInput` for faults that are not valid.
+    pub async fn bind(cfg: PlatformConfig) -> io::Result<Self> {
+        if let Some(problem) = cfg.faults.problem() {
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, problem));
+        }
+        let addr = cfg.addr;
+        let shared = Arc::new(Shared::new(cfg));
+        let server = Server::bind(addr, |_| Arc::clone(&shared)).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the address of the listener.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Closes the listener and drops all connections.
+    pub fn shutdown(&self) {
+        self.server.shutdown();
+    }
+
+    /// Returns the faults in force.
+    #[must_use]
+    pub fn faults(&self) -> PlatformFaults {
+        self.shared.faults.borrow().clone()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        debug_assert_eq!(faults.problem(), None, "faults are not valid");
+        self.shared.faults.send_replace(faults);
+    }
+
+    /// Starts or ends an outage.
+    pub fn set_outage(&self, outage: bool) {
+        self.shared.faults.send_modify(|faults| faults.outage = outage);
+    }
+
+    /// Adds or replaces a VM.
+    pub fn set_vm(&self, vm: Vm) {
+        self.shared.set_vm(vm);
+    }
+
+    /// Removes a VM; returns whether it was there.
+    pub fn remove_vm(&self, name: &str) -> bool {
+        self.shared.remove_vm(name)
+    }
+
+    /// Returns how many calls were made, refused ones included.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().counts.total()
+    }
+}
