--- /dev/null
+++ b/dogwoodtray_standin/tests/service.rs
@@ -0,0 +1,77 @@
+//! The stand-in of a plain service.
+#![allow(clippy::unwrap_used, reason = "a test stops at the first failure")]
+
+mod common;
+
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_standin::ServiceConfig;
+use dogwoodtray_standin::ServiceStandin;
+use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::common::Http;
+use crate::common::eventually;
+
+async fn start() -> (ServiceStandin, Http) {
+    let service = ServiceStandin::bind(ServiceConfig::default()).await.unwrap();
+    let http = Http::new(service.addr());
+    (service, http)
+}
+
+/// Guards against runs that are merged, or counted under the wrong key.
+#[tokio::test]
+async fn runs_are_echoed_and_counted_by_key() {
+    let (_service, http) = start().await;
+    let headers = [("x-request-id", "r1"), ("idempotency-key", "k1")];
+    for run in 1..=2 {
+        let (status, body) = http.send("PUT", "/refunds/7", &headers, "slip").await.unwrap();
+        assert_eq!(status, StatusCode::OK);
+        let echo: Value = serde_json::from_slice(&body).unwrap();
+        assert_eq!(echo["request_id"], "r1");
+        assert_eq!(echo["body_hash"], ContentHash::of(b"slip").to_string());
+        assert_eq!(echo["run"], run);
+    }
+    http.send("GET", "/", &[("x-request-id", "r2")], "").await.unwrap();
+    let runs = http.get("/standin/runs").await;
+    assert_eq!(runs["runs"]["k1"]["finished"], 2);
+    assert_eq!(runs["runs"]["r2"]["finished"], 1);
+}
+
+/// Guards against faults that hide the run, or leave the effect out.
+#[tokio::test]
+async fn failed_and_dropped_runs_count() {
+    let (service, http) = start().await;
+    let headers = [("idempotency-key", "k1")];
+    http.set_faults(json!({ "fail": 1.0 })).await;
+    let (status, _) = http.send("POST", "/refunds", &headers, "").await.unwrap();
+    assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
+    http.set_faults(json!({ "fail": 0.0, "drop_after_run": 1.0 })).await;
+    assert_eq!(http.send("POST", "/refunds", &headers, "").await, None);
+    assert_eq!(service.runs()["k1"].finished, 2);
+}
+
+/// Guards against a run that stops with its caller, which would hide a repeated effect.
+#[tokio::test]
+async fn run_outlives_its_caller() {
+    let (service, http) = start().await;
+    http.set_faults(json!({ "slow_ms": 200 })).await;
+    let caller = tokio::spawn(async move {
+        http.send("POST", "/refunds", &[("idempotency-key", "k1")], "").await
+    });
+    eventually("run begins", || async { !service.runs().is_empty() }).await;
+    caller.abort();
+    eventually("run ends", || async { service.runs()["k1"].finished == 1 }).await;
+}
+
+/// Guards against a crash that keeps answering, and a restart that does not.
+#[tokio::test]
+async fn crashed_service_refuses_connections_until_restart() {
+    let (service, http) = start().await;
+    http.send("GET", "/a", &[], "").await.unwrap();
+    service.crash(None);
+    eventually("service is down", || async { http.send("GET", "/a", &[], "").await.is_none() })
+        .await;
+    service.restart();
+    eventually("service is up", || async { http.send("GET", "/a", &[], "").await.is_some() }).await;
+}
