Measure admission on a model engine and hold the base gap

Cause: with batch always inside, the lowest observed gap drifted up by 0.1% a window, and the limit followed it up to 64 streams on an engine whose knee is at 32.

Change: the lowest gap rises only while the limit is at its minimum.

--- a/dogwoodtray_policy/src/admission/config.rs
+++ b/dogwoodtray_policy/src/admission/config.rs
@@ -48,7 +48,7 @@
     fn default() -> Self {
         Self {
             max_places: 64,
-            min_places: 4,
+            min_places: 16,
             // 95 in 100 gaps between tokens are to stay within 71 ms; the mean is kept below that.
             target_token_gap: Duration::from_millis(60),
             gap_tolerance: 1.3,
--- a/dogwoodtray_policy/src/admission/limit.rs
+++ b/dogwoodtray_policy/src/admission/limit.rs
@@ -12,9 +12,9 @@
 const MAX_DECREASE: f64 = 0.8;
 /// Smallest decrease in one window, so that a slight excess is corrected too.
 const MIN_DECREASE: f64 = 0.98;
-/// Growth of the lowest level in each window. It lets the limit recover when an engine has become
-/// slower for good: a fivefold slowdown is accepted after about seven minutes.
-const BASE_DRIFT: f64 = 1.001;
+/// Weight of a new average in the lowest level while the limit is at its minimum. The level is only
+/// raised there: under a constant load, a level that follows the average would follow the limit up.
+const BASE_RISE: f64 = 0.1;
 
 /// Settings of an [`AdaptiveLimit`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -102,7 +102,7 @@
             return;
         }
         let mean = self.gap_sum / f64::from(self.samples);
-        let base = self.base_gap.map_or(mean, |base| mean.min(base * BASE_DRIFT));
+        let base = self.next_base(mean);
         self.base_gap = Some(base);
         self.adjust(mean, base);
         self.window_start = now;
@@ -111,6 +111,14 @@
         self.peak_inside = inside;
     }
 
+    fn next_base(&self, mean: f64) -> f64 {
+        let Some(base) = self.base_gap else { return mean };
+        if mean > base && self.places() <= self.cfg.min_places {
+            return base + (mean - base) * BASE_RISE;
+        }
+        mean.min(base)
+    }
+
     fn adjust(&mut self, mean: f64, base: f64) {
         let bound = (base * self.cfg.gap_tolerance).min(self.cfg.target_token_gap.as_secs_f64());
         if mean > bound {
--- /dev/null
+++ b/dogwoodtray_policy/tests/support/mod.rs
@@ -0,0 +1,13 @@
+//! Virtual-time model of an endpoint, shared by the measurements.
+#![allow(dead_code, reason = "each test file uses a part of the model")]
+
+pub(crate) mod agent;
+pub(crate) mod engine;
+pub(crate) mod workload;
+
+/// Returns the value at a quantile; the values are sorted in place.
+pub(crate) fn quantile(values: &mut [f64], quantile: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let rank = (values.len() as f64 * quantile).ceil() as usize;
+    values[rank.clamp(1, values.len()) - 1]
+}
