Judge saturation by the median gap and a tolerance of 1.1

Cause: the mean gap holds the prompts of entering work, so the limit followed the mix of prompts, and a tolerance of 1.3 settled above the knee.

Change: the limit uses the median gap of a window, and the default tolerance is 1.1. Ruled out: the mean with a tolerance of 1.1, which prompts alone exceed.

--- a/dogwoodtray_policy/src/admission/config.rs
+++ b/dogwoodtray_policy/src/admission/config.rs
@@ -51,7 +51,7 @@
             min_places: 16,
             // 95 in 100 gaps between tokens are to stay within 71 ms; the mean is kept below that.
             target_token_gap: Duration::from_millis(60),
-            gap_tolerance: 1.3,
+            gap_tolerance: 1.1,
             online_reserve_min: 0,
             online_reserve_max: 4,
             long_share: 0.5,
--- a/dogwoodtray_policy/src/admission/limit.rs
+++ b/dogwoodtray_policy/src/admission/limit.rs
@@ -4,16 +4,18 @@
 
 use dogwoodtray_coord::Timestamp;
 
-/// Time over which the observed gaps are averaged before the limit changes.
+/// Time over which the observed gaps are collected before the limit changes.
 const WINDOW: Duration = Duration::from_millis(250);
-/// Fewest gaps that make a usable average.
-const MIN_SAMPLES: u32 = 8;
+/// Most gaps kept in a window; the rest of a window adds nothing to the median.
+const MAX_SAMPLES: usize = 1_024;
+/// Fewest gaps that make a usable median.
+const MIN_SAMPLES: usize = 8;
 /// Largest decrease in one window.
 const MAX_DECREASE: f64 = 0.8;
 /// Smallest decrease in one window, so that a slight excess is corrected too.
 const MIN_DECREASE: f64 = 0.98;
-/// Weight of a new average in the lowest level while the limit is at its minimum. The level is only
-/// raised there: under a constant load, a level that follows the average would follow the limit up.
+/// Weight of a new median in the lowest level while the limit is at its minimum. The level is only
+/// raised there: under a constant load, a level that follows the median would follow the limit up.
 const BASE_RISE: f64 = 0.1;
 
 /// Settings of an [`AdaptiveLimit`].
@@ -61,8 +63,7 @@
     places: f64,
     base_gap: Option<f64>,
     window_start: Timestamp,
-    gap_sum: f64,
-    samples: u32,
+    gaps: Vec<f64>,
     peak_inside: u32,
 }
 
@@ -77,8 +78,7 @@
             places: f64::from((cfg.max_places / 2).max(cfg.min_places)),
             base_gap: None,
             window_start: Timestamp::ZERO,
-            gap_sum: 0.0,
-            samples: 0,
+            gaps: Vec::with_capacity(MAX_SAMPLES),
             peak_inside: 0,
         }
     }
@@ -91,38 +91,39 @@
 
     /// Takes the time between two tokens of one stream.
     pub fn observe_gap(&mut self, gap: Duration) {
-        self.gap_sum += gap.as_secs_f64();
-        self.samples += 1;
+        if self.gaps.len() < MAX_SAMPLES {
+            self.gaps.push(gap.as_secs_f64());
+        }
     }
 
     /// Adjusts the limit at the end of each window. `inside` is the number of streams now inside.
     pub fn update(&mut self, now: Timestamp, inside: u32) {
         self.peak_inside = self.peak_inside.max(inside);
-        if now - self.window_start < WINDOW || self.samples < MIN_SAMPLES {
+        if now - self.window_start < WINDOW || self.gaps.len() < MIN_SAMPLES {
             return;
         }
-        let mean = self.gap_sum / f64::from(self.samples);
-        let base = self.next_base(mean);
+        let middle = self.gaps.len() / 2;
+        let typical = *self.gaps.select_nth_unstable_by(middle, f64::total_cmp).1;
+        let base = self.next_base(typical);
         self.base_gap = Some(base);
-        self.adjust(mean, base);
+        self.adjust(typical, base);
         self.window_start = now;
-        self.gap_sum = 0.0;
-        self.samples = 0;
+        self.gaps.clear();
         self.peak_inside = inside;
     }
 
-    fn next_base(&self, mean: f64) -> f64 {
-        let Some(base) = self.base_gap else { return mean };
-        if mean > base && self.places() <= self.cfg.min_places {
-            return base + (mean - base) * BASE_RISE;
+    fn next_base(&self, typical: f64) -> f64 {
+        let Some(base) = self.base_gap else { return typical };
+        if typical > base && self.places() <= self.cfg.min_places {
+            return base + (typical - base) * BASE_RISE;
         }
-        mean.min(base)
+        typical.min(base)
     }
 
-    fn adjust(&mut self, mean: f64, base: f64) {
+    fn adjust(&mut self, typical: f64, base: f64) {
         let bound = (base * self.cfg.gap_tolerance).min(self.cfg.target_token_gap.as_secs_f64());
-        if mean > bound {
-            self.places *= (bound / mean).clamp(MAX_DECREASE, MIN_DECREASE);
+        if typical > bound {
+            self.places *= (bound / typical).clamp(MAX_DECREASE, MIN_DECREASE);
         } else if self.peak_inside + 1 >= self.places() {
             self.places += 1.0;
         }
