Let batch prompts into the engine one at a time

Cause: several batch prompts at once fill the prefill chunks of an engine, and the first token of every online request behind them is late.

Change: a batch stream enters only when no other one waits for its first token (max_starting_batch).

--- a/dogwoodtray_policy/src/admission/config.rs
+++ b/dogwoodtray_policy/src/admission/config.rs
@@ -27,6 +27,9 @@
     pub ageing: f64,
     /// Balance between the classes: 0.0 puts the online tail first, 1.0 batch throughput.
     pub batch_weight: f64,
+    /// Batch streams whose prompt may be processed at the same time. Prompts of batch delay the first
+    /// token of online requests. Endpoints that report no first token need a high value.
+    pub max_starting_batch: u32,
     /// Online requests that may wait.
     pub max_queued_online: u32,
     /// Batch items that may wait.
@@ -58,6 +61,7 @@
             long_work: 1_000,
             ageing: 200.0,
             batch_weight: 0.5,
+            max_starting_batch: 1,
             max_queued_online: 1_024,
             max_queued_batch: 64,
         }
--- a/dogwoodtray_policy/src/admission/controller.rs
+++ b/dogwoodtray_policy/src/admission/controller.rs
@@ -220,7 +220,9 @@
     }
 
     fn dispatch_batch(&mut self, out: &mut Vec<AdmissionAction>) {
-        while self.running.inside() < self.batch_places() {
+        while self.running.inside() < self.batch_places()
+            && self.running.starting_batch() < self.cfg.max_starting_batch
+        {
             let Some(item) = self.batch.pop_front() else { return };
             self.running.enter(item.id, Class::Batch, item.cost, false);
             out.push(AdmissionAction::Forward { id: item.id });
--- a/dogwoodtray_policy/src/admission/policy.rs
+++ b/dogwoodtray_policy/src/admission/policy.rs
@@ -98,7 +98,7 @@
     /// Returns how many more online requests would enter the engine at once.
     fn free_online(&self) -> u32;
 
-    /// Returns how many more batch items would enter the engine at once.
+    /// Returns how many more batch items there are places for; they may enter one after another.
     fn free_batch(&self) -> u32;
 
     /// Returns how many online requests wait.
--- a/dogwoodtray_policy/src/admission/running.rs
+++ b/dogwoodtray_policy/src/admission/running.rs
@@ -39,6 +39,8 @@
     long: u32,
     batch: u32,
     exiting: u32,
+    /// Batch streams without a first token that were not cancelled.
+    starting_batch: u32,
 }
 
 impl RunningSet {
@@ -66,6 +68,11 @@
         self.online + self.batch + self.exiting
     }
 
+    /// Counts batch streams whose prompt is still being processed.
+    pub(super) const fn starting_batch(&self) -> u32 {
+        self.starting_batch
+    }
+
     pub(super) fn enter(&mut self, id: WorkId, class: Class, cost: Cost, long: bool) {
         let entered = self.entered;
         self.entered += 1;
@@ -102,6 +109,9 @@
     pub(super) fn progress(&mut self, now: Timestamp, id: WorkId, tokens: u32) -> Option<Duration> {
         let stream = self.streams.get_mut(&id)?;
         let last = stream.last_token.replace(now);
+        if last.is_none() && stream.class == Class::Batch && !stream.exiting {
+            self.starting_batch -= 1;
+        }
         let gained = tokens.saturating_sub(stream.tokens);
         stream.tokens = stream.tokens.max(tokens);
         if gained == 0 {
@@ -137,6 +147,9 @@
             Class::Online => step(&mut self.online),
             Class::Batch => step(&mut self.batch),
         }
+        if stream.class == Class::Batch && stream.last_token.is_none() {
+            step(&mut self.starting_batch);
+        }
         if stream.long {
             step(&mut self.long);
         }
