--- a/dogwoodtray_policy/src/admission/config.rs
+++ b/dogwoodtray_policy/src/admission/config.rs
@@ -27,6 +27,9 @@
     pub ageing: f64,
     /// Balance between the classes: 0.0 puts the online tail first, 1.0 batch throughput.
     pub batch_weight: f64,
+    /// Batch streams whose prompt may be processed at the same time. Prompts of batch delay the first
+    /// token of online requests. Endpoints that report no first token need a high value.
+    pub max_starting_batch: u32,
     /// Online requests that may wait.
     pub max_queued_online: u32,
     /// Batch items that may wait.
@@ -48,16 +51,17 @@
     fn default() -> Self {
         Self {
             max_places: 64,
-            min_places: 4,
+            min_places: 16,
             // 95 in 100 gaps between tokens are to stay within 71 ms; the mean is kept below that.
             target_token_gap: Duration::from_millis(60),
-            gap_tolerance: 1.3,
+            gap_tolerance: 1.1,
             online_reserve_min: 0,
             online_reserve_max: 4,
             long_share: 0.5,
             long_work: 1_000,
             ageing: 200.0,
             batch_weight: 0.5,
+            max_starting_batch: 1,
             max_queued_online: 1_024,
             max_queued_batch: 64,
         }
