Spread suspicions from the agent and add a fleet in one process

Cause: an entry heard of an endpoint death only through its own attempts, and the demonstration needs all roles in one process. Ruled out: spreading suspicions between entries only (the agent sees every content that was inside). Change: the agent records deaths and gossips them with its heartbeats; shared conversion of wire types; fleet and demonstration on the stand-ins.

--- a/dogwoodtray_agent/src/core/decide.rs
+++ b/dogwoodtray_agent/src/core/decide.rs
@@ -7,7 +7,10 @@
 use dogwoodtray_coord::AttemptId;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Quarantine;
+use dogwoodtray_coord::Suspicion;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Verdict;
 use dogwoodtray_policy::AdmissionAction;
 use dogwoodtray_policy::AdmissionEvent;
 use dogwoodtray_policy::AdmissionPolicy;
@@ -38,6 +41,9 @@
 /// Failed health checks in a row after which the endpoint counts as down.
 const MAX_MISSED_CHECKS: u32 = 3;
 
+/// Suspects that are remembered.
+const MAX_SUSPECTS: usize = 4096;
+
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Settings of [`AgentCore`].
@@ -60,6 +66,7 @@
     attempts: Attempts,
     fences: FenceGate,
     credits: CreditBook,
+    quarantine: Quarantine,
     peers: Vec<PeerId>,
     leaving: bool,
     endpoint_up: bool,
@@ -80,6 +87,7 @@
             attempts: Attempts::default(),
             fences: FenceGate::default(),
             credits: CreditBook::default(),
+            quarantine: Quarantine::new(MAX_SUSPECTS),
             peers: Vec::new(),
             leaving: false,
             endpoint_up: true,
@@ -133,6 +141,16 @@
         self.attempts.iter().filter(|(_, a)| ended(a.stage) && a.peer.is_some()).count()
     }
 
+    /// Takes over suspicions heard from an entry.
+    pub fn merge_suspicions(&mut self, suspicions: &[Suspicion]) {
+        self.quarantine.merge(suspicions);
+    }
+
+    /// Returns suspicions to pass on.
+    pub fn gossip(&mut self, limit: usize) -> Vec<Suspicion> {
+        self.quarantine.gossip(limit)
+    }
+
     const fn takes_work(&self) -> bool {
         self.endpoint_up && !self.leaving
     }
@@ -182,7 +200,7 @@
         &mut self,
         now: Timestamp,
         peer: PeerId,
-        work: Work,
+        mut work: Work,
         out: &mut Vec<AgentAction>,
     ) {
         if self.attempts.get(work.attempt).is_some() {
@@ -192,6 +210,8 @@
             // A late copy of an attempt that was already reported as ended must not run.
             return out.push(reply::ended_unseen(peer, work.attempt, AttemptEnd::Unknown));
         }
+        let verdict = self.quarantine.verdict(work.content);
+        work.suspect |= verdict != Verdict::Clear;
         if let Some(reason) = self.refusal(&work) {
             let end = AttemptEnd::NotRun(reason);
             return out.push(reply::ended_unseen(peer, work.attempt, end));
@@ -219,6 +239,9 @@
         if work.deadline.is_some_and(|left| left.is_zero()) {
             return Some(NotRun::Deadline);
         }
+        if self.quarantine.verdict(work.content) == Verdict::Refused {
+            return Some(NotRun::Quarantined);
+        }
         if work.suspect && self.attempts.iter().any(|(_, a)| a.work.suspect && !is_ended(a.stage)) {
             // Two suspects inside one endpoint could not be told apart if it died.
             return Some(NotRun::Busy);
@@ -372,9 +395,11 @@
             }
             EndpointEvent::Data { data, tokens } => self.on_data(now, id, data, tokens, out),
             EndpointEvent::End => {
-                let Some(status) = self.attempts.get(id).map(|attempt| attempt.status) else {
-                    return;
-                };
+                let Some(attempt) = self.attempts.get(id) else { return };
+                let status = attempt.status;
+                if attempt.work.suspect {
+                    self.quarantine.record_completion(attempt.work.content);
+                }
                 self.end(now, id, AttemptEnd::Answered { status }, out);
             }
             EndpointEvent::ConnectFailed => {
@@ -472,6 +497,9 @@
         self.deaths += 1;
         let death = self.cfg.incarnation.0.wrapping_mul(31).wrapping_add(self.deaths);
         for id in self.with_stage(|stage| matches!(stage, Stage::Broken | Stage::Running)) {
+            if let Some(attempt) = self.attempts.get(id) {
+                self.quarantine.record_death(attempt.work.content, death);
+            }
             out.push(AgentAction::Abort { attempt: id });
             self.end(now, id, AttemptEnd::Crashed { death }, out);
         }
--- a/dogwoodtray_agent/src/core/message.rs
+++ b/dogwoodtray_agent/src/core/message.rs
@@ -65,6 +65,8 @@
     Deadline,
     /// The endpoint cannot be reached.
     EndpointDown,
+    /// The content was inside two endpoints that died.
+    Quarantined,
     /// Cancelled while it waited.
     Cancelled,
     /// The agent never received the attempt.
--- a/dogwoodtray_agent/src/shell/agent.rs
+++ b/dogwoodtray_agent/src/shell/agent.rs
@@ -68,7 +68,7 @@
     mailbox: Mailbox<AgentInput>,
     listener: LinkListener,
     operator: OperatorPort,
-    service: ServiceHandle,
+    service: Option<ServiceHandle>,
     shared: Arc<Shared>,
     events: EventLog,
 }
@@ -110,6 +110,7 @@
             OperatorPort::bind(settings.admin, Arc::new(status), events.clone(), metrics)?;
         let fields: [(&str, &dyn std::fmt::Display); 1] = [("peer", &listener.addr())];
         events.emit(&catalogue::PROCESS_STARTED, None, &fields);
+        let service = Some(service);
         Ok(Self { mailbox, listener, operator, service, shared, events })
     }
 
@@ -144,8 +145,14 @@
     }
 
     /// Waits for the thread of the service. Returns `false` if it panicked.
-    pub fn join(self) -> bool {
-        self.service.join()
+    pub fn join(mut self) -> bool {
+        self.service.take().is_none_or(ServiceHandle::join)
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.mailbox.send(AgentInput::Stop);
     }
 }
 
--- a/dogwoodtray_agent/src/shell/convert.rs
+++ b/dogwoodtray_agent/src/shell/convert.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use dogwoodtray_coord::AttemptId;
 use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Epoch;
-use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::Cost;
+use dogwoodtray_runtime::attempt_from_wire;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::NotRunReason;
 use dogwoodtray_wire::messages::Outcome;
@@ -19,15 +18,6 @@
 use crate::core::NotRun;
 use crate::core::Work;
 
-pub(super) fn attempt(id: Option<messages::AttemptId>) -> Option<AttemptId> {
-    let id = id?;
-    Some(AttemptId { incarnation: Incarnation(id.incarnation), counter: id.counter })
-}
-
-pub(super) fn wire_attempt(id: AttemptId) -> Option<messages::AttemptId> {
-    Some(messages::AttemptId { incarnation: id.incarnation.0, counter: id.counter })
-}
-
 pub(super) fn work(dispatch: messages::Dispatch) -> Option<Work> {
     let class = match dispatch.class() {
         WorkClass::Online => Class::Online,
@@ -37,7 +27,7 @@
     let cost = dispatch.cost.unwrap_or_default();
     let claim = Name::from(dispatch.claim.as_str());
     Some(Work {
-        attempt: attempt(dispatch.attempt)?,
+        attempt: attempt_from_wire(dispatch.attempt)?,
         request: dispatch.request_id.into(),
         class,
         model: dispatch.model.into(),
@@ -93,6 +83,7 @@
         NotRun::WrongModel => NotRunReason::WrongModel,
         NotRun::Deadline => NotRunReason::Deadline,
         NotRun::EndpointDown => NotRunReason::EndpointDown,
+        NotRun::Quarantined => NotRunReason::Quarantined,
         NotRun::Cancelled => NotRunReason::Cancelled,
         NotRun::NeverReceived => NotRunReason::Unspecified,
     }
--- a/dogwoodtray_agent/src/shell/service.rs
+++ b/dogwoodtray_agent/src/shell/service.rs
@@ -15,7 +15,11 @@
 use dogwoodtray_runtime::LinkEvent;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::Service;
+use dogwoodtray_runtime::attempt_from_wire;
+use dogwoodtray_runtime::attempt_to_wire;
 use dogwoodtray_runtime::catalogue;
+use dogwoodtray_runtime::suspicions_from_wire;
+use dogwoodtray_runtime::suspicions_to_wire;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::frame::Kind;
 
@@ -29,6 +33,9 @@
 use crate::core::EndpointEvent;
 use crate::core::PeerId;
 
+/// Suspicions in one heartbeat.
+const MAX_SUSPICIONS: usize = 64;
+
 const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time that a drain waits for entries to confirm the last answers.
@@ -41,6 +48,7 @@
     Endpoint { attempt: AttemptId, event: EndpointEvent },
     Health(bool),
     Drain,
+    Stop,
 }
 
 /// State that the operator port and the greetings read.
@@ -93,6 +101,7 @@
             }
             AgentInput::Health(up) => self.decide(now, AgentEvent::Health { up }),
             AgentInput::Drain => self.start_drain(now),
+            AgentInput::Stop => return Flow::Stop,
         }
         Flow::Continue
     }
@@ -140,6 +149,7 @@
                 if let Some(known) = self.links.get(&peer) {
                     self.catch_up(&known.link, heartbeat.generation);
                 }
+                self.core.merge_suspicions(&suspicions_from_wire(heartbeat.suspects));
                 let backlog = convert::backlog(heartbeat.backlog);
                 self.decide(now, AgentEvent::PeerBacklog { peer, backlog });
             }
@@ -150,18 +160,18 @@
                 }
             }
             Kind::Cancel(message) => {
-                if let Some(attempt) = convert::attempt(message.attempt) {
+                if let Some(attempt) = attempt_from_wire(message.attempt) {
                     self.decide(now, AgentEvent::Cancel { attempt });
                 }
             }
             Kind::Reattach(message) => {
-                if let Some(attempt) = convert::attempt(message.attempt) {
+                if let Some(attempt) = attempt_from_wire(message.attempt) {
                     let offset = message.offset;
                     self.decide(now, AgentEvent::Reattach { peer, attempt, offset });
                 }
             }
             Kind::Ack(message) => {
-                if let Some(attempt) = convert::attempt(message.attempt) {
+                if let Some(attempt) = attempt_from_wire(message.attempt) {
                     self.decide(now, AgentEvent::Ack { attempt });
                 }
             }
@@ -228,16 +238,16 @@
     fn send_message(&mut self, peer: PeerId, message: AgentMessage) {
         match message {
             AgentMessage::Started { attempt } => {
-                let attempt = convert::wire_attempt(attempt);
+                let attempt = attempt_to_wire(attempt);
                 self.send(peer, messages::Started { attempt });
             }
             AgentMessage::Chunk { attempt, offset, data, tokens } => {
-                let attempt = convert::wire_attempt(attempt);
+                let attempt = attempt_to_wire(attempt);
                 self.send(peer, messages::Chunk { attempt, offset, data, tokens });
             }
             AgentMessage::Done { attempt, end, content_type, total_bytes, tokens } => {
                 let mut done = messages::Done {
-                    attempt: convert::wire_attempt(attempt),
+                    attempt: attempt_to_wire(attempt),
                     content_type: content_type.to_string(),
                     total_bytes,
                     tokens,
@@ -268,6 +278,7 @@
             free_online: self.core.free_online(),
             free_batch: self.core.free_batch(),
             queued_online: self.core.queued_online(),
+            suspects: suspicions_to_wire(self.core.gossip(MAX_SUSPICIONS)),
             ..messages::Heartbeat::default()
         }
     }
--- /dev/null
+++ b/dogwoodtray_cli/src/local/fleet.rs
@@ -0,0 +1,188 @@
+//! Roles and stand-ins in one process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dogwoodtray_agent::Agent;
+use dogwoodtray_agent::AgentError;
+use dogwoodtray_agent::AgentSettings;
+use dogwoodtray_agent::EndpointKind;
+use dogwoodtray_coord::Name;
+use dogwoodtray_entry::Entry;
+use dogwoodtray_entry::EntryError;
+use dogwoodtray_entry::EntrySettings;
+use dogwoodtray_standin::EngineConfig;
+use dogwoodtray_standin::EngineStandin;
+use dogwoodtray_standin::PlatformConfig;
+use dogwoodtray_standin::PlatformStandin;
+use dogwoodtray_standin::Vm;
+use dogwoodtray_standin::VmRole;
+use quick_error::quick_error;
+
+use super::ports::free_addr;
+
+const READY_POLL: Duration = Duration::from_millis(20);
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+
+quick_error! {
+    /// Error of starting a fleet.
+    #[derive(Debug)]
+    pub enum FleetError {
+        /// A port could not be bound.
+        Io(err: io::Error) {
+            from()
+            display("cannot bind a port: {err}")
+            source(err)
+        }
+        /// An agent did not start.
+        Agent(err: AgentError) {
+            from()
+            display("{err}")
+            source(err)
+        }
+        /// An entry did not start.
+        Entry(err: EntryError) {
+            from()
+            display("{err}")
+            source(err)
+        }
+        /// The entries did not reach their agents in time.
+        NotReady {
+            display("the entries did not reach all agents within {} s", READY_TIMEOUT.as_secs())
+        }
+    }
+}
+
+/// Settings of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetConfig {
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of endpoints, each an engine with its agent.
+    pub endpoints: usize,
+    /// Model that all engines serve.
+    pub model: Name,
+    /// Name of the routing policy.
+    pub routing: Name,
+    /// Name of the admission policy.
+    pub admission: Name,
+    /// Most requests inside an engine.
+    pub max_places: u32,
+    /// Whether slow requests get a second attempt.
+    pub hedging: bool,
+    /// Settings of the engines; addresses and seeds are filled in.
+    pub engine: EngineConfig,
+}
+
+impl Default for FleetConfig {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            endpoints: 4,
+            model: Name::from("standin"),
+            routing: Name::from("router"),
+            admission: Name::from("admission"),
+            max_places: 32,
+            hedging: true,
+            engine: EngineConfig::default(),
+        }
+    }
+}
+
+/// A running fleet. Dropping it ends its parts.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// The engines.
+    pub engines: Vec<EngineStandin>,
+    /// The agents, in the order of the engines.
+    pub agents: Vec<Agent>,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every entry reaches every agent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part cannot be started or does not become ready.
+    pub async fn start(cfg: &FleetConfig) -> Result<Self, FleetError> {
+        let platform = PlatformStandin::bind(PlatformConfig::default()).await?;
+        let mut fleet =
+            Self { platform, engines: Vec::new(), agents: Vec::new(), entries: Vec::new() };
+        for index in 0..cfg.endpoints {
+            fleet.start_endpoint(cfg, index).await?;
+        }
+        for index in 0..cfg.entries {
+            fleet.start_entry(cfg, index).await?;
+        }
+        fleet.wait_until_ready(cfg).await?;
+        Ok(fleet)
+    }
+
+    /// Returns the addresses for callers.
+    #[must_use]
+    pub fn caller_addrs(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(Entry::caller_addr).collect()
+    }
+
+    async fn start_endpoint(&mut self, cfg: &FleetConfig, index: usize) -> Result<(), FleetError> {
+        let engine_cfg = cfg.engine.clone().models([cfg.model.to_string()]).seed(index as u64);
+        let engine = EngineStandin::bind(engine_cfg).await?;
+        let data_centre = Name::from(DATA_CENTRES[index % DATA_CENTRES.len()]);
+        let node = Name::from(format!("agent-{index}"));
+        let settings = AgentSettings {
+            node: Name::clone(&node),
+            data_centre: Name::clone(&data_centre),
+            peer: free_addr()?,
+            admin: free_addr()?,
+            endpoint: engine.addr(),
+            kind: EndpointKind::Engine,
+            models: vec![Name::clone(&cfg.model)],
+            checks_fence: true,
+            admission: Name::clone(&cfg.admission),
+            max_places: cfg.max_places,
+            stall_timeout: Duration::from_secs(10),
+            drain_timeout: Duration::from_secs(30),
+        };
+        let agent = Agent::bind(settings).await?;
+        let addr = agent.peer_addr().to_string();
+        self.platform.set_vm(Vm::live(node, VmRole::Agent, addr, data_centre));
+        self.engines.push(engine);
+        self.agents.push(agent);
+        Ok(())
+    }
+
+    async fn start_entry(&mut self, cfg: &FleetConfig, index: usize) -> Result<(), FleetError> {
+        let data_centre = Name::from(DATA_CENTRES[index % DATA_CENTRES.len()]);
+        let node = Name::from(format!("entry-{index}"));
+        let mut settings = EntrySettings::new(
+            Name::clone(&node),
+            Name::clone(&data_centre),
+            free_addr()?,
+            free_addr()?,
+            free_addr()?,
+            self.platform.addr(),
+        );
+        settings.routing = Name::clone(&cfg.routing);
+        settings.hedging = cfg.hedging;
+        let entry = Entry::bind(settings).await?;
+        let addr = entry.peer_addr().to_string();
+        self.platform.set_vm(Vm::live(node, VmRole::Entry, addr, data_centre));
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    async fn wait_until_ready(&self, cfg: &FleetConfig) -> Result<(), FleetError> {
+        let ready = async {
+            while !self.entries.iter().all(|entry| entry.is_linked(cfg.endpoints)) {
+                tokio::time::sleep(READY_POLL).await;
+            }
+        };
+        tokio::time::timeout(READY_TIMEOUT, ready).await.map_err(|_| FleetError::NotReady)
+    }
+}
--- a/dogwoodtray_entry/src/http/batches.rs
+++ b/dogwoodtray_entry/src/http/batches.rs
@@ -162,7 +162,7 @@
         "status": state_name(state),
         "due_unix_ms": due_unix_ms,
         "request_counts": {
-            "total": counts.total,
+            "total": counts.items,
             "completed": counts.done,
             "failed": counts.failed,
             "cancelled": counts.cancelled,
@@ -175,6 +175,7 @@
         JobState::Open => "in_progress",
         JobState::Cancelled => "cancelled",
         JobState::Finished => "completed",
+        JobState::Abandoned => "abandoned",
     }
 }
 
@@ -214,11 +215,14 @@
         }
         ItemOutcome::Failed { reason, status, body } => {
             fields.insert("status", json!("failed"));
-            let error = json!({ "code": reason, "status_code": status, "body": parse(body) });
+            let code = reason.as_str();
+            let error = json!({ "code": code, "status_code": status, "body": parse(body) });
             fields.insert("error", error);
         }
-        ItemOutcome::Cancelled => {
+        ItemOutcome::Cancelled { may_have_run } => {
+            let run = if *may_have_run { "unknown" } else { "not_run" };
             fields.insert("status", json!("cancelled"));
+            fields.insert("run", json!(run));
         }
     }
     json!(fields)
--- a/dogwoodtray_entry/src/http/resolve.rs
+++ b/dogwoodtray_entry/src/http/resolve.rs
@@ -55,7 +55,7 @@
             "the organization may not use this model",
         ));
     }
-    if !matches!(view.route_retirement(route, unix_ms()), Retirement::Open) {
+    if !matches!(view.route_retirement(route, unix_ms()), Retirement::Open(_)) {
         return Err(ApiError::not_run(
             StatusCode::GONE,
             "service_closed",
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -38,6 +38,11 @@
 use super::event::NotRunReason;
 use super::request::Request;
 
+/// One retry for ten successes. The floor lets a few requests survive the death of an endpoint
+/// when little else runs; the ceiling covers one endpoint full of requests.
+const RETRY_BUDGET: RetryBudgetConfig =
+    RetryBudgetConfig { ratio_permille: 100, min_per_sec: 10, max_saved: 100 };
+
 /// Settings of [`OnlineCore`].
 #[derive(Clone, Debug)]
 pub struct OnlineConfig {
@@ -106,7 +111,7 @@
         Self {
             router,
             hedge: HedgePolicy::new(HedgeConfig::default()),
-            retries: RetryBudget::new(Timestamp::ZERO, RetryBudgetConfig::default()),
+            retries: RetryBudget::new(Timestamp::ZERO, RETRY_BUDGET),
             quarantine: Quarantine::new(cfg.max_suspects),
             rng: StdRng::seed_from_u64(cfg.seed),
             endpoints: Endpoints::default(),
--- a/dogwoodtray_entry/src/online/event.rs
+++ b/dogwoodtray_entry/src/online/event.rs
@@ -94,6 +94,8 @@
     Deadline,
     /// The endpoint is down.
     EndpointDown,
+    /// The content was inside two endpoints that died.
+    Quarantined,
     /// Cancelled before it was forwarded.
     Cancelled,
     /// The agent never received it.
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -283,6 +283,9 @@
             NotRunReason::Deadline => {
                 return self.refuse(now, no, "deadline passed before a place was free", out);
             }
+            NotRunReason::Quarantined => {
+                return self.finish(now, no, RequestEnd::Quarantined, out);
+            }
             NotRunReason::Fenced => {
                 return self.refuse(now, no, "claim was taken over by another entry", out);
             }
--- a/dogwoodtray_entry/src/online/tick.rs
+++ b/dogwoodtray_entry/src/online/tick.rs
@@ -38,7 +38,7 @@
         endpoint.link.is_none().then_some(endpoint.incarnation.0)
     }
 
-    const fn detach_timeout(&self, attempt: &Attempt) -> Duration {
+    fn detach_timeout(&self, attempt: &Attempt) -> Duration {
         if attempt.spec.idempotent { self.cfg.detach_timeout } else { self.cfg.detach_timeout_once }
     }
 
--- a/dogwoodtray_entry/src/shell/config.rs
+++ b/dogwoodtray_entry/src/shell/config.rs
@@ -84,7 +84,7 @@
 }
 
 async fn apply(shared: &Shared, store: &dyn Store, value: &[u8]) -> bool {
-    let Ok(pointer) = Pointer::decode(value) else {
+    let Some(pointer) = Pointer::decode(value) else {
         shared.events.emit(&catalogue::CONFIG_REJECTED, None, &[]);
         return false;
     };
--- a/dogwoodtray_entry/src/shell/convert.rs
+++ b/dogwoodtray_entry/src/shell/convert.rs
@@ -3,10 +3,8 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::AttemptId;
-use dogwoodtray_coord::ContentHash;
-use dogwoodtray_coord::Incarnation;
-use dogwoodtray_coord::Suspicion;
 use dogwoodtray_policy::Class;
+use dogwoodtray_runtime::attempt_to_wire;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::Outcome;
 use dogwoodtray_wire::messages::WorkClass;
@@ -16,15 +14,6 @@
 use crate::online::NotRunReason;
 use crate::online::RequestSpec;
 
-pub(super) fn attempt(id: Option<messages::AttemptId>) -> Option<AttemptId> {
-    let id = id?;
-    Some(AttemptId { incarnation: Incarnation(id.incarnation), counter: id.counter })
-}
-
-pub(super) fn wire_attempt(id: AttemptId) -> Option<messages::AttemptId> {
-    Some(messages::AttemptId { incarnation: id.incarnation.0, counter: id.counter })
-}
-
 pub(super) fn dispatch(
     attempt: AttemptId,
     spec: &RequestSpec,
@@ -41,7 +30,7 @@
         None => (String::new(), 0),
     };
     messages::Dispatch {
-        attempt: wire_attempt(attempt),
+        attempt: attempt_to_wire(attempt),
         request_id: spec.id.to_string(),
         class: class.into(),
         model: spec.model.to_string(),
@@ -89,7 +78,8 @@
 const fn reason(reason: messages::NotRunReason) -> NotRunReason {
     use dogwoodtray_wire::messages::NotRunReason as Wire;
     match reason {
-        Wire::Busy | Wire::Quarantined | Wire::StoreDown => NotRunReason::Busy,
+        Wire::Busy | Wire::StoreDown => NotRunReason::Busy,
+        Wire::Quarantined => NotRunReason::Quarantined,
         Wire::Leaving => NotRunReason::Leaving,
         Wire::Fenced => NotRunReason::Fenced,
         Wire::WrongModel => NotRunReason::WrongModel,
@@ -100,24 +90,3 @@
     }
 }
 
-pub(super) fn suspicions(suspects: Vec<messages::Suspect>) -> Vec<Suspicion> {
-    suspects
-        .into_iter()
-        .map(|s| Suspicion {
-            content: ContentHash(s.content),
-            deaths: s.deaths,
-            completed: s.cleared,
-        })
-        .collect()
-}
-
-pub(super) fn wire_suspicions(suspicions: Vec<Suspicion>) -> Vec<messages::Suspect> {
-    suspicions
-        .into_iter()
-        .map(|s| messages::Suspect {
-            content: s.content.0,
-            deaths: s.deaths,
-            cleared: s.completed,
-        })
-        .collect()
-}
--- a/dogwoodtray_entry/src/shell/entry.rs
+++ b/dogwoodtray_entry/src/shell/entry.rs
@@ -132,6 +132,12 @@
         self.operator.addr()
     }
 
+    /// Tells whether the entry is ready and has links to at least this many agents.
+    #[must_use]
+    pub fn is_linked(&self, agents: usize) -> bool {
+        self.shared.is_ready() && self.shared.agents.load(Ordering::Relaxed) >= agents as u64
+    }
+
     /// Returns the event log.
     #[must_use]
     pub fn events(&self) -> &EventLog {
@@ -193,7 +199,7 @@
         incarnation: shared.incarnation,
     };
     let runner = StoreRunner { store: Arc::clone(store), runtime };
-    let core = JobCore::new(me, JobConfig::default(), rand::random());
+    let core = JobCore::new(JobConfig::default(), me, rand::random());
     let jobs = JobsService::new(core, Arc::clone(shared), runner);
 
     let (router_mailbox, router_rx) = Mailbox::channel();
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -40,6 +40,7 @@
 use crate::online::AttemptEnd;
 use crate::online::BatchEnd;
 use crate::online::DispatchMode;
+use crate::online::NotRunReason;
 use crate::online::RequestSpec;
 
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -292,6 +293,7 @@
                 let partial = Bytes::from([partial, answer].concat());
                 ItemEnd::Preempted { partial, tokens }
             }
+            AttemptEnd::NotRun(NotRunReason::Quarantined) => ItemEnd::Quarantined,
             AttemptEnd::NotRun(_) => ItemEnd::NotRun,
             AttemptEnd::Unknown => ItemEnd::Unknown,
         }
--- a/dogwoodtray_entry/src/shell/router.rs
+++ b/dogwoodtray_entry/src/shell/router.rs
@@ -24,8 +24,12 @@
 use dogwoodtray_runtime::LinkEvent;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::Service;
+use dogwoodtray_runtime::attempt_from_wire;
+use dogwoodtray_runtime::attempt_to_wire;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_runtime::dial;
+use dogwoodtray_runtime::suspicions_from_wire;
+use dogwoodtray_runtime::suspicions_to_wire;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::Role;
 use dogwoodtray_wire::messages::frame::Kind;
@@ -219,18 +223,18 @@
         match kind {
             Kind::Heartbeat(heartbeat) => self.on_heartbeat(now, link, heartbeat),
             Kind::Started(message) => {
-                if let Some(attempt) = convert::attempt(message.attempt) {
+                if let Some(attempt) = attempt_from_wire(message.attempt) {
                     self.decide(now, OnlineEvent::Started { attempt });
                 }
             }
             Kind::Chunk(message) => {
-                if let Some(attempt) = convert::attempt(message.attempt) {
+                if let Some(attempt) = attempt_from_wire(message.attempt) {
                     let (offset, data, tokens) = (message.offset, message.data, message.tokens);
                     self.decide(now, OnlineEvent::Chunk { attempt, offset, data, tokens });
                 }
             }
             Kind::Done(message) => {
-                if let Some(attempt) = convert::attempt(message.attempt) {
+                if let Some(attempt) = attempt_from_wire(message.attempt) {
                     let done = convert::done(message);
                     self.decide(now, OnlineEvent::Done { attempt, done });
                 }
@@ -258,7 +262,7 @@
 
     fn on_heartbeat(&mut self, now: Timestamp, link: LinkNo, heartbeat: messages::Heartbeat) {
         self.shared.events.observe(heartbeat.clock);
-        self.core.merge_suspicions(&convert::suspicions(heartbeat.suspects));
+        self.core.merge_suspicions(&suspicions_from_wire(heartbeat.suspects));
         let Some(peer) = self.links.get_mut(&link) else { return };
         peer.generation = heartbeat.generation;
         let is_agent = peer.role == Role::Agent;
@@ -297,7 +301,7 @@
             generation: self.generation(),
             leaving: self.drain_deadline.is_some(),
             backlog: backlog.collect(),
-            suspects: convert::wire_suspicions(self.core.gossip(MAX_SUSPICIONS)),
+            suspects: suspicions_to_wire(self.core.gossip(MAX_SUSPICIONS)),
             ..messages::Heartbeat::default()
         }
     }
@@ -397,17 +401,17 @@
                 self.send(link, dispatch);
             }
             OnlineAction::Cancel { link, attempt } => {
-                let attempt = convert::wire_attempt(attempt);
+                let attempt = attempt_to_wire(attempt);
                 self.send(link, messages::Cancel { attempt });
             }
             OnlineAction::Reattach { link, attempt, offset } => {
                 let fields: [(&str, &dyn Display); 1] = [("attempt", &attempt)];
                 self.shared.events.emit(&catalogue::ATTEMPT_REATTACHED, None, &fields);
-                let attempt = convert::wire_attempt(attempt);
+                let attempt = attempt_to_wire(attempt);
                 self.send(link, messages::Reattach { attempt, offset });
             }
             OnlineAction::Ack { link, attempt } => {
-                let attempt = convert::wire_attempt(attempt);
+                let attempt = attempt_to_wire(attempt);
                 self.send(link, messages::Ack { attempt });
             }
             OnlineAction::Deliver { request, status, content_type, data } => {
@@ -462,6 +466,7 @@
 
     fn publish_state(&self) {
         let shared = &self.shared;
+        shared.agents.store(self.core.endpoints() as u64, Ordering::Relaxed);
         shared.requests.store(self.core.requests() as u64, Ordering::Relaxed);
         shared.attempts.store(self.core.attempts() as u64, Ordering::Relaxed);
         shared.set_models(self.core.models().into_iter().collect());
@@ -488,6 +493,9 @@
     }
 
     fn check_drain(&self, now: Timestamp) -> Flow {
+        if self.shared.finished.load(Ordering::Acquire) {
+            return Flow::Stop;
+        }
         let Some(deadline) = self.drain_deadline else {
             return Flow::Continue;
         };
--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -4,11 +4,16 @@
 //! events from a crossbeam channel and finds the other services in the registry. Sockets are served
 //! by tokio tasks that feed events into the mailboxes of services.
 
+mod border;
 mod events;
 mod kernel;
 mod link;
 mod operator;
 
+pub use crate::border::attempt_from_wire;
+pub use crate::border::attempt_to_wire;
+pub use crate::border::suspicions_from_wire;
+pub use crate::border::suspicions_to_wire;
 pub use crate::events::EventCode;
 pub use crate::events::EventLog;
 pub use crate::events::EventRecord;
