--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/claim.rs
@@ -0,0 +1,136 @@
+//! Claim of one job.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::Expect;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::StampedWrite;
+use dogwoodtray_coord::StoreOp;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Version;
+use dogwoodtray_coord::WriteResult;
+use dogwoodtray_coord::WriteStep;
+
+use super::calls::Cx;
+use super::calls::Owner;
+use super::header;
+use super::header::Driver;
+use super::header::Header;
+use super::header::JobState;
+
+/// Look at a job that may need a driver, and claim of it.
+#[derive(Debug)]
+pub(crate) struct Claim {
+    job: Name,
+    pub(crate) flow: u64,
+    /// Claim whose holder was judged dead.
+    dead: Option<(Incarnation, Epoch)>,
+    write: Option<Write>,
+}
+
+#[derive(Debug)]
+struct Write {
+    write: StampedWrite,
+    next: Header,
+    started: Timestamp,
+}
+
+/// What a look at a job found.
+#[derive(Debug)]
+pub(crate) enum Claimed {
+    /// Calls are under way.
+    Running,
+    /// This process drives the job now.
+    Mine { header: Box<Header>, version: Version, at: Timestamp },
+    /// Another process drives the job.
+    Theirs { driver: Driver, epoch: Epoch },
+    /// The job has ended.
+    Ended,
+    /// There is no header, or it marks an abandoned submission.
+    NoHeader,
+    /// Another process wrote first; look again later.
+    Raced,
+}
+
+impl Claim {
+    /// Starts with a look at the header.
+    pub(crate) fn start(job: Name, dead: Option<(Incarnation, Epoch)>, cx: &mut Cx) -> Self {
+        let flow = cx.unique();
+        let key = header::key(&job);
+        cx.call(Owner::Claim(Name::clone(&job), flow), StoreOp::Get { key });
+        Self { job, flow, dead, write: None }
+    }
+
+    /// Returns the epoch that is being claimed.
+    pub(crate) fn epoch(&self) -> Option<Epoch> {
+        self.write.as_ref().map(|write| write.next.epoch)
+    }
+
+    /// Takes the reply to the last call.
+    pub(crate) fn on_reply(&mut self, op: StoreOp, reply: StoreReply, cx: &mut Cx) -> Claimed {
+        let owner = Owner::Claim(Name::clone(&self.job), self.flow);
+        let Some(claim) = &mut self.write else {
+            return self.on_look(owner, op, reply, cx);
+        };
+        let stamp = claim.next.stamp;
+        let is_mine = |value: &[u8]| Header::decode(value).is_some_and(|h| h.stamp == stamp);
+        match claim.write.on_reply(reply, is_mine) {
+            WriteStep::Call(op) => cx.call_later(owner, op, Duration::ZERO),
+            WriteStep::Wait(wait) => cx.call_later(owner, claim.write.next_call(), wait),
+            WriteStep::Finished(WriteResult::Written { version }) => {
+                let header = Box::new(claim.next.clone());
+                return Claimed::Mine { header, version, at: claim.started };
+            }
+            WriteStep::Finished(_) => return Claimed::Raced,
+        }
+        Claimed::Running
+    }
+
+    fn on_look(&mut self, owner: Owner, op: StoreOp, reply: StoreReply, cx: &mut Cx) -> Claimed {
+        match reply {
+            StoreReply::Found { version, value } => self.on_found(owner, version, &value, cx),
+            StoreReply::Missing => Claimed::NoHeader,
+            StoreReply::Unavailable { retry_after } => {
+                cx.call_later(owner, op, retry_after);
+                Claimed::Running
+            }
+            _ => {
+                cx.call_later(owner, op, Duration::ZERO);
+                Claimed::Running
+            }
+        }
+    }
+
+    fn on_found(&mut self, owner: Owner, version: Version, value: &[u8], cx: &mut Cx) -> Claimed {
+        let Some(header) = Header::decode(value) else {
+            return Claimed::Raced;
+        };
+        match header.state {
+            JobState::Open => {}
+            JobState::Cancelled | JobState::Finished => return Claimed::Ended,
+            JobState::Abandoned => return Claimed::NoHeader,
+        }
+        if let Some(driver) = &header.driver {
+            let mine = driver.incarnation == cx.me.incarnation;
+            let dead = self.dead == Some((driver.incarnation, header.epoch));
+            if !mine && !dead {
+                return Claimed::Theirs { driver: driver.clone(), epoch: header.epoch };
+            }
+        }
+        let mut next = header;
+        next.claim(Driver {
+            name: Name::clone(&cx.me.name),
+            addr: Name::clone(&cx.me.addr),
+            incarnation: cx.me.incarnation,
+        });
+        next.stamp = cx.stamp();
+        let key = header::key(&self.job);
+        let write = StampedWrite::new(key, Expect::Version(version), next.encode());
+        cx.call(owner, write.next_call());
+        self.write = Some(Write { write, next, started: cx.now });
+        Claimed::Running
+    }
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/commit.rs
@@ -0,0 +1,259 @@
+//! Group commit of outcomes and intents of a driven job.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::Expect;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::StampedWrite;
+use dogwoodtray_coord::StoreOp;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Version;
+use dogwoodtray_coord::WriteResult;
+use dogwoodtray_coord::WriteStep;
+
+use super::calls::Cx;
+use super::calls::DriveCall;
+use super::calls::Owner;
+use super::driven::Driven;
+use super::driven::Ending;
+use super::header;
+use super::header::Header;
+use super::outcome::ItemOutcome;
+use super::outcome::ItemResult;
+use super::outcome::Reason;
+use super::segment;
+
+/// Commit in flight: first the segment, then the header that lists it.
+#[derive(Debug)]
+pub(crate) struct Commit {
+    results: Vec<ItemResult>,
+    bytes: usize,
+    /// Number of the segment; `None` when the commit has no outcomes.
+    seq: Option<u32>,
+    header: Option<HeaderWrite>,
+}
+
+#[derive(Debug)]
+struct HeaderWrite {
+    write: StampedWrite,
+    next: Header,
+    started: Timestamp,
+    intents: Vec<u32>,
+    dropped: u32,
+}
+
+impl Commit {
+    pub(crate) fn held(&self) -> (usize, usize) {
+        (self.results.len(), self.bytes)
+    }
+}
+
+/// What became of a driven job after a reply to its commit.
+#[derive(Debug)]
+pub(crate) enum Committed {
+    /// The commit goes on.
+    Running,
+    /// The commit is stored, and the job goes on.
+    Stored,
+    /// The commit is stored, and the job or the claim ended with it.
+    Ended,
+    /// Another process wrote the header. The segment is garbage if a key is given.
+    Fenced(Option<ObjectKey>),
+}
+
+impl Driven {
+    /// Starts a commit if one is due.
+    pub(crate) fn commit_if_due(&mut self, delay: Duration, cx: &mut Cx) {
+        if self.commit.is_some() {
+            return;
+        }
+        let full =
+            self.pending.len() >= cx.cfg.commit_items || self.pending_bytes >= cx.cfg.commit_bytes;
+        let old = !self.pending.is_empty() && cx.now - self.pending_since >= delay;
+        if full || old || !self.wanted.is_empty() || self.is_last_commit_due() {
+            self.start_commit(cx);
+        }
+    }
+
+    fn is_last_commit_due(&self) -> bool {
+        match self.ending {
+            None => self.unsettled == 0,
+            Some(Ending::Rest(_)) => true,
+            Some(Ending::Release) => self.running == 0,
+        }
+    }
+
+    fn start_commit(&mut self, cx: &mut Cx) {
+        let mut results = Vec::new();
+        let mut bytes = 0;
+        while let Some(result) = self.pending.front()
+            && results.len() < cx.cfg.commit_items
+            && (results.is_empty() || bytes + result.size() <= cx.cfg.commit_bytes)
+        {
+            bytes += result.size();
+            results.extend(self.pending.pop_front());
+        }
+        self.pending_bytes -= bytes;
+        if results.is_empty() {
+            self.commit = Some(Commit { results, bytes, seq: None, header: None });
+            self.write_header(cx);
+            return;
+        }
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        self.commit = Some(Commit { results, bytes, seq: Some(seq), header: None });
+        if let Some(op) = self.segment_put() {
+            cx.call(self.owner(DriveCall::Segment), op);
+        }
+    }
+
+    fn segment_put(&self) -> Option<StoreOp> {
+        let commit = self.commit.as_ref()?;
+        let key = segment::key(&self.job, self.header.epoch, commit.seq?);
+        let value = segment::encode(&commit.results).into();
+        Some(StoreOp::Put { key, expect: Expect::Absent, value })
+    }
+
+    /// Takes the reply to the write of a segment. Only this claim uses the name, so a conflict is
+    /// with an own write whose reply was lost.
+    pub(crate) fn on_segment_reply(&mut self, op: StoreOp, reply: StoreReply, cx: &mut Cx) {
+        match reply {
+            StoreReply::Written { .. } | StoreReply::Conflict => self.write_header(cx),
+            StoreReply::Unavailable { retry_after } => {
+                cx.call_later(self.owner(DriveCall::Segment), op, retry_after);
+            }
+            StoreReply::TooLarge => self.drop_bodies(cx),
+            _ => cx.call_later(self.owner(DriveCall::Segment), op, Duration::ZERO),
+        }
+    }
+
+    /// Records failures in place of answers that together do not fit into an object.
+    fn drop_bodies(&mut self, cx: &mut Cx) {
+        let Some(commit) = &mut self.commit else {
+            return;
+        };
+        for result in &mut commit.results {
+            result.outcome = ItemOutcome::failed(Reason::AnswerTooLarge);
+        }
+        if let Some(op) = self.segment_put() {
+            cx.call(self.owner(DriveCall::Segment), op);
+        }
+    }
+
+    fn write_header(&mut self, cx: &mut Cx) {
+        let intents: Vec<u32> = std::mem::take(&mut self.wanted).into_iter().collect();
+        let mut next = self.next_header(&intents);
+        next.stamp = cx.stamp();
+        let key = header::key(&self.job);
+        let write = StampedWrite::new(key, Expect::Version(self.version), next.encode());
+        cx.call(self.owner(DriveCall::Header), write.next_call());
+        let dropped = self.dropped;
+        if let Some(commit) = &mut self.commit {
+            commit.header = Some(HeaderWrite { write, next, started: cx.now, intents, dropped });
+        }
+    }
+
+    fn next_header(&self, intents: &[u32]) -> Header {
+        let mut next = self.header.clone();
+        let Some(commit) = &self.commit else {
+            return next;
+        };
+        for result in &commit.results {
+            next.ended.set(result.item);
+            next.intents.remove(&result.item);
+            match result.outcome {
+                ItemOutcome::Done { .. } => next.counts.done += 1,
+                _ => next.counts.failed += 1,
+            }
+        }
+        if let Some(seq) = commit.seq {
+            next.add_segment(self.header.epoch, seq);
+        }
+        next.intents.extend(intents);
+        next.counts.dropped += self.dropped;
+        next.tries = self.tries.clone();
+        if !self.pending.is_empty() {
+            return next;
+        }
+        match self.ending {
+            _ if next.remaining() == 0 => next.finish(None),
+            Some(Ending::Rest(rest)) => {
+                self.disarm(&mut next);
+                next.finish(Some(rest));
+            }
+            Some(Ending::Release) if self.running == 0 => {
+                self.disarm(&mut next);
+                next.driver = None;
+            }
+            Some(Ending::Release) | None => {}
+        }
+        next
+    }
+
+    /// Removes the intents of items that were never handed to an agent or came back unforwarded.
+    fn disarm(&self, next: &mut Header) {
+        for item in &self.armed {
+            next.intents.remove(item);
+        }
+    }
+
+    /// Takes the reply to the write of the header.
+    pub(crate) fn on_header_reply(&mut self, reply: StoreReply, cx: &mut Cx) -> Committed {
+        let owner = self.owner(DriveCall::Header);
+        let Some(commit) = &mut self.commit else {
+            return Committed::Running;
+        };
+        let Some(header) = &mut commit.header else {
+            return Committed::Running;
+        };
+        let stamp = header.next.stamp;
+        let is_mine = |value: &[u8]| Header::decode(value).is_some_and(|h| h.stamp == stamp);
+        match header.write.on_reply(reply, is_mine) {
+            WriteStep::Call(op) if cx.tries == 0 => cx.call(owner, op),
+            WriteStep::Call(op) => cx.call_later(owner, op, Duration::ZERO),
+            WriteStep::Wait(wait) => cx.call_later(owner, header.write.next_call(), wait),
+            WriteStep::Finished(WriteResult::Written { version }) => {
+                return self.on_stored(version);
+            }
+            WriteStep::Finished(WriteResult::Fenced { current }) => {
+                let garbage = self.garbage(current.as_ref().map(|(_, value)| &**value));
+                return Committed::Fenced(garbage);
+            }
+            WriteStep::Finished(WriteResult::TooLarge) => {
+                debug_assert!(false, "limits keep a header below the size that the store holds");
+                return Committed::Fenced(None);
+            }
+        }
+        Committed::Running
+    }
+
+    /// Returns the segment of the commit if the current header does not list it. The header may
+    /// list it although the write was fenced: the write took effect, its reply was lost, and
+    /// another process wrote on top of it.
+    fn garbage(&self, current: Option<&[u8]>) -> Option<ObjectKey> {
+        let current = Header::decode(current?)?;
+        let seq = self.commit.as_ref()?.seq?;
+        let epoch = self.header.epoch;
+        (!current.lists(epoch, seq)).then(|| segment::key(&self.job, epoch, seq))
+    }
+
+    fn on_stored(&mut self, version: Version) -> Committed {
+        let Some(Commit { header: Some(write), .. }) = self.commit.take() else {
+            return Committed::Running;
+        };
+        self.version = version;
+        self.confirmed_at = write.started;
+        self.blind = false;
+        self.dropped -= write.dropped;
+        self.header = write.next;
+        self.armed.extend(write.intents);
+        let ended = self.header.state != header::JobState::Open || self.header.driver.is_none();
+        if ended { Committed::Ended } else { Committed::Stored }
+    }
+
+    pub(crate) fn owner(&self, call: DriveCall) -> Owner {
+        Owner::Drive(Name::clone(&self.job), self.flow, call)
+    }
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/core.rs
@@ -0,0 +1,442 @@
+//! The job core.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Timestamp;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::api::Backlog;
+use super::api::CallId;
+use super::api::JobAction;
+use super::api::JobEvent;
+use super::api::JobReply;
+use super::api::Refusal;
+use super::api::ReplyToken;
+use super::api::Submission;
+use super::attempts::Attempts;
+use super::calls::Calls;
+use super::calls::Cx;
+use super::calls::Owner;
+use super::claim::Claim;
+use super::claim::Claimed;
+use super::config::JobConfig;
+use super::config::Me;
+use super::credits::Credits;
+use super::driven::Driven;
+use super::header;
+use super::header::Header;
+use super::intake;
+use super::intake::Intake;
+use super::read::Ask;
+use super::read::Progress;
+use super::read::Read;
+use super::sweep::Sweep;
+use super::watch;
+use super::watch::Watch;
+
+/// Work that a planned stop still waits for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DrainReason {
+    /// Submissions in hand.
+    Submissions(usize),
+    /// Status, results and cancel calls in hand.
+    Reads(usize),
+    /// A driven job, with the count of its attempts that run.
+    Job {
+        /// Name of the job.
+        job: Name,
+        /// Attempts that run.
+        running: usize,
+    },
+    /// Claims that are being written.
+    Claims(usize),
+}
+
+/// Accepts, drives and reports batch jobs for one entry process.
+#[derive(Debug)]
+pub struct JobCore {
+    pub(crate) env: Env,
+    intakes: HashMap<u64, Intake>,
+    reads: HashMap<u64, Read>,
+    sweeps: HashMap<u64, Sweep>,
+    claims: BTreeMap<Name, Claim>,
+    pub(crate) watch: Watch,
+    pub(crate) driven: BTreeMap<Name, Driven>,
+    pub(crate) attempts: Attempts,
+    pub(crate) credits: Credits,
+    pub(crate) closed: BTreeSet<Name>,
+    pub(crate) draining_since: Option<Timestamp>,
+}
+
+/// Settings, chance and calls, borrowed by the parts of the core as [`Cx`].
+#[derive(Debug)]
+pub(crate) struct Env {
+    pub(crate) cfg: JobConfig,
+    me: Me,
+    rng: StdRng,
+    calls: Calls,
+    stamps: u64,
+    pub(crate) unix_ms: u64,
+}
+
+impl Env {
+    pub(crate) fn cx<'a>(&'a mut self, now: Timestamp, out: &'a mut Vec<JobAction>) -> Cx<'a> {
+        Cx {
+            now,
+            unix_ms: self.unix_ms,
+            cfg: &self.cfg,
+            me: &self.me,
+            rng: &mut self.rng,
+            calls: &mut self.calls,
+            stamps: &mut self.stamps,
+            tries: 0,
+            out,
+        }
+    }
+}
+
+impl JobCore {
+    /// Creates the core of one process.
+    #[must_use]
+    pub fn new(cfg: JobConfig, me: Me, seed: u64) -> Self {
+        let env = Env {
+            cfg,
+            me,
+            rng: StdRng::seed_from_u64(seed),
+            calls: Calls::default(),
+            stamps: 0,
+            unix_ms: 0,
+        };
+        Self {
+            env,
+            intakes: HashMap::new(),
+            reads: HashMap::new(),
+            sweeps: HashMap::new(),
+            claims: BTreeMap::new(),
+            watch: Watch::default(),
+            driven: BTreeMap::new(),
+            attempts: Attempts::default(),
+            credits: Credits::default(),
+            closed: BTreeSet::new(),
+            draining_since: None,
+        }
+    }
+
+    /// Takes an event and appends the actions that it calls for.
+    pub fn handle(&mut self, now: Timestamp, event: JobEvent, out: &mut Vec<JobAction>) {
+        match event {
+            JobEvent::Submit { token, submission, now_unix_ms } => {
+                self.env.unix_ms = now_unix_ms;
+                self.submit(now, token, submission, out);
+            }
+            JobEvent::Status { token, job } => self.read(now, token, job, Ask::Status, out),
+            JobEvent::Results { token, job } => self.read(now, token, job, Ask::Results, out),
+            JobEvent::Cancel { token, job } => self.read(now, token, job, Ask::Cancel, out),
+            JobEvent::ResultsTaken { token } => self.on_results_taken(now, token, out),
+            JobEvent::CallerGone { token } => self.on_caller_gone(token),
+            JobEvent::Stored { call, reply } => self.on_stored(now, call, reply, out),
+            JobEvent::Credit { endpoint, model, places } => {
+                let until = now + self.env.cfg.credit_ttl;
+                self.credits.offer(endpoint, model, places, until);
+            }
+            JobEvent::ItemStarted { attempt } => self.attempts.on_started(attempt),
+            JobEvent::ItemDone { attempt, end } => self.on_item_done(now, attempt, end, out),
+            JobEvent::ProbeAnswer { holder, object, epoch, held } => {
+                let mut cx = self.env.cx(now, out);
+                self.watch.on_answer(holder, &object, epoch, held, &mut cx);
+            }
+            JobEvent::JobCancelled { job } => self.on_job_cancelled(&job, out),
+            JobEvent::ServiceClosed { model } => {
+                self.closed.insert(model);
+            }
+            JobEvent::LiveEntries { names } => self.watch.set_live(names),
+            JobEvent::Drain => {
+                self.draining_since.get_or_insert(now);
+            }
+            JobEvent::Tick { now_unix_ms } => {
+                self.env.unix_ms = now_unix_ms;
+                self.on_tick(now, out);
+            }
+        }
+        self.drive(now, out);
+    }
+
+    /// Tells whether this process holds the claim on an object, or is writing it.
+    #[must_use]
+    pub fn holds(&self, object: &str, epoch: Epoch) -> bool {
+        let prefix = header::KIND;
+        let Some(job) = object.strip_prefix(prefix).and_then(|rest| rest.strip_prefix('/')) else {
+            return false;
+        };
+        let driven = self.driven.get(job).is_some_and(|job| job.header.epoch == epoch);
+        driven || self.claims.get(job).is_some_and(|claim| claim.epoch() == Some(epoch))
+    }
+
+    /// Returns the work that waits for batch places, by model.
+    #[must_use]
+    pub fn backlog(&self) -> Vec<Backlog> {
+        let mut models: BTreeMap<&Name, (u32, i64)> = BTreeMap::new();
+        for job in self.driven.values().filter(|job| job.ending.is_none() && job.waiting() > 0) {
+            let slack = job.slack_ms(self.env.unix_ms);
+            let entry = models.entry(&job.header.model).or_insert((0, i64::MAX));
+            entry.0 = entry.0.saturating_add(job.waiting());
+            entry.1 = entry.1.min(slack);
+        }
+        models
+            .into_iter()
+            .map(|(model, (items, slack_ms))| Backlog {
+                model: Name::clone(model),
+                items,
+                slack_ms,
+            })
+            .collect()
+    }
+
+    /// Tells whether a planned stop has nothing left to wait for.
+    #[must_use]
+    pub fn drained(&self) -> bool {
+        self.draining_since.is_some() && self.drain_reasons().is_empty()
+    }
+
+    /// Returns what a planned stop waits for.
+    #[must_use]
+    pub fn drain_reasons(&self) -> Vec<DrainReason> {
+        let mut reasons = Vec::new();
+        if !self.intakes.is_empty() {
+            reasons.push(DrainReason::Submissions(self.intakes.len()));
+        }
+        if !self.reads.is_empty() {
+            reasons.push(DrainReason::Reads(self.reads.len()));
+        }
+        if !self.claims.is_empty() {
+            reasons.push(DrainReason::Claims(self.claims.len()));
+        }
+        reasons.extend(
+            self.driven
+                .values()
+                .map(|job| DrainReason::Job { job: Name::clone(&job.job), running: job.running }),
+        );
+        reasons
+    }
+}
+
+/// # Callers
+impl JobCore {
+    fn submit(
+        &mut self,
+        now: Timestamp,
+        token: ReplyToken,
+        submission: Submission,
+        out: &mut Vec<JobAction>,
+    ) {
+        let refusal =
+            if self.draining_since.is_some() || self.intakes.len() >= self.env.cfg.max_intakes {
+                Err(Refusal::Busy)
+            } else if self.closed.contains(&submission.model) {
+                Err(Refusal::ServiceClosed)
+            } else {
+                intake::check(&self.env.cfg, &submission, self.env.unix_ms)
+            };
+        if let Err(refusal) = refusal {
+            out.push(JobAction::Reply { token, reply: JobReply::NotRun(refusal) });
+            return;
+        }
+        let mut cx = self.env.cx(now, out);
+        let id = cx.unique();
+        self.intakes.insert(id, Intake::start(id, token, submission, &mut cx));
+    }
+
+    fn read(
+        &mut self,
+        now: Timestamp,
+        token: ReplyToken,
+        job: Name,
+        ask: Ask,
+        out: &mut Vec<JobAction>,
+    ) {
+        let mut cx = self.env.cx(now, out);
+        let id = cx.unique();
+        self.reads.insert(id, Read::start(id, token, job, ask, &mut cx));
+    }
+
+    fn on_results_taken(&mut self, now: Timestamp, token: ReplyToken, out: &mut Vec<JobAction>) {
+        let read = self.reads.iter_mut().find(|(_, read)| read.token() == token);
+        let Some((&id, read)) = read else {
+            return;
+        };
+        if read.next_part(id, &mut self.env.cx(now, out)) == Progress::Ended {
+            self.reads.remove(&id);
+        }
+    }
+
+    /// Forgets a caller. A submission or a cancellation that was begun goes on.
+    fn on_caller_gone(&mut self, token: ReplyToken) {
+        self.reads.retain(|_, read| read.token() != token || read.is_cancel());
+    }
+}
+
+/// # Replies of the store
+impl JobCore {
+    fn on_stored(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        reply: StoreReply,
+        out: &mut Vec<JobAction>,
+    ) {
+        let Some((owner, op, tries)) = self.env.calls.take(call) else {
+            return;
+        };
+        let mut cx = self.env.cx(now, out);
+        cx.tries = tries;
+        match owner {
+            Owner::Intake(id) => {
+                let Some(intake) = self.intakes.get_mut(&id) else {
+                    return;
+                };
+                let Some(reply) = intake.on_reply(id, op, reply, &mut cx) else {
+                    return;
+                };
+                if let JobReply::Accepted { job, .. } = &reply {
+                    self.watch.add(Name::clone(job), &cx);
+                }
+                cx.out.push(JobAction::Reply { token: intake.token(), reply });
+                self.intakes.remove(&id);
+            }
+            Owner::Read(id) => {
+                let Some(read) = self.reads.get_mut(&id) else {
+                    return;
+                };
+                match read.on_reply(id, op, reply, &mut cx) {
+                    Progress::Running => {}
+                    Progress::Ended => {
+                        self.reads.remove(&id);
+                    }
+                    Progress::Cancelled(job) => {
+                        self.reads.remove(&id);
+                        self.on_job_cancelled(&job, out);
+                        self.delete(now, header::index_key(&job), out);
+                    }
+                }
+            }
+            Owner::Sweep(id) => {
+                let sweep = self.sweeps.get_mut(&id);
+                if sweep.is_some_and(|sweep| sweep.on_reply(id, op, reply, &mut cx)) {
+                    self.sweeps.remove(&id);
+                }
+            }
+            Owner::Scan => {
+                let driven = &self.driven;
+                self.watch.on_page(op, reply, |job| driven.contains_key(job), &mut cx);
+            }
+            Owner::Claim(job, flow) => {
+                let Some(claim) = self.claims.get_mut(&job).filter(|claim| claim.flow == flow)
+                else {
+                    return;
+                };
+                let claimed = claim.on_reply(op, reply, &mut cx);
+                self.on_claimed(now, &job, claimed, out);
+            }
+            Owner::Drive(job, flow, call) => {
+                self.on_drive_reply(now, &job, flow, call, (op, reply, tries), out);
+            }
+        }
+    }
+
+    fn on_claimed(
+        &mut self,
+        now: Timestamp,
+        job: &Name,
+        claimed: Claimed,
+        out: &mut Vec<JobAction>,
+    ) {
+        if matches!(claimed, Claimed::Running) {
+            return;
+        }
+        let flow = self.claims.remove(job).map(|claim| claim.flow).unwrap_or_default();
+        match claimed {
+            Claimed::Running => {}
+            Claimed::Mine { header, version, at } => {
+                self.watch.remove(job);
+                if header.epoch > Epoch::default().next() {
+                    self.sweep_segments(now, job, &header, out);
+                }
+                let driven = Driven::new(Name::clone(job), flow, *header, version, at);
+                self.driven.insert(Name::clone(job), driven);
+            }
+            Claimed::Theirs { driver, epoch } => self.watch.on_driver(job, driver, epoch, now),
+            Claimed::Ended => {
+                self.watch.remove(job);
+                self.delete(now, header::index_key(job), out);
+            }
+            Claimed::NoHeader => {
+                if self.watch.on_no_header(job, &self.env.cx(now, out)) {
+                    self.sweep(now, out, |id, cx| Sweep::orphan(id, Name::clone(job), cx));
+                }
+            }
+            Claimed::Raced => {
+                let wait = self.env.cfg.rank_stagger;
+                self.watch.look_later(job, wait, now);
+            }
+        }
+    }
+
+    fn sweep(
+        &mut self,
+        now: Timestamp,
+        out: &mut Vec<JobAction>,
+        start: impl FnOnce(u64, &mut Cx) -> Sweep,
+    ) {
+        let mut cx = self.env.cx(now, out);
+        let id = cx.unique();
+        let sweep = start(id, &mut cx);
+        self.sweeps.insert(id, sweep);
+    }
+
+    pub(crate) fn delete(&mut self, now: Timestamp, key: ObjectKey, out: &mut Vec<JobAction>) {
+        self.sweep(now, out, |id, cx| Sweep::delete(id, key, cx));
+    }
+
+    pub(crate) fn sweep_segments(
+        &mut self,
+        now: Timestamp,
+        job: &Name,
+        header: &Header,
+        out: &mut Vec<JobAction>,
+    ) {
+        let job = Name::clone(job);
+        let header = header.clone();
+        self.sweep(now, out, |id, cx| Sweep::segments(id, job, header, cx));
+    }
+}
+
+/// # Time
+impl JobCore {
+    fn on_tick(&mut self, now: Timestamp, out: &mut Vec<JobAction>) {
+        let mut cx = self.env.cx(now, out);
+        cx.calls.on_tick(now, cx.out);
+        if self.draining_since.is_some() {
+            return;
+        }
+        self.watch.on_tick(&mut cx);
+        let taken = self.driven.len() + self.claims.len();
+        let room = cx.cfg.max_driven.saturating_sub(taken);
+        for (job, dead) in self.watch.take_looks(now, room) {
+            let claim = Claim::start(Name::clone(&job), dead, &mut cx);
+            self.claims.insert(job, claim);
+        }
+    }
+}
+
+/// Returns the name by which the claim on a job is probed.
+#[must_use]
+pub fn claim_object(job: &Name) -> Name {
+    watch::object(job)
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/credits.rs
@@ -0,0 +1,60 @@
+//! Batch places that agents offer.
+
+use std::collections::BTreeMap;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+
+/// Offers of batch places, by model and endpoint.
+#[derive(Debug, Default)]
+pub(crate) struct Credits {
+    offers: BTreeMap<(Name, u64), Offer>,
+}
+
+#[derive(Debug)]
+struct Offer {
+    places: u32,
+    until: Timestamp,
+}
+
+impl Credits {
+    /// Notes an offer in place of the last one of the same endpoint.
+    pub(crate) fn offer(&mut self, endpoint: u64, model: Name, places: u32, until: Timestamp) {
+        self.offers.insert((model, endpoint), Offer { places, until });
+    }
+
+    /// Drops the offers that have lapsed.
+    pub(crate) fn expire(&mut self, now: Timestamp) {
+        self.offers.retain(|_, offer| offer.places > 0 && offer.until > now);
+    }
+
+    /// Returns the models that places are offered for.
+    pub(crate) fn models(&self) -> Vec<Name> {
+        let mut models: Vec<Name> =
+            self.offers.keys().map(|(model, _)| Name::clone(model)).collect();
+        models.dedup();
+        models
+    }
+
+    /// Returns the count of places for a model.
+    pub(crate) fn places(&self, model: &Name) -> u32 {
+        self.of(model).map(|(_, offer)| offer.places).sum()
+    }
+
+    /// Takes one place from the endpoint that offers most, but not from one to avoid.
+    pub(crate) fn take(&mut self, model: &Name, avoid: Option<u64>) -> Option<u64> {
+        let (endpoint, _) = self
+            .of(model)
+            .filter(|(endpoint, offer)| offer.places > 0 && Some(*endpoint) != avoid)
+            .max_by_key(|(_, offer)| offer.places)?;
+        let offer = self.offers.get_mut(&(Name::clone(model), endpoint))?;
+        offer.places -= 1;
+        Some(endpoint)
+    }
+
+    fn of(&self, model: &Name) -> impl Iterator<Item = (u64, &Offer)> {
+        self.offers
+            .range((Name::clone(model), 0)..=(Name::clone(model), u64::MAX))
+            .map(|((_, endpoint), offer)| (*endpoint, offer))
+    }
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/drive.rs
@@ -0,0 +1,315 @@
+//! Driving of the jobs that this process holds.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::StoreOp;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Timestamp;
+
+use super::api::ItemEnd;
+use super::api::JobAction;
+use super::attempts::Attempt;
+use super::attempts::Attempts;
+use super::calls::Cx;
+use super::calls::DriveCall;
+use super::commit::Committed;
+use super::core::JobCore;
+use super::driven::Driven;
+use super::driven::Ending;
+use super::header;
+use super::header::JobState;
+use super::header::Rest;
+use super::plan::Confirmed;
+
+/// # Moving on
+impl JobCore {
+    /// Moves all driven jobs on: endings, new attempts and commits.
+    pub(crate) fn drive(&mut self, now: Timestamp, out: &mut Vec<JobAction>) {
+        self.end_jobs(now, out);
+        self.credits.expire(now);
+        if self.draining_since.is_none() {
+            for model in self.credits.models() {
+                self.dispatch(now, &model, out);
+            }
+        }
+        self.commit_jobs(now, out);
+    }
+
+    fn end_jobs(&mut self, now: Timestamp, out: &mut Vec<JobAction>) {
+        let draining = self.draining_since.is_some();
+        let timeout = self.env.cfg.drain_timeout;
+        let drain_over = self.draining_since.is_some_and(|since| now - since >= timeout);
+        for job in self.driven.values_mut() {
+            if job.ending.is_none() {
+                job.ending = if self.env.unix_ms >= job.header.due_unix_ms {
+                    Some(Ending::Rest(Rest::Deadline))
+                } else if self.closed.contains(&job.header.model) {
+                    Some(Ending::Rest(Rest::ServiceClosed))
+                } else if draining {
+                    Some(Ending::Release)
+                } else {
+                    continue;
+                };
+                job.wanted.clear();
+            }
+            let stop = matches!(job.ending, Some(Ending::Rest(_))) || drain_over;
+            if stop && job.running > 0 {
+                self.attempts.cancel(job.stop_attempts(), out);
+            }
+        }
+    }
+
+    fn commit_jobs(&mut self, now: Timestamp, out: &mut Vec<JobAction>) {
+        let jobs = u32::try_from(self.driven.len()).unwrap_or(u32::MAX);
+        let cfg = &self.env.cfg;
+        let delay = cfg.commit_delay.max(cfg.commit_spacing * jobs);
+        let mut cx = self.env.cx(now, out);
+        for job in self.driven.values_mut() {
+            job.commit_if_due(delay, &mut cx);
+        }
+    }
+
+    /// Hands the places that are offered for a model to its jobs, least slack first.
+    fn dispatch(&mut self, now: Timestamp, model: &Name, out: &mut Vec<JobAction>) {
+        let unix_ms = self.env.unix_ms;
+        let mut order: Vec<(i64, Name)> = self
+            .driven
+            .values()
+            .filter(|job| job.header.model == *model && job.ending.is_none())
+            .map(|job| (job.slack_ms(unix_ms), Name::clone(&job.job)))
+            .collect();
+        order.sort();
+        for (_, name) in &order {
+            while !self.is_full() && self.dispatch_one(now, name, model, out) {}
+        }
+        for (_, name) in &order {
+            while !self.is_full() && self.dispatch_second(now, name, model, out) {}
+        }
+    }
+
+    /// Tells whether as many outcomes are held back as the process may hold.
+    fn is_full(&self) -> bool {
+        let mut count = 0;
+        let mut bytes = 0;
+        for job in self.driven.values() {
+            let held = job.held();
+            count += held.0;
+            bytes += held.1;
+        }
+        count >= self.env.cfg.max_held_outcomes || bytes >= self.env.cfg.max_held_bytes
+    }
+
+    fn dispatch_one(
+        &mut self,
+        now: Timestamp,
+        name: &Name,
+        model: &Name,
+        out: &mut Vec<JobAction>,
+    ) -> bool {
+        let places = self.credits.places(model);
+        let Some(job) = self.driven.get_mut(name).filter(|_| places > 0) else {
+            return false;
+        };
+        let mut cx = self.env.cx(now, out);
+        let Some(item) = job.next_item(places, &mut cx) else {
+            return false;
+        };
+        let avoid = job.active.get(&item).and_then(|active| active.avoid);
+        let endpoint = self.credits.take(model, avoid).or_else(|| self.credits.take(model, None));
+        let Some(endpoint) = endpoint else {
+            debug_assert!(false, "a place was counted before");
+            return false;
+        };
+        job.send(item, endpoint, &mut self.attempts, &mut cx);
+        true
+    }
+
+    /// Starts a second attempt at a straggler, on another endpoint.
+    fn dispatch_second(
+        &mut self,
+        now: Timestamp,
+        name: &Name,
+        model: &Name,
+        out: &mut Vec<JobAction>,
+    ) -> bool {
+        if self.credits.places(model) == 0 {
+            return false;
+        }
+        let Some(job) = self.driven.get_mut(name) else {
+            return false;
+        };
+        let mut cx = self.env.cx(now, out);
+        let Some((item, first)) = job.straggler(&self.attempts, &mut cx) else {
+            return false;
+        };
+        let avoid = self.attempts.get(first).map(|attempt| attempt.endpoint);
+        let Some(endpoint) = self.credits.take(model, avoid) else {
+            return false;
+        };
+        job.send(item, endpoint, &mut self.attempts, &mut cx);
+        true
+    }
+}
+
+/// # Events
+impl JobCore {
+    pub(crate) fn on_item_done(
+        &mut self,
+        now: Timestamp,
+        id: AttemptId,
+        end: ItemEnd,
+        out: &mut Vec<JobAction>,
+    ) {
+        let Some(attempt) = self.attempts.take(id) else {
+            return;
+        };
+        let job = self.driven.get_mut(&attempt.job).filter(|job| job.flow == attempt.flow);
+        let Some(job) = job else {
+            return;
+        };
+        let losers = job.on_end(&self.env.cfg, now, id, &attempt, end);
+        self.attempts.cancel(losers, out);
+    }
+
+    /// Stops a job whose header says that it is cancelled. A commit in flight goes on, so that it
+    /// finds out whether its segment is garbage.
+    pub(crate) fn on_job_cancelled(&mut self, job: &Name, out: &mut Vec<JobAction>) {
+        let Some(driven) = self.driven.get_mut(job) else {
+            return;
+        };
+        self.attempts.cancel(driven.stop_attempts(), out);
+        if driven.commit.is_none() {
+            self.driven.remove(job);
+            return;
+        }
+        driven.cancel();
+    }
+
+    pub(crate) fn on_drive_reply(
+        &mut self,
+        now: Timestamp,
+        name: &Name,
+        flow: u64,
+        call: DriveCall,
+        (op, reply, tries): (StoreOp, StoreReply, u32),
+        out: &mut Vec<JobAction>,
+    ) {
+        let Some(job) = self.driven.get_mut(name).filter(|job| job.flow == flow) else {
+            return;
+        };
+        let mut cx = self.env.cx(now, out);
+        cx.tries = tries;
+        match call {
+            DriveCall::Segment => job.on_segment_reply(op, reply, &mut cx),
+            DriveCall::Chunk(chunk) => job.on_chunk_reply(chunk, op, reply, &mut cx),
+            DriveCall::Confirm => {
+                if job.on_confirm_reply(op, reply, &mut cx) == Confirmed::Lost {
+                    self.drop_job(now, name, None, out);
+                }
+            }
+            DriveCall::Header => match job.on_header_reply(reply, &mut cx) {
+                Committed::Running | Committed::Stored => {}
+                Committed::Ended => self.on_job_ended(now, name, out),
+                Committed::Fenced(garbage) => self.drop_job(now, name, garbage, out),
+            },
+        }
+    }
+
+    fn on_job_ended(&mut self, now: Timestamp, name: &Name, out: &mut Vec<JobAction>) {
+        let Some(mut job) = self.driven.remove(name) else {
+            return;
+        };
+        self.attempts.cancel(job.stop_attempts(), out);
+        if job.header.state == JobState::Open {
+            return;
+        }
+        self.delete(now, header::index_key(name), out);
+        if job.header.epoch.0 > 1 {
+            self.sweep_segments(now, name, &job.header, out);
+        }
+    }
+
+    /// Drops a job that was cancelled or has another driver.
+    fn drop_job(
+        &mut self,
+        now: Timestamp,
+        name: &Name,
+        garbage: Option<ObjectKey>,
+        out: &mut Vec<JobAction>,
+    ) {
+        let Some(mut job) = self.driven.remove(name) else {
+            return;
+        };
+        self.attempts.cancel(job.stop_attempts(), out);
+        if let Some(key) = garbage {
+            self.delete(now, key, out);
+        }
+        self.watch.add(Name::clone(name), &self.env.cx(now, out));
+    }
+}
+
+impl Driven {
+    /// Forgets the running attempts and returns them, to be cancelled.
+    pub(crate) fn stop_attempts(&mut self) -> Vec<AttemptId> {
+        let attempts = self.attempts();
+        for active in self.active.values_mut() {
+            active.running.clear();
+        }
+        self.running = 0;
+        attempts
+    }
+
+    /// Ends all work but the commit in flight.
+    fn cancel(&mut self) {
+        self.ending = Some(Ending::Rest(Rest::Deadline));
+        self.pending.clear();
+        self.pending_bytes = 0;
+        self.wanted.clear();
+    }
+
+    /// Sends an attempt at an item whose chunk is in memory.
+    fn send(&mut self, item: u32, endpoint: u64, attempts: &mut Attempts, cx: &mut Cx) {
+        let (chunk, first) = self.header.chunk_of(item);
+        let loaded = self.chunks.get(&chunk).and_then(|loaded| {
+            debug_assert_eq!(loaded.first, first, "a chunk starts where the header says");
+            loaded.items.get((item - first) as usize)
+        });
+        let Some((custom_id, body)) = loaded.cloned() else {
+            debug_assert!(false, "the chunk was loaded before the item was chosen");
+            return;
+        };
+        let attempt = attempts.add(
+            cx.me.incarnation,
+            Attempt {
+                job: Name::clone(&self.job),
+                flow: self.flow,
+                item,
+                custom_id,
+                endpoint,
+                sent_at: cx.now,
+                started: false,
+            },
+        );
+        let active = self.active.entry(item).or_default();
+        active.running.push(attempt);
+        self.running += 1;
+        cx.out.push(JobAction::Dispatch {
+            endpoint,
+            attempt,
+            job: Name::clone(&self.job),
+            epoch: self.header.epoch,
+            item,
+            model: Name::clone(&self.header.model),
+            content: ContentHash::of(&body),
+            body,
+            idempotent: self.header.idempotent,
+            deadline: Duration::from_millis(self.header.due_unix_ms.saturating_sub(cx.unix_ms)),
+            resume_from: active.tokens,
+            partial: active.partial.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/intake.rs
@@ -0,0 +1,347 @@
+//! Intake of submissions.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::Expect;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::StampedWrite;
+use dogwoodtray_coord::StoreOp;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::WriteResult;
+use dogwoodtray_coord::WriteStep;
+use rand::Rng;
+use rand::rngs::StdRng;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_128;
+
+use super::api::JobReply;
+use super::api::Refusal;
+use super::api::ReplyToken;
+use super::api::Submission;
+use super::bitmap::Bitmap;
+use super::calls::Cx;
+use super::calls::Owner;
+use super::config::JobConfig;
+use super::header;
+use super::header::Counts;
+use super::header::Header;
+use super::header::JobState;
+use super::items;
+
+/// One submission on its way into the store.
+///
+/// The chunks and the index entry are written after the header was seen to be absent or abandoned,
+/// and the header is written last, on exactly that state. Removal of an orphan relies on this
+/// order: it notes the versions of the index entry and the chunks first, marks the header as
+/// abandoned next, and deletes those versions last, so it never takes an object from a submission
+/// whose header write succeeds.
+#[derive(Debug)]
+pub(crate) struct Intake {
+    token: ReplyToken,
+    job: Name,
+    header: Header,
+    items: Vec<(Name, Bytes)>,
+    expect: Expect,
+    step: Step,
+    deadline: Timestamp,
+    /// Whether a header write was sent whose fate is unknown.
+    unsure: bool,
+}
+
+#[derive(Debug)]
+enum Step {
+    Look,
+    /// Chunk with this number, whose items start at this index.
+    Chunk {
+        chunk: usize,
+        first: usize,
+        value: Arc<[u8]>,
+    },
+    Index,
+    Header(StampedWrite),
+}
+
+/// Checks a submission against the limits.
+pub(crate) fn check(cfg: &JobConfig, submission: &Submission, now_ms: u64) -> Result<(), Refusal> {
+    if submission.items.is_empty() {
+        return Err(Refusal::Empty);
+    }
+    if submission.items.len() > cfg.max_items as usize {
+        return Err(Refusal::TooManyItems { limit: cfg.max_items });
+    }
+    if submission.due_unix_ms.is_some_and(|due| due <= now_ms) {
+        return Err(Refusal::Overdue);
+    }
+    let mut total = 0;
+    let mut ids = HashSet::with_capacity(submission.items.len());
+    for (custom_id, body) in &submission.items {
+        let size = items::item_size(custom_id, body);
+        if size > cfg.max_item_bytes {
+            let custom_id = Name::clone(custom_id);
+            return Err(Refusal::ItemTooLarge { custom_id, limit: cfg.max_item_bytes });
+        }
+        if !ids.insert(custom_id) {
+            return Err(Refusal::DuplicateId { custom_id: Name::clone(custom_id) });
+        }
+        total += size;
+    }
+    if total > cfg.max_job_bytes {
+        return Err(Refusal::JobTooLarge { limit: cfg.max_job_bytes });
+    }
+    Ok(())
+}
+
+/// Returns the name of the job: a hash of organization and key, or a random one without a key.
+fn job_name(submission: &Submission, rng: &mut StdRng) -> Name {
+    let Some(key) = &submission.key else {
+        return Name::from(format!("{:032x}", rng.random::<u128>()));
+    };
+    let mut buf = Vec::new();
+    items::put_bytes(&mut buf, submission.organization.as_bytes());
+    items::put_bytes(&mut buf, key.as_bytes());
+    Name::from(format!("{:032x}", xxh3_128(&buf)))
+}
+
+fn content_hash(submission: &Submission) -> ContentHash {
+    let mut hasher = Xxh3::new();
+    let mut add = |bytes: &[u8]| {
+        hasher.update(&(bytes.len() as u64).to_le_bytes());
+        hasher.update(bytes);
+    };
+    add(submission.organization.as_bytes());
+    add(submission.model.as_bytes());
+    add(&[u8::from(submission.idempotent), u8::from(submission.due_unix_ms.is_some())]);
+    add(&submission.due_unix_ms.unwrap_or(0).to_le_bytes());
+    for (custom_id, body) in &submission.items {
+        add(custom_id.as_bytes());
+        add(body);
+    }
+    ContentHash(hasher.digest())
+}
+
+fn new_header(cfg: &JobConfig, submission: &Submission, now_ms: u64) -> Header {
+    let count = u32::try_from(submission.items.len()).unwrap_or(u32::MAX);
+    let default_due = now_ms + cfg.default_due.as_millis() as u64;
+    Header {
+        organization: Name::clone(&submission.organization),
+        key: submission.key.clone(),
+        content: content_hash(submission),
+        model: Name::clone(&submission.model),
+        idempotent: submission.idempotent,
+        due_unix_ms: submission.due_unix_ms.unwrap_or(default_due),
+        chunks: items::split(&submission.items, cfg.chunk_bytes),
+        state: JobState::Open,
+        rest: None,
+        epoch: Epoch::default(),
+        driver: None,
+        stamp: Default::default(),
+        counts: Counts { items: count, ..Counts::default() },
+        ended: Bitmap::new(count),
+        intents: Default::default(),
+        lost: Vec::new(),
+        tries: Default::default(),
+        segments: Vec::new(),
+    }
+}
+
+impl Intake {
+    /// Starts the intake of a checked submission.
+    pub(crate) fn start(id: u64, token: ReplyToken, submission: Submission, cx: &mut Cx) -> Self {
+        let job = job_name(&submission, cx.rng);
+        let header = new_header(cx.cfg, &submission, cx.unix_ms);
+        cx.call(Owner::Intake(id), StoreOp::Get { key: header::key(&job) });
+        Self {
+            token,
+            job,
+            header,
+            items: submission.items,
+            expect: Expect::Absent,
+            step: Step::Look,
+            deadline: cx.now + cx.cfg.intake_timeout,
+            unsure: false,
+        }
+    }
+
+    pub(crate) const fn token(&self) -> ReplyToken {
+        self.token
+    }
+
+    /// Takes the reply to the last call; returns the reply to the caller when the intake ended.
+    pub(crate) fn on_reply(
+        &mut self,
+        id: u64,
+        op: StoreOp,
+        reply: StoreReply,
+        cx: &mut Cx,
+    ) -> Option<JobReply> {
+        if let Step::Header(write) = &mut self.step {
+            if reply == StoreReply::Ambiguous && op.is_write() {
+                self.unsure = true;
+            }
+            let stamp = self.header.stamp;
+            let is_mine = |value: &[u8]| Header::decode(value).is_some_and(|h| h.stamp == stamp);
+            return match write.on_reply(reply, is_mine) {
+                WriteStep::Call(op) => self.retry(id, op, Duration::ZERO, cx),
+                WriteStep::Wait(wait) => {
+                    let op = write.next_call();
+                    self.retry(id, op, wait, cx)
+                }
+                WriteStep::Finished(result) => Some(self.on_written(result)),
+            };
+        }
+        match reply {
+            StoreReply::Unavailable { retry_after } => self.retry(id, op, retry_after, cx),
+            StoreReply::TooLarge => {
+                Some(JobReply::NotRun(Refusal::JobTooLarge { limit: cx.cfg.chunk_bytes }))
+            }
+            StoreReply::Written { .. } => self.advance(id, cx),
+            reply if matches!(self.step, Step::Look) => self.on_look(id, op, reply, cx),
+            // The object is there from an earlier submission or from an own write whose reply was
+            // lost. It is written again, so that it has a version that no removal has noted.
+            StoreReply::Found { version, .. } => {
+                let op = self.put(Expect::Version(version));
+                self.retry(id, op, Duration::ZERO, cx)
+            }
+            StoreReply::Missing => {
+                let op = self.put(Expect::Absent);
+                self.retry(id, op, Duration::ZERO, cx)
+            }
+            _ => self.retry(id, StoreOp::Get { key: self.step_key() }, Duration::ZERO, cx),
+        }
+    }
+
+    fn on_look(
+        &mut self,
+        id: u64,
+        op: StoreOp,
+        reply: StoreReply,
+        cx: &mut Cx,
+    ) -> Option<JobReply> {
+        match reply {
+            StoreReply::Missing => self.expect = Expect::Absent,
+            StoreReply::Found { version, value } => {
+                if let Some(reply) = self.existing(&value) {
+                    return Some(reply);
+                }
+                self.expect = Expect::Version(version);
+            }
+            _ => return self.retry(id, op, Duration::ZERO, cx),
+        }
+        self.write_chunk(id, 0, 0, cx);
+        None
+    }
+
+    /// Returns the reply that an existing header calls for; `None` when it may be replaced.
+    fn existing(&self, value: &[u8]) -> Option<JobReply> {
+        let Some(there) = Header::decode(value) else {
+            return Some(JobReply::Damaged);
+        };
+        if there.state == JobState::Abandoned {
+            return None;
+        }
+        let job = Name::clone(&self.job);
+        let same = there.content == self.header.content
+            && there.organization == self.header.organization
+            && there.key == self.header.key;
+        if same {
+            return Some(JobReply::Accepted { job, resent: true });
+        }
+        Some(JobReply::Conflict { job })
+    }
+
+    fn advance(&mut self, id: u64, cx: &mut Cx) -> Option<JobReply> {
+        match &self.step {
+            Step::Chunk { chunk, first, .. } => {
+                let next_first = first + self.header.chunks[*chunk] as usize;
+                if chunk + 1 < self.header.chunks.len() {
+                    self.write_chunk(id, chunk + 1, next_first, cx);
+                    return None;
+                }
+                self.step = Step::Index;
+                let op = self.put(Expect::Absent);
+                self.retry(id, op, Duration::ZERO, cx)
+            }
+            Step::Index => {
+                self.header.stamp = cx.stamp();
+                let key = header::key(&self.job);
+                let write = StampedWrite::new(key, self.expect, self.header.encode());
+                let op = write.next_call();
+                self.step = Step::Header(write);
+                self.retry(id, op, Duration::ZERO, cx)
+            }
+            Step::Look | Step::Header(_) => {
+                debug_assert!(false, "no write belongs to this step");
+                None
+            }
+        }
+    }
+
+    fn write_chunk(&mut self, id: u64, chunk: usize, first: usize, cx: &mut Cx) {
+        let count = self.header.chunks[chunk] as usize;
+        let value = Arc::from(items::encode(&self.items[first..first + count]));
+        self.step = Step::Chunk { chunk, first, value };
+        let op = self.put(Expect::Absent);
+        cx.call(Owner::Intake(id), op);
+    }
+
+    fn step_key(&self) -> ObjectKey {
+        match &self.step {
+            Step::Chunk { chunk, .. } => self.header.chunk_key(&self.job, *chunk as u32),
+            Step::Index => header::index_key(&self.job),
+            Step::Look | Step::Header(_) => header::key(&self.job),
+        }
+    }
+
+    fn put(&self, expect: Expect) -> StoreOp {
+        let value = match &self.step {
+            Step::Chunk { value, .. } => Arc::clone(value),
+            _ => Arc::from(self.header.due_unix_ms.to_string().into_bytes()),
+        };
+        StoreOp::Put { key: self.step_key(), expect, value }
+    }
+
+    /// Runs a call, at once or later, unless the time for the submission is up.
+    fn retry(
+        &mut self,
+        id: u64,
+        op: StoreOp,
+        retry_after: Duration,
+        cx: &mut Cx,
+    ) -> Option<JobReply> {
+        if cx.now >= self.deadline {
+            if self.unsure {
+                return Some(JobReply::Unknown { job: Name::clone(&self.job) });
+            }
+            return Some(JobReply::NotRun(Refusal::StoreUnavailable));
+        }
+        if retry_after.is_zero() && cx.tries == 0 {
+            cx.call(Owner::Intake(id), op);
+        } else {
+            cx.call_later(Owner::Intake(id), op, retry_after);
+        }
+        None
+    }
+
+    fn on_written(&self, result: WriteResult) -> JobReply {
+        match result {
+            WriteResult::Written { .. } => {
+                JobReply::Accepted { job: Name::clone(&self.job), resent: false }
+            }
+            WriteResult::TooLarge => {
+                JobReply::NotRun(Refusal::TooManyItems { limit: self.header.counts.items })
+            }
+            // Another submission with this key was stored, or this one was given up as an orphan.
+            WriteResult::Fenced { current: Some((_, value)) } => {
+                self.existing(&value).unwrap_or(JobReply::NotRun(Refusal::Abandoned))
+            }
+            WriteResult::Fenced { current: None } => JobReply::NotRun(Refusal::Abandoned),
+        }
+    }
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/mod.rs
@@ -0,0 +1,48 @@
+//! Batch jobs: intake, driving, results and cancellation.
+
+mod api;
+mod attempts;
+mod bitmap;
+mod calls;
+mod claim;
+mod commit;
+mod config;
+mod core;
+mod credits;
+mod drive;
+mod driven;
+mod header;
+mod intake;
+mod items;
+mod outcome;
+mod plan;
+mod read;
+mod segment;
+mod sweep;
+mod watch;
+
+pub use self::api::Backlog;
+pub use self::api::CallId;
+pub use self::api::ItemEnd;
+pub use self::api::JobAction;
+pub use self::api::JobEvent;
+pub use self::api::JobReply;
+pub use self::api::Refusal;
+pub use self::api::ReplyToken;
+pub use self::api::Submission;
+pub use self::bitmap::Bitmap;
+pub use self::config::JobConfig;
+pub use self::config::Me;
+pub use self::core::DrainReason;
+pub use self::core::JobCore;
+pub use self::core::claim_object;
+pub use self::header::Counts;
+pub use self::header::Driver;
+pub use self::header::Header;
+pub use self::header::JobState;
+pub use self::header::Rest;
+pub use self::header::SegmentRun;
+pub use self::outcome::ItemOutcome;
+pub use self::outcome::ItemResult;
+pub use self::outcome::Reason;
+pub use self::segment::decode_segment;
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/plan.rs
@@ -0,0 +1,215 @@
+//! Choice of the next item of a driven job.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::StoreOp;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Timestamp;
+
+use super::attempts::Attempts;
+use super::calls::Cx;
+use super::calls::DriveCall;
+use super::driven::Chunk;
+use super::driven::Driven;
+use super::header::Header;
+use super::header::JobState;
+use super::items;
+
+/// Wait before a damaged or missing chunk is asked for again.
+const DAMAGED_RETRY: Duration = Duration::from_secs(5);
+
+/// What became of a driven job after its header was read again.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Confirmed {
+    /// The claim stands, or it is not known that it does not.
+    Held,
+    /// The job was cancelled or has another driver.
+    Lost,
+}
+
+impl Driven {
+    /// Returns the next item to run, with its chunk in memory. Starts a load, an intent or a
+    /// confirmation when one of these has to come first.
+    pub(crate) fn next_item(&mut self, places: u32, cx: &mut Cx) -> Option<u32> {
+        if self.ending.is_some() || !self.may_start(cx) {
+            return None;
+        }
+        if self.header.idempotent {
+            let item = self.candidate(cx.now)?;
+            return self.load(item, cx).then(|| self.hand_out(item));
+        }
+        let Some(&item) = self.armed.front() else {
+            self.want_intents(places, cx);
+            return None;
+        };
+        if !self.load(item, cx) {
+            return None;
+        }
+        self.armed.pop_front();
+        Some(item)
+    }
+
+    /// Tells whether the header was confirmed recently enough, and asks for it when it was not.
+    /// During an outage of the store no cancellation can be stored either, so idempotent items go
+    /// on within the bound on outcomes that are held back.
+    fn may_start(&mut self, cx: &mut Cx) -> bool {
+        let within = cx.cfg.confirm_within;
+        let confirmed = self.is_confirmed(cx.now, within);
+        if !self.is_confirmed(cx.now, within.mul_f64(0.8)) && self.confirming.is_none() {
+            self.confirming = Some(cx.now);
+            let key = super::header::key(&self.job);
+            cx.call(self.owner(DriveCall::Confirm), StoreOp::Get { key });
+        }
+        confirmed || (self.blind && self.header.idempotent)
+    }
+
+    /// Takes the reply to a read of the header.
+    pub(crate) fn on_confirm_reply(
+        &mut self,
+        op: StoreOp,
+        reply: StoreReply,
+        cx: &mut Cx,
+    ) -> Confirmed {
+        let (version, value) = match reply {
+            StoreReply::Found { version, value } => (version, value),
+            StoreReply::Missing => return Confirmed::Lost,
+            StoreReply::Unavailable { retry_after } => {
+                self.blind = true;
+                self.confirming = Some(cx.now + retry_after);
+                cx.call_later(self.owner(DriveCall::Confirm), op, retry_after);
+                return Confirmed::Held;
+            }
+            _ => {
+                self.blind = true;
+                cx.call_later(self.owner(DriveCall::Confirm), op, Duration::ZERO);
+                return Confirmed::Held;
+            }
+        };
+        let started = self.confirming.take().unwrap_or(self.confirmed_at);
+        if version == self.version {
+            self.blind = false;
+            self.confirmed_at = self.confirmed_at.max(started);
+            return Confirmed::Held;
+        }
+        let Some(header) = Header::decode(&value) else {
+            return Confirmed::Lost;
+        };
+        // A newer version under the same claim is an own commit whose reply is under way.
+        if header.state == JobState::Open && header.epoch == self.header.epoch {
+            return Confirmed::Held;
+        }
+        if self.commit.is_some() {
+            // The commit meets the same header and cleans up after itself.
+            self.blind = false;
+            return Confirmed::Held;
+        }
+        Confirmed::Lost
+    }
+
+    fn candidate(&mut self, now: Timestamp) -> Option<u32> {
+        if let Some(&item) = self.resumed.front() {
+            return Some(item);
+        }
+        while self.fresh < self.header.counts.items && self.settled.get(self.fresh) {
+            self.fresh += 1;
+        }
+        if self.fresh < self.header.counts.items {
+            return Some(self.fresh);
+        }
+        let &(not_before, item) = self.retry.first()?;
+        (not_before <= now).then_some(item)
+    }
+
+    fn hand_out(&mut self, item: u32) -> u32 {
+        if self.resumed.front() == Some(&item) {
+            self.resumed.pop_front();
+        } else if self.fresh == item {
+            self.fresh += 1;
+        } else {
+            self.retry.pop_first();
+        }
+        item
+    }
+
+    fn want_intents(&mut self, places: u32, cx: &Cx) {
+        if self.commit.is_some() || !self.wanted.is_empty() {
+            return;
+        }
+        let room = cx.cfg.max_intents.saturating_sub(self.header.intents.len());
+        let count = room.min(places as usize);
+        while self.wanted.len() < count && self.fresh < self.header.counts.items {
+            if !self.settled.get(self.fresh) {
+                self.wanted.insert(self.fresh);
+            }
+            self.fresh += 1;
+        }
+    }
+
+    /// Tells whether the chunk of an item is in memory, and loads it when it is not.
+    fn load(&mut self, item: u32, cx: &mut Cx) -> bool {
+        let (chunk, _) = self.header.chunk_of(item);
+        if let Some(loaded) = self.chunks.get_mut(&chunk) {
+            loaded.used_at = cx.now;
+            return true;
+        }
+        if self.loading.is_none() {
+            self.loading = Some(chunk);
+            let key = self.header.chunk_key(&self.job, chunk);
+            cx.call(self.owner(DriveCall::Chunk(chunk)), StoreOp::Get { key });
+        }
+        false
+    }
+
+    /// Takes the reply to the load of a chunk. A damaged or missing chunk is asked for again until
+    /// the job is due, and its items end with the deadline.
+    pub(crate) fn on_chunk_reply(
+        &mut self,
+        chunk: u32,
+        op: StoreOp,
+        reply: StoreReply,
+        cx: &mut Cx,
+    ) {
+        let (items, retry_after) = match reply {
+            StoreReply::Found { value, .. } => (items::decode(&value), DAMAGED_RETRY),
+            StoreReply::Missing => (None, DAMAGED_RETRY),
+            StoreReply::Unavailable { retry_after } => (None, retry_after),
+            _ => (None, Duration::ZERO),
+        };
+        let Some(items) = items else {
+            cx.call_later(self.owner(DriveCall::Chunk(chunk)), op, retry_after);
+            return;
+        };
+        self.loading = None;
+        while self.chunks.len() >= cx.cfg.max_loaded_chunks.max(1) {
+            let oldest = self.chunks.iter().min_by_key(|(_, loaded)| loaded.used_at);
+            let Some((&oldest, _)) = oldest else {
+                break;
+            };
+            self.chunks.remove(&oldest);
+        }
+        let first = self.header.chunks[..chunk as usize].iter().sum();
+        self.chunks.insert(chunk, Chunk { first, items, used_at: cx.now });
+    }
+
+    /// Returns an item whose only attempt is a straggler of a nearly done job, with that attempt.
+    pub(crate) fn straggler(
+        &mut self,
+        attempts: &Attempts,
+        cx: &mut Cx,
+    ) -> Option<(u32, AttemptId)> {
+        let nearly_done = self.waiting() == 0 && self.active.len() <= cx.cfg.straggler_items;
+        let short = self.slack_ms(cx.unix_ms) < cx.cfg.straggler_slack.as_millis() as i64;
+        if !self.header.idempotent || self.ending.is_some() || !nearly_done || !short {
+            return None;
+        }
+        let (item, attempt) = self.active.iter().find_map(|(item, active)| {
+            let [attempt] = active.running[..] else {
+                return None;
+            };
+            let age = cx.now - attempts.get(attempt)?.sent_at;
+            (age >= cx.cfg.straggler_age).then_some((*item, attempt))
+        })?;
+        (self.may_start(cx) && self.load(item, cx)).then_some((item, attempt))
+    }
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/segment.rs
@@ -0,0 +1,79 @@
+//! Segments of outcomes.
+
+use bytes::Buf;
+use bytes::BufMut;
+use bytes::Bytes;
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::ObjectKey;
+
+use super::items::put_bytes;
+use super::items::take_bytes;
+use super::items::take_name;
+use super::outcome::ItemOutcome;
+use super::outcome::ItemResult;
+use super::outcome::Reason;
+
+/// Kind of the objects that hold outcomes.
+pub(crate) const KIND: &str = "job-outcomes";
+
+const DONE: u8 = 0;
+const FAILED: u8 = 1;
+
+/// Returns the key of a segment. Padding keeps the order of names equal to the order of numbers.
+pub(crate) fn key(job: &str, epoch: Epoch, seq: u32) -> ObjectKey {
+    ObjectKey::new(KIND, format!("{job}.{:010}.{seq:010}", epoch.0))
+}
+
+/// Reads epoch and sequence number from the name of a segment.
+pub(crate) fn parse_name(name: &str) -> Option<(Epoch, u32)> {
+    let mut parts = name.rsplitn(3, '.');
+    let seq = parts.next()?.parse().ok()?;
+    let epoch = parts.next()?.parse().ok()?;
+    Some((Epoch(epoch), seq))
+}
+
+/// Encodes a segment. Cancelled items are never recorded; the state of the job tells them.
+pub(crate) fn encode(results: &[ItemResult]) -> Vec<u8> {
+    let mut buf = Vec::new();
+    for result in results {
+        let (kind, status, body) = match &result.outcome {
+            ItemOutcome::Done { status, body } => (DONE, *status, body.clone()),
+            ItemOutcome::Failed { reason, status, body } => {
+                (FAILED + *reason as u8, *status, body.clone())
+            }
+            ItemOutcome::Cancelled { .. } => {
+                debug_assert!(false, "a cancelled item has no record");
+                continue;
+            }
+        };
+        buf.put_u32_le(result.item);
+        buf.put_u8(kind);
+        buf.put_u16_le(status);
+        put_bytes(&mut buf, result.custom_id.as_bytes());
+        put_bytes(&mut buf, &body);
+    }
+    lz4_flex::compress_prepend_size(&buf)
+}
+
+/// Decodes a segment; `None` when it is damaged.
+#[must_use]
+pub fn decode_segment(value: &[u8]) -> Option<Vec<ItemResult>> {
+    let mut buf = Bytes::from(lz4_flex::decompress_size_prepended(value).ok()?);
+    let mut results = Vec::new();
+    while buf.has_remaining() {
+        let item = buf.try_get_u32_le().ok()?;
+        let kind = buf.try_get_u8().ok()?;
+        let status = buf.try_get_u16_le().ok()?;
+        let custom_id = take_name(&mut buf)?;
+        let body = take_bytes(&mut buf)?;
+        let outcome = match kind.checked_sub(FAILED) {
+            None => ItemOutcome::Done { status, body },
+            Some(reason) => {
+                let reason = *Reason::ALL.get(usize::from(reason))?;
+                ItemOutcome::Failed { reason, status, body }
+            }
+        };
+        results.push(ItemResult { item, custom_id, outcome });
+    }
+    Some(results)
+}
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/sweep.rs
@@ -0,0 +1,229 @@
+//! Removal of objects that no job needs any more.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::Expect;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::StampedWrite;
+use dogwoodtray_coord::StoreOp;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Version;
+use dogwoodtray_coord::WriteResult;
+use dogwoodtray_coord::WriteStamp;
+use dogwoodtray_coord::WriteStep;
+
+use super::bitmap::Bitmap;
+use super::calls::Cx;
+use super::calls::Owner;
+use super::header;
+use super::header::Counts;
+use super::header::Header;
+use super::header::JobState;
+use super::segment;
+
+const PAGE: u32 = 500;
+
+/// One removal. A removal that the process does not live to finish is found again: an index entry
+/// by the scan, a segment by the next claim.
+#[derive(Debug)]
+pub(crate) struct Sweep {
+    step: Step,
+    /// Calls that have no reply yet.
+    open: usize,
+}
+
+#[derive(Debug)]
+enum Step {
+    /// Read the version of an object, then delete it.
+    Delete,
+    /// List the segments of a job and delete those that the header does not list.
+    Segments { job: Name, header: Box<Header> },
+    /// Give up a submission that has an index entry and no header.
+    Orphan { job: Name, doomed: Vec<(ObjectKey, Version)>, write: Option<Tombstone> },
+}
+
+/// Write of a header that marks a submission as abandoned, with its stamp.
+type Tombstone = (StampedWrite, WriteStamp);
+
+impl Sweep {
+    /// Deletes an object that is garbage for good.
+    pub(crate) fn delete(id: u64, key: ObjectKey, cx: &mut Cx) -> Self {
+        cx.call(Owner::Sweep(id), StoreOp::Get { key });
+        Self { step: Step::Delete, open: 1 }
+    }
+
+    /// Deletes segments of older claims that the header does not list. A holder of an older claim
+    /// cannot list them any more, because its header write fails on the version.
+    pub(crate) fn segments(id: u64, job: Name, header: Header, cx: &mut Cx) -> Self {
+        cx.call(Owner::Sweep(id), list(segment::KIND, &job, None));
+        Self { step: Step::Segments { job, header: Box::new(header) }, open: 1 }
+    }
+
+    /// Gives up a submission that was never completed. The versions of its objects are read first
+    /// and a header that marks it as abandoned is written next; see [`super::intake::Intake`].
+    pub(crate) fn orphan(id: u64, job: Name, cx: &mut Cx) -> Self {
+        cx.call(Owner::Sweep(id), StoreOp::Get { key: header::index_key(&job) });
+        Self { step: Step::Orphan { job, doomed: Vec::new(), write: None }, open: 1 }
+    }
+
+    /// Takes a reply; returns true when the removal ended.
+    pub(crate) fn on_reply(
+        &mut self,
+        id: u64,
+        op: StoreOp,
+        reply: StoreReply,
+        cx: &mut Cx,
+    ) -> bool {
+        if let Step::Orphan { write: Some(_), .. } = &self.step
+            && !matches!(op, StoreOp::Delete { .. })
+        {
+            self.on_tombstone(id, reply, cx);
+            return self.open == 0;
+        }
+        match reply {
+            StoreReply::Unavailable { retry_after } => {
+                cx.call_later(Owner::Sweep(id), op, retry_after);
+            }
+            StoreReply::Ambiguous => cx.call_later(Owner::Sweep(id), op, Duration::ZERO),
+            StoreReply::Found { version, value } => self.on_found(id, op, version, &value, cx),
+            StoreReply::Listed { entries, more } => self.on_listed(id, entries, more, cx),
+            StoreReply::Missing if matches!(op, StoreOp::Get { .. }) => {
+                self.on_missing(id, &op, cx);
+            }
+            _ => self.open -= 1,
+        }
+        self.open == 0
+    }
+
+    fn on_found(&mut self, id: u64, op: StoreOp, version: Version, value: &[u8], cx: &mut Cx) {
+        let StoreOp::Get { key } = op else {
+            return;
+        };
+        match &mut self.step {
+            Step::Delete => {
+                cx.call(Owner::Sweep(id), StoreOp::Delete { key, expect: version });
+            }
+            Step::Segments { .. } => self.open -= 1,
+            Step::Orphan { job, doomed, write } => {
+                if &*key.kind == header::INDEX_KIND {
+                    doomed.push((key, version));
+                    cx.call(Owner::Sweep(id), list(header::ITEMS_KIND, job, None));
+                    return;
+                }
+                let abandoned =
+                    Header::decode(value).is_some_and(|h| h.state == JobState::Abandoned);
+                if !abandoned {
+                    self.open -= 1;
+                    return;
+                }
+                *write = Some(tombstone(job, Expect::Version(version), cx));
+                self.write_tombstone(id, cx);
+            }
+        }
+    }
+
+    fn on_missing(&mut self, id: u64, op: &StoreOp, cx: &mut Cx) {
+        match (&mut self.step, op) {
+            (Step::Orphan { job, write, .. }, StoreOp::Get { key })
+                if &*key.kind == header::KIND =>
+            {
+                *write = Some(tombstone(job, Expect::Absent, cx));
+                self.write_tombstone(id, cx);
+            }
+            _ => self.open -= 1,
+        }
+    }
+
+    fn on_listed(&mut self, id: u64, entries: Vec<(Name, Version)>, more: bool, cx: &mut Cx) {
+        let last = entries.last().map(|(name, _)| Name::clone(name));
+        match &mut self.step {
+            Step::Delete => {}
+            Step::Segments { job, header } => {
+                for (name, expect) in entries {
+                    let Some((epoch, seq)) = segment::parse_name(&name) else {
+                        continue;
+                    };
+                    if epoch < header.epoch && !header.lists(epoch, seq) {
+                        let key = ObjectKey::new(segment::KIND, name);
+                        cx.call(Owner::Sweep(id), StoreOp::Delete { key, expect });
+                        self.open += 1;
+                    }
+                }
+                if more {
+                    cx.call(Owner::Sweep(id), list(segment::KIND, job, last));
+                    return;
+                }
+                self.open -= 1;
+            }
+            Step::Orphan { job, doomed, .. } => {
+                for (name, version) in entries {
+                    doomed.push((ObjectKey::new(header::ITEMS_KIND, name), version));
+                }
+                let op = if more {
+                    list(header::ITEMS_KIND, job, last)
+                } else {
+                    StoreOp::Get { key: header::key(job) }
+                };
+                cx.call(Owner::Sweep(id), op);
+            }
+        }
+    }
+
+    fn write_tombstone(&mut self, id: u64, cx: &mut Cx) {
+        if let Step::Orphan { write: Some((write, _)), .. } = &self.step {
+            cx.call(Owner::Sweep(id), write.next_call());
+        }
+    }
+
+    fn on_tombstone(&mut self, id: u64, reply: StoreReply, cx: &mut Cx) {
+        let Step::Orphan { doomed, write: Some((write, stamp)), .. } = &mut self.step else {
+            return;
+        };
+        let stamp = *stamp;
+        let is_mine = |value: &[u8]| Header::decode(value).is_some_and(|h| h.stamp == stamp);
+        match write.on_reply(reply, is_mine) {
+            WriteStep::Call(op) => cx.call_later(Owner::Sweep(id), op, Duration::ZERO),
+            WriteStep::Wait(wait) => cx.call_later(Owner::Sweep(id), write.next_call(), wait),
+            WriteStep::Finished(WriteResult::Written { .. }) => {
+                for (key, expect) in doomed.drain(..) {
+                    cx.call(Owner::Sweep(id), StoreOp::Delete { key, expect });
+                    self.open += 1;
+                }
+                self.open -= 1;
+            }
+            WriteStep::Finished(_) => self.open -= 1,
+        }
+    }
+}
+
+fn list(kind: &str, job: &Name, after: Option<Name>) -> StoreOp {
+    let prefix = Name::from(format!("{job}."));
+    StoreOp::List { kind: Name::from(kind), prefix, after, limit: PAGE }
+}
+
+fn tombstone(job: &Name, expect: Expect, cx: &mut Cx) -> Tombstone {
+    let header = Header {
+        organization: Name::from(""),
+        key: None,
+        content: ContentHash::default(),
+        model: Name::from(""),
+        idempotent: false,
+        due_unix_ms: 0,
+        chunks: Vec::new(),
+        state: JobState::Abandoned,
+        rest: None,
+        epoch: Epoch::default(),
+        driver: None,
+        stamp: cx.stamp(),
+        counts: Counts::default(),
+        ended: Bitmap::default(),
+        intents: Default::default(),
+        lost: Vec::new(),
+        tries: Default::default(),
+        segments: Vec::new(),
+    };
+    (StampedWrite::new(header::key(job), expect, header.encode()), header.stamp)
+}
--- /dev/null
+++ b/dogwoodtray_entry/tests/jobs_support/oracle.rs
@@ -0,0 +1,150 @@
+//! Checks of what was recorded against what the agents and the callers saw.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_entry::jobs::Counts;
+use dogwoodtray_entry::jobs::ItemOutcome;
+use dogwoodtray_entry::jobs::ItemResult;
+use dogwoodtray_entry::jobs::JobEvent;
+use dogwoodtray_entry::jobs::JobReply;
+use dogwoodtray_entry::jobs::JobState;
+use dogwoodtray_entry::jobs::Reason;
+
+use super::World;
+
+/// What the callers know about a job.
+#[derive(Clone, Debug)]
+pub(crate) struct Expected {
+    pub(crate) job: Name,
+    pub(crate) items: u32,
+    pub(crate) idempotent: bool,
+    /// Time of an acknowledged cancellation, with the counts that it gave.
+    pub(crate) cancelled: Option<(Timestamp, Counts)>,
+}
+
+/// Reads the results of a job through a process.
+pub(crate) fn results(
+    world: &mut World,
+    index: usize,
+    job: &Name,
+) -> (Option<JobState>, Vec<ItemResult>) {
+    let job = Name::clone(job);
+    let token = world.ask(index, |token| JobEvent::Results { token, job });
+    world.run_until(Duration::from_secs(60), "results", |w| {
+        w.reply(token).is_some_and(|(_, reply)| !matches!(reply, JobReply::ResultsPart(_)))
+    });
+    let mut all = Vec::new();
+    let mut state = None;
+    for (_, reply) in &world.replies[&token] {
+        match reply {
+            JobReply::ResultsPart(part) => all.extend(part.iter().cloned()),
+            JobReply::ResultsEnd { state: last } => state = Some(*last),
+            _ => {}
+        }
+    }
+    (state, all)
+}
+
+/// Returns the violations found for a job, reading its results through a process.
+pub(crate) fn check(world: &mut World, index: usize, expected: &Expected) -> Vec<String> {
+    let (state, results) = results(world, index, &expected.job);
+    let mut faults = Vec::new();
+    if !matches!(state, Some(JobState::Finished | JobState::Cancelled)) {
+        faults.push(format!("the job has not ended: {state:?}"));
+    }
+    let mut seen = BTreeSet::new();
+    for result in &results {
+        if !seen.insert(result.item) {
+            faults.push(format!("item {} has two results", result.item));
+        }
+        if *result.custom_id != format!("id-{}", result.item) {
+            faults.push(format!("item {} has the id {}", result.item, result.custom_id));
+        }
+    }
+    if seen.len() != expected.items as usize {
+        faults.push(format!("{} of {} items have a result", seen.len(), expected.items));
+    }
+    check_runs(world, expected, &results, &mut faults);
+    check_counts(world, expected, &results, &mut faults);
+    check_cancel(world, expected, &mut faults);
+    faults
+}
+
+fn check_runs(
+    world: &World,
+    expected: &Expected,
+    results: &[ItemResult],
+    faults: &mut Vec<String>,
+) {
+    let mut runs: BTreeMap<u32, Vec<_>> = BTreeMap::new();
+    for run in world.agents.runs.iter().filter(|run| run.job == expected.job) {
+        runs.entry(run.item).or_default().push(run);
+    }
+    for (item, runs) in &runs {
+        if !expected.idempotent && runs.len() > 1 {
+            faults.push(format!("item {item} ran {} times", runs.len()));
+        }
+    }
+    for result in results {
+        let runs = runs.get(&result.item).map_or(&[][..], |runs| runs);
+        let item = result.item;
+        match &result.outcome {
+            ItemOutcome::Done { body, .. } => {
+                if !runs.iter().any(|run| run.answer.as_ref() == Some(body)) {
+                    faults.push(format!("no agent gave the answer of item {item}"));
+                }
+            }
+            ItemOutcome::Cancelled { may_have_run: false }
+            | ItemOutcome::Failed { reason: Reason::Deadline | Reason::ServiceClosed, .. } => {
+                if !expected.idempotent && !runs.is_empty() {
+                    faults.push(format!("item {item} ran but is recorded as not run"));
+                }
+            }
+            ItemOutcome::Cancelled { .. } | ItemOutcome::Failed { .. } => {}
+        }
+    }
+}
+
+fn check_counts(
+    world: &World,
+    expected: &Expected,
+    results: &[ItemResult],
+    faults: &mut Vec<String>,
+) {
+    let Some(header) = world.header(&expected.job) else {
+        faults.push("the header is gone".to_owned());
+        return;
+    };
+    let count = |test: fn(&ItemOutcome) -> bool| {
+        results.iter().filter(|result| test(&result.outcome)).count() as u32
+    };
+    let counted = Counts {
+        items: expected.items,
+        done: count(|outcome| matches!(outcome, ItemOutcome::Done { .. })),
+        failed: count(|outcome| matches!(outcome, ItemOutcome::Failed { .. })),
+        cancelled: count(|outcome| matches!(outcome, ItemOutcome::Cancelled { .. })),
+        dropped: header.counts.dropped,
+    };
+    if counted != header.counts {
+        faults.push(format!("counts are {:?}, results give {counted:?}", header.counts));
+    }
+}
+
+fn check_cancel(world: &World, expected: &Expected, faults: &mut Vec<String>) {
+    let Some((at, counts)) = expected.cancelled else {
+        return;
+    };
+    let header = world.header(&expected.job);
+    if header.as_ref().is_none_or(|header| header.counts != counts) {
+        faults.push("an outcome was recorded after the cancellation".to_owned());
+    }
+    // One hop for an attempt that was on its way to the agent, one tick of the test clock.
+    let bound = at + world.cfg.confirm_within + super::TICK;
+    for run in world.agents.runs.iter().filter(|run| run.job == expected.job && run.at > bound) {
+        faults.push(format!("item {} started at {} after a cancel at {at}", run.item, run.at));
+    }
+}
