--- a/dogwoodtray_config/src/file.rs
+++ b/dogwoodtray_config/src/file.rs
@@ -87,14 +87,14 @@
         wrap: fn(T) -> Object,
     ) {
         for table in tables {
-            let line = line_at(self.text, table.span().start);
+            let start = table.span().start;
             let table = table.into_inner();
             let label = label_of(kind, &table);
             match table.try_into::<T>() {
                 Ok(object) => self.objects.push(wrap(object)),
                 Err(err) => self.errors.push(FileError {
                     file: self.file.to_owned(),
-                    line,
+                    line: line_at(self.text, start),
                     message: format!("{label}: {}", err.message()),
                 }),
             }
