Fix the lints of the entry shell

Cause: clippy names three places. Change: an unused field, a variant that repeats its enum's name, and a fold that must not short-circuit.

--- a/dogwoodtray_entry/src/http/error.rs
+++ b/dogwoodtray_entry/src/http/error.rs
@@ -19,7 +19,7 @@
 /// Whether the request was run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Run {
-    NotRun,
+    Never,
     Unknown,
     Ran,
 }
@@ -27,7 +27,7 @@
 impl Run {
     const fn as_str(self) -> &'static str {
         match self {
-            Self::NotRun => "not_run",
+            Self::Never => "not_run",
             Self::Unknown => "unknown",
             Self::Ran => "ran",
         }
@@ -62,7 +62,7 @@
         code: &'static str,
         message: impl Into<String>,
     ) -> Self {
-        Self { status, code, message: message.into(), run: Run::NotRun, retry: false }
+        Self { status, code, message: message.into(), run: Run::Never, retry: false }
     }
 
     pub(crate) fn unknown(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
--- a/dogwoodtray_entry/src/http/resolve.rs
+++ b/dogwoodtray_entry/src/http/resolve.rs
@@ -18,7 +18,6 @@
 pub(crate) struct Target {
     /// Model or service, as endpoints name it.
     pub(crate) model: Name,
-    pub(crate) service: bool,
     pub(crate) idempotent: bool,
     pub(crate) timeout: Duration,
 }
@@ -42,7 +41,6 @@
         let model = models.iter().find(|model| ***model == *name).ok_or_else(unknown)?;
         return Ok(Target {
             model: Name::clone(model),
-            service,
             idempotent: true,
             timeout: shared.settings.default_timeout,
         });
@@ -72,7 +70,6 @@
     }
     Ok(Target {
         model: Name::from(model),
-        service,
         idempotent: route.is_idempotent(path),
         timeout: Duration::from_millis(route.default_deadline_ms),
     })
--- a/dogwoodtray_entry/src/shell/entry.rs
+++ b/dogwoodtray_entry/src/shell/entry.rs
@@ -159,7 +159,8 @@
     /// Waits for the threads of the services. Returns `false` if one panicked.
     pub fn join(mut self) -> bool {
         let services = std::mem::take(&mut self.services);
-        services.into_iter().map(ServiceHandle::join).fold(true, |all, ok| all && ok)
+        let joined: Vec<bool> = services.into_iter().map(ServiceHandle::join).collect();
+        joined.into_iter().all(|ok| ok)
     }
 }
 
