--- a/dogwoodtray_cli/src/local/demo.rs
+++ b/dogwoodtray_cli/src/local/demo.rs
@@ -21,6 +21,9 @@
 
 const DURATION: Duration = Duration::from_secs(5);
 
+/// Items of the job.
+const BATCH_ITEMS: usize = 200;
+
 /// Time after the start at which one endpoint is killed.
 const KILL_AFTER: Duration = Duration::from_secs(2);
 
@@ -57,7 +60,7 @@
 /// Fails if a part of the fleet cannot be started or the load cannot be sent.
 pub async fn run_demo(seed: u64) -> Result<DemoSummary, Box<dyn std::error::Error>> {
     let fleet = start().await?;
-    let job = JobShape::lots();
+    let job = JobShape::lots(BATCH_ITEMS);
     let items = job.items as u64;
     let cfg = LoadConfig::new(fleet.caller_addrs())
         .seed(seed)
