--- a/dogwoodtray_coord/src/commit/event.rs
+++ b/dogwoodtray_coord/src/commit/event.rs
@@ -38,10 +38,15 @@
 pub trait CommitCodec<T> {
     /// Returns the value after the entries, carrying the stamp.
     ///
-    /// The next call comes after the entries of this one are durable, or after the store refused
-    /// them as too large.
+    /// The entries come on top of the last value that [`CommitCodec::on_stored`] confirmed.
     fn encode(&mut self, entries: &[T], stamp: WriteStamp) -> Arc<[u8]>;
 
+    /// Takes the last encoded value as stored.
+    ///
+    /// The next group may be encoded before the owner sees [`CommitAction::Durable`], so a codec
+    /// must not wait for that action.
+    fn on_stored(&mut self);
+
     /// Returns the stamp of the last write of any kind, or `None` if the value cannot be read.
     ///
     /// Each writer of the object must replace the stamp, also one that changes something else.
--- a/dogwoodtray_coord/src/commit/machine.rs
+++ b/dogwoodtray_coord/src/commit/machine.rs
@@ -64,6 +64,7 @@
 ///         self.0.extend(entries);
 ///         Arc::from(serde_json::to_vec(&(stamp, &self.0)).unwrap())
 ///     }
+///     fn on_stored(&mut self) {}
 ///     fn stamp(&self, value: &[u8]) -> Option<WriteStamp> {
 ///         serde_json::from_slice::<(WriteStamp, Vec<u32>)>(value).ok().map(|(stamp, _)| stamp)
 ///     }
@@ -94,6 +95,7 @@
     waiting_bytes: usize,
     in_flight: Option<InFlight<T>>,
     is_fenced: bool,
+    is_paused: bool,
 }
 
 impl<T: Clone> GroupCommit<T> {
@@ -120,6 +122,7 @@
             waiting_bytes: 0,
             in_flight: None,
             is_fenced: false,
+            is_paused: false,
         }
     }
 
@@ -141,6 +144,16 @@
         self.is_fenced
     }
 
+    /// Starts no further write until [`GroupCommit::resume`]. The write under way goes on.
+    pub const fn pause(&mut self) {
+        self.is_paused = true;
+    }
+
+    /// Lets writes start again. The next event starts one that is due.
+    pub const fn resume(&mut self) {
+        self.is_paused = false;
+    }
+
     /// Takes an event and appends the actions that follow from it.
     pub fn handle(
         &mut self,
@@ -190,7 +203,8 @@
         codec: &mut impl CommitCodec<T>,
         out: &mut Vec<CommitAction<T>>,
     ) {
-        if self.is_fenced || self.in_flight.is_some() || !self.is_triggered(now) {
+        let is_stopped = self.is_fenced || self.is_paused;
+        if is_stopped || self.in_flight.is_some() || !self.is_triggered(now) {
             return;
         }
         let entries = self.take_group();
@@ -205,10 +219,19 @@
     }
 
     fn take_group(&mut self) -> Vec<T> {
-        let count = self.waiting.len().min(self.config.max_entries.max(1));
-        let group: Vec<_> = self.waiting.drain(..count).collect();
-        self.waiting_bytes -= group.iter().map(|waiting| waiting.bytes).sum::<usize>();
-        group.into_iter().map(|waiting| waiting.entry).collect()
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        while entries.len() < self.config.max_entries.max(1)
+            && (entries.is_empty() || bytes < self.config.max_bytes)
+        {
+            let Some(waiting) = self.waiting.pop_front() else {
+                break;
+            };
+            bytes += waiting.bytes;
+            entries.push(waiting.entry);
+        }
+        self.waiting_bytes -= bytes;
+        entries
     }
 
     fn call(&mut self, op: StoreOp, out: &mut Vec<CommitAction<T>>) {
@@ -230,7 +253,7 @@
         &mut self,
         now: Timestamp,
         reply: StoreReply,
-        codec: &impl CommitCodec<T>,
+        codec: &mut impl CommitCodec<T>,
         out: &mut Vec<CommitAction<T>>,
     ) {
         let Some(mut in_flight) = self.in_flight.take() else {
@@ -238,18 +261,27 @@
         };
         let stamp = Some(in_flight.stamp);
         match in_flight.write.on_reply(reply.clone(), |value| codec.stamp(value) == stamp) {
-            WriteStep::Finished(result) => return self.finish(in_flight.entries, result, out),
+            WriteStep::Finished(result) => {
+                return self.finish(in_flight.entries, result, codec, out);
+            }
             WriteStep::Call(op) if reply != StoreReply::Ambiguous => self.call(op, out),
             WriteStep::Call(_) | WriteStep::Wait(_) => self.slot.retry_after(now, &reply),
         }
         self.in_flight = Some(in_flight);
     }
 
-    fn finish(&mut self, entries: Vec<T>, result: WriteResult, out: &mut Vec<CommitAction<T>>) {
+    fn finish(
+        &mut self,
+        entries: Vec<T>,
+        result: WriteResult,
+        codec: &mut impl CommitCodec<T>,
+        out: &mut Vec<CommitAction<T>>,
+    ) {
         self.slot.settle();
         match result {
             WriteResult::Written { version } => {
                 self.version = version;
+                codec.on_stored();
                 out.push(CommitAction::Durable { entries, version });
             }
             WriteResult::Fenced { current } => self.fence(entries, current, out),
