Keep batch to a lower limit than online, set by batch_weight

Cause: with one limit, the batch weight changed only the reserve, and a weight of 1.0 lost throughput to preemption.

Change: batch keeps to its own AdaptiveLimit with a tolerance from 1.04 (weight 0.0) to 1.10 (weight 1.0); online may use the limit at 1.3. The reserve is 0.75 to 0.25 of the largest recent burst.

--- a/dogwoodtray_policy/src/admission/config.rs
+++ b/dogwoodtray_policy/src/admission/config.rs
@@ -15,6 +15,10 @@
     pub target_token_gap: Duration,
     /// Ratio of the time between tokens to its lowest level that counts as saturation.
     pub gap_tolerance: f64,
+    /// The same for batch when the online tail comes first: batch stops adding streams there.
+    pub batch_tolerance_min: f64,
+    /// The same for batch when batch throughput comes first.
+    pub batch_tolerance_max: f64,
     /// Fewest places that batch leaves free for online requests.
     pub online_reserve_min: u32,
     /// Most places that batch leaves free for online requests.
@@ -45,6 +49,13 @@
             gap_tolerance: self.gap_tolerance,
         }
     }
+
+    /// Returns the settings of the lower limit that batch keeps to.
+    pub(crate) fn batch_limit(&self) -> LimitConfig {
+        let weight = self.batch_weight.clamp(0.0, 1.0);
+        let range = self.batch_tolerance_max - self.batch_tolerance_min;
+        LimitConfig { gap_tolerance: self.batch_tolerance_min + range * weight, ..self.limit() }
+    }
 }
 
 impl Default for AdmissionConfig {
@@ -54,9 +65,11 @@
             min_places: 16,
             // 95 in 100 gaps between tokens are to stay within 71 ms; the mean is kept below that.
             target_token_gap: Duration::from_millis(60),
-            gap_tolerance: 1.1,
+            gap_tolerance: 1.3,
+            batch_tolerance_min: 1.04,
+            batch_tolerance_max: 1.1,
             online_reserve_min: 0,
-            online_reserve_max: 4,
+            online_reserve_max: 8,
             long_share: 0.5,
             long_work: 1_000,
             ageing: 200.0,
--- a/dogwoodtray_policy/src/admission/controller.rs
+++ b/dogwoodtray_policy/src/admission/controller.rs
@@ -57,6 +57,7 @@
 pub struct Admission {
     cfg: AdmissionConfig,
     limit: AdaptiveLimit,
+    batch_limit: AdaptiveLimit,
     reserve: OnlineReserve,
     online: OnlineQueue,
     batch: VecDeque<BatchItem>,
@@ -72,6 +73,7 @@
         Self {
             cfg,
             limit: AdaptiveLimit::new(cfg.limit()),
+            batch_limit: AdaptiveLimit::new(cfg.batch_limit()),
             reserve: OnlineReserve::new(&cfg),
             online: OnlineQueue::default(),
             batch: VecDeque::new(),
@@ -92,8 +94,13 @@
         (share as u32).max(1)
     }
 
+    /// Returns the number of streams allowed inside while some of them are batch.
+    fn shared_places(&self) -> u32 {
+        self.batch_limit.places().min(self.places())
+    }
+
     fn batch_places(&self) -> u32 {
-        self.places().saturating_sub(self.reserve.places())
+        self.shared_places().saturating_sub(self.reserve.places())
     }
 }
 
@@ -147,6 +154,7 @@
     fn progress(&mut self, now: Timestamp, id: WorkId, tokens: u32) {
         if let Some(gap) = self.running.progress(now, id, tokens) {
             self.limit.observe_gap(gap);
+            self.batch_limit.observe_gap(gap);
         }
         self.running.reclassify(id, self.cfg.long_work);
     }
@@ -174,6 +182,7 @@
     fn go_up(&mut self) {
         self.down = false;
         self.limit = AdaptiveLimit::new(self.cfg.limit());
+        self.batch_limit = AdaptiveLimit::new(self.cfg.batch_limit());
     }
 }
 
@@ -208,10 +217,12 @@
             if self.online.peek(allow_long).is_none() {
                 return;
             }
-            if self.running.staying() >= self.places() {
-                let Some(victim) = self.running.cheapest_batch() else { return };
-                self.running.mark_exiting(victim);
-                out.push(AdmissionAction::Preempt { id: victim });
+            if self.running.staying() >= self.shared_places() {
+                match self.running.cheapest_batch() {
+                    Some(victim) => self.preempt(victim, out),
+                    None if self.running.staying() >= self.places() => return,
+                    None => (),
+                }
             }
             let Some(next) = self.online.pop(allow_long) else { return };
             self.running.enter(next.id, Class::Online, next.cost, next.long);
@@ -219,6 +230,11 @@
         }
     }
 
+    fn preempt(&mut self, id: WorkId, out: &mut Vec<AdmissionAction>) {
+        self.running.mark_exiting(id);
+        out.push(AdmissionAction::Preempt { id });
+    }
+
     fn dispatch_batch(&mut self, out: &mut Vec<AdmissionAction>) {
         while self.running.inside() < self.batch_places()
             && self.running.starting_batch() < self.cfg.max_starting_batch
@@ -246,6 +262,7 @@
             AdmissionEvent::Tick => self.reserve.advance(now),
         }
         self.limit.update(now, self.running.inside());
+        self.batch_limit.update(now, self.running.inside());
         self.dispatch(now, out);
     }
 
--- a/dogwoodtray_policy/src/admission/reserve.rs
+++ b/dogwoodtray_policy/src/admission/reserve.rs
@@ -11,12 +11,18 @@
 /// Time after which the memory of a burst has halved.
 const HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// Share of the largest recent burst that is reserved when the online tail comes first.
+const MAX_SHARE: f64 = 0.75;
+/// The same when batch throughput comes first. It is not zero, because preempted streams process
+/// their prompts again, which costs more throughput than a small reserve.
+const MIN_SHARE: f64 = 0.25;
+
 /// Sizes the reserve from recent bursts.
 #[derive(Clone, Debug)]
 pub(super) struct OnlineReserve {
     min: f64,
     max: f64,
-    weight: f64,
+    share: f64,
     window_start: Timestamp,
     arrivals: u32,
     burst: f64,
@@ -27,7 +33,7 @@
         Self {
             min: f64::from(cfg.online_reserve_min),
             max: f64::from(cfg.online_reserve_max.max(cfg.online_reserve_min)),
-            weight: cfg.batch_weight.clamp(0.0, 1.0),
+            share: MAX_SHARE + (MIN_SHARE - MAX_SHARE) * cfg.batch_weight.clamp(0.0, 1.0),
             window_start: Timestamp::ZERO,
             arrivals: 0,
             burst: 0.0,
@@ -52,6 +58,6 @@
 
     /// Returns the number of places to leave free.
     pub(super) fn places(&self) -> u32 {
-        (self.burst * (1.0 - self.weight)).clamp(self.min, self.max).round() as u32
+        (self.burst * self.share).clamp(self.min, self.max).round() as u32
     }
 }
