Judge saturation by the lower quartile of the gaps

Cause: while long prompts are processed more than half of the steps carry a prompt, so the median took prompts for saturation and shrank the limit.

Conclusion: kept; the first token of short requests behind long ones remains.

--- a/dogwoodtray_policy/src/admission/limit.rs
+++ b/dogwoodtray_policy/src/admission/limit.rs
@@ -6,16 +6,16 @@
 
 /// Time over which the observed gaps are collected before the limit changes.
 const WINDOW: Duration = Duration::from_millis(250);
-/// Most gaps kept in a window; the rest of a window adds nothing to the median.
+/// Most gaps kept in a window; the rest of a window adds nothing to the quartile.
 const MAX_SAMPLES: usize = 1_024;
-/// Fewest gaps that make a usable median.
+/// Fewest gaps that make a usable quartile.
 const MIN_SAMPLES: usize = 8;
 /// Largest decrease in one window.
 const MAX_DECREASE: f64 = 0.8;
 /// Smallest decrease in one window, so that a slight excess is corrected too.
 const MIN_DECREASE: f64 = 0.98;
-/// Weight of a new median in the lowest level while the limit is at its minimum. The level is only
-/// raised there: under a constant load, a level that follows the median would follow the limit up.
+/// Weight of a new quartile in the lowest level while the limit is at its minimum. The level is only
+/// raised there: under a constant load, a level that follows the quartile would follow the limit up.
 const BASE_RISE: f64 = 0.1;
 
 /// Settings of an [`AdaptiveLimit`].
@@ -102,8 +102,8 @@
         if now - self.window_start < WINDOW || self.gaps.len() < MIN_SAMPLES {
             return;
         }
-        let middle = self.gaps.len() / 2;
-        let typical = *self.gaps.select_nth_unstable_by(middle, f64::total_cmp).1;
+        let quarter = self.gaps.len() / 4;
+        let typical = *self.gaps.select_nth_unstable_by(quarter, f64::total_cmp).1;
         let base = self.next_base(typical);
         self.base_gap = Some(base);
         self.adjust(typical, base);
