Lower the default share of long online work to 0.25

Cause: with half of the places held by long requests, short requests at the peaks of a swinging load found the rest of the places taken.

Change: long_share 0.5 -> 0.25.

--- a/dogwoodtray_policy/src/admission/config.rs
+++ b/dogwoodtray_policy/src/admission/config.rs
@@ -70,7 +70,7 @@
             batch_tolerance_max: 1.1,
             online_reserve_min: 0,
             online_reserve_max: 8,
-            long_share: 0.5,
+            long_share: 0.25,
             long_work: 1_000,
             ageing: 200.0,
             batch_weight: 0.5,
