Measure short requests beside an overload of long ones

Cause: with 0.5 long requests a second the baselines were not overloaded, and the measurement did not tell the versions apart.

Change: one long request a second, more than the engine can hold.

--- a/dogwoodtray_policy/tests/admission_measurements.rs
+++ b/dogwoodtray_policy/tests/admission_measurements.rs
@@ -197,7 +197,7 @@
 /// Guards against short requests that wait behind long ones, announced or not.
 #[test]
 fn short_requests_do_not_wait_behind_long_ones() {
-    let long = Source { per_second: 0.5, swing: 0.0, prompt: 2_000.0, output: 1_500.0, ..ONLINE };
+    let long = Source { per_second: 1.0, swing: 0.0, prompt: 2_000.0, output: 1_500.0, ..ONLINE };
     for (shape, seed) in SHAPES.into_iter().flat_map(|shape| SEEDS.map(|seed| (shape, seed))) {
         let short = ONLINE.arrivals(SECONDS, seed);
         let stragglers = Source { stragglers: 0.02, ..ONLINE };
