Measure routing over eighteen slowed and late-reporting endpoints

Cause: routing has targets of its own and no measurement.

Change: a fleet model with 18 engines behind their admission, 3 independent routers, load reports 1 s late, and 4 endpoints slowed five times in spells of 10 s.

--- /dev/null
+++ b/dogwoodtray_policy/tests/support/fleet.rs
@@ -0,0 +1,275 @@
+//! Several endpoints behind several independent routers.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_policy::AdmissionConfig;
+use dogwoodtray_policy::Ask;
+use dogwoodtray_policy::Class;
+use dogwoodtray_policy::Cost;
+use dogwoodtray_policy::EndpointKey;
+use dogwoodtray_policy::HedgeConfig;
+use dogwoodtray_policy::HedgePolicy;
+use dogwoodtray_policy::RoutePolicy;
+use dogwoodtray_policy::admission_policy;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::index;
+
+use super::agent::Agent;
+use super::agent::Note;
+use super::engine::SLOPED;
+use super::workload::Request;
+
+pub(crate) const ENDPOINTS: usize = 18;
+const ROUTERS: usize = 3;
+/// A fifth of the endpoints, rounded up.
+const SLOWED: usize = 4;
+const SLOW_FACTOR: f64 = 5.0;
+const SPELL_US: u64 = 10_000_000;
+const REPORT_INTERVAL_US: u64 = 500_000;
+const REPORT_DELAY_US: u64 = 1_000_000;
+/// Prefixes that the cache of one engine holds, and the prompt tokens that a hit saves.
+const CACHED_PREFIXES: usize = 20;
+const PREFIX_TOKENS: u32 = 400;
+/// Marks the second attempt of a hedged request.
+const HEDGE: u64 = 1 << 40;
+
+/// What a run varies.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Setup {
+    pub(crate) hedge: bool,
+    pub(crate) slowed: bool,
+    pub(crate) seed: u64,
+}
+
+/// Figures of one run.
+#[derive(Debug, Default)]
+pub(crate) struct Figures {
+    pub(crate) first_token: Vec<f64>,
+    pub(crate) total: Vec<f64>,
+    pub(crate) prefix_hits: u64,
+    pub(crate) hedges: u64,
+    pub(crate) sent: u64,
+}
+
+/// One attempt on its way.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    router: usize,
+    endpoint: usize,
+    sent_at: u64,
+    last_token: Option<u64>,
+}
+
+/// One entry with its router.
+struct Entry {
+    router: Box<dyn RoutePolicy>,
+    keys: Vec<EndpointKey>,
+    hedge: HedgePolicy,
+    rng: StdRng,
+}
+
+/// A load report on its way: time of arrival, endpoint and free and queued online places.
+type Report = (u64, usize, u32, u32);
+
+pub(crate) struct Fleet<'a> {
+    setup: Setup,
+    model: Name,
+    trace: &'a [Request],
+    agents: Vec<Agent>,
+    caches: Vec<VecDeque<u64>>,
+    entries: Vec<Entry>,
+    attempts: HashMap<u64, Attempt>,
+    unanswered: VecDeque<u64>,
+    reports: VecDeque<Report>,
+    figures: Figures,
+}
+
+impl<'a> Fleet<'a> {
+    pub(crate) fn new(
+        setup: Setup,
+        trace: &'a [Request],
+        make: impl Fn() -> Box<dyn RoutePolicy>,
+    ) -> Self {
+        let model: Name = "m".into();
+        let agent = |_| {
+            Agent::new(admission_policy("admission", AdmissionConfig::default()).unwrap(), SLOPED)
+        };
+        let entry = |n: usize| {
+            let mut router = make();
+            let keys = (0..ENDPOINTS).map(|_| router.add(&[model.clone()], &"dc".into())).collect();
+            let rng = StdRng::seed_from_u64(setup.seed * 10 + n as u64);
+            Entry { router, keys, hedge: HedgePolicy::new(HedgeConfig::default()), rng }
+        };
+        Self {
+            setup,
+            trace,
+            agents: (0..ENDPOINTS).map(agent).collect(),
+            caches: vec![VecDeque::new(); ENDPOINTS],
+            entries: (0..ROUTERS).map(entry).collect(),
+            model,
+            attempts: HashMap::new(),
+            unanswered: VecDeque::new(),
+            reports: VecDeque::new(),
+            figures: Figures::default(),
+        }
+    }
+
+    /// Runs until every request has ended.
+    pub(crate) fn run(mut self) -> Figures {
+        let trace = self.trace;
+        let mut arrivals = trace.iter().enumerate().peekable();
+        let (mut next_report, mut next_spell) = (0, 0);
+        loop {
+            let step = self.agents.iter().filter_map(|agent| agent.step_end).min();
+            let arrival = arrivals.peek().map(|(_, request)| request.at);
+            let Some(now) = step.into_iter().chain(arrival).min() else { return self.figures };
+            if self.setup.slowed && now >= next_spell {
+                next_spell = now + SPELL_US;
+                self.slow_others(now);
+            }
+            if now >= next_report {
+                next_report = now + REPORT_INTERVAL_US;
+                self.send_reports(now);
+            }
+            self.deliver_reports(now);
+            if arrival == Some(now) {
+                let (id, request) = arrivals.next().unwrap();
+                self.send(now, id as u64, request);
+            }
+            self.hedge_late(now);
+            for endpoint in 0..ENDPOINTS {
+                if self.agents[endpoint].step_end == Some(now) {
+                    self.agents[endpoint].step(now);
+                }
+                self.take_notes(now, endpoint);
+            }
+        }
+    }
+
+    fn slow_others(&mut self, now: u64) {
+        let mut rng = StdRng::seed_from_u64(self.setup.seed ^ now);
+        self.agents.iter_mut().for_each(|agent| agent.engine.slow = 1.0);
+        for endpoint in index::sample(&mut rng, ENDPOINTS, SLOWED) {
+            self.agents[endpoint].engine.slow = SLOW_FACTOR;
+        }
+    }
+
+    fn send_reports(&mut self, now: u64) {
+        for (endpoint, agent) in self.agents.iter().enumerate() {
+            let (free, queued) = (agent.policy.free_online(), agent.policy.queued_online());
+            self.reports.push_back((now + REPORT_DELAY_US, endpoint, free, queued));
+        }
+    }
+
+    fn deliver_reports(&mut self, now: u64) {
+        while let Some((_, endpoint, free, queued)) = self.reports.pop_front_if(|r| r.0 <= now) {
+            for entry in &mut self.entries {
+                entry.router.report(Timestamp(now), entry.keys[endpoint], free, 0, queued);
+            }
+        }
+    }
+
+    /// Sends a request, or its second attempt if the first one is under way.
+    fn send(&mut self, now: u64, id: u64, request: &Request) {
+        let first = self.attempts.get(&id).map(|attempt| attempt.endpoint);
+        let router = (id % ROUTERS as u64) as usize;
+        let entry = &mut self.entries[router];
+        let mut ask = Ask::new(self.model.clone(), request.cost);
+        ask.prefix = request.prefix;
+        ask.exclude.extend(first.map(|endpoint| entry.keys[endpoint]));
+        let Some(key) = entry.router.pick(Timestamp(now), &ask, &mut entry.rng) else { return };
+        entry.router.sent(Timestamp(now), key, Class::Online, request.cost);
+        self.figures.sent += 1;
+        let endpoint = entry.keys.iter().position(|k| *k == key).unwrap();
+        let id = if first.is_some() { id | HEDGE } else { id };
+        if id & HEDGE == 0 {
+            entry.hedge.request_sent();
+            self.unanswered.push_back(id);
+        }
+        let attempt = Attempt { router, endpoint, sent_at: now, last_token: None };
+        self.attempts.insert(id, attempt);
+        let cost = self.through_cache(endpoint, request);
+        self.agents[endpoint].arrive(now, id, Class::Online, cost, request.output);
+        self.agents[endpoint].wake(now);
+    }
+
+    fn through_cache(&mut self, endpoint: usize, request: &Request) -> Cost {
+        let cache = &mut self.caches[endpoint];
+        let hit = cache.iter().position(|prefix| *prefix == request.prefix);
+        cache.push_front(request.prefix);
+        match hit {
+            Some(place) => cache.remove(place + 1),
+            None => None,
+        };
+        cache.truncate(CACHED_PREFIXES);
+        self.figures.prefix_hits += u64::from(hit.is_some());
+        let extra = if hit.is_some() { 0 } else { PREFIX_TOKENS };
+        Cost { prompt_tokens: request.cost.prompt_tokens + extra, ..request.cost }
+    }
+
+    fn hedge_late(&mut self, now: u64) {
+        while self.setup.hedge {
+            let Some(&id) = self.unanswered.front() else { return };
+            let Some(attempt) = self.attempts.get(&id).filter(|a| a.last_token.is_none()) else {
+                self.unanswered.pop_front();
+                continue;
+            };
+            let hedge = &mut self.entries[attempt.router].hedge;
+            let Some(after) = hedge.should_hedge_after(&self.model) else { return };
+            if now - attempt.sent_at < after.as_micros() as u64 {
+                return;
+            }
+            self.unanswered.pop_front();
+            if hedge.try_spend() {
+                self.figures.hedges += 1;
+                self.send(now, id, &self.trace[id as usize]);
+            }
+        }
+    }
+
+    fn take_notes(&mut self, now: u64, endpoint: usize) {
+        for (id, work, note) in std::mem::take(&mut self.agents[endpoint].notes) {
+            let Some(attempt) = self.attempts.get_mut(&id) else { continue };
+            let entry = &mut self.entries[attempt.router];
+            let (at, key) = (Timestamp(now), entry.keys[endpoint]);
+            let request = &self.trace[(id & !HEDGE) as usize];
+            let last = attempt.last_token.replace(now);
+            match note {
+                Note::FirstToken => {
+                    let took = Duration::from_micros(now - attempt.sent_at);
+                    entry.router.first_token(at, key, took);
+                    entry.hedge.first_token(&self.model, took);
+                    self.figures.first_token.push((now - request.at) as f64 / 1e3);
+                    self.drop_attempt(now, id ^ HEDGE);
+                }
+                Note::Token { .. } => {
+                    let gap = Duration::from_micros(now - last.unwrap_or(now));
+                    entry.router.token_gap(at, key, gap);
+                }
+                Note::Ended | Note::Refused | Note::Cancelled { .. } => {
+                    let policy = &self.agents[endpoint].policy;
+                    let (free, queued) = (policy.free_online(), policy.queued_online());
+                    entry.router.finished(at, key, Class::Online, work.cost, true);
+                    entry.router.report(at, key, free, 0, queued);
+                    self.figures.total.push((now - request.at) as f64 / 1e3);
+                    self.attempts.remove(&id);
+                }
+            }
+        }
+    }
+
+    /// Cancels the attempt that lost against its hedge, if there is one.
+    fn drop_attempt(&mut self, now: u64, id: u64) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        let entry = &mut self.entries[attempt.router];
+        let cost = self.trace[(id & !HEDGE) as usize].cost;
+        let key = entry.keys[attempt.endpoint];
+        entry.router.finished(Timestamp(now), key, Class::Online, cost, true);
+        self.agents[attempt.endpoint].withdraw(now, id);
+    }
+}
--- a/dogwoodtray_policy/tests/support/mod.rs
+++ b/dogwoodtray_policy/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod agent;
 pub(crate) mod engine;
+pub(crate) mod fleet;
 pub(crate) mod workload;
 
 /// Returns the value at a quantile; the values are sorted in place.
