Keep probes of slow endpoints to a small share of online requests

Cause: each router probed each slow endpoint once a second; with 3 routers and 4 slow endpoints that was a tenth of the traffic at five times its normal time.

Change: an online probe needs a second without any token from the endpoint and a share of 0.002 of the online requests, or 30 s without a probe. Batch work probes freely.

--- a/dogwoodtray_policy/src/routing/config.rs
+++ b/dogwoodtray_policy/src/routing/config.rs
@@ -7,8 +7,12 @@
 pub struct RouterConfig {
     /// Time per token, as a multiple of the median of the peers, from which an endpoint is slow.
     pub slow_ratio: f64,
-    /// Time between two probes of a slow endpoint.
+    /// Least time between two probes of a slow endpoint, and without any token from it.
     pub probe_interval: Duration,
+    /// Time without a probe after which one is due whatever the share.
+    pub max_probe_interval: Duration,
+    /// Share of the online requests that may be spent on probes.
+    pub probe_share: f64,
     /// Load of the preferred endpoint, as a multiple of the mean, up to which affinity holds.
     pub affinity_load_bound: f64,
     /// Whether requests with a common prefix prefer the same endpoint.
@@ -20,6 +24,8 @@
         Self {
             slow_ratio: 2.0,
             probe_interval: Duration::from_secs(1),
+            max_probe_interval: Duration::from_secs(30),
+            probe_share: 0.002,
             affinity_load_bound: 1.25,
             affinity: true,
         }
--- a/dogwoodtray_policy/src/routing/endpoint.rs
+++ b/dogwoodtray_policy/src/routing/endpoint.rs
@@ -32,6 +32,7 @@
     online: u32,
     batch: u32,
     gap: Option<f64>,
+    gap_at: Timestamp,
     report: Option<Report>,
 }
 
@@ -45,6 +46,7 @@
             online: 0,
             batch: 0,
             gap: None,
+            gap_at: Timestamp::ZERO,
             report: None,
         }
     }
@@ -73,7 +75,8 @@
         *counter = counter.saturating_sub(1);
     }
 
-    pub(super) fn token_gap(&mut self, gap: Duration) {
+    pub(super) fn token_gap(&mut self, now: Timestamp, gap: Duration) {
+        self.gap_at = now;
         let gap = gap.as_secs_f64();
         let old = self.gap.unwrap_or(gap);
         self.gap = Some(old + (gap - old) * AVERAGE_WEIGHT);
@@ -83,6 +86,11 @@
         self.report = Some(Report { at, free_online, queued_online, sent_since: 0 });
     }
 
+    /// Returns the time since the last probe or token, whichever is later.
+    pub(super) fn unobserved(&self, now: Timestamp) -> Duration {
+        now - self.gap_at.max(self.last_probe)
+    }
+
     /// Returns the mean time per token, if known.
     pub(super) const fn gap(&self) -> Option<f64> {
         self.gap
--- a/dogwoodtray_policy/src/routing/router.rs
+++ b/dogwoodtray_policy/src/routing/router.rs
@@ -63,13 +63,16 @@
     /// Reused between picks.
     candidates: Vec<Candidate>,
     gaps: Vec<f64>,
+    /// Online probes that may be sent now.
+    probe_credit: f64,
 }
 
 impl Router {
     /// Creates a router without endpoints.
     #[must_use]
     pub fn new(cfg: RouterConfig) -> Self {
-        Self { cfg, endpoints: SlotMap::with_key(), candidates: Vec::new(), gaps: Vec::new() }
+        let (candidates, gaps) = (Vec::new(), Vec::new());
+        Self { cfg, endpoints: SlotMap::with_key(), candidates, gaps, probe_credit: 0.0 }
     }
 
     /// Collects the endpoints that a request may go to.
@@ -95,15 +98,27 @@
     }
 
     /// Returns a slow endpoint whose next probe is due.
-    fn due_probe(&mut self, now: Timestamp) -> Option<EndpointKey> {
+    ///
+    /// Batch work probes freely. A probe costs an online request several times its normal time, so
+    /// online probes stay within a small share.
+    fn due_probe(&mut self, now: Timestamp, class: Class) -> Option<EndpointKey> {
+        if class == Class::Online {
+            self.probe_credit = (self.probe_credit + self.cfg.probe_share).min(1.0);
+        }
         for candidate in &self.candidates {
             let endpoint = &mut self.endpoints[candidate.key];
-            if candidate.slowness >= self.cfg.slow_ratio
-                && now - endpoint.last_probe >= self.cfg.probe_interval
-            {
-                endpoint.last_probe = now;
-                return Some(candidate.key);
+            let unobserved = endpoint.unobserved(now);
+            if candidate.slowness < self.cfg.slow_ratio || unobserved < self.cfg.probe_interval {
+                continue;
+            }
+            if class == Class::Online && unobserved < self.cfg.max_probe_interval {
+                if self.probe_credit < 1.0 {
+                    continue;
+                }
+                self.probe_credit = 0.0;
             }
+            endpoint.last_probe = now;
+            return Some(candidate.key);
         }
         None
     }
@@ -165,7 +180,7 @@
 
     fn pick(&mut self, now: Timestamp, ask: &Ask, rng: &mut StdRng) -> Option<EndpointKey> {
         self.collect(now, ask);
-        if let Some(key) = self.due_probe(now) {
+        if let Some(key) = self.due_probe(now, ask.class) {
             return Some(key);
         }
         self.drop_slow();
@@ -180,9 +195,9 @@
 
     fn first_token(&mut self, _now: Timestamp, _key: EndpointKey, _took: Duration) {}
 
-    fn token_gap(&mut self, _now: Timestamp, key: EndpointKey, gap: Duration) {
+    fn token_gap(&mut self, now: Timestamp, key: EndpointKey, gap: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.token_gap(gap);
+            endpoint.token_gap(now, gap);
         }
     }
 
