Run non-idempotent requests at most once through claimed key ranges

Cause: non-idempotent requests were dispatched without a record, so a resend could run them again. Ruled out: one write for each request (too many calls at the target size), and forwarding over the callers' port (its address is not known to other entries). Change: a third service keeps at-most-once records, claims key ranges on first use, passes requests on to the owner of a range and answers probes; an answer too large to keep is told as such.

--- /dev/null
+++ b/dogwoodtray_cli/src/daemon/entry.rs
@@ -0,0 +1,43 @@
+//! Entry daemon.
+
+use std::error::Error;
+
+use dogwoodtray_entry::Entry;
+use dogwoodtray_entry::EntrySettings as Running;
+
+use super::run::run;
+use super::run::stop_requested;
+use crate::Exit;
+use crate::settings::EntrySettings;
+
+/// Runs an entry until it is drained by a signal or through its operator port.
+pub fn run_entry(settings: EntrySettings) -> Exit {
+    run(|| serve(settings))
+}
+
+async fn serve(settings: EntrySettings) -> Result<(), Box<dyn Error>> {
+    let entry = Entry::bind(running(&settings)).await?;
+    tokio::select! {
+        stop = stop_requested() => {
+            stop?;
+            entry.drain();
+            entry.finished().await;
+        }
+        () = entry.finished() => {}
+    }
+    Ok(())
+}
+
+fn running(settings: &EntrySettings) -> Running {
+    let mut running = Running::new(
+        settings.node.clone(),
+        settings.data_centre.clone(),
+        settings.listen,
+        settings.peer,
+        settings.admin,
+        settings.platform,
+    );
+    running.routing = settings.route_policy.into();
+    running.drain_timeout = settings.drain_timeout;
+    running
+}
--- /dev/null
+++ b/dogwoodtray_cli/src/daemon/mod.rs
@@ -0,0 +1,10 @@
+//! Daemons: settings in, a running role until a graceful shutdown has ended.
+
+mod agent;
+mod entry;
+mod run;
+mod standin;
+
+pub use self::agent::run_agent;
+pub use self::entry::run_entry;
+pub use self::standin::run_standin;
--- a/dogwoodtray_entry/src/http/batches.rs
+++ b/dogwoodtray_entry/src/http/batches.rs
@@ -307,10 +307,7 @@
     )
 }
 
-fn send(
-    shared: &SharedState,
-    make: Question,
-) -> Result<UnboundedReceiver<JobReply>, ApiError> {
+fn send(shared: &SharedState, make: Question) -> Result<UnboundedReceiver<JobReply>, ApiError> {
     let (reply, replies) = mpsc::unbounded_channel();
     if !shared.tell_jobs(JobsInput::Ask { make, reply }) {
         return Err(stopping());
--- a/dogwoodtray_entry/src/http/chat.rs
+++ b/dogwoodtray_entry/src/http/chat.rs
@@ -17,6 +17,8 @@
 use super::error::ApiError;
 use super::error::bytes_response;
 use super::error::json_response;
+use super::once;
+use super::once::OnceAnswer;
 use super::request::CallerHeaders;
 use super::request::SharedState;
 use super::request::next_request;
@@ -65,8 +67,12 @@
     let sent = Bytes::from(req.body.to_string());
     let mut spec = spec_of(&headers, &target, "POST", CHAT_PATH, sent, ContentHash::of(&body));
     spec.prefix = prefix_of(&req.body);
-    let (parts, guard) = submit(&shared, &headers, &target, spec)?;
     let id = Name::clone(&headers.request_id);
+    if !spec.idempotent {
+        let answer = once::run(&shared, spec).await?;
+        return Ok(render_once(answer, req.stream, &id, &req.model));
+    }
+    let (parts, guard) = submit(&shared, spec)?;
     if req.stream {
         return stream(parts, guard, id).await;
     }
@@ -89,7 +95,11 @@
     let hash = ContentHash::of(&content);
     let mut spec = spec_of(&headers, &target, method, path, body, hash);
     spec.mode = DispatchMode::Whole;
-    let (mut parts, _guard) = submit(&shared, &headers, &target, spec)?;
+    if !spec.idempotent {
+        let answer = once::run(&shared, spec).await?;
+        return Ok(bytes_response(answer.status, &answer.content_type, answer.body));
+    }
+    let (mut parts, _guard) = submit(&shared, spec)?;
     match parts.recv().await {
         Some(AnswerPart::Data { status, content_type, data }) => {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -175,17 +185,8 @@
 
 fn submit(
     shared: &SharedState,
-    headers: &CallerHeaders,
-    target: &Target,
     spec: RequestSpec,
 ) -> Result<(UnboundedReceiver<AnswerPart>, CallerGuard), ApiError> {
-    debug_assert_eq!(target.model, spec.model, "spec and target name the same model");
-    if !spec.idempotent && headers.key.is_none() {
-        return Err(ApiError::bad_request(
-            "key_required",
-            "a non-idempotent request needs an Idempotency-Key",
-        ));
-    }
     let request = next_request(shared);
     let (reply, parts) = mpsc::unbounded_channel();
     let guard = CallerGuard::new(Arc::clone(shared), request);
@@ -197,6 +198,17 @@
     Ok((parts, guard))
 }
 
+/// Renders the stored stream of a non-idempotent chat request as the caller asked for it.
+fn render_once(stored: OnceAnswer, stream: bool, id: &str, model: &str) -> Response<Body> {
+    let streamed = stored.content_type.starts_with(EVENT_STREAM);
+    if stream || !streamed || stored.status != StatusCode::OK {
+        return bytes_response(stored.status, &stored.content_type, stored.body);
+    }
+    let mut answer = ChatAnswer::default();
+    answer.push(&stored.body);
+    json_response(StatusCode::OK, &answer.render(id, model))
+}
+
 async fn stream(
     mut parts: UnboundedReceiver<AnswerPart>,
     guard: CallerGuard,
--- a/dogwoodtray_entry/src/http/error.rs
+++ b/dogwoodtray_entry/src/http/error.rs
@@ -65,7 +65,11 @@
         Self { status, code, message: message.into(), run: Run::Never, retry: false }
     }
 
-    pub(crate) fn unknown(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+    pub(crate) fn unknown(
+        status: StatusCode,
+        code: &'static str,
+        message: impl Into<String>,
+    ) -> Self {
         Self { status, code, message: message.into(), run: Run::Unknown, retry: false }
     }
 
--- a/dogwoodtray_entry/src/http/mod.rs
+++ b/dogwoodtray_entry/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod chat;
 mod error;
 mod models;
+mod once;
 mod port;
 mod request;
 mod resolve;
@@ -11,3 +12,4 @@
 
 pub(crate) use self::chat::chat_cost;
 pub(crate) use self::port::CallerPort;
+pub(crate) use self::request::next_request;
--- a/dogwoodtray_entry/src/http/models.rs
+++ b/dogwoodtray_entry/src/http/models.rs
@@ -19,7 +19,6 @@
     if view.routes().next().is_none() {
         names = shared.models().iter().map(ToString::to_string).collect();
     }
-    let data: Vec<_> =
-        names.iter().map(|name| json!({ "id": name, "object": "model" })).collect();
+    let data: Vec<_> = names.iter().map(|name| json!({ "id": name, "object": "model" })).collect();
     json_response(StatusCode::OK, &json!({ "object": "list", "data": data }))
 }
--- a/dogwoodtray_entry/src/http/port.rs
+++ b/dogwoodtray_entry/src/http/port.rs
@@ -83,10 +83,7 @@
     let _ = connection.await;
 }
 
-async fn handle(
-    shared: SharedState,
-    req: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
+async fn handle(shared: SharedState, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
     let headers = match CallerHeaders::parse(&shared, req.headers()) {
         Ok(headers) => headers,
         Err(err) => return Ok(err.response("")),
--- a/dogwoodtray_entry/src/http/resolve.rs
+++ b/dogwoodtray_entry/src/http/resolve.rs
@@ -32,9 +32,8 @@
     organization: &str,
     service: bool,
 ) -> Result<Target, ApiError> {
-    let unknown = || {
-        ApiError::not_found("unknown_model", format!("no model or service is named {name}"))
-    };
+    let unknown =
+        || ApiError::not_found("unknown_model", format!("no model or service is named {name}"));
     let view = shared.view();
     if view.routes().next().is_none() {
         let models = shared.models();
--- a/dogwoodtray_entry/src/http/stream.rs
+++ b/dogwoodtray_entry/src/http/stream.rs
@@ -19,24 +19,41 @@
 use crate::shell::RouterInput;
 use crate::shell::Shared;
 
-/// Counts an answer as open until it is dropped, and tells the router when its caller is gone.
+/// Counts an answer as open until it is dropped. A graceful shutdown waits for it.
 #[derive(Debug)]
-pub(crate) struct CallerGuard {
+pub(crate) struct OpenAnswer {
     shared: Arc<Shared>,
+}
+
+impl OpenAnswer {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        shared.open_answers.fetch_add(1, Ordering::AcqRel);
+        Self { shared }
+    }
+}
+
+impl Drop for OpenAnswer {
+    fn drop(&mut self) {
+        self.shared.open_answers.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Tells the router when the caller of a request is gone.
+#[derive(Debug)]
+pub(crate) struct CallerGuard {
+    open: OpenAnswer,
     request: RequestNo,
 }
 
 impl CallerGuard {
     pub(crate) fn new(shared: Arc<Shared>, request: RequestNo) -> Self {
-        shared.open_answers.fetch_add(1, Ordering::AcqRel);
-        Self { shared, request }
+        Self { open: OpenAnswer::new(shared), request }
     }
 }
 
 impl Drop for CallerGuard {
     fn drop(&mut self) {
-        self.shared.open_answers.fetch_sub(1, Ordering::AcqRel);
-        self.shared.tell_router(RouterInput::CallerGone { request: self.request });
+        self.open.shared.tell_router(RouterInput::CallerGone { request: self.request });
     }
 }
 
--- a/dogwoodtray_entry/src/shell/convert.rs
+++ b/dogwoodtray_entry/src/shell/convert.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::ContentHash;
 use dogwoodtray_policy::Class;
+use dogwoodtray_policy::Cost;
 use dogwoodtray_runtime::attempt_to_wire;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::Outcome;
@@ -11,6 +13,7 @@
 
 use crate::online::AttemptDone;
 use crate::online::AttemptEnd;
+use crate::online::DispatchMode;
 use crate::online::NotRunReason;
 use crate::online::RequestSpec;
 
@@ -78,7 +81,7 @@
 const fn reason(reason: messages::NotRunReason) -> NotRunReason {
     use dogwoodtray_wire::messages::NotRunReason as Wire;
     match reason {
-        Wire::Busy | Wire::StoreDown => NotRunReason::Busy,
+        Wire::Busy | Wire::StoreDown | Wire::KeyReused | Wire::NotOwner => NotRunReason::Busy,
         Wire::Quarantined => NotRunReason::Quarantined,
         Wire::Leaving => NotRunReason::Leaving,
         Wire::Fenced => NotRunReason::Fenced,
@@ -90,3 +93,24 @@
     }
 }
 
+/// Reads a request that another entry passes on.
+pub(super) fn spec(dispatch: messages::Dispatch) -> RequestSpec {
+    let cost = dispatch.cost.unwrap_or_default();
+    RequestSpec {
+        id: dispatch.request_id.into(),
+        class: Class::Online,
+        model: dispatch.model.into(),
+        method: dispatch.method.into(),
+        path: dispatch.path.into(),
+        body: dispatch.body,
+        idempotent: false,
+        idempotency_key: dispatch.idempotency_key.into(),
+        fence: None,
+        timeout: Duration::from_millis(dispatch.deadline_ms),
+        cost: Cost { prompt_tokens: cost.prompt_tokens, output_tokens: cost.output_tokens },
+        prefix: dispatch.prefix,
+        content: ContentHash(dispatch.content),
+        organization: dispatch.organization.into(),
+        mode: DispatchMode::Whole,
+    }
+}
--- a/dogwoodtray_entry/src/shell/entry.rs
+++ b/dogwoodtray_entry/src/shell/entry.rs
@@ -33,12 +33,14 @@
 
 use super::EntrySettings;
 use super::JOBS;
+use super::ONCE;
 use super::ROUTER;
 use super::RouterInput;
 use super::Shared;
 use super::config;
 use super::jobs::JobsService;
 use super::members;
+use super::once::OnceService;
 use super::router::RouterService;
 use super::store::StoreRunner;
 use crate::http::CallerPort;
@@ -50,6 +52,7 @@
 
 const ROUTER_TICK: Duration = Duration::from_millis(10);
 const JOBS_TICK: Duration = Duration::from_millis(20);
+const ONCE_TICK: Duration = Duration::from_millis(10);
 const JOIN_POLL: Duration = Duration::from_millis(20);
 
 quick_error! {
@@ -92,8 +95,7 @@
         let events = EventLog::open(Name::clone(&settings.node));
         let shared =
             Arc::new(Shared::new(settings.clone(), incarnation, Kernel::new(), events.clone()));
-        let store_cfg =
-            HttpStoreConfig::new(settings.platform.to_string()).budget(settings.budget);
+        let store_cfg = HttpStoreConfig::new(settings.platform.to_string()).budget(settings.budget);
         let store: Arc<dyn Store> = Arc::new(HttpStore::open(store_cfg));
 
         let services = start_services(&shared, &store)?;
@@ -200,16 +202,20 @@
         incarnation: shared.incarnation,
     };
     let runner = StoreRunner { store: Arc::clone(store), runtime };
+    let once = OnceService::new(Arc::clone(shared), runner.clone());
     let core = JobCore::new(JobConfig::default(), me, rand::random());
     let jobs = JobsService::new(core, Arc::clone(shared), runner);
 
     let (router_mailbox, router_rx) = Mailbox::channel();
     let (jobs_mailbox, jobs_rx) = Mailbox::channel();
     shared.kernel.register(ROUTER, router_mailbox);
+    let (once_mailbox, once_rx) = Mailbox::channel();
     shared.kernel.register(JOBS, jobs_mailbox);
+    shared.kernel.register(ONCE, once_mailbox);
     Ok(vec![
         spawn(ROUTER, router_rx, clock, ROUTER_TICK, router)?,
         spawn(JOBS, jobs_rx, clock, JOBS_TICK, jobs)?,
+        spawn(ONCE, once_rx, clock, ONCE_TICK, once)?,
     ])
 }
 
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Display;
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,18 +17,19 @@
 use dogwoodtray_policy::Class;
 use dogwoodtray_runtime::Clock;
 use dogwoodtray_runtime::Flow;
-use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::Service;
 use dogwoodtray_runtime::ask;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::Frame;
-use dogwoodtray_wire::messages::frame::Kind;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::ChatAnswer;
 use super::RouterInput;
 use super::Shared;
+use super::probe::PROBE_TIMEOUT;
+use super::probe::ProbeQuestion;
+use super::probe::probe;
 use super::store::StoreRunner;
 use crate::http::chat_cost;
 use crate::jobs::CallId;
@@ -43,8 +45,6 @@
 use crate::online::NotRunReason;
 use crate::online::RequestSpec;
 
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Time between reports of waiting work. Work for a model that had none is reported at once;
 /// agents count down what they offer places for, so more reports would not fill places sooner.
 const BACKLOG_INTERVAL: Duration = Duration::from_millis(500);
@@ -56,13 +56,31 @@
 #[derive(Debug)]
 pub(crate) enum JobsInput {
     /// A question of a caller; the replies go to the channel.
-    Ask { make: Question, reply: UnboundedSender<JobReply> },
-    Stored { call: CallId, reply: StoreReply },
-    Credit { link: u64, models: Vec<Name>, places: u32 },
+    Ask {
+        make: Question,
+        reply: UnboundedSender<JobReply>,
+    },
+    Stored {
+        call: CallId,
+        reply: StoreReply,
+    },
+    Credit {
+        link: u64,
+        models: Vec<Name>,
+        places: u32,
+    },
     Started(AttemptId),
-    Ended { attempt: AttemptId, end: BatchEnd },
-    Probe { probe: messages::Probe, link: LinkHandle },
-    ProbeAnswer { holder: Incarnation, object: Name, epoch: Epoch, held: Option<bool> },
+    Ended {
+        attempt: AttemptId,
+        end: BatchEnd,
+    },
+    Probe(ProbeQuestion),
+    ProbeAnswer {
+        holder: Incarnation,
+        object: Name,
+        epoch: Epoch,
+        held: Option<bool>,
+    },
     JobCancelled(Name),
     LiveEntries(Vec<Name>),
     ResultsTaken(ReplyToken),
@@ -132,10 +150,9 @@
                 let end = self.item_end(attempt, end);
                 self.decide(now, JobEvent::ItemDone { attempt, end });
             }
-            JobsInput::Probe { probe, link } => {
-                let held = self.core.holds(&probe.object, Epoch(probe.epoch));
-                let (object, epoch) = (probe.object, probe.epoch);
-                link.send(messages::ProbeReply { object, epoch, held });
+            JobsInput::Probe(probe) => {
+                let held = self.core.holds(&probe.object, probe.epoch);
+                probe.answer(held);
             }
             JobsInput::ProbeAnswer { holder, object, epoch, held } => {
                 self.decide(now, JobEvent::ProbeAnswer { holder, object, epoch, held });
@@ -274,11 +291,7 @@
         match end {
             AttemptEnd::Answered { status } if status < SERVER_ERROR => {
                 let streamed = content_type.starts_with("text/event-stream");
-                let body = if streamed {
-                    render(&running, [partial, answer])
-                } else {
-                    answer
-                };
+                let body = if streamed { render(&running, [partial, answer]) } else { answer };
                 if status < 400 {
                     ItemEnd::Answered { status, body }
                 } else {
@@ -301,15 +314,8 @@
 
     fn probe(&self, addr: Name, holder: Incarnation, object: Name, epoch: Epoch) {
         let shared = Arc::clone(&self.shared);
-        let hello = shared.hello();
         self.store.runtime.spawn(async move {
-            let question =
-                messages::Probe { object: object.to_string(), epoch: epoch.0 };
-            let held = match ask(&addr, hello, Frame::from(question), PROBE_TIMEOUT).await {
-                Some((greeting, _)) if greeting.incarnation != holder.0 => Some(false),
-                Some((_, Kind::ProbeReply(reply))) => Some(reply.held),
-                Some(_) | None => None,
-            };
+            let held = probe(&shared, &addr, holder, &object, epoch).await;
             shared.tell_jobs(JobsInput::ProbeAnswer { holder, object, epoch, held });
         });
     }
@@ -319,7 +325,8 @@
         let note = Frame::from(messages::JobCancelled { job: job.to_owned() });
         self.store.runtime.spawn(async move {
             // No answer follows; the driver also learns it at its next write.
-            let _ = ask(&addr, hello, note, PROBE_TIMEOUT).await;
+            let ignore = |_| ControlFlow::Continue(());
+            ask(&addr, hello, note, PROBE_TIMEOUT, |_| {}, ignore).await;
         });
     }
 
--- a/dogwoodtray_entry/src/shell/mod.rs
+++ b/dogwoodtray_entry/src/shell/mod.rs
@@ -6,6 +6,8 @@
 mod entry;
 mod jobs;
 mod members;
+mod once;
+mod probe;
 mod router;
 mod settings;
 mod shared;
@@ -16,6 +18,8 @@
 pub use self::entry::EntryError;
 pub(crate) use self::jobs::JobsInput;
 pub(crate) use self::jobs::Question;
+pub(crate) use self::once::OnceInput;
+pub(crate) use self::once::OnceReply;
 pub(crate) use self::router::AnswerPart;
 pub(crate) use self::router::RouterInput;
 pub use self::settings::EntrySettings;
@@ -26,3 +30,6 @@
 
 /// Name of the service that accepts and drives jobs.
 pub(crate) const JOBS: &str = "jobs";
+
+/// Name of the service that keeps at-most-once records.
+pub(crate) const ONCE: &str = "once";
--- /dev/null
+++ b/dogwoodtray_entry/src/shell/probe.rs
@@ -0,0 +1,60 @@
+//! Probes of the holder of a claim.
+
+use std::ops::ControlFlow;
+use std::time::Duration;
+
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Name;
+use dogwoodtray_runtime::LinkHandle;
+use dogwoodtray_runtime::ask;
+use dogwoodtray_wire::messages;
+use dogwoodtray_wire::messages::Frame;
+use dogwoodtray_wire::messages::frame::Kind;
+
+use super::Shared;
+
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Question of another entry about a claim of this process.
+#[derive(Debug)]
+pub(crate) struct ProbeQuestion {
+    pub(super) object: Name,
+    pub(super) epoch: Epoch,
+    link: LinkHandle,
+}
+
+impl ProbeQuestion {
+    pub(super) fn new(probe: messages::Probe, link: LinkHandle) -> Self {
+        Self { object: probe.object.into(), epoch: Epoch(probe.epoch), link }
+    }
+
+    pub(super) fn answer(&self, held: bool) {
+        let object = self.object.to_string();
+        self.link.send(messages::ProbeReply { object, epoch: self.epoch.0, held });
+    }
+}
+
+/// Asks a process whether it holds a claim; `None` if no answer came.
+pub(super) async fn probe(
+    shared: &Shared,
+    addr: &str,
+    holder: Incarnation,
+    object: &str,
+    epoch: Epoch,
+) -> Option<bool> {
+    let question = Frame::from(messages::Probe { object: object.to_owned(), epoch: epoch.0 });
+    let mut same_process = true;
+    let mut held = None;
+    let on_hello = |hello: &messages::Hello| same_process = hello.incarnation == holder.0;
+    let on_answer = |kind| match kind {
+        Kind::ProbeReply(reply) => {
+            held = Some(reply.held);
+            ControlFlow::Break(())
+        }
+        _ => ControlFlow::Continue(()),
+    };
+    ask(addr, shared.hello(), question, PROBE_TIMEOUT, on_hello, on_answer).await;
+    // Another process at the address proves that the holder is gone.
+    if same_process { held } else { Some(false) }
+}
--- a/dogwoodtray_entry/src/shell/router.rs
+++ b/dogwoodtray_entry/src/shell/router.rs
@@ -37,8 +37,11 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::JobsInput;
+use super::OnceInput;
 use super::Shared;
 use super::convert;
+use super::once::ONCE_OBJECT;
+use super::probe::ProbeQuestion;
 use super::shared::PeerStatus;
 use crate::jobs::Backlog;
 use crate::online::BatchEnd;
@@ -247,9 +250,15 @@
             Kind::ConfigFetch(_) => self.send_config(link),
             Kind::ConfigSet(set) => self.on_config(set.generation, set.snapshot),
             Kind::Probe(probe) => {
+                if let Some(peer) = self.links.get(&link) {
+                    self.pass_on_probe(ProbeQuestion::new(probe, peer.link.clone()));
+                }
+            }
+            Kind::Dispatch(dispatch) => {
                 if let Some(peer) = self.links.get(&link) {
                     let link = peer.link.clone();
-                    self.shared.tell_jobs(JobsInput::Probe { probe, link });
+                    self.shared
+                        .tell_once(OnceInput::Forwarded { dispatch: Box::new(dispatch), link });
                 }
             }
             Kind::JobCancelled(message) => {
@@ -260,6 +269,14 @@
         }
     }
 
+    fn pass_on_probe(&self, probe: ProbeQuestion) {
+        if probe.object.starts_with(ONCE_OBJECT) {
+            self.shared.tell_once(OnceInput::Probe(probe));
+        } else {
+            self.shared.tell_jobs(JobsInput::Probe(probe));
+        }
+    }
+
     fn on_heartbeat(&mut self, now: Timestamp, link: LinkNo, heartbeat: messages::Heartbeat) {
         self.shared.events.observe(heartbeat.clock);
         self.core.merge_suspicions(&suspicions_from_wire(heartbeat.suspects));
@@ -489,6 +506,7 @@
         self.shared.leaving.store(true, Ordering::Relaxed);
         self.drain_deadline = Some(now + self.shared.settings.drain_timeout);
         self.shared.tell_jobs(JobsInput::Drain);
+        self.shared.tell_once(OnceInput::Drain);
         self.send_heartbeats(now);
     }
 
@@ -501,7 +519,8 @@
         };
         let answers = self.shared.open_answers.load(Ordering::Acquire);
         let jobs_drained = self.shared.jobs_drained.load(Ordering::Acquire);
-        let idle = answers == 0 && self.core.requests() == 0 && jobs_drained;
+        let once_drained = self.shared.once_drained.load(Ordering::Acquire);
+        let idle = answers == 0 && self.core.requests() == 0 && jobs_drained && once_drained;
         if idle {
             self.shared.events.emit(&catalogue::DRAIN_FINISHED, None, &[]);
         } else if now >= deadline {
--- a/dogwoodtray_entry/src/shell/shared.rs
+++ b/dogwoodtray_entry/src/shell/shared.rs
@@ -18,6 +18,8 @@
 use super::EntrySettings;
 use super::JOBS;
 use super::JobsInput;
+use super::ONCE;
+use super::OnceInput;
 use super::ROUTER;
 use super::RouterInput;
 
@@ -47,6 +49,7 @@
     pub(crate) attempts: AtomicU64,
     pub(crate) jobs_driven: AtomicU64,
     pub(crate) jobs_drained: AtomicBool,
+    pub(crate) once_drained: AtomicBool,
     pub(crate) next_request: AtomicU64,
     pub(crate) open_answers: AtomicU64,
 }
@@ -75,6 +78,7 @@
             attempts: AtomicU64::new(0),
             jobs_driven: AtomicU64::new(0),
             jobs_drained: AtomicBool::new(false),
+            once_drained: AtomicBool::new(false),
             next_request: AtomicU64::new(0),
             open_answers: AtomicU64::new(0),
         }
@@ -120,6 +124,11 @@
         self.router().is_some_and(|mailbox| mailbox.send(input))
     }
 
+    pub(crate) fn tell_once(&self, input: OnceInput) -> bool {
+        let once: Option<Mailbox<OnceInput>> = self.kernel.find(ONCE);
+        once.is_some_and(|mailbox| mailbox.send(input))
+    }
+
     pub(crate) fn tell_jobs(&self, input: JobsInput) -> bool {
         self.jobs().is_some_and(|mailbox| mailbox.send(input))
     }
--- a/dogwoodtray_runtime/src/link/ask.rs
+++ b/dogwoodtray_runtime/src/link/ask.rs
@@ -1,5 +1,6 @@
 //! One question on a connection of its own.
 
+use std::ops::ControlFlow;
 use std::time::Duration;
 
 use dogwoodtray_wire::FrameCodec;
@@ -12,30 +13,57 @@
 use tokio::time;
 use tokio_util::codec::Framed;
 
-/// Sends one frame to an address and returns the greeting of the other side with its answer.
-///
-/// Returns `None` if no answer came within the timeout.
+/// How a question went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// No connection was made, so the question was certainly not sent.
+    NotSent,
+    /// The question may have arrived, but the answer did not end.
+    Lost,
+    /// The answer ended.
+    Answered,
+}
+
+/// Sends one frame to an address and hands each frame of the answer to `on_answer` until that
+/// breaks off. `on_hello` sees the greeting of the other side first.
 pub async fn ask(
     addr: &str,
     hello: Hello,
     question: Frame,
     timeout: Duration,
-) -> Option<(Hello, Kind)> {
-    time::timeout(timeout, exchange(addr, hello, question)).await.ok()?
+    on_hello: impl FnOnce(&Hello),
+    mut on_answer: impl FnMut(Kind) -> ControlFlow<()>,
+) -> Asked {
+    let mut asked = Asked::NotSent;
+    let exchange = exchange(addr, hello, question, on_hello, &mut on_answer, &mut asked);
+    if time::timeout(timeout, exchange).await == Ok(Some(())) { Asked::Answered } else { asked }
 }
 
-async fn exchange(addr: &str, hello: Hello, question: Frame) -> Option<(Hello, Kind)> {
+async fn exchange(
+    addr: &str,
+    hello: Hello,
+    question: Frame,
+    on_hello: impl FnOnce(&Hello),
+    on_answer: &mut impl FnMut(Kind) -> ControlFlow<()>,
+    asked: &mut Asked,
+) -> Option<()> {
     let stream = TcpStream::connect(addr).await.ok()?;
     let mut framed = Framed::new(stream, FrameCodec::new());
     framed.send(Frame::from(hello)).await.ok()?;
     let Kind::Hello(greeting) = framed.next().await?.ok()?.kind? else {
         return None;
     };
+    on_hello(&greeting);
+    *asked = Asked::Lost;
     framed.send(question).await.ok()?;
     loop {
         match framed.next().await?.ok()?.kind? {
             Kind::Hello(_) | Kind::Heartbeat(_) | Kind::ConfigSet(_) | Kind::ConfigFetch(_) => {}
-            answer => return Some((greeting, answer)),
+            answer => {
+                if on_answer(answer).is_break() {
+                    return Some(());
+                }
+            }
         }
     }
 }
--- a/dogwoodtray_runtime/src/link/mod.rs
+++ b/dogwoodtray_runtime/src/link/mod.rs
@@ -5,6 +5,7 @@
 mod dialer;
 mod listener;
 
+pub use self::ask::Asked;
 pub use self::ask::ask;
 pub use self::connection::LinkConfig;
 pub use self::connection::LinkEvent;
