--- a/dogwoodtray_entry/src/jobs/claim.rs
+++ b/dogwoodtray_entry/src/jobs/claim.rs
@@ -48,7 +48,7 @@
     /// Another process drives the job.
     Theirs { driver: Driver, epoch: Epoch },
     /// The job has ended.
-    Ended,
+    Ended { header: Box<Header> },
     /// There is no header, or it marks an abandoned submission.
     NoHeader,
     /// Another process wrote first; look again later.
@@ -110,7 +110,9 @@
         };
         match header.state {
             JobState::Open => {}
-            JobState::Cancelled | JobState::Finished => return Claimed::Ended,
+            JobState::Cancelled | JobState::Finished => {
+                return Claimed::Ended { header: Box::new(header) };
+            }
             JobState::Abandoned => return Claimed::NoHeader,
         }
         if let Some(driver) = &header.driver {
--- a/dogwoodtray_entry/src/jobs/commit.rs
+++ b/dogwoodtray_entry/src/jobs/commit.rs
@@ -215,7 +215,7 @@
             WriteStep::Call(op) => cx.call_later(owner, op, Duration::ZERO),
             WriteStep::Wait(wait) => cx.call_later(owner, header.write.next_call(), wait),
             WriteStep::Finished(WriteResult::Written { version }) => {
-                return self.on_stored(version);
+                return self.on_stored(version, cx.cfg.confirm_within);
             }
             WriteStep::Finished(WriteResult::Fenced { current }) => {
                 let garbage = self.garbage(current.as_ref().map(|(_, value)| &**value));
@@ -239,13 +239,12 @@
         (!current.lists(epoch, seq)).then(|| segment::key(&self.job, epoch, seq))
     }
 
-    fn on_stored(&mut self, version: Version) -> Committed {
+    fn on_stored(&mut self, version: Version, within: Duration) -> Committed {
         let Some(Commit { header: Some(write), .. }) = self.commit.take() else {
             return Committed::Running;
         };
         self.version = version;
-        self.confirmed_at = write.started;
-        self.blind = false;
+        self.on_confirmed(write.started, within);
         self.dropped -= write.dropped;
         self.header = write.next;
         self.armed.extend(write.intents);
--- a/dogwoodtray_entry/src/jobs/core.rs
+++ b/dogwoodtray_entry/src/jobs/core.rs
@@ -34,6 +34,7 @@
 use super::header::Header;
 use super::intake;
 use super::intake::Intake;
+use super::notice::Notices;
 use super::read::Ask;
 use super::read::Progress;
 use super::read::Read;
@@ -67,6 +68,7 @@
     reads: HashMap<u64, Read>,
     sweeps: HashMap<u64, Sweep>,
     claims: BTreeMap<Name, Claim>,
+    notices: Notices,
     pub(crate) watch: Watch,
     pub(crate) driven: BTreeMap<Name, Driven>,
     pub(crate) attempts: Attempts,
@@ -120,6 +122,7 @@
             reads: HashMap::new(),
             sweeps: HashMap::new(),
             claims: BTreeMap::new(),
+            notices: Notices::default(),
             watch: Watch::default(),
             driven: BTreeMap::new(),
             attempts: Attempts::default(),
@@ -319,10 +322,17 @@
                     Progress::Ended => {
                         self.reads.remove(&id);
                     }
-                    Progress::Cancelled(job) => {
+                    Progress::Cancelled { job, header } => {
                         self.reads.remove(&id);
+                        if let Some(driver) = &header.driver
+                            && driver.incarnation != self.env.me.incarnation
+                        {
+                            let addr = Name::clone(&driver.addr);
+                            self.notices.send(addr, Name::clone(&job), now, out);
+                        }
                         self.on_job_cancelled(&job, out);
                         self.delete(now, header::index_key(&job), out);
+                        self.sweep_segments(now, &job, &header, out);
                     }
                 }
             }
@@ -368,13 +378,21 @@
                 if header.epoch > Epoch::default().next() {
                     self.sweep_segments(now, job, &header, out);
                 }
-                let driven = Driven::new(Name::clone(job), flow, *header, version, at);
+                let driven = Driven::new(
+                    Name::clone(job),
+                    flow,
+                    *header,
+                    version,
+                    at,
+                    self.env.cfg.confirm_within,
+                );
                 self.driven.insert(Name::clone(job), driven);
             }
             Claimed::Theirs { driver, epoch } => self.watch.on_driver(job, driver, epoch, now),
-            Claimed::Ended => {
+            Claimed::Ended { header } => {
                 self.watch.remove(job);
                 self.delete(now, header::index_key(job), out);
+                self.sweep_segments(now, job, &header, out);
             }
             Claimed::NoHeader => {
                 if self.watch.on_no_header(job, &self.env.cx(now, out)) {
@@ -422,6 +440,7 @@
     fn on_tick(&mut self, now: Timestamp, out: &mut Vec<JobAction>) {
         let mut cx = self.env.cx(now, out);
         cx.calls.on_tick(now, cx.out);
+        self.notices.on_tick(now, cx.out);
         if self.draining_since.is_some() {
             return;
         }
--- a/dogwoodtray_entry/src/jobs/driven.rs
+++ b/dogwoodtray_entry/src/jobs/driven.rs
@@ -59,10 +59,10 @@
     pub(crate) version: Version,
     /// When the call that last confirmed the header was started.
     pub(crate) confirmed_at: Timestamp,
+    /// Until when idempotent items may start without another look at the header.
+    pub(crate) trusted_until: Timestamp,
     /// When the confirmation in flight was started.
     pub(crate) confirming: Option<Timestamp>,
-    /// Whether the store could not be reached when the header was to be confirmed.
-    pub(crate) blind: bool,
     pub(crate) commit: Option<Commit>,
     pub(crate) next_seq: u32,
     /// Items that have an outcome, stored or not.
@@ -108,6 +108,7 @@
         header: Header,
         version: Version,
         at: Timestamp,
+        within: Duration,
     ) -> Self {
         Self {
             job,
@@ -119,7 +120,7 @@
             version,
             confirmed_at: at,
             confirming: None,
-            blind: false,
+            trusted_until: at + within,
             commit: None,
             next_seq: 0,
             pending: VecDeque::new(),
@@ -314,9 +315,19 @@
         losers
     }
 
-    /// Tells whether the header was confirmed recently enough to start an item.
-    pub(crate) fn is_confirmed(&self, now: Timestamp, within: Duration) -> bool {
-        now - self.confirmed_at <= within
+    /// Notes that the header stood unchanged when a call was started.
+    pub(crate) fn on_confirmed(&mut self, started: Timestamp, within: Duration) {
+        self.confirmed_at = self.confirmed_at.max(started);
+        self.trusted_until = self.trusted_until.max(started + within);
+    }
+
+    /// Notes that the store cannot be reached. While it is down no cancellation can be stored
+    /// either, so idempotent items go on within the bound on outcomes that are held back. A
+    /// process whose trust has run out, as after a pause, does not regain it this way.
+    pub(crate) fn on_unreachable(&mut self, now: Timestamp, within: Duration) {
+        if now <= self.trusted_until {
+            self.trusted_until = now + within;
+        }
     }
 }
 
--- a/dogwoodtray_entry/src/jobs/mod.rs
+++ b/dogwoodtray_entry/src/jobs/mod.rs
@@ -14,6 +14,7 @@
 mod header;
 mod intake;
 mod items;
+mod notice;
 mod outcome;
 mod plan;
 mod read;
--- a/dogwoodtray_entry/src/jobs/plan.rs
+++ b/dogwoodtray_entry/src/jobs/plan.rs
@@ -16,6 +16,8 @@
 use super::header::JobState;
 use super::items;
 
+/// Share of the time for which a header is trusted by which it is confirmed early.
+const CONFIRM_EARLY: f64 = 0.2;
 /// Wait before a damaged or missing chunk is asked for again.
 const DAMAGED_RETRY: Duration = Duration::from_secs(5);
 
@@ -50,18 +52,20 @@
         Some(item)
     }
 
-    /// Tells whether the header was confirmed recently enough, and asks for it when it was not.
-    /// During an outage of the store no cancellation can be stored either, so idempotent items go
-    /// on within the bound on outcomes that are held back.
+    /// Tells whether the header was confirmed recently enough, and asks for it shortly before it
+    /// no longer is.
     fn may_start(&mut self, cx: &mut Cx) -> bool {
         let within = cx.cfg.confirm_within;
-        let confirmed = self.is_confirmed(cx.now, within);
-        if !self.is_confirmed(cx.now, within.mul_f64(0.8)) && self.confirming.is_none() {
+        let early = within.mul_f64(CONFIRM_EARLY);
+        if cx.now + early >= self.trusted_until && self.confirming.is_none() {
             self.confirming = Some(cx.now);
             let key = super::header::key(&self.job);
             cx.call(self.owner(DriveCall::Confirm), StoreOp::Get { key });
         }
-        confirmed || (self.blind && self.header.idempotent)
+        if self.header.idempotent {
+            return cx.now <= self.trusted_until;
+        }
+        cx.now - self.confirmed_at <= within
     }
 
     /// Takes the reply to a read of the header.
@@ -71,25 +75,25 @@
         reply: StoreReply,
         cx: &mut Cx,
     ) -> Confirmed {
+        let within = cx.cfg.confirm_within;
         let (version, value) = match reply {
             StoreReply::Found { version, value } => (version, value),
             StoreReply::Missing => return Confirmed::Lost,
             StoreReply::Unavailable { retry_after } => {
-                self.blind = true;
+                self.on_unreachable(cx.now, within);
                 self.confirming = Some(cx.now + retry_after);
                 cx.call_later(self.owner(DriveCall::Confirm), op, retry_after);
                 return Confirmed::Held;
             }
             _ => {
-                self.blind = true;
+                self.on_unreachable(cx.now, within);
                 cx.call_later(self.owner(DriveCall::Confirm), op, Duration::ZERO);
                 return Confirmed::Held;
             }
         };
         let started = self.confirming.take().unwrap_or(self.confirmed_at);
         if version == self.version {
-            self.blind = false;
-            self.confirmed_at = self.confirmed_at.max(started);
+            self.on_confirmed(started, within);
             return Confirmed::Held;
         }
         let Some(header) = Header::decode(&value) else {
@@ -100,8 +104,9 @@
             return Confirmed::Held;
         }
         if self.commit.is_some() {
-            // The commit meets the same header and cleans up after itself.
-            self.blind = false;
+            // The commit meets the same header and cleans up after itself. No item starts before.
+            self.trusted_until = Timestamp::ZERO;
+            self.confirmed_at = Timestamp::ZERO;
             return Confirmed::Held;
         }
         Confirmed::Lost
--- a/dogwoodtray_entry/src/jobs/read.rs
+++ b/dogwoodtray_entry/src/jobs/read.rs
@@ -73,7 +73,10 @@
     Running,
     Ended,
     /// The cancellation of the job was stored by this call.
-    Cancelled(Name),
+    Cancelled {
+        job: Name,
+        header: Box<Header>,
+    },
 }
 
 impl Read {
@@ -207,15 +210,9 @@
                 self.retry(id, op, wait, cx)
             }
             WriteStep::Finished(WriteResult::Written { .. }) => {
-                if let Some(driver) = next.driver.take()
-                    && driver.incarnation != cx.me.incarnation
-                {
-                    let job = Name::clone(&self.job);
-                    cx.out.push(JobAction::NotifyCancel { addr: driver.addr, job });
-                }
-                let counts = next.counts;
-                self.end(JobReply::Cancelled { counts }, cx);
-                Progress::Cancelled(Name::clone(&self.job))
+                let header = next.clone();
+                self.end(JobReply::Cancelled { counts: header.counts }, cx);
+                Progress::Cancelled { job: Name::clone(&self.job), header }
             }
             // The driver or another caller wrote first; decide again on what they wrote.
             WriteStep::Finished(WriteResult::Fenced { current: Some((version, value)) }) => {
--- a/dogwoodtray_entry/src/jobs/sweep.rs
+++ b/dogwoodtray_entry/src/jobs/sweep.rs
@@ -55,8 +55,9 @@
         Self { step: Step::Delete, open: 1 }
     }
 
-    /// Deletes segments of older claims that the header does not list. A holder of an older claim
-    /// cannot list them any more, because its header write fails on the version.
+    /// Deletes segments of older claims, or of any claim once the job has ended, that the header
+    /// does not list. Nobody can list them any more: a header write of their writer fails on the
+    /// version.
     pub(crate) fn segments(id: u64, job: Name, header: Header, cx: &mut Cx) -> Self {
         cx.call(Owner::Sweep(id), list(segment::KIND, &job, None));
         Self { step: Step::Segments { job, header: Box::new(header) }, open: 1 }
@@ -146,7 +147,8 @@
                     let Some((epoch, seq)) = segment::parse_name(&name) else {
                         continue;
                     };
-                    if epoch < header.epoch && !header.lists(epoch, seq) {
+                    let over = epoch < header.epoch || header.state != JobState::Open;
+                    if over && !header.lists(epoch, seq) {
                         let key = ObjectKey::new(segment::KIND, name);
                         cx.call(Owner::Sweep(id), StoreOp::Delete { key, expect });
                         self.open += 1;
--- a/dogwoodtray_entry/tests/jobs_support/mod.rs
+++ b/dogwoodtray_entry/tests/jobs_support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 pub(crate) mod agents;
+pub(crate) mod chaos;
 pub(crate) mod oracle;
 
 use std::collections::BTreeMap;
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dogwoodtray_coord::Epoch;
 use dogwoodtray_coord::Expect;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
@@ -58,6 +60,7 @@
     pub(crate) me: Me,
     pub(crate) alive: bool,
     pub(crate) paused: bool,
+    pub(crate) draining: bool,
     inbox: Vec<JobEvent>,
 }
 
@@ -83,6 +86,8 @@
     last_token: u64,
     next_tick: Timestamp,
     pub(crate) dispatches: u64,
+    asked: BTreeMap<ReplyToken, Name>,
+    down: bool,
 }
 
 impl World {
@@ -103,6 +108,8 @@
             last_token: 0,
             next_tick: Timestamp::ZERO,
             dispatches: 0,
+            asked: BTreeMap::new(),
+            down: false,
         };
         for _ in 0..procs {
             world.start_proc();
@@ -116,7 +123,14 @@
         let incarnation = Incarnation(self.rng.random());
         let me = Me { name: Name::clone(&name), addr: name, incarnation };
         let core = JobCore::new(self.cfg.clone(), me.clone(), self.rng.random());
-        self.procs.push(Proc { core, me, alive: true, paused: false, inbox: Vec::new() });
+        self.procs.push(Proc {
+            core,
+            me,
+            alive: true,
+            paused: false,
+            draining: false,
+            inbox: Vec::new(),
+        });
         self.tell_live();
         index
     }
@@ -143,6 +157,25 @@
         }
     }
 
+    pub(crate) fn drain(&mut self, index: usize) {
+        self.procs[index].draining = true;
+        self.deliver(index, JobEvent::Drain);
+    }
+
+    /// Ends the processes whose planned stop has nothing left to wait for.
+    pub(crate) fn reap(&mut self) {
+        for index in 0..self.procs.len() {
+            if self.procs[index].alive && self.procs[index].core.drained() {
+                self.kill(index);
+            }
+        }
+    }
+
+    pub(crate) fn set_down(&mut self, down: bool) {
+        self.down = down;
+        self.store.set_down(down);
+    }
+
     pub(crate) fn unix_ms(&self) -> u64 {
         START_UNIX_MS + self.now.as_micros() / 1_000
     }
@@ -165,7 +198,11 @@
         make: impl FnOnce(ReplyToken) -> JobEvent,
     ) -> ReplyToken {
         let token = self.token();
-        self.deliver(index, make(token));
+        let event = make(token);
+        if let JobEvent::Cancel { job, .. } = &event {
+            self.asked.insert(token, Name::clone(job));
+        }
+        self.deliver(index, event);
         token
     }
 
@@ -246,7 +283,8 @@
         });
         let fault = fault.into_iter().position(|sum| roll < sum);
         self.count(&op);
-        if call.is_some() {
+        // A fault injected during an outage would stay queued and meet a call of the oracle.
+        if call.is_some() && !self.down {
             match fault {
                 Some(0) => self.store.inject(MemoryFault::Refuse),
                 Some(1) => self.store.inject(MemoryFault::LoseReply),
@@ -357,6 +395,24 @@
         }
     }
 
+    /// Returns the job that a cancel call was about.
+    pub(crate) fn cancelled_job(&self, token: ReplyToken) -> Name {
+        Name::clone(&self.asked[&token])
+    }
+
+    /// Counts the segments of a job that its header does not list.
+    pub(crate) fn unlisted_segments(&self, job: &str, header: &Header) -> u64 {
+        let names = self.names("job-outcomes");
+        let unlisted = names.iter().filter(|name| {
+            let Some(rest) = name.strip_prefix(&format!("{job}.")) else {
+                return false;
+            };
+            let (epoch, seq) = rest.split_once('.').unwrap();
+            !header.lists(Epoch(epoch.parse().unwrap()), seq.parse().unwrap())
+        });
+        unlisted.count() as u64
+    }
+
     pub(crate) fn header(&self, job: &str) -> Option<Header> {
         self.get("jobs", job).map(|value| Header::decode(&value).unwrap())
     }
