Test online requests through real agents under seeded failures

Cause: the promises of the online path were not tested under failure. Change: a test that drives the shipped decisions of entry and agents in virtual time with cut and silent links, killed agents, crashed engines and poison requests. Conclusion: whole answers, truthful not_run and at-most-once hold in these runs; the oracle catches an agent that lies.

--- /dev/null
+++ b/dogwoodtray_entry/tests/online_failures.rs
@@ -0,0 +1,104 @@
+//! Online requests through real agents under seeded failures, in virtual time.
+
+mod online_support;
+
+use std::time::Duration;
+
+use dogwoodtray_entry::online::DispatchMode;
+
+use crate::online_support::Fault;
+use crate::online_support::Report;
+use crate::online_support::World;
+
+const ENDPOINTS: usize = 3;
+const REQUESTS: usize = 40;
+const SEEDS: u64 = 60;
+const MODES: [DispatchMode; 2] = [DispatchMode::Tokens, DispatchMode::Whole];
+
+fn play(seed: u64, faults: &[Fault]) -> Report {
+    let mut world = World::new(seed, ENDPOINTS);
+    for _ in 0..REQUESTS {
+        let idempotent = world.pick(&[true, true, false]);
+        let mode = world.pick(&MODES);
+        let tokens = world.pick(&[1, 5, 20, 60]);
+        world.submit(idempotent, mode, tokens);
+        let pause = world.pause_between_faults();
+        world.run(pause / 4);
+        if !faults.is_empty() {
+            let fault = world.pick(faults);
+            world.strike(fault);
+        }
+        world.run(pause);
+    }
+    world.run(Duration::from_secs(90));
+    world.report()
+}
+
+fn check(faults: &[Fault]) -> Report {
+    let mut total = Report::default();
+    for seed in 0..SEEDS {
+        let report = play(seed, faults);
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(report.unfinished, 0, "seed {seed} left requests without an end");
+        total.answered += report.answered;
+        total.not_run += report.not_run;
+        total.unknown += report.unknown;
+        total.quarantined += report.quarantined;
+    }
+    println!("{faults:?}: {total:?}");
+    total
+}
+
+/// Guards against answers that get lost, mixed up or cut without any failure.
+#[test]
+fn all_requests_are_answered_without_faults() {
+    let total = check(&[]);
+    assert_eq!(total.answered, REQUESTS * SEEDS as usize);
+}
+
+/// Guards against tokens that are lost or repeated when a link closes or goes silent. The agents
+/// and engines live, so every answer arrives.
+#[test]
+fn answers_survive_lost_and_silent_links() {
+    let total = check(&[Fault::CutLink, Fault::SilenceLink]);
+    assert_eq!(total.answered, REQUESTS * SEEDS as usize);
+}
+
+/// Guards against second runs of non-idempotent requests, wrong answers and untrue refusals when
+/// agents and engines die.
+#[test]
+fn failures_never_break_the_promises() {
+    check(&[Fault::CutLink, Fault::SilenceLink, Fault::KillAgent, Fault::CrashEngine]);
+}
+
+/// Guards against a request that kills endpoint after endpoint while its caller sends it again,
+/// and against innocent requests beside it that are refused.
+#[test]
+fn a_poison_request_kills_at_most_two_endpoints() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, ENDPOINTS);
+        for round in 0..REQUESTS {
+            world.submit(true, DispatchMode::Tokens, 20);
+            if round % 4 == 0 {
+                world.submit_poison();
+            }
+            let pause = world.pause_between_faults();
+            world.run(pause);
+        }
+        world.run(Duration::from_secs(30));
+        let report = world.report();
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(world.poison_deaths() <= 2, "seed {seed}: {} deaths", world.poison_deaths());
+        assert_eq!(report.answered, REQUESTS, "seed {seed}: an innocent request was refused");
+    }
+}
+
+/// Shows that the oracle catches an untrue `not_run`, so that its silence above means something.
+#[test]
+fn an_untrue_not_run_is_caught() {
+    let caught = (0..SEEDS).any(|seed| {
+        let report = play(seed, &[Fault::LieAboutRun, Fault::CrashEngine]);
+        !report.violations.is_empty()
+    });
+    assert!(caught);
+}
--- /dev/null
+++ b/dogwoodtray_entry/tests/online_support/world.rs
@@ -0,0 +1,436 @@
+//! The entry, the links and the oracle.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodtray_agent::AgentAction;
+use dogwoodtray_agent::AgentEvent;
+use dogwoodtray_agent::AgentMessage;
+use dogwoodtray_agent::PeerId;
+use dogwoodtray_agent::Work;
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_entry::online;
+use dogwoodtray_entry::online::AttemptDone;
+use dogwoodtray_entry::online::DispatchMode;
+use dogwoodtray_entry::online::LinkNo;
+use dogwoodtray_entry::online::OnlineAction;
+use dogwoodtray_entry::online::OnlineConfig;
+use dogwoodtray_entry::online::OnlineCore;
+use dogwoodtray_entry::online::OnlineEvent;
+use dogwoodtray_entry::online::PeerInfo;
+use dogwoodtray_entry::online::RequestEnd;
+use dogwoodtray_entry::online::RequestNo;
+use dogwoodtray_entry::online::RequestSpec;
+use dogwoodtray_policy::Class;
+use dogwoodtray_policy::Cost;
+use dogwoodtray_policy::Router;
+use dogwoodtray_policy::RouterConfig;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::agent::Endpoint;
+use super::agent::POISON;
+use super::agent::answer;
+
+const STEP: Duration = Duration::from_millis(5);
+const LATENCY: Duration = Duration::from_millis(1);
+const SILENCE_DEADLINE: Duration = Duration::from_secs(2);
+const REDIAL: Duration = Duration::from_millis(100);
+
+/// Something that goes wrong.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    /// A connection closes.
+    CutLink,
+    /// A connection carries nothing more, without closing.
+    SilenceLink,
+    /// An agent process dies and is restarted.
+    KillAgent,
+    /// An engine dies and is restarted.
+    CrashEngine,
+    /// The agent claims, falsely, that an attempt was never forwarded.
+    LieAboutRun,
+}
+
+struct Link {
+    endpoint: usize,
+    silent_since: Option<Timestamp>,
+    to_agent: VecDeque<(Timestamp, AgentEvent)>,
+    to_entry: VecDeque<(Timestamp, OnlineEvent)>,
+}
+
+struct Call {
+    spec: Arc<RequestSpec>,
+    tokens: u32,
+    received: Vec<u8>,
+    end: Option<RequestEnd>,
+}
+
+/// What the oracle found.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) answered: usize,
+    pub(crate) not_run: usize,
+    pub(crate) unknown: usize,
+    pub(crate) quarantined: usize,
+    pub(crate) unfinished: usize,
+    pub(crate) violations: Vec<String>,
+}
+
+pub(crate) struct World {
+    now: Timestamp,
+    rng: StdRng,
+    entry: OnlineCore,
+    endpoints: Vec<Endpoint>,
+    links: BTreeMap<u64, Link>,
+    redial: Vec<(Timestamp, usize)>,
+    calls: Vec<Call>,
+    next_link: u64,
+    next_incarnation: u64,
+    lying: bool,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, endpoints: usize) -> Self {
+        let router = Box::new(Router::new(RouterConfig::default()));
+        let mut world = Self {
+            now: Timestamp::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            entry: OnlineCore::new(OnlineConfig::new(Incarnation(1), seed), router),
+            endpoints: (0..endpoints).map(|index| Endpoint::new(100 + index as u64)).collect(),
+            links: BTreeMap::new(),
+            redial: (0..endpoints).map(|index| (Timestamp::ZERO, index)).collect(),
+            calls: Vec::new(),
+            next_link: 0,
+            next_incarnation: 1_000,
+            lying: false,
+        };
+        world.run(Duration::from_millis(50));
+        world
+    }
+
+    pub(crate) fn submit(&mut self, idempotent: bool, mode: DispatchMode, tokens: u32) {
+        let no = self.calls.len();
+        let id = format!("r{no}");
+        self.send(id.clone(), ContentHash::of(id.as_bytes()), idempotent, mode, tokens);
+    }
+
+    /// Sends a request that kills each engine that runs it. All have one content.
+    pub(crate) fn submit_poison(&mut self) {
+        let id = format!("{POISON}{}", self.calls.len());
+        let content = ContentHash::of(POISON.as_bytes());
+        self.send(id, content, true, DispatchMode::Tokens, 5);
+    }
+
+    fn send(
+        &mut self,
+        id: String,
+        content: ContentHash,
+        idempotent: bool,
+        mode: DispatchMode,
+        tokens: u32,
+    ) {
+        let no = self.calls.len();
+        let id = Name::from(id);
+        let spec = Arc::new(RequestSpec {
+            content,
+            id: id.clone(),
+            class: Class::Online,
+            model: Name::from("m"),
+            method: Name::from("POST"),
+            path: Name::from("/v1/chat/completions"),
+            body: Bytes::new(),
+            idempotent,
+            idempotency_key: id,
+            fence: None,
+            timeout: Duration::from_secs(60),
+            cost: Cost { prompt_tokens: 10, output_tokens: tokens },
+            prefix: 0,
+            organization: Name::from(""),
+            mode,
+        });
+        let call = Call { spec: Arc::clone(&spec), tokens, received: Vec::new(), end: None };
+        self.calls.push(call);
+        self.decide(OnlineEvent::Submit { request: RequestNo(no as u64), spec });
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.deliver_frames();
+            for index in 0..self.endpoints.len() {
+                let events = self.endpoints[index].step(self.now);
+                self.feed_agent(index, events);
+            }
+            self.decide(OnlineEvent::Tick);
+            self.age_links();
+        }
+    }
+
+    pub(crate) fn strike(&mut self, fault: Fault) {
+        let index = self.rng.random_range(0..self.endpoints.len());
+        let link = self.links.iter().find(|(_, l)| l.endpoint == index).map(|(no, _)| *no);
+        match (fault, link) {
+            (Fault::CutLink, Some(link)) => self.drop_link(link),
+            (Fault::SilenceLink, Some(link)) => {
+                let silent = self.links.get_mut(&link).expect("found above");
+                silent.silent_since.get_or_insert(self.now);
+            }
+            (Fault::KillAgent, link) => {
+                if let Some(link) = link {
+                    self.drop_link(link);
+                }
+                self.next_incarnation += 1;
+                self.endpoints[index].restart_agent(self.next_incarnation);
+            }
+            (Fault::CrashEngine, _) => {
+                let down = Duration::from_millis(self.rng.random_range(0..800));
+                let events = self.endpoints[index].crash(self.now, down);
+                self.feed_agent(index, events);
+            }
+            (Fault::LieAboutRun, _) => self.lying = true,
+            (_, None) => {}
+        }
+    }
+
+    pub(crate) fn pause_between_faults(&mut self) -> Duration {
+        Duration::from_millis(self.rng.random_range(20..600))
+    }
+
+    pub(crate) fn pick<T: Copy>(&mut self, from: &[T]) -> T {
+        from[self.rng.random_range(0..from.len())]
+    }
+
+    /// Compares what callers were told with what the engines did.
+    pub(crate) fn report(&self) -> Report {
+        let mut report = Report::default();
+        for call in &self.calls {
+            let id = &call.spec.id;
+            let runs: u32 = self.endpoints.iter().filter_map(|e| e.started.get(id)).sum();
+            let whole = call.received == answer(id, call.tokens).as_bytes();
+            if !call.spec.idempotent && runs > 1 {
+                report.violations.push(format!("{id} is non-idempotent and ran {runs} times"));
+            }
+            match &call.end {
+                Some(RequestEnd::Answered { .. }) if !whole => {
+                    report.violations.push(format!("{id} got a wrong answer"));
+                }
+                Some(RequestEnd::Answered { .. }) => report.answered += 1,
+                Some(RequestEnd::NotRun { .. }) if runs > 0 => {
+                    report.violations.push(format!("{id} ran, but its caller was told not_run"));
+                }
+                Some(RequestEnd::NotRun { .. }) => report.not_run += 1,
+                Some(RequestEnd::Unknown { .. }) => report.unknown += 1,
+                Some(RequestEnd::Quarantined) => report.quarantined += 1,
+                None => report.unfinished += 1,
+            }
+        }
+        report
+    }
+
+    /// Returns how many engines were killed by requests that kill engines.
+    pub(crate) fn poison_deaths(&self) -> u32 {
+        let runs = self.endpoints.iter().flat_map(|e| &e.started);
+        runs.filter(|(id, _)| id.starts_with(POISON)).map(|(_, count)| count).sum()
+    }
+}
+
+/// # Links
+impl World {
+    fn age_links(&mut self) {
+        let dead: Vec<u64> = self
+            .links
+            .iter()
+            .filter(|(_, l)| l.silent_since.is_some_and(|s| self.now - s >= SILENCE_DEADLINE))
+            .map(|(no, _)| *no)
+            .collect();
+        for link in dead {
+            self.drop_link(link);
+        }
+        let due: Vec<usize> =
+            self.redial.iter().filter(|(at, _)| *at <= self.now).map(|(_, index)| *index).collect();
+        self.redial.retain(|(at, _)| *at > self.now);
+        for index in due {
+            self.open_link(index);
+        }
+    }
+
+    fn open_link(&mut self, index: usize) {
+        self.next_link += 1;
+        let no = self.next_link;
+        let link = Link {
+            endpoint: index,
+            silent_since: None,
+            to_agent: VecDeque::new(),
+            to_entry: VecDeque::new(),
+        };
+        self.links.insert(no, link);
+        self.feed_agent(index, vec![AgentEvent::PeerUp { peer: PeerId(no) }]);
+        let peer = PeerInfo {
+            node: Name::from(format!("agent-{index}")),
+            incarnation: Incarnation(self.endpoints[index].incarnation),
+            data_centre: Name::from("dc"),
+            models: vec![Name::from("m")],
+        };
+        self.decide(OnlineEvent::LinkUp { link: LinkNo(no), peer });
+    }
+
+    fn drop_link(&mut self, no: u64) {
+        let Some(link) = self.links.remove(&no) else { return };
+        self.redial.push((self.now + REDIAL, link.endpoint));
+        self.feed_agent(link.endpoint, vec![AgentEvent::PeerDown { peer: PeerId(no) }]);
+        self.decide(OnlineEvent::LinkDown { link: LinkNo(no) });
+    }
+
+    fn deliver_frames(&mut self) {
+        let links: Vec<u64> = self.links.keys().copied().collect();
+        for no in links {
+            loop {
+                let now = self.now;
+                let Some(link) = self.links.get_mut(&no) else { break };
+                let endpoint = link.endpoint;
+                if let Some((_, event)) = link.to_agent.pop_front_if(|(at, _)| *at <= now) {
+                    self.feed_agent(endpoint, vec![event]);
+                } else if let Some((_, event)) = link.to_entry.pop_front_if(|(at, _)| *at <= now) {
+                    self.decide(event);
+                } else {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn send_to_agent(&mut self, link: LinkNo, event: AgentEvent) {
+        if let Some(link) = self.links.get_mut(&link.0)
+            && link.silent_since.is_none()
+        {
+            link.to_agent.push_back((self.now + LATENCY, event));
+        }
+    }
+
+    fn send_to_entry(&mut self, peer: PeerId, event: OnlineEvent) {
+        if let Some(link) = self.links.get_mut(&peer.0)
+            && link.silent_since.is_none()
+        {
+            link.to_entry.push_back((self.now + LATENCY, event));
+        }
+    }
+}
+
+/// # Decisions
+impl World {
+    fn feed_agent(&mut self, index: usize, events: Vec<AgentEvent>) {
+        let mut queue = VecDeque::from(events);
+        while let Some(event) = queue.pop_front() {
+            let mut actions = Vec::new();
+            self.endpoints[index].core.handle(self.now, event, &mut actions);
+            for action in actions {
+                if let AgentAction::Send { peer, message } = action {
+                    self.on_message(index, peer, message);
+                } else {
+                    queue.extend(self.endpoints[index].carry_out(self.now, action));
+                }
+            }
+        }
+    }
+
+    fn on_message(&mut self, index: usize, peer: PeerId, message: AgentMessage) {
+        let event = match message {
+            AgentMessage::Started { attempt } => OnlineEvent::Started { attempt },
+            AgentMessage::Chunk { attempt, offset, data, tokens } => {
+                OnlineEvent::Chunk { attempt, offset, data, tokens }
+            }
+            AgentMessage::Done { attempt, end, content_type, total_bytes, tokens } => {
+                let end = self.read_end(end);
+                let done = AttemptDone { end, content_type, total_bytes, tokens };
+                OnlineEvent::Done { attempt, done }
+            }
+            AgentMessage::Heartbeat => {
+                let core = &self.endpoints[index].core;
+                OnlineEvent::Report {
+                    link: LinkNo(peer.0),
+                    leaving: core.is_leaving(),
+                    free_online: core.free_online(),
+                    free_batch: core.free_batch(),
+                    queued_online: core.queued_online(),
+                }
+            }
+            AgentMessage::Credit { .. } => return,
+        };
+        self.send_to_entry(peer, event);
+    }
+
+    fn read_end(&self, end: dogwoodtray_agent::AttemptEnd) -> online::AttemptEnd {
+        use dogwoodtray_agent::AttemptEnd as Told;
+        let not_run = online::AttemptEnd::NotRun(online::NotRunReason::Busy);
+        match end {
+            Told::Answered { status } => online::AttemptEnd::Answered { status },
+            Told::Crashed { .. } | Told::Failed | Told::Unknown if self.lying => not_run,
+            Told::Failed => online::AttemptEnd::Failed,
+            Told::Crashed { death } => online::AttemptEnd::Crashed { death },
+            Told::Cancelled => online::AttemptEnd::Cancelled,
+            Told::Preempted => online::AttemptEnd::Preempted,
+            Told::NotRun(_) => not_run,
+            Told::Unknown => online::AttemptEnd::Unknown,
+        }
+    }
+
+    fn decide(&mut self, event: OnlineEvent) {
+        let mut actions = Vec::new();
+        self.entry.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: OnlineAction) {
+        match action {
+            OnlineAction::Dispatch { link, attempt, spec, time_left, resume_from, suspect } => {
+                let work = Work {
+                    attempt,
+                    request: spec.id.clone(),
+                    class: spec.class,
+                    model: spec.model.clone(),
+                    method: spec.method.clone(),
+                    path: spec.path.clone(),
+                    body: spec.body.clone(),
+                    idempotent: spec.idempotent,
+                    idempotency_key: spec.idempotency_key.clone(),
+                    fence: None,
+                    deadline: Some(time_left),
+                    cost: spec.cost,
+                    resume_from,
+                    content: spec.content,
+                    suspect,
+                };
+                let peer = PeerId(link.0);
+                self.send_to_agent(link, AgentEvent::Dispatch { peer, work });
+            }
+            OnlineAction::Cancel { link, attempt } => {
+                self.send_to_agent(link, AgentEvent::Cancel { attempt });
+            }
+            OnlineAction::Reattach { link, attempt, offset } => {
+                let peer = PeerId(link.0);
+                self.send_to_agent(link, AgentEvent::Reattach { peer, attempt, offset });
+            }
+            OnlineAction::Ack { link, attempt } => {
+                self.send_to_agent(link, AgentEvent::Ack { attempt });
+            }
+            OnlineAction::Deliver { request, data, .. } => {
+                self.calls[request.0 as usize].received.extend_from_slice(&data);
+            }
+            OnlineAction::Finish { request, end } => {
+                self.calls[request.0 as usize].end = Some(end);
+            }
+            _ => {}
+        }
+    }
+}
