--- /dev/null
+++ b/dogwoodtray_coord/tests/model_claim.rs
@@ -0,0 +1,230 @@
+//! Exhaustive model of claims whose holder is paused, judged dead wrongly, and wakes up.
+//!
+//! Bounds: two processes, two entries of the first and one of the second, one wrong judgement, one lost reply. A pause needs no
+//! step of its own, because a process may take its next step at any time.
+
+#[path = "support/doc.rs"]
+mod doc;
+mod support;
+
+use std::collections::BTreeMap;
+
+use dogwoodtray_coord::Claim;
+use dogwoodtray_coord::ClaimAction;
+use dogwoodtray_coord::ClaimEvent;
+use dogwoodtray_coord::ClaimRecord;
+use dogwoodtray_coord::ClaimState;
+use dogwoodtray_coord::CommitAction;
+use dogwoodtray_coord::CommitConfig;
+use dogwoodtray_coord::CommitEvent;
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::GroupCommit;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::Timestamp;
+
+use crate::doc::Doc;
+use crate::doc::DocCodec;
+use crate::support::Faults;
+use crate::support::Model;
+use crate::support::Net;
+use crate::support::explore;
+use crate::support::holder;
+use crate::support::no_backoff;
+
+const NOW: Timestamp = Timestamp::ZERO;
+const CLAIM: u8 = 0;
+const COMMIT: u8 = 1;
+
+/// A process that claims the object and adds entries under the claim.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Node {
+    claim: Claim,
+    commit: Option<GroupCommit<u8>>,
+    codec: DocCodec,
+    entries: Vec<u8>,
+    probed: Option<Epoch>,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct World {
+    net: Net,
+    nodes: Vec<Node>,
+    wrong_judgements: u8,
+    /// Entries that were reported durable.
+    durable: Vec<u8>,
+    /// Who held each epoch according to its own word.
+    holders: BTreeMap<Epoch, usize>,
+    violation: Option<String>,
+}
+
+fn object() -> ObjectKey {
+    ObjectKey::new("jobs", "a")
+}
+
+impl World {
+    fn new(faults: Faults, keeps_stamp: bool) -> Self {
+        let node = |index| Node {
+            claim: Claim::new(object(), holder(index), no_backoff()),
+            commit: None,
+            codec: DocCodec { keeps_stamp, ..DocCodec::default() },
+            entries: [vec![1, 2], vec![3]][index].clone(),
+            probed: None,
+        };
+        let (durable, holders) = (Vec::new(), BTreeMap::new());
+        let nodes = vec![node(0), node(1)];
+        Self {
+            net: Net::new(faults),
+            nodes,
+            wrong_judgements: 1,
+            durable,
+            holders,
+            violation: None,
+        }
+    }
+
+    fn drive_claim(&mut self, index: usize, event: ClaimEvent) {
+        let node = &mut self.nodes[index];
+        let mut out = Vec::new();
+        node.claim.handle(NOW, event, &node.codec, &mut out);
+        for action in out {
+            let node = &mut self.nodes[index];
+            match action {
+                ClaimAction::Call { call, op } => self.net.send(index, CLAIM, call, op),
+                ClaimAction::Probe { epoch, .. } => node.probed = Some(epoch),
+                ClaimAction::Claimed { epoch, version, value } => {
+                    let record = ClaimRecord { epoch, holder: Some(holder(index)) };
+                    let config = CommitConfig { max_entries: 1, ..CommitConfig::default() };
+                    let commit = GroupCommit::new(object(), record, version, config, no_backoff());
+                    node.commit = Some(commit);
+                    node.codec.stored = Doc::decode(&value);
+                    if self.holders.insert(epoch, index).is_some() {
+                        self.violation = Some(format!("{epoch:?} was claimed twice"));
+                    }
+                }
+                ClaimAction::Lost { .. } => node.commit = None,
+            }
+        }
+    }
+
+    fn drive_commit(&mut self, index: usize, event: CommitEvent<u8>) {
+        let node = &mut self.nodes[index];
+        let Some(commit) = &mut node.commit else {
+            return;
+        };
+        let mut out = Vec::new();
+        commit.handle(NOW, event, &mut node.codec, &mut out);
+        for action in out {
+            match action {
+                CommitAction::Call { call, op } => self.net.send(index, COMMIT, call, op),
+                CommitAction::Durable { entries, version } => {
+                    self.durable.extend(entries);
+                    self.drive_claim(index, ClaimEvent::Advanced { version });
+                }
+                CommitAction::Fenced { .. } => self.drive_claim(index, ClaimEvent::Fenced),
+                CommitAction::Refused { .. } | CommitAction::TooLarge { .. } => unreachable!(),
+            }
+        }
+    }
+
+    /// Checks that a write under one claim does not replace a value under another.
+    fn check_write(&mut self) {
+        let Some(write) = self.net.last_write.take() else {
+            return;
+        };
+        let before = write.before.map(|value| Doc::decode(&value)).unwrap_or_default();
+        let after = write.after.map(|value| Doc::decode(&value)).unwrap_or_default();
+        let is_claim = after.epoch == before.epoch.next();
+        let is_write_of_holder = after.epoch == before.epoch && after.holder == before.holder;
+        if !is_claim && !is_write_of_holder {
+            self.violation = Some(format!("{after:?} replaced {before:?}"));
+        }
+        if !after.log.starts_with(&before.log) {
+            self.violation = Some(format!("entries of {before:?} are lost in {after:?}"));
+        }
+    }
+}
+
+impl Model for World {
+    fn steps(&self) -> Vec<Self> {
+        let mut steps = Vec::new();
+        for net in self.net.steps() {
+            let mut next = Self { net, ..self.clone() };
+            next.check_write();
+            steps.push(next);
+        }
+        for (name, reply, net) in self.net.deliveries() {
+            let mut next = Self { net, ..self.clone() };
+            match name.lane {
+                CLAIM => {
+                    next.drive_claim(name.node, ClaimEvent::Reply { call: name.call, reply });
+                }
+                _ => next.drive_commit(name.node, CommitEvent::Reply { call: name.call, reply }),
+            }
+            steps.push(next);
+        }
+        for (index, node) in self.nodes.iter().enumerate() {
+            let mut ticked = self.clone();
+            ticked.drive_claim(index, ClaimEvent::Tick);
+            ticked.drive_commit(index, CommitEvent::Tick);
+            if ticked != *self {
+                steps.push(ticked);
+            }
+            if node.commit.is_some() && !node.entries.is_empty() {
+                let mut pushed = self.clone();
+                let entry = pushed.nodes[index].entries.remove(0);
+                pushed.drive_commit(index, CommitEvent::Push { entry, bytes: 1 });
+                steps.push(pushed);
+            }
+            if let (Some(epoch), Some(_)) = (node.probed, node.claim.other_holder()) {
+                let truth = self.nodes[1 - index].claim.holds(epoch);
+                let replies = [truth, false];
+                for holds in &replies[..1 + usize::from(truth && self.wrong_judgements > 0)] {
+                    let mut probed = self.clone();
+                    probed.wrong_judgements -= u8::from(truth != *holds);
+                    let holds = *holds;
+                    probed.drive_claim(index, ClaimEvent::ProbeReply { epoch, holds });
+                    if probed != *self {
+                        steps.push(probed);
+                    }
+                }
+            }
+        }
+        steps
+    }
+
+    fn check(&self, is_end: bool) -> Result<(), String> {
+        if let Some(violation) = &self.violation {
+            return Err(violation.clone());
+        }
+        let doc = self.net.value(&object()).map(|value| Doc::decode(value)).unwrap_or_default();
+        if let Some(entry) = self.durable.iter().find(|entry| !doc.log.contains(entry)) {
+            return Err(format!("durable entry {entry} is not in {doc:?}"));
+        }
+        let is_held = |node: &Node| matches!(node.claim.state(), ClaimState::Held { epoch, .. } if epoch == doc.epoch);
+        if is_end && !self.nodes.iter().any(is_held) {
+            return Err("at the end nobody knows that it holds the claim".into());
+        }
+        Ok(())
+    }
+}
+
+/// Guards against a holder that wakes from a pause and overwrites its successor.
+#[test]
+fn paused_holder_changes_nothing() {
+    let faults = Faults { lost: 1, ..Faults::default() };
+    assert_eq!(explore("claim", World::new(faults, false)).err(), None);
+}
+
+/// Guards against a model that cannot see a missing fence.
+#[test]
+fn unconditional_store_is_caught() {
+    let faults = Faults { lost: 1, is_unconditional: true, ..Faults::default() };
+    assert!(explore("claim, unconditional store", World::new(faults, false)).is_err());
+}
+
+/// Guards against a codec that lets a former holder recognize its stamp after a takeover.
+#[test]
+fn kept_stamp_is_caught() {
+    let faults = Faults { lost: 1, ..Faults::default() };
+    assert!(explore("claim, stamp kept by takeover", World::new(faults, true)).is_err());
+}
