Notice slowed and recovered endpoints sooner

Cause: at twice the load (12 requests a second per endpoint) endpoints that had recovered were missed, and the others queued.

Change: probe share 0.002 -> 0.005; weight of a new gap in the average 0.1 -> 0.2.

--- a/dogwoodtray_policy/src/routing/config.rs
+++ b/dogwoodtray_policy/src/routing/config.rs
@@ -25,7 +25,7 @@
             slow_ratio: 2.0,
             probe_interval: Duration::from_secs(1),
             max_probe_interval: Duration::from_secs(30),
-            probe_share: 0.002,
+            probe_share: 0.005,
             affinity_load_bound: 1.25,
             affinity: true,
         }
--- a/dogwoodtray_policy/src/routing/endpoint.rs
+++ b/dogwoodtray_policy/src/routing/endpoint.rs
@@ -8,7 +8,7 @@
 use crate::Class;
 
 /// Weight of a new reading in the moving averages.
-const AVERAGE_WEIGHT: f64 = 0.1;
+const AVERAGE_WEIGHT: f64 = 0.2;
 /// Age from which a load report says nothing any more.
 const REPORT_TTL: Duration = Duration::from_secs(2);
 
