Add the operators' command line and the settings of the daemons

Cause: operators need to check, publish and observe, and daemons need settings that are checked before they start. Ruled out: typed arguments of bpaf for addresses (its message names neither the setting nor the value when the value comes from the environment), and a base taken from the current set by default (it would revert what others published after the operator's copy was made). Conclusion: complete against in-test servers; not yet run against the daemons.

--- /dev/null
+++ b/dogwoodtray_cli/src/command/mod.rs
@@ -0,0 +1,55 @@
+//! Subcommands of the operators.
+
+mod check;
+mod dir;
+mod drain;
+mod jobs;
+mod merged;
+mod options;
+mod publish;
+mod report;
+mod status;
+mod timeline;
+
+pub use self::options::Command;
+pub use self::options::DirectoryOptions;
+pub use self::options::PlatformOptions;
+pub use self::options::PublishOptions;
+pub use self::options::StatusOptions;
+pub use self::options::TimelineOptions;
+pub use self::options::options;
+
+use std::io::Write;
+
+use self::report::Failure;
+use self::report::Report;
+use crate::Exit;
+
+/// Runs a subcommand. Results go to `out`, and the reason why there are none to `err`.
+pub fn run(command: &Command, out: &mut dyn Write, err: &mut dyn Write) -> Exit {
+    let result = match command {
+        Command::Check(options) => check::run(options),
+        Command::Diff(options) => publish::diff(options),
+        Command::Export(options) => publish::export(options),
+        Command::Publish(options) => publish::run(options),
+        Command::Status(options) => status::run(options),
+        Command::Jobs(options) => jobs::run(options),
+        Command::Drain(options) => drain::run(options),
+        Command::Timeline(options) => timeline::run(options, out),
+    };
+    finish(result, command.json(), out, err)
+}
+
+fn finish(
+    result: Result<Report, Failure>,
+    json: bool,
+    out: &mut dyn Write,
+    err: &mut dyn Write,
+) -> Exit {
+    let (written, exit) = match result {
+        Ok(report) => (report.write(json, out), report.exit),
+        Err(failure) => (writeln!(err, "error: {}", failure.message), failure.exit),
+    };
+    // A reader that closes the pipe early has read what it wanted.
+    written.map_or(Exit::Ok, |()| exit)
+}
--- /dev/null
+++ b/dogwoodtray_cli/src/command/status.rs
@@ -0,0 +1,93 @@
+//! `status`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use serde_json::json;
+
+use super::options::StatusOptions;
+use super::report::Failure;
+use super::report::Report;
+use crate::Exit;
+use crate::admin;
+use crate::admin::Peer;
+use crate::admin::Status;
+
+pub(super) fn run(options: &StatusOptions) -> Result<Report, Failure> {
+    let mut statuses = Vec::new();
+    let mut errors = Vec::new();
+    let mut exit = Exit::Ok;
+    for addr in &options.addrs {
+        match admin::status(*addr) {
+            Ok(status) => statuses.push(status),
+            Err(err) => {
+                let failure = Failure::from(err);
+                exit = failure.exit;
+                errors.push(failure.message);
+            }
+        }
+    }
+    statuses.sort_by(|a, b| a.node.cmp(&b.node));
+    let peers = other_peers(&statuses);
+    let json = json!({ "processes": statuses, "peers": peers, "errors": errors });
+    let report = Report::new(exit, json)
+        .line(row(["NODE", "ROLE", "DATA CENTRE", "GENERATION", "STATE", "JOBS", "ATTEMPTS"]))
+        .lines(statuses.iter().map(status_row))
+        .lines(peers.iter().map(peer_row))
+        .line(summary(&statuses, &peers));
+    Ok(report.lines(errors.iter().map(|error| format!("error: {error}"))))
+}
+
+/// Returns the peers that were not asked themselves. Of several reports, the highest generation
+/// is the latest, because a process never steps back.
+fn other_peers(statuses: &[Status]) -> Vec<Peer> {
+    let asked: BTreeSet<&str> = statuses.iter().map(|status| status.node.as_str()).collect();
+    let mut peers: BTreeMap<&str, &Peer> = BTreeMap::new();
+    for peer in statuses.iter().flat_map(|status| &status.peers) {
+        let known = peers.entry(&peer.node).or_insert(peer);
+        if peer.generation > known.generation {
+            *known = peer;
+        }
+    }
+    peers
+        .into_iter()
+        .filter(|(node, _)| !asked.contains(node))
+        .map(|(_, peer)| peer.clone())
+        .collect()
+}
+
+fn row(cells: [&str; 7]) -> String {
+    let [node, role, data_centre, generation, state, jobs, attempts] = cells;
+    let row = format!(
+        "{node:<20} {role:<6} {data_centre:<14} {generation:>10}  {state:<9} {jobs:>6} {attempts:>8}"
+    );
+    row.trim_end().to_owned()
+}
+
+fn status_row(status: &Status) -> String {
+    let state = match (status.leaving, status.ready) {
+        (true, _) => "leaving",
+        (false, true) => "ready",
+        (false, false) => "not ready",
+    };
+    let generation = status.generation.to_string();
+    let jobs = status.jobs_open.to_string();
+    let attempts = status.attempts.to_string();
+    row([&status.node, &status.role, &status.data_centre, &generation, state, &jobs, &attempts])
+}
+
+fn peer_row(peer: &Peer) -> String {
+    row([&peer.node, "peer", "", &peer.generation.to_string(), &peer.state, "", ""])
+}
+
+fn summary(statuses: &[Status], peers: &[Peer]) -> String {
+    let own = statuses.iter().map(|status| (status.node.as_str(), status.generation));
+    let seen = peers.iter().map(|peer| (peer.node.as_str(), peer.generation));
+    let all: Vec<(&str, u64)> = own.chain(seen).collect();
+    let newest = all.iter().map(|(_, generation)| *generation).max().unwrap_or(0);
+    let behind: Vec<&str> =
+        all.iter().filter(|(_, generation)| *generation < newest).map(|(node, _)| *node).collect();
+    let current = all.len() - behind.len();
+    let summary = format!("generation {newest} is in force on {current} of {}", all.len());
+    if behind.is_empty() { summary } else { format!("{summary}; behind: {}", behind.join(", ")) }
+}
--- /dev/null
+++ b/dogwoodtray_cli/src/settings/mod.rs
@@ -0,0 +1,23 @@
+//! Settings of the daemons, by flags and environment variables.
+//!
+//! Each setting is a flag `--some-name` and an environment variable `DOGWOODTRAY_SOME_NAME`; the
+//! flag takes precedence. All settings are checked before a daemon starts, and every error is
+//! listed at once.
+
+mod agent;
+mod entry;
+mod error;
+mod setting;
+mod standin;
+mod values;
+
+pub use self::agent::AgentSettings;
+pub use self::agent::EndpointKind;
+pub use self::entry::EntrySettings;
+pub use self::entry::OrganisationLimits;
+pub use self::error::SettingError;
+pub use self::error::SettingsFailure;
+pub use self::standin::EngineStandinSettings;
+pub use self::standin::PlatformStandinSettings;
+pub use self::standin::ServiceStandinSettings;
+pub use self::standin::StandinSettings;
--- /dev/null
+++ b/dogwoodtray_cli/src/settings/setting.rs
@@ -0,0 +1,112 @@
+//! Description of a setting, and the parser of its flag.
+
+use bpaf::OptionParser;
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+
+use super::values::Values;
+
+/// One setting.
+#[derive(Debug)]
+pub(super) struct Setting {
+    /// Name of the flag, without dashes.
+    pub(super) flag: &'static str,
+    /// Name of the environment variable.
+    pub(super) env: &'static str,
+    /// Placeholder in the help.
+    pub(super) metavar: &'static str,
+    /// Text in the help.
+    pub(super) help: &'static str,
+    /// Value if neither flag nor variable is set; `None` if one of them has to be.
+    pub(super) default: Option<&'static str>,
+}
+
+/// Defines settings whose variables are named after their flags.
+macro_rules! settings {
+    ($($name:ident: $flag:literal, $env:literal, $metavar:literal, $help:literal $(, $default:literal)?;)*) => {
+        $(
+            pub(super) const $name: Setting = Setting {
+                flag: $flag,
+                env: concat!("DOGWOODTRAY_", $env),
+                metavar: $metavar,
+                help: $help,
+                default: settings!(@default $($default)?),
+            };
+        )*
+    };
+    (@default) => { None };
+    (@default $default:literal) => { Some($default) };
+}
+
+settings! {
+    NODE: "node", "NODE", "NAME", "Name of this node, unique in the fleet";
+    DATA_CENTRE: "data-centre", "DATA_CENTRE", "NAME", "Data centre that the node stands in";
+    REGION: "region", "REGION", "NAME", "Region of the data centre";
+    LISTEN: "listen", "LISTEN", "IP:PORT", "Address for callers";
+    PEER: "peer", "PEER", "IP:PORT", "Address for other processes of the fleet, as they dial it";
+    ADMIN: "admin", "ADMIN", "IP:PORT", "Address of the operator port";
+    PLATFORM: "platform", "PLATFORM", "IP:PORT", "Address of the platform's object API";
+    ROUTE_POLICY: "route-policy", "ROUTE_POLICY", "NAME",
+        "Routing: adaptive, round-robin or least-outstanding", "adaptive";
+    ORG_REQUESTS_PER_S: "org-requests-per-s", "ORG_REQUESTS_PER_S", "COUNT",
+        "Requests a second of one organisation at this entry", "1000";
+    ORG_OPEN_REQUESTS: "org-open-requests", "ORG_OPEN_REQUESTS", "COUNT",
+        "Open requests of one organisation at this entry", "2000";
+    ORG_OPEN_JOBS: "org-open-jobs", "ORG_OPEN_JOBS", "COUNT",
+        "Open jobs of one organisation", "200";
+    DRAIN_TIMEOUT_S: "drain-timeout-s", "DRAIN_TIMEOUT_S", "SECONDS",
+        "Longest wait for open requests after a drain began", "30";
+    CONFIG_DIR: "config-dir", "CONFIG_DIR", "DIR",
+        "Directory on a disk that keeps the last configuration", "";
+    ENDPOINT: "endpoint", "ENDPOINT", "IP:PORT", "Address of the engine or plain service";
+    ENDPOINT_KIND: "endpoint-kind", "ENDPOINT_KIND", "KIND",
+        "Kind of the endpoint: engine or service";
+    MODELS: "models", "MODELS", "NAMES",
+        "Models of the engine, or name of the plain service, separated by commas";
+    ENDPOINT_CHECKS_FENCE: "endpoint-checks-fence", "ENDPOINT_CHECKS_FENCE", "BOOL",
+        "Whether the endpoint refuses old fencing tokens: true or false", "false";
+    ADMISSION_POLICY: "admission-policy", "ADMISSION_POLICY", "NAME",
+        "Admission: adaptive, fixed-limit or fifo", "adaptive";
+    MAX_PLACES: "max-places", "MAX_PLACES", "COUNT",
+        "Most requests inside the endpoint at a time", "256";
+    CAN_RESUME: "can-resume", "CAN_RESUME", "BOOL",
+        "Whether the engine resumes streams: true or false", "true";
+    STEP_MS: "step-ms", "STEP_MS", "MS",
+        "Milliseconds of one engine step or one service call", "10";
+    READS_PER_S: "reads-per-s", "READS_PER_S", "COUNT",
+        "Reads a second that the platform serves", "2000";
+    WRITES_PER_S: "writes-per-s", "WRITES_PER_S", "COUNT",
+        "Writes a second that the platform serves", "400";
+}
+
+/// Creates a parser of several settings, with `--help` and `--version`.
+pub(super) fn options_of(
+    settings: &[&'static Setting],
+    description: &'static str,
+) -> OptionParser<Values> {
+    settings
+        .iter()
+        .fold(bpaf::pure(Values::default()).boxed(), |values, setting| with(values, setting))
+        .to_options()
+        .descr(description)
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+fn with(values: Box<dyn Parser<Values>>, setting: &'static Setting) -> Box<dyn Parser<Values>> {
+    let help = match setting.default {
+        None => format!("{} [required]", setting.help),
+        Some("") => format!("{} [default: none]", setting.help),
+        Some(default) => format!("{} [default: {default}]", setting.help),
+    };
+    let value = long(setting.flag)
+        .env(setting.env)
+        .help(help.as_str())
+        .argument::<String>(setting.metavar)
+        .optional();
+    let add = move |(mut values, value): (Values, Option<String>)| {
+        values.set(setting, value);
+        values
+    };
+    construct!(values, value).map(add).boxed()
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/settings.rs
@@ -0,0 +1,195 @@
+//! Settings of the daemons.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use dogwoodtray_cli::settings::AgentSettings;
+use dogwoodtray_cli::settings::EndpointKind;
+use dogwoodtray_cli::settings::EntrySettings;
+use dogwoodtray_cli::settings::SettingsFailure;
+use dogwoodtray_cli::settings::StandinSettings;
+use expect_test::Expect;
+use expect_test::expect;
+
+const ENTRY: &[&str] = &[
+    "--node=entry-1",
+    "--data-centre=zutphen",
+    "--region=nl-oost",
+    "--listen=0.0.0.0:8080",
+    "--peer=10.0.0.7:8081",
+    "--admin=10.0.0.7:8082",
+    "--platform=10.0.0.1:80",
+];
+
+const AGENT: &[&str] = &[
+    "--node=agent-1",
+    "--data-centre=zutphen",
+    "--peer=10.0.0.8:8081",
+    "--admin=10.0.0.8:8082",
+    "--platform=10.0.0.1:80",
+    "--endpoint=127.0.0.1:9000",
+    "--endpoint-kind=service",
+    "--models=loomdesk",
+];
+
+fn assert_refused<T: std::fmt::Debug>(result: Result<T, SettingsFailure>, expected: Expect) {
+    expected.assert_eq(&result.unwrap_err().to_string());
+}
+
+fn stdout_of<T: std::fmt::Debug>(result: Result<T, SettingsFailure>) -> String {
+    match result {
+        Err(SettingsFailure::Arguments(failure)) => failure.unwrap_stdout(),
+        other => panic!("{other:?} instead of text"),
+    }
+}
+
+/// Guards against defaults that change unnoticed.
+#[test]
+fn complete_settings_are_read() {
+    let entry = EntrySettings::parse(ENTRY).unwrap();
+    expect![[r#"
+        EntrySettings {
+            node: "entry-1",
+            data_centre: "zutphen",
+            region: "nl-oost",
+            listen: 0.0.0.0:8080,
+            peer: 10.0.0.7:8081,
+            admin: 10.0.0.7:8082,
+            platform: 10.0.0.1:80,
+            route_policy: "adaptive",
+            organisation_limits: OrganisationLimits {
+                requests_per_s: 1000,
+                open_requests: 2000,
+                open_jobs: 200,
+            },
+            drain_timeout: 30s,
+            config_dir: None,
+        }
+    "#]]
+    .assert_debug_eq(&entry);
+    let agent = AgentSettings::parse(AGENT).unwrap();
+    assert_eq!(agent.endpoint_kind, EndpointKind::Service);
+    assert!(!agent.endpoint_checks_fence);
+}
+
+/// Guards against a start that fails again and again, with one error at a time.
+#[test]
+fn all_errors_are_listed_at_once() {
+    let args = [
+        "--node=entry 1",
+        "--data-centre=zutphen",
+        "--listen=localhost:8080",
+        "--peer=0.0.0.0:8081",
+        "--admin=10.0.0.7:8082",
+        "--platform=10.0.0.1:0",
+        "--route-policy=random",
+        "--org-open-jobs=-1",
+        "--drain-timeout-s=601",
+        "--config-dir=/does/not/exist",
+    ];
+    assert_refused(
+        EntrySettings::parse(args.as_slice()),
+        expect![[r#"
+            errors in the settings: 9
+              --node (DOGWOODTRAY_NODE): "entry 1" is not allowed; allowed is a name of 1 to 64 letters, digits, '.', '_' and '-'
+              --region (DOGWOODTRAY_REGION): not set; allowed is a name of 1 to 64 letters, digits, '.', '_' and '-'
+              --listen (DOGWOODTRAY_LISTEN): "localhost:8080" is not allowed; allowed is an IP address and a port, such as 10.0.0.7:8080
+              --peer (DOGWOODTRAY_PEER): "0.0.0.0:8081" is not allowed; allowed is the IP address that others dial and a port, such as 10.0.0.7:8080
+              --platform (DOGWOODTRAY_PLATFORM): "10.0.0.1:0" is not allowed; allowed is an IP address and a port other than 0, such as 10.0.0.7:8080
+              --route-policy (DOGWOODTRAY_ROUTE_POLICY): "random" is not allowed; allowed is one of adaptive, round-robin, least-outstanding
+              --org-open-jobs (DOGWOODTRAY_ORG_OPEN_JOBS): "-1" is not allowed; allowed is a whole number from 1 to 100000
+              --drain-timeout-s (DOGWOODTRAY_DRAIN_TIMEOUT_S): "601" is not allowed; allowed is a whole number from 1 to 600
+              --config-dir (DOGWOODTRAY_CONFIG_DIR): "/does/not/exist" is not allowed; allowed is a directory that exists"#]],
+    );
+    let mut args = AGENT.to_vec();
+    args.extend(["--max-places=many", "--endpoint-checks-fence=yes"]);
+    args[6] = "--endpoint-kind=engine";
+    args[7] = "--models=a,,a";
+    assert_refused(
+        AgentSettings::parse(args.as_slice()),
+        expect![[r#"
+            errors in the settings: 3
+              --models (DOGWOODTRAY_MODELS): "a,,a" is not allowed; allowed is a list of names separated by commas, at least one and none twice
+              --endpoint-checks-fence (DOGWOODTRAY_ENDPOINT_CHECKS_FENCE): "yes" is not allowed; allowed is true or false
+              --max-places (DOGWOODTRAY_MAX_PLACES): "many" is not allowed; allowed is a whole number from 1 to 65536"#]],
+    );
+}
+
+/// Guards against a listener that fails to bind after the start, and against a service that is
+/// reachable under two names.
+#[test]
+fn settings_are_checked_together() {
+    let mut args = ENTRY.to_vec();
+    args[5] = "--admin=10.0.0.7:8080";
+    assert_refused(
+        EntrySettings::parse(args.as_slice()),
+        expect![[r#"
+            errors in the settings: 1
+              --admin (DOGWOODTRAY_ADMIN): "10.0.0.7:8080" is not allowed; allowed is an address other than that of --listen"#]],
+    );
+    let mut args = AGENT.to_vec();
+    args[7] = "--models=loomdesk,stitchwriter";
+    assert_refused(
+        AgentSettings::parse(args.as_slice()),
+        expect![[r#"
+            errors in the settings: 1
+              --models (DOGWOODTRAY_MODELS): "loomdesk,stitchwriter" is not allowed; allowed is one name, because the endpoint is a plain service"#]],
+    );
+}
+
+/// Guards against a setting without help, and against a version that scripts cannot read.
+#[test]
+fn help_and_version_are_printed() {
+    let version = stdout_of(EntrySettings::parse(&["--version"]));
+    assert_eq!(version.trim(), format!("Version: {}", env!("CARGO_PKG_VERSION")));
+    expect![[r#"
+        Guards one engine or plain service
+
+        Usage: [--node=NAME] [--data-centre=NAME] [--peer=<IP:PORT>] [--admin=<IP:PORT>] [--platform=
+        <IP:PORT>] [--endpoint=<IP:PORT>] [--endpoint-kind=KIND] [--models=NAMES] [--endpoint-checks-fence=
+        BOOL] [--admission-policy=NAME] [--max-places=COUNT] [--drain-timeout-s=SECONDS]
+
+        Available options:
+                --node=NAME           Name of this node, unique in the fleet [required]
+                                      [env:DOGWOODTRAY_NODE: N/A]
+                --data-centre=NAME    Data centre that the node stands in [required]
+                                      [env:DOGWOODTRAY_DATA_CENTRE: N/A]
+                --peer=<IP:PORT>      Address for other processes of the fleet, as they dial it [required]
+                                      [env:DOGWOODTRAY_PEER: N/A]
+                --admin=<IP:PORT>     Address of the operator port [required]
+                                      [env:DOGWOODTRAY_ADMIN: N/A]
+                --platform=<IP:PORT>  Address of the platform's object API [required]
+                                      [env:DOGWOODTRAY_PLATFORM: N/A]
+                --endpoint=<IP:PORT>  Address of the engine or plain service [required]
+                                      [env:DOGWOODTRAY_ENDPOINT: N/A]
+                --endpoint-kind=KIND  Kind of the endpoint: engine or service [required]
+                                      [env:DOGWOODTRAY_ENDPOINT_KIND: N/A]
+                --models=NAMES        Models of the engine, or name of the plain service, separated by
+                                      commas [required]
+                                      [env:DOGWOODTRAY_MODELS: N/A]
+                --endpoint-checks-fence=BOOL  Whether the endpoint refuses old fencing tokens: true or false
+                                      [default: false]
+                                      [env:DOGWOODTRAY_ENDPOINT_CHECKS_FENCE: N/A]
+                --admission-policy=NAME  Admission: adaptive, fixed-limit or fifo [default: adaptive]
+                                      [env:DOGWOODTRAY_ADMISSION_POLICY: N/A]
+                --max-places=COUNT    Most requests inside the endpoint at a time [default: 256]
+                                      [env:DOGWOODTRAY_MAX_PLACES: N/A]
+                --drain-timeout-s=SECONDS  Longest wait for open requests after a drain began [default: 30]
+                                      [env:DOGWOODTRAY_DRAIN_TIMEOUT_S: N/A]
+            -h, --help                Prints help information
+            -V, --version             Prints version information
+    "#]].assert_eq(&stdout_of(AgentSettings::parse(&["--help"])));
+    assert!(stdout_of(StandinSettings::parse(&["--help"])).contains("platform"));
+}
+
+/// Guards against a stand-in that starts as another part of the outside.
+#[test]
+fn each_standin_has_its_settings() {
+    let engine = ["engine", "--listen=127.0.0.1:0", "--models=kegtalk", "--can-resume=false"];
+    let parse = |args: &[&str]| StandinSettings::parse(args).unwrap();
+    assert!(matches!(parse(&engine), StandinSettings::Engine(e) if !e.can_resume));
+    let service = ["service", "--listen=127.0.0.1:0", "--step-ms=3"];
+    assert!(matches!(parse(&service), StandinSettings::Service(s) if s.step.as_millis() == 3));
+    let platform = ["platform", "--listen=127.0.0.1:0", "--reads-per-s=9"];
+    assert!(matches!(parse(&platform), StandinSettings::Platform(p) if p.reads_per_s == 9));
+    assert!(StandinSettings::parse(&["cluster"]).is_err());
+}
--- a/dogwoodtray_config/src/publication/request.rs
+++ b/dogwoodtray_config/src/publication/request.rs
@@ -26,12 +26,12 @@
     pub note: Name,
 }
 
-/// What the owner of a [`Publication`] does next.
+/// What the owner of a [`Publication`](crate::Publication) does next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PublicationStep {
-    /// Run this call and hand its reply to [`Publication::on_reply`].
+    /// Run this call and hand its reply to [`Publication::on_reply`](crate::Publication::on_reply).
     Call(StoreOp),
-    /// Wait, then run [`Publication::next_call`].
+    /// Wait, then run [`Publication::next_call`](crate::Publication::next_call).
     Wait(Duration),
     /// The publication ended.
     Finished(PublicationResult),
