--- a/dogwoodtray_config/src/publication/request.rs
+++ b/dogwoodtray_config/src/publication/request.rs
@@ -26,12 +26,12 @@
     pub note: Name,
 }
 
-/// What the owner of a [`Publication`] does next.
+/// What the owner of a [`Publication`](crate::Publication) does next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PublicationStep {
-    /// Run this call and hand its reply to [`Publication::on_reply`].
+    /// Run this call and hand its reply to [`Publication::on_reply`](crate::Publication::on_reply).
     Call(StoreOp),
-    /// Wait, then run [`Publication::next_call`].
+    /// Wait, then run [`Publication::next_call`](crate::Publication::next_call).
     Wait(Duration),
     /// The publication ended.
     Finished(PublicationResult),
@@ -61,6 +61,14 @@
         /// The pointer that won; `None` if it was deleted.
         theirs: Option<Pointer>,
     },
+    /// A later publication moved the pointer on, and what is stored no longer tells whether this
+    /// one came before it.
+    Unknown {
+        /// The set that may have been current.
+        ours: SetRef,
+        /// Why it cannot be told.
+        reason: String,
+    },
     /// Others changed the same objects since the base; nothing was written.
     ObjectConflict(Conflict),
     /// The set, or the set after the merge, has errors; nothing was written.
