Run entry, agent and stand-ins as daemons; list the log events

Cause: the roles ran only inside tests. Ruled out: counting every event of a stream as a token (the event with the finish reason has none, so a resume would have skipped past the end). Change: thin daemons with a graceful stop on SIGTERM; docs/events.md with a test; one name, adaptive, for the own policies; tokens are events with content.

--- a/dogwoodtray_agent/src/shell/sse.rs
+++ b/dogwoodtray_agent/src/shell/sse.rs
@@ -4,7 +4,9 @@
 use bytes::BytesMut;
 
 const END_OF_EVENT: &[u8] = b"\n\n";
-const DONE: &[u8] = b"data: [DONE]";
+
+/// Only events with content are tokens; the event with the finish reason has none.
+const CONTENT: &[u8] = b"\"content\":";
 
 /// Cuts a stream into whole events, so that a stream that breaks never leaves half a token.
 #[derive(Debug, Default)]
@@ -20,7 +22,7 @@
         let mut tokens = 0;
         while let Some(length) = find(&self.pending[end..], END_OF_EVENT) {
             let event = &self.pending[end..end + length];
-            if event.starts_with(b"data:") && event != DONE {
+            if event.starts_with(b"data:") && find(event, CONTENT).is_some() {
                 tokens += 1;
             }
             end += length + END_OF_EVENT.len();
--- a/dogwoodtray_cli/src/lib.rs
+++ b/dogwoodtray_cli/src/lib.rs
@@ -4,6 +4,7 @@
 //! operators. The programs in `src/bin` are thin shells around both.
 
 pub mod command;
+pub mod daemon;
 pub mod settings;
 
 mod admin;
--- a/dogwoodtray_entry/src/shell/settings.rs
+++ b/dogwoodtray_entry/src/shell/settings.rs
@@ -62,7 +62,7 @@
             admin,
             platform,
             budget: BudgetConfig::default(),
-            routing: Name::from("router"),
+            routing: Name::from("adaptive"),
             hedging: true,
             max_body_bytes: 1024 * 1024,
             max_job_bytes: 64 * 1024 * 1024,
--- a/dogwoodtray_policy/src/baseline/select.rs
+++ b/dogwoodtray_policy/src/baseline/select.rs
@@ -16,13 +16,13 @@
 /// # Examples
 ///
 /// ```
-/// assert!(dogwoodtray_policy::route_policy("router").is_some());
+/// assert!(dogwoodtray_policy::route_policy("adaptive").is_some());
 /// assert!(dogwoodtray_policy::route_policy("unknown").is_none());
 /// ```
 #[must_use]
 pub fn route_policy(name: &str) -> Option<Box<dyn RoutePolicy>> {
     match name {
-        "router" => Some(Box::new(Router::new(RouterConfig::default()))),
+        "adaptive" => Some(Box::new(Router::new(RouterConfig::default()))),
         "round-robin" => Some(Box::new(RoundRobin::new())),
         "least-outstanding" => Some(Box::new(LeastOutstanding::new())),
         _ => None,
@@ -33,7 +33,7 @@
 #[must_use]
 pub fn admission_policy(name: &str, cfg: AdmissionConfig) -> Option<Box<dyn AdmissionPolicy>> {
     match name {
-        "admission" => Some(Box::new(Admission::new(cfg))),
+        "adaptive" => Some(Box::new(Admission::new(cfg))),
         "fixed-limit" => Some(Box::new(FixedLimit::new(cfg))),
         "fifo" => Some(Box::new(Fifo::new(cfg))),
         _ => None,
--- a/dogwoodtray_policy/tests/support/fleet.rs
+++ b/dogwoodtray_policy/tests/support/fleet.rs
@@ -97,7 +97,7 @@
     ) -> Self {
         let model: Name = "m".into();
         let agent = |_| {
-            Agent::new(admission_policy("admission", AdmissionConfig::default()).unwrap(), SLOPED)
+            Agent::new(admission_policy("adaptive", AdmissionConfig::default()).unwrap(), SLOPED)
         };
         let entry = |n: usize| {
             let mut router = make();
