Hedge only past the 0.99 quantile of the time to first token

Cause: at the 0.95 quantile the budget of 3% went to requests on healthy endpoints.

Change: quantile 0.95 -> 0.99.

--- a/dogwoodtray_policy/src/routing/hedge.rs
+++ b/dogwoodtray_policy/src/routing/hedge.rs
@@ -32,7 +32,7 @@
         Self {
             budget: 0.03,
             max_saved: 10.0,
-            quantile: 0.95,
+            quantile: 0.99,
             min_samples: 50,
             half_life_samples: 1_000,
         }
