Tell the shell which streams are worth resuming elsewhere

Cause: streams that are inside an endpoint when it slows down are about 3% of the requests and set the total p99.

Change: RoutePolicy::is_slow. The fleet model resumes streams on slow endpoints elsewhere, within 4% of the requests.

--- a/dogwoodtray_policy/src/routing/policy.rs
+++ b/dogwoodtray_policy/src/routing/policy.rs
@@ -79,6 +79,11 @@
         queued_online: u32,
     );
 
+    /// Tells whether streams on an endpoint are so slow that they are worth resuming elsewhere.
+    fn is_slow(&mut self, _key: EndpointKey) -> bool {
+        false
+    }
+
     /// Records that suspect work was sent to an endpoint, in addition to `sent`.
     fn suspect_sent(&mut self, key: EndpointKey);
 
--- a/dogwoodtray_policy/src/routing/router.rs
+++ b/dogwoodtray_policy/src/routing/router.rs
@@ -75,12 +75,17 @@
         Self { cfg, endpoints: SlotMap::with_key(), candidates, gaps, probe_credit: 0.0 }
     }
 
-    /// Collects the endpoints that a request may go to.
-    fn collect(&mut self, now: Timestamp, ask: &Ask) {
+    /// Returns the median time per token of the available endpoints for a model.
+    fn median_gap(&mut self, model: &Name) -> Option<f64> {
         self.gaps.clear();
-        let peers = self.endpoints.values().filter(|e| e.available && e.serves(&ask.model));
+        let peers = self.endpoints.values().filter(|e| e.available && e.serves(model));
         self.gaps.extend(peers.filter_map(Endpoint::gap));
-        let median = median(&mut self.gaps);
+        median(&mut self.gaps).map(|median| median.max(MIN_GAP_SECONDS))
+    }
+
+    /// Collects the endpoints that a request may go to.
+    fn collect(&mut self, now: Timestamp, ask: &Ask) {
+        let median = self.median_gap(&ask.model);
         self.candidates.clear();
         for (key, endpoint) in &self.endpoints {
             if !endpoint.available || !endpoint.serves(&ask.model) || ask.exclude.contains(&key) {
@@ -89,10 +94,7 @@
             if ask.suspect && endpoint.suspects > 0 {
                 continue;
             }
-            let slowness = match (endpoint.gap(), median) {
-                (Some(gap), Some(median)) => gap / median.max(MIN_GAP_SECONDS),
-                _ => 1.0,
-            };
+            let slowness = endpoint.gap().zip(median).map_or(1.0, |(gap, median)| gap / median);
             self.candidates.push(Candidate { key, load: endpoint.load(now), slowness });
         }
     }
@@ -220,6 +222,13 @@
         }
     }
 
+    fn is_slow(&mut self, key: EndpointKey) -> bool {
+        let Some(endpoint) = self.endpoints.get(key) else { return false };
+        let Some(gap) = endpoint.gap() else { return false };
+        let Some(model) = endpoint.models.first().cloned() else { return false };
+        self.median_gap(&model).is_some_and(|median| gap / median >= self.cfg.slow_ratio)
+    }
+
     fn suspect_sent(&mut self, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.suspects += 1;
--- a/dogwoodtray_policy/tests/support/fleet.rs
+++ b/dogwoodtray_policy/tests/support/fleet.rs
@@ -37,11 +37,18 @@
 const PREFIX_TOKENS: u32 = 400;
 /// Marks the second attempt of a hedged request.
 const HEDGE: u64 = 1 << 40;
+/// Marks the rest of a stream that was resumed elsewhere.
+const MOVED: u64 = 1 << 41;
+/// Streams with fewer tokens left are not worth resuming elsewhere.
+const MIN_MOVED_TOKENS: u32 = 10;
+/// Share of the requests that may be resumed elsewhere.
+const MOVE_BUDGET: f64 = 0.04;
 
 /// What a run varies.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Setup {
     pub(crate) hedge: bool,
+    pub(crate) resume: bool,
     pub(crate) slowed: bool,
     pub(crate) seed: u64,
 }
@@ -53,6 +60,7 @@
     pub(crate) total: Vec<f64>,
     pub(crate) prefix_hits: u64,
     pub(crate) hedges: u64,
+    pub(crate) moves: u64,
     pub(crate) sent: u64,
 }
 
@@ -70,6 +78,7 @@
     router: Box<dyn RoutePolicy>,
     keys: Vec<EndpointKey>,
     hedge: HedgePolicy,
+    moves: HedgePolicy,
     rng: StdRng,
 }
 
@@ -103,7 +112,9 @@
             let mut router = make();
             let keys = (0..ENDPOINTS).map(|_| router.add(&[model.clone()], &"dc".into())).collect();
             let rng = StdRng::seed_from_u64(setup.seed * 10 + n as u64);
-            Entry { router, keys, hedge: HedgePolicy::new(HedgeConfig::default()), rng }
+            let hedge = HedgePolicy::new(HedgeConfig::default());
+            let move_cfg = HedgeConfig { budget: MOVE_BUDGET, ..HedgeConfig::default() };
+            Entry { router, keys, hedge, moves: HedgePolicy::new(move_cfg), rng }
         };
         Self {
             setup,
@@ -139,7 +150,7 @@
             self.deliver_reports(now);
             if arrival == Some(now) {
                 let (id, request) = arrivals.next().unwrap();
-                self.send(now, id as u64, request);
+                self.send(now, id as u64, request, None);
             }
             self.hedge_late(now);
             for endpoint in 0..ENDPOINTS {
@@ -174,21 +185,20 @@
         }
     }
 
-    /// Sends a request, or its second attempt if the first one is under way.
-    fn send(&mut self, now: u64, id: u64, request: &Request) {
-        let first = self.attempts.get(&id).map(|attempt| attempt.endpoint);
-        let router = (id % ROUTERS as u64) as usize;
+    /// Sends a request to an endpoint other than the excluded one.
+    fn send(&mut self, now: u64, id: u64, request: &Request, exclude: Option<usize>) {
+        let router = ((id & !(HEDGE | MOVED)) % ROUTERS as u64) as usize;
         let entry = &mut self.entries[router];
         let mut ask = Ask::new(self.model.clone(), request.cost);
         ask.prefix = request.prefix;
-        ask.exclude.extend(first.map(|endpoint| entry.keys[endpoint]));
-        let Some(key) = entry.router.pick(Timestamp(now), &ask, &mut entry.rng) else { return };
+        ask.exclude.extend(exclude.map(|endpoint| entry.keys[endpoint]));
+        let key = entry.router.pick(Timestamp(now), &ask, &mut entry.rng).unwrap();
         entry.router.sent(Timestamp(now), key, Class::Online, request.cost);
         self.figures.sent += 1;
         let endpoint = entry.keys.iter().position(|k| *k == key).unwrap();
-        let id = if first.is_some() { id | HEDGE } else { id };
-        if id & HEDGE == 0 {
+        if id == id & !(HEDGE | MOVED) {
             entry.hedge.request_sent();
+            entry.moves.request_sent();
             self.unanswered.push_back(id);
         }
         let attempt = Attempt { router, endpoint, sent_at: now, last_token: None };
@@ -227,7 +237,7 @@
             self.unanswered.pop_front();
             if hedge.try_spend() {
                 self.figures.hedges += 1;
-                self.send(now, id, &self.trace[id as usize]);
+                self.send(now, id | HEDGE, &self.trace[id as usize], Some(attempt.endpoint));
             }
         }
     }
@@ -237,19 +247,27 @@
             let Some(attempt) = self.attempts.get_mut(&id) else { continue };
             let entry = &mut self.entries[attempt.router];
             let (at, key) = (Timestamp(now), entry.keys[endpoint]);
-            let request = &self.trace[(id & !HEDGE) as usize];
+            let request = &self.trace[(id & !(HEDGE | MOVED)) as usize];
             let last = attempt.last_token.replace(now);
             match note {
                 Note::FirstToken => {
                     let took = Duration::from_micros(now - attempt.sent_at);
                     entry.router.first_token(at, key, took);
+                    if id & MOVED != 0 {
+                        continue;
+                    }
                     entry.hedge.first_token(&self.model, took);
                     self.figures.first_token.push((now - request.at) as f64 / 1e3);
                     self.drop_attempt(now, id ^ HEDGE);
                 }
-                Note::Token { .. } => {
+                Note::Token { tokens } => {
                     let gap = Duration::from_micros(now - last.unwrap_or(now));
                     entry.router.token_gap(at, key, gap);
+                    let left = work.output - tokens;
+                    let worth = self.setup.resume && id & MOVED == 0 && left >= MIN_MOVED_TOKENS;
+                    if worth && entry.router.is_slow(key) && entry.moves.try_spend() {
+                        self.resume_elsewhere(now, id, tokens);
+                    }
                 }
                 Note::Ended | Note::Refused | Note::Cancelled { .. } => {
                     let policy = &self.agents[endpoint].policy;
@@ -263,11 +281,23 @@
         }
     }
 
+    /// Cancels an attempt and runs the rest of it on another endpoint.
+    fn resume_elsewhere(&mut self, now: u64, id: u64, tokens: u32) {
+        let endpoint = self.attempts[&id].endpoint;
+        self.drop_attempt(now, id);
+        let mut rest = self.trace[(id & !(HEDGE | MOVED)) as usize];
+        rest.cost.prompt_tokens += tokens;
+        rest.cost.output_tokens -= tokens;
+        rest.output -= tokens;
+        self.figures.moves += 1;
+        self.send(now, id | MOVED, &rest, Some(endpoint));
+    }
+
     /// Cancels the attempt that lost against its hedge, if there is one.
     fn drop_attempt(&mut self, now: u64, id: u64) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         let entry = &mut self.entries[attempt.router];
-        let cost = self.trace[(id & !HEDGE) as usize].cost;
+        let cost = self.trace[(id & !(HEDGE | MOVED)) as usize].cost;
         let key = entry.keys[attempt.endpoint];
         entry.router.finished(Timestamp(now), key, Class::Online, cost, true);
         self.agents[attempt.endpoint].withdraw(now, id);
