Bound memory and write rates of jobs, and split the core

Ruled out: no limit on intents but the offered places (one commit for each offer). Change: bounds on stored attempt counts and on bytes of submissions; commits of intents are paced for the process and store intents ahead; a cancelled job has an ending of its own; store replies and caller replies have files of their own.

--- a/dogwoodtray_entry/src/jobs/claim.rs
+++ b/dogwoodtray_entry/src/jobs/claim.rs
@@ -76,7 +76,7 @@
             return self.on_look(owner, op, reply, cx);
         };
         let stamp = claim.next.stamp;
-        let is_mine = |value: &[u8]| Header::decode(value).is_some_and(|h| h.stamp == stamp);
+        let is_mine = |value: &[u8]| header::has_stamp(value, stamp);
         match claim.write.on_reply(reply, is_mine) {
             WriteStep::Call(op) => cx.call_later(owner, op, Duration::ZERO),
             WriteStep::Wait(wait) => cx.call_later(owner, claim.write.next_call(), wait),
--- a/dogwoodtray_entry/src/jobs/commit.rs
+++ b/dogwoodtray_entry/src/jobs/commit.rs
@@ -25,6 +25,10 @@
 use super::outcome::Reason;
 use super::segment;
 
+/// Items whose crashed and failed attempts the header counts. Without a bound, an endpoint that
+/// fails every item once would grow the header beyond the size that the store holds.
+const MAX_STORED_TRIES: usize = 2_000;
+
 /// Commit in flight: first the segment, then the header that lists it.
 #[derive(Debug)]
 pub(crate) struct Commit {
@@ -50,6 +54,15 @@
     }
 }
 
+/// Waits that keep the rate of commits of the whole process bounded.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    /// Age of the oldest outcome that starts a commit.
+    pub(crate) outcomes: Duration,
+    /// Time since the last commit after which intents start one.
+    pub(crate) intents: Duration,
+}
+
 /// What became of a driven job after a reply to its commit.
 #[derive(Debug)]
 pub(crate) enum Committed {
@@ -65,14 +78,16 @@
 
 impl Driven {
     /// Starts a commit if one is due.
-    pub(crate) fn commit_if_due(&mut self, delay: Duration, cx: &mut Cx) {
-        if self.commit.is_some() {
+    pub(crate) fn commit_if_due(&mut self, pace: Pace, cx: &mut Cx) {
+        if self.commit.is_some() || self.ending == Some(Ending::Cancelled) {
             return;
         }
         let full =
             self.pending.len() >= cx.cfg.commit_items || self.pending_bytes >= cx.cfg.commit_bytes;
-        let old = !self.pending.is_empty() && cx.now - self.pending_since >= delay;
-        if full || old || !self.wanted.is_empty() || self.is_last_commit_due() {
+        let old = !self.pending.is_empty() && cx.now - self.pending_since >= pace.outcomes;
+        let rested = self.committed_at.is_none_or(|at| cx.now - at >= pace.intents);
+        let intents = rested && !self.wanted.is_empty();
+        if full || old || intents || self.is_last_commit_due() {
             self.start_commit(cx);
         }
     }
@@ -82,6 +97,7 @@
             None => self.unsettled == 0,
             Some(Ending::Rest(_)) => true,
             Some(Ending::Release) => self.running == 0,
+            Some(Ending::Cancelled) => false,
         }
     }
 
@@ -96,6 +112,8 @@
             results.extend(self.pending.pop_front());
         }
         self.pending_bytes -= bytes;
+        self.committed_at = Some(cx.now);
+        self.recent = 0;
         if results.is_empty() {
             self.commit = Some(Commit { results, bytes, seq: None, header: None });
             self.write_header(cx);
@@ -173,7 +191,8 @@
         }
         next.intents.extend(intents);
         next.counts.dropped += self.dropped;
-        next.tries = self.tries.clone();
+        let tries = self.tries.iter().take(MAX_STORED_TRIES);
+        next.tries = tries.map(|(item, tries)| (*item, *tries)).collect();
         if !self.pending.is_empty() {
             return next;
         }
@@ -187,7 +206,7 @@
                 self.disarm(&mut next);
                 next.driver = None;
             }
-            Some(Ending::Release) | None => {}
+            Some(Ending::Release | Ending::Cancelled) | None => {}
         }
         next
     }
@@ -209,7 +228,7 @@
             return Committed::Running;
         };
         let stamp = header.next.stamp;
-        let is_mine = |value: &[u8]| Header::decode(value).is_some_and(|h| h.stamp == stamp);
+        let is_mine = |value: &[u8]| header::has_stamp(value, stamp);
         match header.write.on_reply(reply, is_mine) {
             WriteStep::Call(op) if cx.tries == 0 => cx.call(owner, op),
             WriteStep::Call(op) => cx.call_later(owner, op, Duration::ZERO),
--- a/dogwoodtray_entry/src/jobs/config.rs
+++ b/dogwoodtray_entry/src/jobs/config.rs
@@ -25,9 +25,11 @@
     pub max_item_bytes: usize,
     /// Most bytes of one job before compression.
     pub max_job_bytes: usize,
-    /// Most bytes in one chunk of items before compression. Together with the worst case of lz4
-    /// (0.4% growth) it stays below the 1 MB that the store holds.
+    /// Bytes of one chunk of items before compression; a single larger item has a chunk of its own.
+    /// The worst case of lz4 (0.4% growth) stays below the 1 MB that the store holds.
     pub chunk_bytes: usize,
+    /// Most bytes of all submissions in hand.
+    pub max_intake_bytes: usize,
     /// Most submissions in hand at once.
     pub max_intakes: usize,
     /// Time after which a submission that waits for the store is given up.
@@ -51,6 +53,9 @@
     /// Time between commits of the process that are due by age. With many jobs the age limit of
     /// each grows to this times the count of jobs, which bounds the writes of the process.
     pub commit_spacing: Duration,
+    /// Time between commits of intents of the process. It grows like `commit_spacing`, with the
+    /// count of non-idempotent jobs.
+    pub intent_spacing: Duration,
     /// Bytes of outcomes that are not stored yet, in the whole process, above which no item is
     /// dispatched.
     pub max_held_bytes: usize,
@@ -97,9 +102,10 @@
         Self {
             max_items: 90_000,
             max_item_bytes: 512 * 1024,
-            max_job_bytes: 256 * 1024 * 1024,
-            chunk_bytes: 768 * 1024,
+            max_job_bytes: 128 * 1024 * 1024,
+            chunk_bytes: 256 * 1024,
             max_intakes: 8,
+            max_intake_bytes: 256 * 1024 * 1024,
             intake_timeout: Duration::from_secs(20),
             read_timeout: Duration::from_secs(10),
             default_due: Duration::from_secs(24 * 3600),
@@ -110,6 +116,7 @@
             commit_bytes: 512 * 1024,
             commit_delay: Duration::from_secs(1),
             commit_spacing: Duration::from_millis(500),
+            intent_spacing: Duration::from_millis(250),
             max_held_bytes: 8 * 1024 * 1024,
             max_held_outcomes: 20_000,
             max_loaded_chunks: 3,
--- a/dogwoodtray_entry/src/jobs/core.rs
+++ b/dogwoodtray_entry/src/jobs/core.rs
@@ -6,38 +6,32 @@
 
 use dogwoodtray_coord::Epoch;
 use dogwoodtray_coord::Name;
-use dogwoodtray_coord::ObjectKey;
-use dogwoodtray_coord::StoreReply;
 use dogwoodtray_coord::Timestamp;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 use super::api::Backlog;
-use super::api::CallId;
 use super::api::JobAction;
 use super::api::JobEvent;
-use super::api::JobReply;
-use super::api::Refusal;
 use super::api::ReplyToken;
 use super::api::Submission;
 use super::attempts::Attempts;
 use super::calls::Calls;
 use super::calls::Cx;
-use super::calls::Owner;
 use super::claim::Claim;
-use super::claim::Claimed;
 use super::config::JobConfig;
 use super::config::Me;
 use super::credits::Credits;
 use super::driven::Driven;
 use super::header;
-use super::header::Header;
 use super::intake;
 use super::intake::Intake;
 use super::notice::Notices;
 use super::read::Ask;
 use super::read::Progress;
 use super::read::Read;
+use super::reply::JobReply;
+use super::reply::Refusal;
 use super::sweep::Sweep;
 use super::watch;
 use super::watch::Watch;
@@ -64,11 +58,11 @@
 #[derive(Debug)]
 pub struct JobCore {
     pub(crate) env: Env,
-    intakes: HashMap<u64, Intake>,
-    reads: HashMap<u64, Read>,
-    sweeps: HashMap<u64, Sweep>,
-    claims: BTreeMap<Name, Claim>,
-    notices: Notices,
+    pub(crate) intakes: HashMap<u64, Intake>,
+    pub(crate) reads: HashMap<u64, Read>,
+    pub(crate) sweeps: HashMap<u64, Sweep>,
+    pub(crate) claims: BTreeMap<Name, Claim>,
+    pub(crate) notices: Notices,
     pub(crate) watch: Watch,
     pub(crate) driven: BTreeMap<Name, Driven>,
     pub(crate) attempts: Attempts,
@@ -81,9 +75,9 @@
 #[derive(Debug)]
 pub(crate) struct Env {
     pub(crate) cfg: JobConfig,
-    me: Me,
+    pub(crate) me: Me,
     rng: StdRng,
-    calls: Calls,
+    pub(crate) calls: Calls,
     stamps: u64,
     pub(crate) unix_ms: u64,
 }
@@ -239,21 +233,32 @@
         submission: Submission,
         out: &mut Vec<JobAction>,
     ) {
-        let refusal =
-            if self.draining_since.is_some() || self.intakes.len() >= self.env.cfg.max_intakes {
-                Err(Refusal::Busy)
-            } else if self.closed.contains(&submission.model) {
-                Err(Refusal::ServiceClosed)
-            } else {
-                intake::check(&self.env.cfg, &submission, self.env.unix_ms)
-            };
-        if let Err(refusal) = refusal {
-            out.push(JobAction::Reply { token, reply: JobReply::NotRun(refusal) });
-            return;
-        }
+        let bytes = match self.admit(&submission) {
+            Ok(bytes) => bytes,
+            Err(refusal) => {
+                out.push(JobAction::Reply { token, reply: JobReply::NotRun(refusal) });
+                return;
+            }
+        };
         let mut cx = self.env.cx(now, out);
         let id = cx.unique();
-        self.intakes.insert(id, Intake::start(id, token, submission, &mut cx));
+        self.intakes.insert(id, Intake::start(id, token, (submission, bytes), &mut cx));
+    }
+
+    fn admit(&self, submission: &Submission) -> Result<usize, Refusal> {
+        let cfg = &self.env.cfg;
+        if self.draining_since.is_some() || self.intakes.len() >= cfg.max_intakes {
+            return Err(Refusal::Busy);
+        }
+        if self.closed.contains(&submission.model) {
+            return Err(Refusal::ServiceClosed);
+        }
+        let bytes = intake::check(cfg, submission, self.env.unix_ms)?;
+        let in_hand: usize = self.intakes.values().map(Intake::bytes).sum();
+        if in_hand + bytes > cfg.max_intake_bytes {
+            return Err(Refusal::Busy);
+        }
+        Ok(bytes)
     }
 
     fn read(
@@ -285,156 +290,6 @@
     }
 }
 
-/// # Replies of the store
-impl JobCore {
-    fn on_stored(
-        &mut self,
-        now: Timestamp,
-        call: CallId,
-        reply: StoreReply,
-        out: &mut Vec<JobAction>,
-    ) {
-        let Some((owner, op, tries)) = self.env.calls.take(call) else {
-            return;
-        };
-        let mut cx = self.env.cx(now, out);
-        cx.tries = tries;
-        match owner {
-            Owner::Intake(id) => {
-                let Some(intake) = self.intakes.get_mut(&id) else {
-                    return;
-                };
-                let Some(reply) = intake.on_reply(id, op, reply, &mut cx) else {
-                    return;
-                };
-                if let JobReply::Accepted { job, .. } = &reply {
-                    self.watch.add(Name::clone(job), &cx);
-                }
-                cx.out.push(JobAction::Reply { token: intake.token(), reply });
-                self.intakes.remove(&id);
-            }
-            Owner::Read(id) => {
-                let Some(read) = self.reads.get_mut(&id) else {
-                    return;
-                };
-                match read.on_reply(id, op, reply, &mut cx) {
-                    Progress::Running => {}
-                    Progress::Ended => {
-                        self.reads.remove(&id);
-                    }
-                    Progress::Cancelled { job, header } => {
-                        self.reads.remove(&id);
-                        if let Some(driver) = &header.driver
-                            && driver.incarnation != self.env.me.incarnation
-                        {
-                            let addr = Name::clone(&driver.addr);
-                            self.notices.send(addr, Name::clone(&job), now, out);
-                        }
-                        self.on_job_cancelled(&job, out);
-                        self.delete(now, header::index_key(&job), out);
-                        self.sweep_segments(now, &job, &header, out);
-                    }
-                }
-            }
-            Owner::Sweep(id) => {
-                let sweep = self.sweeps.get_mut(&id);
-                if sweep.is_some_and(|sweep| sweep.on_reply(id, op, reply, &mut cx)) {
-                    self.sweeps.remove(&id);
-                }
-            }
-            Owner::Scan => {
-                let driven = &self.driven;
-                self.watch.on_page(op, reply, |job| driven.contains_key(job), &mut cx);
-            }
-            Owner::Claim(job, flow) => {
-                let Some(claim) = self.claims.get_mut(&job).filter(|claim| claim.flow == flow)
-                else {
-                    return;
-                };
-                let claimed = claim.on_reply(op, reply, &mut cx);
-                self.on_claimed(now, &job, claimed, out);
-            }
-            Owner::Drive(job, flow, call) => {
-                self.on_drive_reply(now, &job, flow, call, (op, reply, tries), out);
-            }
-        }
-    }
-
-    fn on_claimed(
-        &mut self,
-        now: Timestamp,
-        job: &Name,
-        claimed: Claimed,
-        out: &mut Vec<JobAction>,
-    ) {
-        if matches!(claimed, Claimed::Running) {
-            return;
-        }
-        let flow = self.claims.remove(job).map(|claim| claim.flow).unwrap_or_default();
-        match claimed {
-            Claimed::Running => {}
-            Claimed::Mine { header, version, at } => {
-                self.watch.remove(job);
-                if header.epoch > Epoch::default().next() {
-                    self.sweep_segments(now, job, &header, out);
-                }
-                let driven = Driven::new(
-                    Name::clone(job),
-                    flow,
-                    *header,
-                    version,
-                    at,
-                    self.env.cfg.confirm_within,
-                );
-                self.driven.insert(Name::clone(job), driven);
-            }
-            Claimed::Theirs { driver, epoch } => self.watch.on_driver(job, driver, epoch, now),
-            Claimed::Ended { header } => {
-                self.watch.remove(job);
-                self.delete(now, header::index_key(job), out);
-                self.sweep_segments(now, job, &header, out);
-            }
-            Claimed::NoHeader => {
-                if self.watch.on_no_header(job, &self.env.cx(now, out)) {
-                    self.sweep(now, out, |id, cx| Sweep::orphan(id, Name::clone(job), cx));
-                }
-            }
-            Claimed::Raced => {
-                let wait = self.env.cfg.rank_stagger;
-                self.watch.look_later(job, wait, now);
-            }
-        }
-    }
-
-    fn sweep(
-        &mut self,
-        now: Timestamp,
-        out: &mut Vec<JobAction>,
-        start: impl FnOnce(u64, &mut Cx) -> Sweep,
-    ) {
-        let mut cx = self.env.cx(now, out);
-        let id = cx.unique();
-        let sweep = start(id, &mut cx);
-        self.sweeps.insert(id, sweep);
-    }
-
-    pub(crate) fn delete(&mut self, now: Timestamp, key: ObjectKey, out: &mut Vec<JobAction>) {
-        self.sweep(now, out, |id, cx| Sweep::delete(id, key, cx));
-    }
-
-    pub(crate) fn sweep_segments(
-        &mut self,
-        now: Timestamp,
-        job: &Name,
-        header: &Header,
-        out: &mut Vec<JobAction>,
-    ) {
-        let job = Name::clone(job);
-        let header = header.clone();
-        self.sweep(now, out, |id, cx| Sweep::segments(id, job, header, cx));
-    }
-}
-
 /// # Time
 impl JobCore {
     fn on_tick(&mut self, now: Timestamp, out: &mut Vec<JobAction>) {
--- a/dogwoodtray_entry/src/jobs/drive.rs
+++ b/dogwoodtray_entry/src/jobs/drive.rs
@@ -17,6 +17,7 @@
 use super::calls::Cx;
 use super::calls::DriveCall;
 use super::commit::Committed;
+use super::commit::Pace;
 use super::core::JobCore;
 use super::driven::Driven;
 use super::driven::Ending;
@@ -65,11 +66,15 @@
 
     fn commit_jobs(&mut self, now: Timestamp, out: &mut Vec<JobAction>) {
         let jobs = u32::try_from(self.driven.len()).unwrap_or(u32::MAX);
+        let once = self.driven.values().filter(|job| !job.header.idempotent).count();
         let cfg = &self.env.cfg;
-        let delay = cfg.commit_delay.max(cfg.commit_spacing * jobs);
+        let pace = Pace {
+            outcomes: cfg.commit_delay.max(cfg.commit_spacing * jobs),
+            intents: cfg.intent_spacing * u32::try_from(once).unwrap_or(u32::MAX),
+        };
         let mut cx = self.env.cx(now, out);
         for job in self.driven.values_mut() {
-            job.commit_if_due(delay, &mut cx);
+            job.commit_if_due(pace, &mut cx);
         }
     }
 
@@ -186,7 +191,7 @@
             self.driven.remove(job);
             return;
         }
-        driven.cancel();
+        driven.ending = Some(Ending::Cancelled);
     }
 
     pub(crate) fn on_drive_reply(
@@ -212,6 +217,9 @@
                 }
             }
             DriveCall::Header => match job.on_header_reply(reply, &mut cx) {
+                Committed::Stored if job.ending == Some(Ending::Cancelled) => {
+                    self.drop_job(now, name, None, out);
+                }
                 Committed::Running | Committed::Stored => {}
                 Committed::Ended => self.on_job_ended(now, name, out),
                 Committed::Fenced(garbage) => self.drop_job(now, name, garbage, out),
@@ -260,17 +268,10 @@
             active.running.clear();
         }
         self.running = 0;
+        self.running_items = 0;
         attempts
     }
 
-    /// Ends all work but the commit in flight.
-    fn cancel(&mut self) {
-        self.ending = Some(Ending::Rest(Rest::Deadline));
-        self.pending.clear();
-        self.pending_bytes = 0;
-        self.wanted.clear();
-    }
-
     /// Sends an attempt at an item whose chunk is in memory.
     fn send(&mut self, item: u32, endpoint: u64, attempts: &mut Attempts, cx: &mut Cx) {
         let (chunk, first) = self.header.chunk_of(item);
@@ -295,6 +296,7 @@
             },
         );
         let active = self.active.entry(item).or_default();
+        self.running_items += u32::from(active.running.is_empty());
         active.running.push(attempt);
         self.running += 1;
         cx.out.push(JobAction::Dispatch {
--- a/dogwoodtray_entry/src/jobs/driven.rs
+++ b/dogwoodtray_entry/src/jobs/driven.rs
@@ -37,6 +37,8 @@
     Rest(Rest),
     /// The claim is given back.
     Release,
+    /// The job was cancelled; only a commit in flight goes on.
+    Cancelled,
 }
 
 /// Item that runs or that carries state from earlier attempts.
@@ -88,7 +90,14 @@
     pub(crate) chunks: BTreeMap<u32, Chunk>,
     pub(crate) loading: Option<u32>,
     pub(crate) ending: Option<Ending>,
+    /// Attempts that run.
     pub(crate) running: usize,
+    /// Items that run.
+    pub(crate) running_items: u32,
+    /// When the last commit was started.
+    pub(crate) committed_at: Option<Timestamp>,
+    /// Outcomes taken since then.
+    pub(crate) recent: usize,
     mean_ms: f64,
 }
 
@@ -137,14 +146,16 @@
             loading: None,
             ending: None,
             running: 0,
+            running_items: 0,
+            committed_at: None,
+            recent: 0,
             mean_ms: 0.0,
         }
     }
 
     /// Returns the items that wait to be run.
     pub(crate) fn waiting(&self) -> u32 {
-        let running = self.active.values().filter(|active| !active.running.is_empty()).count();
-        self.unsettled.saturating_sub(u32::try_from(running).unwrap_or(u32::MAX))
+        self.unsettled.saturating_sub(self.running_items)
     }
 
     /// Returns the time to spare until the job is due, given the pace so far.
@@ -178,6 +189,7 @@
         if let Some(active) = self.active.get_mut(&item) {
             active.running.retain(|running| *running != id);
             self.running -= 1;
+            self.running_items -= u32::from(active.running.is_empty());
         }
         if self.settled.get(item) {
             if matches!(end, ItemEnd::Answered { .. } | ItemEnd::Failed { .. }) {
@@ -312,6 +324,8 @@
         self.pending.push_back(result);
         let losers = self.active.remove(&item).map(|active| active.running).unwrap_or_default();
         self.running -= losers.len();
+        self.running_items -= u32::from(!losers.is_empty());
+        self.recent += 1;
         losers
     }
 
--- a/dogwoodtray_entry/src/jobs/header.rs
+++ b/dogwoodtray_entry/src/jobs/header.rs
@@ -207,6 +207,11 @@
     }
 }
 
+/// Tells whether a header carries the stamp of a write.
+pub(crate) fn has_stamp(value: &[u8], stamp: WriteStamp) -> bool {
+    Header::decode(value).is_some_and(|header| header.stamp == stamp)
+}
+
 pub(crate) fn key(job: &Name) -> ObjectKey {
     ObjectKey::new(KIND, Name::clone(job))
 }
--- a/dogwoodtray_entry/src/jobs/intake.rs
+++ b/dogwoodtray_entry/src/jobs/intake.rs
@@ -21,8 +21,6 @@
 use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_128;
 
-use super::api::JobReply;
-use super::api::Refusal;
 use super::api::ReplyToken;
 use super::api::Submission;
 use super::bitmap::Bitmap;
@@ -34,6 +32,8 @@
 use super::header::Header;
 use super::header::JobState;
 use super::items;
+use super::reply::JobReply;
+use super::reply::Refusal;
 
 /// One submission on its way into the store.
 ///
@@ -48,6 +48,7 @@
     job: Name,
     header: Header,
     items: Vec<(Name, Bytes)>,
+    bytes: usize,
     expect: Expect,
     step: Step,
     deadline: Timestamp,
@@ -68,8 +69,12 @@
     Header(StampedWrite),
 }
 
-/// Checks a submission against the limits.
-pub(crate) fn check(cfg: &JobConfig, submission: &Submission, now_ms: u64) -> Result<(), Refusal> {
+/// Checks a submission against the limits and returns its size in bytes.
+pub(crate) fn check(
+    cfg: &JobConfig,
+    submission: &Submission,
+    now_ms: u64,
+) -> Result<usize, Refusal> {
     if submission.items.is_empty() {
         return Err(Refusal::Empty);
     }
@@ -95,7 +100,7 @@
     if total > cfg.max_job_bytes {
         return Err(Refusal::JobTooLarge { limit: cfg.max_job_bytes });
     }
-    Ok(())
+    Ok(total)
 }
 
 /// Returns the name of the job: a hash of organization and key, or a random one without a key.
@@ -153,7 +158,12 @@
 
 impl Intake {
     /// Starts the intake of a checked submission.
-    pub(crate) fn start(id: u64, token: ReplyToken, submission: Submission, cx: &mut Cx) -> Self {
+    pub(crate) fn start(
+        id: u64,
+        token: ReplyToken,
+        (submission, bytes): (Submission, usize),
+        cx: &mut Cx,
+    ) -> Self {
         let job = job_name(&submission, cx.rng);
         let header = new_header(cx.cfg, &submission, cx.unix_ms);
         cx.call(Owner::Intake(id), StoreOp::Get { key: header::key(&job) });
@@ -162,6 +172,7 @@
             job,
             header,
             items: submission.items,
+            bytes,
             expect: Expect::Absent,
             step: Step::Look,
             deadline: cx.now + cx.cfg.intake_timeout,
@@ -169,6 +180,10 @@
         }
     }
 
+    pub(crate) const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     pub(crate) const fn token(&self) -> ReplyToken {
         self.token
     }
@@ -186,7 +201,7 @@
                 self.unsure = true;
             }
             let stamp = self.header.stamp;
-            let is_mine = |value: &[u8]| Header::decode(value).is_some_and(|h| h.stamp == stamp);
+            let is_mine = |value: &[u8]| header::has_stamp(value, stamp);
             return match write.on_reply(reply, is_mine) {
                 WriteStep::Call(op) => self.retry(id, op, Duration::ZERO, cx),
                 WriteStep::Wait(wait) => {
--- a/dogwoodtray_entry/src/jobs/plan.rs
+++ b/dogwoodtray_entry/src/jobs/plan.rs
@@ -142,7 +142,8 @@
             return;
         }
         let room = cx.cfg.max_intents.saturating_sub(self.header.intents.len());
-        let count = room.min(places as usize);
+        // Intents for the next interval are stored ahead, so that few commits carry many items.
+        let count = room.min((self.recent * 2).max(places as usize));
         while self.wanted.len() < count && self.fresh < self.header.counts.items {
             if !self.settled.get(self.fresh) {
                 self.wanted.insert(self.fresh);
--- a/dogwoodtray_entry/src/jobs/read.rs
+++ b/dogwoodtray_entry/src/jobs/read.rs
@@ -16,7 +16,6 @@
 use dogwoodtray_coord::WriteStep;
 
 use super::api::JobAction;
-use super::api::JobReply;
 use super::api::ReplyToken;
 use super::bitmap::Bitmap;
 use super::calls::Cx;
@@ -29,6 +28,7 @@
 use super::outcome::ItemOutcome;
 use super::outcome::ItemResult;
 use super::outcome::Reason;
+use super::reply::JobReply;
 use super::segment;
 
 /// What a caller asked for.
@@ -202,7 +202,7 @@
             *unsure = true;
         }
         let stamp = next.stamp;
-        let is_mine = |value: &[u8]| Header::decode(value).is_some_and(|h| h.stamp == stamp);
+        let is_mine = |value: &[u8]| header::has_stamp(value, stamp);
         match write.on_reply(reply, is_mine) {
             WriteStep::Call(op) => self.retry(id, op, Duration::ZERO, cx),
             WriteStep::Wait(wait) => {
--- /dev/null
+++ b/dogwoodtray_entry/src/jobs/replies.rs
@@ -0,0 +1,170 @@
+//! Replies of the store, handed to the parts that asked.
+
+use dogwoodtray_coord::Epoch;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::ObjectKey;
+use dogwoodtray_coord::StoreReply;
+use dogwoodtray_coord::Timestamp;
+
+use super::api::CallId;
+use super::api::JobAction;
+use super::calls::Cx;
+use super::calls::Owner;
+use super::claim::Claimed;
+use super::core::JobCore;
+use super::driven::Driven;
+use super::header;
+use super::header::Header;
+use super::read::Progress;
+use super::reply::JobReply;
+use super::sweep::Sweep;
+
+/// # Replies of the store
+impl JobCore {
+    pub(crate) fn on_stored(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        reply: StoreReply,
+        out: &mut Vec<JobAction>,
+    ) {
+        let Some((owner, op, tries)) = self.env.calls.take(call) else {
+            return;
+        };
+        let mut cx = self.env.cx(now, out);
+        cx.tries = tries;
+        match owner {
+            Owner::Intake(id) => {
+                let Some(intake) = self.intakes.get_mut(&id) else {
+                    return;
+                };
+                let Some(reply) = intake.on_reply(id, op, reply, &mut cx) else {
+                    return;
+                };
+                if let JobReply::Accepted { job, .. } = &reply {
+                    self.watch.add(Name::clone(job), &cx);
+                }
+                cx.out.push(JobAction::Reply { token: intake.token(), reply });
+                self.intakes.remove(&id);
+            }
+            Owner::Read(id) => {
+                let Some(read) = self.reads.get_mut(&id) else {
+                    return;
+                };
+                match read.on_reply(id, op, reply, &mut cx) {
+                    Progress::Running => {}
+                    Progress::Ended => {
+                        self.reads.remove(&id);
+                    }
+                    Progress::Cancelled { job, header } => {
+                        self.reads.remove(&id);
+                        if let Some(driver) = &header.driver
+                            && driver.incarnation != self.env.me.incarnation
+                        {
+                            let addr = Name::clone(&driver.addr);
+                            self.notices.send(addr, Name::clone(&job), now, out);
+                        }
+                        self.on_job_cancelled(&job, out);
+                        self.delete(now, header::index_key(&job), out);
+                        self.sweep_segments(now, &job, &header, out);
+                    }
+                }
+            }
+            Owner::Sweep(id) => {
+                let sweep = self.sweeps.get_mut(&id);
+                if sweep.is_some_and(|sweep| sweep.on_reply(id, op, reply, &mut cx)) {
+                    self.sweeps.remove(&id);
+                }
+            }
+            Owner::Scan => {
+                let driven = &self.driven;
+                self.watch.on_page(op, reply, |job| driven.contains_key(job), &mut cx);
+            }
+            Owner::Claim(job, flow) => {
+                let Some(claim) = self.claims.get_mut(&job).filter(|claim| claim.flow == flow)
+                else {
+                    return;
+                };
+                let claimed = claim.on_reply(op, reply, &mut cx);
+                self.on_claimed(now, &job, claimed, out);
+            }
+            Owner::Drive(job, flow, call) => {
+                self.on_drive_reply(now, &job, flow, call, (op, reply, tries), out);
+            }
+        }
+    }
+
+    fn on_claimed(
+        &mut self,
+        now: Timestamp,
+        job: &Name,
+        claimed: Claimed,
+        out: &mut Vec<JobAction>,
+    ) {
+        if matches!(claimed, Claimed::Running) {
+            return;
+        }
+        let flow = self.claims.remove(job).map(|claim| claim.flow).unwrap_or_default();
+        match claimed {
+            Claimed::Running => {}
+            Claimed::Mine { header, version, at } => {
+                self.watch.remove(job);
+                if header.epoch > Epoch::default().next() {
+                    self.sweep_segments(now, job, &header, out);
+                }
+                let driven = Driven::new(
+                    Name::clone(job),
+                    flow,
+                    *header,
+                    version,
+                    at,
+                    self.env.cfg.confirm_within,
+                );
+                self.driven.insert(Name::clone(job), driven);
+            }
+            Claimed::Theirs { driver, epoch } => self.watch.on_driver(job, driver, epoch, now),
+            Claimed::Ended { header } => {
+                self.watch.remove(job);
+                self.delete(now, header::index_key(job), out);
+                self.sweep_segments(now, job, &header, out);
+            }
+            Claimed::NoHeader => {
+                if self.watch.on_no_header(job, &self.env.cx(now, out)) {
+                    self.sweep(now, out, |id, cx| Sweep::orphan(id, Name::clone(job), cx));
+                }
+            }
+            Claimed::Raced => {
+                let wait = self.env.cfg.rank_stagger;
+                self.watch.look_later(job, wait, now);
+            }
+        }
+    }
+
+    fn sweep(
+        &mut self,
+        now: Timestamp,
+        out: &mut Vec<JobAction>,
+        start: impl FnOnce(u64, &mut Cx) -> Sweep,
+    ) {
+        let mut cx = self.env.cx(now, out);
+        let id = cx.unique();
+        let sweep = start(id, &mut cx);
+        self.sweeps.insert(id, sweep);
+    }
+
+    pub(crate) fn delete(&mut self, now: Timestamp, key: ObjectKey, out: &mut Vec<JobAction>) {
+        self.sweep(now, out, |id, cx| Sweep::delete(id, key, cx));
+    }
+
+    pub(crate) fn sweep_segments(
+        &mut self,
+        now: Timestamp,
+        job: &Name,
+        header: &Header,
+        out: &mut Vec<JobAction>,
+    ) {
+        let job = Name::clone(job);
+        let header = header.clone();
+        self.sweep(now, out, |id, cx| Sweep::segments(id, job, header, cx));
+    }
+}
--- a/dogwoodtray_entry/src/jobs/sweep.rs
+++ b/dogwoodtray_entry/src/jobs/sweep.rs
@@ -185,7 +185,7 @@
             return;
         };
         let stamp = *stamp;
-        let is_mine = |value: &[u8]| Header::decode(value).is_some_and(|h| h.stamp == stamp);
+        let is_mine = |value: &[u8]| header::has_stamp(value, stamp);
         match write.on_reply(reply, is_mine) {
             WriteStep::Call(op) => cx.call_later(Owner::Sweep(id), op, Duration::ZERO),
             WriteStep::Wait(wait) => cx.call_later(Owner::Sweep(id), write.next_call(), wait),
