Wire the local fleet and the load tool into the command line

Cause: the README's first command and the measurements need them. Ruled out: a separate binary (operators and developers look for one command).

--- /dev/null
+++ b/dogwoodtray_cli/src/command/load.rs
@@ -0,0 +1,96 @@
+//! `load`: an open-loop load on running entries or on fleets in this process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_load::Arrivals;
+use dogwoodtray_load::JobShape;
+use dogwoodtray_load::LoadConfig;
+use dogwoodtray_load::LoadReport;
+use dogwoodtray_load::Shape;
+use dogwoodtray_load::compare;
+use dogwoodtray_load::write_svg;
+
+use super::local::load_report;
+use super::local::runtime;
+use super::local::unreachable;
+use super::options::LoadOptions;
+use super::options::PolicyPair;
+use super::report::Failure;
+use super::report::Report;
+use crate::local::Fleet;
+use crate::local::FleetConfig;
+
+pub(super) fn run(options: &LoadOptions) -> Result<Report, Failure> {
+    let runs = runtime()?.block_on(run_all(options))?;
+    let comparison = compare(runs);
+    if let Some(path) = &options.svg {
+        write_svg(&comparison, path).map_err(unreachable)?;
+    }
+    Ok(load_report(&comparison))
+}
+
+async fn run_all(options: &LoadOptions) -> Result<Vec<LoadReport>, Failure> {
+    let mut reports = Vec::new();
+    // The policies take turns, so that a change of the machine's speed meets all of them.
+    for round in 0..options.rounds {
+        if !options.entries.is_empty() {
+            let cfg = config(options, options.entries.clone(), format!("round-{round}"));
+            reports.push(dogwoodtray_load::run(cfg).await.map_err(unreachable)?);
+            continue;
+        }
+        for policy in &options.policies {
+            reports.push(run_fleet(options, policy, round).await?);
+        }
+    }
+    Ok(reports)
+}
+
+async fn run_fleet(
+    options: &LoadOptions,
+    policy: &PolicyPair,
+    round: u32,
+) -> Result<LoadReport, Failure> {
+    let cfg = FleetConfig {
+        entries: options.fleet_entries,
+        endpoints: options.fleet_endpoints,
+        routing: Name::from(policy.routing.as_str()),
+        admission: Name::from(policy.admission.as_str()),
+        ..FleetConfig::default()
+    };
+    let fleet = Fleet::start(&cfg).await.map_err(unreachable)?;
+    let label = format!("{}/{}/{round}", policy.routing, policy.admission);
+    let cfg = config(options, fleet.caller_addrs(), label).model("standin");
+    dogwoodtray_load::run(cfg).await.map_err(unreachable)
+}
+
+fn config(options: &LoadOptions, entries: Vec<SocketAddr>, label: String) -> LoadConfig {
+    let mut cfg = LoadConfig::new(entries)
+        .label(label)
+        .seed(options.seed)
+        .warm_up(Duration::from_secs(options.warm_up_s))
+        .duration(Duration::from_secs(options.seconds));
+    if let Some(model) = &options.model {
+        cfg = cfg.model(model.clone());
+    }
+    if options.rate > 0.0 {
+        cfg = cfg.stream(shape(&options.shape), Arrivals::poisson(options.rate));
+    }
+    if options.stragglers > 0.0 {
+        cfg = cfg.stream(Shape::stragglers(), Arrivals::poisson(options.stragglers));
+    }
+    if options.job_items > 0 {
+        let every = Duration::from_secs(options.seconds.max(1));
+        cfg = cfg.jobs(JobShape::lots(options.job_items), 1, every);
+    }
+    cfg
+}
+
+fn shape(name: &str) -> Shape {
+    match name {
+        "concierge-previews" => Shape::concierge_previews(),
+        "shared-prefixes" => Shape::shared_prefixes(),
+        _ => Shape::counter_slips(),
+    }
+}
--- a/dogwoodtray_cli/src/command/mod.rs
+++ b/dogwoodtray_cli/src/command/mod.rs
@@ -4,6 +4,8 @@
 mod dir;
 mod drain;
 mod jobs;
+mod load;
+mod local;
 mod merged;
 mod options;
 mod publish;
@@ -13,7 +15,10 @@
 
 pub use self::options::Command;
 pub use self::options::DirectoryOptions;
+pub use self::options::LoadOptions;
+pub use self::options::LocalOptions;
 pub use self::options::PlatformOptions;
+pub use self::options::PolicyPair;
 pub use self::options::PublishOptions;
 pub use self::options::StatusOptions;
 pub use self::options::TimelineOptions;
@@ -36,6 +41,8 @@
         Command::Jobs(options) => jobs::run(options),
         Command::Drain(options) => drain::run(options),
         Command::Timeline(options) => timeline::run(options, out),
+        Command::Local(options) => local::run(options),
+        Command::Load(options) => load::run(options),
     };
     finish(result, command.json(), out, err)
 }
--- a/dogwoodtray_cli/src/command/options.rs
+++ b/dogwoodtray_cli/src/command/options.rs
@@ -9,6 +9,14 @@
 use bpaf::long;
 use bpaf::positional;
 
+mod measure;
+
+pub use self::measure::LoadOptions;
+pub use self::measure::LocalOptions;
+pub use self::measure::PolicyPair;
+use self::measure::load;
+use self::measure::local;
+
 /// A subcommand with its arguments.
 ///
 /// Subcommands that run roles in this process, such as `local` and `load`, are variants of their
@@ -31,6 +39,10 @@
     Drain(StatusOptions),
     /// Shows the events of several processes in one order.
     Timeline(TimelineOptions),
+    /// Runs a whole system in this process.
+    Local(LocalOptions),
+    /// Sends a load and reports latencies.
+    Load(LoadOptions),
 }
 
 impl Command {
@@ -41,6 +53,8 @@
             Self::Export(options) | Self::Jobs(options) => options.json,
             Self::Status(options) | Self::Drain(options) => options.json,
             Self::Timeline(options) => options.json,
+            Self::Local(options) => options.json,
+            Self::Load(options) => options.json,
         }
     }
 }
@@ -137,7 +151,19 @@
         "Show the events of several processes in one order",
         Command::Timeline,
     );
-    construct!([check, diff, export, publish, status, jobs, drain, timeline])
+    let local = command(
+        local(),
+        "local",
+        "Run all roles and stand-ins in this process, for developers",
+        Command::Local,
+    );
+    let load = command(
+        load(),
+        "load",
+        "Send an open-loop load to entries, or to fleets in this process, and report",
+        Command::Load,
+    );
+    construct!([check, diff, export, publish, status, jobs, drain, timeline, local, load])
         .to_options()
         .descr("Operates a fleet of dogwoodtray")
         .footer(
--- /dev/null
+++ b/dogwoodtray_cli/src/command/options/measure.rs
@@ -0,0 +1,179 @@
+//! Arguments of the subcommands for developers and measurements.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+
+use super::address;
+use super::json;
+
+const SHAPES: [&str; 3] = ["counter-slips", "concierge-previews", "shared-prefixes"];
+
+/// Arguments of `local`.
+#[derive(Clone, Debug)]
+pub struct LocalOptions {
+    /// Whether to run the main job and end.
+    pub demo: bool,
+    /// Seed of the demonstration.
+    pub seed: u64,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of endpoints.
+    pub endpoints: usize,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+/// A routing policy and an admission policy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PolicyPair {
+    /// Name of the routing policy.
+    pub routing: String,
+    /// Name of the admission policy.
+    pub admission: String,
+}
+
+impl FromStr for PolicyPair {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let Some((routing, admission)) = text.split_once('/') else {
+            return Err(format!("{text:?} is not of the form ROUTING/ADMISSION"));
+        };
+        Ok(Self { routing: routing.to_owned(), admission: admission.to_owned() })
+    }
+}
+
+/// Arguments of `load`.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// Entries to drive; a fleet in this process if there are none.
+    pub entries: Vec<SocketAddr>,
+    /// Public name of the model.
+    pub model: Option<String>,
+    /// Entries of a fleet in this process.
+    pub fleet_entries: usize,
+    /// Endpoints of a fleet in this process.
+    pub fleet_endpoints: usize,
+    /// Policies to compare.
+    pub policies: Vec<PolicyPair>,
+    /// Rounds in which the policies take turns.
+    pub rounds: u32,
+    /// Shape of the online requests.
+    pub shape: String,
+    /// Online requests a second.
+    pub rate: f64,
+    /// Long online requests a second beside them.
+    pub stragglers: f64,
+    /// Items of a batch job; 0 for none.
+    pub job_items: usize,
+    /// Seconds that are measured.
+    pub seconds: u64,
+    /// Seconds before, which are not.
+    pub warm_up_s: u64,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// File for a plot.
+    pub svg: Option<PathBuf>,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+pub(super) fn local() -> impl Parser<LocalOptions> {
+    let demo = long("demo")
+        .help("Serve requests and a job, kill one endpoint on the way, print a summary and end")
+        .switch();
+    let seed = seed();
+    let entries = number("entries", "Number of entries", 2);
+    let endpoints = number("endpoints", "Number of endpoints", 4);
+    let json = json();
+    construct!(LocalOptions { demo, seed, entries, endpoints, json })
+}
+
+pub(super) fn load() -> impl Parser<LoadOptions> {
+    let entries = long("entry")
+        .help("Address for callers of an entry; without any, fleets run in this process")
+        .argument::<String>("IP:PORT")
+        .parse(|text| address("entry", &text))
+        .many();
+    let model = long("model").help("Public name of the model").argument("NAME").optional();
+    let fleet_entries = number("fleet-entries", "Entries of a fleet in this process", 2);
+    let fleet_endpoints = number("fleet-endpoints", "Endpoints of a fleet in this process", 4);
+    let policies = long("policy")
+        .help("Policies of a fleet in this process; several take turns (default adaptive/adaptive)")
+        .argument::<PolicyPair>("ROUTING/ADMISSION")
+        .many()
+        .map(or_adaptive);
+    let rounds = long("rounds")
+        .help("Rounds in which the policies take turns")
+        .argument("N")
+        .fallback(1)
+        .display_fallback();
+    let shape = long("shape")
+        .help("Shape of the online requests: counter-slips, concierge-previews, shared-prefixes")
+        .argument::<String>("SHAPE")
+        .guard(|shape| SHAPES.contains(&shape.as_str()), "no such shape")
+        .fallback(SHAPES[0].to_owned());
+    let rate = rate("rate", "Online requests a second", 50.0);
+    let stragglers = self::rate("stragglers", "Long online requests a second beside them", 0.0);
+    let job_items = number("job-items", "Items of a batch job; 0 for none", 0);
+    let seconds = seconds("seconds", "Seconds that are measured", 10);
+    let warm_up_s = self::seconds("warm-up-s", "Seconds before, which are not measured", 2);
+    let seed = seed();
+    let svg = long("svg").help("File for a plot").argument("FILE").optional();
+    let json = json();
+    construct!(LoadOptions {
+        entries,
+        model,
+        fleet_entries,
+        fleet_endpoints,
+        policies,
+        rounds,
+        shape,
+        rate,
+        stragglers,
+        job_items,
+        seconds,
+        warm_up_s,
+        seed,
+        svg,
+        json,
+    })
+}
+
+fn or_adaptive(policies: Vec<PolicyPair>) -> Vec<PolicyPair> {
+    if !policies.is_empty() {
+        return policies;
+    }
+    vec![PolicyPair { routing: "adaptive".to_owned(), admission: "adaptive".to_owned() }]
+}
+
+fn number(flag: &'static str, help: &'static str, default: usize) -> impl Parser<usize> {
+    long(flag).help(help).argument("N").fallback(default).display_fallback()
+}
+
+fn seconds(flag: &'static str, help: &'static str, default: u64) -> impl Parser<u64> {
+    long(flag)
+        .help(help)
+        .argument("SECONDS")
+        .guard(|seconds| *seconds <= 3600, "allowed are 0 to 3600")
+        .fallback(default)
+        .display_fallback()
+}
+
+fn rate(flag: &'static str, help: &'static str, default: f64) -> impl Parser<f64> {
+    long(flag)
+        .help(help)
+        .argument("PER_SECOND")
+        .guard(|rate| (0.0..=100_000.0).contains(rate), "allowed are 0 to 100000")
+        .fallback(default)
+        .display_fallback()
+}
+
+fn seed() -> impl Parser<u64> {
+    long("seed").help("Seed of all random choices").argument("N").fallback(1).display_fallback()
+}
--- a/dogwoodtray_cli/src/lib.rs
+++ b/dogwoodtray_cli/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod command;
 pub mod daemon;
+pub mod local;
 pub mod settings;
 
 mod admin;
