Encode the changes between two generations

Ruled out: one object in the store for each object (readers would see generations in part, and each change would cost more calls). Framing moves into its own module. Conclusion: the runtime can send changes where it knows the peer's generation.

--- a/dogwoodtray_cli/src/command/publish.rs
+++ b/dogwoodtray_cli/src/command/publish.rs
@@ -123,7 +123,7 @@
 fn published(set: SetRef, changes: Vec<Change>, merged: Vec<Change>) -> Report {
     let json = json!({
         "result": "published",
-        "generation": set.generation,
+        "generation": set.generation.0,
         "set": set.to_string(),
         "changes": changes,
         "merged": merged,
@@ -139,7 +139,11 @@
 }
 
 fn lost(ours: SetRef, theirs: Option<Pointer>) -> Report {
-    let json = json!({ "result": "conflict", "ours": ours.to_string(), "theirs": theirs });
+    let winner = theirs.as_ref().map(|theirs| {
+        let incarnation = format!("{:016x}", theirs.stamp.incarnation.0);
+        json!({ "set": theirs.set.to_string(), "note": theirs.note, "incarnation": incarnation })
+    });
+    let json = json!({ "result": "conflict", "ours": ours.to_string(), "theirs": winner });
     let winner = match theirs {
         Some(theirs) => format!(
             "set {} won, by process {:016x}, note {:?}",
--- a/dogwoodtray_config/src/error.rs
+++ b/dogwoodtray_config/src/error.rs
@@ -6,6 +6,8 @@
 use quick_error::quick_error;
 use serde::Serialize;
 
+use crate::pointer::SetRef;
+
 /// A part of a file that cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct FileError {
@@ -66,6 +68,10 @@
         Hash { expected: ContentHash, actual: ContentHash } {
             display("the content has the hash {actual} instead of {expected}")
         }
+        /// The changes start from another snapshot.
+        Base { base: SetRef, own: SetRef } {
+            display("the changes start from set {base}, not from {own}")
+        }
         /// The content is not a set of objects.
         Json(err: serde_json::Error) {
             display("the content is not a set of objects: {err}")
--- a/dogwoodtray_config/src/lib.rs
+++ b/dogwoodtray_config/src/lib.rs
@@ -6,6 +6,8 @@
 //! in a [`View`]. Nothing here does I/O: [`Publication`] emits calls to the store as values.
 
 mod check;
+mod codec;
+mod delta;
 mod diff;
 mod error;
 mod file;
@@ -20,6 +22,7 @@
 pub use crate::check::Finding;
 pub use crate::check::Reason;
 pub use crate::check::check;
+pub use crate::codec::MAX_ENCODED_BYTES;
 pub use crate::diff::Change;
 pub use crate::diff::ChangeKind;
 pub use crate::diff::FieldChange;
@@ -56,7 +59,6 @@
 pub use crate::publication::PublicationStep;
 pub use crate::set::ObjectSet;
 pub use crate::snapshot::EncodedSnapshot;
-pub use crate::snapshot::MAX_ENCODED_BYTES;
 pub use crate::snapshot::Snapshot;
 pub use crate::view::Retirement;
 pub use crate::view::View;
--- a/dogwoodtray_config/tests/snapshot.rs
+++ b/dogwoodtray_config/tests/snapshot.rs
@@ -37,6 +37,23 @@
         bits.into_iter().all(|(at, bit)| refused(at, bit)) && Snapshot::decode(cut).is_err()
     }
 
+    /// Guards against a process that ends with other objects than its peers because it was sent
+    /// the changes only.
+    fn changes_lead_to_the_same_snapshot(sets: Vec<SmallSet>, from: usize) -> bool {
+        let mut chain = vec![common::next(&Snapshot::empty(), common::models(&[("z", 1)]))];
+        for set in sets {
+            chain.push(common::next(&chain[chain.len() - 1], set.0));
+        }
+        let base = &chain[from % chain.len()];
+        let last = &chain[chain.len() - 1];
+        let base_hash = base.encode().unwrap().hash;
+        let changes = last.encode_since(base, base_hash).unwrap();
+        let whole = last.encode().unwrap();
+        let expected = (last.clone(), whole.hash);
+        base.decode_update(base_hash, &changes.bytes).unwrap() == expected
+            && base.decode_update(base_hash, &whole.bytes).unwrap() == expected
+    }
+
     /// Guards against a panic or a huge allocation by bytes that never were a snapshot.
     fn foreign_bytes_are_refused(bytes: Vec<u8>) -> bool {
         let mut with_header = b"DTCS\x01".to_vec();
@@ -45,6 +62,21 @@
     }
 }
 
+/// Guards against changes that are applied to the objects of another generation.
+#[test]
+fn changes_to_another_snapshot_are_refused() {
+    let base = common::next(&Snapshot::empty(), common::models(&[("a", 1)]));
+    let other = common::next(&Snapshot::empty(), common::models(&[("a", 2)]));
+    let last = common::next(&base, common::models(&[("a", 1), ("b", 1)]));
+    let hash = |snapshot: &Snapshot| snapshot.encode().unwrap().hash;
+    let changes = last.encode_since(&base, hash(&base)).unwrap();
+    let result = other.decode_update(hash(&other), &changes.bytes);
+    assert!(matches!(result, Err(DecodeError::Base { .. })));
+    // The hash of the result holds even if the base lies about its own hash.
+    let result = other.decode_update(hash(&base), &changes.bytes);
+    assert!(matches!(result, Err(DecodeError::Hash { .. })));
+}
+
 /// Guards against an allocation of 4 GB that a damaged size asks for.
 #[test]
 fn a_huge_size_is_refused_before_it_is_allocated() {
