Make the ports of tests independent of other processes

Cause: a port that was free a moment ago may be taken by another process, and the address that stands for a dead process could get a listener. Change: tests dial a reserved port for a dead process, and servers try again.

--- a/dogwoodtray_cli/tests/common/mod.rs
+++ b/dogwoodtray_cli/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Servers that stand in for the platform and for operator ports.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -52,10 +54,11 @@
     dir.to_str().unwrap().to_owned()
 }
 
-/// Returns an address that nothing listens on.
-pub(crate) fn unused_addr() -> SocketAddr {
-    TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap()
-}
+/// Address that nothing listens on, because its port is reserved.
+pub(crate) const DEAD_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
+/// Tries to find a free port; another process may take one between its choice and its use.
+const BIND_TRIES: usize = 10;
 
 /// Serves requests on a free port until the test process ends.
 pub(crate) fn serve(
@@ -71,10 +74,17 @@
 fn serve_requests(
     handle: impl Fn(&mut Request<Body>) -> Response<Body> + Send + Sync + 'static,
 ) -> SocketAddr {
-    let addr = unused_addr();
-    // Dropping the handle leaves the listening threads running.
-    drop(Server::new(handle).bind(addr).spawn().unwrap());
-    addr
+    let handle = Arc::new(handle);
+    for _ in 0..BIND_TRIES {
+        let addr = TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap();
+        let handle = Arc::clone(&handle);
+        let server = Server::new(move |req| handle(req)).bind(addr);
+        // Dropping the handle of the server leaves its threads running.
+        if server.spawn().is_ok() {
+            return addr;
+        }
+    }
+    panic!("no free port after {BIND_TRIES} tries");
 }
 
 /// Serves the object API from memory.
--- a/dogwoodtray_cli/tests/objects.rs
+++ b/dogwoodtray_cli/tests/objects.rs
@@ -174,7 +174,7 @@
 #[test]
 fn an_unreachable_platform_is_reported() {
     let dir = common::dir_with("outage", &model("a", 1));
-    let output = run_at(common::unused_addr(), &["publish", &dir, "--timeout-s", "1"]);
+    let output = run_at(common::DEAD_ADDR, &["publish", &dir, "--timeout-s", "1"]);
     assert_eq!(output.exit, Exit::Unreachable);
     assert!(output.err.ends_with("gave no result within 1 s\n"), "{}", output.err);
 }
--- a/dogwoodtray_cli/tests/processes.rs
+++ b/dogwoodtray_cli/tests/processes.rs
@@ -86,7 +86,7 @@
 #[test]
 fn status_shows_the_others_when_one_is_unreachable() {
     let live = entry("entry-1", 1, false, json!([])).to_string();
-    let dead = common::unused_addr().to_string();
+    let dead = common::DEAD_ADDR.to_string();
     let output = run(&["status", "--entry", &dead, &live]);
     assert_eq!(output.exit, Exit::Unreachable);
     assert!(output.out.contains("entry-1"), "{}", output.out);
