Limit organizations at the entry and drop settings that did nothing

Cause: the entry read limits of organizations and a configuration directory that no code used, and the timeline did not tell a restarted process from the old one. Ruled out: a limit on open jobs at one entry (jobs live in the store, so one entry cannot count them); a directory for the last configuration (peers have it). Conclusion: every setting has an effect.

--- a/dogwoodtray_agent/src/shell/agent.rs
+++ b/dogwoodtray_agent/src/shell/agent.rs
@@ -92,7 +92,7 @@
         let kernel = Kernel::new();
         let clock = Clock::start();
         let incarnation = Incarnation(rand::random());
-        let events = EventLog::open(Name::clone(&settings.node));
+        let events = EventLog::open(Name::clone(&settings.node), incarnation);
         let shared = Arc::new(Shared::default());
         shared.endpoint_up.store(true, Ordering::Relaxed);
 
--- a/dogwoodtray_cli/src/daemon/entry.rs
+++ b/dogwoodtray_cli/src/daemon/entry.rs
@@ -4,6 +4,7 @@
 
 use dogwoodtray_entry::Entry;
 use dogwoodtray_entry::EntrySettings as Running;
+use dogwoodtray_entry::OrganizationLimits;
 
 use super::run::run;
 use super::run::stop_requested;
@@ -38,6 +39,11 @@
         settings.platform,
     );
     running.routing = settings.route_policy.into();
+    running.region = settings.region.clone();
+    running.organization_limits = OrganizationLimits {
+        requests_per_s: settings.organisation_limits.requests_per_s,
+        open_requests: settings.organisation_limits.open_requests,
+    };
     running.drain_timeout = settings.drain_timeout;
     running
 }
--- a/dogwoodtray_cli/src/settings/entry.rs
+++ b/dogwoodtray_cli/src/settings/entry.rs
@@ -1,7 +1,6 @@
 //! Settings of an entry.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use bpaf::Args;
@@ -26,9 +25,7 @@
     &setting::ROUTE_POLICY,
     &setting::ORG_REQUESTS_PER_S,
     &setting::ORG_OPEN_REQUESTS,
-    &setting::ORG_OPEN_JOBS,
     &setting::DRAIN_TIMEOUT_S,
-    &setting::CONFIG_DIR,
 ];
 
 /// Settings of an entry.
@@ -54,8 +51,6 @@
     pub organisation_limits: OrganisationLimits,
     /// Longest wait for open requests after a drain began.
     pub drain_timeout: Duration,
-    /// Directory that keeps the last configuration.
-    pub config_dir: Option<PathBuf>,
 }
 
 /// Limits of one organisation at one entry.
@@ -65,8 +60,6 @@
     pub requests_per_s: u32,
     /// Requests that are open at a time.
     pub open_requests: u32,
-    /// Jobs that are open at a time.
-    pub open_jobs: u32,
 }
 
 impl EntrySettings {
@@ -115,10 +108,8 @@
             organisation_limits: OrganisationLimits {
                 requests_per_s: values.number(&setting::ORG_REQUESTS_PER_S, 1..=1_000_000),
                 open_requests: values.number(&setting::ORG_OPEN_REQUESTS, 1..=1_000_000),
-                open_jobs: values.number(&setting::ORG_OPEN_JOBS, 1..=100_000),
             },
             drain_timeout: Duration::from_secs(values.number(&setting::DRAIN_TIMEOUT_S, 1..=600)),
-            config_dir: config_dir(&mut values),
         };
         values.distinct(&[
             (&setting::LISTEN, settings.listen),
@@ -128,14 +119,3 @@
         values.finish(settings)
     }
 }
-
-fn config_dir(values: &mut Values) -> Option<PathBuf> {
-    let dir = PathBuf::from(values.text(&setting::CONFIG_DIR));
-    if dir.as_os_str().is_empty() {
-        return None;
-    }
-    if !dir.is_dir() {
-        values.refuse(&setting::CONFIG_DIR, "a directory that exists");
-    }
-    Some(dir)
-}
--- a/dogwoodtray_cli/src/settings/setting.rs
+++ b/dogwoodtray_cli/src/settings/setting.rs
@@ -53,12 +53,8 @@
         "Requests a second of one organisation at this entry", "1000";
     ORG_OPEN_REQUESTS: "org-open-requests", "ORG_OPEN_REQUESTS", "COUNT",
         "Open requests of one organisation at this entry", "2000";
-    ORG_OPEN_JOBS: "org-open-jobs", "ORG_OPEN_JOBS", "COUNT",
-        "Open jobs of one organisation", "200";
     DRAIN_TIMEOUT_S: "drain-timeout-s", "DRAIN_TIMEOUT_S", "SECONDS",
         "Longest wait for open requests after a drain began", "30";
-    CONFIG_DIR: "config-dir", "CONFIG_DIR", "DIR",
-        "Directory on a disk that keeps the last configuration", "";
     ENDPOINT: "endpoint", "ENDPOINT", "IP:PORT", "Address of the engine or plain service";
     ENDPOINT_KIND: "endpoint-kind", "ENDPOINT_KIND", "KIND",
         "Kind of the endpoint: engine or service";
--- a/dogwoodtray_cli/src/settings/values.rs
+++ b/dogwoodtray_cli/src/settings/values.rs
@@ -119,10 +119,6 @@
         index.unwrap_or_default()
     }
 
-    pub(super) fn text(&self, setting: &Setting) -> &str {
-        self.raw.get(setting.flag).map_or("", String::as_str)
-    }
-
     /// Reports addresses that two listeners of one process share.
     pub(super) fn distinct(&mut self, listeners: &[(&Setting, SocketAddr)]) {
         for (at, (setting, addr)) in listeners.iter().enumerate() {
--- a/dogwoodtray_entry/src/http/mod.rs
+++ b/dogwoodtray_entry/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod batches;
 mod chat;
 mod error;
+mod limits;
 mod models;
 mod once;
 mod port;
@@ -11,5 +12,7 @@
 mod stream;
 
 pub(crate) use self::chat::chat_cost;
+pub(crate) use self::limits::LimitGate;
+pub use self::limits::OrganizationLimits;
 pub(crate) use self::port::CallerPort;
 pub(crate) use self::request::next_request;
--- a/dogwoodtray_entry/src/http/port.rs
+++ b/dogwoodtray_entry/src/http/port.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use dogwoodtray_runtime::catalogue;
@@ -26,6 +27,7 @@
 use super::chat;
 use super::error::ApiError;
 use super::error::bytes_response;
+use super::limits::Permit;
 use super::models;
 use super::request::CallerHeaders;
 use super::request::SharedState;
@@ -126,11 +128,17 @@
         (&Method::GET, ["v1", "models"]) => Ok(models::list(shared)),
         (&Method::POST, ["v1", "chat", "completions"]) => {
             check_accepting(shared)?;
+            let permit = permit(shared, &headers)?;
             let body = read_body(req.into_body(), shared.settings.max_body_bytes).await?;
-            chat::chat(Arc::clone(shared), headers, body).await
+            let mut response = chat::chat(Arc::clone(shared), headers, body).await?;
+            if let Body::Tokens(stream) = response.body_mut() {
+                stream.hold(permit);
+            }
+            Ok(response)
         }
         (&Method::POST, ["v1", "batches"]) => {
             check_accepting(shared)?;
+            let _permit = permit(shared, &headers)?;
             let body = read_body(req.into_body(), shared.settings.max_job_bytes).await?;
             batches::create(Arc::clone(shared), headers, body).await
         }
@@ -143,6 +151,7 @@
         }
         (_, ["v1", "services", name, ..]) => {
             check_accepting(shared)?;
+            let _permit = permit(shared, &headers)?;
             let name = (*name).to_owned();
             let below = service_path(req.uri(), &name);
             let body = read_body(req.into_body(), shared.settings.max_body_bytes).await?;
@@ -153,6 +162,10 @@
     }
 }
 
+fn permit(shared: &SharedState, headers: &CallerHeaders) -> Result<Permit, ApiError> {
+    shared.limits.admit(&headers.organization, Instant::now())
+}
+
 /// During a drain the balancer stops sending new connections; requests on open ones still run.
 fn check_accepting(shared: &SharedState) -> Result<(), ApiError> {
     if shared.is_ready() || shared.leaving.load(Ordering::Relaxed) {
--- a/dogwoodtray_entry/src/http/stream.rs
+++ b/dogwoodtray_entry/src/http/stream.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::error::ApiError;
+use super::limits::Permit;
 use crate::online::RequestEnd;
 use crate::online::RequestNo;
 use crate::shell::AnswerPart;
@@ -74,6 +75,7 @@
     request_id: Arc<str>,
     ended: bool,
     _guard: CallerGuard,
+    permit: Option<Permit>,
 }
 
 impl TokenStream {
@@ -83,7 +85,12 @@
         request_id: Arc<str>,
         guard: CallerGuard,
     ) -> Self {
-        Self { first: Some(first), parts, request_id, ended: false, _guard: guard }
+        Self { first: Some(first), parts, request_id, ended: false, _guard: guard, permit: None }
+    }
+
+    /// Keeps the permit of the request until the stream has ended.
+    pub(crate) fn hold(&mut self, permit: Permit) {
+        self.permit = Some(permit);
     }
 
     fn next_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
--- a/dogwoodtray_entry/src/lib.rs
+++ b/dogwoodtray_entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod online;
 mod shell;
 
+pub use crate::http::OrganizationLimits;
 pub use crate::shell::Entry;
 pub use crate::shell::EntryError;
 pub use crate::shell::EntrySettings;
--- a/dogwoodtray_entry/src/shell/entry.rs
+++ b/dogwoodtray_entry/src/shell/entry.rs
@@ -92,7 +92,7 @@
     pub async fn bind(settings: EntrySettings) -> Result<Self, EntryError> {
         let metrics = install_metrics();
         let incarnation = Incarnation(rand::random());
-        let events = EventLog::open(Name::clone(&settings.node));
+        let events = EventLog::open(Name::clone(&settings.node), incarnation);
         let shared =
             Arc::new(Shared::new(settings.clone(), incarnation, Kernel::new(), events.clone()));
         let store_cfg = HttpStoreConfig::new(settings.platform.to_string()).budget(settings.budget);
@@ -257,6 +257,7 @@
             "node": &*shared.settings.node,
             "role": "entry",
             "data_centre": &*shared.settings.data_centre,
+            "region": &*shared.settings.region,
             "incarnation": format!("{:016x}", shared.incarnation.0),
             "generation": shared.generation.load(Ordering::Relaxed),
             "ready": shared.is_ready(),
--- a/dogwoodtray_entry/src/shell/settings.rs
+++ b/dogwoodtray_entry/src/shell/settings.rs
@@ -6,6 +6,8 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_platform::BudgetConfig;
 
+use crate::OrganizationLimits;
+
 /// Settings of an entry.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -13,6 +15,8 @@
     pub node: Name,
     /// Data centre that it stands in.
     pub data_centre: Name,
+    /// Region of the data centre.
+    pub region: Name,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address for links from other entries.
@@ -27,6 +31,8 @@
     pub routing: Name,
     /// Whether slow requests get a second attempt.
     pub hedging: bool,
+    /// Limits of one organization.
+    pub organization_limits: OrganizationLimits,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
     /// Largest body of a job, in bytes.
@@ -57,6 +63,7 @@
         Self {
             node: node.into(),
             data_centre: data_centre.into(),
+            region: Name::from(""),
             listen,
             peer,
             admin,
@@ -64,6 +71,7 @@
             budget: BudgetConfig::default(),
             routing: Name::from("adaptive"),
             hedging: true,
+            organization_limits: OrganizationLimits::default(),
             max_body_bytes: 1024 * 1024,
             max_job_bytes: 64 * 1024 * 1024,
             max_requests: 8192,
--- a/dogwoodtray_entry/src/shell/shared.rs
+++ b/dogwoodtray_entry/src/shell/shared.rs
@@ -22,6 +22,7 @@
 use super::OnceInput;
 use super::ROUTER;
 use super::RouterInput;
+use crate::http::LimitGate;
 
 /// Status of a link for operators.
 #[derive(Clone, Debug, serde::Serialize)]
@@ -50,6 +51,7 @@
     pub(crate) jobs_driven: AtomicU64,
     pub(crate) jobs_drained: AtomicBool,
     pub(crate) once_drained: AtomicBool,
+    pub(crate) limits: Arc<LimitGate>,
     pub(crate) next_request: AtomicU64,
     pub(crate) open_answers: AtomicU64,
 }
@@ -61,6 +63,7 @@
         kernel: Kernel,
         events: EventLog,
     ) -> Self {
+        let limits = LimitGate::new(settings.organization_limits);
         Self {
             settings,
             incarnation,
@@ -79,6 +82,7 @@
             jobs_driven: AtomicU64::new(0),
             jobs_drained: AtomicBool::new(false),
             once_drained: AtomicBool::new(false),
+            limits,
             next_request: AtomicU64::new(0),
             open_answers: AtomicU64::new(0),
         }
--- a/dogwoodtray_runtime/src/events/log.rs
+++ b/dogwoodtray_runtime/src/events/log.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_wire::messages;
 use serde::Serialize;
@@ -48,6 +49,7 @@
 
 struct Inner {
     node: Name,
+    incarnation: Incarnation,
     state: Mutex<State>,
 }
 
@@ -61,9 +63,9 @@
 impl EventLog {
     /// Opens the event log of a process.
     #[must_use]
-    pub fn open(node: Name) -> Self {
+    pub fn open(node: Name, incarnation: Incarnation) -> Self {
         let state = State { wall_us: 0, logical: 0, next_seq: 0, ring: VecDeque::new() };
-        Self { inner: Arc::new(Inner { node, state: Mutex::new(state) }) }
+        Self { inner: Arc::new(Inner { node, incarnation, state: Mutex::new(state) }) }
     }
 
     /// Returns the name of the process.
@@ -72,6 +74,12 @@
         &self.inner.node
     }
 
+    /// Returns the incarnation of the process.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.inner.incarnation
+    }
+
     /// Writes an event.
     pub fn emit(
         &self,
--- a/dogwoodtray_runtime/src/operator/port.rs
+++ b/dogwoodtray_runtime/src/operator/port.rs
@@ -116,7 +116,13 @@
             }
         };
         let (events, next) = self.events.since(after, parameters.get("request").copied());
-        let body = json!({ "node": &**self.events.node(), "events": events, "next": next });
+        let incarnation = format!("{:016x}", self.events.incarnation().0);
+        let body = json!({
+            "node": &**self.events.node(),
+            "incarnation": incarnation,
+            "events": events,
+            "next": next,
+        });
         json_response(StatusCode::OK, &body)
     }
 }
