Check the view of generations exhaustively

Cause: a process that starts during an outage, or that a stale peer feeds, must neither step back nor take work with an old configuration. Conclusion: no defect found within the bounds.

--- /dev/null
+++ b/dogwoodtray_coord/tests/model_view.rs
@@ -0,0 +1,286 @@
+//! Exhaustive model of a process that starts while generations are published, fed by a peer that
+//! has the newest generation and by one that may lag.
+//!
+//! Bounds: one new process, one lost fetch, one loss of a link; either generations 1 to 3 and one
+//! peer, or generations 1 and 2 and two peers. Each peer may lag without limit. The store may be down for as long as the process asks it.
+
+mod support;
+
+use std::sync::Arc;
+
+use dogwoodtray_coord::FetchFrom;
+use dogwoodtray_coord::Generation;
+use dogwoodtray_coord::GenerationView;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Readiness;
+
+use crate::support::Model;
+use crate::support::explore;
+
+/// How the environment is broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Defect {
+    None,
+    /// The process runs with whatever it fetched last, without asking the view.
+    IgnoresView,
+    /// The process counts links that it has not heard as peers without a generation.
+    GuessesPeers,
+}
+
+/// A peer, and what is on its way from it to the new process.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Peer {
+    held: Generation,
+    is_linked: bool,
+    heartbeat: Option<Generation>,
+    /// What the peer held when the link came up.
+    held_at_link: Generation,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct World {
+    defect: Defect,
+    last: Generation,
+    current: Generation,
+    current_at_start: Generation,
+    peers: Vec<Peer>,
+    view: GenerationView,
+    /// Generation that the new process runs with.
+    running: Generation,
+    has_asked_store: bool,
+    has_store_answered: bool,
+    /// The answer of the store on its way, which may be old when it arrives.
+    store_answer: Option<Generation>,
+    fetch: Option<(FetchFrom, Generation)>,
+    lost_fetches: u8,
+    lost_links: u8,
+    violation: Option<String>,
+}
+
+fn name(peer: usize) -> Name {
+    Arc::from(format!("peer-{peer}"))
+}
+
+impl World {
+    fn new(peers: usize, last: Generation, defect: Defect) -> Self {
+        let first = Generation(1);
+        let (is_linked, heartbeat) = (false, None);
+        let peer = Peer { held: first, is_linked, heartbeat, held_at_link: first };
+        Self {
+            defect,
+            last,
+            current: first,
+            current_at_start: first,
+            peers: vec![peer; peers],
+            view: GenerationView::new(),
+            running: Generation(0),
+            has_asked_store: false,
+            has_store_answered: false,
+            store_answer: None,
+            fetch: None,
+            lost_fetches: 1,
+            lost_links: 1,
+            violation: None,
+        }
+    }
+
+    fn adopt(&mut self, generation: Generation) {
+        let is_newer = self.view.adopt(generation);
+        if !is_newer && self.defect != Defect::IgnoresView {
+            return;
+        }
+        if generation < self.running {
+            self.violation = Some(format!("{:?} stepped back to {generation:?}", self.running));
+        }
+        self.running = generation;
+    }
+
+    /// Checks, when the process becomes ready, that it runs what it has to.
+    fn check_ready(&mut self, before: &Self) {
+        let was_ready = before.view.readiness() == Readiness::Ready;
+        if was_ready || self.view.readiness() != Readiness::Ready {
+            return;
+        }
+        let linked = self.peers.iter().filter(|peer| peer.is_linked);
+        let needed = if self.has_store_answered {
+            Some(self.current_at_start)
+        } else {
+            linked.map(|peer| peer.held_at_link).max()
+        };
+        match needed {
+            None => self.violation = Some("ready without having heard anyone".into()),
+            Some(needed) if self.running < needed => {
+                let running = self.running;
+                self.violation = Some(format!("ready with {running:?}, {needed:?} is needed"));
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn peer_steps(&self, index: usize, steps: &mut Vec<Self>) {
+        let peer = &self.peers[index];
+        if peer.held < self.current {
+            let mut next = self.clone();
+            next.peers[index].held = self.current;
+            steps.push(next);
+        }
+        if !peer.is_linked {
+            let mut next = self.clone();
+            next.peers[index].is_linked = true;
+            next.peers[index].held_at_link = peer.held;
+            next.view.peer_linked(&name(index));
+            if self.defect == Defect::GuessesPeers {
+                next.view.peer_reported(&name(index), Generation(0));
+            }
+            steps.push(next);
+            return;
+        }
+        let mut next = self.clone();
+        match peer.heartbeat {
+            None => next.peers[index].heartbeat = Some(peer.held),
+            Some(generation) => {
+                next.peers[index].heartbeat = None;
+                next.view.peer_reported(&name(index), generation);
+            }
+        }
+        steps.push(next);
+        if self.lost_links > 0 {
+            let mut next = self.clone();
+            next.lost_links -= 1;
+            next.peers[index].is_linked = false;
+            next.peers[index].heartbeat = None;
+            next.view.peer_lost(&name(index));
+            steps.push(next);
+        }
+    }
+
+    fn store_steps(&self, steps: &mut Vec<Self>) {
+        if !self.has_asked_store {
+            let mut answered = self.clone();
+            answered.has_asked_store = true;
+            answered.store_answer = Some(self.current);
+            steps.push(answered);
+            let mut failed = self.clone();
+            failed.view.store_failed();
+            steps.push(failed);
+        }
+        if let Some(generation) = self.store_answer {
+            let mut next = self.clone();
+            next.store_answer = None;
+            next.has_store_answered = true;
+            next.view.store_answered(generation);
+            steps.push(next);
+        }
+    }
+
+    fn fetch_steps(&self, steps: &mut Vec<Self>) {
+        let Some((from, generation)) = &self.fetch else {
+            let Some(from) = self.view.fetch_from() else {
+                return;
+            };
+            let mut next = self.clone();
+            let held = match &from {
+                FetchFrom::Store => self.current,
+                FetchFrom::Peer(peer) => {
+                    let index = (0..self.peers.len()).find(|index| name(*index) == *peer);
+                    self.peers[index.expect("a peer")].held
+                }
+            };
+            next.fetch = Some((from, held));
+            steps.push(next);
+            return;
+        };
+        let mut arrived = self.clone();
+        arrived.fetch = None;
+        arrived.adopt(*generation);
+        steps.push(arrived);
+        if self.lost_fetches > 0 {
+            let mut lost = self.clone();
+            lost.lost_fetches -= 1;
+            lost.fetch = None;
+            if let FetchFrom::Peer(peer) = from {
+                lost.view.fetch_failed(peer);
+            }
+            steps.push(lost);
+        }
+    }
+
+    /// A peer pushes its snapshot unasked, possibly an old one.
+    fn push_steps(&self, steps: &mut Vec<Self>) {
+        for peer in self.peers.iter().filter(|peer| peer.is_linked) {
+            let mut next = self.clone();
+            next.adopt(peer.held);
+            steps.push(next);
+        }
+    }
+}
+
+impl Model for World {
+    fn steps(&self) -> Vec<Self> {
+        let mut steps = Vec::new();
+        if self.current < self.last {
+            steps.push(Self { current: self.current.next(), ..self.clone() });
+        }
+        for index in 0..self.peers.len() {
+            self.peer_steps(index, &mut steps);
+        }
+        self.store_steps(&mut steps);
+        self.fetch_steps(&mut steps);
+        self.push_steps(&mut steps);
+        steps.retain(|next| next != self);
+        for next in &mut steps {
+            next.check_ready(self);
+        }
+        steps
+    }
+
+    fn check(&self, _: bool) -> Result<(), String> {
+        if let Some(violation) = &self.violation {
+            return Err(violation.clone());
+        }
+        if self.view.held() > self.view.known() {
+            return Err("the highest known generation is below the own one".into());
+        }
+        if self.defect == Defect::None && self.running != self.view.held() {
+            return Err("the view does not say what is in force".into());
+        }
+        // Nothing is left to hear: the process must have caught up or know where to fetch.
+        let all_heard = self.peers.iter().all(|peer| peer.is_linked && peer.held == self.last);
+        let is_behind = self.view.held() < self.view.known();
+        if all_heard && is_behind && self.fetch.is_none() && self.view.fetch_from().is_none() {
+            return Err("behind without a source".into());
+        }
+        Ok(())
+    }
+}
+
+/// Guards against a process that steps back, or takes work with an old configuration.
+#[test]
+fn generation_never_steps_back() {
+    assert_eq!(explore("view", World::new(1, Generation(3), Defect::None)).err(), None);
+}
+
+/// Guards against the same with a second peer, which may lag behind the first.
+#[test]
+fn generation_never_steps_back_with_two_peers() {
+    let world = World::new(2, Generation(2), Defect::None);
+    assert_eq!(explore("view, two peers", world).err(), None);
+}
+
+/// Guards against a model that cannot see a step back.
+#[test]
+fn stale_peer_is_caught_without_view() {
+    assert!(
+        explore("view, ignored by its owner", World::new(2, Generation(2), Defect::IgnoresView))
+            .is_err()
+    );
+}
+
+/// Guards against a model that cannot see a process that is ready too early.
+#[test]
+fn guessed_peer_is_caught() {
+    assert!(
+        explore("view, guessed generations", World::new(2, Generation(2), Defect::GuessesPeers))
+            .is_err()
+    );
+}
