Split large job files and share the checks of the job tests

Change: judge.rs, submission.rs and the store of the test world are files of their own; ends of attempts that nobody waits for are counted. Conclusion: no change of behaviour.

--- a/dogwoodtray_entry/src/jobs/core.rs
+++ b/dogwoodtray_entry/src/jobs/core.rs
@@ -24,7 +24,6 @@
 use super::credits::Credits;
 use super::driven::Driven;
 use super::header;
-use super::intake;
 use super::intake::Intake;
 use super::notice::Notices;
 use super::read::Ask;
@@ -32,6 +31,7 @@
 use super::read::Read;
 use super::reply::JobReply;
 use super::reply::Refusal;
+use super::submission::check;
 use super::sweep::Sweep;
 use super::watch;
 use super::watch::Watch;
@@ -69,6 +69,7 @@
     pub(crate) credits: Credits,
     pub(crate) closed: BTreeSet<Name>,
     pub(crate) draining_since: Option<Timestamp>,
+    pub(crate) late_ends: u64,
 }
 
 /// Settings, chance and calls, borrowed by the parts of the core as [`Cx`].
@@ -123,6 +124,7 @@
             credits: Credits::default(),
             closed: BTreeSet::new(),
             draining_since: None,
+            late_ends: 0,
         }
     }
 
@@ -202,6 +204,12 @@
         self.draining_since.is_some() && self.drain_reasons().is_empty()
     }
 
+    /// Returns how many ends of attempts arrived that this process no longer waited for.
+    #[must_use]
+    pub fn late_ends(&self) -> u64 {
+        self.late_ends
+    }
+
     /// Returns what a planned stop waits for.
     #[must_use]
     pub fn drain_reasons(&self) -> Vec<DrainReason> {
@@ -253,7 +261,7 @@
         if self.closed.contains(&submission.model) {
             return Err(Refusal::ServiceClosed);
         }
-        let bytes = intake::check(cfg, submission, self.env.unix_ms)?;
+        let bytes = check(cfg, submission, self.env.unix_ms)?;
         let in_hand: usize = self.intakes.values().map(Intake::bytes).sum();
         if in_hand + bytes > cfg.max_intake_bytes {
             return Err(Refusal::Busy);
--- a/dogwoodtray_entry/src/jobs/drive.rs
+++ b/dogwoodtray_entry/src/jobs/drive.rs
@@ -175,6 +175,7 @@
         out: &mut Vec<JobAction>,
     ) {
         let Some(attempt) = self.attempts.take(id) else {
+            self.late_ends += 1;
             return;
         };
         let job = self.driven.get_mut(&attempt.job).filter(|job| job.flow == attempt.flow);
--- a/dogwoodtray_entry/src/jobs/driven.rs
+++ b/dogwoodtray_entry/src/jobs/driven.rs
@@ -12,23 +12,11 @@
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::Version;
 
-use super::api::ItemEnd;
-use super::attempts::Attempt;
 use super::bitmap::Bitmap;
 use super::commit::Commit;
-use super::config::JobConfig;
 use super::header::Header;
 use super::header::Rest;
-use super::outcome::ItemOutcome;
 use super::outcome::ItemResult;
-use super::outcome::Reason;
-
-/// Weight of the newest duration in the mean duration of an item.
-const MEAN_WEIGHT: f64 = 0.1;
-const BAD_REQUEST: u16 = 400;
-const REQUEST_TIMEOUT: u16 = 408;
-const TOO_MANY_REQUESTS: u16 = 429;
-const SERVER_ERROR: u16 = 500;
 
 /// Why a job is brought to an end before all its items ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,7 +86,8 @@
     pub(crate) committed_at: Option<Timestamp>,
     /// Outcomes taken since then.
     pub(crate) recent: usize,
-    mean_ms: f64,
+    /// Mean duration of an answered attempt.
+    pub(crate) mean_ms: f64,
 }
 
 /// Chunk of items in memory.
@@ -176,159 +165,6 @@
         self.active.values().flat_map(|active| active.running.iter().copied()).collect()
     }
 
-    /// Takes the end of an attempt. Returns other attempts at the item that are now superfluous.
-    pub(crate) fn on_end(
-        &mut self,
-        cfg: &JobConfig,
-        now: Timestamp,
-        id: AttemptId,
-        attempt: &Attempt,
-        end: ItemEnd,
-    ) -> Vec<AttemptId> {
-        let item = attempt.item;
-        if let Some(active) = self.active.get_mut(&item) {
-            active.running.retain(|running| *running != id);
-            self.running -= 1;
-            self.running_items -= u32::from(active.running.is_empty());
-        }
-        if self.settled.get(item) {
-            if matches!(end, ItemEnd::Answered { .. } | ItemEnd::Failed { .. }) {
-                self.dropped += 1;
-            }
-            return Vec::new();
-        }
-        if matches!(end, ItemEnd::Answered { .. }) {
-            let millis = (now - attempt.sent_at).as_secs_f64() * 1_000.0;
-            self.mean_ms += (millis - self.mean_ms) * MEAN_WEIGHT;
-        }
-        let outcome = if self.header.idempotent {
-            self.judge_idempotent(cfg, now, attempt, end)
-        } else {
-            self.judge_once(attempt, end)
-        };
-        let Some(outcome) = outcome else {
-            return Vec::new();
-        };
-        self.settle(now, item, Name::clone(&attempt.custom_id), outcome)
-    }
-
-    /// Decides on an item that may run again; `None` when it is to be tried again.
-    fn judge_idempotent(
-        &mut self,
-        cfg: &JobConfig,
-        now: Timestamp,
-        attempt: &Attempt,
-        end: ItemEnd,
-    ) -> Option<ItemOutcome> {
-        let item = attempt.item;
-        match end {
-            ItemEnd::Answered { status, body } => return Some(ItemOutcome::Done { status, body }),
-            ItemEnd::Quarantined => return Some(ItemOutcome::failed(Reason::Quarantined)),
-            ItemEnd::Preempted { partial, tokens } => self.on_preempted(item, now, partial, tokens),
-            ItemEnd::NotRun | ItemEnd::Cancelled => self.again(item, now + cfg.retry_delay),
-            ItemEnd::Failed { status, body } if is_final(status) => {
-                return Some(ItemOutcome::Failed { reason: Reason::Refused, status, body });
-            }
-            ItemEnd::Failed { status, body } => {
-                return self.count_try(cfg, now, attempt, status, body);
-            }
-            ItemEnd::Crashed | ItemEnd::Unknown => {
-                return self.count_try(cfg, now, attempt, 0, Bytes::new());
-            }
-        }
-        None
-    }
-
-    /// Decides on an item that must run at most once.
-    fn judge_once(&mut self, attempt: &Attempt, end: ItemEnd) -> Option<ItemOutcome> {
-        match end {
-            ItemEnd::Answered { status, body } => Some(ItemOutcome::Done { status, body }),
-            ItemEnd::Failed { status, body } => {
-                Some(ItemOutcome::Failed { reason: Reason::Refused, status, body })
-            }
-            ItemEnd::Quarantined if !attempt.started => {
-                Some(ItemOutcome::failed(Reason::Quarantined))
-            }
-            // The agent never forwarded the item, and its intent is still stored.
-            ItemEnd::NotRun if !attempt.started => {
-                self.active.remove(&attempt.item);
-                self.armed.push_back(attempt.item);
-                None
-            }
-            _ => Some(ItemOutcome::failed(Reason::Unknown)),
-        }
-    }
-
-    fn on_preempted(&mut self, item: u32, now: Timestamp, partial: Bytes, tokens: u32) {
-        let active = self.active.entry(item).or_default();
-        let progress = tokens > active.tokens;
-        if progress {
-            active.partial = partial;
-            active.tokens = tokens;
-        }
-        if !active.running.is_empty() {
-            return;
-        }
-        // Only an item that got further may go first again, so that none blocks the rest.
-        if progress {
-            self.resumed.push_back(item);
-        } else {
-            self.retry.insert((now, item));
-        }
-    }
-
-    fn again(&mut self, item: u32, not_before: Timestamp) {
-        let others = self.active.get(&item).is_some_and(|active| !active.running.is_empty());
-        if !others {
-            self.retry.insert((not_before, item));
-        }
-    }
-
-    fn count_try(
-        &mut self,
-        cfg: &JobConfig,
-        now: Timestamp,
-        attempt: &Attempt,
-        status: u16,
-        body: Bytes,
-    ) -> Option<ItemOutcome> {
-        let item = attempt.item;
-        let tries = self.tries.entry(item).or_default();
-        *tries = tries.saturating_add(1);
-        if *tries >= cfg.max_attempts {
-            return Some(ItemOutcome::Failed { reason: Reason::AttemptsExhausted, status, body });
-        }
-        if let Some(active) = self.active.get_mut(&item) {
-            active.avoid = Some(attempt.endpoint);
-        }
-        self.again(item, now + cfg.retry_delay);
-        None
-    }
-
-    /// Takes the first outcome of an item. Returns attempts that are now superfluous.
-    fn settle(
-        &mut self,
-        now: Timestamp,
-        item: u32,
-        custom_id: Name,
-        outcome: ItemOutcome,
-    ) -> Vec<AttemptId> {
-        self.settled.set(item);
-        self.unsettled -= 1;
-        self.tries.remove(&item);
-        if self.pending.is_empty() {
-            self.pending_since = now;
-        }
-        let result = ItemResult { item, custom_id, outcome };
-        self.pending_bytes += result.size();
-        self.pending.push_back(result);
-        let losers = self.active.remove(&item).map(|active| active.running).unwrap_or_default();
-        self.running -= losers.len();
-        self.running_items -= u32::from(!losers.is_empty());
-        self.recent += 1;
-        losers
-    }
-
     /// Notes that the header stood unchanged when a call was started.
     pub(crate) fn on_confirmed(&mut self, started: Timestamp, within: Duration) {
         self.confirmed_at = self.confirmed_at.max(started);
@@ -344,10 +180,3 @@
         }
     }
 }
-
-/// Tells whether a repetition cannot change the answer.
-fn is_final(status: u16) -> bool {
-    (BAD_REQUEST..SERVER_ERROR).contains(&status)
-        && status != REQUEST_TIMEOUT
-        && status != TOO_MANY_REQUESTS
-}
--- a/dogwoodtray_entry/src/jobs/mod.rs
+++ b/dogwoodtray_entry/src/jobs/mod.rs
@@ -14,6 +14,7 @@
 mod header;
 mod intake;
 mod items;
+mod judge;
 mod notice;
 mod outcome;
 mod plan;
@@ -21,6 +22,7 @@
 mod replies;
 mod reply;
 mod segment;
+mod submission;
 mod sweep;
 mod watch;
 
--- a/dogwoodtray_entry/tests/jobs_support/oracle.rs
+++ b/dogwoodtray_entry/tests/jobs_support/oracle.rs
@@ -77,6 +77,20 @@
     faults
 }
 
+/// Asserts that a job that was not cancelled ended without violations.
+pub(crate) fn assert_clean(
+    world: &mut World,
+    index: usize,
+    job: &Name,
+    items: u32,
+    idempotent: bool,
+) {
+    let limit = Duration::from_secs(900);
+    world.run_until(limit, "ended", |w| w.header(job).unwrap().state != JobState::Open);
+    let expected = Expected { job: Name::clone(job), items, idempotent, cancelled: None };
+    assert_eq!(check(world, index, &expected), Vec::<String>::new());
+}
+
 fn check_runs(
     world: &World,
     expected: &Expected,
