Add the open-loop load generator with checked answers and reports

Ruled out: a closed loop (a slow system would slow its own load and hide its queue), and keeping all samples (histograms bound the memory of long runs). Change: shapes, seeded Poisson and burst arrivals, online requests over kept connections, batch jobs whose items are checked one by one, JSON, text and SVG reports. The axes of plotters do not end for infinite ranges, which hung the chart test; figures are bounded before they are drawn. Conclusion: runs against the engine stand-in are complete; the batch interface is tested against a test entry only.

--- /dev/null
+++ b/dogwoodtray_load/src/chart.rs
@@ -0,0 +1,204 @@
+//! SVG report.
+
+use std::fs;
+use std::ops::Range;
+use std::path::Path;
+
+use plotters::chart::ChartBuilder;
+use plotters::chart::SeriesLabelPosition;
+use plotters::coord::Shift;
+use plotters::drawing::DrawingArea;
+use plotters::drawing::IntoDrawingArea;
+use plotters::element::PathElement;
+use plotters::element::Rectangle;
+use plotters::prelude::IntoLogRange;
+use plotters::prelude::SVGBackend;
+use plotters::series::LineSeries;
+use plotters::style::BLACK;
+use plotters::style::Color;
+use plotters::style::Palette;
+use plotters::style::Palette99;
+use plotters::style::PaletteColor;
+use plotters::style::WHITE;
+
+use crate::Latency;
+use crate::LoadError;
+use crate::Report;
+
+/// Size of one chart in pixels.
+const CHART_PIXELS: (u32, u32) = (640, 380);
+
+/// Smallest latency on a logarithmic axis.
+const LEAST_MS: f64 = 0.1;
+
+/// Largest figure that is drawn. The axes of the library never end for infinite ranges.
+const MOST_DRAWN: f64 = 1e12;
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
+/// Draws a report: a row for each class with latency percentiles and the curve over load, and a
+/// last row with the throughput.
+///
+/// # Errors
+///
+/// Returns an error when the chart can't be drawn.
+pub fn render_svg(report: &Report) -> Result<String, LoadError> {
+    let classes = report.class_names();
+    let rows = classes.len() + 1;
+    let height = CHART_PIXELS.1 * u32::try_from(rows).unwrap_or(u32::MAX);
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, (2 * CHART_PIXELS.0, height));
+        let root = root.into_drawing_area();
+        root.fill(&WHITE).map_err(chart_error)?;
+        let areas = root.split_evenly((rows, 2));
+        let (online, throughput) = areas.split_at(2 * classes.len());
+        for (name, pair) in classes.iter().zip(online.chunks_exact(2)) {
+            draw_percentiles(report, name, &pair[0])?;
+            draw_curve(report, name, &pair[1])?;
+        }
+        if let [area, ..] = throughput {
+            draw_throughput(report, area)?;
+        }
+        root.present().map_err(chart_error)?;
+    }
+    Ok(svg)
+}
+
+/// Draws a report into a file.
+///
+/// # Errors
+///
+/// Returns an error when the chart can't be drawn or the file can't be written.
+pub fn write_svg(report: &Report, path: impl AsRef<Path>) -> Result<(), LoadError> {
+    let svg = render_svg(report)?;
+    fs::write(path, svg)?;
+    Ok(())
+}
+
+fn draw_percentiles(report: &Report, class: &str, area: &Area<'_>) -> Result<(), LoadError> {
+    let lines = report.runs.iter().filter_map(|run| {
+        let quantiles = run.classes.get(class)?.first_token.quantiles();
+        let points = (0_u32..).map(f64::from).zip(quantiles.map(drawable)).collect();
+        Some((format!("{} at {:.0}/s", run.label, run.offered_per_second()), points))
+    });
+    let ticks = |x: &f64| {
+        let at = x.round();
+        let near = (x - at).abs() < 0.05 && at >= 0.0;
+        Latency::QUANTILES.get(at as usize).filter(|_| near).map_or("", |name| name).to_owned()
+    };
+    let caption = format!("{class}: first token by percentile, ms");
+    draw_lines(area, &caption, 0.0..4.0, &lines.collect::<Vec<_>>(), &ticks)
+}
+
+fn draw_curve(report: &Report, class: &str, area: &Area<'_>) -> Result<(), LoadError> {
+    let curves = report.curves(class);
+    let lines: Vec<_> = curves
+        .into_iter()
+        .map(|(label, points)| {
+            let points = points.into_iter().map(|(x, y)| (drawable(x), drawable(y)));
+            (label.to_owned(), points.collect::<Vec<_>>())
+        })
+        .collect();
+    let loads = lines.iter().flat_map(|(_, points)| points).map(|(load, _)| *load);
+    let most = loads.fold(1.0, f64::max);
+    let caption = format!("{class}: first token p99 over offered requests/s, ms");
+    draw_lines(area, &caption, 0.0..most * 1.05, &lines, &|x| format!("{x:.0}"))
+}
+
+fn draw_lines(
+    area: &Area<'_>,
+    caption: &str,
+    x_range: Range<f64>,
+    lines: &[(String, Vec<(f64, f64)>)],
+    x_label: &dyn Fn(&f64) -> String,
+) -> Result<(), LoadError> {
+    let values = lines.iter().flat_map(|(_, points)| points).map(|(_, y)| y.max(LEAST_MS));
+    let least = values.clone().fold(f64::INFINITY, f64::min).min(1.0);
+    let most = values.fold(10.0 * LEAST_MS, f64::max);
+    let y_range = (least * 0.8..most * 1.5).log_scale();
+    let mut chart = ChartBuilder::on(area)
+        .caption(caption, ("sans-serif", 16))
+        .margin(12)
+        .x_label_area_size(28)
+        .y_label_area_size(56)
+        .build_cartesian_2d(x_range, y_range)
+        .map_err(chart_error)?;
+    chart
+        .configure_mesh()
+        .x_label_formatter(x_label)
+        .y_label_formatter(&|y: &f64| format!("{y:.1}"))
+        .draw()
+        .map_err(chart_error)?;
+    for (index, (label, points)) in lines.iter().enumerate() {
+        let color = color_of(index);
+        let points = points.iter().map(|(x, y)| (*x, y.max(LEAST_MS)));
+        chart
+            .draw_series(LineSeries::new(points, color.stroke_width(2)).point_size(3))
+            .map_err(chart_error)?
+            .label(label)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
+    }
+    if !lines.is_empty() {
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK.mix(0.3))
+            .draw()
+            .map_err(chart_error)?;
+    }
+    Ok(())
+}
+
+fn draw_throughput(report: &Report, area: &Area<'_>) -> Result<(), LoadError> {
+    let figures: Vec<_> = report.runs.iter().map(|run| drawable(run.tokens_per_second())).collect();
+    let most = figures.iter().copied().fold(1.0, f64::max);
+    let bars = report.runs.len().max(1) as f64;
+    let labels: Vec<_> = report
+        .runs
+        .iter()
+        .map(|run| format!("{} at {:.0}/s", run.label, run.offered_per_second()))
+        .collect();
+    let mut chart = ChartBuilder::on(area)
+        .caption("throughput of online requests and jobs, tokens/s", ("sans-serif", 16))
+        .margin(12)
+        .x_label_area_size(28)
+        .y_label_area_size(56)
+        .build_cartesian_2d(0.0..bars, 0.0..most * 1.1)
+        .map_err(chart_error)?;
+    let ticks = |x: &f64| {
+        let middle = (x.fract() - 0.5).abs() < 0.05;
+        labels.get(*x as usize).filter(|_| middle).cloned().unwrap_or_default()
+    };
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .x_labels(2 * report.runs.len() + 1)
+        .x_label_formatter(&ticks)
+        .y_label_formatter(&|y: &f64| format!("{y:.0}"))
+        .draw()
+        .map_err(chart_error)?;
+    let order = report.labels();
+    let rectangles = report.runs.iter().zip(figures).zip(0_u32..).map(|((run, figure), bar)| {
+        let color = color_of(order.iter().position(|label| *label == run.label).unwrap_or(0));
+        let left = f64::from(bar);
+        let corners = [(left + 0.2, 0.0), (left + 0.8, figure)];
+        Rectangle::new(corners, color.filled())
+    });
+    chart.draw_series(rectangles).map_err(chart_error)?;
+    Ok(())
+}
+
+/// Returns a figure that an axis can hold.
+fn drawable(figure: f64) -> f64 {
+    if figure.is_finite() { figure.clamp(0.0, MOST_DRAWN) } else { 0.0 }
+}
+
+fn color_of(index: usize) -> PaletteColor<Palette99> {
+    Palette99::pick(index)
+}
+
+fn chart_error(err: impl ToString) -> LoadError {
+    LoadError::Chart(err.to_string())
+}
--- /dev/null
+++ b/dogwoodtray_load/src/items.rs
@@ -0,0 +1,47 @@
+//! Check of the results of a job.
+
+use std::collections::HashMap;
+
+use dogwoodtray_standin::check_answer;
+use serde_json::Value;
+
+use crate::ItemCounts;
+use crate::plan::Question;
+
+/// Places of the text of an answer in a line of results.
+const CONTENT_POINTERS: [&str; 2] =
+    ["/response/body/choices/0/message/content", "/body/choices/0/message/content"];
+
+/// Checks that each item has one result with the whole text. Returns the tokens of whole items.
+pub(crate) fn check_results(items: &[Question], lines: &str) -> (ItemCounts, u64) {
+    let mut counts = ItemCounts::default();
+    let mut tokens = 0;
+    let mut open: HashMap<&str, Option<&Question>> =
+        items.iter().map(|item| (item.id.as_str(), Some(item))).collect();
+    for line in lines.lines().filter(|line| !line.trim().is_empty()) {
+        let result: Value = serde_json::from_str(line).unwrap_or_default();
+        let id = result.get("custom_id").and_then(Value::as_str).unwrap_or_default();
+        let Some(slot) = open.get_mut(id) else {
+            counts.unknown += 1;
+            continue;
+        };
+        let Some(item) = slot.take() else {
+            counts.duplicate += 1;
+            continue;
+        };
+        match content(&result) {
+            Some(text) if check_answer(item.prompt, item.tokens, text).is_ok() => {
+                counts.whole += 1;
+                tokens += item.tokens;
+            }
+            Some(_) => counts.wrong += 1,
+            None => counts.failed += 1,
+        }
+    }
+    counts.missing = open.values().flatten().count() as u64;
+    (counts, tokens)
+}
+
+fn content(result: &Value) -> Option<&str> {
+    CONTENT_POINTERS.iter().find_map(|pointer| result.pointer(pointer)?.as_str())
+}
--- a/dogwoodtray_load/src/lib.rs
+++ b/dogwoodtray_load/src/lib.rs
@@ -1,1 +1,58 @@
 //! Open-loop load generator, experiments and reports.
+//!
+//! Requests are sent at planned times, whatever the state of earlier ones, and latencies count
+//! from the planned time. A slow system can therefore not hide its queue by slowing the load.
+//! Each answer is checked against the text that the engine stand-in must give for its prompt.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::Duration;
+//! use dogwoodtray_load::{Arrivals, LoadConfig, Shape, run};
+//! use dogwoodtray_standin::{EngineConfig, EngineStandin};
+//!
+//! # tokio::runtime::Runtime::new().unwrap().block_on(async {
+//! let engine = EngineStandin::bind(EngineConfig::default()).await.unwrap();
+//! let cfg = LoadConfig::new([engine.addr()])
+//!     .stream(Shape::counter_slips(), Arrivals::poisson(50.0))
+//!     .warm_up(Duration::ZERO)
+//!     .duration(Duration::from_millis(200));
+//! let report = run(cfg).await.unwrap();
+//! let class = &report.classes["counter-slips"];
+//! assert_eq!(class.sent, class.whole);
+//! # });
+//! ```
+
+mod arrivals;
+mod chart;
+mod client;
+mod compare;
+mod config;
+mod error;
+mod items;
+mod job;
+mod online;
+mod plan;
+mod record;
+mod report;
+mod run;
+mod shape;
+mod sse;
+mod summary;
+
+pub use crate::arrivals::Arrivals;
+pub use crate::chart::render_svg;
+pub use crate::chart::write_svg;
+pub use crate::compare::Report;
+pub use crate::compare::compare;
+pub use crate::config::LoadConfig;
+pub use crate::error::LoadError;
+pub use crate::report::ClassReport;
+pub use crate::report::ItemCounts;
+pub use crate::report::JobReport;
+pub use crate::report::Latency;
+pub use crate::report::LoadReport;
+pub use crate::run::run;
+pub use crate::shape::JobShape;
+pub use crate::shape::Shape;
+pub use crate::shape::TokenCount;
--- /dev/null
+++ b/dogwoodtray_load/tests/common/mod.rs
@@ -0,0 +1,169 @@
+//! An entry that answers right or wrong on request.
+#![allow(dead_code, reason = "not every test file uses every helper")]
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use dogwoodtray_standin::PromptHash;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+/// What the entry does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Flaw {
+    None,
+    /// Answers belong to another request; a job has a wrong and an unknown item.
+    Mixed,
+    /// Answers lack their last token; a job lacks an item and has one twice.
+    Cut,
+    /// Chat requests and the first submission of a job are refused.
+    Busy,
+}
+
+/// Body in many small parts, so that events are split anywhere.
+struct Parts(VecDeque<Bytes>);
+
+impl Parts {
+    fn new(text: &str) -> Self {
+        Self(text.as_bytes().chunks(7).map(Bytes::copy_from_slice).collect())
+    }
+}
+
+impl Body for Parts {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(self.0.pop_front().map(|part| Ok(Frame::data(part))))
+    }
+}
+
+struct Entry {
+    flaw: Flaw,
+    /// Submitted requests by idempotency key.
+    jobs: Mutex<HashMap<String, Vec<Value>>>,
+    submissions: Mutex<u64>,
+    polls: Mutex<u64>,
+}
+
+/// Starts an entry on the current runtime.
+pub(crate) async fn start_entry(flaw: Flaw) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let entry = Arc::new(Entry {
+        flaw,
+        jobs: Mutex::default(),
+        submissions: Mutex::default(),
+        polls: Mutex::default(),
+    });
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let entry = Arc::clone(&entry);
+            let service = service_fn(move |req| answer(Arc::clone(&entry), req));
+            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(serving);
+        }
+    });
+    addr
+}
+
+async fn answer(entry: Arc<Entry>, req: Request<Incoming>) -> Result<Response<Parts>, Infallible> {
+    let path = req.uri().path().to_owned();
+    let key = req.headers().get("idempotency-key").map(|key| key.to_str().unwrap().to_owned());
+    let body = req.into_body().collect().await.unwrap().to_bytes();
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let (status, text) = match path.trim_start_matches("/v1/").split('/').collect::<Vec<_>>()[..] {
+        ["chat", "completions"] => entry.chat(&body),
+        ["batches"] => entry.submit(key.unwrap(), &body),
+        ["batches", _] => entry.status(),
+        ["batches", id, "results"] => entry.results(id),
+        _ => (404, String::new()),
+    };
+    Ok(Response::builder().status(status).body(Parts::new(&text)).unwrap())
+}
+
+fn busy() -> (u16, String) {
+    (429, json!({ "error": { "code": "overloaded", "run": "not_run" } }).to_string())
+}
+
+impl Entry {
+    fn chat(&self, body: &Value) -> (u16, String) {
+        if self.flaw == Flaw::Busy {
+            return busy();
+        }
+        let mut events = String::new();
+        let PromptHash(hash) = PromptHash::of_body(body).unwrap();
+        let prompt = PromptHash(if self.flaw == Flaw::Mixed { hash + 1 } else { hash });
+        let tokens = body["max_tokens"].as_u64().unwrap();
+        for index in 0..tokens - u64::from(self.flaw == Flaw::Cut) {
+            let delta = json!({ "choices": [{ "delta": { "content": prompt.token(index) } }] });
+            events += &format!("data: {delta}\n\n");
+        }
+        (200, events + "data: [DONE]\n\n")
+    }
+
+    fn submit(&self, key: String, body: &Value) -> (u16, String) {
+        let mut submissions = self.submissions.lock().unwrap();
+        *submissions += 1;
+        if self.flaw == Flaw::Busy && *submissions == 1 {
+            return busy();
+        }
+        let requests = body["requests"].as_array().unwrap().clone();
+        self.jobs.lock().unwrap().insert(key.clone(), requests);
+        (202, json!({ "id": key }).to_string())
+    }
+
+    fn status(&self) -> (u16, String) {
+        let mut polls = self.polls.lock().unwrap();
+        *polls += 1;
+        let state = if *polls < 3 { "running" } else { "completed" };
+        (200, json!({ "status": state, "counts": { "done": *polls } }).to_string())
+    }
+
+    fn results(&self, id: &str) -> (u16, String) {
+        let jobs = self.jobs.lock().unwrap();
+        let lines = jobs[id].iter().map(|request| {
+            let prompt = PromptHash::of_body(&request["body"]).unwrap();
+            let text = prompt.answer(request["body"]["max_tokens"].as_u64().unwrap());
+            result_line(request["custom_id"].as_str().unwrap(), &text)
+        });
+        let mut lines: Vec<_> = lines.collect();
+        match self.flaw {
+            Flaw::Mixed => {
+                lines[0] = result_line("item-0", "t0-00000 ");
+                lines.push(result_line("item-99", "t0-00000 "));
+                lines[1] =
+                    json!({ "custom_id": "item-1", "error": { "code": "unknown" } }).to_string();
+            }
+            Flaw::Cut => lines[0] = lines[1].clone(),
+            Flaw::None | Flaw::Busy => {}
+        }
+        (200, lines.join("\n"))
+    }
+}
+
+fn result_line(id: &str, text: &str) -> String {
+    let body = json!({ "choices": [{ "message": { "content": text } }] });
+    json!({ "custom_id": id, "response": { "status_code": 200, "body": body } }).to_string()
+}
