--- a/dogwoodtray_load/src/chart.rs
+++ b/dogwoodtray_load/src/chart.rs
@@ -31,6 +31,9 @@
 /// Smallest latency on a logarithmic axis.
 const LEAST_MS: f64 = 0.1;
 
+/// Largest figure that is drawn. The axes of the library never end for infinite ranges.
+const MOST_DRAWN: f64 = 1e12;
+
 type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
 
 /// Draws a report: a row for each class with latency percentiles and the curve over load, and a
@@ -76,7 +79,7 @@
 fn draw_percentiles(report: &Report, class: &str, area: &Area<'_>) -> Result<(), LoadError> {
     let lines = report.runs.iter().filter_map(|run| {
         let quantiles = run.classes.get(class)?.first_token.quantiles();
-        let points = (0_u32..).map(f64::from).zip(quantiles).collect();
+        let points = (0_u32..).map(f64::from).zip(quantiles.map(drawable)).collect();
         Some((format!("{} at {:.0}/s", run.label, run.offered_per_second()), points))
     });
     let ticks = |x: &f64| {
@@ -90,8 +93,13 @@
 
 fn draw_curve(report: &Report, class: &str, area: &Area<'_>) -> Result<(), LoadError> {
     let curves = report.curves(class);
-    let lines: Vec<_> =
-        curves.into_iter().map(|(label, points)| (label.to_owned(), points)).collect();
+    let lines: Vec<_> = curves
+        .into_iter()
+        .map(|(label, points)| {
+            let points = points.into_iter().map(|(x, y)| (drawable(x), drawable(y)));
+            (label.to_owned(), points.collect::<Vec<_>>())
+        })
+        .collect();
     let loads = lines.iter().flat_map(|(_, points)| points).map(|(load, _)| *load);
     let most = loads.fold(1.0, f64::max);
     let caption = format!("{class}: first token p99 over offered requests/s, ms");
@@ -144,7 +152,8 @@
 }
 
 fn draw_throughput(report: &Report, area: &Area<'_>) -> Result<(), LoadError> {
-    let most = report.runs.iter().map(crate::LoadReport::tokens_per_second).fold(1.0, f64::max);
+    let figures: Vec<_> = report.runs.iter().map(|run| drawable(run.tokens_per_second())).collect();
+    let most = figures.iter().copied().fold(1.0, f64::max);
     let bars = report.runs.len().max(1) as f64;
     let labels: Vec<_> = report
         .runs
@@ -171,16 +180,21 @@
         .draw()
         .map_err(chart_error)?;
     let order = report.labels();
-    let rectangles = report.runs.iter().zip(0_u32..).map(|(run, bar)| {
+    let rectangles = report.runs.iter().zip(figures).zip(0_u32..).map(|((run, figure), bar)| {
         let color = color_of(order.iter().position(|label| *label == run.label).unwrap_or(0));
         let left = f64::from(bar);
-        let corners = [(left + 0.2, 0.0), (left + 0.8, run.tokens_per_second())];
+        let corners = [(left + 0.2, 0.0), (left + 0.8, figure)];
         Rectangle::new(corners, color.filled())
     });
     chart.draw_series(rectangles).map_err(chart_error)?;
     Ok(())
 }
 
+/// Returns a figure that an axis can hold.
+fn drawable(figure: f64) -> f64 {
+    if figure.is_finite() { figure.clamp(0.0, MOST_DRAWN) } else { 0.0 }
+}
+
 fn color_of(index: usize) -> PaletteColor<Palette99> {
     Palette99::pick(index)
 }
