--- a/dogwoodtray_agent/src/core/decide.rs
+++ b/dogwoodtray_agent/src/core/decide.rs
@@ -141,6 +141,11 @@
         self.attempts.iter().filter(|(_, a)| ended(a.stage) && a.peer.is_some()).count()
     }
 
+    /// Sets the balance between the classes: 0.0 puts the online tail first, 1.0 batch throughput.
+    pub fn set_batch_weight(&mut self, weight: f64) {
+        self.admission.set_batch_weight(weight);
+    }
+
     /// Takes over suspicions heard from an entry.
     pub fn merge_suspicions(&mut self, suspicions: &[Suspicion]) {
         self.quarantine.merge(suspicions);
--- a/dogwoodtray_agent/src/shell/agent.rs
+++ b/dogwoodtray_agent/src/shell/agent.rs
@@ -182,6 +182,7 @@
         shared: Arc::clone(shared),
         drain_timeout: settings.drain_timeout,
         links: HashMap::new(),
+        models: settings.models.clone(),
         snapshot: Snapshot::default(),
         actions: Vec::new(),
         heartbeat_seq: 0,
--- a/dogwoodtray_agent/src/shell/service.rs
+++ b/dogwoodtray_agent/src/shell/service.rs
@@ -26,6 +26,7 @@
 use super::convert;
 use super::endpoint::EndpointClient;
 use super::snapshot::Snapshot;
+use super::snapshot::batch_weight;
 use crate::core::AgentAction;
 use crate::core::AgentCore;
 use crate::core::AgentEvent;
@@ -69,6 +70,7 @@
     pub(super) shared: Arc<Shared>,
     pub(super) drain_timeout: Duration,
     pub(super) links: HashMap<PeerId, Peer>,
+    pub(super) models: Vec<Name>,
     pub(super) snapshot: Snapshot,
     pub(super) actions: Vec<AgentAction>,
     pub(super) heartbeat_seq: u64,
@@ -194,7 +196,11 @@
 
     fn on_config(&mut self, set: messages::ConfigSet) {
         let generation = set.generation;
+        let weight = batch_weight(&set.snapshot, &self.models);
         if self.snapshot.apply(set) {
+            if let Some(weight) = weight {
+                self.core.set_batch_weight(weight);
+            }
             self.shared.generation.store(generation, Ordering::Relaxed);
             let fields: [(&str, &dyn std::fmt::Display); 1] = [("generation", &generation)];
             self.events.emit(&catalogue::CONFIG_APPLIED, None, &fields);
--- a/dogwoodtray_entry/src/http/batches.rs
+++ b/dogwoodtray_entry/src/http/batches.rs
@@ -1,6 +1,7 @@
 //! Batch jobs.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use bytes::Bytes;
 use dogwoodtray_coord::Name;
@@ -18,6 +19,7 @@
 use super::error::json_response;
 use super::request::CallerHeaders;
 use super::request::SharedState;
+use super::resolve::Target;
 use super::resolve::resolve;
 use super::resolve::unix_ms;
 use super::stream::Body;
@@ -31,6 +33,9 @@
 use crate::shell::JobsInput;
 use crate::shell::Question;
 
+/// Time after submission at which a job is due if nothing else is said.
+const DEFAULT_DUE: Duration = Duration::from_secs(24 * 3600);
+
 const CHAT_PATH: &str = "/v1/chat/completions";
 
 #[derive(Deserialize)]
@@ -107,13 +112,37 @@
     Ok(Submission {
         organization: Name::clone(&headers.organization),
         key: headers.key.clone(),
-        model: target.model,
+        model: Name::clone(&target.model),
         items,
         idempotent: request.idempotent && target.idempotent && !headers.non_idempotent,
-        due_unix_ms: request.due_in_ms.map(|ms| unix_ms().saturating_add(ms)),
+        due_unix_ms: due(request.due_in_ms, &target)?,
     })
 }
 
+/// Returns when the job is due: at the time that it names, or that its batch policy gives. A job
+/// that is due only after the last day of its route is refused, one without a time of its own ends
+/// with that day.
+fn due(due_in_ms: Option<u64>, target: &Target) -> Result<Option<u64>, ApiError> {
+    let named = due_in_ms.map(|ms| unix_ms().saturating_add(ms));
+    let Some(closes) = target.closes_unix_ms else {
+        let by_policy = target.default_due.and_then(|due| u64::try_from(due.as_millis()).ok());
+        return Ok(named.or_else(|| by_policy.map(|ms| unix_ms().saturating_add(ms))));
+    };
+    match named {
+        Some(due) if due > closes => Err(ApiError::not_run(
+            StatusCode::GONE,
+            "service_closes",
+            "the job is due after the last day of its route",
+        )),
+        Some(due) => Ok(Some(due)),
+        None => {
+            let by_policy = target.default_due.unwrap_or(DEFAULT_DUE);
+            let ms = u64::try_from(by_policy.as_millis()).unwrap_or(u64::MAX);
+            Ok(Some(unix_ms().saturating_add(ms).min(closes)))
+        }
+    }
+}
+
 fn model_of(body: &str) -> Option<String> {
     let body: Value = serde_json::from_str(body).ok()?;
     body["model"].as_str().map(ToOwned::to_owned)
--- a/dogwoodtray_entry/src/http/resolve.rs
+++ b/dogwoodtray_entry/src/http/resolve.rs
@@ -20,6 +20,10 @@
     pub(crate) model: Name,
     pub(crate) idempotent: bool,
     pub(crate) timeout: Duration,
+    /// Time after submission at which a job is due that names none.
+    pub(crate) default_due: Option<Duration>,
+    /// When the route closes, in milliseconds since the Unix epoch.
+    pub(crate) closes_unix_ms: Option<u64>,
 }
 
 /// Finds what serves a public name.
@@ -42,6 +46,8 @@
             model: Name::clone(model),
             idempotent: true,
             timeout: shared.settings.default_timeout,
+            default_due: None,
+            closes_unix_ms: None,
         });
     }
     let route = view.route(name).ok_or_else(unknown)?;
@@ -52,7 +58,8 @@
             "the organization may not use this model",
         ));
     }
-    if !matches!(view.route_retirement(route, unix_ms()), Retirement::Open(_)) {
+    let retirement = view.route_retirement(route, unix_ms());
+    if !matches!(retirement, Retirement::Open(_)) {
         return Err(ApiError::not_run(
             StatusCode::GONE,
             "service_closed",
@@ -71,6 +78,8 @@
         model: Name::from(model),
         idempotent: route.is_idempotent(path),
         timeout: Duration::from_millis(route.default_deadline_ms),
+        default_due: view.batch_policy(route).map(|p| Duration::from_secs(p.default_due_s)),
+        closes_unix_ms: retirement.plan().map(|plan| plan.last_day.unix_ms()),
     })
 }
 
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dogwoodtray_config::Retirement;
+use dogwoodtray_config::Subject;
 use dogwoodtray_coord::AttemptId;
 use dogwoodtray_coord::Epoch;
 use dogwoodtray_coord::Incarnation;
@@ -50,6 +52,9 @@
 const BACKLOG_INTERVAL: Duration = Duration::from_millis(500);
 
 const MICROS_PER_MILLI: u64 = 1_000;
+/// Time between looks at the retirement plans.
+const RETIREMENT_INTERVAL: Duration = Duration::from_secs(1);
+
 const SERVER_ERROR: u16 = 500;
 
 /// What reaches the service.
@@ -112,6 +117,7 @@
     actions: Vec<JobAction>,
     next_token: u64,
     next_backlog: Timestamp,
+    next_retirement: Timestamp,
     reported: Vec<Name>,
 }
 
@@ -126,6 +132,7 @@
             actions: Vec::new(),
             next_token: 0,
             next_backlog: Timestamp::ZERO,
+            next_retirement: Timestamp::ZERO,
             reported: Vec::new(),
         }
     }
@@ -174,6 +181,7 @@
             self.decide(now, JobEvent::CallerGone { token });
         }
         self.decide(now, JobEvent::Tick { now_unix_ms: unix_ms() });
+        self.close_retired(now);
         self.report_backlog(now);
         self.shared.jobs_drained.store(self.core.drained(), Ordering::Release);
         if self.shared.finished.load(Ordering::Acquire) { Flow::Stop } else { Flow::Continue }
@@ -181,6 +189,23 @@
 }
 
 impl JobsService {
+    /// Ends the items of models whose last day has passed.
+    fn close_retired(&mut self, now: Timestamp) {
+        if now < self.next_retirement {
+            return;
+        }
+        self.next_retirement = now + RETIREMENT_INTERVAL;
+        let view = self.shared.view();
+        let open = |model: &str| {
+            matches!(view.retirement(Subject::Model(model), unix_ms()), Retirement::Open(_))
+        };
+        let closed = view.models().iter().filter(|model| !open(&model.name));
+        for model in closed {
+            let model = Name::clone(&model.name);
+            self.decide(now, JobEvent::ServiceClosed { model });
+        }
+    }
+
     fn on_question(&mut self, now: Timestamp, make: Question, tx: UnboundedSender<JobReply>) {
         self.next_token += 1;
         let token = ReplyToken(self.next_token);
--- a/dogwoodtray_policy/src/admission/controller.rs
+++ b/dogwoodtray_policy/src/admission/controller.rs
@@ -281,6 +281,11 @@
         self.batch_places().saturating_sub(self.running.inside().saturating_add(waiting))
     }
 
+    fn set_batch_weight(&mut self, weight: f64) {
+        self.cfg.batch_weight = weight;
+        self.batch_limit.set_tolerance(self.cfg.batch_limit().gap_tolerance);
+    }
+
     fn queued_online(&self) -> u32 {
         self.online.len()
     }
--- a/dogwoodtray_policy/src/admission/limit.rs
+++ b/dogwoodtray_policy/src/admission/limit.rs
@@ -92,6 +92,11 @@
         self.places as u32
     }
 
+    /// Sets the ratio of the time between tokens to its lowest level that counts as saturation.
+    pub fn set_tolerance(&mut self, gap_tolerance: f64) {
+        self.cfg.gap_tolerance = gap_tolerance;
+    }
+
     /// Takes the time between two tokens of one stream.
     pub fn observe_gap(&mut self, gap: Duration) {
         if self.gaps.len() < MAX_SAMPLES {
--- a/dogwoodtray_policy/src/admission/policy.rs
+++ b/dogwoodtray_policy/src/admission/policy.rs
@@ -103,4 +103,8 @@
 
     /// Returns how many online requests wait.
     fn queued_online(&self) -> u32;
+
+    /// Sets the balance between the classes: 0.0 puts the online tail first, 1.0 batch throughput.
+    /// Policies without such a balance ignore it.
+    fn set_batch_weight(&mut self, _weight: f64) {}
 }
--- a/dogwoodtray_runtime/src/link/connection.rs
+++ b/dogwoodtray_runtime/src/link/connection.rs
@@ -21,6 +21,8 @@
 use tokio::time;
 use tokio_util::codec::Framed;
 
+use super::traffic::Traffic;
+
 /// Frames that are put into the send buffer before it is flushed.
 const MAX_FRAMES_PER_FLUSH: usize = 64;
 
@@ -155,6 +157,7 @@
     id: LinkId,
     cfg: &LinkConfig,
 ) -> &'static str {
+    let traffic = Traffic::new("in");
     loop {
         let frame = match time::timeout(cfg.silence_deadline, stream.next()).await {
             Err(_) => return "silent past the deadline",
@@ -162,6 +165,7 @@
             Ok(Some(Err(_))) => return "failed or malformed",
             Ok(Some(Ok(frame))) => frame,
         };
+        traffic.count(&frame);
         // An unknown kind comes from a newer version of the peer and is skipped.
         if let Some(kind) = frame.kind {
             (cfg.sink)(LinkEvent::Frame { link: id, kind });
@@ -173,9 +177,11 @@
     mut sink: SplitSink<Framed<TcpStream, FrameCodec>, Frame>,
     mut rx: UnboundedReceiver<Frame>,
 ) -> &'static str {
+    let traffic = Traffic::new("out");
     let mut batch = Vec::with_capacity(MAX_FRAMES_PER_FLUSH);
     while rx.recv_many(&mut batch, MAX_FRAMES_PER_FLUSH).await > 0 {
         for frame in batch.drain(..) {
+            traffic.count(&frame);
             if sink.feed(frame).await.is_err() {
                 return "write failed";
             }
--- a/dogwoodtray_runtime/src/link/mod.rs
+++ b/dogwoodtray_runtime/src/link/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod dialer;
 mod listener;
+mod traffic;
 
 pub use self::ask::Asked;
 pub use self::ask::ask;
