--- a/dogwoodtray_coord/src/once/table.rs
+++ b/dogwoodtray_coord/src/once/table.rs
@@ -143,7 +143,7 @@
         self.segments.iter().find(|(_, segment)| is_old(segment)).map(|(number, _)| *number)
     }
 
-    /// Returns the oldest finished records, up to `max_bytes`.
+    /// Returns the oldest finished records: at least one, and then up to `max_bytes`.
     pub(super) fn oldest_ended(&self, max_bytes: usize) -> BTreeMap<KeyHash, Record> {
         let mut ended: Vec<_> =
             self.records.iter().filter(|(_, record)| record.state != RecordState::Intent).collect();
@@ -152,7 +152,7 @@
         ended
             .into_iter()
             .take_while(|(_, record)| {
-                let fits = bytes < max_bytes;
+                let fits = bytes == 0 || bytes < max_bytes;
                 bytes += record.size();
                 fits
             })
