Compare retry, quarantine, members and subset with naive versions

Cause: these modules have no protocol to explore, but their shortcuts (a bucket for a history, two deaths for a set of deaths) must not show. Ruled out: random seeds (a failure has to come back on the next run). Change: eight quickcheck properties with one fixed seed.

--- /dev/null
+++ b/dogwoodtray_coord/tests/differential.rs
@@ -0,0 +1,342 @@
+//! Random histories, run against naive versions that keep everything and compute from scratch.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dogwoodtray_coord::Backoff;
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Hlc;
+use dogwoodtray_coord::HlcStamp;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::MemberConfig;
+use dogwoodtray_coord::MemberState;
+use dogwoodtray_coord::MemberView;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Quarantine;
+use dogwoodtray_coord::RetryBudget;
+use dogwoodtray_coord::RetryBudgetConfig;
+use dogwoodtray_coord::Suspicion;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Verdict;
+use dogwoodtray_coord::choose_subset;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+const SEED: u64 = 20_261_204;
+const CASES: u64 = 2_000;
+const HISTORY: usize = 100;
+
+fn check(name: &str, property: impl Testable) {
+    let mut runner = QuickCheck::new().rng(Gen::from_size_and_seed(HISTORY, SEED)).tests(CASES);
+    match runner.quicktest(property) {
+        Ok(passed) => println!("{name}: {passed} cases, seed {SEED}"),
+        Err(failure) => panic!("{name}, seed {SEED}: {failure:?}"),
+    }
+}
+
+/// Guards against a budget that lets retries multiply the load.
+#[test]
+fn retry_budget_agrees_with_history() {
+    fn property(ratio: u8, min_per_sec: u8, max_saved: u8, steps: Vec<(u16, bool)>) -> bool {
+        let (ratio_permille, min_per_sec) = (u32::from(ratio) * 8, u32::from(min_per_sec % 8));
+        let max_saved = u32::from(max_saved % 16);
+        let config = RetryBudgetConfig { ratio_permille, min_per_sec, max_saved };
+        let mut budget = RetryBudget::new(Timestamp::ZERO, config);
+        let (mut now, mut history) = (Timestamp::ZERO, Vec::new());
+        for (millis, is_success) in steps {
+            now = now + Duration::from_millis(u64::from(millis % 512));
+            if is_success {
+                budget.succeeded(now);
+                history.push((now, 'S'));
+            } else {
+                let expected = naive_saved(config, &history, now) >= 1_000_000;
+                if budget.try_retry(now) != expected {
+                    return false;
+                }
+                history.push((now, if expected { 'R' } else { '-' }));
+            }
+        }
+        let count = |kind| history.iter().filter(|(_, k)| *k == kind).count() as u64;
+        let earned = count('S') * u64::from(ratio_permille) * 1_000;
+        count('R') * 1_000_000 <= earned + now.as_micros() * u64::from(min_per_sec)
+    }
+    check("retry budget", property as fn(u8, u8, u8, Vec<(u16, bool)>) -> bool);
+}
+
+/// Replays the history and returns the saved retries, in millionths.
+fn naive_saved(config: RetryBudgetConfig, history: &[(Timestamp, char)], now: Timestamp) -> u64 {
+    let cap = u64::from(config.max_saved) * 1_000_000;
+    let (mut saved, mut last) = (0, Timestamp::ZERO);
+    for (at, kind) in history.iter().copied().chain([(now, '-')]) {
+        let earned = (at - last).as_micros() as u64 * u64::from(config.min_per_sec);
+        saved = (saved + earned).min(cap);
+        last = at;
+        match kind {
+            'S' => saved = (saved + u64::from(config.ratio_permille) * 1_000).min(cap),
+            'R' => saved -= 1_000_000,
+            _ => {}
+        }
+    }
+    saved
+}
+
+/// Deaths and whether the request completed, with nothing left out.
+type NaiveQuarantine = BTreeMap<ContentHash, (BTreeSet<u64>, bool)>;
+
+fn naive_verdict(table: &NaiveQuarantine, content: ContentHash) -> Verdict {
+    match table.get(&content) {
+        Some((deaths, _)) if deaths.len() >= 2 => Verdict::Refused,
+        Some((_, false)) => Verdict::Suspect,
+        _ => Verdict::Clear,
+    }
+}
+
+/// Guards against a suspicion that is lost, counted twice or depends on the order of gossip.
+#[test]
+fn quarantine_agrees_with_sets() {
+    fn property(steps: Vec<(u8, u8, u8, u8)>) -> bool {
+        let mut tables = vec![Quarantine::new(1_000); 3];
+        let mut naive = vec![NaiveQuarantine::new(); 3];
+        for (kind, process, content, argument) in steps {
+            let (process, content) =
+                (usize::from(process % 3), ContentHash(u64::from(content % 6)));
+            match kind % 4 {
+                0 => {
+                    let death = u64::from(argument % 8);
+                    tables[process].record_death(content, death);
+                    naive[process].entry(content).or_default().0.insert(death);
+                }
+                1 => {
+                    tables[process].record_completion(content);
+                    naive[process].entry(content).and_modify(|entry| entry.1 = true);
+                }
+                _ => {
+                    let from = usize::from(argument % 3);
+                    let gossip = tables[from].gossip(100);
+                    tables[process].merge(&gossip);
+                    for (content, (deaths, completed)) in naive[from].clone() {
+                        let entry = naive[process].entry(content).or_default();
+                        entry.0.extend(deaths);
+                        entry.1 |= completed;
+                    }
+                }
+            }
+            let all = (0..6).map(ContentHash);
+            let agree = |content| {
+                tables[process].verdict(content) == naive_verdict(&naive[process], content)
+            };
+            if !all.into_iter().all(agree) {
+                return false;
+            }
+        }
+        true
+    }
+    check("quarantine", property as fn(Vec<(u8, u8, u8, u8)>) -> bool);
+}
+
+fn suspicions(raw: &[(u8, u8, bool)]) -> Vec<Suspicion> {
+    let one = |(content, death, completed): &(u8, u8, bool)| Suspicion {
+        completed: *completed,
+        ..Suspicion::new(ContentHash(u64::from(content % 8)), u64::from(death % 8))
+    };
+    raw.iter().map(one).collect()
+}
+
+/// Guards against processes that disagree for good because they heard the same in another order.
+#[test]
+fn quarantine_merge_ignores_order_and_repetition() {
+    type Raw = Vec<(u8, u8, bool)>;
+    fn property(a: Raw, b: Raw, c: Raw) -> bool {
+        let merged = |parts: &[&Raw]| {
+            let mut table = Quarantine::new(1_000);
+            for part in parts {
+                let mut other = Quarantine::new(1_000);
+                other.merge(&suspicions(part));
+                table.merge(&other.gossip(1_000));
+            }
+            table.gossip(1_000).into_iter().collect::<BTreeSet<_>>()
+        };
+        let bc: Raw = [&b[..], &c].concat();
+        let all = merged(&[&a, &b, &c]);
+        all == merged(&[&c, &b, &a])
+            && all == merged(&[&a, &bc])
+            && all == merged(&[&a, &b, &c, &a])
+    }
+    check("quarantine merge", property as fn(Raw, Raw, Raw) -> bool);
+}
+
+/// Guards against a full table that lets a refused request run again while it keeps a suspect.
+#[test]
+fn quarantine_evicts_refused_last() {
+    fn property(capacity: u8, raw: Vec<(u8, u8, bool)>) -> bool {
+        let mut table = Quarantine::new(usize::from(capacity % 6));
+        let mut refused = BTreeSet::new();
+        for suspicion in suspicions(&raw) {
+            table.merge(std::slice::from_ref(&suspicion));
+            let verdicts: Vec<_> =
+                table.gossip(100).iter().map(|s| (s.content, s.verdict())).collect();
+            let now_refused: BTreeSet<_> =
+                verdicts.iter().filter(|(_, v)| *v == Verdict::Refused).map(|(c, _)| *c).collect();
+            let has_other = verdicts.len() > now_refused.len();
+            if has_other && !now_refused.is_superset(&refused) {
+                return false;
+            }
+            refused = now_refused;
+        }
+        table.len() <= usize::from(capacity % 6)
+    }
+    check("quarantine eviction", property as fn(u8, Vec<(u8, u8, bool)>) -> bool);
+}
+
+/// Guards against a subset that depends on order, or that changes more than it has to.
+#[test]
+fn subset_agrees_with_full_sort() {
+    fn property(chooser: u8, raw: Vec<u16>, size: u8) -> bool {
+        let names: BTreeSet<Name> = raw.iter().map(|n| Arc::from(format!("agent-{n}"))).collect();
+        let mut candidates: Vec<Name> = names.into_iter().rev().collect();
+        let (chooser, size) = (format!("entry-{chooser}"), usize::from(size % 32));
+        let chosen = choose_subset(&chooser, &candidates, size);
+        let seed = xxh3_64_with_seed(chooser.as_bytes(), 0);
+        candidates.sort_by_key(|name| {
+            std::cmp::Reverse((xxh3_64_with_seed(name.as_bytes(), seed), name.clone()))
+        });
+        if chosen[..] != candidates[..size.min(candidates.len())] {
+            return false;
+        }
+        let Some(gone) = candidates.pop() else {
+            return chosen.is_empty();
+        };
+        let fewer = choose_subset(&chooser, &candidates, size);
+        let kept = chosen.iter().filter(|name| **name != gone).all(|name| fewer.contains(name));
+        kept && fewer.len() == size.min(candidates.len())
+    }
+    check("subset", property as fn(u8, Vec<u16>, u8) -> bool);
+}
+
+#[derive(Clone, Debug)]
+enum Seen {
+    Heard(Incarnation, bool),
+    Closed(Incarnation),
+}
+
+/// Judges a peer from everything that was seen of it.
+fn naive_state(
+    now: Timestamp,
+    is_listed: bool,
+    history: &[(Timestamp, Seen)],
+) -> Option<MemberState> {
+    let mut runs: Vec<(Incarnation, Vec<&(Timestamp, Seen)>)> = Vec::new();
+    for seen in history {
+        let (Seen::Heard(incarnation, _) | Seen::Closed(incarnation)) = seen.1;
+        let is_heartbeat = matches!(seen.1, Seen::Heard(..));
+        let is_late = runs.iter().rev().nth(1).is_some_and(|(former, _)| *former == incarnation);
+        match runs.last_mut() {
+            Some((last, run)) if *last == incarnation => run.push(seen),
+            _ if is_heartbeat && !is_late => runs.push((incarnation, vec![seen])),
+            _ => {}
+        }
+    }
+    let Some((_, run)) = runs.last() else {
+        return is_listed.then_some(MemberState::Unknown);
+    };
+    let heartbeats = run.iter().filter(|seen| matches!(seen.1, Seen::Heard(..)));
+    let silence = heartbeats.map(|seen| now - seen.0).min()?;
+    let is_leaving = run.iter().any(|seen| matches!(seen.1, Seen::Heard(_, true)));
+    let is_closed = matches!(run.last()?.1, Seen::Closed(_));
+    Some(match () {
+        () if silence >= Duration::from_secs(10) => MemberState::Dead,
+        () if is_leaving => MemberState::Leaving,
+        () if is_closed || silence >= Duration::from_secs(2) => MemberState::Silent,
+        () => MemberState::Live,
+    })
+}
+
+/// Guards against a view that believes the VM list, or forgets a leaving notice.
+#[test]
+fn members_agree_with_history() {
+    fn property(steps: Vec<(u8, u8, u8, u16)>) -> bool {
+        let mut view = MemberView::new(MemberConfig::default());
+        let names: Vec<Name> = (0..3).map(|peer| Arc::from(format!("peer-{peer}"))).collect();
+        let mut histories = vec![Vec::new(); 3];
+        let (mut now, mut listed) = (Timestamp::ZERO, 0_u16);
+        for (kind, peer, incarnation, argument) in steps {
+            let peer = usize::from(peer % 3);
+            let incarnation = Incarnation(u64::from(incarnation % 3));
+            match kind % 5 {
+                0 | 1 => {
+                    let is_leaving = argument % 8 == 0;
+                    view.heard(now, &names[peer], incarnation, is_leaving);
+                    histories[peer].push((now, Seen::Heard(incarnation, is_leaving)));
+                }
+                2 => {
+                    view.closed(&names[peer], incarnation);
+                    histories[peer].push((now, Seen::Closed(incarnation)));
+                }
+                3 => now = now + Duration::from_millis(u64::from(argument % 4_096)),
+                _ => {
+                    listed = argument;
+                    let is_listed = |peer: &usize| listed & (1 << peer) != 0;
+                    view.list((0..3).filter(is_listed).map(|peer| names[peer].clone()));
+                }
+            }
+            let agrees = |peer: usize| {
+                let is_listed = listed & (1 << peer) != 0;
+                let expected = naive_state(now, is_listed, &histories[peer]);
+                view.state(now, &names[peer]) == expected
+            };
+            if !(0..3).all(agrees) {
+                return false;
+            }
+        }
+        true
+    }
+    check("members", property as fn(Vec<(u8, u8, u8, u16)>) -> bool);
+}
+
+/// Guards against a clock that runs backwards or that a wrong peer drags along.
+#[test]
+fn clock_orders_events() {
+    fn property(steps: Vec<(u32, Option<(u32, u32)>)>) -> bool {
+        let (mut clock, mut last, mut highest_wall) = (Hlc::default(), HlcStamp::default(), 0);
+        steps.into_iter().all(|(wall, remote)| {
+            let wall_us = u64::from(wall);
+            highest_wall = wall_us.max(highest_wall);
+            let remote =
+                remote.map(|(wall, logical)| HlcStamp { wall_us: u64::from(wall), logical });
+            let stamp = match remote {
+                Some(remote) => clock.receive(wall_us, remote),
+                None => clock.stamp(wall_us),
+            };
+            let is_near = |r: &HlcStamp| r.wall_us.saturating_sub(wall_us) <= 60_000_000;
+            let is_after = remote.filter(is_near).is_none_or(|remote| stamp > remote);
+            let is_bounded = stamp.wall_us <= highest_wall + 60_000_001;
+            let is_later = stamp > last;
+            last = stamp;
+            is_later && is_after && is_bounded
+        })
+    }
+    check("clock", property as fn(Vec<(u32, Option<(u32, u32)>)>) -> bool);
+}
+
+/// Guards against delays above the ceiling, and against processes that retry together.
+#[test]
+fn backoff_stays_below_ceiling() {
+    fn property(seed: u64, tries: u8) -> bool {
+        let (base, cap) = (Duration::from_millis(50), Duration::from_secs(5));
+        let mut backoff = Backoff::new(base, cap, seed);
+        (0..u32::from(tries)).all(|index| {
+            let ceiling = (base * 2_u32.pow(index.min(10))).min(cap);
+            backoff.next_delay() <= ceiling
+        })
+    }
+    check("backoff", property as fn(u64, u8) -> bool);
+    let delay =
+        |seed| Backoff::new(Duration::from_secs(1), Duration::from_secs(1), seed).next_delay();
+    let delays: BTreeSet<_> = (0..1_000).map(delay).collect();
+    let early = delays.iter().filter(|delay| **delay < Duration::from_millis(500)).count();
+    assert!(delays.len() > 990 && (400..600).contains(&early), "{} {early}", delays.len());
+}
