Probe slow endpoints with copies of requests

Cause: probing with a caller's own request costs that caller several times the normal time, so probes were rare and recovered endpoints stayed unused; once streams are resumed elsewhere nothing else shows a recovery.

Change: RoutePolicy::due_probe names an endpoint for a copy of an idempotent request, which is cancelled after PROBE_TOKENS. Without copies a request probes after 20 s. The probe share is gone. Targets are asserted.

The first token misses 1.3 at the higher rate.

--- a/dogwoodtray_policy/src/lib.rs
+++ b/dogwoodtray_policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub use crate::routing::EndpointKey;
 pub use crate::routing::HedgeConfig;
 pub use crate::routing::HedgePolicy;
+pub use crate::routing::PROBE_TOKENS;
 pub use crate::routing::RoutePolicy;
 pub use crate::routing::Router;
 pub use crate::routing::RouterConfig;
--- a/dogwoodtray_policy/src/routing/config.rs
+++ b/dogwoodtray_policy/src/routing/config.rs
@@ -7,12 +7,11 @@
 pub struct RouterConfig {
     /// Time per token, as a multiple of the median of the peers, from which an endpoint is slow.
     pub slow_ratio: f64,
-    /// Least time between two probes of a slow endpoint, and without any token from it.
+    /// Time without any token from a slow endpoint after which a copy may probe it.
     pub probe_interval: Duration,
-    /// Time without a probe after which one is due whatever the share.
-    pub max_probe_interval: Duration,
-    /// Share of the online requests that may be spent on probes.
-    pub probe_share: f64,
+    /// The same for a request that has no other attempt. It is longer, because a request that probes
+    /// an endpoint which is still slow takes several times its normal time.
+    pub lone_probe_interval: Duration,
     /// Load of the preferred endpoint, as a multiple of the mean, up to which affinity holds.
     pub affinity_load_bound: f64,
     /// Whether requests with a common prefix prefer the same endpoint.
@@ -24,8 +23,7 @@
         Self {
             slow_ratio: 2.0,
             probe_interval: Duration::from_secs(1),
-            max_probe_interval: Duration::from_secs(30),
-            probe_share: 0.005,
+            lone_probe_interval: Duration::from_secs(20),
             affinity_load_bound: 1.25,
             affinity: true,
         }
--- a/dogwoodtray_policy/src/routing/mod.rs
+++ b/dogwoodtray_policy/src/routing/mod.rs
@@ -12,5 +12,6 @@
 pub use self::hedge::HedgePolicy;
 pub use self::policy::Ask;
 pub use self::policy::EndpointKey;
+pub use self::policy::PROBE_TOKENS;
 pub use self::policy::RoutePolicy;
 pub use self::router::Router;
--- a/dogwoodtray_policy/src/routing/policy.rs
+++ b/dogwoodtray_policy/src/routing/policy.rs
@@ -10,6 +10,10 @@
 use crate::Class;
 use crate::Cost;
 
+/// Tokens after which a probe has shown whether an endpoint has recovered. Eight gaps bring the
+/// average of an endpoint that was slowed five times below twice the median.
+pub const PROBE_TOKENS: u32 = 9;
+
 slotmap::new_key_type! {
     /// Names an endpoint within one routing policy.
     pub struct EndpointKey;
@@ -79,6 +83,14 @@
         queued_online: u32,
     );
 
+    /// Returns an endpoint that a copy of an idempotent online request should probe, if one is due.
+    ///
+    /// The copy runs beside the request, is reported like any other work, and is cancelled after
+    /// [`PROBE_TOKENS`](crate::PROBE_TOKENS). The caller of the request never waits for it.
+    fn due_probe(&mut self, _now: Timestamp, _ask: &Ask) -> Option<EndpointKey> {
+        None
+    }
+
     /// Tells whether streams on an endpoint are so slow that they are worth resuming elsewhere.
     fn is_slow(&mut self, _key: EndpointKey) -> bool {
         false
--- a/dogwoodtray_policy/src/routing/router.rs
+++ b/dogwoodtray_policy/src/routing/router.rs
@@ -63,16 +63,13 @@
     /// Reused between picks.
     candidates: Vec<Candidate>,
     gaps: Vec<f64>,
-    /// Online probes that may be sent now.
-    probe_credit: f64,
 }
 
 impl Router {
     /// Creates a router without endpoints.
     #[must_use]
     pub fn new(cfg: RouterConfig) -> Self {
-        let (candidates, gaps) = (Vec::new(), Vec::new());
-        Self { cfg, endpoints: SlotMap::with_key(), candidates, gaps, probe_credit: 0.0 }
+        Self { cfg, endpoints: SlotMap::with_key(), candidates: Vec::new(), gaps: Vec::new() }
     }
 
     /// Returns the median time per token of the available endpoints for a model.
@@ -99,28 +96,14 @@
         }
     }
 
-    /// Returns a slow endpoint whose next probe is due.
-    ///
-    /// Batch work probes freely. A probe costs an online request several times its normal time, so
-    /// online probes stay within a small share.
-    fn due_probe(&mut self, now: Timestamp, class: Class) -> Option<EndpointKey> {
-        if class == Class::Online {
-            self.probe_credit = (self.probe_credit + self.cfg.probe_share).min(1.0);
-        }
+    /// Returns a slow candidate from which nothing was heard for `interval`, and notes the probe.
+    fn take_unobserved(&mut self, now: Timestamp, interval: Duration) -> Option<EndpointKey> {
         for candidate in &self.candidates {
             let endpoint = &mut self.endpoints[candidate.key];
-            let unobserved = endpoint.unobserved(now);
-            if candidate.slowness < self.cfg.slow_ratio || unobserved < self.cfg.probe_interval {
-                continue;
-            }
-            if class == Class::Online && unobserved < self.cfg.max_probe_interval {
-                if self.probe_credit < 1.0 {
-                    continue;
-                }
-                self.probe_credit = 0.0;
+            if candidate.slowness >= self.cfg.slow_ratio && endpoint.unobserved(now) >= interval {
+                endpoint.last_probe = now;
+                return Some(candidate.key);
             }
-            endpoint.last_probe = now;
-            return Some(candidate.key);
         }
         None
     }
@@ -182,7 +165,11 @@
 
     fn pick(&mut self, now: Timestamp, ask: &Ask, rng: &mut StdRng) -> Option<EndpointKey> {
         self.collect(now, ask);
-        if let Some(key) = self.due_probe(now, ask.class) {
+        let interval = match ask.class {
+            Class::Online => self.cfg.lone_probe_interval,
+            Class::Batch => self.cfg.probe_interval,
+        };
+        if let Some(key) = self.take_unobserved(now, interval) {
             return Some(key);
         }
         self.drop_slow();
@@ -222,6 +209,11 @@
         }
     }
 
+    fn due_probe(&mut self, now: Timestamp, ask: &Ask) -> Option<EndpointKey> {
+        self.collect(now, ask);
+        self.take_unobserved(now, self.cfg.probe_interval)
+    }
+
     fn is_slow(&mut self, key: EndpointKey) -> bool {
         let Some(endpoint) = self.endpoints.get(key) else { return false };
         let Some(gap) = endpoint.gap() else { return false };
--- a/dogwoodtray_policy/tests/routing_measurements.rs
+++ b/dogwoodtray_policy/tests/routing_measurements.rs
@@ -16,61 +16,91 @@
 use self::support::workload::Source;
 
 const SECONDS: u64 = 120;
-const SEEDS: [u64; 2] = [1, 2];
 const PREFIXES: u64 = 200;
+/// Online requests per second and endpoint; the second rate is about half of what they can serve.
+const RATES: [f64; 2] = [6.0, 12.0];
+/// Requests below this rate leave the other endpoints room for the work of the slowed ones.
+const LIGHT_RATE: f64 = 6.0;
 
-fn trace(seed: u64) -> Vec<Request> {
-    let per_second = 12.0 * ENDPOINTS as f64;
+/// A policy with what the entry does beside it.
+#[derive(Clone, Copy, Debug)]
+struct Variant {
+    policy: &'static str,
+    hedge: bool,
+    resume: bool,
+}
+
+const VARIANTS: [Variant; 6] = [
+    Variant { policy: "round-robin", hedge: false, resume: false },
+    Variant { policy: "least-outstanding", hedge: false, resume: false },
+    Variant { policy: "router without affinity", hedge: false, resume: true },
+    Variant { policy: "router", hedge: false, resume: false },
+    Variant { policy: "router", hedge: true, resume: false },
+    Variant { policy: "router", hedge: false, resume: true },
+];
+
+fn trace(rate: f64, seed: u64) -> Vec<Request> {
+    let per_second = rate * ENDPOINTS as f64;
     let source = Source { per_second, swing: 0.3, prompt: 200.0, output: 60.0, stragglers: 0.0 };
     let mut requests = source.arrivals(SECONDS, seed);
     requests.iter_mut().for_each(|request| request.prefix = request.prefix % PREFIXES + 1);
     requests
 }
 
-fn run(name: &str, hedge: bool, resume: bool, slowed: bool, seed: u64) -> Figures {
-    let requests = trace(seed);
+fn run(variant: Variant, requests: &[Request], slowed: bool, seed: u64) -> Figures {
     let make = || -> Box<dyn RoutePolicy> {
-        match name {
+        match variant.policy {
             "router without affinity" => {
                 Box::new(Router::new(RouterConfig { affinity: false, ..RouterConfig::default() }))
             }
-            _ => route_policy(name).unwrap(),
+            name => route_policy(name).unwrap(),
         }
     };
-    Fleet::new(Setup { hedge, resume, slowed, seed }, &requests, make).run()
+    let setup = Setup { hedge: variant.hedge, resume: variant.resume, slowed, seed };
+    Fleet::new(setup, requests, make).run()
 }
 
 /// Guards against routers that keep sending to slowed endpoints, or all to the same fast one.
-#[test]
-fn online_tail_with_slowed_endpoints() {
-    let variants = [
-        ("round-robin", false, false),
-        ("least-outstanding", false, false),
-        ("router without affinity", false, false),
-        ("router", false, false),
-        ("router", true, false),
-        ("router", false, true),
-    ];
-    for seed in SEEDS {
-        for (name, hedge, resume) in variants {
-            let mut normal = run(name, hedge, resume, false, seed);
-            let mut slowed = run(name, hedge, resume, true, seed);
-            let first = quantile(&mut normal.first_token, 0.99);
-            let total = quantile(&mut normal.total, 0.99);
-            let first_slowed = quantile(&mut slowed.first_token, 0.99);
-            let total_slowed = quantile(&mut slowed.total, 0.99);
-            println!(
-                "seed {seed} {name} hedge {hedge} resume {resume}: first token p99 {first:.0} -> \
-                 {first_slowed:.0} ms ({:.2}), total p99 {total:.0} -> {total_slowed:.0} ms \
-                 ({:.2}), hit share {:.2} -> {:.2}, hedged {:.3}, \
-                 resumed {:.3}",
-                first_slowed / first,
-                total_slowed / total,
-                normal.prefix_hits as f64 / normal.sent as f64,
-                slowed.prefix_hits as f64 / slowed.sent as f64,
-                slowed.hedges as f64 / slowed.sent as f64,
-                slowed.moves as f64 / slowed.sent as f64,
-            );
+fn measure(seed: u64) {
+    for (rate, variant) in RATES.into_iter().flat_map(|rate| VARIANTS.map(|v| (rate, v))) {
+        let requests = trace(rate, seed);
+        let mut normal = run(variant, &requests, false, seed);
+        let mut slowed = run(variant, &requests, true, seed);
+        let first = quantile(&mut normal.first_token, 0.99);
+        let first_ratio = quantile(&mut slowed.first_token, 0.99) / first;
+        let total = quantile(&mut normal.total, 0.99);
+        let total_ratio = quantile(&mut slowed.total, 0.99) / total;
+        let hits = normal.prefix_hits as f64 / normal.sent as f64;
+        println!(
+            "rate {rate} seed {seed} {} hedge {} resume {}: none slowed first token p99 \
+             {first:.0} ms, total p99 {total:.0} ms; slowed / none slowed first token \
+             {first_ratio:.2}, total {total_ratio:.2}; hit share {hits:.2}, hedged {:.3}, \
+             resumed {:.3}",
+            variant.policy,
+            variant.hedge,
+            variant.resume,
+            slowed.hedges as f64 / slowed.sent as f64,
+            slowed.moves as f64 / slowed.sent as f64,
+        );
+        if variant.policy == "router" && variant.resume {
+            assert!(total_ratio <= 1.3, "slowed endpoints raise the p99 to {total_ratio:.2} times");
+            // The target is missed for the first token at the higher rate.
+            assert!(first_ratio <= 1.3 || rate > LIGHT_RATE, "first token {first_ratio:.2} times");
         }
     }
 }
+
+#[test]
+fn online_tail_with_slowed_endpoints_seed_1() {
+    measure(1);
+}
+
+#[test]
+fn online_tail_with_slowed_endpoints_seed_2() {
+    measure(2);
+}
+
+#[test]
+fn online_tail_with_slowed_endpoints_seed_3() {
+    measure(3);
+}
--- a/dogwoodtray_policy/tests/support/fleet.rs
+++ b/dogwoodtray_policy/tests/support/fleet.rs
@@ -13,6 +13,7 @@
 use dogwoodtray_policy::EndpointKey;
 use dogwoodtray_policy::HedgeConfig;
 use dogwoodtray_policy::HedgePolicy;
+use dogwoodtray_policy::PROBE_TOKENS;
 use dogwoodtray_policy::RoutePolicy;
 use dogwoodtray_policy::admission_policy;
 use rand::SeedableRng;
@@ -39,6 +40,9 @@
 const HEDGE: u64 = 1 << 40;
 /// Marks the rest of a stream that was resumed elsewhere.
 const MOVED: u64 = 1 << 41;
+/// Marks a copy that probes a slow endpoint.
+const PROBE: u64 = 1 << 42;
+const MARKS: u64 = HEDGE | MOVED | PROBE;
 /// Streams with fewer tokens left are not worth resuming elsewhere.
 const MIN_MOVED_TOKENS: u32 = 10;
 /// Share of the requests that may be resumed elsewhere.
@@ -187,20 +191,30 @@
 
     /// Sends a request to an endpoint other than the excluded one.
     fn send(&mut self, now: u64, id: u64, request: &Request, exclude: Option<usize>) {
-        let router = ((id & !(HEDGE | MOVED)) % ROUTERS as u64) as usize;
+        let router = ((id & !MARKS) % ROUTERS as u64) as usize;
         let entry = &mut self.entries[router];
         let mut ask = Ask::new(self.model.clone(), request.cost);
         ask.prefix = request.prefix;
         ask.exclude.extend(exclude.map(|endpoint| entry.keys[endpoint]));
         let key = entry.router.pick(Timestamp(now), &ask, &mut entry.rng).unwrap();
-        entry.router.sent(Timestamp(now), key, Class::Online, request.cost);
-        self.figures.sent += 1;
-        let endpoint = entry.keys.iter().position(|k| *k == key).unwrap();
-        if id == id & !(HEDGE | MOVED) {
+        if id & MARKS == 0 {
+            let probe = entry.router.due_probe(Timestamp(now), &ask).filter(|_| self.setup.resume);
             entry.hedge.request_sent();
             entry.moves.request_sent();
             self.unanswered.push_back(id);
+            if let Some(probe) = probe {
+                self.place(now, id | PROBE, request, probe);
+            }
         }
+        self.place(now, id, request, key);
+    }
+
+    fn place(&mut self, now: u64, id: u64, request: &Request, key: EndpointKey) {
+        let router = ((id & !MARKS) % ROUTERS as u64) as usize;
+        let entry = &mut self.entries[router];
+        let endpoint = entry.keys.iter().position(|k| *k == key).unwrap();
+        entry.router.sent(Timestamp(now), key, Class::Online, request.cost);
+        self.figures.sent += 1;
         let attempt = Attempt { router, endpoint, sent_at: now, last_token: None };
         self.attempts.insert(id, attempt);
         let cost = self.through_cache(endpoint, request);
@@ -247,13 +261,13 @@
             let Some(attempt) = self.attempts.get_mut(&id) else { continue };
             let entry = &mut self.entries[attempt.router];
             let (at, key) = (Timestamp(now), entry.keys[endpoint]);
-            let request = &self.trace[(id & !(HEDGE | MOVED)) as usize];
+            let request = &self.trace[(id & !MARKS) as usize];
             let last = attempt.last_token.replace(now);
             match note {
                 Note::FirstToken => {
                     let took = Duration::from_micros(now - attempt.sent_at);
                     entry.router.first_token(at, key, took);
-                    if id & MOVED != 0 {
+                    if id & (MOVED | PROBE) != 0 {
                         continue;
                     }
                     entry.hedge.first_token(&self.model, took);
@@ -263,8 +277,13 @@
                 Note::Token { tokens } => {
                     let gap = Duration::from_micros(now - last.unwrap_or(now));
                     entry.router.token_gap(at, key, gap);
+                    if id & PROBE != 0 && tokens >= PROBE_TOKENS {
+                        self.drop_attempt(now, id);
+                        continue;
+                    }
                     let left = work.output - tokens;
-                    let worth = self.setup.resume && id & MOVED == 0 && left >= MIN_MOVED_TOKENS;
+                    let can_move = self.setup.resume && id & (MOVED | PROBE) == 0;
+                    let worth = can_move && left >= MIN_MOVED_TOKENS;
                     if worth && entry.router.is_slow(key) && entry.moves.try_spend() {
                         self.resume_elsewhere(now, id, tokens);
                     }
@@ -274,7 +293,9 @@
                     let (free, queued) = (policy.free_online(), policy.queued_online());
                     entry.router.finished(at, key, Class::Online, work.cost, true);
                     entry.router.report(at, key, free, 0, queued);
-                    self.figures.total.push((now - request.at) as f64 / 1e3);
+                    if id & PROBE == 0 {
+                        self.figures.total.push((now - request.at) as f64 / 1e3);
+                    }
                     self.attempts.remove(&id);
                 }
             }
@@ -285,7 +306,7 @@
     fn resume_elsewhere(&mut self, now: u64, id: u64, tokens: u32) {
         let endpoint = self.attempts[&id].endpoint;
         self.drop_attempt(now, id);
-        let mut rest = self.trace[(id & !(HEDGE | MOVED)) as usize];
+        let mut rest = self.trace[(id & !MARKS) as usize];
         rest.cost.prompt_tokens += tokens;
         rest.cost.output_tokens -= tokens;
         rest.output -= tokens;
@@ -297,7 +318,7 @@
     fn drop_attempt(&mut self, now: u64, id: u64) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         let entry = &mut self.entries[attempt.router];
-        let cost = self.trace[(id & !(HEDGE | MOVED)) as usize].cost;
+        let cost = self.trace[(id & !MARKS) as usize].cost;
         let key = entry.keys[attempt.endpoint];
         entry.router.finished(Timestamp(now), key, Class::Online, cost, true);
         self.agents[attempt.endpoint].withdraw(now, id);
