Resume streams away from slow endpoints and probe them with copies

Ruled out: probing with a caller's own request (it pays several times the time). Change: the entry resumes a slow stream elsewhere once, within 4% of the requests, and sends a copy of an idempotent request to a slow endpoint when the router asks for it. A request with a copy out is never refused as not_run. Services tick a fifth as often while nothing is under way.

--- a/dogwoodtray_agent/src/core/decide.rs
+++ b/dogwoodtray_agent/src/core/decide.rs
@@ -134,6 +134,12 @@
         self.attempts.iter().filter(|(_, a)| !matches!(a.stage, Stage::Ended(_))).count()
     }
 
+    /// Tells whether no attempt waits or runs.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.attempts.iter().all(|(_, a)| is_ended(a.stage))
+    }
+
     /// Returns the number of ended attempts whose answer an attached entry has not confirmed.
     #[must_use]
     pub fn unconfirmed(&self) -> usize {
--- a/dogwoodtray_agent/src/shell/service.rs
+++ b/dogwoodtray_agent/src/shell/service.rs
@@ -117,6 +117,10 @@
         self.publish_state();
         self.check_drain(now)
     }
+
+    fn is_idle(&self) -> bool {
+        self.core.is_idle() && self.drain.is_none()
+    }
 }
 
 /// # Links
--- a/dogwoodtray_entry/src/online/attempt.rs
+++ b/dogwoodtray_entry/src/online/attempt.rs
@@ -58,6 +58,11 @@
         self.out += 1;
     }
 
+    /// Records that a copy of the request runs, which no agent's word on the attempts covers.
+    pub(super) const fn copy_sent(&mut self) {
+        self.may_have_run = true;
+    }
+
     /// Takes the end of one attempt. Returns the queued state if no attempt is left.
     pub(super) const fn end(mut self, end: AttemptEnd) -> Result<Queued, Self> {
         if !matches!(end, AttemptEnd::NotRun(_)) {
@@ -73,6 +78,8 @@
 pub(super) enum Owner {
     Request(RequestNo),
     Job,
+    /// A copy that finds out whether a slow endpoint has recovered. Nobody reads its answer.
+    Probe,
 }
 
 /// An attempt that is out.
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -43,6 +43,10 @@
 const RETRY_BUDGET: RetryBudgetConfig =
     RetryBudgetConfig { ratio_permille: 100, min_per_sec: 10, max_saved: 100 };
 
+/// Streams that may be resumed away from slow endpoints, as a share of the requests. About 3% of
+/// the requests are inside an endpoint when it slows down.
+const MOVE_BUDGET: f64 = 0.04;
+
 /// Settings of [`OnlineCore`].
 #[derive(Clone, Debug)]
 pub struct OnlineConfig {
@@ -90,6 +94,8 @@
     pub(super) cfg: OnlineConfig,
     pub(super) router: Box<dyn RoutePolicy>,
     pub(super) hedge: HedgePolicy,
+    /// Budget of streams that are resumed away from slow endpoints.
+    pub(super) moves: HedgePolicy,
     pub(super) retries: RetryBudget,
     pub(super) quarantine: Quarantine,
     pub(super) rng: StdRng,
@@ -111,6 +117,7 @@
         Self {
             router,
             hedge: HedgePolicy::new(HedgeConfig::default()),
+            moves: HedgePolicy::new(HedgeConfig { budget: MOVE_BUDGET, ..HedgeConfig::default() }),
             retries: RetryBudget::new(Timestamp::ZERO, RETRY_BUDGET),
             quarantine: Quarantine::new(cfg.max_suspects),
             rng: StdRng::seed_from_u64(cfg.seed),
@@ -209,6 +216,7 @@
             return self.finish(now, no, RequestEnd::Quarantined, out);
         }
         self.hedge.request_sent();
+        self.moves.request_sent();
         self.unanswered.insert(no);
         self.place(now, no, out);
     }
@@ -312,7 +320,7 @@
 
     pub(super) const fn class_of(attempt: &Attempt) -> Class {
         match attempt.owner {
-            Owner::Request(_) => Class::Online,
+            Owner::Request(_) | Owner::Probe => Class::Online,
             Owner::Job => Class::Batch,
         }
     }
--- a/dogwoodtray_entry/src/online/event.rs
+++ b/dogwoodtray_entry/src/online/event.rs
@@ -348,6 +348,11 @@
         /// Request id.
         id: Name,
     },
+    /// A stream is resumed away from a slow endpoint.
+    Moved {
+        /// Request id.
+        id: Name,
+    },
     /// A frame belonged to no known attempt.
     StaleFrame,
 }
--- a/dogwoodtray_entry/src/online/mod.rs
+++ b/dogwoodtray_entry/src/online/mod.rs
@@ -6,6 +6,7 @@
 mod event;
 mod place;
 mod request;
+mod slow;
 mod stream;
 mod tick;
 
--- a/dogwoodtray_entry/src/online/place.rs
+++ b/dogwoodtray_entry/src/online/place.rs
@@ -43,6 +43,7 @@
         };
         self.waiting.remove(&no);
         self.send_request(now, no, key, suspect, out);
+        self.probe_slow(now, no, key, out);
     }
 
     pub(super) fn pick(
@@ -52,18 +53,27 @@
         exclude: Vec<EndpointKey>,
         suspect: bool,
     ) -> Option<EndpointKey> {
+        let ask = self.ask(no, exclude, suspect)?;
+        let key = self.router.pick(now, &ask, &mut self.rng)?;
+        let (_, endpoint) = self.endpoints.of_key(key)?;
+        endpoint.link.map(|_| key)
+    }
+
+    pub(super) fn ask(
+        &self,
+        no: RequestNo,
+        exclude: Vec<EndpointKey>,
+        suspect: bool,
+    ) -> Option<Ask> {
         let spec = &self.requests.get(&no)?.spec;
-        let ask = Ask {
+        Some(Ask {
             model: spec.model.clone(),
             cost: spec.cost,
             prefix: spec.prefix,
             class: Class::Online,
             exclude,
             suspect,
-        };
-        let key = self.router.pick(now, &ask, &mut self.rng)?;
-        let (_, endpoint) = self.endpoints.of_key(key)?;
-        endpoint.link.map(|_| key)
+        })
     }
 
     fn wait(&mut self, now: Timestamp, no: RequestNo) {
--- a/dogwoodtray_entry/src/online/request.rs
+++ b/dogwoodtray_entry/src/online/request.rs
@@ -35,6 +35,8 @@
     /// When a queued request is placed again.
     pub(super) retry_at: Timestamp,
     pub(super) hedged: bool,
+    /// Whether its stream was resumed away from a slow endpoint.
+    pub(super) moved: bool,
 }
 
 impl Request {
@@ -51,6 +53,7 @@
             exclude: Vec::new(),
             retry_at: now,
             hedged: false,
+            moved: false,
         }
     }
 
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -5,6 +5,7 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::Verdict;
+use dogwoodtray_policy::PROBE_TOKENS;
 
 use super::AttemptDone;
 use super::AttemptEnd;
@@ -59,8 +60,9 @@
         attempt.received += fresh.len() as u64;
         let gained = tokens.saturating_sub(attempt.tokens);
         attempt.tokens = tokens.max(attempt.tokens);
+        let probe = attempt.owner == Owner::Probe;
         let whole = attempt.owner == Owner::Job || attempt.spec.mode == DispatchMode::Whole;
-        if whole || gained == 0 {
+        if !probe && (whole || gained == 0) {
             attempt.answer.extend_from_slice(&fresh);
         }
         if gained > 0 {
@@ -83,11 +85,15 @@
         let took = now - since.unwrap_or(attempt.sent_at);
         let owner = attempt.owner;
         let model = Name::clone(&attempt.spec.model);
+        let resume_from = attempt.resume_from;
         match (since, owner) {
             (Some(_), _) => self.router.token_gap(now, key, took),
+            (None, Owner::Probe) => self.router.first_token(now, key, took),
             (None, Owner::Request(_)) => {
                 self.router.first_token(now, key, took);
-                self.hedge.first_token(&model, took);
+                if resume_from == 0 {
+                    self.hedge.first_token(&model, took);
+                }
             }
             // The first token of batch work waits behind online work, so it says nothing.
             (None, Owner::Job) => {}
@@ -96,6 +102,9 @@
             && !whole
         {
             self.deliver_tokens(no, id, tokens, data, out);
+            self.move_if_slow(now, no, id, out);
+        } else if owner == Owner::Probe && tokens >= PROBE_TOKENS {
+            self.cancel(id, out);
         }
     }
 
@@ -178,6 +187,7 @@
         match attempt.owner {
             Owner::Job => self.end_batch(id, attempt, done, out),
             Owner::Request(no) => self.end_online(now, no, &attempt, &done, out),
+            Owner::Probe => {}
         }
     }
 
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -186,6 +186,10 @@
         self.shared.jobs_drained.store(self.core.drained(), Ordering::Release);
         if self.shared.finished.load(Ordering::Acquire) { Flow::Stop } else { Flow::Continue }
     }
+
+    fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.reported.is_empty() && self.callers.is_empty()
+    }
 }
 
 impl JobsService {
--- a/dogwoodtray_entry/src/shell/once/service.rs
+++ b/dogwoodtray_entry/src/shell/once/service.rs
@@ -121,6 +121,10 @@
         self.shared.once_drained.store(self.draining && idle, Ordering::Release);
         if self.shared.finished.load(Ordering::Acquire) { Flow::Stop } else { Flow::Continue }
     }
+
+    fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.ranges.values().all(|range| range.live() == 0)
+    }
 }
 
 /// # Requests
--- a/dogwoodtray_entry/src/shell/router.rs
+++ b/dogwoodtray_entry/src/shell/router.rs
@@ -172,6 +172,10 @@
         }
         self.check_drain(now)
     }
+
+    fn is_idle(&self) -> bool {
+        self.core.requests() == 0 && self.core.attempts() == 0 && self.drain_deadline.is_none()
+    }
 }
 
 /// # Links
@@ -451,6 +455,10 @@
                 metrics::counter!("dogwoodtray_hedges_total").increment(1);
                 self.shared.events.emit(&catalogue::REQUEST_HEDGED, Some(&id), &[]);
             }
+            OnlineAction::Moved { id } => {
+                metrics::counter!("dogwoodtray_moves_total").increment(1);
+                self.shared.events.emit(&catalogue::REQUEST_MOVED, Some(&id), &[]);
+            }
             OnlineAction::StaleFrame => {
                 metrics::counter!("dogwoodtray_stale_frames_total").increment(1);
             }
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -59,6 +59,8 @@
     REQUEST_QUARANTINED = 2010, Warn, "request quarantined";
     /// A caller went away before its answer was whole.
     CALLER_GONE = 2011, Debug, "caller disconnected";
+    /// A stream was resumed away from a slow endpoint.
+    REQUEST_MOVED = 2012, Info, "stream resumed away from a slow endpoint";
 
     /// A job was accepted.
     JOB_ACCEPTED = 3001, Info, "job accepted";
--- a/dogwoodtray_runtime/src/kernel/service.rs
+++ b/dogwoodtray_runtime/src/kernel/service.rs
@@ -5,15 +5,19 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use crossbeam::channel;
 use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
 use crossbeam::channel::Sender;
-use crossbeam::select;
 use dogwoodtray_coord::Timestamp;
 
 use super::Clock;
 
+/// Factor by which the ticks of an idle service are rarer.
+const IDLE_TICKS: u32 = 5;
+
 /// Tells the thread of a service whether to go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Flow {
@@ -76,6 +80,12 @@
 
     /// Handles the passing of time.
     fn on_tick(&mut self, now: Timestamp) -> Flow;
+
+    /// Tells whether nothing is under way. Ticks are then rarer, because waking up is most of what
+    /// an idle process costs.
+    fn is_idle(&self) -> bool {
+        false
+    }
 }
 
 /// Handle of a running service.
@@ -110,17 +120,26 @@
 }
 
 fn run<S: Service>(mut service: S, rx: &Receiver<S::Event>, clock: Clock, tick: Duration) {
-    let ticker = channel::tick(tick);
+    let mut next_tick = Instant::now() + tick;
     loop {
-        let flow = select! {
-            recv(rx) -> event => match event {
-                Ok(event) => service.on_event(clock.now(), event),
-                Err(_) => Flow::Stop,
-            },
-            recv(ticker) -> _ => service.on_tick(clock.now()),
+        let flow = match rx.recv_deadline(next_tick) {
+            Ok(event) => service.on_event(clock.now(), event),
+            Err(RecvTimeoutError::Timeout) => Flow::Continue,
+            Err(RecvTimeoutError::Disconnected) => Flow::Stop,
         };
         if flow == Flow::Stop {
             return;
         }
+        let now = Instant::now();
+        if !service.is_idle() {
+            next_tick = next_tick.min(now + tick);
+        }
+        if now < next_tick {
+            continue;
+        }
+        if service.on_tick(clock.now()) == Flow::Stop {
+            return;
+        }
+        next_tick = now + if service.is_idle() { tick * IDLE_TICKS } else { tick };
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,29 @@
-//! Serves online requests and batch jobs of model inference on one fleet.
+//! Serves online requests and batch jobs of model inference on one shared fleet.
+//!
+//! This crate re-exports the crates of the workspace. [`coord`] holds the coordination parts that
+//! can be embedded on their own; [`entry`] and [`agent`] are the two roles.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use dogwoodtray::coord::RetryBudget;
+//! use dogwoodtray::coord::RetryBudgetConfig;
+//! use dogwoodtray::coord::Timestamp;
+//!
+//! let config = RetryBudgetConfig { ratio_permille: 100, min_per_sec: 1, max_saved: 10 };
+//! let mut budget = RetryBudget::new(Timestamp::ZERO, config);
+//! assert!(budget.try_retry(Timestamp::ZERO + Duration::from_secs(1)));
+//! ```
+
+pub use dogwoodtray_agent as agent;
+pub use dogwoodtray_config as config;
+pub use dogwoodtray_coord as coord;
+pub use dogwoodtray_entry as entry;
+pub use dogwoodtray_load as load;
+pub use dogwoodtray_platform as platform;
+pub use dogwoodtray_policy as policy;
+pub use dogwoodtray_runtime as runtime;
+pub use dogwoodtray_standin as standin;
+pub use dogwoodtray_wire as wire;
