Bound links between entries and add faults to the load tool

Cause: entries dialled up to 64 other entries, which cost heartbeats and nothing else; the load tool could not show slow engines or outages. Ruled out: no links between entries (the generation then spreads over agents only).

--- a/dogwoodtray_cli/examples/capacity/main.rs
+++ b/dogwoodtray_cli/examples/capacity/main.rs
@@ -125,12 +125,14 @@
         let mut fleet = Self { rt, platform, engines, entries: Vec::new(), agents: Vec::new() };
         for index in 0..agents {
             let engine = fleet.engines[index % fleet.engines.len()].addr();
-            let agent = Daemon::agent(index, engine, fleet.platform.addr())?;
+            let platform = fleet.platform.addr();
+            let agent = Daemon::start(|| Daemon::agent(index, engine, platform))?;
             fleet.register(&agent, VmRole::Agent);
             fleet.agents.push(agent);
         }
         for index in 0..entries {
-            let entry = Daemon::entry(index, fleet.platform.addr())?;
+            let platform = fleet.platform.addr();
+            let entry = Daemon::start(|| Daemon::entry(index, platform))?;
             fleet.register(&entry, VmRole::Entry);
             fleet.entries.push(entry);
         }
--- a/dogwoodtray_cli/examples/capacity/process.rs
+++ b/dogwoodtray_cli/examples/capacity/process.rs
@@ -13,13 +13,18 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::thread::sleep;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 
 /// Clock ticks per second in `/proc/PID/stat` on Linux.
 const TICKS_PER_SECOND: f64 = 100.0;
 
+const MAX_STARTS: u32 = 5;
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+
 const KB_PER_MB: f64 = 1024.0;
 
 /// What a process used, in total or by second.
@@ -64,6 +69,24 @@
 }
 
 impl Daemon {
+    /// Starts a daemon and waits until it answers. Another process may take one of its ports
+    /// first, so the start is tried again with other ports.
+    pub(crate) fn start(
+        spawn: impl Fn() -> Result<Self, Box<dyn Error>>,
+    ) -> Result<Self, Box<dyn Error>> {
+        for _ in 0..MAX_STARTS {
+            let mut daemon = spawn()?;
+            let deadline = Instant::now() + START_TIMEOUT;
+            while daemon.child.try_wait()?.is_none() && Instant::now() < deadline {
+                if daemon.status().is_some() {
+                    return Ok(daemon);
+                }
+                sleep(Duration::from_millis(10));
+            }
+        }
+        Err("a daemon did not start".into())
+    }
+
     pub(crate) fn entry(index: usize, platform: SocketAddr) -> Result<Self, Box<dyn Error>> {
         let node = format!("entry-{index}");
         let (listen, peer, admin) = (free_addr()?, free_addr()?, free_addr()?);
--- a/dogwoodtray_cli/src/command/load.rs
+++ b/dogwoodtray_cli/src/command/load.rs
@@ -11,10 +11,12 @@
 use dogwoodtray_load::Shape;
 use dogwoodtray_load::compare;
 use dogwoodtray_load::write_svg;
+use dogwoodtray_standin::EngineFaults;
 
 use super::local::load_report;
 use super::local::runtime;
 use super::local::unreachable;
+use super::options::LoadFault;
 use super::options::LoadOptions;
 use super::options::PolicyPair;
 use super::report::Failure;
@@ -22,6 +24,10 @@
 use crate::local::Fleet;
 use crate::local::FleetConfig;
 
+const RESTART_AFTER: Duration = Duration::from_secs(1);
+const SLOW_SPELL: Duration = Duration::from_secs(2);
+const SLOW_FACTOR: f64 = 5.0;
+
 pub(super) fn run(options: &LoadOptions) -> Result<Report, Failure> {
     let runs = runtime()?.block_on(run_all(options))?;
     let comparison = compare(runs);
@@ -62,7 +68,46 @@
     let fleet = Fleet::start(&cfg).await.map_err(unreachable)?;
     let label = format!("{}/{}/{round}", policy.routing, policy.admission);
     let cfg = config(options, fleet.caller_addrs(), label).model("standin");
-    dogwoodtray_load::run(cfg).await.map_err(unreachable)
+    let load = dogwoodtray_load::run(cfg);
+    tokio::select! {
+        report = load => report.map_err(unreachable),
+        () = inject(&fleet, options) => Err(unreachable("the faults ended before the load")),
+    }
+}
+
+/// Injects the faults until the load has ended.
+async fn inject(fleet: &Fleet, options: &LoadOptions) {
+    let total = Duration::from_secs(options.warm_up_s + options.seconds);
+    let faults = options.faults.iter().map(|fault| async move {
+        match fault {
+            LoadFault::SlowFifth => slow_fifth(fleet).await,
+            LoadFault::PlatformDown => {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                fleet.platform.set_outage(true);
+            }
+            LoadFault::KillEngine => {
+                tokio::time::sleep(total / 3).await;
+                fleet.engines[0].crash(Some(RESTART_AFTER));
+            }
+        }
+    });
+    futures_util::future::join_all(faults).await;
+    std::future::pending::<()>().await;
+}
+
+async fn slow_fifth(fleet: &Fleet) {
+    let count = fleet.engines.len().div_ceil(5);
+    let set = |slow_factor: f64| {
+        for engine in fleet.engines.iter().take(count) {
+            engine.set_faults(EngineFaults { slow_factor, ..EngineFaults::default() });
+        }
+    };
+    loop {
+        tokio::time::sleep(SLOW_SPELL).await;
+        set(SLOW_FACTOR);
+        tokio::time::sleep(SLOW_SPELL).await;
+        set(1.0);
+    }
 }
 
 fn config(options: &LoadOptions, entries: Vec<SocketAddr>, label: String) -> LoadConfig {
--- a/dogwoodtray_cli/src/command/mod.rs
+++ b/dogwoodtray_cli/src/command/mod.rs
@@ -15,6 +15,7 @@
 
 pub use self::options::Command;
 pub use self::options::DirectoryOptions;
+pub use self::options::LoadFault;
 pub use self::options::LoadOptions;
 pub use self::options::LocalOptions;
 pub use self::options::PlatformOptions;
--- a/dogwoodtray_cli/src/command/options.rs
+++ b/dogwoodtray_cli/src/command/options.rs
@@ -11,6 +11,7 @@
 
 mod measure;
 
+pub use self::measure::LoadFault;
 pub use self::measure::LoadOptions;
 pub use self::measure::LocalOptions;
 pub use self::measure::PolicyPair;
--- a/dogwoodtray_cli/src/command/options/measure.rs
+++ b/dogwoodtray_cli/src/command/options/measure.rs
@@ -48,6 +48,30 @@
     }
 }
 
+/// Fault of a fleet in this process while a load runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadFault {
+    /// A fifth of the engines is five times slower for spells of 2 s, every 4 s.
+    SlowFifth,
+    /// The platform is down from the second second on.
+    PlatformDown,
+    /// One engine dies after a third of the time and is back after 1 s.
+    KillEngine,
+}
+
+impl FromStr for LoadFault {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "slow-fifth" => Ok(Self::SlowFifth),
+            "platform-down" => Ok(Self::PlatformDown),
+            "kill-engine" => Ok(Self::KillEngine),
+            _ => Err(format!("{text:?} is not one of slow-fifth, platform-down, kill-engine")),
+        }
+    }
+}
+
 /// Arguments of `load`.
 #[derive(Clone, Debug)]
 pub struct LoadOptions {
@@ -77,6 +101,8 @@
     pub warm_up_s: u64,
     /// Seed of all random choices.
     pub seed: u64,
+    /// Faults of fleets in this process.
+    pub faults: Vec<LoadFault>,
     /// File for a plot.
     pub svg: Option<PathBuf>,
     /// Whether to print JSON.
@@ -124,6 +150,10 @@
     let seconds = seconds("seconds", "Seconds that are measured", 10);
     let warm_up_s = self::seconds("warm-up-s", "Seconds before, which are not measured", 2);
     let seed = seed();
+    let faults = long("fault")
+        .help("Fault of fleets in this process: slow-fifth, platform-down or kill-engine")
+        .argument::<LoadFault>("FAULT")
+        .many();
     let svg = long("svg").help("File for a plot").argument("FILE").optional();
     let json = json();
     construct!(LoadOptions {
@@ -140,6 +170,7 @@
         seconds,
         warm_up_s,
         seed,
+        faults,
         svg,
         json,
     })
--- a/dogwoodtray_entry/src/shell/router.rs
+++ b/dogwoodtray_entry/src/shell/router.rs
@@ -56,6 +56,10 @@
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Links that an entry dials to other entries. They carry the generation and suspicions, which
+/// spread over a few hops, so a full mesh would only cost heartbeats.
+const ENTRY_LINKS: usize = 8;
+
 /// Suspicions in one heartbeat.
 const MAX_SUSPICIONS: usize = 64;
 
@@ -331,14 +335,15 @@
     fn on_vms(&mut self, vms: &[VmEntry]) {
         let settings = &self.shared.settings;
         let mut wanted = BTreeSet::new();
-        for role in [VmRole::Agent, VmRole::Entry] {
+        let roles = [(VmRole::Agent, settings.max_links), (VmRole::Entry, ENTRY_LINKS)];
+        for (role, max_links) in roles {
             let listed: BTreeMap<Name, Name> = vms
                 .iter()
                 .filter(|vm| vm.role == role && vm.name != settings.node)
                 .map(|vm| (Name::clone(&vm.name), Name::clone(&vm.addr)))
                 .collect();
             let names: Vec<Name> = listed.keys().cloned().collect();
-            for name in choose_subset(&settings.node, &names, settings.max_links) {
+            for name in choose_subset(&settings.node, &names, max_links) {
                 wanted.insert(Name::clone(&listed[&name]));
             }
         }
