--- a/dogwoodtray_coord/src/claim/watch.rs
+++ b/dogwoodtray_coord/src/claim/watch.rs
@@ -13,10 +13,11 @@
 /// Time without an answer, on the clock of the observer, after which a holder is judged dead.
 pub const TAKEOVER_SILENCE: Duration = Duration::from_secs(3);
 
-/// Probes that must be unanswered before a holder is judged dead.
+/// Probes that must be unanswered before a holder is judged dead: those that fit into the silence.
 ///
-/// An observer that was itself paused has seen no silence, only no time to probe.
-pub const MIN_UNANSWERED_PROBES: u32 = 4;
+/// A pause of the observer then counts as one probe, however long it lasted, because a paused
+/// observer receives no answers either.
+pub const MIN_UNANSWERED_PROBES: u32 = 6;
 
 /// Judgement about the holder of a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/dogwoodtray_coord/tests/model_claim.rs
+++ b/dogwoodtray_coord/tests/model_claim.rs
@@ -9,27 +9,10 @@
 
 use std::collections::BTreeMap;
 
-use dogwoodtray_coord::Claim;
-use dogwoodtray_coord::ClaimAction;
-use dogwoodtray_coord::ClaimEvent;
-use dogwoodtray_coord::ClaimRecord;
-use dogwoodtray_coord::ClaimState;
-use dogwoodtray_coord::CommitAction;
-use dogwoodtray_coord::CommitConfig;
-use dogwoodtray_coord::CommitEvent;
-use dogwoodtray_coord::Epoch;
-use dogwoodtray_coord::GroupCommit;
-use dogwoodtray_coord::ObjectKey;
-use dogwoodtray_coord::Timestamp;
-
-use crate::doc::Doc;
-use crate::doc::DocCodec;
-use crate::support::Faults;
-use crate::support::Model;
-use crate::support::Net;
-use crate::support::explore;
-use crate::support::holder;
-use crate::support::no_backoff;
+use dogwoodtray_coord::*;
+
+use crate::doc::*;
+use crate::support::*;
 
 const NOW: Timestamp = Timestamp::ZERO;
 const CLAIM: u8 = 0;
--- a/dogwoodtray_coord/tests/support/doc.rs
+++ b/dogwoodtray_coord/tests/support/doc.rs
@@ -2,12 +2,7 @@
 
 use std::sync::Arc;
 
-use dogwoodtray_coord::ClaimCodec;
-use dogwoodtray_coord::ClaimRecord;
-use dogwoodtray_coord::CommitCodec;
-use dogwoodtray_coord::Epoch;
-use dogwoodtray_coord::Incarnation;
-use dogwoodtray_coord::WriteStamp;
+use dogwoodtray_coord::*;
 use serde::Deserialize;
 use serde::Serialize;
 
