Seal by the size of the records, and bound the index of sealed ones

Cause: the threshold for sealing counted the index as well, so a range with many sealed records would have sealed one record at a time. Ruled out: an index in memory only (a new owner would read every segment). Change: the threshold counts the records; the default sizes leave room for two groups. Conclusion: the object stays below 900 KB.

--- a/dogwoodtray_coord/src/once/record.rs
+++ b/dogwoodtray_coord/src/once/record.rs
@@ -69,9 +69,9 @@
     pub retention: Duration,
     /// Longest answer body that is kept.
     pub max_answer_bytes: usize,
-    /// Size of the object from which the oldest finished records are sealed.
+    /// Size of the records in the object from which the oldest finished ones are sealed.
     pub seal_bytes: usize,
-    /// Size of the object from which new requests are refused.
+    /// Size of the object, with the index of sealed records, from which new requests are refused.
     pub limit_bytes: usize,
     /// Most keys that are being begun, run or finished at a time.
     pub max_live: usize,
@@ -82,17 +82,18 @@
 impl Default for OnceConfig {
     /// Returns settings for a store that holds values of up to 1 MB.
     ///
-    /// The object stays below `seal_bytes` plus one group of at most `commit.max_bytes` and one
-    /// answer, besides the index of sealed records, which `limit_bytes` bounds.
+    /// The index takes 8 bytes for each sealed record, so a range keeps at least 50,000 of them
+    /// until it refuses requests. Two groups of at most `commit.max_bytes` and one answer may be
+    /// added to the object before it is sealed, which leaves it below 900 KB.
     fn default() -> Self {
         Self {
             begin_wait: Duration::from_secs(1),
             retention: Duration::from_secs(24 * 3_600),
             max_answer_bytes: 16 * 1024,
-            seal_bytes: 400 * 1024,
-            limit_bytes: 600 * 1024,
+            seal_bytes: 300 * 1024,
+            limit_bytes: 700 * 1024,
             max_live: 1_000,
-            commit: CommitConfig { max_bytes: 128 * 1024, ..CommitConfig::default() },
+            commit: CommitConfig { max_bytes: 64 * 1024, ..CommitConfig::default() },
         }
     }
 }
--- a/dogwoodtray_coord/src/once/seal.rs
+++ b/dogwoodtray_coord/src/once/seal.rs
@@ -63,7 +63,8 @@
             return;
         };
         let is_sealing = owned.sealing.is_some() || owned.stored.sealed.is_some();
-        if is_sealing || owned.stored.bytes < self.config.seal_bytes {
+        let record_bytes = owned.stored.bytes.saturating_sub(owned.stored.table.index_bytes());
+        if is_sealing || record_bytes < self.config.seal_bytes {
             return;
         }
         let records = owned.stored.table.oldest_ended(self.config.seal_bytes / 2);
--- a/dogwoodtray_coord/src/once/table.rs
+++ b/dogwoodtray_coord/src/once/table.rs
@@ -137,6 +137,12 @@
         self.segments.iter().rev().filter(|(_, s)| may_hold(s)).map(|(number, _)| *number).collect()
     }
 
+    /// Returns the approximate size of the index of sealed records.
+    pub(super) fn index_bytes(&self) -> usize {
+        let prefixes: usize = self.segments.values().map(|segment| segment.prefixes.len()).sum();
+        prefixes * size_of::<u64>()
+    }
+
     /// Returns a segment all of whose records are older than the retention time.
     pub(super) fn expired_segment(&self, clock_s: u64, retention_s: u64) -> Option<u32> {
         let is_old = |segment: &Segment| clock_s.saturating_sub(segment.newest_s) > retention_s;
--- a/dogwoodtray_coord/src/publication/publisher.rs
+++ b/dogwoodtray_coord/src/publication/publisher.rs
@@ -69,6 +69,8 @@
         /// Pointer in force.
         current: Pointer,
     },
+    /// Another snapshot has the same generation and hash. Nothing changed.
+    HashCollision,
     /// The snapshot or the pointer exceeds the limit of the store.
     TooLarge,
 }
@@ -199,11 +201,7 @@
             }
             (WriteResult::TooLarge, _) => self.finish(PublishResult::TooLarge, out),
             (WriteResult::Fenced { current }, Phase::Pointer(_)) => self.on_race(current, out),
-            // The name of a snapshot contains its hash, so another content is a hash collision.
-            (WriteResult::Fenced { .. }, _) => {
-                let base = self.base.as_ref().map(|(_, pointer)| pointer.clone());
-                self.finish(PublishResult::Raced { base, winner: None }, out);
-            }
+            (WriteResult::Fenced { .. }, _) => self.finish(PublishResult::HashCollision, out),
         }
     }
 
--- a/dogwoodtray_coord/tests/limits.rs
+++ b/dogwoodtray_coord/tests/limits.rs
@@ -112,6 +112,29 @@
     assert!((0..1_000).all(|key| replays(&mut next, key)));
 }
 
+/// Guards against an index of sealed records that outgrows the store.
+#[test]
+fn full_range_refuses_and_stays_within_limit() {
+    let mut bench = Bench::new(0, Net::new(Faults::default()));
+    let mut keys = 0;
+    while !matches!(bench.begin(keys)[..], [OnceAction::Refused { .. }]) {
+        let batch = keys..keys + 900;
+        batch.clone().skip(1).for_each(|key| drop(bench.begin(key)));
+        bench.pass(Duration::from_millis(10));
+        for key in batch {
+            let outcome = Outcome::Answered(answer(0));
+            bench.drive(OnceEvent::Finish { key: KeyHash(key << 64), outcome });
+        }
+        bench.pass(Duration::from_millis(10));
+        keys += 900;
+    }
+    println!("full after {keys} keys, largest value {} bytes", bench.largest);
+    let reason = OnceRefusal::Full;
+    let request = RequestId(keys as u64);
+    assert_eq!(bench.begin(keys), [OnceAction::Refused { request, reason }]);
+    assert!(keys >= 50_000 && bench.largest < 900_000);
+}
+
 /// Guards against records that are never dropped, and against one that is dropped too early.
 #[test]
 fn records_expire_after_retention() {
--- a/dogwoodtray_coord/tests/model_publish.rs
+++ b/dogwoodtray_coord/tests/model_publish.rs
@@ -100,6 +100,7 @@
             }
             PublishResult::Raced { winner: None, .. }
             | PublishResult::Uncertain { .. }
+            | PublishResult::HashCollision
             | PublishResult::TooLarge => false,
         };
         if !is_true {
