Check that a refused request may be sent again

Cause: a trial without the removal of a withdrawn intent passed the model. The resend then gets unknown for a request that certainly did not run. Ruled out: counting that as safe (the caller could never repeat the request). Change: without a takeover no caller may be told unknown. The comment on stamps no longer claims more than the epoch gives.

--- a/dogwoodtray_coord/src/claim/record.rs
+++ b/dogwoodtray_coord/src/claim/record.rs
@@ -31,9 +31,8 @@
 impl ClaimRecord {
     /// Returns the stamp for a write under this claim.
     ///
-    /// The epoch is part of the sequence number, because a process that claims an object again
-    /// must not take the stamp of its earlier claim for that of a new write. Number 0 is the write
-    /// of the claim itself.
+    /// The epoch is part of the sequence number, so that the stamps of a process stay unique when it
+    /// claims the object again. Number 0 is the write of the claim itself.
     #[must_use]
     pub fn stamp(&self, number: u32) -> WriteStamp {
         let incarnation = self.holder.as_ref().map_or(Incarnation(0), |holder| holder.incarnation);
--- a/dogwoodtray_coord/tests/model_once.rs
+++ b/dogwoodtray_coord/tests/model_once.rs
@@ -228,6 +228,9 @@
         if told == Told::Mismatch && !self.bounds.requests[..self.sent].iter().any(is_mismatch) {
             self.violation = Some(format!("{request:?} mismatches no other request"));
         }
+        if told == Told::Unknown && self.bounds.nodes == 1 {
+            self.violation = Some("unknown without a takeover".into());
+        }
         if self.bounds.defect == Defect::Forbids(told) {
             self.violation = Some(format!("a caller was told {told:?}"));
         }
