Judge readiness by the view of generations, and stamp events by the shared clock

Cause: the entry had its own rule for readiness and the event log its own clock, beside the checked ones of the coordination crate. Ruled out: readiness as soon as any generation is known (a peer may be behind). Change: GenerationView decides readiness and whom to fetch from; Hlc stamps events. Conclusion: one implementation of each, the one that the models check.

--- a/dogwoodtray_entry/src/shell/config.rs
+++ b/dogwoodtray_entry/src/shell/config.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use dogwoodtray_config::Pointer;
 use dogwoodtray_config::current_key;
+use dogwoodtray_coord::Generation;
 use dogwoodtray_coord::ObjectKey;
 use dogwoodtray_coord::StoreOp;
 use dogwoodtray_coord::StoreReply;
@@ -40,16 +41,12 @@
                 note_outage(&shared, &mut down, false);
                 if apply(&shared, store.as_ref(), &value).await {
                     version = read;
-                    shared.config_known.store(true, Ordering::Relaxed);
                 }
             }
             Read::Nothing => note_outage(&shared, &mut down, false),
             Read::Unavailable => {
                 note_outage(&shared, &mut down, true);
-                // In an outage the generation of a reachable peer is the best that can be known.
-                if shared.generation.load(Ordering::Relaxed) > 0 {
-                    shared.config_known.store(true, Ordering::Relaxed);
-                }
+                shared.tell_router(RouterInput::StoreFailed);
                 let jitter = 0.5 + rand::random::<f64>();
                 tokio::time::sleep(RETRY_WAIT.mul_f64(jitter)).await;
             }
@@ -68,7 +65,7 @@
         StoreReply::Found { version, value } => Read::Pointer { version, value },
         StoreReply::Missing => {
             // Nothing was published yet, which is an answer too.
-            shared.config_known.store(true, Ordering::Relaxed);
+            shared.tell_router(RouterInput::StoreGeneration(Generation(0)));
             changed(store.watch(current_key(), Version(0), WATCH_WAIT).await)
         }
         _ => Read::Unavailable,
@@ -89,6 +86,7 @@
         return false;
     };
     let generation = pointer.set.generation.0;
+    shared.tell_router(RouterInput::StoreGeneration(pointer.set.generation));
     if generation <= shared.generation.load(Ordering::Relaxed) {
         return true;
     }
--- a/dogwoodtray_entry/src/shell/router.rs
+++ b/dogwoodtray_entry/src/shell/router.rs
@@ -12,8 +12,12 @@
 use dogwoodtray_config::Snapshot;
 use dogwoodtray_config::View;
 use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::FetchFrom;
+use dogwoodtray_coord::Generation;
+use dogwoodtray_coord::GenerationView;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Readiness;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::choose_subset;
 use dogwoodtray_platform::VmEntry;
@@ -76,12 +80,32 @@
 #[derive(Debug)]
 pub(crate) enum RouterInput {
     Link(Box<LinkEvent>),
-    Submit { request: RequestNo, spec: Arc<RequestSpec>, reply: UnboundedSender<AnswerPart> },
-    CallerGone { request: RequestNo },
-    SubmitBatch { attempt: AttemptId, link: u64, spec: Arc<RequestSpec>, resume_from: u32 },
-    CancelBatch { attempt: AttemptId },
+    Submit {
+        request: RequestNo,
+        spec: Arc<RequestSpec>,
+        reply: UnboundedSender<AnswerPart>,
+    },
+    CallerGone {
+        request: RequestNo,
+    },
+    SubmitBatch {
+        attempt: AttemptId,
+        link: u64,
+        spec: Arc<RequestSpec>,
+        resume_from: u32,
+    },
+    CancelBatch {
+        attempt: AttemptId,
+    },
     Backlog(Vec<Backlog>),
-    Config { generation: u64, bytes: Bytes },
+    Config {
+        generation: u64,
+        bytes: Bytes,
+    },
+    /// The platform has this generation in force.
+    StoreGeneration(Generation),
+    /// The platform could not be asked.
+    StoreFailed,
     Vms(Vec<VmEntry>),
     Drain,
 }
@@ -104,6 +128,7 @@
     dialled: HashMap<Name, DialHandle>,
     callers: HashMap<RequestNo, UnboundedSender<AnswerPart>>,
     backlog: Vec<Backlog>,
+    generations: GenerationView,
     config: Bytes,
     actions: Vec<OnlineAction>,
     heartbeat_seq: u64,
@@ -127,6 +152,7 @@
             dialled: HashMap::new(),
             callers: HashMap::new(),
             backlog: Vec::new(),
+            generations: GenerationView::new(),
             config: Bytes::new(),
             actions: Vec::new(),
             heartbeat_seq: 0,
@@ -162,6 +188,8 @@
                 self.send_heartbeats(now);
             }
             RouterInput::Config { generation, bytes } => self.on_config(generation, bytes),
+            RouterInput::StoreGeneration(generation) => self.generations.store_answered(generation),
+            RouterInput::StoreFailed => self.generations.store_failed(),
             RouterInput::Vms(vms) => self.on_vms(&vms),
             RouterInput::Drain => self.start_drain(now),
         }
@@ -190,6 +218,7 @@
             LinkEvent::Down { link, reason } => {
                 let no = LinkNo(link.0);
                 if let Some(peer) = self.links.remove(&no) {
+                    self.generations.peer_lost(&peer.node);
                     let fields: [(&str, &dyn Display); 2] =
                         [("peer", &peer.node), ("reason", &reason)];
                     self.shared.events.emit(&catalogue::LINK_DOWN, None, &fields);
@@ -214,6 +243,8 @@
         let fields: [(&str, &dyn Display); 2] =
             [("peer", &peer.node), ("role", &role.as_str_name())];
         self.shared.events.emit(&catalogue::LINK_UP, None, &fields);
+        self.generations.peer_linked(&peer.node);
+        self.generations.peer_reported(&peer.node, Generation(peer.generation));
         self.catch_up(&peer);
         let info = PeerInfo {
             node: Name::clone(&peer.node),
@@ -290,6 +321,7 @@
         self.core.merge_suspicions(&suspicions_from_wire(heartbeat.suspects));
         let Some(peer) = self.links.get_mut(&link) else { return };
         peer.generation = heartbeat.generation;
+        self.generations.peer_reported(&peer.node, Generation(peer.generation));
         let is_agent = peer.role == Role::Agent;
         let peer = &self.links[&link];
         self.catch_up(peer);
@@ -367,7 +399,7 @@
     }
 
     fn on_config(&mut self, generation: u64, bytes: Bytes) {
-        if generation <= self.generation() {
+        if generation <= self.generations.held().0 {
             return;
         }
         let Ok((snapshot, _)) = Snapshot::decode(&bytes) else {
@@ -375,6 +407,8 @@
             self.shared.events.emit(&catalogue::CONFIG_REJECTED, None, &fields);
             return;
         };
+        let adopted = self.generations.adopt(Generation(generation));
+        debug_assert!(adopted, "the generation was checked to be newer");
         self.shared.set_view(View::new(&snapshot));
         self.shared.generation.store(generation, Ordering::Relaxed);
         self.config = bytes;
@@ -388,7 +422,8 @@
     /// Fetches the configuration from a peer that is ahead, or hands it to one that is behind.
     fn catch_up(&self, peer: &Peer) {
         let known = self.generation();
-        if peer.generation > known {
+        let from = Some(FetchFrom::Peer(Name::clone(&peer.node)));
+        if peer.generation > known && self.generations.fetch_from() == from {
             peer.link.send(messages::ConfigFetch { generation: peer.generation });
         } else if peer.generation < known {
             peer.link.send(self.config_message());
@@ -496,6 +531,8 @@
 
     fn publish_state(&self) {
         let shared = &self.shared;
+        let ready = self.generations.readiness() == Readiness::Ready;
+        shared.config_known.store(ready, Ordering::Relaxed);
         shared.agents.store(self.core.endpoints() as u64, Ordering::Relaxed);
         shared.requests.store(self.core.requests() as u64, Ordering::Relaxed);
         shared.attempts.store(self.core.attempts() as u64, Ordering::Relaxed);
--- a/dogwoodtray_runtime/src/events/log.rs
+++ b/dogwoodtray_runtime/src/events/log.rs
@@ -7,6 +7,8 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use dogwoodtray_coord::Hlc;
+use dogwoodtray_coord::HlcStamp;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_wire::messages;
@@ -54,8 +56,7 @@
 }
 
 struct State {
-    wall_us: u64,
-    logical: u32,
+    clock: Hlc,
     next_seq: u64,
     ring: VecDeque<EventRecord>,
 }
@@ -64,7 +65,7 @@
     /// Opens the event log of a process.
     #[must_use]
     pub fn open(node: Name, incarnation: Incarnation) -> Self {
-        let state = State { wall_us: 0, logical: 0, next_seq: 0, ring: VecDeque::new() };
+        let state = State { clock: Hlc::default(), next_seq: 0, ring: VecDeque::new() };
         Self { inner: Arc::new(Inner { node, incarnation, state: Mutex::new(state) }) }
     }
 
@@ -92,7 +93,7 @@
             log::log!(level, "{}", render(code, request, fields));
         }
         let mut state = self.lock();
-        let (wall_us, logical) = state.advance(Clock::wall_us());
+        let HlcStamp { wall_us, logical } = state.clock.stamp(Clock::wall_us());
         let seq = state.next_seq;
         state.next_seq += 1;
         if state.ring.len() == RING_EVENTS {
@@ -114,14 +115,15 @@
     /// Reads the hybrid logical clock for a message.
     #[must_use]
     pub fn clock(&self) -> messages::Clock {
-        let (wall_us, logical) = self.lock().advance(Clock::wall_us());
+        let HlcStamp { wall_us, logical } = self.lock().clock.stamp(Clock::wall_us());
         messages::Clock { wall_us, logical }
     }
 
     /// Takes over the clock reading of a received message, so that later events sort after it.
     pub fn observe(&self, clock: Option<messages::Clock>) {
         let Some(clock) = clock else { return };
-        self.lock().observe(clock, Clock::wall_us());
+        let stamp = HlcStamp { wall_us: clock.wall_us, logical: clock.logical };
+        self.lock().clock.receive(Clock::wall_us(), stamp);
     }
 
     /// Returns the events from `after` on, and the number to ask for next.
@@ -149,26 +151,6 @@
     }
 }
 
-impl State {
-    fn advance(&mut self, wall_us: u64) -> (u64, u32) {
-        if wall_us > self.wall_us {
-            self.wall_us = wall_us;
-            self.logical = 0;
-        } else {
-            self.logical += 1;
-        }
-        (self.wall_us, self.logical)
-    }
-
-    fn observe(&mut self, clock: messages::Clock, wall_us: u64) {
-        if (clock.wall_us, clock.logical) > (self.wall_us, self.logical) {
-            self.wall_us = clock.wall_us;
-            self.logical = clock.logical;
-        }
-        self.advance(wall_us);
-    }
-}
-
 fn render(
     code: &EventCode,
     request: Option<&Name>,
