--- a/dogwoodtray_load/src/job.rs
+++ b/dogwoodtray_load/src/job.rs
@@ -19,7 +19,7 @@
 const BATCHES_PATH: &str = "/v1/batches";
 
 /// States that a job does not leave.
-const END_STATES: [&str; 5] = ["completed", "done", "failed", "cancelled", "expired"];
+const END_STATES: [&str; 6] = ["completed", "done", "failed", "cancelled", "expired", "abandoned"];
 
 /// Places of the number of items that are done in the status of a job.
 const DONE_POINTERS: [&str; 3] = ["/counts/done", "/counts/completed", "/request_counts/completed"];
--- a/dogwoodtray_load/src/record.rs
+++ b/dogwoodtray_load/src/record.rs
@@ -47,6 +47,8 @@
     between_tokens: Times,
     total: Times,
     planned: u64,
+    /// Whole answers that ended in the window, and their tokens.
+    ended: (u64, u64),
 }
 
 impl ClassRecord {
@@ -57,6 +59,7 @@
             between_tokens: Times::new()?,
             total: Times::new()?,
             planned: 0,
+            ended: (0, 0),
         })
     }
 
@@ -70,6 +73,12 @@
         self.counts.skipped += 1;
     }
 
+    /// Counts a whole answer that ended in the window.
+    pub(crate) fn add_ended(&mut self, tokens: u64) {
+        self.ended.0 += 1;
+        self.ended.1 += tokens;
+    }
+
     /// Adds the sample of a request whose answer has this many tokens.
     pub(crate) fn add(&mut self, tokens: u64, sample: Sample) {
         match sample.outcome {
@@ -96,7 +105,8 @@
     pub(crate) fn report(self, window: Duration) -> ClassReport {
         ClassReport {
             offered_per_second: self.planned as f64 / window.as_secs_f64(),
-            tokens_per_second: self.counts.tokens as f64 / window.as_secs_f64(),
+            whole_per_second: self.ended.0 as f64 / window.as_secs_f64(),
+            tokens_per_second: self.ended.1 as f64 / window.as_secs_f64(),
             first_token: self.first_token.latency(),
             between_tokens: self.between_tokens.latency(),
             total: self.total.latency(),
--- a/dogwoodtray_load/src/report.rs
+++ b/dogwoodtray_load/src/report.rs
@@ -76,7 +76,9 @@
     pub tokens: u64,
     /// Requests that were planned each second.
     pub offered_per_second: f64,
-    /// Tokens of whole answers each second.
+    /// Whole answers that ended in the measured time, each second.
+    pub whole_per_second: f64,
+    /// Tokens of whole answers that ended in the measured time, each second.
     pub tokens_per_second: f64,
     /// Time from the planned time to the first token, for whole answers.
     pub first_token: Latency,
--- a/dogwoodtray_load/src/run.rs
+++ b/dogwoodtray_load/src/run.rs
@@ -16,6 +16,7 @@
 use crate::job::JobSample;
 use crate::job::JobTerms;
 use crate::job::drive;
+use crate::online::Outcome;
 use crate::online::Sample;
 use crate::online::ask;
 use crate::plan::Planned;
@@ -166,14 +167,7 @@
         match ended {
             Ended::Online { planned, sample } => {
                 self.in_flight -= 1;
-                if !self.is_measured(&planned) {
-                    return;
-                }
-                self.records.send_lag.add(sample.send_lag);
-                let name = &self.cfg.streams[planned.stream].shape.name;
-                if let Some(record) = self.records.classes.get_mut(name) {
-                    record.add(planned.tokens, sample);
-                }
+                self.record_online(&planned, sample);
             }
             Ended::Job { stream, at, sample } => {
                 let shape = &self.cfg.jobs[stream].shape;
@@ -184,6 +178,26 @@
         }
     }
 
+    fn record_online(&mut self, planned: &Planned, sample: Sample) {
+        let end = planned.at + sample.total;
+        let ended_in_window = self.cfg.warm_up <= end && end < self.cfg.span();
+        let measured = self.is_measured(planned);
+        let name = &self.cfg.streams[planned.stream].shape.name;
+        let Some(record) = self.records.classes.get_mut(name) else {
+            debug_assert!(false, "each stream has a record");
+            return;
+        };
+        // Throughput counts what ended in the window, also if it was planned before. Otherwise an
+        // overloaded system would be credited with answers that came after the load.
+        if ended_in_window && sample.outcome == Outcome::Whole {
+            record.add_ended(planned.tokens);
+        }
+        if measured {
+            self.records.send_lag.add(sample.send_lag);
+            record.add(planned.tokens, sample);
+        }
+    }
+
     fn is_measured(&self, planned: &Planned) -> bool {
         planned.at >= self.cfg.warm_up
     }
--- a/dogwoodtray_load/tests/report.rs
+++ b/dogwoodtray_load/tests/report.rs
@@ -38,6 +38,7 @@
         failed: 0,
         tokens: 1_200,
         offered_per_second: load,
+        whole_per_second: 0.9 * load,
         tokens_per_second: 120.0 * load,
         first_token: latency(ms),
         between_tokens: latency(ms / 10.0),
