Test that extreme input does not stop the engine stand-in

Cause: faults over HTTP may hold any number, and no test sent extreme ones. Ruled out: bounds on each field (the clock takes the largest value as it is). Change: a test with extreme faults, a huge body and deep nesting; the delays of the service are added with saturation.

--- a/dogwoodtray_standin/src/service/standin.rs
+++ b/dogwoodtray_standin/src/service/standin.rs
@@ -129,7 +129,7 @@
         let key = call.header("idempotency-key").or(request_id).unwrap_or("-");
         let faults = self.faults.borrow().clone();
         let record = self.runs.start(key);
-        let delay = self.delay + Duration::from_millis(faults.slow_ms);
+        let delay = self.delay.saturating_add(Duration::from_millis(faults.slow_ms));
         // A task of its own, because a service completes its effect for a caller that went away.
         let run = tokio::spawn(async move {
             if !delay.is_zero() {
--- a/dogwoodtray_standin/tests/engine_control.rs
+++ b/dogwoodtray_standin/tests/engine_control.rs
@@ -159,3 +159,28 @@
     let moved = target.send("GET", "/kv/shop%2F7", &[], "").await.unwrap();
     assert_eq!(moved.1, kv);
 }
+
+/// Guards against times that overflow the clock, and bodies that are read without a bound.
+#[tokio::test]
+async fn extreme_input_does_not_stop_the_stand_in() {
+    let (engine, http) = start(EngineConfig::default()).await;
+    let faults = json!({
+        "crash_marker": "POISON", "restart_after_ms": u64::MAX, "slow_factor": 1e6,
+    });
+    http.set_faults(faults).await;
+    assert_eq!(http.chat(&[], &chat_body("POISON", 1)).await, None);
+    eventually("endpoint is down", || async { !is_up(&http).await }).await;
+    engine.restart();
+    eventually("endpoint is up", || is_up(&http)).await;
+    let slow = http.clone();
+    let slow = tokio::spawn(async move { slow.chat(&[], &chat_body("slip", 1)).await });
+    eventually("slow request runs", || async { engine.running() == 1 }).await;
+    let huge = vec![b' '; 20 << 20];
+    let refused = http.send("POST", "/orders", &[], huge).await;
+    assert!(refused.is_none_or(|(status, _)| status == StatusCode::PAYLOAD_TOO_LARGE));
+    let nested = "[".repeat(100_000);
+    let (status, _) = http.send("POST", "/orders", &[], nested).await.unwrap();
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    assert!(is_up(&http).await);
+    slow.abort();
+}
