Lower the batch tolerance of the tail-first setting to 1.02

Cause: at weight 0.0 batch still went a little beyond the knee.

Change: batch_tolerance_min 1.03 -> 1.02.

--- a/dogwoodtray_policy/src/admission/config.rs
+++ b/dogwoodtray_policy/src/admission/config.rs
@@ -66,7 +66,7 @@
             // 95 in 100 gaps between tokens are to stay within 71 ms; the mean is kept below that.
             target_token_gap: Duration::from_millis(60),
             gap_tolerance: 1.3,
-            batch_tolerance_min: 1.03,
+            batch_tolerance_min: 1.02,
             batch_tolerance_max: 1.1,
             online_reserve_min: 0,
             online_reserve_max: 8,
