Check a takeover while records are sealed

Cause: sealing and takeover were explored one at a time only. Change: one more scenario of the model of at-most-once records. Conclusion: no defect found within the bounds.

--- a/dogwoodtray_coord/tests/model_once.rs
+++ b/dogwoodtray_coord/tests/model_once.rs
@@ -383,6 +383,14 @@
     assert_eq!(explore("once, sealed", World::owned(SEALED)).err(), None);
 }
 
+/// Guards against a record that is lost when the range is taken over while it is sealed.
+#[test]
+fn sealed_record_survives_takeover() {
+    let faults = Faults::default();
+    let bounds = Bounds { faults, nodes: 2, takeovers: 1, ..SEALED };
+    assert_eq!(explore("once, sealed and takeover", World::owned(bounds)).err(), None);
+}
+
 /// Guards against a wrong refusal when the agent did not run a request.
 #[test]
 fn request_that_did_not_run_may_be_sent_again() {
