Run seeded failures over separate processes

Cause: the failure tests so far drive decision modules or threads of one process; nothing killed, paused or cut off real processes. Change: dogwoodtray_cli/tests/chaos.rs starts the stand-ins, four agents and three entries from the built binaries, sends load, injects faults by seed and checks the records of the stand-ins and the answers against an oracle.

--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos.rs
@@ -0,0 +1,35 @@
+//! Seeded failures of a fleet of separate processes.
+//!
+//! `DOGWOODTRAY_CHAOS_SEED` and `DOGWOODTRAY_CHAOS_SECONDS` choose another seed and a longer load
+//! for `chaos_by_hand`.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod chaos_support;
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use chaos_support::oracle;
+use chaos_support::run::run;
+
+/// Load under faults in each run of the tests; starting, drains and settling come on top.
+const LOAD: Duration = Duration::from_secs(10);
+
+/// Runs one seed. Seeds run one after another, because each starts a dozen processes.
+fn chaos(seed: u64, load: Duration) {
+    static TURN: Mutex<()> = Mutex::new(());
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let (history, figures) = run(seed, load);
+    println!("{figures}");
+    let found = oracle::check(&history);
+    assert!(found.is_empty(), "seed {seed}: {} violations: {found:#?}", found.len());
+}
+
+/// Guards against lost, doubled or wrong results, and runs that a caller was told did not happen,
+/// while processes, connections and the platform fail.
+#[test]
+fn seed_1_keeps_every_promise() {
+    chaos(1, LOAD);
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos_support/callers.rs
@@ -0,0 +1,181 @@
+//! Callers of online and non-idempotent requests.
+
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+
+use dogwoodtray_standin::PromptHash;
+use dogwoodtray_standin::check_answer;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::Value;
+use serde_json::json;
+
+use super::fleet::MODEL;
+use super::fleet::POISON;
+use super::fleet::SERVICE;
+use super::history::Call;
+use super::history::CallKind;
+use super::history::Outcome;
+use super::http;
+use super::http::Lost;
+use super::run::World;
+
+/// Most calls for one request.
+const MAX_CALLS: usize = 12;
+/// Pause before a resend, in milliseconds.
+const RESEND_MS: u64 = 150;
+
+/// Sends requests one after another until the load ends.
+pub(crate) fn run(world: &World, kind: CallKind, caller: u64) {
+    let mut rng = StdRng::seed_from_u64(world.seed ^ (caller << 32));
+    let mut number = 0;
+    while !world.stop.load(SeqCst) {
+        let request = Request::new(kind, &format!("{caller}-{number}"), &mut rng);
+        request.send_until_answered(world, &mut rng);
+        let pause = if kind == CallKind::Poison { 2_500 } else { rng.random_range(10..60) };
+        std::thread::sleep(Duration::from_millis(pause));
+        number += 1;
+    }
+}
+
+/// A request, which may be sent several times.
+pub(crate) struct Request {
+    kind: CallKind,
+    key: String,
+    tokens: u64,
+    streamed: bool,
+    body: Value,
+}
+
+impl Request {
+    pub(crate) fn new(kind: CallKind, name: &str, rng: &mut StdRng) -> Self {
+        let tokens = rng.random_range(4..24);
+        let streamed = rng.random_bool(0.5);
+        let marker = if kind == CallKind::Poison { POISON } else { "slip" };
+        let letter = match kind {
+            CallKind::Online => 'o',
+            CallKind::OnceChat => 'n',
+            CallKind::OnceService => 's',
+            CallKind::Poison => 'p',
+        };
+        let key = format!("{letter}{name}");
+        let body = chat_body(&format!("{marker} {key}"), tokens, streamed);
+        Self { kind, key, tokens, streamed, body }
+    }
+
+    /// Resends through another entry until there is an answer or an error that is final.
+    pub(crate) fn send_until_answered(&self, world: &World, rng: &mut StdRng) -> bool {
+        let mut last = None;
+        for number in 0..MAX_CALLS {
+            let entry = world.pick_entry(last, rng);
+            last = Some(entry);
+            let outcome = self.send(world, number, entry);
+            match outcome {
+                Outcome::Answered(_) => return true,
+                // The caller of a poison request never gives up early.
+                Outcome::Failed(_) if self.kind != CallKind::Poison => {
+                    if self.kind != CallKind::Online {
+                        return true;
+                    }
+                }
+                _ => {}
+            }
+            std::thread::sleep(Duration::from_millis(rng.random_range(0..RESEND_MS)));
+        }
+        false
+    }
+
+    /// Sends the request once and records the call.
+    pub(crate) fn send(&self, world: &World, number: usize, entry: usize) -> Outcome {
+        let id = format!("{}.{number}", self.key);
+        let began_ms = world.now_ms();
+        let mut headers = vec![("x-request-id", id.as_str())];
+        let once = matches!(self.kind, CallKind::OnceChat | CallKind::OnceService);
+        if once {
+            headers.push(("idempotency-key", self.key.as_str()));
+            headers.push(("x-non-idempotent", "true"));
+        }
+        let path = match self.kind {
+            CallKind::OnceService => format!("/v1/services/{SERVICE}/payouts"),
+            _ => "/v1/chat/completions".to_owned(),
+        };
+        let addr = world.fleet.entries[entry].listen;
+        let outcome = match http::send("POST", addr, &path, &headers, &self.body.to_string()) {
+            Ok((status, body)) => self.read(status, &body),
+            Err(Lost::Refused) => Outcome::Refused,
+            Err(Lost::Broken) => Outcome::Broken,
+        };
+        let call = Call {
+            id,
+            key: self.key.clone(),
+            kind: self.kind,
+            entry,
+            began_ms,
+            ended_ms: world.now_ms(),
+            outcome: outcome.clone(),
+        };
+        world.calls.lock().unwrap().push(call);
+        outcome
+    }
+
+    fn read(&self, status: u16, body: &[u8]) -> Outcome {
+        if status != 200 {
+            return read_error(serde_json::from_slice(body).unwrap_or_default());
+        }
+        if self.kind == CallKind::OnceService {
+            let echo: Value = serde_json::from_slice(body).unwrap_or_default();
+            let right = echo["key"] == self.key.as_str();
+            return Outcome::Answered((!right).then(|| format!("answer of another key: {echo}")));
+        }
+        let text = if self.streamed {
+            match read_stream(&String::from_utf8_lossy(body)) {
+                Ok(text) => text,
+                Err(outcome) => return outcome,
+            }
+        } else {
+            let answer: Value = serde_json::from_slice(body).unwrap_or_default();
+            answer["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned()
+        };
+        Outcome::Answered(fault_of(&self.body, self.tokens, &text))
+    }
+}
+
+/// Returns the body of a chat request.
+pub(crate) fn chat_body(prompt: &str, tokens: u64, streamed: bool) -> Value {
+    json!({
+        "model": MODEL, "max_tokens": tokens, "stream": streamed,
+        "messages": [{ "role": "user", "content": prompt }],
+    })
+}
+
+/// Checks a text and describes its fault.
+pub(crate) fn fault_of(body: &Value, tokens: u64, text: &str) -> Option<String> {
+    let prompt = PromptHash::of_body(body).unwrap();
+    check_answer(prompt, tokens, text).err().map(|fault| fault.to_string())
+}
+
+fn read_error(body: Value) -> Outcome {
+    let error = &body["error"];
+    let code = format!("{}: {}", error["code"], error["message"]);
+    match error["run"].as_str() {
+        Some("not_run") => Outcome::NotRun(code),
+        _ => Outcome::Failed(code),
+    }
+}
+
+/// Joins the tokens of a stream. A stream without its end is broken.
+fn read_stream(stream: &str) -> Result<String, Outcome> {
+    let mut text = String::new();
+    for data in stream.lines().filter_map(|line| line.strip_prefix("data:")) {
+        if data.trim() == "[DONE]" {
+            return Ok(text);
+        }
+        let event: Value = serde_json::from_str(data).map_err(|_| Outcome::Broken)?;
+        if !event["error"].is_null() {
+            return Err(read_error(event));
+        }
+        text += event["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+    }
+    Err(Outcome::Broken)
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos_support/child.rs
@@ -0,0 +1,140 @@
+//! Child processes.
+
+use std::fs;
+use std::fs::File;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+/// A process that can be killed and started again with the same arguments.
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub(crate) name: String,
+    program: &'static str,
+    args: Vec<String>,
+    dir: PathBuf,
+    starts: AtomicUsize,
+    child: Mutex<Option<Child>>,
+    paused: AtomicBool,
+}
+
+impl Process {
+    /// Starts a process; its stderr goes to a file in `dir`.
+    pub(crate) fn start(name: &str, program: &'static str, args: Vec<String>, dir: &Path) -> Self {
+        let process = Self {
+            name: name.to_owned(),
+            program,
+            args,
+            dir: dir.to_owned(),
+            starts: AtomicUsize::new(0),
+            child: Mutex::new(None),
+            paused: AtomicBool::new(false),
+        };
+        process.restart();
+        process
+    }
+
+    /// Starts the process again after it ended.
+    pub(crate) fn restart(&self) {
+        let number = self.starts.fetch_add(1, SeqCst);
+        let log = File::create(self.dir.join(format!("{}.{number}.log", self.name))).unwrap();
+        let child = Command::new(self.program)
+            .args(&self.args)
+            .env("RUST_LOG", "warn,dogwoodtray_runtime=debug")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        *self.child.lock().unwrap() = Some(child);
+    }
+
+    /// Names the newest start of the process.
+    pub(crate) fn start_name(&self) -> String {
+        format!("{}.{}", self.name, self.starts.load(SeqCst))
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&self) {
+        if let Some(mut child) = self.child.lock().unwrap().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.paused.store(false, SeqCst);
+    }
+
+    /// Stops the process for a time.
+    pub(crate) fn pause(&self) {
+        self.paused.store(true, SeqCst);
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a stopped process go on.
+    pub(crate) fn wake(&self) {
+        self.signal(Signal::CONT);
+        self.paused.store(false, SeqCst);
+    }
+
+    pub(crate) fn is_paused(&self) -> bool {
+        self.paused.load(SeqCst)
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(child) = &*self.child.lock().unwrap() {
+            kill_process(Pid::from_child(child), signal).unwrap();
+        }
+    }
+
+    /// Waits until the process ends by itself and returns its exit code.
+    pub(crate) fn wait(&self, bound: Duration) -> Option<i32> {
+        let deadline = Instant::now() + bound;
+        while Instant::now() < deadline {
+            let mut child = self.child.lock().unwrap();
+            if let Some(status) = child.as_mut()?.try_wait().unwrap() {
+                *child = None;
+                return status.code();
+            }
+            drop(child);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
+    /// Returns the log of the newest start.
+    pub(crate) fn log(&self) -> String {
+        let number = self.starts.load(SeqCst) - 1;
+        fs::read_to_string(self.dir.join(format!("{}.{number}.log", self.name))).unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Returns the lines of all logs that tell of a panic.
+pub(crate) fn panics(dir: &Path) -> Vec<String> {
+    let mut found = Vec::new();
+    for file in fs::read_dir(dir).unwrap() {
+        let path = file.unwrap().path();
+        if path.extension().is_some_and(|extension| extension == "log") {
+            let text = String::from_utf8_lossy(&fs::read(&path).unwrap()).into_owned();
+            let lines = text.lines().filter(|line| line.contains("panicked at"));
+            found.extend(lines.map(|line| format!("{}: {line}", path.display())));
+        }
+    }
+    found
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos_support/faults.rs
@@ -0,0 +1,167 @@
+//! Faults and their schedule.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use serde_json::json;
+
+use super::child::Process;
+use super::fleet::CRASH_MS;
+use super::fleet::Endpoint;
+use super::fleet::POISON;
+use super::fleet::arm;
+use super::fleet::wait_until;
+use super::http;
+use super::observer::read_endpoint;
+use super::relay::Mode;
+use super::run::Kill;
+use super::run::World;
+
+/// Kind of a fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    KillEntry,
+    KillAgent,
+    KillEngine,
+    /// The engine loses its work but keeps its records.
+    CrashEngine,
+    PauseEntry,
+    PauseAgent,
+    PauseEngine,
+    CutAgent,
+    SilentAgent,
+    CutEngine,
+    SilentEngine,
+    PlatformOutage,
+    PlatformSlow,
+    PlatformLostReplies,
+}
+
+const ALL: &[Fault] = &[
+    Fault::KillEntry,
+    Fault::KillAgent,
+    Fault::KillEngine,
+    Fault::CrashEngine,
+    Fault::PauseEntry,
+    Fault::PauseAgent,
+    Fault::PauseEngine,
+    Fault::CutAgent,
+    Fault::SilentAgent,
+    Fault::CutEngine,
+    Fault::SilentEngine,
+    Fault::PlatformOutage,
+    Fault::PlatformSlow,
+    Fault::PlatformLostReplies,
+];
+
+/// Injects faults in the order that the seed gives until the time is up.
+pub(crate) fn inject_until(world: &World, deadline: Instant) {
+    let mut rng = StdRng::seed_from_u64(world.seed);
+    let mut order = Vec::new();
+    while Instant::now() < deadline {
+        let together = if rng.random_bool(0.35) { 2 } else { 1 };
+        std::thread::scope(|scope| {
+            for _ in 0..together {
+                if order.is_empty() {
+                    order = ALL.to_vec();
+                    order.shuffle(&mut rng);
+                }
+                let fault = order.pop().unwrap();
+                let rng = StdRng::from_rng(&mut rng);
+                scope.spawn(move || inject(world, fault, rng));
+            }
+        });
+        std::thread::sleep(Duration::from_millis(rng.random_range(50..400)));
+    }
+}
+
+fn inject(world: &World, fault: Fault, mut rng: StdRng) {
+    let fleet = &world.fleet;
+    let entry = &fleet.entries[rng.random_range(0..fleet.entries.len())];
+    let endpoint = &fleet.endpoints[rng.random_range(0..fleet.endpoints.len())];
+    let engine = &fleet.engines()[rng.random_range(0..fleet.engines().len())];
+    let share = if rng.random_bool(0.5) { 1.0 } else { 0.5 };
+    let hold = Duration::from_millis(rng.random_range(200..1_500));
+    let pause = Duration::from_millis(rng.random_range(1_000..6_000));
+    world.note_fault(format!("{fault:?} {}", target(fault, &entry.process, endpoint, engine)));
+    match fault {
+        Fault::KillEntry => kill(world, Kill::Entry, &entry.process, hold),
+        Fault::KillAgent => kill(world, Kill::Agent, &endpoint.agent, hold),
+        Fault::KillEngine => {
+            read_endpoint(world, engine);
+            kill(world, Kill::Engine, &engine.server, hold);
+            arm(engine, true);
+        }
+        Fault::CrashEngine => crash(world, engine),
+        Fault::PauseEntry => stop(world, &entry.process, pause),
+        Fault::PauseAgent => stop(world, &endpoint.agent, pause),
+        Fault::PauseEngine => stop(world, &engine.server, pause),
+        Fault::CutAgent => endpoint.agent_relay.set(Mode::Cut, share, &mut rng),
+        Fault::SilentAgent => endpoint.agent_relay.set(Mode::Silent, share, &mut rng),
+        Fault::CutEngine => endpoint.server_relay.set(Mode::Cut, share, &mut rng),
+        Fault::SilentEngine => endpoint.server_relay.set(Mode::Silent, share, &mut rng),
+        Fault::PlatformOutage => {
+            let began = world.now_ms();
+            fleet.platform_faults(&json!({ "outage": true }));
+            std::thread::sleep(hold + Duration::from_secs(1));
+            fleet.platform_faults(&json!({ "outage": false }));
+            world.outages.lock().unwrap().push((began, world.now_ms()));
+        }
+        Fault::PlatformSlow => {
+            fleet.platform_faults(&json!({ "delay_ms": rng.random_range(50..700) }));
+            std::thread::sleep(pause / 2);
+            fleet.platform_faults(&json!({ "delay_ms": 0 }));
+        }
+        Fault::PlatformLostReplies => {
+            fleet.platform_faults(&json!({ "lost_reply": rng.random_range(0.05..0.5) }));
+            std::thread::sleep(pause / 2);
+            fleet.platform_faults(&json!({ "lost_reply": 0.0 }));
+        }
+    }
+}
+
+fn target<'a>(
+    fault: Fault,
+    entry: &'a Process,
+    endpoint: &'a Endpoint,
+    engine: &'a Endpoint,
+) -> &'a str {
+    match fault {
+        Fault::KillEntry | Fault::PauseEntry => &entry.name,
+        Fault::KillEngine | Fault::CrashEngine | Fault::PauseEngine => &engine.server.name,
+        Fault::CutEngine | Fault::SilentEngine => &endpoint.server.name,
+        Fault::PlatformOutage | Fault::PlatformSlow | Fault::PlatformLostReplies => "platform",
+        _ => &endpoint.agent.name,
+    }
+}
+
+fn kill(world: &World, kind: Kill, process: &Process, down: Duration) {
+    world.note_kill(kind);
+    process.kill();
+    std::thread::sleep(down);
+    process.restart();
+}
+
+fn crash(world: &World, engine: &Endpoint) {
+    world.note_kill(Kill::Engine);
+    let body = json!({ "messages": [{ "role": "user", "content": POISON }] }).to_string();
+    let path = "/v1/chat/completions";
+    let headers = [("x-request-id", "crash")];
+    let _ = http::send("POST", engine.server_addr, path, &headers, &body);
+    std::thread::sleep(Duration::from_millis(CRASH_MS));
+    wait_until("the engine serves again", || {
+        http::get(engine.server_addr, "/standin/runs").is_some()
+    });
+}
+
+fn stop(world: &World, process: &Process, pause: Duration) {
+    let began = world.now_ms();
+    process.pause();
+    std::thread::sleep(pause);
+    process.wake();
+    world.pauses.lock().unwrap().push((began, world.now_ms()));
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos_support/fleet.rs
@@ -0,0 +1,219 @@
+//! Processes of a small fleet.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use tokio::runtime::Handle;
+
+use super::child::Process;
+use super::http;
+use super::relay::Relay;
+
+pub(crate) const MODEL: &str = "kegtalk";
+pub(crate) const SERVICE: &str = "kegledger";
+/// Text in a prompt that kills the engine that reads it.
+pub(crate) const POISON: &str = "POISON";
+/// Time that an engine stays down after a crash, in milliseconds.
+pub(crate) const CRASH_MS: u64 = 300;
+const ENGINES: usize = 3;
+const ENTRIES: usize = 3;
+const START_BOUND: Duration = Duration::from_secs(20);
+
+const ENTRY_BIN: &str = env!("CARGO_BIN_EXE_dogwoodtray-entry");
+const AGENT_BIN: &str = env!("CARGO_BIN_EXE_dogwoodtray-agent");
+const STANDIN_BIN: &str = env!("CARGO_BIN_EXE_dogwoodtray-standin");
+
+/// An endpoint, its agent, and the relays in front of both.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) server: Process,
+    pub(crate) server_addr: SocketAddr,
+    pub(crate) server_relay: Relay,
+    pub(crate) agent: Process,
+    pub(crate) admin: SocketAddr,
+    pub(crate) agent_relay: Relay,
+}
+
+/// An entry.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) process: Process,
+    pub(crate) listen: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    /// Whether the load balancer sends new requests to it.
+    pub(crate) balanced: AtomicBool,
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) platform: SocketAddr,
+    _platform: Process,
+    /// Engines, and the plain service at the end.
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) dir: PathBuf,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until the entries are ready and see the agents.
+    pub(crate) fn start(rt: &Handle, dir: &Path) -> Self {
+        let platform = free_addr();
+        let args = strings(&["platform", "--listen", &platform.to_string()]);
+        let process = Process::start("platform", STANDIN_BIN, args, dir);
+        wait_until("the platform serves", || http::get(platform, "/standin/calls").is_some());
+        let endpoints = (0..=ENGINES).map(|index| endpoint(rt, dir, platform, index)).collect();
+        let entries = (0..ENTRIES).map(|index| entry(dir, platform, index)).collect();
+        let fleet = Self { platform, _platform: process, endpoints, entries, dir: dir.to_owned() };
+        fleet.wait_until_linked(START_BOUND);
+        fleet
+    }
+
+    pub(crate) fn engines(&self) -> &[Endpoint] {
+        &self.endpoints[..ENGINES]
+    }
+
+    /// Sets faults of the platform.
+    pub(crate) fn platform_faults(&self, faults: &serde_json::Value) {
+        http::must("POST", self.platform, "/standin/faults", faults);
+    }
+
+    /// Waits until each entry is ready and sees each other process live.
+    pub(crate) fn wait_until_linked(&self, bound: Duration) {
+        let all = self.endpoints.len() + self.entries.len() - 1;
+        let linked = |entry: &Entry| {
+            let status = http::get(entry.admin, "/status").unwrap_or_default();
+            let peers = status["peers"].as_array().map(Vec::as_slice).unwrap_or_default();
+            let live = peers.iter().filter(|peer| peer["state"] == "live").count();
+            status["ready"] == true && live >= all
+        };
+        let deadline = Instant::now() + bound;
+        while !self.entries.iter().all(linked) {
+            assert!(Instant::now() < deadline, "the entries do not see all processes");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+/// Waits for a condition for as long as a start may take.
+pub(crate) fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + START_BOUND;
+    while !condition() {
+        assert!(Instant::now() < deadline, "not within {START_BOUND:?}: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn endpoint(rt: &Handle, dir: &Path, platform: SocketAddr, index: usize) -> Endpoint {
+    let engine = index < ENGINES;
+    let (kind, name) = if engine { ("engine", MODEL) } else { ("service", SERVICE) };
+    let node = format!("agent-{index}");
+    let server_addr = free_addr();
+    let mut args = strings(&[kind, "--listen", &server_addr.to_string()]);
+    if engine {
+        args.extend(strings(&["--models", name, "--endpoint-checks-fence=true"]));
+    }
+    let server = Process::start(&format!("{kind}-{index}"), STANDIN_BIN, args, dir);
+    let [relay_addr, peer, admin, agent_relay_addr] = [(); 4].map(|()| free_addr());
+    let args = strings(&[
+        "--node",
+        &node,
+        "--data-centre",
+        DATA_CENTRES[index % 3],
+        "--peer",
+        &peer.to_string(),
+        "--admin",
+        &admin.to_string(),
+        "--platform",
+        &platform.to_string(),
+        "--endpoint",
+        &relay_addr.to_string(),
+        "--endpoint-kind",
+        kind,
+        "--models",
+        name,
+        "--max-places",
+        "32",
+    ]);
+    let endpoint = Endpoint {
+        server,
+        server_addr,
+        server_relay: Relay::start(rt, relay_addr, server_addr),
+        agent: Process::start(&node, AGENT_BIN, args, dir),
+        admin,
+        agent_relay: Relay::start(rt, agent_relay_addr, peer),
+    };
+    arm(&endpoint, engine);
+    register(platform, &node, "agent", agent_relay_addr, index);
+    endpoint
+}
+
+/// Makes an engine die of the poison. The setting is lost when its process is killed.
+pub(crate) fn arm(endpoint: &Endpoint, engine: bool) {
+    let faults = json!({ "crash_marker": POISON, "restart_after_ms": CRASH_MS });
+    let addr = endpoint.server_addr;
+    wait_until("an endpoint serves", || http::get(addr, "/standin/runs").is_some());
+    if engine {
+        http::must("POST", addr, "/standin/faults", &faults);
+    }
+}
+
+fn entry(dir: &Path, platform: SocketAddr, index: usize) -> Entry {
+    let node = format!("entry-{index}");
+    let [listen, peer, admin] = [(); 3].map(|()| free_addr());
+    let args = strings(&[
+        "--node",
+        &node,
+        "--data-centre",
+        DATA_CENTRES[index % 3],
+        "--region",
+        "nl-oost",
+        "--listen",
+        &listen.to_string(),
+        "--peer",
+        &peer.to_string(),
+        "--admin",
+        &admin.to_string(),
+        "--platform",
+        &platform.to_string(),
+    ]);
+    let process = Process::start(&node, ENTRY_BIN, args, dir);
+    register(platform, &node, "entry", peer, index);
+    Entry { process, listen, admin, balanced: AtomicBool::new(true) }
+}
+
+const DATA_CENTRES: [&str; 3] = ["apeldoorn", "deventer", "zutphen"];
+
+fn register(platform: SocketAddr, name: &str, role: &str, addr: SocketAddr, index: usize) {
+    let data_centre = DATA_CENTRES[index % 3];
+    let vm = json!({
+        "name": name, "role": role, "addr": addr, "data_centre": data_centre, "state": "live",
+    });
+    http::must("PUT", platform, &format!("/standin/vms/{name}"), &vm);
+}
+
+fn strings(args: &[&str]) -> Vec<String> {
+    args.iter().map(ToString::to_string).collect()
+}
+
+/// Picks a port below the range of outgoing connections, which could take it while its process is
+/// down.
+fn free_addr() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let base = 10_000 + (std::process::id() % 200) as u16 * 100;
+    loop {
+        let port = base + NEXT.fetch_add(1, SeqCst) % 2_000;
+        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            return SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        }
+    }
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos_support/jobs.rs
@@ -0,0 +1,175 @@
+//! Callers of batch jobs.
+
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::Value;
+use serde_json::json;
+
+use super::callers::chat_body;
+use super::callers::fault_of;
+use super::fleet::MODEL;
+use super::history::Cancelled;
+use super::history::Job;
+use super::history::JobView;
+use super::history::Line;
+use super::http;
+use super::run::World;
+
+/// Time in which a driver that lost the note of a cancellation learns of it, in milliseconds.
+const CANCEL_LEARNED_MS: u64 = 5_000;
+const RESEND: Duration = Duration::from_millis(150);
+const MAX_CALLS: usize = 40;
+
+/// Submits jobs one after another until the load ends.
+pub(crate) fn run(world: &World, caller: u64) {
+    let mut rng = StdRng::seed_from_u64(world.seed ^ (caller << 40));
+    let mut number = 0;
+    while !world.stop.load(SeqCst) {
+        submit(world, &format!("{caller}-{number}"), &mut rng);
+        std::thread::sleep(Duration::from_millis(rng.random_range(200..900)));
+        number += 1;
+    }
+}
+
+fn prompt(key: &str, index: usize) -> String {
+    format!("design {key} {index}")
+}
+
+fn tokens(index: usize) -> u64 {
+    4 + index as u64 % 16
+}
+
+/// Submits a job through two entries at once, and cancels some jobs later.
+fn submit(world: &World, key: &str, rng: &mut StdRng) {
+    let count = rng.random_range(10..40);
+    let idempotent = rng.random_bool(0.7);
+    let items: Vec<String> = (0..count).map(|index| format!("{key}/{index}")).collect();
+    let requests: Vec<Value> = (0..count)
+        .map(|index| {
+            let body = chat_body(&prompt(key, index), tokens(index), false);
+            json!({ "custom_id": items[index], "body": body })
+        })
+        .collect();
+    let body = json!({ "model": MODEL, "requests": requests, "idempotent": idempotent });
+    let body = body.to_string();
+    let first = world.pick_entry(None, rng);
+    let second = world.pick_entry(Some(first), rng);
+    let ids = std::thread::scope(|scope| {
+        let body = &body;
+        let sends = [first, second]
+            .map(|entry| scope.spawn(move || submit_until_accepted(world, key, body, entry)));
+        sends.map(|send| send.join().unwrap())
+    });
+    let Some(id) = ids.iter().flatten().next().cloned() else { return };
+    assert!(ids.iter().flatten().all(|other| *other == id), "one key gave two jobs: {ids:?}");
+    let job = Job { id: id.clone(), items, idempotent, cancelled: None, views: Vec::new() };
+    world.jobs.lock().unwrap().push(job);
+    if rng.random_bool(0.35) {
+        std::thread::sleep(Duration::from_millis(rng.random_range(0..800)));
+        cancel(world, &id, rng);
+    }
+}
+
+fn submit_until_accepted(world: &World, key: &str, body: &str, first: usize) -> Option<String> {
+    let entries = world.fleet.entries.len();
+    for call in 0..MAX_CALLS {
+        let addr = world.fleet.entries[(first + call) % entries].listen;
+        let headers = [("idempotency-key", key)];
+        if let Ok((200 | 201, answer)) = http::send("POST", addr, "/v1/batches", &headers, body) {
+            let answer: Value = serde_json::from_slice(&answer).unwrap();
+            return Some(answer["id"].as_str().unwrap().to_owned());
+        }
+        std::thread::sleep(RESEND);
+    }
+    None
+}
+
+fn cancel(world: &World, id: &str, rng: &mut StdRng) {
+    let mut last = None;
+    for _ in 0..MAX_CALLS {
+        let entry = world.pick_entry(last, rng);
+        last = Some(entry);
+        let addr = world.fleet.entries[entry].listen;
+        match http::send("POST", addr, &format!("/v1/batches/{id}/cancel"), &[], "") {
+            Ok((200, answer)) => {
+                let counts = &serde_json::from_slice::<Value>(&answer).unwrap()["request_counts"];
+                let field = |name: &str| counts[name].as_u64().unwrap();
+                let results = field("completed") + field("failed");
+                let cancelled = Some(Cancelled { results, starts: None });
+                world.with_job(id, |job| job.cancelled = cancelled);
+                world.cancels.lock().unwrap().push((world.now_ms(), id.to_owned()));
+                return;
+            }
+            // The job has finished before.
+            Ok((409, _)) => return,
+            _ => std::thread::sleep(RESEND),
+        }
+    }
+}
+
+/// Notes the runs of cancelled jobs as soon as every process had to know of the cancellation.
+pub(crate) fn watch_cancels(world: &World) {
+    while !world.over.load(SeqCst) {
+        std::thread::sleep(Duration::from_millis(50));
+        let now = world.now_ms();
+        let known = |at: u64| at + CANCEL_LEARNED_MS + world.paused_ms(at, now);
+        let due: Vec<String> = {
+            let mut cancels = world.cancels.lock().unwrap();
+            let (due, waiting) = cancels.drain(..).partition(|(at, _)| known(*at) <= now);
+            *cancels = waiting;
+            due.into_iter().map(|(_, id): (u64, String)| id).collect()
+        };
+        if due.is_empty() {
+            continue;
+        }
+        super::observer::read_records(world);
+        for id in due {
+            let prefix = format!("{id}.");
+            let starts = world.started(|run| run.starts_with(&prefix));
+            let note = |job: &mut Job| job.cancelled.as_mut().unwrap().starts = Some(starts);
+            world.with_job(&id, note);
+        }
+    }
+}
+
+/// Reads a job through an entry, once it has ended or the time is up.
+pub(crate) fn view(world: &World, job: &Job, entry: usize, deadline: Instant) -> JobView {
+    let addr = world.fleet.entries[entry].listen;
+    let mut status = String::from("unread");
+    while Instant::now() < deadline {
+        if let Some(read) = http::get(addr, &format!("/v1/batches/{}", job.id)) {
+            status = read["status"].as_str().unwrap().to_owned();
+            if status != "in_progress" {
+                break;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let path = format!("/v1/batches/{}/results", job.id);
+    let results = http::send("GET", addr, &path, &[], "");
+    let results = results.ok().filter(|(status, _)| *status == 200).unwrap_or_default().1;
+    let lines = String::from_utf8_lossy(&results).lines().map(|line| read_line(line)).collect();
+    JobView { entry, status, lines }
+}
+
+fn read_line(line: &str) -> Line {
+    let line: Value = serde_json::from_str(line).unwrap();
+    let custom_id = line["custom_id"].as_str().unwrap().to_owned();
+    let end = match line["status"].as_str().unwrap() {
+        "failed" => line["error"]["code"].as_str().unwrap().to_owned(),
+        other => other.to_owned(),
+    };
+    let fault = (end == "done").then(|| {
+        let (key, index) = custom_id.split_once('/').unwrap();
+        let index = index.parse().unwrap();
+        let text = line["response"]["body"]["choices"][0]["message"]["content"].as_str();
+        let body = chat_body(&prompt(key, index), tokens(index), false);
+        fault_of(&body, tokens(index), text.unwrap_or_default())
+    });
+    Line { custom_id, end, fault: fault.flatten() }
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos_support/measure.rs
@@ -0,0 +1,90 @@
+//! Figures of a run.
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::history::CallKind;
+use super::history::Outcome;
+use super::run::Kill;
+use super::run::World;
+
+/// Span before and after an outage in which the calls of the platform are counted.
+const SPAN_MS: u64 = 5_000;
+
+/// Returns the figures as JSON.
+pub(crate) fn figures(world: &World) -> Value {
+    let calls = world.calls.lock().unwrap();
+    let observed = world.observed.lock().unwrap();
+    let mut answers: Vec<u64> = calls
+        .iter()
+        .filter(|call| call.kind == CallKind::Online)
+        .filter(|call| matches!(call.outcome, Outcome::Answered(_)))
+        .map(|call| call.ended_ms)
+        .collect();
+    answers.sort_unstable();
+    let kills: Vec<Value> = world
+        .kills
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|(kind, at)| {
+            let answer = answers.iter().find(|answer| *answer > at).map(|next| next - at);
+            let item = next_item(&observed.finished_items, *at);
+            json!({ "killed": name_of(*kind), "next_answer_ms": answer, "next_item_ms": item })
+        })
+        .collect();
+    let outages: Vec<Value> = world
+        .outages
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|(began, ended)| {
+            let samples = &observed.platform_calls;
+            let before = between(samples, began.saturating_sub(SPAN_MS), *began);
+            let after = between(samples, *ended, ended + SPAN_MS);
+            json!({ "outage_ms": ended - began, "calls_before": before, "calls_after": after })
+        })
+        .collect();
+    let (retries, hedges) = observed.retries_and_hedges();
+    let jobs = world.jobs.lock().unwrap();
+    let count = |kind: CallKind| {
+        let of_kind = calls.iter().filter(|call| call.kind == kind);
+        let answered = of_kind.clone().filter(|c| matches!(c.outcome, Outcome::Answered(_)));
+        json!({ "calls": of_kind.clone().count(), "answered": answered.count() })
+    };
+    json!({
+        "seed": world.seed,
+        "faults": *world.faults.lock().unwrap(),
+        "kills": kills,
+        "outages": outages,
+        "retries": retries,
+        "hedges": hedges,
+        "online": count(CallKind::Online),
+        "once_chat": count(CallKind::OnceChat),
+        "once_service": count(CallKind::OnceService),
+        "poison": count(CallKind::Poison),
+        "jobs": jobs.len(),
+        "jobs_cancelled": jobs.iter().filter(|job| job.cancelled.is_some()).count(),
+        "generations": world.published.lock().unwrap().len(),
+    })
+}
+
+const fn name_of(kind: Kill) -> &'static str {
+    match kind {
+        Kill::Entry => "entry",
+        Kill::Agent => "agent",
+        Kill::Engine => "engine",
+    }
+}
+
+/// Time until the engines had finished one more item than before.
+fn next_item(samples: &[(u64, u64)], at: u64) -> Option<u64> {
+    let before = samples.iter().rfind(|(time, _)| *time <= at)?.1;
+    samples.iter().find(|(time, count)| *time > at && *count > before).map(|(time, _)| time - at)
+}
+
+/// Calls between two times, by the samples that lie next to them; `None` beyond the samples.
+fn between(samples: &[(u64, u64)], from: u64, to: u64) -> Option<u64> {
+    let at = |time: u64| samples.iter().find(|(sample, _)| *sample >= time).map(|(_, n)| *n);
+    Some(at(to)? - at(from)?)
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos_support/mod.rs
@@ -0,0 +1,16 @@
+//! Seeded failures of separate processes, and the oracle that judges a run.
+
+pub(crate) mod callers;
+pub(crate) mod child;
+pub(crate) mod drain;
+pub(crate) mod faults;
+pub(crate) mod fleet;
+pub(crate) mod history;
+pub(crate) mod http;
+pub(crate) mod jobs;
+pub(crate) mod measure;
+pub(crate) mod observer;
+pub(crate) mod oracle;
+pub(crate) mod publish;
+pub(crate) mod relay;
+pub(crate) mod run;
--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos_support/publish.rs
@@ -0,0 +1,96 @@
+//! Publishers that race.
+
+use std::fs;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::fleet::MODEL;
+use super::fleet::SERVICE;
+use super::run::World;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_dogwoodtray");
+const PAUSE: Duration = Duration::from_millis(700);
+const TRIES: usize = 10;
+
+/// Lets two publishers race again and again until the load ends.
+pub(crate) fn run(world: &World) {
+    let mut round = 0;
+    while !world.stop.load(SeqCst) {
+        if let Some(base) = current(world) {
+            let racers =
+                ["a", "b"].map(|side| publish(world, Some(&base), &format!("{round}{side}")));
+            racers.into_iter().for_each(|racer| note(world, racer));
+        }
+        std::thread::sleep(PAUSE);
+        round += 1;
+    }
+}
+
+/// Publishes until the publisher is told that its set is in force.
+pub(crate) fn publish_once(world: &World, name: &str) {
+    let before = world.published.lock().unwrap().len();
+    for number in 0..TRIES {
+        let base = current(world);
+        note(world, publish(world, base.as_deref(), &format!("{name}{number}")));
+        if world.published.lock().unwrap().len() > before {
+            return;
+        }
+    }
+    panic!("nothing could be published");
+}
+
+/// Returns the set in force.
+fn current(world: &World) -> Option<String> {
+    let output = program(world, "export").output().unwrap();
+    let json: Value = serde_json::from_slice(&output.stdout).ok()?;
+    json["set"].as_str().map(ToOwned::to_owned)
+}
+
+fn publish(world: &World, base: Option<&str>, text: &str) -> Child {
+    let dir = world.fleet.dir.join(format!("objects-{text}"));
+    write_objects(&dir, text);
+    let mut command = program(world, "publish");
+    if let Some(base) = base {
+        command.args(["--base", base]);
+    }
+    command.arg(dir).stdout(Stdio::piped()).spawn().unwrap()
+}
+
+/// Notes the generation if the publisher was told that it is in force.
+fn note(world: &World, publisher: Child) {
+    let output = publisher.wait_with_output().unwrap();
+    let Ok(json) = serde_json::from_slice::<Value>(&output.stdout) else { return };
+    if json["result"] == "published" {
+        world.published.lock().unwrap().push(json["generation"].as_u64().unwrap());
+    }
+}
+
+fn program(world: &World, command: &str) -> Command {
+    let mut program = Command::new(PROGRAM);
+    let platform = world.fleet.platform.to_string();
+    program.args([command, "--json", "--timeout-s", "5", "--platform", &platform]);
+    program.stderr(Stdio::null());
+    program
+}
+
+fn write_objects(dir: &Path, text: &str) {
+    let objects = format!(
+        "[[model]]\nname = \"{MODEL}\"\ndescription = \"{text}\"\ncontext_tokens = 16384\n\
+         max_output_tokens = 1024\n\n\
+         [[version]]\nname = \"{MODEL}-1\"\nmodel = \"{MODEL}\"\nweights = \"w\"\n\
+         accelerators = 1\n\n\
+         [[route]]\nname = \"{MODEL}\"\nmodel = \"{MODEL}\"\nversion = \"{MODEL}-1\"\n\
+         default_deadline_ms = 6000\norganisations = [\"*\"]\n\n\
+         [[route]]\nname = \"{SERVICE}\"\nservice = \"{SERVICE}\"\n\
+         non_idempotent_paths = [\"/payouts\"]\ndefault_deadline_ms = 6000\n\
+         organisations = [\"*\"]\n"
+    );
+    fs::create_dir_all(dir).unwrap();
+    fs::write(dir.join("objects.toml"), objects).unwrap();
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/chaos_support/relay.rs
@@ -0,0 +1,113 @@
+//! TCP relays that cut connections or make them silent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+const RETRY: Duration = Duration::from_millis(20);
+
+/// What happens to a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// Bytes pass.
+    Open,
+    /// Both sides see a closed connection.
+    Cut,
+    /// Bytes vanish, and neither side learns of it.
+    Silent,
+}
+
+/// Relay in front of one server.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    pub(crate) addr: SocketAddr,
+    connections: Arc<Mutex<Vec<watch::Sender<Mode>>>>,
+}
+
+impl Relay {
+    /// Starts to relay from one address to another.
+    pub(crate) fn start(rt: &Handle, addr: SocketAddr, target: SocketAddr) -> Self {
+        let connections = Arc::default();
+        rt.spawn(accept(addr, target, Arc::clone(&connections)));
+        Self { addr, connections }
+    }
+
+    /// Changes about this share of the open connections. New ones are not affected.
+    pub(crate) fn set(&self, mode: Mode, share: f64, rng: &mut StdRng) {
+        self.connections.lock().unwrap().retain(|connection| {
+            let chosen = rng.random_bool(share);
+            !(chosen && connection.send(mode).is_ok())
+        });
+    }
+}
+
+async fn accept(
+    addr: SocketAddr,
+    target: SocketAddr,
+    connections: Arc<Mutex<Vec<watch::Sender<Mode>>>>,
+) {
+    loop {
+        // The relay refuses connections while its server does, so that a caller can tell a server
+        // that is down from a connection that broke.
+        while TcpStream::connect(target).await.is_err() {
+            sleep(RETRY).await;
+        }
+        let Ok(listener) = TcpListener::bind(addr).await else {
+            sleep(RETRY).await;
+            continue;
+        };
+        while let Ok((caller, _)) = listener.accept().await {
+            let Ok(server) = TcpStream::connect(target).await else { break };
+            let _ = caller.set_nodelay(true);
+            let _ = server.set_nodelay(true);
+            let (tx, rx) = watch::channel(Mode::Open);
+            let mut open = connections.lock().unwrap();
+            open.retain(|connection| connection.receiver_count() > 0);
+            open.push(tx);
+            let (from_caller, to_caller) = caller.into_split();
+            let (from_server, to_server) = server.into_split();
+            tokio::spawn(pipe(from_caller, to_server, rx.clone()));
+            tokio::spawn(pipe(from_server, to_caller, rx));
+        }
+    }
+}
+
+async fn pipe(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut mode: watch::Receiver<Mode>) {
+    let mut buf = [0; 16 * 1024];
+    let mut watched = true;
+    loop {
+        let read = tokio::select! {
+            changed = mode.changed(), if watched => {
+                watched = changed.is_ok();
+                if *mode.borrow() == Mode::Cut {
+                    return;
+                }
+                continue;
+            }
+            read = from.read(&mut buf) => read.unwrap_or(0),
+        };
+        if *mode.borrow() == Mode::Silent {
+            if read == 0 {
+                // The other side never hears of the end.
+                std::future::pending::<()>().await;
+            }
+            continue;
+        }
+        if read == 0 || to.write_all(&buf[..read]).await.is_err() {
+            return;
+        }
+    }
+}
