Count a replaced agent as a death of what ran inside

The entry then lost the attempt without a death, so the request stayed clear and killed three engines. Ruled out: a second caller or a hedge; the log shows three attempts in a row of one request.

--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -272,11 +272,14 @@
         peer: &PeerInfo,
         out: &mut Vec<OnlineAction>,
     ) {
+        // Whether the endpoint died with its agent cannot be known any more. A request that kills
+        // endpoints must not count as harmless for that, so the loss counts as a death.
+        let death = self.endpoints.of_node(&peer.node).map(|known| known.incarnation.0);
         match self.endpoints.link_up(self.router.as_mut(), link, peer) {
             Arrival::Same => self.reattach_all(link, &peer.node, out),
             Arrival::New => {
                 for id in self.attempts_at(&peer.node) {
-                    self.lose(now, id, None, out);
+                    self.lose(now, id, death, out);
                 }
             }
         }
--- a/dogwoodtray_entry/tests/online_failures.rs
+++ b/dogwoodtray_entry/tests/online_failures.rs
@@ -93,6 +93,25 @@
     }
 }
 
+/// Guards against an agent that dies together with its endpoint and is replaced at once, so that
+/// the death of the endpoint is never reported and the request counts as harmless.
+#[test]
+fn a_poison_request_kills_at_most_two_endpoints_while_agents_are_replaced() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, ENDPOINTS);
+        for _ in 0..REQUESTS / 4 {
+            world.submit_poison();
+            let pause = world.pause_between_faults();
+            world.run(pause / 100);
+            world.strike(Fault::KillAgent);
+            // Copies of one request that run at the same time are not known as suspects yet.
+            world.run(pause * 4);
+        }
+        world.run(Duration::from_secs(30));
+        assert!(world.poison_deaths() <= 2, "seed {seed}: {} deaths", world.poison_deaths());
+    }
+}
+
 /// Shows that the oracle catches an untrue `not_run`, so that its silence above means something.
 #[test]
 fn an_untrue_not_run_is_caught() {
