Give up a silent exchange soon after its deadline

Ruled out: open answers, jobs and the group commit; the drain event now also names open requests and the state of the at-most-once records (requests=1, once_drained=false, the range idle with one running key). Change: an exchange without any byte ends 10 s after the deadline of its request at the latest, which is before the entry stops to wait.

--- a/dogwoodtray_agent/src/core/decide.rs
+++ b/dogwoodtray_agent/src/core/decide.rs
@@ -26,6 +26,7 @@
 use super::NotRun;
 use super::PeerId;
 use super::Work;
+use super::attempt::Attempt;
 use super::attempt::Attempts;
 use super::attempt::Stage;
 use super::credit::CreditBook;
@@ -44,6 +45,10 @@
 /// Suspects that are remembered.
 const MAX_SUSPECTS: usize = 4096;
 
+/// Time beyond the deadline of a request in which its endpoint may still answer. It lies below the
+/// time that an entry keeps the caller of a non-idempotent request waiting.
+const DEADLINE_GRACE: Duration = Duration::from_secs(10);
+
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Settings of [`AgentCore`].
@@ -343,7 +348,7 @@
             } else if attempt.peer.is_none() && attempt.work.idempotent && idle >= ORPHAN_GRACE {
                 orphans.push(*id);
             } else if attempt.stage == Stage::Running
-                && now - attempt.progress_at >= self.cfg.stall_timeout
+                && now - attempt.progress_at >= self.stall_limit(attempt)
             {
                 stalled.push(*id);
             }
@@ -359,6 +364,14 @@
         }
     }
 
+    /// Longest silence of the endpoint in one exchange. A plain service may be silent for long,
+    /// but not far beyond the deadline: nobody waits for the answer any more, and a connection
+    /// that went silent would hold up a drain and the end of the at-most-once record.
+    fn stall_limit(&self, attempt: &Attempt) -> Duration {
+        let limit = self.cfg.stall_timeout;
+        attempt.work.deadline.map_or(limit, |left| limit.min(left + DEADLINE_GRACE))
+    }
+
     fn send_heartbeats(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
         self.last_heartbeat = Some(now);
         for peer in &self.peers {
--- a/dogwoodtray_entry/src/shell/router.rs
+++ b/dogwoodtray_entry/src/shell/router.rs
@@ -524,8 +524,13 @@
         if idle {
             self.shared.events.emit(&catalogue::DRAIN_FINISHED, None, &[]);
         } else if now >= deadline {
-            let fields: [(&str, &dyn Display); 2] =
-                [("answers", &answers), ("jobs_drained", &jobs_drained)];
+            let requests = self.core.requests();
+            let fields: [(&str, &dyn Display); 4] = [
+                ("answers", &answers),
+                ("requests", &requests),
+                ("jobs_drained", &jobs_drained),
+                ("once_drained", &once_drained),
+            ];
             self.shared.events.emit(&catalogue::DRAIN_TIMEOUT, None, &fields);
         } else {
             return Flow::Continue;
