Report items whose exchange broke as unknown

Ruled out: a refusal by the engine; it has no record of one, and the status in the results was the 502 that the entry filled in. Change: an exchange that broke without an answer ends an item as a lost link does: unknown for a non-idempotent item, another attempt for the others.

--- a/dogwoodtray_entry/src/jobs/api.rs
+++ b/dogwoodtray_entry/src/jobs/api.rs
@@ -70,7 +70,7 @@
     Quarantined,
     /// The attempt was cancelled on request of this entry.
     Cancelled,
-    /// The link was lost after the item was sent.
+    /// The link to the agent, or its exchange with the endpoint, broke after the item was sent.
     Unknown,
 }
 
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -299,7 +299,6 @@
                 }
             }
             AttemptEnd::Answered { status } => ItemEnd::Failed { status, body: answer },
-            AttemptEnd::Failed => ItemEnd::Failed { status: 502, body: Bytes::new() },
             AttemptEnd::Crashed { .. } => ItemEnd::Crashed,
             AttemptEnd::Cancelled => ItemEnd::Cancelled,
             AttemptEnd::Preempted => {
@@ -308,7 +307,8 @@
             }
             AttemptEnd::NotRun(NotRunReason::Quarantined) => ItemEnd::Quarantined,
             AttemptEnd::NotRun(_) => ItemEnd::NotRun,
-            AttemptEnd::Unknown => ItemEnd::Unknown,
+            // The exchange broke without an answer, so what became of the item is not known.
+            AttemptEnd::Failed | AttemptEnd::Unknown => ItemEnd::Unknown,
         }
     }
 
