Show the state of every peer and split the router service

Ruled out: a second membership table (the coordination crate has a checked one). Change: MemberView gives the states in /status; a VM that the list shows as leaving gets no new work; the router service stands in four files by job. Conclusion: operators see unknown, live, silent, leaving and dead peers.

--- /dev/null
+++ b/dogwoodtray_entry/src/shell/router/mod.rs
@@ -0,0 +1,11 @@
+//! Service that owns the links and routes requests.
+
+mod config;
+mod decide;
+mod drain;
+mod links;
+mod service;
+
+pub(crate) use self::service::AnswerPart;
+pub(crate) use self::service::RouterInput;
+pub(super) use self::service::RouterService;
--- /dev/null
+++ b/dogwoodtray_entry/src/shell/router/service.rs
@@ -0,0 +1,194 @@
+//! State of the service and its events.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::Generation;
+use dogwoodtray_coord::GenerationView;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::MemberConfig;
+use dogwoodtray_coord::MemberView;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_platform::VmEntry;
+use dogwoodtray_runtime::DialHandle;
+use dogwoodtray_runtime::Flow;
+use dogwoodtray_runtime::LinkConfig;
+use dogwoodtray_runtime::LinkEvent;
+use dogwoodtray_runtime::LinkHandle;
+use dogwoodtray_runtime::Service;
+use dogwoodtray_wire::messages::Role;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::super::Shared;
+use crate::jobs::Backlog;
+use crate::online::LinkNo;
+use crate::online::OnlineAction;
+use crate::online::OnlineCore;
+use crate::online::OnlineEvent;
+use crate::online::RequestEnd;
+use crate::online::RequestNo;
+use crate::online::RequestSpec;
+
+pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Links that an entry dials to other entries. They carry the generation and suspicions, which
+/// spread over a few hops, so a full mesh would only cost heartbeats.
+pub(super) const ENTRY_LINKS: usize = 8;
+
+/// Suspicions in one heartbeat.
+pub(super) const MAX_SUSPICIONS: usize = 64;
+
+/// Part of an answer on its way to a caller.
+#[derive(Debug)]
+pub(crate) enum AnswerPart {
+    /// Bytes of the answer.
+    Data { status: u16, content_type: Name, data: Bytes },
+    /// The request ended.
+    End(RequestEnd),
+}
+
+/// What reaches the service.
+#[derive(Debug)]
+pub(crate) enum RouterInput {
+    Link(Box<LinkEvent>),
+    Submit {
+        request: RequestNo,
+        spec: Arc<RequestSpec>,
+        reply: UnboundedSender<AnswerPart>,
+    },
+    CallerGone {
+        request: RequestNo,
+    },
+    SubmitBatch {
+        attempt: AttemptId,
+        link: u64,
+        spec: Arc<RequestSpec>,
+        resume_from: u32,
+    },
+    CancelBatch {
+        attempt: AttemptId,
+    },
+    Backlog(Vec<Backlog>),
+    Config {
+        generation: u64,
+        bytes: Bytes,
+    },
+    /// The platform has this generation in force.
+    StoreGeneration(Generation),
+    /// The platform could not be asked.
+    StoreFailed,
+    Vms(Vec<VmEntry>),
+    Drain,
+}
+
+pub(super) struct Peer {
+    pub(super) node: Name,
+    pub(super) role: Role,
+    pub(super) incarnation: Incarnation,
+    pub(super) generation: u64,
+    pub(super) link: LinkHandle,
+}
+
+/// Owns the links and routes requests.
+pub(in crate::shell) struct RouterService {
+    pub(super) core: OnlineCore,
+    pub(super) shared: Arc<Shared>,
+    pub(super) runtime: Handle,
+    pub(super) link_cfg: LinkConfig,
+    pub(super) links: HashMap<LinkNo, Peer>,
+    pub(super) dialled: HashMap<Name, DialHandle>,
+    pub(super) callers: HashMap<RequestNo, UnboundedSender<AnswerPart>>,
+    pub(super) backlog: Vec<Backlog>,
+    pub(super) generations: GenerationView,
+    pub(super) members: MemberView,
+    /// VMs that the platform's list shows as leaving.
+    pub(super) listed_leaving: BTreeSet<Name>,
+    pub(super) config: Bytes,
+    pub(super) actions: Vec<OnlineAction>,
+    pub(super) heartbeat_seq: u64,
+    pub(super) next_heartbeat: Timestamp,
+    pub(super) drain_deadline: Option<Timestamp>,
+}
+
+impl RouterService {
+    pub(in crate::shell) fn new(
+        core: OnlineCore,
+        shared: Arc<Shared>,
+        runtime: Handle,
+        link_cfg: LinkConfig,
+    ) -> Self {
+        Self {
+            core,
+            shared,
+            runtime,
+            link_cfg,
+            links: HashMap::new(),
+            dialled: HashMap::new(),
+            callers: HashMap::new(),
+            backlog: Vec::new(),
+            generations: GenerationView::new(),
+            members: MemberView::new(MemberConfig::default()),
+            listed_leaving: BTreeSet::new(),
+            config: Bytes::new(),
+            actions: Vec::new(),
+            heartbeat_seq: 0,
+            next_heartbeat: Timestamp::ZERO,
+            drain_deadline: None,
+        }
+    }
+}
+
+impl Service for RouterService {
+    type Event = RouterInput;
+
+    fn on_event(&mut self, now: Timestamp, event: RouterInput) -> Flow {
+        match event {
+            RouterInput::Link(event) => self.on_link(now, *event),
+            RouterInput::Submit { request, spec, reply } => {
+                self.callers.insert(request, reply);
+                self.decide(now, OnlineEvent::Submit { request, spec });
+            }
+            RouterInput::CallerGone { request } => {
+                self.callers.remove(&request);
+                self.decide(now, OnlineEvent::CallerGone { request });
+            }
+            RouterInput::SubmitBatch { attempt, link, spec, resume_from } => {
+                let link = LinkNo(link);
+                self.decide(now, OnlineEvent::SubmitBatch { attempt, link, spec, resume_from });
+            }
+            RouterInput::CancelBatch { attempt } => {
+                self.decide(now, OnlineEvent::CancelBatch { attempt });
+            }
+            RouterInput::Backlog(backlog) => {
+                self.backlog = backlog;
+                self.send_heartbeats(now);
+            }
+            RouterInput::Config { generation, bytes } => self.on_config(generation, bytes),
+            RouterInput::StoreGeneration(generation) => self.generations.store_answered(generation),
+            RouterInput::StoreFailed => self.generations.store_failed(),
+            RouterInput::Vms(vms) => self.on_vms(&vms),
+            RouterInput::Drain => self.start_drain(now),
+        }
+        Flow::Continue
+    }
+
+    fn on_tick(&mut self, now: Timestamp) -> Flow {
+        self.decide(now, OnlineEvent::Tick);
+        if now >= self.next_heartbeat {
+            self.members.forget_dead(now);
+            self.send_heartbeats(now);
+            self.publish_state(now);
+        }
+        self.check_drain(now)
+    }
+
+    fn is_idle(&self) -> bool {
+        self.core.requests() == 0 && self.core.attempts() == 0 && self.drain_deadline.is_none()
+    }
+}
