Give each entry its share of the platform's rates; test bad input and leaving

Cause: commits and scans of jobs had fixed intervals, which at 560 entries would exceed the platform's rates; the share could not be set. Ruled out: one limit without spacing (callers would wait behind commits). Tests of bad input to the ports of an entry and of an agent that leaves.

--- a/dogwoodtray_cli/src/settings/entry.rs
+++ b/dogwoodtray_cli/src/settings/entry.rs
@@ -25,6 +25,8 @@
     &setting::ROUTE_POLICY,
     &setting::ORG_REQUESTS_PER_S,
     &setting::ORG_OPEN_REQUESTS,
+    &setting::PLATFORM_READS_PER_MIN,
+    &setting::PLATFORM_WRITES_PER_MIN,
     &setting::DRAIN_TIMEOUT_S,
 ];
 
@@ -49,10 +51,21 @@
     pub route_policy: &'static str,
     /// Limits of an organisation.
     pub organisation_limits: OrganisationLimits,
+    /// Share of the platform's rates.
+    pub platform_share: PlatformShare,
     /// Longest wait for open requests after a drain began.
     pub drain_timeout: Duration,
 }
 
+/// Calls to the platform that one entry may make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlatformShare {
+    /// Reads a minute, watches included.
+    pub reads_per_min: u32,
+    /// Writes a minute.
+    pub writes_per_min: u32,
+}
+
 /// Limits of one organisation at one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OrganisationLimits {
@@ -109,6 +122,10 @@
                 requests_per_s: values.number(&setting::ORG_REQUESTS_PER_S, 1..=1_000_000),
                 open_requests: values.number(&setting::ORG_OPEN_REQUESTS, 1..=1_000_000),
             },
+            platform_share: PlatformShare {
+                reads_per_min: values.number(&setting::PLATFORM_READS_PER_MIN, 1..=1_000_000),
+                writes_per_min: values.number(&setting::PLATFORM_WRITES_PER_MIN, 1..=1_000_000),
+            },
             drain_timeout: Duration::from_secs(values.number(&setting::DRAIN_TIMEOUT_S, 1..=600)),
         };
         values.distinct(&[
--- a/dogwoodtray_cli/src/settings/setting.rs
+++ b/dogwoodtray_cli/src/settings/setting.rs
@@ -53,6 +53,10 @@
         "Requests a second of one organisation at this entry", "1000";
     ORG_OPEN_REQUESTS: "org-open-requests", "ORG_OPEN_REQUESTS", "COUNT",
         "Open requests of one organisation at this entry", "2000";
+    PLATFORM_READS_PER_MIN: "platform-reads-per-min", "PLATFORM_READS_PER_MIN", "COUNT",
+        "Reads a minute of the platform that this entry may use", "6000";
+    PLATFORM_WRITES_PER_MIN: "platform-writes-per-min", "PLATFORM_WRITES_PER_MIN", "COUNT",
+        "Writes a minute of the platform that this entry may use", "3000";
     DRAIN_TIMEOUT_S: "drain-timeout-s", "DRAIN_TIMEOUT_S", "SECONDS",
         "Longest wait for open requests after a drain began", "30";
     ENDPOINT: "endpoint", "ENDPOINT", "IP:PORT", "Address of the engine or plain service";
--- a/dogwoodtray_cli/tests/settings.rs
+++ b/dogwoodtray_cli/tests/settings.rs
@@ -60,6 +60,10 @@
                 requests_per_s: 1000,
                 open_requests: 2000,
             },
+            platform_share: PlatformShare {
+                reads_per_min: 6000,
+                writes_per_min: 3000,
+            },
             drain_timeout: 30s,
         }
     "#]]
--- a/dogwoodtray_entry/src/shell/entry.rs
+++ b/dogwoodtray_entry/src/shell/entry.rs
@@ -50,6 +50,12 @@
 use crate::online::OnlineConfig;
 use crate::online::OnlineCore;
 
+/// A commit writes a segment of outcomes and the header that lists it.
+const WRITES_PER_COMMIT: f64 = 2.0;
+
+/// Pages of the index of unfinished jobs at 2,500 of them.
+const READS_PER_SCAN: f64 = 5.0;
+
 const ROUTER_TICK: Duration = Duration::from_millis(10);
 const JOBS_TICK: Duration = Duration::from_millis(20);
 const ONCE_TICK: Duration = Duration::from_millis(10);
@@ -203,7 +209,7 @@
     };
     let runner = StoreRunner { store: Arc::clone(store), runtime };
     let once = OnceService::new(Arc::clone(shared), runner.clone());
-    let core = JobCore::new(JobConfig::default(), me, rand::random());
+    let core = JobCore::new(job_config(settings), me, rand::random());
     let jobs = JobsService::new(core, Arc::clone(shared), runner);
 
     let (router_mailbox, router_rx) = Mailbox::channel();
@@ -219,6 +225,19 @@
     ])
 }
 
+/// Spaces out commits and looks at the index, so that jobs stay within half of the writes and a
+/// third of the reads that this entry may use.
+fn job_config(settings: &EntrySettings) -> JobConfig {
+    let default = JobConfig::default();
+    let commit_spacing = WRITES_PER_COMMIT / (settings.budget.writes_per_second / 2.0);
+    let scan_interval = READS_PER_SCAN / (settings.budget.reads_per_second / 3.0);
+    JobConfig {
+        commit_spacing: default.commit_spacing.max(Duration::from_secs_f64(commit_spacing)),
+        scan_interval: default.scan_interval.max(Duration::from_secs_f64(scan_interval)),
+        ..default
+    }
+}
+
 impl Shared {
     pub(super) fn hello(&self) -> Hello {
         let settings = &self.settings;
--- /dev/null
+++ b/dogwoodtray_entry/tests/bad_input.rs
@@ -0,0 +1,118 @@
+//! Bad input to the ports of an entry.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use dogwoodtray_entry::Entry;
+use dogwoodtray_entry::EntrySettings;
+use dogwoodtray_standin::PlatformConfig;
+use dogwoodtray_standin::PlatformStandin;
+use tokio::runtime::Runtime;
+
+const READY_POLL: Duration = Duration::from_millis(20);
+const MAX_POLLS: u32 = 1_000;
+
+struct Running {
+    _rt: Runtime,
+    _platform: PlatformStandin,
+    entry: Entry,
+}
+
+fn start() -> Running {
+    let rt = Runtime::new().expect("a runtime");
+    let (platform, entry) = rt.block_on(async {
+        let platform = PlatformStandin::bind(PlatformConfig::default()).await.expect("a port");
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let free = TcpListener::bind(any).and_then(|l| l.local_addr()).expect("a port");
+        let mut cfg = EntrySettings::new("entry", "dc", any, any, free, platform.addr());
+        cfg.max_body_bytes = 2_000;
+        let entry = Entry::bind(cfg).await.expect("an entry");
+        for _ in 0..MAX_POLLS {
+            if entry.is_linked(0) {
+                return (platform, entry);
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        panic!("the entry did not become ready");
+    });
+    Running { _rt: rt, _platform: platform, entry }
+}
+
+fn exchange(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout");
+    stream.write_all(bytes).expect("sent");
+    let mut answer = Vec::new();
+    // The port may close a connection that sends garbage without an answer.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn post(addr: SocketAddr, path: &str, headers: &str, body: &str) -> (u16, String) {
+    let length = body.len();
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}\
+         content-length: {length}\r\n\r\n{body}"
+    );
+    let answer = exchange(addr, text.as_bytes());
+    let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    (status, answer)
+}
+
+/// Guards against bad requests that are half accepted, or refused without a clear reason.
+#[test]
+fn callers_get_a_clear_error() {
+    let running = start();
+    let addr = running.entry.caller_addr();
+    let chat = "/v1/chat/completions";
+    let good = r#"{"model":"m","messages":[{"role":"user","content":"x"}]}"#;
+    let long = "x".repeat(3_000);
+    let cases = [
+        (chat, "", "{", 400, "bad_json"),
+        (chat, "", "[]", 400, "bad_request"),
+        (chat, "", r#"{"messages":[]}"#, 400, "bad_request"),
+        (chat, "", r#"{"model":"m","messages":[]}"#, 400, "bad_request"),
+        (chat, "", r#"{"model":"m","messages":[1],"stream":1}"#, 400, "bad_request"),
+        (chat, "", r#"{"model":"m","messages":[1],"max_tokens":0}"#, 400, "bad_request"),
+        (chat, "", r#"{"model":"m","messages":[1],"n":2}"#, 400, "bad_request"),
+        (chat, "", long.as_str(), 413, "body_too_large"),
+        (chat, "", good, 404, "unknown_model"),
+        (chat, "x-deadline-ms: soon\r\n", good, 400, "bad_header"),
+        (chat, "x-non-idempotent: maybe\r\n", good, 400, "bad_header"),
+        ("/v1/batches", "", r#"{"requests":[],"other":1}"#, 400, "bad_json"),
+        ("/v1/batches", "", r#"{"requests":[]}"#, 400, "bad_request"),
+        ("/v1/batches/none/cancel", "", "", 404, "unknown_job"),
+        ("/v1/services/none/x", "", "", 404, "unknown_model"),
+        ("/v1/nothing", "", "", 404, "no_such_resource"),
+    ];
+    for (path, headers, body, status, code) in cases {
+        let (got, answer) = post(addr, path, headers, body);
+        assert_eq!(got, status, "{path} {headers:?} {body:.60}: {answer}");
+        assert!(answer.contains(&format!("\"code\":\"{code}\"")), "{path} {body:.60}: {answer}");
+        assert!(answer.contains("\"run\":\"not_run\""), "{path} {body:.60}: {answer}");
+    }
+}
+
+/// Guards against a port that stops serving after bytes that are no message at all.
+#[test]
+fn garbage_does_not_stop_a_port() {
+    let running = start();
+    let garbage: Vec<u8> = (0..4_096u32).map(|i| (i * 7 % 251) as u8).collect();
+    let ports =
+        [running.entry.caller_addr(), running.entry.peer_addr(), running.entry.operator_addr()];
+    for addr in ports {
+        exchange(addr, &garbage);
+        exchange(addr, &[0xff; 64]);
+    }
+    let (caller, operator) = (running.entry.caller_addr(), running.entry.operator_addr());
+    for addr in [caller, operator] {
+        let ask = b"GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let answer = exchange(addr, ask);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
--- a/dogwoodtray_entry/tests/online_failures.rs
+++ b/dogwoodtray_entry/tests/online_failures.rs
@@ -112,6 +112,34 @@
     }
 }
 
+/// Guards against new work for an endpoint that leaves, and against a planned stop that cuts off
+/// what runs there. Heartbeats tell the entry at once, so a tenth of a second is enough here.
+#[test]
+fn a_leaving_endpoint_finishes_its_work_and_gets_no_more() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, ENDPOINTS);
+        for round in 0..REQUESTS {
+            world.submit(round % 3 != 0, world_mode(round), 20);
+            world.run(Duration::from_millis(10));
+            if round == REQUESTS / 2 {
+                world.drain(0);
+                world.run(Duration::from_millis(100));
+            }
+        }
+        let started = world.starts(0);
+        world.submit(true, DispatchMode::Tokens, 20);
+        world.run(Duration::from_secs(30));
+        assert_eq!(world.starts(0), started, "seed {seed}: a leaving endpoint got new work");
+        let report = world.report();
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(report.answered, REQUESTS + 1, "seed {seed}: a request was cut off");
+    }
+}
+
+const fn world_mode(round: usize) -> DispatchMode {
+    if round % 2 == 0 { DispatchMode::Tokens } else { DispatchMode::Whole }
+}
+
 /// Shows that the oracle catches an untrue `not_run`, so that its silence above means something.
 #[test]
 fn an_untrue_not_run_is_caught() {
--- a/dogwoodtray_entry/tests/online_support/world.rs
+++ b/dogwoodtray_entry/tests/online_support/world.rs
@@ -209,6 +209,16 @@
         from[self.rng.random_range(0..from.len())]
     }
 
+    /// Begins a graceful shutdown of an agent.
+    pub(crate) fn drain(&mut self, index: usize) {
+        self.feed_agent(index, vec![AgentEvent::Drain]);
+    }
+
+    /// Returns how many requests an engine was given.
+    pub(crate) fn starts(&self, index: usize) -> u32 {
+        self.endpoints[index].started.values().sum()
+    }
+
     /// Compares what callers were told with what the engines did.
     pub(crate) fn report(&self) -> Report {
         let mut report = Report::default();
