Test a removal that wakes after a resend was accepted

Ruled out: leaving the step out; without it a paused removal deletes the index entry of an accepted job, and no process finds the job any more. Change: one test that pauses the removal after its marked header and lets it go on after a resend was accepted.

--- a/dogwoodtray_entry/tests/jobs_races.rs
+++ b/dogwoodtray_entry/tests/jobs_races.rs
@@ -114,3 +114,29 @@
     println!("measured: {accepted} resends accepted, {refused} refused as not run");
     assert!(accepted > 0 && refused > 0);
 }
+
+/// Guards against a paused removal that deletes, when it wakes, the objects of a resend which was
+/// accepted in the meantime.
+#[test]
+fn a_removal_that_wakes_leaves_an_accepted_resend_alone() {
+    let cfg = JobConfig { orphan_age: Duration::from_secs(5), ..JobConfig::default() };
+    let mut world = World::new(1, 2, cfg);
+    world.submit(0, submission("a", 10, false, 600));
+    run_to_call(&mut world, "open-jobs", "put");
+    world.kill(0);
+    run_to_call(&mut world, "jobs", "put");
+    world.pause(1, true);
+    let resent = world.start_proc();
+    let token = world.submit(resent, submission("a", 10, false, 600));
+    while world.reply(token).is_none() {
+        world.run(STEP);
+    }
+    let Some((_, JobReply::Accepted { job, .. })) = world.reply(token).cloned() else {
+        panic!("not accepted: {:?}", world.reply(token));
+    };
+    // Only the index entry leads the other process to the job.
+    world.kill(resent);
+    world.pause(1, false);
+    oracle::assert_clean(&mut world, 1, &job, 10, false);
+    assert_eq!(world.header(&job).unwrap().counts.done, 10);
+}
