Test the largest header of a job

Cause: the header of the job of 90,000 items in the tests had few lost items, attempt counts and claims. Ruled out: nothing. Change: one test that builds the worst case with 3,000 claims. Conclusion: the limits keep the header below the size that the store holds.

--- a/dogwoodtray_entry/tests/jobs_drive.rs
+++ b/dogwoodtray_entry/tests/jobs_drive.rs
@@ -6,12 +6,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dogwoodtray_coord::Epoch;
 use dogwoodtray_coord::Name;
+use dogwoodtray_entry::jobs::Bitmap;
 use dogwoodtray_entry::jobs::ItemOutcome;
 use dogwoodtray_entry::jobs::JobConfig;
 use dogwoodtray_entry::jobs::JobEvent;
 use dogwoodtray_entry::jobs::JobReply;
 use dogwoodtray_entry::jobs::Reason;
+use dogwoodtray_entry::jobs::SegmentRun;
 
 use crate::jobs_support::World;
 use crate::jobs_support::oracle;
@@ -221,3 +224,25 @@
     let writes: u64 = world.calls.iter().filter(|(key, _)| key.1 == "put").map(|(_, n)| n).sum();
     assert!(writes < 1_000, "{writes} writes");
 }
+
+/// Guards against a header of the largest job that outgrows the store in the worst case: every
+/// item lost in takeovers, the most chunks, attempt counts and intents, and many short claims.
+#[test]
+fn the_largest_header_fits_the_store() {
+    let cfg = JobConfig::default();
+    let mut world = World::new(1, 1, cfg.clone());
+    let job = world.accept(0, submission("a", 1, true, 600));
+    let mut header = world.header(&job).unwrap();
+    header.counts.items = cfg.max_items;
+    header.ended = Bitmap::new(cfg.max_items);
+    header.lost = (0..cfg.max_items).collect();
+    header.intents = (0..cfg.max_items).rev().take(cfg.max_intents).collect();
+    header.tries = (0..2_000).map(|item| (cfg.max_items - item, 2)).collect();
+    // Two neighbouring chunks hold more than the limit of one chunk.
+    header.chunks = vec![1_000; cfg.max_job_bytes / cfg.chunk_bytes * 2 + 1];
+    let run = |epoch| SegmentRun { epoch: Epoch(epoch), first: 1_000, count: 1_000 };
+    header.segments = (1_000..4_000).map(run).collect();
+    let size = serde_json::to_vec(&header).unwrap().len();
+    println!("measured: the largest header has {size} bytes");
+    assert!(size < ONE_MB);
+}
