Keep one-question connections out of membership, and lose a peer with its last link

A probe is a connection of its own, and its end made the peer silent and forgot its generation although another link to it was up. An entry also counted itself as a dead peer after it had asked itself. Ruled out: links that time out (the agents were live throughout). Change: the greeting marks a transient link; membership and generations ignore it; a peer is lost with its last link; an entry leaves itself out of its view.

--- a/dogwoodtray_agent/src/shell/agent.rs
+++ b/dogwoodtray_agent/src/shell/agent.rs
@@ -215,6 +215,7 @@
         clock: Some(events.clock()),
         peer_addr: settings.peer.to_string(),
         plain_service: settings.kind == EndpointKind::Service,
+        transient: false,
     };
     LinkConfig::new(hello, move |event| {
         mailbox.send(AgentInput::Link(Box::new(event)));
--- a/dogwoodtray_entry/src/shell/router/decide.rs
+++ b/dogwoodtray_entry/src/shell/router/decide.rs
@@ -120,7 +120,7 @@
         shared.attempts.store(self.core.attempts() as u64, Ordering::Relaxed);
         shared.set_models(self.core.models().into_iter().collect());
         let generation_of = |node: &str| {
-            let of_node = self.links.values().filter(|peer| &*peer.node == node);
+            let of_node = self.links.values().filter(|peer| &*peer.node == node && !peer.transient);
             of_node.map(|peer| peer.generation).max().unwrap_or(0)
         };
         let peers = self.members.iter(now).map(|(node, state)| PeerStatus {
--- a/dogwoodtray_entry/src/shell/router/links.rs
+++ b/dogwoodtray_entry/src/shell/router/links.rs
@@ -45,11 +45,7 @@
             LinkEvent::Down { link, reason } => {
                 let no = LinkNo(link.0);
                 if let Some(peer) = self.links.remove(&no) {
-                    self.members.closed(&peer.node, peer.incarnation);
-                    self.generations.peer_lost(&peer.node);
-                    let fields: [(&str, &dyn Display); 2] =
-                        [("peer", &peer.node), ("reason", &reason)];
-                    self.shared.events.emit(&catalogue::LINK_DOWN, None, &fields);
+                    self.lose_peer(&peer, reason);
                 }
                 self.decide(now, OnlineEvent::LinkDown { link: no });
             }
@@ -57,6 +53,33 @@
         }
     }
 
+    /// Two entries may have a link in each direction, so a peer is lost with its last one.
+    fn lose_peer(&mut self, peer: &Peer, reason: &str) {
+        if peer.transient {
+            return;
+        }
+        let fields: [(&str, &dyn Display); 2] = [("peer", &peer.node), ("reason", &reason)];
+        self.shared.events.emit(&catalogue::LINK_DOWN, None, &fields);
+        let same = |other: &Peer| other.node == peer.node && !other.transient;
+        if !self.links.values().any(same) {
+            self.members.closed(&peer.node, peer.incarnation);
+            self.generations.peer_lost(&peer.node);
+        }
+    }
+
+    fn gain_peer(&mut self, now: Timestamp, peer: &Peer) {
+        if peer.transient {
+            return;
+        }
+        let role = peer.role.as_str_name();
+        let fields: [(&str, &dyn Display); 2] = [("peer", &peer.node), ("role", &role)];
+        self.shared.events.emit(&catalogue::LINK_UP, None, &fields);
+        self.members.heard(now, &peer.node, peer.incarnation, false);
+        self.generations.peer_linked(&peer.node);
+        self.generations.peer_reported(&peer.node, Generation(peer.generation));
+        self.catch_up(peer);
+    }
+
     pub(super) fn on_link_up(&mut self, now: Timestamp, link: LinkHandle, hello: messages::Hello) {
         let no = LinkNo(link.id().0);
         self.shared.events.observe(hello.clock);
@@ -66,15 +89,10 @@
             role,
             incarnation: Incarnation(hello.incarnation),
             generation: hello.generation,
+            transient: hello.transient,
             link,
         };
-        let fields: [(&str, &dyn Display); 2] =
-            [("peer", &peer.node), ("role", &role.as_str_name())];
-        self.shared.events.emit(&catalogue::LINK_UP, None, &fields);
-        self.members.heard(now, &peer.node, peer.incarnation, false);
-        self.generations.peer_linked(&peer.node);
-        self.generations.peer_reported(&peer.node, Generation(peer.generation));
-        self.catch_up(&peer);
+        self.gain_peer(now, &peer);
         let info = PeerInfo {
             node: Name::clone(&peer.node),
             incarnation: peer.incarnation,
@@ -217,7 +235,8 @@
         }
         let leaving = vms.iter().filter(|vm| vm.state == VmState::Leaving);
         self.listed_leaving = leaving.map(|vm| Name::clone(&vm.name)).collect();
-        self.members.list(vms.iter().map(|vm| Name::clone(&vm.name)));
+        let others = vms.iter().filter(|vm| vm.name != self.shared.settings.node);
+        self.members.list(others.map(|vm| Name::clone(&vm.name)));
         self.dialled.retain(|addr, _| wanted.contains(addr));
         for addr in wanted {
             if !self.dialled.contains_key(&addr) {
--- a/dogwoodtray_runtime/src/link/ask.rs
+++ b/dogwoodtray_runtime/src/link/ask.rs
@@ -28,12 +28,13 @@
 /// breaks off. `on_hello` sees the greeting of the other side first.
 pub async fn ask(
     addr: &str,
-    hello: Hello,
+    mut hello: Hello,
     question: Frame,
     timeout: Duration,
     on_hello: impl FnOnce(&Hello),
     mut on_answer: impl FnMut(Kind) -> ControlFlow<()>,
 ) -> Asked {
+    hello.transient = true;
     let mut asked = Asked::NotSent;
     let exchange = exchange(addr, hello, question, on_hello, &mut on_answer, &mut asked);
     if time::timeout(timeout, exchange).await == Ok(Some(())) { Asked::Answered } else { asked }
