Start the limit at its lowest value and offer only places that the queue holds

Cause: with max_places 256 the limit started at 128 on an engine whose knee is at 32, took the gap of the saturated engine for the lowest one, and settled far above the knee; free_batch offered more places than the batch queue holds, so batch sent for them was refused.

Change: the limit starts at min_places; free_batch is bounded by the room in the batch queue.

--- a/dogwoodtray_policy/src/admission/controller.rs
+++ b/dogwoodtray_policy/src/admission/controller.rs
@@ -278,7 +278,9 @@
             return 0;
         }
         let waiting = u32::try_from(self.batch.len()).unwrap_or(u32::MAX);
-        self.batch_places().saturating_sub(self.running.inside().saturating_add(waiting))
+        let places = self.batch_places().saturating_sub(self.running.inside() + waiting);
+        // More than the queue holds would be refused, as batch enters one after another.
+        places.min(self.cfg.max_queued_batch.saturating_sub(waiting))
     }
 
     fn queued_online(&self) -> u32 {
--- a/dogwoodtray_policy/src/admission/limit.rs
+++ b/dogwoodtray_policy/src/admission/limit.rs
@@ -53,12 +53,16 @@
 ///     gap_tolerance: 1.5,
 /// };
 /// let mut limit = AdaptiveLimit::new(cfg);
-/// assert_eq!(limit.places(), 8);
-/// for step in 0..10 {
-///     limit.observe_gap(Duration::from_millis(90));
-///     limit.update(Timestamp(step * 100_000), 8);
+/// assert_eq!(limit.places(), 2);
+/// for (window, gap_ms) in [(1, 20), (2, 20), (3, 90)] {
+///     for _ in 0..10 {
+///         limit.observe_gap(Duration::from_millis(gap_ms));
+///     }
+///     let inside = limit.places();
+///     limit.update(Timestamp(window * 1_000_000), inside);
 /// }
-/// assert!(limit.places() < 8);
+/// // The limit has grown by two places and lost one again.
+/// assert_eq!(limit.places(), 3);
 /// ```
 #[derive(Clone, Debug)]
 pub struct AdaptiveLimit {
@@ -71,14 +75,15 @@
 }
 
 impl AdaptiveLimit {
-    /// Creates a limit at half of its highest value.
+    /// Creates a limit at its lowest value. A higher start would take the gap of a saturated engine
+    /// for the lowest one.
     #[must_use]
     pub fn new(cfg: LimitConfig) -> Self {
         debug_assert!(cfg.min_places >= 1, "a limit of zero would stop the endpoint");
         debug_assert!(cfg.min_places <= cfg.max_places, "limits are out of order");
         Self {
             cfg,
-            places: f64::from((cfg.max_places / 2).max(cfg.min_places)),
+            places: f64::from(cfg.min_places),
             base_gap: None,
             window_start: Timestamp::ZERO,
             gaps: Vec::with_capacity(MAX_SAMPLES),
