Grow the limit by a fifth a window until it first shrinks

Cause: from its lowest value the limit grew by 4 places a second, and endpoints that took over the load of slowed ones queued.

Change: growth of 0.2 a window until the first decrease, then one place.

--- a/dogwoodtray_policy/src/admission/limit.rs
+++ b/dogwoodtray_policy/src/admission/limit.rs
@@ -14,6 +14,9 @@
 const MAX_DECREASE: f64 = 0.8;
 /// Smallest decrease in one window, so that a slight excess is corrected too.
 const MIN_DECREASE: f64 = 0.98;
+/// Growth in one window until the limit shrinks for the first time, so that a new agent soon offers
+/// what its engine can do.
+const START_GROWTH: f64 = 0.2;
 /// Share of the places in use from which slow tokens are put down to the number of streams. Below
 /// it, long prompts or a slow engine are the cause, and a lower limit would not help.
 const IN_USE_SHARE: f64 = 0.8;
@@ -72,6 +75,7 @@
     window_start: Timestamp,
     gaps: Vec<f64>,
     peak_inside: u32,
+    has_shrunk: bool,
 }
 
 impl AdaptiveLimit {
@@ -88,6 +92,7 @@
             window_start: Timestamp::ZERO,
             gaps: Vec::with_capacity(MAX_SAMPLES),
             peak_inside: 0,
+            has_shrunk: false,
         }
     }
 
@@ -135,9 +140,11 @@
             if !in_use {
                 return;
             }
+            self.has_shrunk = true;
             self.places *= (bound / typical).clamp(MAX_DECREASE, MIN_DECREASE);
         } else if self.peak_inside + 1 >= self.places() {
-            self.places += 1.0;
+            let step = if self.has_shrunk { 1.0 } else { self.places * START_GROWTH };
+            self.places += step.max(1.0);
         }
         let min = f64::from(self.cfg.min_places);
         self.places = self.places.clamp(min, f64::from(self.cfg.max_places));
