Always leave batch one place on an idle engine

Cause: since the limit starts at its lowest value, a reserve from a burst could be as large as the limit, and batch waited on an idle engine until the memory of the burst had decayed. Found by every_step_agrees_with_the_naive_version (arguments (0, 0), (0, 0), (0, 0), (81, 1)).

Change: batch may enter while fewer streams are inside than the places less the reserve, but at least one.

--- a/dogwoodtray_policy/src/admission/controller.rs
+++ b/dogwoodtray_policy/src/admission/controller.rs
@@ -99,8 +99,10 @@
         self.batch_limit.places().min(self.places())
     }
 
+    /// Returns the number of streams inside up to which batch may enter. An idle engine always takes
+    /// one, or a large reserve beside a low limit would shut batch out.
     fn batch_places(&self) -> u32 {
-        self.shared_places().saturating_sub(self.reserve.places())
+        self.shared_places().saturating_sub(self.reserve.places()).max(1)
     }
 }
 
