--- a/dogwoodtray_policy/src/admission/controller.rs
+++ b/dogwoodtray_policy/src/admission/controller.rs
@@ -109,8 +109,10 @@
         self.batch_limit.places().min(self.places())
     }
 
+    /// Returns the number of streams inside up to which batch may enter. An idle engine always takes
+    /// one, or a large reserve beside a low limit would shut batch out.
     fn batch_places(&self) -> u32 {
-        let shared = self.shared_places().saturating_sub(self.reserve.places());
+        let shared = self.shared_places().saturating_sub(self.reserve.places()).max(1);
         if self.online_idle {
             return shared.max((f64::from(self.places()) * IDLE_BATCH_SHARE) as u32);
         }
@@ -313,7 +315,9 @@
             return 0;
         }
         let waiting = u32::try_from(self.batch.len()).unwrap_or(u32::MAX);
-        self.batch_places().saturating_sub(self.running.inside().saturating_add(waiting))
+        let places = self.batch_places().saturating_sub(self.running.inside() + waiting);
+        // More than the queue holds would be refused, as batch enters one after another.
+        places.min(self.cfg.max_queued_batch.saturating_sub(waiting))
     }
 
     fn set_batch_weight(&mut self, weight: f64) {
--- a/dogwoodtray_policy/src/admission/limit.rs
+++ b/dogwoodtray_policy/src/admission/limit.rs
@@ -14,6 +14,9 @@
 const MAX_DECREASE: f64 = 0.8;
 /// Smallest decrease in one window, so that a slight excess is corrected too.
 const MIN_DECREASE: f64 = 0.98;
+/// Growth in one window until the limit shrinks for the first time, so that a new agent soon offers
+/// what its engine can do.
+const START_GROWTH: f64 = 0.2;
 /// Share of the places in use from which slow tokens are put down to the number of streams. Below
 /// it, long prompts or a slow engine are the cause, and a lower limit would not help.
 const IN_USE_SHARE: f64 = 0.8;
@@ -53,12 +56,16 @@
 ///     gap_tolerance: 1.5,
 /// };
 /// let mut limit = AdaptiveLimit::new(cfg);
-/// assert_eq!(limit.places(), 8);
-/// for step in 0..10 {
-///     limit.observe_gap(Duration::from_millis(90));
-///     limit.update(Timestamp(step * 100_000), 8);
+/// assert_eq!(limit.places(), 2);
+/// for (window, gap_ms) in [(1, 20), (2, 20), (3, 90)] {
+///     for _ in 0..10 {
+///         limit.observe_gap(Duration::from_millis(gap_ms));
+///     }
+///     let inside = limit.places();
+///     limit.update(Timestamp(window * 1_000_000), inside);
 /// }
-/// assert!(limit.places() < 8);
+/// // The limit has grown by two places and lost one again.
+/// assert_eq!(limit.places(), 3);
 /// ```
 #[derive(Clone, Debug)]
 pub struct AdaptiveLimit {
@@ -68,21 +75,24 @@
     window_start: Timestamp,
     gaps: Vec<f64>,
     peak_inside: u32,
+    has_shrunk: bool,
 }
 
 impl AdaptiveLimit {
-    /// Creates a limit at half of its highest value.
+    /// Creates a limit at its lowest value. A higher start would take the gap of a saturated engine
+    /// for the lowest one.
     #[must_use]
     pub fn new(cfg: LimitConfig) -> Self {
         debug_assert!(cfg.min_places >= 1, "a limit of zero would stop the endpoint");
         debug_assert!(cfg.min_places <= cfg.max_places, "limits are out of order");
         Self {
             cfg,
-            places: f64::from((cfg.max_places / 2).max(cfg.min_places)),
+            places: f64::from(cfg.min_places),
             base_gap: None,
             window_start: Timestamp::ZERO,
             gaps: Vec::with_capacity(MAX_SAMPLES),
             peak_inside: 0,
+            has_shrunk: false,
         }
     }
 
@@ -135,9 +145,11 @@
             if !in_use {
                 return;
             }
+            self.has_shrunk = true;
             self.places *= (bound / typical).clamp(MAX_DECREASE, MIN_DECREASE);
         } else if self.peak_inside + 1 >= self.places() {
-            self.places += 1.0;
+            let step = if self.has_shrunk { 1.0 } else { self.places * START_GROWTH };
+            self.places += step.max(1.0);
         }
         let min = f64::from(self.cfg.min_places);
         self.places = self.places.clamp(min, f64::from(self.cfg.max_places));
