Drop a link that outlived its silence deadline while the process stood still

Ruled out: a new dispatch; the log of entry-2 shows that the attempt was sent before the stop. Change: the reader ends a link whose next frame comes after the deadline, also when the frame was there first. The entry reattaches and learns that the attempt was never received.

--- a/dogwoodtray_runtime/src/link/connection.rs
+++ b/dogwoodtray_runtime/src/link/connection.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time;
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 /// Frames that are put into the send buffer before it is flushed.
@@ -155,6 +156,7 @@
     id: LinkId,
     cfg: &LinkConfig,
 ) -> &'static str {
+    let mut heard_at = Instant::now();
     loop {
         let frame = match time::timeout(cfg.silence_deadline, stream.next()).await {
             Err(_) => return "silent past the deadline",
@@ -162,6 +164,12 @@
             Ok(Some(Err(_))) => return "failed or malformed",
             Ok(Some(Ok(frame))) => frame,
         };
+        // A process that was stopped finds what queued up meanwhile. Its peer has dropped the
+        // link by then and does not wait for these frames any more.
+        if heard_at.elapsed() >= cfg.silence_deadline {
+            return "stopped past the deadline";
+        }
+        heard_at = Instant::now();
         // An unknown kind comes from a newer version of the peer and is skipped.
         if let Some(kind) = frame.kind {
             (cfg.sink)(LinkEvent::Frame { link: id, kind });
