Send news of suspects to all peers at once

Besides the stopped agent, entry-0 and agent-2 had not heard of the second death when the caller resent the request 69 ms later. Found by reading: an agent made a heartbeat for each peer, and each call of gossip goes on where the last one ended, so with more than 64 suspects news went to one peer only; a heartbeat on a new link moved the position as well. Entries passed news on with the next regular heartbeat, up to 500 ms later. Change: one heartbeat of an agent goes to all its peers; entries send one at the next tick after news of a suspect; a greeting carries no suspicions. Conclusion: a resend within a few milliseconds can still overtake the news.

--- a/dogwoodtray_agent/src/core/decide.rs
+++ b/dogwoodtray_agent/src/core/decide.rs
@@ -166,7 +166,7 @@
     /// Handles one event and appends the actions that follow.
     pub fn handle(&mut self, now: Timestamp, event: AgentEvent, out: &mut Vec<AgentAction>) {
         match event {
-            AgentEvent::PeerUp { peer } => self.on_peer_up(peer, out),
+            AgentEvent::PeerUp { peer } => self.on_peer_up(now, peer, out),
             AgentEvent::PeerDown { peer } => self.on_peer_down(now, peer),
             AgentEvent::PeerBacklog { peer, backlog } => {
                 self.credits.report(peer, backlog, &self.cfg.models);
@@ -185,9 +185,9 @@
         self.offer_credits(now, out);
     }
 
-    fn on_peer_up(&mut self, peer: PeerId, out: &mut Vec<AgentAction>) {
+    fn on_peer_up(&mut self, now: Timestamp, peer: PeerId, out: &mut Vec<AgentAction>) {
         self.peers.push(peer);
-        out.push(AgentAction::Send { peer, message: AgentMessage::Heartbeat });
+        self.send_heartbeats(now, out);
     }
 
     fn on_peer_down(&mut self, now: Timestamp, peer: PeerId) {
--- a/dogwoodtray_agent/src/shell/agent.rs
+++ b/dogwoodtray_agent/src/shell/agent.rs
@@ -185,6 +185,7 @@
         snapshot: Snapshot::default(),
         actions: Vec::new(),
         heartbeat_seq: 0,
+        heartbeat: None,
         next_health: Timestamp::ZERO,
         drain: None,
     };
--- a/dogwoodtray_agent/src/shell/service.rs
+++ b/dogwoodtray_agent/src/shell/service.rs
@@ -72,6 +72,8 @@
     pub(super) snapshot: Snapshot,
     pub(super) actions: Vec<AgentAction>,
     pub(super) heartbeat_seq: u64,
+    /// Heartbeat that goes to all peers in the current decision.
+    pub(super) heartbeat: Option<messages::Heartbeat>,
     pub(super) next_health: Timestamp,
     pub(super) drain: Option<Drain>,
 }
@@ -211,6 +213,7 @@
 /// # Decisions
 impl AgentService {
     fn decide(&mut self, now: Timestamp, event: AgentEvent) {
+        self.heartbeat = None;
         let mut actions = std::mem::take(&mut self.actions);
         self.core.handle(now, event, &mut actions);
         for action in actions.drain(..) {
@@ -262,13 +265,19 @@
                 self.send(peer, messages::Credit { model: String::new(), places });
             }
             AgentMessage::Heartbeat => {
-                let heartbeat = self.heartbeat();
-                self.send(peer, heartbeat);
+                // All peers get the same suspicions. Otherwise news would reach one of them only
+                // when there are more suspects than one heartbeat holds.
+                let heartbeat = match self.heartbeat.take() {
+                    Some(heartbeat) => heartbeat,
+                    None => self.next_heartbeat(),
+                };
+                self.send(peer, heartbeat.clone());
+                self.heartbeat = Some(heartbeat);
             }
         }
     }
 
-    fn heartbeat(&mut self) -> messages::Heartbeat {
+    fn next_heartbeat(&mut self) -> messages::Heartbeat {
         self.heartbeat_seq += 1;
         messages::Heartbeat {
             seq: self.heartbeat_seq,
--- a/dogwoodtray_coord/src/quarantine.rs
+++ b/dogwoodtray_coord/src/quarantine.rs
@@ -116,9 +116,10 @@
         self.entries.get(&content).map_or(Verdict::Clear, |entry| entry.suspicion.verdict())
     }
 
-    /// Records that an endpoint died while the request ran inside it.
-    pub fn record_death(&mut self, content: ContentHash, death: u64) {
-        self.merge(&[Suspicion::new(content, death)]);
+    /// Records that an endpoint died while the request ran inside it, and tells whether that was
+    /// news.
+    pub fn record_death(&mut self, content: ContentHash, death: u64) -> bool {
+        self.merge(&[Suspicion::new(content, death)])
     }
 
     /// Records that the request completed.
@@ -145,14 +146,16 @@
 
 /// # Gossip
 impl Quarantine {
-    /// Adds what another process knows.
-    pub fn merge(&mut self, suspicions: &[Suspicion]) {
+    /// Adds what another process knows, and tells whether any of it was news.
+    pub fn merge(&mut self, suspicions: &[Suspicion]) -> bool {
+        let mut news = false;
         for suspicion in suspicions {
-            self.merge_one(suspicion);
+            news |= self.merge_one(suspicion);
         }
         while self.entries.len() > self.capacity {
             self.evict();
         }
+        news
     }
 
     /// Returns up to `limit` suspicions for the next heartbeat. Successive calls go round the
@@ -167,21 +170,20 @@
         entries.into_iter().map(|entry| entry.suspicion.clone()).collect()
     }
 
-    fn merge_one(&mut self, suspicion: &Suspicion) {
+    fn merge_one(&mut self, suspicion: &Suspicion) -> bool {
         let order = self.next_order;
         self.next_order += 1;
-        match self.entries.get_mut(&suspicion.content) {
-            Some(entry) => {
-                if entry.suspicion.merge(suspicion) {
-                    entry.order = order;
-                }
-            }
-            None => {
-                let mut known = Suspicion { deaths: Vec::new(), ..suspicion.clone() };
-                known.merge(suspicion);
-                self.entries.insert(suspicion.content, Entry { suspicion: known, order });
-            }
+        let Some(entry) = self.entries.get_mut(&suspicion.content) else {
+            let mut known = Suspicion { deaths: Vec::new(), ..suspicion.clone() };
+            known.merge(suspicion);
+            self.entries.insert(suspicion.content, Entry { suspicion: known, order });
+            return true;
+        };
+        let news = entry.suspicion.merge(suspicion);
+        if news {
+            entry.order = order;
         }
+        news
     }
 
     fn evict(&mut self) {
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -92,6 +92,7 @@
     pub(super) hedge: HedgePolicy,
     pub(super) retries: RetryBudget,
     pub(super) quarantine: Quarantine,
+    pub(super) suspicion_news: bool,
     pub(super) rng: StdRng,
     pub(super) endpoints: Endpoints,
     pub(super) requests: BTreeMap<RequestNo, Request>,
@@ -113,6 +114,7 @@
             hedge: HedgePolicy::new(HedgeConfig::default()),
             retries: RetryBudget::new(Timestamp::ZERO, RETRY_BUDGET),
             quarantine: Quarantine::new(cfg.max_suspects),
+            suspicion_news: false,
             rng: StdRng::seed_from_u64(cfg.seed),
             endpoints: Endpoints::default(),
             requests: BTreeMap::new(),
@@ -156,7 +158,15 @@
 
     /// Takes over suspicions heard from a peer.
     pub fn merge_suspicions(&mut self, suspicions: &[Suspicion]) {
-        self.quarantine.merge(suspicions);
+        self.suspicion_news |= self.quarantine.merge(suspicions);
+    }
+
+    /// Tells whether there were news of suspects since the last call.
+    ///
+    /// News go out at once: a caller that resends a request within one heartbeat interval would
+    /// otherwise reach endpoints whose agents have not heard of the last death.
+    pub const fn take_suspicion_news(&mut self) -> bool {
+        std::mem::replace(&mut self.suspicion_news, false)
     }
 
     /// Returns suspicions to pass on.
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -184,7 +184,7 @@
     fn note_content(&mut self, attempt: &Attempt, end: AttemptEnd) {
         match end {
             AttemptEnd::Crashed { death } => {
-                self.quarantine.record_death(attempt.spec.content, death);
+                self.suspicion_news |= self.quarantine.record_death(attempt.spec.content, death);
             }
             AttemptEnd::Answered { .. } if attempt.suspect => {
                 self.quarantine.record_completion(attempt.spec.content);
--- a/dogwoodtray_entry/src/shell/router.rs
+++ b/dogwoodtray_entry/src/shell/router.rs
@@ -14,6 +14,7 @@
 use dogwoodtray_coord::AttemptId;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Suspicion;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::choose_subset;
 use dogwoodtray_platform::VmEntry;
@@ -166,7 +167,8 @@
 
     fn on_tick(&mut self, now: Timestamp) -> Flow {
         self.decide(now, OnlineEvent::Tick);
-        if now >= self.next_heartbeat {
+        let news = self.core.take_suspicion_news();
+        if news || now >= self.next_heartbeat {
             self.send_heartbeats(now);
             self.publish_state();
         }
@@ -213,7 +215,8 @@
             data_centre: hello.data_centre.into(),
             models: hello.models.iter().map(|model| model.as_str().into()).collect(),
         };
-        let heartbeat = self.heartbeat();
+        // Suspicions go to all peers at a time, so that none of them misses any.
+        let heartbeat = self.heartbeat(Vec::new());
         peer.link.send(heartbeat);
         self.links.insert(no, peer);
         if role == Role::Agent {
@@ -299,13 +302,14 @@
 
     fn send_heartbeats(&mut self, now: Timestamp) {
         self.next_heartbeat = now + HEARTBEAT_INTERVAL;
-        let heartbeat = self.heartbeat();
+        let suspects = self.core.gossip(MAX_SUSPICIONS);
+        let heartbeat = self.heartbeat(suspects);
         for peer in self.links.values() {
             peer.link.send(heartbeat.clone());
         }
     }
 
-    fn heartbeat(&mut self) -> messages::Heartbeat {
+    fn heartbeat(&mut self, suspects: Vec<Suspicion>) -> messages::Heartbeat {
         self.heartbeat_seq += 1;
         let backlog = self.backlog.iter().map(|b| messages::Backlog {
             model: b.model.to_string(),
@@ -318,7 +322,7 @@
             generation: self.generation(),
             leaving: self.drain_deadline.is_some(),
             backlog: backlog.collect(),
-            suspects: suspicions_to_wire(self.core.gossip(MAX_SUSPICIONS)),
+            suspects: suspicions_to_wire(suspects),
             ..messages::Heartbeat::default()
         }
     }
