--- a/dogwoodtray_entry/src/shell/router/links.rs
+++ b/dogwoodtray_entry/src/shell/router/links.rs
@@ -7,6 +7,7 @@
 use dogwoodtray_coord::Generation;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Suspicion;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::choose_subset;
 use dogwoodtray_platform::VmEntry;
@@ -99,7 +100,8 @@
             data_centre: hello.data_centre.into(),
             models: hello.models.iter().map(|model| model.as_str().into()).collect(),
         };
-        let heartbeat = self.heartbeat();
+        // Suspicions go to all peers at a time, so that none of them misses any.
+        let heartbeat = self.heartbeat(Vec::new());
         peer.link.send(heartbeat);
         self.links.insert(no, peer);
         if role == Role::Agent {
@@ -193,13 +195,14 @@
 
     pub(super) fn send_heartbeats(&mut self, now: Timestamp) {
         self.next_heartbeat = now + HEARTBEAT_INTERVAL;
-        let heartbeat = self.heartbeat();
+        let suspects = self.core.gossip(MAX_SUSPICIONS);
+        let heartbeat = self.heartbeat(suspects);
         for peer in self.links.values() {
             peer.link.send(heartbeat.clone());
         }
     }
 
-    pub(super) fn heartbeat(&mut self) -> messages::Heartbeat {
+    fn heartbeat(&mut self, suspects: Vec<Suspicion>) -> messages::Heartbeat {
         self.heartbeat_seq += 1;
         let backlog = self.backlog.iter().map(|b| messages::Backlog {
             model: b.model.to_string(),
@@ -212,7 +215,7 @@
             generation: self.generation(),
             leaving: self.drain_deadline.is_some(),
             backlog: backlog.collect(),
-            suspects: suspicions_to_wire(self.core.gossip(MAX_SUSPICIONS)),
+            suspects: suspicions_to_wire(suspects),
             ..messages::Heartbeat::default()
         }
     }
--- a/dogwoodtray_entry/src/shell/router/service.rs
+++ b/dogwoodtray_entry/src/shell/router/service.rs
@@ -182,7 +182,8 @@
 
     fn on_tick(&mut self, now: Timestamp) -> Flow {
         self.decide(now, OnlineEvent::Tick);
-        if now >= self.next_heartbeat {
+        let news = self.core.take_suspicion_news();
+        if news || now >= self.next_heartbeat {
             self.members.forget_dead(now);
             self.send_heartbeats(now);
             self.publish_state(now);
--- a/dogwoodtray_runtime/src/link/connection.rs
+++ b/dogwoodtray_runtime/src/link/connection.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time;
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 use super::traffic::Traffic;
@@ -158,6 +159,7 @@
     cfg: &LinkConfig,
 ) -> &'static str {
     let traffic = Traffic::new("in");
+    let mut heard_at = Instant::now();
     loop {
         let frame = match time::timeout(cfg.silence_deadline, stream.next()).await {
             Err(_) => return "silent past the deadline",
@@ -166,6 +168,12 @@
             Ok(Some(Ok(frame))) => frame,
         };
         traffic.count(&frame);
+        // A process that was stopped finds what queued up meanwhile. Its peer has dropped the
+        // link by then and does not wait for these frames any more.
+        if heard_at.elapsed() >= cfg.silence_deadline {
+            return "stopped past the deadline";
+        }
+        heard_at = Instant::now();
         // An unknown kind comes from a newer version of the peer and is skipped.
         if let Some(kind) = frame.kind {
             (cfg.sink)(LinkEvent::Frame { link: id, kind });
