Give batch the idle places only after a quiet time, and take them back at once

Change: the quiet time also counts from the start; the surplus is shed once, when online work returns; otherwise one stream is preempted for one request.

--- a/dogwoodtray_policy/src/admission/controller.rs
+++ b/dogwoodtray_policy/src/admission/controller.rs
@@ -66,7 +66,7 @@
     online: OnlineQueue,
     batch: VecDeque<BatchItem>,
     running: RunningSet,
-    /// Time of the last online arrival.
+    /// Time of the last online arrival, or of the start.
     last_online: Option<Timestamp>,
     /// Whether online work has been absent long enough for batch to take its places too.
     online_idle: bool,
@@ -87,7 +87,7 @@
             batch: VecDeque::new(),
             running: RunningSet::default(),
             last_online: None,
-            online_idle: true,
+            online_idle: false,
             leaving: false,
             down: false,
         }
@@ -128,11 +128,25 @@
         }
     }
 
+    /// Takes batch back to the shared places when online work returns.
+    fn end_idle(&mut self, out: &mut Vec<AdmissionAction>) {
+        if !self.online_idle {
+            return;
+        }
+        self.online_idle = false;
+        while self.running.staying() >= self.shared_places()
+            && let Some(victim) = self.running.cheapest_batch()
+        {
+            self.preempt(victim, out);
+        }
+    }
+
     /// While no online work is inside or was seen lately, batch uses every place. It yields at the
     /// next online arrival, which preempts what is above the shared places at once.
     fn watch_online(&mut self, now: Timestamp) {
         let absent = self.running.online() == 0 && self.online.len() == 0;
-        let quiet = self.last_online.is_none_or(|last| now - last >= self.cfg.online_idle_after);
+        let since = *self.last_online.get_or_insert(now);
+        let quiet = now - since >= self.cfg.online_idle_after;
         self.online_idle = absent && quiet;
     }
 }
@@ -152,7 +166,7 @@
         if class == Class::Online {
             self.reserve.arrived(now);
             self.last_online = Some(now);
-            self.online_idle = false;
+            self.end_idle(out);
         }
         if let Some(reason) = self.refusal(now, class, deadline) {
             out.push(AdmissionAction::Refuse { id, reason });
@@ -252,13 +266,12 @@
             if self.online.peek(allow_long).is_none() {
                 return;
             }
-            while self.running.staying() >= self.shared_places()
-                && let Some(victim) = self.running.cheapest_batch()
-            {
-                self.preempt(victim, out);
-            }
-            if self.running.staying() >= self.places() {
-                return;
+            if self.running.staying() >= self.shared_places() {
+                match self.running.cheapest_batch() {
+                    Some(victim) => self.preempt(victim, out),
+                    None if self.running.staying() >= self.places() => return,
+                    None => (),
+                }
             }
             let Some(next) = self.online.pop(allow_long) else { return };
             self.running.enter(next.id, Class::Online, next.cost, next.long);
