Split the decisions of the agent by job

Ruled out: smaller state machines with channels between them (one decision would be spread over several calls). Change: state, events, endpoint and admission stand in a file each; behaviour is unchanged.

--- a/dogwoodtray_agent/src/core/attempt.rs
+++ b/dogwoodtray_agent/src/core/attempt.rs
@@ -138,3 +138,8 @@
         self.by_attempt.iter_mut()
     }
 }
+
+/// Tells whether an attempt has ended.
+pub(super) const fn is_ended(stage: Stage) -> bool {
+    matches!(stage, Stage::Ended(_))
+}
--- /dev/null
+++ b/dogwoodtray_agent/src/core/events.rs
@@ -0,0 +1,263 @@
+//! Events from entries and the passing of time.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Verdict;
+use dogwoodtray_policy::AdmissionEvent;
+use dogwoodtray_policy::Class;
+
+use super::AgentAction;
+use super::AgentEvent;
+use super::AgentMessage;
+use super::AttemptEnd;
+use super::NotRun;
+use super::PeerId;
+use super::Work;
+use super::attempt::Attempt;
+use super::attempt::Stage;
+use super::attempt::is_ended;
+use super::decide::AgentCore;
+use super::reply;
+
+/// Time that an ended answer is retained for reattachment.
+const RETENTION: Duration = Duration::from_secs(30);
+
+/// Time that an idempotent attempt runs on without an entry.
+const ORPHAN_GRACE: Duration = Duration::from_secs(5);
+
+/// Time beyond the deadline of a request in which its endpoint may still answer. It lies below the
+/// time that an entry keeps the caller of a non-idempotent request waiting.
+const DEADLINE_GRACE: Duration = Duration::from_secs(10);
+
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// # Events
+impl AgentCore {
+    /// Handles one event and appends the actions that follow.
+    pub fn handle(&mut self, now: Timestamp, event: AgentEvent, out: &mut Vec<AgentAction>) {
+        match event {
+            AgentEvent::PeerUp { peer } => self.on_peer_up(now, peer, out),
+            AgentEvent::PeerDown { peer } => self.on_peer_down(now, peer),
+            AgentEvent::PeerBacklog { peer, backlog } => {
+                self.credits.report(peer, backlog, &self.cfg.models);
+            }
+            AgentEvent::Dispatch { peer, work } => self.on_dispatch(now, peer, work, out),
+            AgentEvent::Cancel { attempt } => self.on_cancel(now, attempt, out),
+            AgentEvent::Reattach { peer, attempt, offset } => {
+                self.on_reattach(peer, attempt, offset, out);
+            }
+            AgentEvent::Ack { attempt } => self.on_ack(attempt),
+            AgentEvent::Endpoint { attempt, event } => self.on_endpoint(now, attempt, event, out),
+            AgentEvent::Health { up } => self.on_health(now, up, out),
+            AgentEvent::Drain => self.on_drain(now, out),
+            AgentEvent::Tick => self.on_tick(now, out),
+        }
+        self.offer_credits(now, out);
+    }
+
+    pub(super) fn on_peer_up(&mut self, now: Timestamp, peer: PeerId, out: &mut Vec<AgentAction>) {
+        self.peers.push(peer);
+        self.send_heartbeats(now, out);
+    }
+
+    pub(super) fn on_peer_down(&mut self, now: Timestamp, peer: PeerId) {
+        self.peers.retain(|known| *known != peer);
+        self.credits.remove(peer);
+        for (_, attempt) in self.attempts.iter_mut() {
+            if attempt.peer == Some(peer) {
+                attempt.peer = None;
+                attempt.idle_since = now;
+            }
+        }
+    }
+
+    pub(super) fn on_dispatch(
+        &mut self,
+        now: Timestamp,
+        peer: PeerId,
+        mut work: Work,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if self.attempts.get(work.attempt).is_some() {
+            return self.on_reattach(peer, work.attempt, 0, out);
+        }
+        if self.attempts.may_be_forgotten(work.attempt) {
+            // A late copy of an attempt that was already reported as ended must not run.
+            return out.push(reply::ended_unseen(peer, work.attempt, AttemptEnd::Unknown));
+        }
+        let verdict = self.quarantine.verdict(work.content);
+        work.suspect |= verdict != Verdict::Clear;
+        if let Some(reason) = self.refusal(&work) {
+            let end = AttemptEnd::NotRun(reason);
+            return out.push(reply::ended_unseen(peer, work.attempt, end));
+        }
+        if work.class == Class::Batch {
+            self.credits.used(peer);
+        }
+        let class = work.class;
+        let cost = work.cost;
+        let deadline = work.deadline.map(|left| now + left);
+        let id = self.attempts.insert(peer, work, now);
+        self.admit(now, AdmissionEvent::Arrive { id, class, cost, deadline }, out);
+    }
+
+    pub(super) fn refusal(&mut self, work: &Work) -> Option<NotRun> {
+        if self.leaving {
+            return Some(NotRun::Leaving);
+        }
+        if !self.endpoint_up {
+            return Some(NotRun::EndpointDown);
+        }
+        if !self.cfg.models.contains(&work.model) {
+            return Some(NotRun::WrongModel);
+        }
+        if work.deadline.is_some_and(|left| left.is_zero()) {
+            return Some(NotRun::Deadline);
+        }
+        if self.quarantine.verdict(work.content) == Verdict::Refused {
+            return Some(NotRun::Quarantined);
+        }
+        if work.suspect && self.attempts.iter().any(|(_, a)| a.work.suspect && !is_ended(a.stage)) {
+            // Two suspects inside one endpoint could not be told apart if it died.
+            return Some(NotRun::Busy);
+        }
+        if let Some((claim, epoch)) = &work.fence
+            && !self.fences.admit(claim, *epoch)
+        {
+            return Some(NotRun::Fenced);
+        }
+        None
+    }
+
+    pub(super) fn on_cancel(&mut self, now: Timestamp, id: AttemptId, out: &mut Vec<AgentAction>) {
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            // The dispatch may still be on its way; it is refused when it arrives.
+            return self.attempts.remember_forgotten(id);
+        };
+        let work = attempt.id;
+        match attempt.stage {
+            Stage::Queued => {
+                attempt.stage = Stage::Ended(AttemptEnd::NotRun(NotRun::Cancelled));
+                attempt.idle_since = now;
+                reply::done(id, attempt, out);
+                self.admit(now, AdmissionEvent::Withdrawn { id: work }, out);
+            }
+            Stage::Running => {
+                attempt.stage = Stage::Aborting(AttemptEnd::Cancelled);
+                out.push(AgentAction::Abort { attempt: id });
+                self.admit(now, AdmissionEvent::Withdrawn { id: work }, out);
+            }
+            Stage::Broken | Stage::Aborting(_) | Stage::Ended(_) => {}
+        }
+    }
+
+    pub(super) fn on_reattach(
+        &mut self,
+        peer: PeerId,
+        id: AttemptId,
+        offset: u64,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            attempt.peer = Some(peer);
+            return reply::catch_up(id, attempt, offset, out);
+        }
+        let end = if self.attempts.may_be_forgotten(id) {
+            AttemptEnd::Unknown
+        } else {
+            AttemptEnd::NotRun(NotRun::NeverReceived)
+        };
+        self.attempts.remember_forgotten(id);
+        out.push(reply::ended_unseen(peer, id, end));
+    }
+
+    pub(super) fn on_ack(&mut self, id: AttemptId) {
+        if self.attempts.get(id).is_some_and(|attempt| is_ended(attempt.stage)) {
+            self.attempts.forget(id);
+        }
+    }
+
+    pub(super) fn on_drain(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
+        if self.leaving {
+            return;
+        }
+        self.leaving = true;
+        self.admit(now, AdmissionEvent::Leaving, out);
+        self.send_heartbeats(now, out);
+        self.preempt_idempotent_batch(now, out);
+    }
+
+    /// Hands batch work back, so that a planned stop does not wait for it.
+    pub(super) fn preempt_idempotent_batch(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
+        let batch: Vec<AttemptId> = self
+            .attempts
+            .iter()
+            .filter(|(_, a)| a.work.class == Class::Batch && a.work.idempotent)
+            .filter(|(_, a)| matches!(a.stage, Stage::Queued | Stage::Running))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in batch {
+            self.preempt(now, id, out);
+        }
+    }
+
+    pub(super) fn on_tick(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
+        self.admit(now, AdmissionEvent::Tick, out);
+        if self.last_heartbeat.is_none_or(|last| now - last >= HEARTBEAT_INTERVAL) {
+            self.send_heartbeats(now, out);
+        }
+        let mut orphans = Vec::new();
+        let mut expired = Vec::new();
+        let mut stalled = Vec::new();
+        for (id, attempt) in self.attempts.iter() {
+            let idle = now - attempt.idle_since;
+            if is_ended(attempt.stage) {
+                if idle >= RETENTION {
+                    expired.push(*id);
+                }
+            } else if attempt.peer.is_none() && attempt.work.idempotent && idle >= ORPHAN_GRACE {
+                orphans.push(*id);
+            } else if attempt.stage == Stage::Running
+                && now - attempt.progress_at >= self.stall_limit(attempt)
+            {
+                stalled.push(*id);
+            }
+        }
+        for id in stalled {
+            self.abort(id, AttemptEnd::Failed, out);
+        }
+        for id in orphans {
+            self.on_cancel(now, id, out);
+        }
+        for id in expired {
+            self.attempts.forget(id);
+        }
+    }
+
+    /// Longest silence of the endpoint in one exchange. A plain service may be silent for long,
+    /// but not far beyond the deadline: nobody waits for the answer any more, and a connection
+    /// that went silent would hold up a drain and the end of the at-most-once record.
+    pub(super) fn stall_limit(&self, attempt: &Attempt) -> Duration {
+        let limit = self.cfg.stall_timeout;
+        attempt.work.deadline.map_or(limit, |left| limit.min(left + DEADLINE_GRACE))
+    }
+
+    pub(super) fn send_heartbeats(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
+        self.last_heartbeat = Some(now);
+        for peer in &self.peers {
+            out.push(AgentAction::Send { peer: *peer, message: AgentMessage::Heartbeat });
+        }
+    }
+
+    pub(super) fn offer_credits(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
+        let free = self.free_batch();
+        if free == 0 {
+            return;
+        }
+        for (peer, places) in self.credits.offer(now, free) {
+            out.push(AgentAction::Send { peer, message: AgentMessage::Credit { places } });
+        }
+    }
+}
--- a/dogwoodtray_agent/src/core/mod.rs
+++ b/dogwoodtray_agent/src/core/mod.rs
@@ -3,8 +3,11 @@
 mod attempt;
 mod credit;
 mod decide;
+mod endpoint;
+mod events;
 mod fence;
 mod message;
+mod place;
 mod reply;
 
 pub use self::decide::AgentConfig;
