Send a plain service nothing but its calls; count driven jobs in the status

Cause: the agent asked a plain service for /health twice a second and sent it cancellations, which the service counted as calls (7 in 4 s by hand); jobs_open was always 0. Ruled out: a health path as a setting (not every service has one). Change: a plain service counts as up when it accepts a connection, and only sees its connection close on a cancel; the status shows the driven jobs. Conclusion: every request that a plain service gets is a caller's.

--- a/dogwoodtray_agent/src/shell/agent.rs
+++ b/dogwoodtray_agent/src/shell/agent.rs
@@ -177,7 +177,12 @@
     let (mailbox, rx) = Mailbox::channel();
     let service = AgentService {
         core: AgentCore::new(core_cfg, admission),
-        endpoint: EndpointClient::new(settings.endpoint, Handle::current(), mailbox.clone()),
+        endpoint: EndpointClient::new(
+            settings.endpoint,
+            settings.kind,
+            Handle::current(),
+            mailbox.clone(),
+        ),
         events: events.clone(),
         shared: Arc::clone(shared),
         drain_timeout: settings.drain_timeout,
--- a/dogwoodtray_agent/src/shell/endpoint.rs
+++ b/dogwoodtray_agent/src/shell/endpoint.rs
@@ -18,10 +18,12 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use tokio::time;
 
+use super::EndpointKind;
 use super::service::AgentInput;
 use super::sse::EventSplitter;
 use crate::core::EndpointEvent;
@@ -41,6 +43,7 @@
 #[derive(Debug)]
 pub(super) struct EndpointClient {
     addr: SocketAddr,
+    kind: EndpointKind,
     runtime: Handle,
     client: HttpClient,
     mailbox: Mailbox<AgentInput>,
@@ -48,14 +51,19 @@
 }
 
 impl EndpointClient {
-    pub(super) fn new(addr: SocketAddr, runtime: Handle, mailbox: Mailbox<AgentInput>) -> Self {
+    pub(super) fn new(
+        addr: SocketAddr,
+        kind: EndpointKind,
+        runtime: Handle,
+        mailbox: Mailbox<AgentInput>,
+    ) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(HEALTH_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .build(connector);
-        Self { addr, runtime, client, mailbox, running: HashMap::new() }
+        Self { addr, kind, runtime, client, mailbox, running: HashMap::new() }
     }
 
     pub(super) fn forward(&mut self, work: Arc<Work>) {
@@ -64,6 +72,7 @@
         self.running.insert(attempt, abort);
         let exchange = Exchange {
             addr: self.addr,
+            kind: self.kind,
             client: self.client.clone(),
             mailbox: self.mailbox.clone(),
             attempt,
@@ -84,16 +93,25 @@
     }
 
     pub(super) fn check_health(&self) {
-        let uri = format!("http://{}/health", self.addr);
+        let (addr, kind) = (self.addr, self.kind);
         let client = self.client.clone();
         let mailbox = self.mailbox.clone();
         self.runtime.spawn(async move {
-            let up = get_ok(&client, uri).await;
+            let up = match kind {
+                EndpointKind::Engine => get_ok(&client, format!("http://{addr}/health")).await,
+                // Any request to a plain service may be a call that it acts on.
+                EndpointKind::Service => accepts(addr).await,
+            };
             mailbox.send(AgentInput::Health(up));
         });
     }
 }
 
+async fn accepts(addr: SocketAddr) -> bool {
+    let connecting = time::timeout(HEALTH_TIMEOUT, TcpStream::connect(addr));
+    matches!(connecting.await, Ok(Ok(_)))
+}
+
 async fn get_ok(client: &HttpClient, uri: String) -> bool {
     let Ok(req) = Request::get(uri).body(Full::default()) else {
         return false;
@@ -104,6 +122,7 @@
 
 struct Exchange {
     addr: SocketAddr,
+    kind: EndpointKind,
     client: HttpClient,
     mailbox: Mailbox<AgentInput>,
     attempt: AttemptId,
@@ -177,7 +196,11 @@
         builder.body(Full::new(body_of(work))).ok()
     }
 
+    /// Cancels the stream at an engine. A plain service only sees its connection close.
     async fn cancel_at_endpoint(&self) {
+        if self.kind == EndpointKind::Service {
+            return;
+        }
         let uri = format!("http://{}/v1/cancel/{}", self.addr, self.attempt);
         let Ok(req) = Request::post(uri).body(Full::default()) else { return };
         let _ = time::timeout(CANCEL_TIMEOUT, self.client.request(req)).await;
--- a/dogwoodtray_entry/src/jobs/core.rs
+++ b/dogwoodtray_entry/src/jobs/core.rs
@@ -204,6 +204,12 @@
         self.draining_since.is_some() && self.drain_reasons().is_empty()
     }
 
+    /// Returns the number of jobs that this process drives.
+    #[must_use]
+    pub fn driven_jobs(&self) -> usize {
+        self.driven.len()
+    }
+
     /// Returns how many ends of attempts arrived that this process no longer waited for.
     #[must_use]
     pub fn late_ends(&self) -> u64 {
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -183,6 +183,8 @@
         self.decide(now, JobEvent::Tick { now_unix_ms: unix_ms() });
         self.close_retired(now);
         self.report_backlog(now);
+        let driven = self.core.driven_jobs() as u64;
+        self.shared.jobs_driven.store(driven, Ordering::Relaxed);
         self.shared.jobs_drained.store(self.core.drained(), Ordering::Release);
         if self.shared.finished.load(Ordering::Acquire) { Flow::Stop } else { Flow::Continue }
     }
