Offer an entry all of its open batch places at once

Ruled out: the admission limit (it never falls below 16 places). Change: an offer holds all places that are open to its entry.

--- a/dogwoodtray_agent/src/core/credit.rs
+++ b/dogwoodtray_agent/src/core/credit.rs
@@ -58,7 +58,8 @@
         }
     }
 
-    /// Returns new offers for the places that are free and not on offer yet.
+    /// Returns new offers, each with all places that are open to its entry, if places are free that
+    /// are not on offer yet.
     pub(super) fn offer(&mut self, now: Timestamp, free: u32) -> Vec<(PeerId, u32)> {
         self.offers.retain(|offer| now - offer.made < CREDIT_LIFETIME);
         let offered: u32 = self.offers.iter().map(|offer| offer.places).sum();
@@ -77,6 +78,9 @@
                 continue;
             }
             left -= places;
+            // An entry replaces the last offer by the new one, so it holds all open places.
+            let places = places + self.offered_to(peer);
+            self.offers.retain(|offer| offer.peer != peer);
             self.offers.push(Offer { peer, places, made: now });
             made.push((peer, places));
         }
--- /dev/null
+++ b/dogwoodtray_agent/tests/credits.rs
@@ -0,0 +1,83 @@
+//! Offers of batch places.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodtray_agent::AgentAction;
+use dogwoodtray_agent::AgentConfig;
+use dogwoodtray_agent::AgentCore;
+use dogwoodtray_agent::AgentEvent;
+use dogwoodtray_agent::AgentMessage;
+use dogwoodtray_agent::Backlog;
+use dogwoodtray_agent::PeerId;
+use dogwoodtray_agent::Work;
+use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_policy::AdmissionConfig;
+use dogwoodtray_policy::Class;
+use dogwoodtray_policy::Cost;
+use dogwoodtray_policy::admission_policy;
+
+const PEER: PeerId = PeerId(1);
+
+fn work(counter: u64) -> Work {
+    Work {
+        attempt: AttemptId { incarnation: Incarnation(7), counter },
+        request: Name::from("job.0"),
+        class: Class::Batch,
+        model: Name::from("m"),
+        method: Name::from("POST"),
+        path: Name::from("/v1/chat/completions"),
+        body: Bytes::new(),
+        idempotent: true,
+        idempotency_key: Name::from(""),
+        fence: None,
+        deadline: Some(Duration::from_secs(60)),
+        cost: Cost { prompt_tokens: 1, output_tokens: 5 },
+        resume_from: 0,
+        content: ContentHash(counter),
+        suspect: false,
+    }
+}
+
+fn offers(core: &mut AgentCore, now: Timestamp, event: AgentEvent) -> Vec<u32> {
+    let mut out = Vec::new();
+    core.handle(now, event, &mut out);
+    let places = |action| match action {
+        AgentAction::Send { message: AgentMessage::Credit { places }, .. } => Some(places),
+        _ => None,
+    };
+    out.into_iter().filter_map(places).collect()
+}
+
+/// Guards against places that are lost when an offer is made while an earlier one is open: an
+/// entry keeps only the last offer, so each one has to hold all open places.
+#[test]
+fn an_offer_holds_all_open_places() {
+    let cfg = AgentConfig {
+        incarnation: Incarnation(1),
+        models: vec![Name::from("m")],
+        stall_timeout: Duration::from_secs(10),
+    };
+    let places = 8;
+    let policy = AdmissionConfig { max_places: places, min_places: places, ..Default::default() };
+    let admission = admission_policy("fixed-limit", policy).expect("a policy of this name");
+    let mut core = AgentCore::new(cfg, admission);
+    let now = Timestamp(1_000);
+    offers(&mut core, now, AgentEvent::PeerUp { peer: PEER });
+    let backlog = vec![Backlog { model: Name::from("m"), items: 100, slack_ms: 0 }];
+    let first = offers(&mut core, now, AgentEvent::PeerBacklog { peer: PEER, backlog });
+    let [open] = first[..] else { panic!("one offer, not {first:?}") };
+
+    // One item uses a place and is cancelled, which frees the place again.
+    let dispatch = AgentEvent::Dispatch { peer: PEER, work: work(1) };
+    assert_eq!(offers(&mut core, now, dispatch), Vec::<u32>::new());
+    let attempt = AttemptId { incarnation: Incarnation(7), counter: 1 };
+    offers(&mut core, now, AgentEvent::Cancel { attempt });
+    let event = dogwoodtray_agent::EndpointEvent::Aborted;
+    let again = offers(&mut core, now, AgentEvent::Endpoint { attempt, event });
+    assert_eq!(again, [open]);
+}
