Pause between refused attempts of one request

Ruled out: excluding every endpoint that refused (a later place may be there). Conclusion: at most about 10 dispatches a second of a request that nobody takes.

--- a/dogwoodtray_entry/src/online/request.rs
+++ b/dogwoodtray_entry/src/online/request.rs
@@ -30,6 +30,8 @@
     pub(super) delivered: u32,
     /// Attempts that failed and count against the limit.
     pub(super) failures: u32,
+    /// Attempts in a row that agents refused.
+    pub(super) refusals: u32,
     /// Endpoints that refused or failed it, not to be picked again at once.
     pub(super) exclude: Vec<EndpointKey>,
     /// When a queued request is placed again.
@@ -50,6 +52,7 @@
             winner: None,
             delivered: 0,
             failures: 0,
+            refusals: 0,
             exclude: Vec::new(),
             retry_at: now,
             hedged: false,
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -1,5 +1,7 @@
 //! Answers: parts, ends and losses of attempts.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use dogwoodtray_coord::AttemptId;
 use dogwoodtray_coord::Name;
@@ -20,6 +22,12 @@
 use super::attempt::Owner;
 use super::request::Stage;
 
+/// Pause after the second refusal in a row, halved. Each further refusal doubles it.
+const FIRST_REFUSAL_PAUSE: Duration = Duration::from_millis(5);
+
+/// Doublings of the pause at the most: 160 ms.
+const MAX_PAUSE_DOUBLINGS: u32 = 5;
+
 /// Lowest HTTP status of an error on the side of the endpoint.
 const SERVER_ERROR: u16 = 500;
 
@@ -301,11 +309,16 @@
             }
             _ => {}
         }
-        if let Some(request) = self.requests.get_mut(&no) {
-            request.exclude = vec![attempt.endpoint];
-            self.waiting.insert(no);
+        let Some(request) = self.requests.get_mut(&no) else { return };
+        request.exclude = vec![attempt.endpoint];
+        request.refusals += 1;
+        if request.refusals == 1 {
+            return self.place(now, no, out);
         }
-        self.place(now, no, out);
+        // Without a pause a request went round between full agents 257 times in 147 ms.
+        let pause = FIRST_REFUSAL_PAUSE * 2_u32.pow(request.refusals.min(MAX_PAUSE_DOUBLINGS));
+        request.retry_at = now + pause;
+        self.waiting.insert(no);
     }
 
     fn retry_failed(
