--- a/dogwoodtray_cli/src/settings/agent.rs
+++ b/dogwoodtray_cli/src/settings/agent.rs
@@ -21,7 +21,6 @@
     &setting::DATA_CENTRE,
     &setting::PEER,
     &setting::ADMIN,
-    &setting::PLATFORM,
     &setting::ENDPOINT,
     &setting::ENDPOINT_KIND,
     &setting::MODELS,
@@ -51,8 +50,6 @@
     pub peer: SocketAddr,
     /// Address of the operator port.
     pub admin: SocketAddr,
-    /// Address of the platform's object API.
-    pub platform: SocketAddr,
     /// Address of the engine or plain service.
     pub endpoint: SocketAddr,
     /// Kind of the endpoint.
@@ -95,7 +92,6 @@
             data_centre: values.name(&setting::DATA_CENTRE),
             peer: values.listen_known(&setting::PEER),
             admin: values.listen(&setting::ADMIN),
-            platform: values.dial(&setting::PLATFORM),
             endpoint: values.dial(&setting::ENDPOINT),
             endpoint_kind: match values.word(&setting::ENDPOINT_KIND, ENDPOINT_KINDS) {
                 0 => EndpointKind::Engine,
--- a/dogwoodtray_cli/src/settings/setting.rs
+++ b/dogwoodtray_cli/src/settings/setting.rs
@@ -70,8 +70,6 @@
         "Admission: adaptive, fixed-limit or fifo", "adaptive";
     MAX_PLACES: "max-places", "MAX_PLACES", "COUNT",
         "Most requests inside the endpoint at a time", "256";
-    CAN_RESUME: "can-resume", "CAN_RESUME", "BOOL",
-        "Whether the engine resumes streams: true or false", "true";
     STEP_MS: "step-ms", "STEP_MS", "MS",
         "Milliseconds of one engine step or one service call", "10";
     READS_PER_S: "reads-per-s", "READS_PER_S", "COUNT",
--- a/dogwoodtray_entry/src/http/batches.rs
+++ b/dogwoodtray_entry/src/http/batches.rs
@@ -30,8 +30,8 @@
 use crate::jobs::JobState;
 use crate::jobs::Refusal;
 use crate::jobs::Submission;
+use crate::shell::JobRequest;
 use crate::shell::JobsInput;
-use crate::shell::Question;
 
 /// Time after submission at which a job is due if nothing else is said.
 const DEFAULT_DUE: Duration = Duration::from_secs(24 * 3600);
@@ -71,7 +71,7 @@
         ApiError::bad_request("bad_json", format!("the body is not a valid batch: {err}"))
     })?;
     let submission = submission(&shared, &headers, request)?;
-    let reply = ask(&shared, Question::Submit(submission)).await?;
+    let reply = ask(&shared, JobRequest::Submit(submission)).await?;
     match reply {
         JobReply::Accepted { job, resent } => {
             let status = if resent { StatusCode::OK } else { StatusCode::CREATED };
@@ -176,7 +176,7 @@
 
 /// Answers `GET /v1/batches/{id}`.
 pub(super) async fn status(shared: SharedState, job: &str) -> Result<Response<Body>, ApiError> {
-    match ask(&shared, Question::Status(Name::from(job))).await? {
+    match ask(&shared, JobRequest::Status(Name::from(job))).await? {
         JobReply::Status { state, counts, due_unix_ms, .. } => {
             Ok(json_response(StatusCode::OK, &render_status(job, state, &counts, due_unix_ms)))
         }
@@ -210,7 +210,7 @@
 
 /// Answers `GET /v1/batches/{id}/results` with JSON lines.
 pub(super) async fn results(shared: SharedState, job: &str) -> Result<Response<Body>, ApiError> {
-    let mut replies = send(&shared, Question::Results(Name::from(job)))?;
+    let mut replies = send(&shared, JobRequest::Results(Name::from(job)))?;
     let mut lines = String::new();
     loop {
         match replies.recv().await {
@@ -259,7 +259,7 @@
 
 /// Answers `POST /v1/batches/{id}/cancel`.
 pub(super) async fn cancel(shared: SharedState, job: &str) -> Result<Response<Body>, ApiError> {
-    match ask(&shared, Question::Cancel(Name::from(job))).await? {
+    match ask(&shared, JobRequest::Cancel(Name::from(job))).await? {
         JobReply::Cancelled { counts } => {
             let status = render_status(job, JobState::Cancelled, &counts, 0);
             Ok(json_response(StatusCode::OK, &status))
@@ -336,14 +336,17 @@
     )
 }
 
-fn send(shared: &SharedState, make: Question) -> Result<UnboundedReceiver<JobReply>, ApiError> {
+fn send(
+    shared: &SharedState,
+    request: JobRequest,
+) -> Result<UnboundedReceiver<JobReply>, ApiError> {
     let (reply, replies) = mpsc::unbounded_channel();
-    if !shared.tell_jobs(JobsInput::Ask { make, reply }) {
+    if !shared.tell_jobs(JobsInput::Ask { request, reply }) {
         return Err(stopping());
     }
     Ok(replies)
 }
 
-async fn ask(shared: &SharedState, make: Question) -> Result<JobReply, ApiError> {
-    send(shared, make)?.recv().await.ok_or_else(stopping)
+async fn ask(shared: &SharedState, request: JobRequest) -> Result<JobReply, ApiError> {
+    send(shared, request)?.recv().await.ok_or_else(stopping)
 }
--- a/dogwoodtray_entry/src/http/limits.rs
+++ b/dogwoodtray_entry/src/http/limits.rs
@@ -32,7 +32,7 @@
 
 /// Keeps one organization from taking the entry away from the others.
 #[derive(Debug)]
-pub(crate) struct LimitGate {
+pub(crate) struct RateLimiter {
     limits: OrganizationLimits,
     organizations: Mutex<HashMap<Name, Usage>>,
 }
@@ -47,11 +47,11 @@
 /// Counts a request as open until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Permit {
-    gate: Arc<LimitGate>,
+    gate: Arc<RateLimiter>,
     organization: Name,
 }
 
-impl LimitGate {
+impl RateLimiter {
     pub(crate) fn new(limits: OrganizationLimits) -> Arc<Self> {
         Arc::new(Self { limits, organizations: Mutex::new(HashMap::new()) })
     }
--- a/dogwoodtray_entry/src/http/mod.rs
+++ b/dogwoodtray_entry/src/http/mod.rs
@@ -12,7 +12,7 @@
 mod stream;
 
 pub(crate) use self::chat::chat_cost;
-pub(crate) use self::limits::LimitGate;
 pub use self::limits::OrganizationLimits;
+pub(crate) use self::limits::RateLimiter;
 pub(crate) use self::port::CallerPort;
 pub(crate) use self::request::next_request;
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -297,7 +297,7 @@
             Arrival::Same => self.reattach_all(link, &peer.node, out),
             Arrival::New => {
                 for id in self.attempts_at(&peer.node) {
-                    self.lose(now, id, death, out);
+                    self.end_lost(now, id, death, out);
                 }
             }
         }
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -163,7 +163,7 @@
     }
 
     /// Ends an attempt whose agent cannot be reached or has been replaced.
-    pub(super) fn lose(
+    pub(super) fn end_lost(
         &mut self,
         now: Timestamp,
         id: AttemptId,
--- a/dogwoodtray_entry/src/online/tick.rs
+++ b/dogwoodtray_entry/src/online/tick.rs
@@ -28,7 +28,7 @@
             .map(|a| (a.id, self.death_of(a)))
             .collect();
         for (id, death) in lost {
-            self.lose(now, id, death, out);
+            self.end_lost(now, id, death, out);
         }
     }
 
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -30,7 +30,7 @@
 use super::RouterInput;
 use super::Shared;
 use super::probe::PROBE_TIMEOUT;
-use super::probe::ProbeQuestion;
+use super::probe::ProbeRequest;
 use super::probe::probe;
 use super::store::StoreRunner;
 use crate::http::chat_cost;
@@ -60,9 +60,9 @@
 /// What reaches the service.
 #[derive(Debug)]
 pub(crate) enum JobsInput {
-    /// A question of a caller; the replies go to the channel.
+    /// A request of a caller; the replies go to the channel.
     Ask {
-        make: Question,
+        request: JobRequest,
         reply: UnboundedSender<JobReply>,
     },
     Stored {
@@ -79,7 +79,7 @@
         attempt: AttemptId,
         end: BatchEnd,
     },
-    Probe(ProbeQuestion),
+    Probe(ProbeRequest),
     ProbeAnswer {
         holder: Incarnation,
         object: Name,
@@ -92,9 +92,9 @@
     Drain,
 }
 
-/// Question of a caller.
+/// Request of a caller about jobs.
 #[derive(Debug)]
-pub(crate) enum Question {
+pub(crate) enum JobRequest {
     Submit(crate::jobs::Submission),
     Status(Name),
     Results(Name),
@@ -143,7 +143,7 @@
 
     fn on_event(&mut self, now: Timestamp, event: JobsInput) -> Flow {
         match event {
-            JobsInput::Ask { make, reply } => self.on_question(now, make, reply),
+            JobsInput::Ask { request, reply } => self.on_request(now, request, reply),
             JobsInput::Stored { call, reply } => {
                 self.decide(now, JobEvent::Stored { call, reply });
             }
@@ -212,17 +212,17 @@
         }
     }
 
-    fn on_question(&mut self, now: Timestamp, make: Question, tx: UnboundedSender<JobReply>) {
+    fn on_request(&mut self, now: Timestamp, request: JobRequest, tx: UnboundedSender<JobReply>) {
         self.next_token += 1;
         let token = ReplyToken(self.next_token);
         self.callers.insert(token, tx);
-        let event = match make {
-            Question::Submit(submission) => {
+        let event = match request {
+            JobRequest::Submit(submission) => {
                 JobEvent::Submit { token, submission, now_unix_ms: unix_ms() }
             }
-            Question::Status(job) => JobEvent::Status { token, job },
-            Question::Results(job) => JobEvent::Results { token, job },
-            Question::Cancel(job) => JobEvent::Cancel { token, job },
+            JobRequest::Status(job) => JobEvent::Status { token, job },
+            JobRequest::Results(job) => JobEvent::Results { token, job },
+            JobRequest::Cancel(job) => JobEvent::Cancel { token, job },
         };
         self.decide(now, event);
     }
--- a/dogwoodtray_entry/src/shell/once/forward.rs
+++ b/dogwoodtray_entry/src/shell/once/forward.rs
@@ -10,7 +10,7 @@
 use dogwoodtray_coord::AttemptId;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::RequestId;
-use dogwoodtray_runtime::Asked;
+use dogwoodtray_runtime::AskOutcome;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::ask;
 use dogwoodtray_wire::messages;
@@ -75,10 +75,10 @@
         }
         _ => ControlFlow::Continue(()),
     };
-    let question = Frame::from(dispatch);
-    let asked = ask(owner, shared.hello(), question, timeout, |_| {}, on_answer).await;
+    let request = Frame::from(dispatch);
+    let asked = ask(owner, shared.hello(), request, timeout, |_| {}, on_answer).await;
     match (asked, done) {
-        (Asked::NotSent, _) => Forwarding::TryAgain,
+        (AskOutcome::NotSent, _) => Forwarding::TryAgain,
         (_, Some(done)) => read_done(&done, body.freeze()),
         (_, None) => Forwarding::Replied(OnceReply::Unknown),
     }
--- a/dogwoodtray_entry/src/shell/once/message.rs
+++ b/dogwoodtray_entry/src/shell/once/message.rs
@@ -12,7 +12,7 @@
 use dogwoodtray_wire::messages;
 use tokio::sync::oneshot;
 
-use super::super::probe::ProbeQuestion;
+use super::super::probe::ProbeRequest;
 use super::forward::Forwarding;
 use super::run::RunEnd;
 use crate::online::RequestSpec;
@@ -31,7 +31,7 @@
     /// A store call ended.
     Stored { range: u32, call: CallId, reply: StoreReply },
     /// Another entry asks about a claim.
-    Probe(ProbeQuestion),
+    Probe(ProbeRequest),
     /// Another entry told whether it holds a range.
     ProbeAnswer { range: u32, epoch: Epoch, holds: bool },
     /// A graceful shutdown begins.
--- a/dogwoodtray_entry/src/shell/once/service.rs
+++ b/dogwoodtray_entry/src/shell/once/service.rs
@@ -25,7 +25,7 @@
 
 use super::super::Shared;
 use super::super::convert;
-use super::super::probe::ProbeQuestion;
+use super::super::probe::ProbeRequest;
 use super::super::probe::probe;
 use super::super::store::StoreRunner;
 use super::OnceInput;
@@ -34,7 +34,7 @@
 use super::forward::Forwarding;
 use super::run;
 use super::run::RunEnd;
-use super::waiting::Asker;
+use super::waiting::Requester;
 use super::waiting::Waiting;
 
 /// Key ranges. Each has one owner that stores its records in one object, so the rate of writes is
@@ -54,8 +54,8 @@
     store: StoreRunner,
     ranges: BTreeMap<u32, OnceRange>,
     waiting: BTreeMap<RequestId, Waiting>,
-    /// Requests that look for the owner of their range.
-    seeking: Vec<RequestId>,
+    /// Requests that no owner of their range has taken yet.
+    unrouted: Vec<RequestId>,
     next_request: u64,
     actions: Vec<OnceAction>,
     draining: bool,
@@ -68,7 +68,7 @@
             store,
             ranges: BTreeMap::new(),
             waiting: BTreeMap::new(),
-            seeking: Vec::new(),
+            unrouted: Vec::new(),
             next_request: 0,
             actions: Vec::new(),
             draining: false,
@@ -83,10 +83,10 @@
         match event {
             OnceInput::Begin { spec, reply } => {
                 let key = key_hash(&spec.organization, &spec.idempotency_key);
-                let asker = Asker::Caller(reply);
+                let requester = Requester::Caller(reply);
                 let retry_at = now;
                 let deadline = now + OWNER_WAIT;
-                self.begin(now, Waiting { asker, spec, key, deadline, retry_at });
+                self.begin(now, Waiting { requester, spec, key, deadline, retry_at });
             }
             OnceInput::Forwarded { dispatch, link } => self.on_forwarded(now, *dispatch, link),
             OnceInput::ForwardEnded { request, end } => self.on_forward_ended(now, request, end),
@@ -106,7 +106,7 @@
             }
             OnceInput::Drain => self.draining = true,
         }
-        self.seek_owners(now);
+        self.route_to_owners(now);
         Flow::Continue
     }
 
@@ -115,7 +115,7 @@
         for range in ranges {
             self.drive(now, range, OnceEvent::Tick);
         }
-        self.seek_owners(now);
+        self.route_to_owners(now);
         self.drop_idle_ranges();
         let idle = self.waiting.is_empty() && self.ranges.values().all(|r| r.live() == 0);
         self.shared.once_drained.store(self.draining && idle, Ordering::Release);
@@ -134,7 +134,7 @@
         let request = RequestId(self.next_request);
         let range = waiting.key.range(RANGES);
         self.waiting.insert(request, waiting);
-        self.seeking.push(request);
+        self.unrouted.push(request);
         if !self.ranges.contains_key(&range) {
             self.ranges.insert(range, self.new_range(range));
             self.drive(now, range, OnceEvent::Tick);
@@ -149,22 +149,23 @@
     }
 
     /// Hands waiting requests to their range, or to the entry that owns it.
-    fn seek_owners(&mut self, now: Timestamp) {
-        let seeking = std::mem::take(&mut self.seeking);
-        for request in seeking {
+    fn route_to_owners(&mut self, now: Timestamp) {
+        let unrouted = std::mem::take(&mut self.unrouted);
+        for request in unrouted {
             if let Some(waiting) = self.waiting.get(&request) {
                 let (key, content) = (waiting.key, waiting.spec.content);
                 if now >= waiting.deadline {
                     let reason = "no entry could take over the key range in time";
                     self.reply(request, OnceReply::NotRun { reason });
-                } else if now < waiting.retry_at || !self.hand_over(now, request, key, content) {
-                    self.seeking.push(request);
+                } else if now < waiting.retry_at || !self.route_to_owner(now, request, key, content)
+                {
+                    self.unrouted.push(request);
                 }
             }
         }
     }
 
-    fn hand_over(
+    fn route_to_owner(
         &mut self,
         now: Timestamp,
         request: RequestId,
@@ -188,7 +189,7 @@
             return false;
         };
         let Some(waiting) = self.waiting.get(&request) else { return true };
-        if let Asker::Entry { link, attempt } = &waiting.asker {
+        if let Requester::Entry { link, attempt } = &waiting.requester {
             // The request was passed on once; its first entry finds the new owner itself.
             forward::reply_not_owner(link, *attempt);
             self.waiting.remove(&request);
@@ -205,9 +206,9 @@
         }
         let spec = Arc::new(convert::spec(dispatch));
         let key = key_hash(&spec.organization, &spec.idempotency_key);
-        let asker = Asker::Entry { link, attempt };
+        let requester = Requester::Entry { link, attempt };
         let deadline = now + OWNER_WAIT;
-        self.begin(now, Waiting { asker, spec, key, deadline, retry_at: now });
+        self.begin(now, Waiting { requester, spec, key, deadline, retry_at: now });
     }
 
     fn on_forward_ended(&mut self, now: Timestamp, request: RequestId, end: Forwarding) {
@@ -216,7 +217,7 @@
             Forwarding::TryAgain => {
                 if let Some(waiting) = self.waiting.get_mut(&request) {
                     waiting.retry_at = now + RETRY_INTERVAL;
-                    self.seeking.push(request);
+                    self.unrouted.push(request);
                 }
             }
         }
@@ -234,7 +235,7 @@
             }
             _ => {}
         }
-        waiting.asker.reply(reply);
+        waiting.requester.reply(reply);
     }
 }
 
@@ -294,7 +295,7 @@
             OnceRefusal::NotOwner => {
                 if let Some(waiting) = self.waiting.get_mut(&request) {
                     waiting.retry_at = now + RETRY_INTERVAL;
-                    self.seeking.push(request);
+                    self.unrouted.push(request);
                 }
                 return;
             }
@@ -318,7 +319,7 @@
         });
     }
 
-    fn answer_probe(&self, probe: &ProbeQuestion) {
+    fn answer_probe(&self, probe: &ProbeRequest) {
         let range = probe.object.strip_prefix(super::ONCE_OBJECT);
         let no: Option<u32> = range.and_then(|range| range.parse().ok());
         let range = no.and_then(|no| self.ranges.get(&no));
--- a/dogwoodtray_entry/src/shell/once/waiting.rs
+++ b/dogwoodtray_entry/src/shell/once/waiting.rs
@@ -14,14 +14,14 @@
 
 /// Who waits.
 #[derive(Debug)]
-pub(super) enum Asker {
+pub(super) enum Requester {
     /// A caller of this entry.
     Caller(oneshot::Sender<OnceReply>),
     /// Another entry that passed the request on.
     Entry { link: LinkHandle, attempt: Option<messages::AttemptId> },
 }
 
-impl Asker {
+impl Requester {
     pub(super) fn reply(self, reply: OnceReply) {
         match self {
             // A caller that went away finds the answer by its key.
@@ -34,7 +34,7 @@
 /// A request that waits.
 #[derive(Debug)]
 pub(super) struct Waiting {
-    pub(super) asker: Asker,
+    pub(super) requester: Requester,
     pub(super) spec: Arc<RequestSpec>,
     pub(super) key: KeyHash,
     /// Until then the owner of the range is looked for.
--- a/dogwoodtray_entry/src/shell/probe.rs
+++ b/dogwoodtray_entry/src/shell/probe.rs
@@ -16,15 +16,15 @@
 
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Question of another entry about a claim of this process.
+/// JobRequest of another entry about a claim of this process.
 #[derive(Debug)]
-pub(crate) struct ProbeQuestion {
+pub(crate) struct ProbeRequest {
     pub(super) object: Name,
     pub(super) epoch: Epoch,
     link: LinkHandle,
 }
 
-impl ProbeQuestion {
+impl ProbeRequest {
     pub(super) fn new(probe: messages::Probe, link: LinkHandle) -> Self {
         Self { object: probe.object.into(), epoch: Epoch(probe.epoch), link }
     }
@@ -43,7 +43,7 @@
     object: &str,
     epoch: Epoch,
 ) -> Option<bool> {
-    let question = Frame::from(messages::Probe { object: object.to_owned(), epoch: epoch.0 });
+    let request = Frame::from(messages::Probe { object: object.to_owned(), epoch: epoch.0 });
     let mut same_process = true;
     let mut held = None;
     let on_hello = |hello: &messages::Hello| same_process = hello.incarnation == holder.0;
@@ -54,7 +54,7 @@
         }
         _ => ControlFlow::Continue(()),
     };
-    ask(addr, shared.hello(), question, PROBE_TIMEOUT, on_hello, on_answer).await;
+    ask(addr, shared.hello(), request, PROBE_TIMEOUT, on_hello, on_answer).await;
     // Another process at the address proves that the holder is gone.
     if same_process { held } else { Some(false) }
 }
--- a/dogwoodtray_entry/src/shell/router/links.rs
+++ b/dogwoodtray_entry/src/shell/router/links.rs
@@ -28,7 +28,7 @@
 use super::super::OnceInput;
 use super::super::convert;
 use super::super::once::ONCE_OBJECT;
-use super::super::probe::ProbeQuestion;
+use super::super::probe::ProbeRequest;
 use super::service::ENTRY_LINKS;
 use super::service::HEARTBEAT_INTERVAL;
 use super::service::MAX_SUSPICIONS;
@@ -46,7 +46,7 @@
             LinkEvent::Down { link, reason } => {
                 let no = LinkNo(link.0);
                 if let Some(peer) = self.links.remove(&no) {
-                    self.lose_peer(&peer, reason);
+                    self.remove_peer(&peer, reason);
                 }
                 self.decide(now, OnlineEvent::LinkDown { link: no });
             }
@@ -55,7 +55,7 @@
     }
 
     /// Two entries may have a link in each direction, so a peer is lost with its last one.
-    fn lose_peer(&mut self, peer: &Peer, reason: &str) {
+    fn remove_peer(&mut self, peer: &Peer, reason: &str) {
         if peer.transient {
             return;
         }
@@ -68,7 +68,7 @@
         }
     }
 
-    fn gain_peer(&mut self, now: Timestamp, peer: &Peer) {
+    fn add_peer(&mut self, now: Timestamp, peer: &Peer) {
         if peer.transient {
             return;
         }
@@ -93,7 +93,7 @@
             transient: hello.transient,
             link,
         };
-        self.gain_peer(now, &peer);
+        self.add_peer(now, &peer);
         let info = PeerInfo {
             node: Name::clone(&peer.node),
             incarnation: peer.incarnation,
@@ -139,7 +139,7 @@
             Kind::ConfigSet(set) => self.on_config(Some(link), set.generation, &set.snapshot),
             Kind::Probe(probe) => {
                 if let Some(peer) = self.links.get(&link) {
-                    self.pass_on_probe(ProbeQuestion::new(probe, peer.link.clone()));
+                    self.pass_on_probe(ProbeRequest::new(probe, peer.link.clone()));
                 }
             }
             Kind::Dispatch(dispatch) => {
@@ -157,7 +157,7 @@
         }
     }
 
-    pub(super) fn pass_on_probe(&self, probe: ProbeQuestion) {
+    pub(super) fn pass_on_probe(&self, probe: ProbeRequest) {
         if probe.object.starts_with(ONCE_OBJECT) {
             self.shared.tell_once(OnceInput::Probe(probe));
         } else {
--- a/dogwoodtray_entry/src/shell/router/service.rs
+++ b/dogwoodtray_entry/src/shell/router/service.rs
@@ -93,7 +93,7 @@
     pub(super) role: Role,
     pub(super) incarnation: Incarnation,
     pub(super) generation: u64,
-    /// Whether the link is for one question only.
+    /// Whether the link is for one request only.
     pub(super) transient: bool,
     pub(super) link: LinkHandle,
 }
--- a/dogwoodtray_entry/src/shell/shared.rs
+++ b/dogwoodtray_entry/src/shell/shared.rs
@@ -22,7 +22,7 @@
 use super::OnceInput;
 use super::ROUTER;
 use super::RouterInput;
-use crate::http::LimitGate;
+use crate::http::RateLimiter;
 
 /// Status of a link for operators.
 #[derive(Clone, Debug, serde::Serialize)]
@@ -51,7 +51,7 @@
     pub(crate) jobs_driven: AtomicU64,
     pub(crate) jobs_drained: AtomicBool,
     pub(crate) once_drained: AtomicBool,
-    pub(crate) limits: Arc<LimitGate>,
+    pub(crate) limits: Arc<RateLimiter>,
     pub(crate) next_request: AtomicU64,
     pub(crate) open_answers: AtomicU64,
 }
@@ -63,7 +63,7 @@
         kernel: Kernel,
         events: EventLog,
     ) -> Self {
-        let limits = LimitGate::new(settings.organization_limits);
+        let limits = RateLimiter::new(settings.organization_limits);
         Self {
             settings,
             incarnation,
--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -27,7 +27,7 @@
 pub use crate::kernel::Service;
 pub use crate::kernel::ServiceHandle;
 pub use crate::kernel::spawn;
-pub use crate::link::Asked;
+pub use crate::link::AskOutcome;
 pub use crate::link::DialHandle;
 pub use crate::link::LinkConfig;
 pub use crate::link::LinkEvent;
--- a/dogwoodtray_runtime/src/link/ask.rs
+++ b/dogwoodtray_runtime/src/link/ask.rs
@@ -1,4 +1,4 @@
-//! One question on a connection of its own.
+//! One request on a connection of its own.
 
 use std::ops::ControlFlow;
 use std::time::Duration;
@@ -13,12 +13,12 @@
 use tokio::time;
 use tokio_util::codec::Framed;
 
-/// How a question went.
+/// How a request went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Asked {
-    /// No connection was made, so the question was certainly not sent.
+pub enum AskOutcome {
+    /// No connection was made, so the request was certainly not sent.
     NotSent,
-    /// The question may have arrived, but the answer did not end.
+    /// The request may have arrived, but the answer did not end.
     Lost,
     /// The answer ended.
     Answered,
@@ -29,24 +29,28 @@
 pub async fn ask(
     addr: &str,
     mut hello: Hello,
-    question: Frame,
+    request: Frame,
     timeout: Duration,
     on_hello: impl FnOnce(&Hello),
     mut on_answer: impl FnMut(Kind) -> ControlFlow<()>,
-) -> Asked {
+) -> AskOutcome {
     hello.transient = true;
-    let mut asked = Asked::NotSent;
-    let exchange = exchange(addr, hello, question, on_hello, &mut on_answer, &mut asked);
-    if time::timeout(timeout, exchange).await == Ok(Some(())) { Asked::Answered } else { asked }
+    let mut asked = AskOutcome::NotSent;
+    let exchange = exchange(addr, hello, request, on_hello, &mut on_answer, &mut asked);
+    if time::timeout(timeout, exchange).await == Ok(Some(())) {
+        AskOutcome::Answered
+    } else {
+        asked
+    }
 }
 
 async fn exchange(
     addr: &str,
     hello: Hello,
-    question: Frame,
+    request: Frame,
     on_hello: impl FnOnce(&Hello),
     on_answer: &mut impl FnMut(Kind) -> ControlFlow<()>,
-    asked: &mut Asked,
+    asked: &mut AskOutcome,
 ) -> Option<()> {
     let stream = TcpStream::connect(addr).await.ok()?;
     let mut framed = Framed::new(stream, FrameCodec::new());
@@ -55,8 +59,8 @@
         return None;
     };
     on_hello(&greeting);
-    *asked = Asked::Lost;
-    framed.send(question).await.ok()?;
+    *asked = AskOutcome::Lost;
+    framed.send(request).await.ok()?;
     loop {
         match framed.next().await?.ok()?.kind? {
             Kind::Hello(_) | Kind::Heartbeat(_) | Kind::ConfigSet(_) | Kind::ConfigFetch(_) => {}
--- a/dogwoodtray_runtime/src/link/mod.rs
+++ b/dogwoodtray_runtime/src/link/mod.rs
@@ -6,7 +6,7 @@
 mod listener;
 mod traffic;
 
-pub use self::ask::Asked;
+pub use self::ask::AskOutcome;
 pub use self::ask::ask;
 pub use self::connection::LinkConfig;
 pub use self::connection::LinkEvent;
