Restore the expected errors of the settings test

Change: the indexes follow the removal; the expected errors are the former ones. Conclusion: the checks are as strict as before.

--- a/dogwoodtray_cli/tests/settings.rs
+++ b/dogwoodtray_cli/tests/settings.rs
@@ -101,13 +101,15 @@
     );
     let mut args = AGENT.to_vec();
     args.extend(["--max-places=many", "--endpoint-checks-fence=yes"]);
-    args[6] = "--endpoint-kind=engine";
-    args[7] = "--models=a,,a";
+    args[5] = "--endpoint-kind=engine";
+    args[6] = "--models=a,,a";
     assert_refused(
         AgentSettings::parse(args.as_slice()),
-        expect![[
-            r#"Stderr(Doc { payload: "argument --endpoint-kind cannot be used multiple times in this context", tokens: [Text { bytes: 9, style: Text }, BlockStart(TermRef), Text { bytes: 15, style: Literal }, BlockEnd(TermRef), Text { bytes: 46, style: Text }] })"#
-        ]],
+        expect![[r#"
+            errors in the settings: 3
+              --models (DOGWOODTRAY_MODELS): "a,,a" is not allowed; allowed is a list of names separated by commas, at least one and none twice
+              --endpoint-checks-fence (DOGWOODTRAY_ENDPOINT_CHECKS_FENCE): "yes" is not allowed; allowed is true or false
+              --max-places (DOGWOODTRAY_MAX_PLACES): "many" is not allowed; allowed is a whole number from 1 to 65536"#]],
     );
 }
 
@@ -124,7 +126,7 @@
               --admin (DOGWOODTRAY_ADMIN): "10.0.0.7:8080" is not allowed; allowed is an address other than that of --listen"#]],
     );
     let mut args = AGENT.to_vec();
-    args[7] = "--models=loomdesk,stitchwriter";
+    args[6] = "--models=loomdesk,stitchwriter";
     assert_refused(
         AgentSettings::parse(args.as_slice()),
         expect![[r#"
