Show a job to its own organization only

Cause: any caller who knew or guessed the id of a job could read and cancel it; ids are hashes of organization and key. Ruled out: random ids (a resend has to find the first job). Change: status, results and cancel answer unknown_job to another organization; one more read of the header for results and cancel. Figures: the new test gets 404 for the other organization and 200 for the owner.

--- a/dogwoodtray_entry/src/http/batches.rs
+++ b/dogwoodtray_entry/src/http/batches.rs
@@ -175,9 +175,14 @@
 }
 
 /// Answers `GET /v1/batches/{id}`.
-pub(super) async fn status(shared: SharedState, job: &str) -> Result<Response<Body>, ApiError> {
+pub(super) async fn status(
+    shared: SharedState,
+    headers: CallerHeaders,
+    job: &str,
+) -> Result<Response<Body>, ApiError> {
     match ask(&shared, JobRequest::Status(Name::from(job))).await? {
-        JobReply::Status { state, counts, due_unix_ms, .. } => {
+        JobReply::Status { state, counts, due_unix_ms, organization } => {
+            check_owner(job, &organization, &headers)?;
             Ok(json_response(StatusCode::OK, &render_status(job, state, &counts, due_unix_ms)))
         }
         other => Err(not_read(job, &other)),
@@ -209,7 +214,12 @@
 }
 
 /// Answers `GET /v1/batches/{id}/results` with JSON lines.
-pub(super) async fn results(shared: SharedState, job: &str) -> Result<Response<Body>, ApiError> {
+pub(super) async fn results(
+    shared: SharedState,
+    headers: CallerHeaders,
+    job: &str,
+) -> Result<Response<Body>, ApiError> {
+    find_own(&shared, &headers, job).await?;
     let mut replies = send(&shared, JobRequest::Results(Name::from(job)))?;
     let mut lines = String::new();
     loop {
@@ -258,7 +268,12 @@
 }
 
 /// Answers `POST /v1/batches/{id}/cancel`.
-pub(super) async fn cancel(shared: SharedState, job: &str) -> Result<Response<Body>, ApiError> {
+pub(super) async fn cancel(
+    shared: SharedState,
+    headers: CallerHeaders,
+    job: &str,
+) -> Result<Response<Body>, ApiError> {
+    find_own(&shared, &headers, job).await?;
     match ask(&shared, JobRequest::Cancel(Name::from(job))).await? {
         JobReply::Cancelled { counts } => {
             let status = render_status(job, JobState::Cancelled, &counts, 0);
@@ -281,6 +296,26 @@
     }
 }
 
+/// Finds a job of the caller's organization.
+async fn find_own(
+    shared: &SharedState,
+    headers: &CallerHeaders,
+    job: &str,
+) -> Result<(), ApiError> {
+    match ask(shared, JobRequest::Status(Name::from(job))).await? {
+        JobReply::Status { organization, .. } => check_owner(job, &organization, headers),
+        other => Err(not_read(job, &other)),
+    }
+}
+
+/// A job of another organization is not told apart from one that does not exist.
+fn check_owner(job: &str, owner: &str, headers: &CallerHeaders) -> Result<(), ApiError> {
+    if *owner == *headers.organization {
+        return Ok(());
+    }
+    Err(not_read(job, &JobReply::NoSuchJob))
+}
+
 fn not_read(job: &str, reply: &JobReply) -> ApiError {
     match reply {
         JobReply::NoSuchJob => ApiError::not_found("unknown_job", format!("no job {job}")),
--- a/dogwoodtray_entry/src/http/port.rs
+++ b/dogwoodtray_entry/src/http/port.rs
@@ -142,12 +142,14 @@
             let body = read_body(req.into_body(), shared.settings.max_job_bytes).await?;
             batches::create(Arc::clone(shared), headers, body).await
         }
-        (&Method::GET, ["v1", "batches", job]) => batches::status(Arc::clone(shared), job).await,
+        (&Method::GET, ["v1", "batches", job]) => {
+            batches::status(Arc::clone(shared), headers, job).await
+        }
         (&Method::GET, ["v1", "batches", job, "results"]) => {
-            batches::results(Arc::clone(shared), job).await
+            batches::results(Arc::clone(shared), headers, job).await
         }
         (&Method::POST, ["v1", "batches", job, "cancel"]) => {
-            batches::cancel(Arc::clone(shared), job).await
+            batches::cancel(Arc::clone(shared), headers, job).await
         }
         (_, ["v1", "services", name, ..]) => {
             check_accepting(shared)?;
--- a/dogwoodtray_entry/tests/bad_input.rs
+++ b/dogwoodtray_entry/tests/bad_input.rs
@@ -8,8 +8,19 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use dogwoodtray_config::Publication;
+use dogwoodtray_config::PublicationRequest;
+use dogwoodtray_config::PublicationResult;
+use dogwoodtray_config::PublicationStep;
+use dogwoodtray_config::parse_file;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::WriteStamp;
 use dogwoodtray_entry::Entry;
 use dogwoodtray_entry::EntrySettings;
+use dogwoodtray_platform::HttpStore;
+use dogwoodtray_platform::HttpStoreConfig;
+use dogwoodtray_platform::Store;
 use dogwoodtray_standin::PlatformConfig;
 use dogwoodtray_standin::PlatformStandin;
 use tokio::runtime::Runtime;
@@ -24,9 +35,17 @@
 }
 
 fn start() -> Running {
+    start_with("")
+}
+
+/// Starts an entry after these objects were published.
+fn start_with(objects: &str) -> Running {
     let rt = Runtime::new().expect("a runtime");
     let (platform, entry) = rt.block_on(async {
         let platform = PlatformStandin::bind(PlatformConfig::default()).await.expect("a port");
+        if !objects.is_empty() {
+            publish(platform.addr(), objects).await;
+        }
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let free = TcpListener::bind(any).and_then(|l| l.local_addr()).expect("a port");
         let mut cfg = EntrySettings::new("entry", "dc", any, any, free, platform.addr());
@@ -43,6 +62,19 @@
     Running { _rt: rt, _platform: platform, entry }
 }
 
+async fn publish(platform: SocketAddr, objects: &str) {
+    let store = HttpStore::open(HttpStoreConfig::new(platform.to_string()));
+    let edited = parse_file("objects.toml", objects).expect("valid objects");
+    let stamp = WriteStamp { incarnation: Incarnation(1), seq: 1 };
+    let req = PublicationRequest { base: None, edited, stamp, note: Name::from("") };
+    let mut publication = Publication::new(req);
+    let mut step = publication.start();
+    while let PublicationStep::Call(op) = step {
+        step = publication.on_reply(store.call(op).await);
+    }
+    assert!(matches!(step, PublicationStep::Finished(PublicationResult::Published { .. })));
+}
+
 fn exchange(addr: SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(addr).expect("a connection");
     stream.set_read_timeout(Some(Duration::from_secs(3))).expect("a timeout");
@@ -116,3 +148,37 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     }
 }
+
+/// Guards against an organization that reads or cancels the job of another one.
+#[test]
+fn a_job_belongs_to_its_organization() {
+    let objects = r#"
+        [[model]]
+        name = "m"
+        context_tokens = 1000
+        max_output_tokens = 100
+        [[version]]
+        name = "m-1"
+        model = "m"
+        weights = "m/1"
+        accelerators = 1
+        [[route]]
+        name = "m"
+        model = "m"
+        version = "m-1"
+        default_deadline_ms = 1000
+        organisations = ["*"]
+    "#;
+    let running = start_with(objects);
+    let addr = running.entry.caller_addr();
+    let owner = "x-organization: omuramba\r\nidempotency-key: lot-1\r\n";
+    let body = r#"{"model":"m","requests":[{"custom_id":"a","body":{"messages":[1]}}]}"#;
+    let (status, answer) = post(addr, "/v1/batches", owner, body);
+    assert_eq!(status, 201, "{answer}");
+    let id = answer.split("\"id\":\"").nth(1).and_then(|s| s.split('"').next()).expect("an id");
+    let cancel = format!("/v1/batches/{id}/cancel");
+    let (status, answer) = post(addr, &cancel, "x-organization: borduurhuis\r\n", "");
+    assert_eq!(status, 404, "{answer}");
+    let (status, answer) = post(addr, &cancel, "x-organization: omuramba\r\n", "");
+    assert_eq!(status, 200, "{answer}");
+}
