--- a/dogwoodtray_entry/tests/jobs_support/mod.rs
+++ b/dogwoodtray_entry/tests/jobs_support/mod.rs
@@ -68,8 +68,6 @@
     next_tick: Timestamp,
     asked: BTreeMap<ReplyToken, Name>,
     down: bool,
-    /// Start and end of each outage.
-    pub(crate) outages: Vec<(Timestamp, Timestamp)>,
 }
 
 impl World {
@@ -91,7 +89,6 @@
             next_tick: Timestamp::ZERO,
             asked: BTreeMap::new(),
             down: false,
-            outages: Vec::new(),
         };
         for _ in 0..procs {
             world.start_proc();
@@ -154,13 +151,6 @@
     }
 
     pub(crate) fn set_down(&mut self, down: bool) {
-        match self.outages.last_mut() {
-            Some((_, end)) if self.down => *end = self.now,
-            _ => {}
-        }
-        if down {
-            self.outages.push((self.now, Timestamp(u64::MAX)));
-        }
         self.down = down;
         self.store.set_down(down);
     }
--- a/dogwoodtray_entry/tests/jobs_support/oracle.rs
+++ b/dogwoodtray_entry/tests/jobs_support/oracle.rs
@@ -19,9 +19,6 @@
 /// Time after an acknowledged cancellation in which an item may start when all notes are lost.
 const CANCEL_BOUND: Duration = Duration::from_secs(5);
 
-/// Time from the end of an outage until each process has reached the store again.
-const RECONNECT_BOUND: Duration = Duration::from_millis(2_500);
-
 /// What the callers know about a job.
 #[derive(Clone, Debug)]
 pub(crate) struct Expected {
@@ -162,14 +159,7 @@
         faults.push("an outcome was recorded after the cancellation".to_owned());
     }
     // One hop for an attempt that was on its way to the agent, one tick of the test clock.
-    let mut bound = at + CANCEL_BOUND + super::TICK;
-    // A driver that lost all notes goes on through an outage that begins before it had to confirm
-    // its header, and confirms it after the outage.
-    for (start, end) in world.outages.iter().filter(|(_, end)| *end > at) {
-        if *start <= bound {
-            bound = bound.max(*end + RECONNECT_BOUND);
-        }
-    }
+    let bound = at + CANCEL_BOUND + super::TICK;
     for run in world.agents.runs.iter().filter(|run| run.job == expected.job && run.at > bound) {
         faults.push(format!("item {} started at {} after a cancel at {at}", run.item, run.at));
     }
