Keep one wall clock in milliseconds and one error of a stopping process

Cause: two functions divided the wall time by the same constant, and the chat and batch handlers each built the same error. Ruled out: dropping the unused time of forget_request (it would change a dozen signatures of the online core; left for later). Change: Clock::unix_ms and ApiError::stopping replace the copies; no behaviour. Conclusion: two pairs of twins are gone.

--- a/dogwoodtray_entry/src/http/batches.rs
+++ b/dogwoodtray_entry/src/http/batches.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use dogwoodtray_coord::Name;
+use dogwoodtray_runtime::Clock;
 use hyper::Response;
 use hyper::StatusCode;
 use serde::Deserialize;
@@ -21,7 +22,6 @@
 use super::request::SharedState;
 use super::resolve::Target;
 use super::resolve::resolve;
-use super::resolve::unix_ms;
 use super::stream::Body;
 use crate::jobs::Counts;
 use crate::jobs::ItemOutcome;
@@ -123,10 +123,10 @@
 /// that is due only after the last day of its route is refused, one without a time of its own ends
 /// with that day.
 fn due(due_in_ms: Option<u64>, target: &Target) -> Result<Option<u64>, ApiError> {
-    let named = due_in_ms.map(|ms| unix_ms().saturating_add(ms));
+    let named = due_in_ms.map(|ms| Clock::unix_ms().saturating_add(ms));
     let Some(closes) = target.closes_unix_ms else {
         let by_policy = target.default_due.and_then(|due| u64::try_from(due.as_millis()).ok());
-        return Ok(named.or_else(|| by_policy.map(|ms| unix_ms().saturating_add(ms))));
+        return Ok(named.or_else(|| by_policy.map(|ms| Clock::unix_ms().saturating_add(ms))));
     };
     match named {
         Some(due) if due > closes => Err(ApiError::not_run(
@@ -138,7 +138,7 @@
         None => {
             let by_policy = target.default_due.unwrap_or(DEFAULT_DUE);
             let ms = u64::try_from(by_policy.as_millis()).unwrap_or(u64::MAX);
-            Ok(Some(unix_ms().saturating_add(ms).min(closes)))
+            Ok(Some(Clock::unix_ms().saturating_add(ms).min(closes)))
         }
     }
 }
@@ -235,7 +235,7 @@
                 return Ok(bytes_response(StatusCode::OK, "application/jsonl", body));
             }
             Some(other) => return Err(not_read(job, &other)),
-            None => return Err(stopping()),
+            None => return Err(ApiError::stopping()),
         }
     }
 }
@@ -363,25 +363,17 @@
     ApiError::unknown(StatusCode::INTERNAL_SERVER_ERROR, code, "the job cannot be read")
 }
 
-fn stopping() -> ApiError {
-    ApiError::unknown(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "stopping",
-        "the process stopped before the request ended",
-    )
-}
-
 fn send(
     shared: &SharedState,
     request: JobRequest,
 ) -> Result<UnboundedReceiver<JobReply>, ApiError> {
     let (reply, replies) = mpsc::unbounded_channel();
     if !shared.tell_jobs(JobsInput::Ask { request, reply }) {
-        return Err(stopping());
+        return Err(ApiError::stopping());
     }
     Ok(replies)
 }
 
 async fn ask(shared: &SharedState, request: JobRequest) -> Result<JobReply, ApiError> {
-    send(shared, request)?.recv().await.ok_or_else(stopping)
+    send(shared, request)?.recv().await.ok_or_else(ApiError::stopping)
 }
--- a/dogwoodtray_entry/src/http/chat.rs
+++ b/dogwoodtray_entry/src/http/chat.rs
@@ -106,7 +106,7 @@
             Ok(bytes_response(status, &content_type, data))
         }
         Some(AnswerPart::End(end)) => Err(ApiError::of_end(&end)),
-        None => Err(stopped()),
+        None => Err(ApiError::stopping()),
     }
 }
 
@@ -193,7 +193,7 @@
     shared.events.emit(&catalogue::REQUEST_ACCEPTED, Some(&spec.id), &[]);
     let spec = Arc::new(spec);
     if !shared.tell_router(RouterInput::Submit { request, spec, reply }) {
-        return Err(stopped());
+        return Err(ApiError::stopping());
     }
     Ok((parts, guard))
 }
@@ -228,7 +228,7 @@
             Ok(bytes_response(status, &content_type, data))
         }
         Some(AnswerPart::End(end)) => Err(ApiError::of_end(&end)),
-        None => Err(stopped()),
+        None => Err(ApiError::stopping()),
     }
 }
 
@@ -250,15 +250,7 @@
                 return Ok(json_response(StatusCode::OK, &answer.render(id, model)));
             }
             Some(AnswerPart::End(end)) => return Err(ApiError::of_end(&end)),
-            None => return Err(stopped()),
+            None => return Err(ApiError::stopping()),
         }
     }
 }
-
-fn stopped() -> ApiError {
-    ApiError::unknown(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "stopping",
-        "the process stopped before the request ended",
-    )
-}
--- a/dogwoodtray_entry/src/http/error.rs
+++ b/dogwoodtray_entry/src/http/error.rs
@@ -73,6 +73,14 @@
         Self { status, code, message: message.into(), run: Run::Unknown, retry: false }
     }
 
+    pub(crate) fn stopping() -> Self {
+        Self::unknown(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "stopping",
+            "the process stopped before the request ended",
+        )
+    }
+
     /// Translates the end of a request that was not answered.
     pub(crate) fn of_end(end: &RequestEnd) -> Self {
         match end {
--- a/dogwoodtray_entry/src/http/resolve.rs
+++ b/dogwoodtray_entry/src/http/resolve.rs
@@ -11,8 +11,6 @@
 use super::error::ApiError;
 use crate::shell::Shared;
 
-const MICROS_PER_MILLI: u64 = 1_000;
-
 /// What serves a public name.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
@@ -58,7 +56,7 @@
             "the organization may not use this model",
         ));
     }
-    let retirement = view.route_retirement(route, unix_ms());
+    let retirement = view.route_retirement(route, Clock::unix_ms());
     if !matches!(retirement, Retirement::Open(_)) {
         return Err(ApiError::not_run(
             StatusCode::GONE,
@@ -82,7 +80,3 @@
         closes_unix_ms: retirement.plan().map(|plan| plan.last_day.unix_ms()),
     })
 }
-
-pub(crate) fn unix_ms() -> u64 {
-    Clock::wall_us() / MICROS_PER_MILLI
-}
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -51,7 +51,6 @@
 /// agents count down what they offer places for, so more reports would not fill places sooner.
 const BACKLOG_INTERVAL: Duration = Duration::from_millis(500);
 
-const MICROS_PER_MILLI: u64 = 1_000;
 /// Time between looks at the retirement plans.
 const RETIREMENT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -180,7 +179,7 @@
             self.callers.remove(&token);
             self.decide(now, JobEvent::CallerGone { token });
         }
-        self.decide(now, JobEvent::Tick { now_unix_ms: unix_ms() });
+        self.decide(now, JobEvent::Tick { now_unix_ms: Clock::unix_ms() });
         self.close_retired(now);
         self.report_backlog(now);
         let driven = self.core.driven_jobs() as u64;
@@ -203,7 +202,7 @@
         self.next_retirement = now + RETIREMENT_INTERVAL;
         let view = self.shared.view();
         let open = |model: &str| {
-            matches!(view.retirement(Subject::Model(model), unix_ms()), Retirement::Open(_))
+            matches!(view.retirement(Subject::Model(model), Clock::unix_ms()), Retirement::Open(_))
         };
         let closed = view.models().iter().filter(|model| !open(&model.name));
         for model in closed {
@@ -218,7 +217,7 @@
         self.callers.insert(token, tx);
         let event = match request {
             JobRequest::Submit(submission) => {
-                JobEvent::Submit { token, submission, now_unix_ms: unix_ms() }
+                JobEvent::Submit { token, submission, now_unix_ms: Clock::unix_ms() }
             }
             JobRequest::Status(job) => JobEvent::Status { token, job },
             JobRequest::Results(job) => JobEvent::Results { token, job },
@@ -399,7 +398,3 @@
         _ => {}
     }
 }
-
-fn unix_ms() -> u64 {
-    Clock::wall_us() / MICROS_PER_MILLI
-}
--- a/dogwoodtray_runtime/src/kernel/clock.rs
+++ b/dogwoodtray_runtime/src/kernel/clock.rs
@@ -6,6 +6,8 @@
 
 use dogwoodtray_coord::Timestamp;
 
+const MICROS_PER_MILLI: u64 = 1_000;
+
 /// Reads the monotonic time of this process and the wall time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -31,4 +33,10 @@
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
     }
+
+    /// Returns the wall time in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn unix_ms() -> u64 {
+        Self::wall_us() / MICROS_PER_MILLI
+    }
 }
