Tell a death with a quick restart from a broken exchange

Cause: after a break with a good health check, the agent took any other running attempt as proof that its endpoint lived. An endpoint that dies and serves again at once answers the check before the other connections have broken, so its death passed for a broken exchange and the poison request ran a third time.

Only an attempt that was inside before the break and makes progress 50 ms after it now clears the endpoint; silence for 500 ms counts as a death of the broken attempts alone. Ruled out: a longer wait before the check, which the restart would still beat.

--- a/dogwoodtray_agent/src/core/attempt.rs
+++ b/dogwoodtray_agent/src/core/attempt.rs
@@ -26,8 +26,11 @@
     Queued,
     /// Forwarded to the endpoint.
     Running,
-    /// The connection to the endpoint broke; a health check tells what that means.
+    /// The connection to the endpoint broke; a health check is under way.
     Broken,
+    /// The connection broke and the endpoint answers. It may have died and restarted: attempts
+    /// that it held at the time of the break tell.
+    Doubtful,
     /// The exchange is being aborted; the end is known.
     Aborting(AttemptEnd),
     /// Ended; the answer is retained.
@@ -49,6 +52,10 @@
     pub(super) idle_since: Timestamp,
     /// Time of the last sign of progress from the endpoint.
     pub(super) progress_at: Timestamp,
+    /// Time at which the attempt was forwarded to the endpoint.
+    pub(super) forwarded_at: Timestamp,
+    /// Time at which its connection to the endpoint broke.
+    pub(super) broken_at: Timestamp,
 }
 
 impl Attempt {
@@ -64,11 +71,13 @@
             answer: BytesMut::new(),
             idle_since: now,
             progress_at: now,
+            forwarded_at: now,
+            broken_at: now,
         }
     }
 
     pub(super) fn is_inside(&self) -> bool {
-        matches!(self.stage, Stage::Running | Stage::Broken | Stage::Aborting(_))
+        matches!(self.stage, Stage::Running | Stage::Broken | Stage::Doubtful | Stage::Aborting(_))
     }
 
     pub(super) fn answer_from(&self, offset: u64) -> Bytes {
--- a/dogwoodtray_agent/src/core/endpoint.rs
+++ b/dogwoodtray_agent/src/core/endpoint.rs
@@ -1,5 +1,7 @@
 //! What happens at the endpoint.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use dogwoodtray_coord::AttemptId;
 use dogwoodtray_coord::Timestamp;
@@ -18,6 +20,14 @@
 /// Failed health checks in a row after which the endpoint counts as down.
 const MAX_MISSED_CHECKS: u32 = 3;
 
+/// Time after a break in which other attempts may still receive bytes that the endpoint sent
+/// before it died; many steps of an engine, and far more than a loopback or a link takes.
+const LATE_DATA: Duration = Duration::from_millis(50);
+
+/// Time after which a break counts as a death unless another attempt shows progress. A request
+/// that is wrongly suspected only runs alone once; one that is wrongly cleared kills again.
+const BREAK_VERDICT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// # Endpoint
 impl AgentCore {
     pub(super) fn on_endpoint(
@@ -52,6 +62,7 @@
                     && attempt.stage == Stage::Running
                 {
                     attempt.stage = Stage::Broken;
+                    attempt.broken_at = now;
                     return out.push(AgentAction::CheckHealth);
                 }
                 self.end_aborted(now, id, out);
@@ -123,16 +134,15 @@
     }
 
     pub(super) fn on_health(&mut self, now: Timestamp, up: bool, out: &mut Vec<AgentAction>) {
-        let broken = self.with_stage(|stage| stage == Stage::Broken);
-        let intact = self.with_stage(|stage| stage == Stage::Running);
-        if !broken.is_empty() && (!up || intact.is_empty()) {
-            // Every connection broke at once, or nothing answers: the endpoint died, even if it
-            // was restarted quickly enough to answer the check.
-            self.end_crashed(now, out);
-        } else {
-            for id in broken {
-                self.end(now, id, AttemptEnd::Failed, out);
+        if up {
+            for (_, attempt) in self.attempts.iter_mut() {
+                if attempt.stage == Stage::Broken {
+                    attempt.stage = Stage::Doubtful;
+                }
             }
+            self.judge_breaks(now, out);
+        } else if !self.with_stage(is_broken).is_empty() {
+            self.end_crashed(now, out);
         }
         self.missed_checks = if up { 0 } else { self.missed_checks + 1 };
         if up && !self.endpoint_up {
@@ -146,16 +156,51 @@
     }
 
     pub(super) fn end_crashed(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
+        let inside = self.with_stage(|stage| stage == Stage::Running || is_broken(stage));
+        self.end_in_death(now, &inside, out);
+        self.set_endpoint_down(now, out);
+    }
+
+    fn end_in_death(&mut self, now: Timestamp, ids: &[AttemptId], out: &mut Vec<AgentAction>) {
         self.deaths += 1;
         let death = self.cfg.incarnation.0.wrapping_mul(31).wrapping_add(self.deaths);
-        for id in self.with_stage(|stage| matches!(stage, Stage::Broken | Stage::Running)) {
+        for &id in ids {
             if let Some(attempt) = self.attempts.get(id) {
                 self.quarantine.record_death(attempt.work.content, death);
             }
             out.push(AgentAction::Abort { attempt: id });
             self.end(now, id, AttemptEnd::Crashed { death }, out);
         }
-        self.set_endpoint_down(now, out);
+    }
+
+    /// Ends the attempts whose connection broke though the endpoint answers. Only an attempt that
+    /// the endpoint held before the break and that goes on proves that it did not restart.
+    pub(super) fn judge_breaks(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
+        let doubtful = self.with_stage(|stage| stage == Stage::Doubtful);
+        let Some(first_break) = doubtful
+            .iter()
+            .filter_map(|id| self.attempts.get(*id))
+            .map(|attempt| attempt.broken_at)
+            .min()
+        else {
+            return;
+        };
+        let witnesses = || {
+            self.attempts
+                .iter()
+                .map(|(_, attempt)| attempt)
+                .filter(|a| a.stage == Stage::Running && a.forwarded_at < first_break)
+        };
+        if witnesses().any(|a| a.progress_at >= first_break + LATE_DATA) {
+            for id in doubtful {
+                self.end(now, id, AttemptEnd::Failed, out);
+            }
+        } else if self.with_stage(|stage| stage == Stage::Running).is_empty() {
+            // Every connection broke: the endpoint died, even if it serves again.
+            self.end_crashed(now, out);
+        } else if witnesses().next().is_none() || now - first_break >= BREAK_VERDICT_TIMEOUT {
+            self.end_in_death(now, &doubtful, out);
+        }
     }
 
     pub(super) fn set_endpoint_down(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
@@ -179,3 +224,7 @@
         self.attempts.iter().filter(|(_, a)| wanted(a.stage)).map(|(id, _)| *id).collect()
     }
 }
+
+const fn is_broken(stage: Stage) -> bool {
+    matches!(stage, Stage::Broken | Stage::Doubtful)
+}
--- a/dogwoodtray_agent/src/core/events.rs
+++ b/dogwoodtray_agent/src/core/events.rs
@@ -149,7 +149,7 @@
                 out.push(AgentAction::Abort { attempt: id });
                 self.admit(now, AdmissionEvent::Withdrawn { id: work }, out);
             }
-            Stage::Broken | Stage::Aborting(_) | Stage::Ended(_) => {}
+            Stage::Broken | Stage::Doubtful | Stage::Aborting(_) | Stage::Ended(_) => {}
         }
     }
 
@@ -205,6 +205,7 @@
 
     pub(super) fn on_tick(&mut self, now: Timestamp, out: &mut Vec<AgentAction>) {
         self.admit(now, AdmissionEvent::Tick, out);
+        self.judge_breaks(now, out);
         if self.last_heartbeat.is_none_or(|last| now - last >= HEARTBEAT_INTERVAL) {
             self.send_heartbeats(now, out);
         }
--- a/dogwoodtray_agent/src/core/place.rs
+++ b/dogwoodtray_agent/src/core/place.rs
@@ -53,6 +53,7 @@
         }
         state.stage = Stage::Running;
         state.progress_at = now;
+        state.forwarded_at = now;
         if let Some(peer) = state.peer {
             out.push(AgentAction::Send { peer, message: AgentMessage::Started { attempt } });
         }
@@ -74,7 +75,7 @@
                 self.end_queued(now, id, NotRun::Busy, out);
                 self.admit(now, AdmissionEvent::Withdrawn { id: work }, out);
             }
-            Stage::Broken | Stage::Aborting(_) | Stage::Ended(_) => {}
+            Stage::Broken | Stage::Doubtful | Stage::Aborting(_) | Stage::Ended(_) => {}
         }
     }
 
