--- a/dogwoodtray_cli/src/daemon/run.rs
+++ b/dogwoodtray_cli/src/daemon/run.rs
@@ -15,7 +15,7 @@
 const IO_THREADS: usize = 2;
 
 /// Default of the log filter if `RUST_LOG` is not set.
-const LOG_FILTER: &str = "info";
+pub(super) const LOG_FILTER: &str = "info";
 
 /// Runs a daemon to its end and returns its exit code.
 pub(super) fn run<F>(daemon: impl FnOnce() -> F) -> Exit
--- a/dogwoodtray_cli/src/settings/mod.rs
+++ b/dogwoodtray_cli/src/settings/mod.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod entry;
 mod error;
+mod gateway;
 mod setting;
 mod standin;
 mod values;
@@ -17,6 +18,9 @@
 pub use self::entry::OrganisationLimits;
 pub use self::error::SettingError;
 pub use self::error::SettingsFailure;
+pub use self::gateway::DriverSettings;
+pub use self::gateway::GatewaySettings;
+pub use self::gateway::NodeSettings;
 pub use self::standin::EngineStandinSettings;
 pub use self::standin::PlatformStandinSettings;
 pub use self::standin::ServiceStandinSettings;
--- a/dogwoodtray_cli/src/settings/setting.rs
+++ b/dogwoodtray_cli/src/settings/setting.rs
@@ -47,6 +47,11 @@
     PEER: "peer", "PEER", "IP:PORT", "Address for other processes of the fleet, as they dial it";
     ADMIN: "admin", "ADMIN", "IP:PORT", "Address of the operator port";
     PLATFORM: "platform", "PLATFORM", "IP:PORT", "Address of the platform's object API";
+    READINESS: "readiness", "READINESS", "IP:PORT", "Address of the balancer's readiness checks";
+    GRACE_S: "grace-s", "GRACE_S", "SECONDS",
+        "Time between the request to stop and the kill", "8";
+    RESULTS_KEPT_S: "results-kept-s", "RESULTS_KEPT_S", "SECONDS",
+        "Time after submission for which the results of a job stay readable", "120";
     ROUTE_POLICY: "route-policy", "ROUTE_POLICY", "NAME",
         "Routing: adaptive, round-robin or least-outstanding", "adaptive";
     ORG_REQUESTS_PER_S: "org-requests-per-s", "ORG_REQUESTS_PER_S", "COUNT",
--- /dev/null
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -0,0 +1,157 @@
+//! Drives batch jobs.
+//!
+//! A job is three kinds of objects in the platform's store: its submission, which never changes,
+//! segments of results, which are only added, and a mark that it was cancelled. Segments are
+//! numbered and created on the condition that their number is free. A process therefore adds one
+//! only after it has read all before it, which makes the segments the one order of results: no
+//! item stands at two positions and no position changes, whoever else drives the job.
+
+mod item;
+mod job;
+mod reads;
+mod retire;
+mod spec;
+mod sweep;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_platform::Change;
+use dogwoodtray_platform::Object;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+pub(crate) use self::job::Job;
+pub(crate) use self::spec::JobSpec;
+use crate::node::Node;
+use crate::sync::Update;
+
+/// Kind of the submissions.
+pub(crate) const JOBS_KIND: &str = "batch-jobs";
+
+/// Kind of the parts of submissions that are too large for one object.
+pub(crate) const PARTS_KIND: &str = "batch-parts";
+
+/// Kind of the segments of results.
+pub(crate) const RESULTS_KIND: &str = "batch-results";
+
+/// Kind of the marks of cancelled jobs.
+pub(crate) const ENDS_KIND: &str = "batch-ends";
+
+/// Kinds that a driver writes for a process that the store turns away.
+pub(crate) const BATCH_KINDS: [&str; 3] = [JOBS_KIND, PARTS_KIND, ENDS_KIND];
+
+/// Wait of the watches of jobs.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+
+/// Interval at which a driver looks which jobs are its own.
+const OWNER_CHECK: Duration = Duration::from_millis(250);
+
+/// Job side of a driver.
+#[derive(Debug, Default)]
+pub(crate) struct Driver {
+    jobs: RefCell<HashMap<Name, Rc<Job>>>,
+    /// Jobs with a task that drives them.
+    driving: Cell<usize>,
+}
+
+impl Driver {
+    /// Starts to follow the jobs and to drive those that are this process's own.
+    pub(crate) fn spawn(node: &Rc<Node>) -> Rc<Self> {
+        let driver = Rc::new(Self::default());
+        let this = Rc::clone(&driver);
+        node.spawn_follow(JOBS_KIND, |_| WATCH_WAIT, move |node, update| {
+            this.on_jobs(node, update);
+        });
+        let this = Rc::clone(&driver);
+        node.spawn_follow(ENDS_KIND, |_| WATCH_WAIT, move |_, update| this.on_ends(update));
+        let this = Rc::clone(&driver);
+        let owner = Rc::clone(node);
+        spawn_local(async move {
+            loop {
+                sleep(OWNER_CHECK).await;
+                this.check_owners(&owner);
+            }
+        });
+        retire::spawn(node, &driver);
+        sweep::spawn(node, &driver);
+        driver
+    }
+
+    /// Tells whether no job is driven.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.driving.get() == 0
+    }
+
+    fn on_jobs(self: &Rc<Self>, node: &Rc<Node>, update: Update) {
+        match update {
+            Update::All(objects) => {
+                for object in &objects {
+                    self.add(object);
+                }
+            }
+            Update::One(Change::Put(object)) => {
+                self.add(&object);
+            }
+            Update::One(Change::Removed(name)) => {
+                if let Some(job) = self.jobs.borrow_mut().remove(&name) {
+                    job.end();
+                }
+            }
+        }
+        self.check_owners(node);
+    }
+
+    /// Adds a job unless it is known.
+    fn add(&self, object: &Object) -> Option<Rc<Job>> {
+        let mut jobs = self.jobs.borrow_mut();
+        if let Some(job) = jobs.get(&object.name) {
+            job.on_status(object.status.get());
+            return Some(Rc::clone(job));
+        }
+        let spec = match serde_json::from_str::<JobSpec>(object.spec.get()) {
+            Ok(spec) => spec,
+            Err(err) => {
+                log::error!("job {} in the store cannot be read: {err}", object.name);
+                return None;
+            }
+        };
+        let job = Rc::new(Job::new(Name::clone(&object.name), spec));
+        job.on_status(object.status.get());
+        jobs.insert(Name::clone(&object.name), Rc::clone(&job));
+        Some(job)
+    }
+
+    fn on_ends(&self, update: Update) {
+        let end = |name: &Name| match self.jobs.borrow().get(name) {
+            Some(job) => job.end(),
+            None => log::debug!("unknown job {name} is cancelled"),
+        };
+        match update {
+            Update::All(objects) => objects.iter().for_each(|object| end(&object.name)),
+            Update::One(Change::Put(object)) => end(&object.name),
+            Update::One(Change::Removed(_)) => {}
+        }
+    }
+
+    fn check_owners(self: &Rc<Self>, node: &Rc<Node>) {
+        let jobs: Vec<Rc<Job>> = self.jobs.borrow().values().cloned().collect();
+        for job in jobs {
+            let own = !job.is_over() && node.peers.owns(node, job.id());
+            job.set_own(own);
+            if own && job.start_driving() {
+                self.driving.set(self.driving.get() + 1);
+                let (node, driver) = (Rc::clone(node), Rc::clone(self));
+                spawn_local(async move {
+                    job.drive(&node).await;
+                    job.stop_driving();
+                    driver.driving.set(driver.driving.get() - 1);
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/dogwoodtray_gateway/src/front/jobs.rs
@@ -0,0 +1,183 @@
+//! Calls about batch jobs.
+
+use std::fmt::Display;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodtray_coord::Name;
+use dogwoodtray_platform::Created;
+use dogwoodtray_runtime::Clock;
+use dogwoodtray_runtime::catalogue;
+use dogwoodtray_wire::messages;
+use dogwoodtray_wire::messages::JobReadStatus;
+use dogwoodtray_wire::messages::frame::Kind;
+use hyper::Response;
+use hyper::StatusCode;
+
+use super::answer;
+use super::answer::Answer;
+use super::body::AnswerBody;
+use crate::driver::ENDS_KIND;
+use crate::driver::JOBS_KIND;
+use crate::driver::JobSpec;
+use crate::driver::PARTS_KIND;
+use crate::model::BatchTerms;
+use crate::model::ItemResult;
+use crate::model::ItemState;
+use crate::model::JobItem;
+use crate::model::ResultPage;
+use crate::model::Route;
+use crate::node::Node;
+
+/// Items of one job at most, as the platform says.
+const MAX_ITEMS: usize = 200;
+
+/// Longest wait of a read for a result.
+const MAX_READ_WAIT: Duration = Duration::from_secs(2);
+
+/// Time that a driver may take beyond the wait of a read; it may have to load the job first.
+const READ_GRACE: Duration = Duration::from_millis(400);
+
+/// Drivers that are asked one after another. Any of them can load a job from the store.
+const MAX_DRIVERS_ASKED: usize = 2;
+
+/// `Retry-After` while the store or the drivers cannot be reached.
+const RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// Accepts a job: it is kept once its object exists.
+pub(crate) async fn submit(
+    node: &Rc<Node>,
+    route: &Route,
+    terms: BatchTerms,
+    id: &Name,
+    body: &Bytes,
+) -> Answer {
+    let items = match node.dialect.submission(body) {
+        Ok(items) if (1..=MAX_ITEMS).contains(&items.len()) => items,
+        Ok(_) => return answer::plain(StatusCode::BAD_REQUEST, "1 to 200 items are allowed\n"),
+        Err(err) => {
+            log::info!("job {id} cannot be read: {err}");
+            return answer::plain(StatusCode::BAD_REQUEST, "not a batch job\n");
+        }
+    };
+    let count = items.len();
+    let created = store(node, route, terms, id, items).await;
+    let answer = match created {
+        Created::Done | Created::Exists => {
+            let mut answer = Response::new(AnswerBody::full(Bytes::new()));
+            *answer.status_mut() = StatusCode::ACCEPTED;
+            answer
+        }
+        Created::Unavailable => answer::refused(RETRY_AFTER),
+        Created::Unknown => {
+            answer::plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been accepted\n")
+        }
+        Created::TooLarge => answer::plain(StatusCode::PAYLOAD_TOO_LARGE, "item too large\n"),
+    };
+    let status = answer.status().as_u16();
+    let code = if status == StatusCode::ACCEPTED { &catalogue::JOB_ACCEPTED } else { &catalogue::JOB_REFUSED };
+    let outcome = format!("{created:?}");
+    let fields: [(&str, &dyn Display); 4] =
+        [("status", &status), ("items", &count), ("route", &route.name), ("store", &outcome)];
+    node.events.emit(code, Some(id), &fields);
+    answer
+}
+
+async fn store(
+    node: &Rc<Node>,
+    route: &Route,
+    terms: BatchTerms,
+    id: &Name,
+    items: Vec<JobItem>,
+) -> Created {
+    let (spec, parts) = JobSpec::new(route, terms, Clock::unix_ms(), items).encode();
+    for (index, part) in (0..).zip(parts) {
+        let name = JobSpec::part_name(id, index);
+        match node.create(PARTS_KIND, &name, part).await {
+            Created::Done | Created::Exists => {}
+            // Without its main object the job does not exist.
+            Created::Unknown => return Created::Unavailable,
+            other => return other,
+        }
+    }
+    node.create(JOBS_KIND, id, spec).await
+}
+
+/// Ends a job.
+pub(crate) async fn cancel(node: &Rc<Node>, id: &Name) -> Answer {
+    let created = node.create(ENDS_KIND, id, "{}".to_owned()).await;
+    let answer = match created {
+        Created::Done | Created::Exists => Response::new(AnswerBody::full(Bytes::new())),
+        Created::Unavailable => answer::refused(RETRY_AFTER),
+        Created::Unknown | Created::TooLarge => {
+            answer::plain(StatusCode::GATEWAY_TIMEOUT, "the end may have been stored\n")
+        }
+    };
+    let status = answer.status().as_u16();
+    node.events.emit(&catalogue::JOB_CANCELLED, Some(id), &[("status", &status)]);
+    answer
+}
+
+/// Reads results from a position on.
+pub(crate) async fn read(node: &Rc<Node>, id: &Name, after: u32, wait: Duration) -> Answer {
+    let wait = wait.min(MAX_READ_WAIT);
+    let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+    let reply = ask(node, id, wait + READ_GRACE, |call| messages::JobRead {
+        call,
+        job: id.to_string(),
+        after,
+        wait_ms,
+    });
+    let Some(Kind::JobPage(page)) = reply.await else { return answer::refused(RETRY_AFTER) };
+    if page.status() == JobReadStatus::Missing {
+        return answer::plain(StatusCode::NOT_FOUND, "no such job\n");
+    }
+    let results: Vec<ItemResult> = page.results.into_iter().map(result).collect();
+    let count = u32::try_from(results.len()).unwrap_or(u32::MAX);
+    let page = ResultPage { total: page.total, next: after.saturating_add(count), results };
+    answer::json(node.dialect.page(&page))
+}
+
+/// Reads the body of an item.
+pub(crate) async fn read_item(node: &Rc<Node>, id: &Name, item: &str) -> Answer {
+    let reply = ask(node, id, READ_GRACE, |call| messages::JobItemRead {
+        call,
+        job: id.to_string(),
+        item: item.to_owned(),
+    });
+    let Some(Kind::JobItemBody(body)) = reply.await else { return answer::refused(RETRY_AFTER) };
+    if body.status() == JobReadStatus::Missing {
+        return answer::plain(StatusCode::NOT_FOUND, "no such item\n");
+    }
+    Response::new(AnswerBody::full(body.body))
+}
+
+/// Asks the driver of a job, and another one if it gives no sure answer.
+async fn ask<M: Into<messages::Frame>>(
+    node: &Rc<Node>,
+    id: &Name,
+    limit: Duration,
+    message: impl Fn(u64) -> M,
+) -> Option<Kind> {
+    for name in node.peers.ranked(node, id).into_iter().take(MAX_DRIVERS_ASKED) {
+        let Some(link) = node.peers.link_to(&name) else { continue };
+        let reply = node.call(&link, limit, &message).await;
+        match &reply {
+            Some(Kind::JobPage(page)) if page.status() == JobReadStatus::Unavailable => {}
+            Some(Kind::JobItemBody(body)) if body.status() == JobReadStatus::Unavailable => {}
+            Some(_) => return reply,
+            None => node.peers.suspect(node, &name),
+        }
+    }
+    log::info!("no driver could read job {id}");
+    None
+}
+
+fn result(result: messages::JobResult) -> ItemResult {
+    ItemResult {
+        item: Name::from(result.item),
+        state: if result.completed { ItemState::Completed } else { ItemState::GivenUp },
+        output: result.output,
+    }
+}
--- /dev/null
+++ b/dogwoodtray_gateway/src/front/mod.rs
@@ -0,0 +1,13 @@
+//! What callers reach.
+
+mod answer;
+mod attempt;
+mod body;
+mod jobs;
+mod online;
+mod server;
+mod stream;
+mod trace;
+
+pub(crate) use self::server::Admin;
+pub(crate) use self::server::Front;
--- /dev/null
+++ b/dogwoodtray_gateway/src/front/server.rs
@@ -0,0 +1,302 @@
+//! Ports of a process: callers, readiness and metrics.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_runtime::MetricsHandle;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderMap;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::answer;
+use super::answer::Answer;
+use super::attempt::Attempts;
+use super::body::AnswerBody;
+use super::jobs;
+use super::online;
+use super::trace::Trace;
+use crate::model::RouteKind;
+use crate::node::Node;
+use crate::request::Outgoing;
+use crate::request::strip_hop_headers;
+
+/// Factor on the idle time of the configuration after which a connection is closed. Callers stay
+/// below that time, and a change of it must not close connections that they still use.
+const IDLE_FACTOR: u32 = 2;
+
+/// Pause after a connection could not be accepted, which happens when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Read buffer of a connection; a request head must fit into it.
+const MIN_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Time that a caller waits if it does not say so.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// `Retry-After` of a process that knows no configuration yet.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Serves callers.
+#[derive(Debug)]
+pub(crate) struct Front {
+    open: Rc<Cell<usize>>,
+    closing: watch::Sender<bool>,
+}
+
+impl Front {
+    /// Binds the address for callers.
+    pub(crate) async fn bind(node: &Rc<Node>, addr: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let open = Rc::new(Cell::new(0));
+        let (closing, closed) = watch::channel(false);
+        let node = Rc::clone(node);
+        let count = Rc::clone(&open);
+        spawn_local(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    metrics::counter!("dogwoodtray_accept_failures_total").increment(1);
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                };
+                let guard = OpenGuard::new(&count);
+                let (node, closed) = (Rc::clone(&node), closed.clone());
+                spawn_local(async move {
+                    serve_connection(node, stream, closed).await;
+                    drop(guard);
+                });
+            }
+        });
+        Ok(Self { open, closing })
+    }
+
+    /// Closes idle connections, and each other one after its answer.
+    pub(crate) fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn open(&self) -> usize {
+        self.open.get()
+    }
+}
+
+struct OpenGuard {
+    open: Rc<Cell<usize>>,
+}
+
+impl OpenGuard {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self { open: Rc::clone(open) }
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+async fn serve_connection(node: Rc<Node>, stream: TcpStream, mut closed: watch::Receiver<bool>) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("a connection ended at once: {err}");
+        return;
+    }
+    let limits = node.directory.borrow().config().map(|config| config.limits).unwrap_or_default();
+    let service = service_fn(|req| {
+        let node = Rc::clone(&node);
+        async move { Ok::<_, Infallible>(handle(&node, req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout * IDLE_FACTOR)
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut closing = *closed.borrow();
+    if closing {
+        connection.as_mut().graceful_shutdown();
+    }
+    loop {
+        tokio::select! {
+            // Errors of a connection are its caller's or are logged with their request.
+            _ = connection.as_mut() => return,
+            changed = closed.changed(), if !closing => {
+                closing = true;
+                if changed.is_ok() {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+async fn handle(node: &Rc<Node>, req: Request<Incoming>) -> Answer {
+    let mut answer = route(node, req).await;
+    if node.draining.get() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+async fn route(node: &Rc<Node>, req: Request<Incoming>) -> Answer {
+    let arrived = node.now();
+    let (parts, body) = req.into_parts();
+    let names = node.dialect.names();
+    let path = parts.uri.path().to_owned();
+    if let Some(job) = path.strip_prefix(names.job_path) {
+        return on_job(node, &parts, &Name::from(job)).await;
+    }
+    if let Some(job) = path.strip_prefix(names.item_path) {
+        let item = query(&parts, names.item_param).unwrap_or_default();
+        return jobs::read_item(node, &Name::from(job), &item).await;
+    }
+    let Some(config) = node.directory.borrow().config().cloned() else {
+        return answer::refused(STARTING_RETRY_AFTER);
+    };
+    let host = header_text(&parts.headers, &header::HOST).unwrap_or_default();
+    let Some(route) = config.route(host, &path) else {
+        return answer::plain(StatusCode::NOT_FOUND, "no such route\n");
+    };
+    let Some(id) = header_text(&parts.headers, &names.request_id).map(Name::from) else {
+        return answer::plain(StatusCode::BAD_REQUEST, "the request has no id\n");
+    };
+    let body = match Limited::new(body, config.limits.max_body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
+            return answer::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+        }
+        Err(err) => {
+            log::debug!("request {id} was not read: {err}");
+            return answer::plain(StatusCode::BAD_REQUEST, "the body is incomplete\n");
+        }
+    };
+    if let RouteKind::Batch(terms) = route.kind {
+        return jobs::submit(node, route, terms, &id, &body).await;
+    }
+    let Some(service) = route.service_at(rand::random()) else {
+        return answer::refused(STARTING_RETRY_AFTER);
+    };
+    let patience = header_text(&parts.headers, &names.deadline_ms)
+        .and_then(|text| text.parse().ok())
+        .map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    let deadline = arrived + patience.min(route.timeout);
+    let trace = Trace::new(node, &id, &route.name, config.generation.0, arrived);
+    let mut headers = parts.headers;
+    strip_hop_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let path_and_query = parts.uri.path_and_query().map_or(path, ToString::to_string);
+    let outgoing = Outgoing { method: parts.method, path_and_query, headers, body };
+    let attempts = Attempts::new(
+        Rc::clone(node),
+        route.clone(),
+        Name::clone(service),
+        id,
+        outgoing,
+        (arrived, deadline),
+        trace,
+    );
+    online::serve(attempts).await
+}
+
+async fn on_job(node: &Rc<Node>, parts: &Parts, job: &Name) -> Answer {
+    let names = node.dialect.names();
+    if parts.method == Method::DELETE {
+        return jobs::cancel(node, job).await;
+    }
+    if parts.method != Method::GET {
+        return answer::plain(StatusCode::METHOD_NOT_ALLOWED, "read or cancel a job\n");
+    }
+    let after = query(parts, names.after_param).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let wait = header_text(&parts.headers, &names.wait_ms)
+        .and_then(|text| text.parse().ok())
+        .map_or(Duration::ZERO, Duration::from_millis);
+    jobs::read(node, job, after, wait).await
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn query(parts: &Parts, name: &str) -> Option<String> {
+    parts.uri.query()?.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then(|| value.to_owned())
+    })
+}
+
+/// Serves readiness and metrics.
+#[derive(Debug)]
+pub(crate) struct Admin;
+
+impl Admin {
+    /// Binds an address for readiness checks and metrics.
+    pub(crate) async fn bind(
+        node: &Rc<Node>,
+        addr: SocketAddr,
+        metrics: MetricsHandle,
+    ) -> io::Result<()> {
+        let listener = TcpListener::bind(addr).await?;
+        let node = Rc::clone(node);
+        spawn_local(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                };
+                let (node, metrics) = (Rc::clone(&node), metrics.clone());
+                spawn_local(async move {
+                    let service = service_fn(|req: Request<Incoming>| {
+                        let answer = admin(&node, &metrics, req.uri().path());
+                        async move { Ok::<_, Infallible>(answer) }
+                    });
+                    // A check that breaks off is repeated by whoever sent it.
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        Ok(())
+    }
+}
+
+fn admin(node: &Node, metrics: &MetricsHandle, path: &str) -> Answer {
+    if path == node.dialect.names().ready_path {
+        let directory = node.directory.borrow();
+        let ready = !node.draining.get() && directory.config().is_some() && directory.is_listed();
+        return if ready {
+            answer::plain(StatusCode::OK, "ready\n")
+        } else {
+            answer::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        };
+    }
+    match path {
+        "/metrics" => {
+            hyper::Response::new(AnswerBody::full(metrics.render().into_bytes().into()))
+        }
+        _ => answer::plain(StatusCode::NOT_FOUND, "no such page\n"),
+    }
+}
--- /dev/null
+++ b/dogwoodtray_gateway/src/front/trace.rs
@@ -0,0 +1,116 @@
+//! What is logged and counted of one request.
+
+use std::fmt::Display;
+use std::rc::Rc;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_runtime::catalogue;
+
+use crate::node::Node;
+
+/// Course of one request. Its end is logged once, also when the caller goes away.
+#[derive(Debug)]
+pub(crate) struct Trace {
+    node: Rc<Node>,
+    id: Name,
+    route: Name,
+    generation: u64,
+    arrived: Timestamp,
+    granted: Option<Timestamp>,
+    first_data: Option<Timestamp>,
+    endpoint: Option<Name>,
+    sent: u32,
+    status: u16,
+    done: bool,
+}
+
+impl Trace {
+    pub(crate) fn new(
+        node: &Rc<Node>,
+        id: &Name,
+        route: &Name,
+        generation: u64,
+        arrived: Timestamp,
+    ) -> Self {
+        Self {
+            node: Rc::clone(node),
+            id: Name::clone(id),
+            route: Name::clone(route),
+            generation,
+            arrived,
+            granted: None,
+            first_data: None,
+            endpoint: None,
+            sent: 0,
+            status: 0,
+            done: false,
+        }
+    }
+
+    pub(crate) fn on_sent(&mut self, endpoint: &Name) {
+        self.granted.get_or_insert_with(|| self.node.now());
+        self.endpoint = Some(Name::clone(endpoint));
+        self.sent += 1;
+    }
+
+    pub(crate) const fn on_status(&mut self, status: u16) {
+        self.status = status;
+    }
+
+    pub(crate) fn on_data(&mut self) {
+        if self.first_data.is_none() {
+            self.first_data = Some(self.node.now());
+        }
+    }
+
+    /// Logs a failed attempt that is followed by another one.
+    pub(crate) fn retried(&self, endpoint: &Name, reason: &dyn Display) {
+        let fields: [(&str, &dyn Display); 3] =
+            [("endpoint", endpoint), ("reason", reason), ("sent", &self.sent)];
+        self.node.events.emit(&catalogue::REQUEST_RETRIED, Some(&self.id), &fields);
+    }
+
+    pub(crate) fn finish(&mut self, outcome: &'static str) {
+        if std::mem::replace(&mut self.done, true) {
+            return;
+        }
+        let now = self.node.now();
+        let since = |at: Option<Timestamp>| at.map_or(-1, |at| millis(at, self.arrived));
+        let endpoint = self.endpoint.as_deref().unwrap_or("-");
+        let total = millis(now, self.arrived);
+        let (waited, first) = (since(self.granted), since(self.first_data));
+        let fields: [(&str, &dyn Display); 9] = [
+            ("outcome", &outcome),
+            ("status", &self.status),
+            ("route", &self.route),
+            ("generation", &self.generation),
+            ("endpoint", &endpoint),
+            ("sent", &self.sent),
+            ("waited_ms", &waited),
+            ("first_ms", &first),
+            ("total_ms", &total),
+        ];
+        let code = match outcome {
+            "answered" => &catalogue::ROUTED_ANSWERED,
+            "caller gone" => &catalogue::CALLER_GONE,
+            _ => &catalogue::ROUTED_FAILED,
+        };
+        self.node.events.emit(code, Some(&self.id), &fields);
+        metrics::counter!("dogwoodtray_routed_total", "outcome" => outcome).increment(1);
+        if let Some(first) = self.first_data {
+            let seconds = (first - self.arrived).as_secs_f64();
+            metrics::histogram!("dogwoodtray_first_byte_seconds").record(seconds);
+        }
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        self.finish("caller gone");
+    }
+}
+
+fn millis(at: Timestamp, since: Timestamp) -> i64 {
+    i64::try_from((at - since).as_millis()).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -0,0 +1,40 @@
+//! Serves the routes of the users' platform and drives their batch jobs.
+//!
+//! A [`Gateway`] passes the requests of callers on to endpoints. A [`JobDriver`] gives the places
+//! at endpoints to the requests of all processes and runs batch jobs in those that are left. What
+//! the platform calls things is hidden behind a [`Dialect`].
+
+mod calls;
+mod directory;
+mod driver;
+mod front;
+mod model;
+mod net;
+mod node;
+mod peers;
+mod places;
+mod process;
+mod request;
+mod sync;
+
+pub use crate::directory::Directory;
+pub use crate::model::BatchTerms;
+pub use crate::model::DecodeError;
+pub use crate::model::Dialect;
+pub use crate::model::Endpoint;
+pub use crate::model::EndpointState;
+pub use crate::model::ItemResult;
+pub use crate::model::ItemState;
+pub use crate::model::JobItem;
+pub use crate::model::Limits;
+pub use crate::model::Names;
+pub use crate::model::ResultPage;
+pub use crate::model::Route;
+pub use crate::model::RouteKind;
+pub use crate::model::SiteConfig;
+pub use crate::net::EventReader;
+pub use crate::net::StreamEvent;
+pub use crate::node::NodeConfig;
+pub use crate::node::NodeRole;
+pub use crate::process::Gateway;
+pub use crate::process::JobDriver;
--- /dev/null
+++ b/dogwoodtray_gateway/src/model/mod.rs
@@ -0,0 +1,21 @@
+//! What the gateway knows of the platform, in the words of the product.
+
+mod dialect;
+mod endpoint;
+mod job;
+mod route;
+
+pub use self::dialect::DecodeError;
+pub use self::dialect::Dialect;
+pub use self::dialect::Names;
+pub use self::endpoint::Endpoint;
+pub use self::endpoint::EndpointState;
+pub use self::job::ItemResult;
+pub use self::job::ItemState;
+pub use self::job::JobItem;
+pub use self::job::ResultPage;
+pub use self::route::BatchTerms;
+pub use self::route::Limits;
+pub use self::route::Route;
+pub use self::route::RouteKind;
+pub use self::route::SiteConfig;
--- /dev/null
+++ b/dogwoodtray_gateway/src/net/mod.rs
@@ -0,0 +1,11 @@
+//! Exchanges with endpoints and their event streams.
+
+mod events;
+mod upstream;
+
+pub use self::events::EventReader;
+pub use self::events::StreamEvent;
+pub(crate) use self::upstream::Exchange;
+pub(crate) use self::upstream::SendError;
+pub(crate) use self::upstream::UpstreamBody;
+pub(crate) use self::upstream::send;
--- /dev/null
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -0,0 +1,381 @@
+//! Keeps the configuration, the endpoints and the drivers of a process up to date.
+//!
+//! Every call to the store is counted for the whole fleet. The endpoints, which change all the
+//! time, are therefore listed by one driver and relayed on links; a process lists them itself only
+//! when the relayed list grows old. Objects that change rarely are watched.
+
+use std::fmt::Display;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Version;
+use dogwoodtray_platform::Change;
+use dogwoodtray_platform::Created;
+use dogwoodtray_platform::Listed;
+use dogwoodtray_platform::Object;
+use dogwoodtray_platform::Updated;
+use dogwoodtray_platform::Watched;
+use dogwoodtray_runtime::LinkId;
+use dogwoodtray_runtime::catalogue;
+use dogwoodtray_wire::messages;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::model::Endpoint;
+use crate::model::EndpointState;
+use crate::node::Node;
+use crate::node::NodeRole;
+
+/// Kind of the objects with which drivers make themselves known.
+const DRIVERS_KIND: &str = "drivers";
+
+/// Interval at which one driver lists the endpoints. A draining endpoint must get no new request
+/// 2 s after it said so, and the relay adds a few milliseconds.
+const LIST_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Age of a relayed list at which a process lists the endpoints itself.
+const MAX_RELAY_AGE: Duration = Duration::from_millis(1_000);
+
+/// Interval at which a process looks at the age of its list.
+const AGE_CHECK: Duration = Duration::from_millis(200);
+
+/// Wait of a watch of the configuration without a relay. A connection can go silent unnoticed, and
+/// a change has to be in force after 2 s.
+const CONFIG_WAIT: Duration = Duration::from_millis(2_500);
+
+/// Wait of a watch whose changes arrive on links as well, or can wait.
+const LONG_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause after the first failed call; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest pause between failed calls; a store that returned is found again within it.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+
+/// Entry of a driver in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct DriverSpec {
+    address: String,
+    incarnation: u64,
+}
+
+/// What a followed kind holds.
+pub(crate) enum Update {
+    /// All its objects.
+    All(Vec<Object>),
+    /// A change of one.
+    One(Change),
+}
+
+/// Pause between calls that fail.
+struct Pause(Duration);
+
+impl Pause {
+    const fn new() -> Self {
+        Self(FIRST_PAUSE)
+    }
+
+    async fn wait(&mut self) {
+        // Half of the pause is random, so that processes spread out when the store returns.
+        sleep(self.0.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
+        self.0 = (self.0 * 2).min(MAX_PAUSE);
+    }
+}
+
+/// # Following
+impl Node {
+    /// Starts to follow the configuration, the endpoints and the drivers.
+    pub(crate) fn spawn_sync(self: &Rc<Self>) {
+        let (kind, _) = self.dialect.names().config;
+        self.spawn_follow(kind, Self::config_wait, Self::on_config_update);
+        self.spawn_follow(DRIVERS_KIND, |_| LONG_WAIT, Self::on_drivers_update);
+        let node = Rc::clone(self);
+        spawn_local(async move { node.follow_endpoints().await });
+        if self.cfg.role == NodeRole::Driver {
+            let node = Rc::clone(self);
+            spawn_local(async move { node.register().await });
+        }
+    }
+
+    fn config_wait(&self) -> Duration {
+        let relayed = self.cfg.role == NodeRole::Gateway && self.peers.has_links();
+        if relayed { LONG_WAIT } else { CONFIG_WAIT }
+    }
+
+    /// Lists a kind and watches it from there on.
+    pub(crate) fn spawn_follow(
+        self: &Rc<Self>,
+        kind: &'static str,
+        wait: impl Fn(&Self) -> Duration + 'static,
+        mut apply: impl FnMut(&Rc<Self>, Update) + 'static,
+    ) {
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            loop {
+                let mut pause = Pause::new();
+                let mut at = loop {
+                    match node.store.list(kind).await {
+                        Listed::All { objects, revision } => {
+                            apply(&node, Update::All(objects));
+                            break revision;
+                        }
+                        Listed::Unavailable => pause.wait().await,
+                    }
+                };
+                node.follow_from(kind, &mut at, &wait, &mut apply).await;
+            }
+        });
+    }
+
+    /// Watches a kind until its history is lost.
+    async fn follow_from(
+        self: &Rc<Self>,
+        kind: &'static str,
+        at: &mut Version,
+        wait: &impl Fn(&Self) -> Duration,
+        apply: &mut impl FnMut(&Rc<Self>, Update),
+    ) {
+        let mut pause = Pause::new();
+        loop {
+            let watched = tokio::select! {
+                watched = self.store.watch(kind, *at, wait(self)) => watched,
+                // Another connection to the store went silent, and this one may have as well.
+                () = self.store_silent.notified() => continue,
+            };
+            match watched {
+                Watched::Changes { changes, revision } => {
+                    pause = Pause::new();
+                    *at = revision;
+                    for change in changes {
+                        apply(self, Update::One(change));
+                    }
+                }
+                Watched::HistoryLost => return,
+                Watched::Unavailable => pause.wait().await,
+            }
+        }
+    }
+}
+
+/// # Configuration
+impl Node {
+    fn on_config_update(self: &Rc<Self>, update: Update) {
+        let (_, name) = self.dialect.names().config;
+        match update {
+            Update::All(objects) => {
+                if let Some(object) = objects.iter().find(|object| *object.name == *name) {
+                    self.on_config(object.spec.get(), "store");
+                }
+            }
+            Update::One(Change::Put(object)) if *object.name == *name => {
+                self.on_config(object.spec.get(), "store");
+            }
+            Update::One(_) => {}
+        }
+    }
+
+    fn on_config(&self, spec: &str, source: &'static str) {
+        let config = match self.dialect.config(spec) {
+            Ok(config) => config,
+            Err(err) => {
+                let fields: [(&str, &dyn Display); 2] = [("source", &source), ("error", &err)];
+                return self.events.emit(&catalogue::CONFIG_REJECTED, None, &fields);
+            }
+        };
+        let generation = config.generation;
+        let routes = config.routes.len();
+        if !self.directory.borrow_mut().set_config(config) {
+            return;
+        }
+        let fields: [(&str, &dyn Display); 3] =
+            [("generation", &generation.0), ("routes", &routes), ("source", &source)];
+        self.events.emit(&catalogue::CONFIG_APPLIED, None, &fields);
+        let snapshot = spec.to_owned().into_bytes().into();
+        let set = messages::ConfigSet { generation: generation.0, snapshot };
+        self.relayed_config.replace(Some(set.clone()));
+        self.peers.broadcast(set);
+    }
+
+    pub(crate) fn on_relayed_config(&self, set: &messages::ConfigSet) {
+        if set.generation <= self.directory.borrow().generation().0 {
+            return;
+        }
+        match std::str::from_utf8(&set.snapshot) {
+            Ok(spec) => self.on_config(spec, "relay"),
+            Err(err) => log::warn!("a relayed configuration is not text: {err}"),
+        }
+    }
+
+    /// Sends what this process knows to a process that has just connected.
+    pub(crate) fn relay_on_link(&self, id: LinkId) {
+        let Some(link) = self.accepted_link(id) else { return };
+        if let Some(set) = self.relayed_config.borrow().clone() {
+            link.send(set);
+        }
+        if self.directory.borrow().is_listed() {
+            link.send(self.endpoint_set());
+        }
+    }
+}
+
+/// # Endpoints
+impl Node {
+    async fn follow_endpoints(self: Rc<Self>) {
+        let mut pause = Pause::new();
+        loop {
+            if !self.must_list() {
+                sleep(AGE_CHECK).await;
+                continue;
+            }
+            match self.store.list(self.dialect.names().endpoints).await {
+                Listed::All { objects, revision } => {
+                    pause = Pause::new();
+                    self.on_endpoints(revision, &objects);
+                    sleep(LIST_INTERVAL).await;
+                }
+                Listed::Unavailable => {
+                    self.directory.borrow_mut().on_list_failed();
+                    self.store_silent.notify_waiters();
+                    pause.wait().await;
+                }
+            }
+        }
+    }
+
+    /// Tells whether this process has to list the endpoints: it is the driver that does so for
+    /// all, or the list that it was sent is old.
+    fn must_list(&self) -> bool {
+        let first = self.peers.ranked(self, DRIVERS_KIND).into_iter().next();
+        if first.as_ref() == Some(&self.cfg.node) {
+            return true;
+        }
+        let listed_at = self.directory.borrow().listed_at();
+        listed_at.is_none_or(|at| self.now() - at >= MAX_RELAY_AGE)
+    }
+
+    fn on_endpoints(&self, revision: Version, objects: &[Object]) {
+        let mut list = Vec::with_capacity(objects.len());
+        for object in objects {
+            match self.dialect.endpoint(&object.name, object.spec.get()) {
+                Ok(endpoint) => list.push(endpoint),
+                Err(err) => {
+                    metrics::counter!("dogwoodtray_unreadable_entries_total").increment(1);
+                    log::debug!("entry {} names no endpoint: {err}", object.name);
+                }
+            }
+        }
+        self.set_endpoints(self.now(), revision, list, "store");
+        self.peers.broadcast(self.endpoint_set());
+    }
+
+    fn set_endpoints(
+        &self,
+        at: Timestamp,
+        revision: Version,
+        list: Vec<Endpoint>,
+        source: &'static str,
+    ) {
+        let count = list.len();
+        if !self.directory.borrow_mut().set_endpoints(at, revision, list) {
+            return;
+        }
+        let fields: [(&str, &dyn Display); 3] =
+            [("revision", &revision.0), ("endpoints", &count), ("source", &source)];
+        self.events.emit(&catalogue::ENDPOINTS_CHANGED, None, &fields);
+        self.refresh_places();
+    }
+
+    fn endpoint_set(&self) -> messages::EndpointSet {
+        let directory = self.directory.borrow();
+        let age = directory.listed_at().map_or(Duration::ZERO, |at| self.now() - at);
+        let endpoints = directory.endpoints().map(|endpoint| messages::KnownEndpoint {
+            id: endpoint.id.to_string(),
+            service: endpoint.service.to_string(),
+            address: endpoint.addr.to_string(),
+            data_centre: endpoint.data_centre.to_string(),
+            slots: endpoint.slots,
+            draining: endpoint.state == EndpointState::Draining,
+        });
+        messages::EndpointSet {
+            revision: directory.revision().0,
+            endpoints: endpoints.collect(),
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    pub(crate) fn on_relayed_endpoints(&self, set: messages::EndpointSet) {
+        let age = Duration::from_millis(set.age_ms.into());
+        if age >= MAX_RELAY_AGE {
+            return;
+        }
+        let list = set.endpoints.iter().filter_map(known_endpoint).collect();
+        let now = self.now();
+        let at = Timestamp(now.0.saturating_sub(u64::try_from(age.as_micros()).unwrap_or(0)));
+        self.set_endpoints(at, Version(set.revision), list, "relay");
+    }
+}
+
+fn known_endpoint(known: &messages::KnownEndpoint) -> Option<Endpoint> {
+    let state = if known.draining { EndpointState::Draining } else { EndpointState::Ready };
+    Some(Endpoint {
+        id: Name::from(known.id.as_str()),
+        service: Name::from(known.service.as_str()),
+        addr: known.address.parse().ok()?,
+        data_centre: Name::from(known.data_centre.as_str()),
+        slots: known.slots,
+        state,
+    })
+}
+
+/// # Drivers
+impl Node {
+    /// Makes this driver known in the store.
+    async fn register(self: Rc<Self>) {
+        let spec = DriverSpec {
+            address: self.cfg.peer.to_string(),
+            incarnation: self.incarnation.0,
+        };
+        let spec = serde_json::to_string(&spec).unwrap_or_default();
+        let mut pause = Pause::new();
+        loop {
+            let name = &self.cfg.node;
+            match self.store.create(DRIVERS_KIND, name, spec.clone()).await {
+                Created::Done => return,
+                Created::Exists => {
+                    let replaced = self.store.replace(DRIVERS_KIND, name, spec.clone()).await;
+                    if replaced == Updated::Done {
+                        return;
+                    }
+                }
+                Created::TooLarge => debug_assert!(false, "the entry of a driver is small"),
+                Created::Unavailable | Created::Unknown => {}
+            }
+            pause.wait().await;
+        }
+    }
+
+    fn on_drivers_update(self: &Rc<Self>, update: Update) {
+        let mut known = self.known_drivers.borrow_mut();
+        match update {
+            Update::All(objects) => {
+                known.clear();
+                known.extend(objects.iter().filter_map(driver_entry));
+            }
+            Update::One(Change::Put(object)) => {
+                known.retain(|(name, _)| *name != object.name);
+                known.extend(driver_entry(&object));
+            }
+            Update::One(Change::Removed(name)) => known.retain(|(other, _)| *other != name),
+        }
+        self.set_drivers(&known);
+    }
+}
+
+fn driver_entry(object: &Object) -> Option<(Name, Name)> {
+    let spec: DriverSpec = serde_json::from_str(object.spec.get()).ok()?;
+    Some((Name::clone(&object.name), Name::from(spec.address)))
+}
--- a/dogwoodtray_platform/src/http.rs
+++ b/dogwoodtray_platform/src/http.rs
@@ -335,7 +335,8 @@
 }
 
 /// Escapes all bytes that are not unreserved in a URI.
-fn escape(text: &str) -> String {
+#[must_use]
+pub fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
     for byte in text.bytes() {
         if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
--- a/dogwoodtray_platform/src/lib.rs
+++ b/dogwoodtray_platform/src/lib.rs
@@ -7,14 +7,26 @@
 mod budget;
 mod http;
 mod memory;
+mod memory_objects;
+mod objects;
 mod store;
 
 pub use crate::budget::BudgetConfig;
 pub use crate::budget::CallBudget;
 pub use crate::http::HttpStore;
 pub use crate::http::HttpStoreConfig;
+pub use crate::http::escape;
 pub use crate::memory::MemoryFault;
 pub use crate::memory::MemoryStore;
+pub use crate::memory_objects::MemoryObjects;
+pub use crate::objects::Change;
+pub use crate::objects::Created;
+pub use crate::objects::Listed;
+pub use crate::objects::Object;
+pub use crate::objects::ObjectStore;
+pub use crate::objects::Read;
+pub use crate::objects::Updated;
+pub use crate::objects::Watched;
 pub use crate::store::BoxFuture;
 pub use crate::store::Store;
 pub use crate::store::VmEntry;
--- a/dogwoodtray_policy/src/lib.rs
+++ b/dogwoodtray_policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod baseline;
 mod batch;
+mod placement;
 mod routing;
 mod types;
 
@@ -25,6 +26,13 @@
 pub use crate::baseline::route_policy;
 pub use crate::batch::BatchOrder;
 pub use crate::batch::JobKey;
+pub use crate::placement::Dispatcher;
+pub use crate::placement::DispatcherConfig;
+pub use crate::placement::EndpointPlaces;
+pub use crate::placement::PlaceAction;
+pub use crate::placement::PlaceAsk;
+pub use crate::placement::PlaceEnd;
+pub use crate::placement::PlaceId;
 pub use crate::routing::Ask;
 pub use crate::routing::EndpointKey;
 pub use crate::routing::HedgeConfig;
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -62,6 +62,11 @@
     /// A stream was resumed away from a slow endpoint.
     REQUEST_MOVED = 2012, Info, "stream resumed away from a slow endpoint";
 
+    /// A routed request was answered.
+    ROUTED_ANSWERED = 2013, Info, "routed request answered";
+    /// A routed request was refused, broke off or ran out of time.
+    ROUTED_FAILED = 2014, Info, "routed request not answered in full";
+
     /// A job was accepted.
     JOB_ACCEPTED = 3001, Info, "job accepted";
     /// A job was cancelled.
@@ -75,6 +80,11 @@
     /// A job was refused.
     JOB_REFUSED = 3006, Info, "job refused";
 
+    /// A run of an item failed or broke off.
+    ITEM_RETRIED = 3007, Info, "item is run again";
+    /// An item ended without an answer.
+    ITEM_GIVEN_UP = 3008, Info, "item given up";
+
     /// A key range was claimed.
     RANGE_CLAIMED = 3101, Info, "key range claimed";
     /// A key range was lost to another entry.
@@ -103,8 +113,14 @@
     CONFIG_APPLIED = 5001, Info, "configuration applied";
     /// A snapshot could not be used.
     CONFIG_REJECTED = 5002, Error, "configuration snapshot rejected";
+    /// The list of endpoints changed.
+    ENDPOINTS_CHANGED = 5003, Info, "endpoints changed";
     /// The platform cannot be reached.
     PLATFORM_DOWN = 5101, Warn, "platform unavailable";
     /// The platform answers again.
     PLATFORM_UP = 5102, Info, "platform available";
+    /// A VM is to be emptied.
+    RETIREMENT_STARTED = 5201, Info, "retirement of a VM started";
+    /// The state of a retirement was stored.
+    RETIREMENT_RECORDED = 5202, Info, "retirement of a VM recorded";
 }
--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -8,6 +8,7 @@
 mod events;
 mod kernel;
 mod link;
+mod log_writer;
 mod operator;
 
 pub use crate::border::attempt_from_wire;
@@ -36,6 +37,7 @@
 pub use crate::link::LinkListener;
 pub use crate::link::ask;
 pub use crate::link::dial;
+pub use crate::log_writer::LogWriter;
 pub use crate::operator::MetricsHandle;
 pub use crate::operator::OperatorPort;
 pub use crate::operator::OperatorService;
