Remember the ends of jobs before the jobs are listed

Cause: a driver follows jobs and their ends apart. Ends are now kept by name, and no job is driven before they are listed. The test delays either list; it fails before the change.

Two more faults that the new tests found: batch work got no place at a service of one or two places, and a request that its only endpoint had failed waited for another one.

--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -63,12 +63,7 @@
     }
 
     /// Handles a frame from a process that dialled this one.
-    pub(crate) fn on_peer_frame(
-        self: &Rc<Self>,
-        incarnation: u64,
-        link: &LinkHandle,
-        kind: Kind,
-    ) {
+    pub(crate) fn on_peer_frame(self: &Rc<Self>, incarnation: u64, link: &LinkHandle, kind: Kind) {
         let Some(kind) = self.on_place_frame(incarnation, kind) else { return };
         let node = Rc::clone(self);
         let link = link.clone();
@@ -97,9 +92,7 @@
     async fn create_for_peer(&self, create: messages::StoreCreate) -> messages::StoreCreated {
         let kind = BATCH_KINDS.iter().find(|kind| **kind == create.kind);
         let created = match kind {
-            Some(kind) => {
-                self.store.create(kind, &Name::from(create.name), create.spec).await
-            }
+            Some(kind) => self.store.create(kind, &Name::from(create.name), create.spec).await,
             None => Created::Unavailable,
         };
         let status = match created {
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -196,12 +196,8 @@
     lease.ended(end);
     if matches!(run, Run::Failed | Run::Broken) {
         let events = progress.data.len();
-        let fields: [(&str, &dyn Display); 4] = [
-            ("item", &item.id),
-            ("endpoint", &endpoint),
-            ("reason", &reason),
-            ("events", &events),
-        ];
+        let fields: [(&str, &dyn Display); 4] =
+            [("item", &item.id), ("endpoint", &endpoint), ("reason", &reason), ("events", &events)];
         node.events.emit(&catalogue::ITEM_RETRIED, Some(job.id()), &fields);
     }
     run
--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -295,8 +295,7 @@
             bytes <= MAX_SEGMENT_BYTES
         };
         let count = done.iter().take_while(fits).count().max(1);
-        let segment =
-            Segment { writer: node.incarnation.0, results: done[..count].to_vec() };
+        let segment = Segment { writer: node.incarnation.0, results: done[..count].to_vec() };
         let number = self.next_segment.get();
         let name = Segment::name(&self.id, number);
         match node.store.create(RESULTS_KIND, &name, segment.encode()).await {
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -16,6 +16,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -55,6 +56,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Driver {
     jobs: RefCell<HashMap<Name, Rc<Job>>>,
+    /// Cancelled jobs; `None` until they have been listed. Jobs and their ends are followed apart,
+    /// so an end may be known before its job.
+    ended: RefCell<Option<HashSet<Name>>>,
     /// Jobs with a task that drives them.
     driving: Cell<usize>,
 }
@@ -64,11 +68,22 @@
     pub(crate) fn spawn(node: &Rc<Node>) -> Rc<Self> {
         let driver = Rc::new(Self::default());
         let this = Rc::clone(&driver);
-        node.spawn_follow(JOBS_KIND, |_| WATCH_WAIT, move |node, update| {
-            this.on_jobs(node, update);
-        });
+        node.spawn_follow(
+            JOBS_KIND,
+            |_| WATCH_WAIT,
+            move |node, update| {
+                this.on_jobs(node, update);
+            },
+        );
         let this = Rc::clone(&driver);
-        node.spawn_follow(ENDS_KIND, |_| WATCH_WAIT, move |_, update| this.on_ends(update));
+        node.spawn_follow(
+            ENDS_KIND,
+            |_| WATCH_WAIT,
+            move |node, update| {
+                this.on_ends(update);
+                this.check_owners(node);
+            },
+        );
         let this = Rc::clone(&driver);
         let owner = Rc::clone(node);
         spawn_local(async move {
@@ -122,23 +137,40 @@
         };
         let job = Rc::new(Job::new(Name::clone(&object.name), spec));
         job.on_status(object.status.get());
+        if self.is_ended(&object.name) {
+            job.end();
+        }
         jobs.insert(Name::clone(&object.name), Rc::clone(&job));
         Some(job)
     }
 
     fn on_ends(&self, update: Update) {
-        let end = |name: &Name| match self.jobs.borrow().get(name) {
-            Some(job) => job.end(),
-            None => log::debug!("unknown job {name} is cancelled"),
+        let mut ended = self.ended.borrow_mut();
+        let ended = ended.get_or_insert_default();
+        let names = match update {
+            Update::All(objects) => objects.into_iter().map(|object| object.name).collect(),
+            Update::One(Change::Put(object)) => vec![object.name],
+            Update::One(Change::Removed(name)) => {
+                ended.remove(&name);
+                Vec::new()
+            }
         };
-        match update {
-            Update::All(objects) => objects.iter().for_each(|object| end(&object.name)),
-            Update::One(Change::Put(object)) => end(&object.name),
-            Update::One(Change::Removed(_)) => {}
+        for name in names {
+            if let Some(job) = self.jobs.borrow().get(&name) {
+                job.end();
+            }
+            ended.insert(name);
         }
     }
 
+    fn is_ended(&self, job: &Name) -> bool {
+        self.ended.borrow().as_ref().is_some_and(|ended| ended.contains(job))
+    }
+
     fn check_owners(self: &Rc<Self>, node: &Rc<Node>) {
+        if self.ended.borrow().is_none() {
+            return;
+        }
         let jobs: Vec<Rc<Job>> = self.jobs.borrow().values().cloned().collect();
         for job in jobs {
             let own = !job.is_over() && node.peers.owns(node, job.id());
--- a/dogwoodtray_gateway/src/driver/reads.rs
+++ b/dogwoodtray_gateway/src/driver/reads.rs
@@ -27,11 +27,7 @@
 
 impl Driver {
     /// Reads results from a position on, and waits for one if there is none yet.
-    pub(crate) async fn read(
-        &self,
-        node: &Rc<Node>,
-        read: messages::JobRead,
-    ) -> messages::JobPage {
+    pub(crate) async fn read(&self, node: &Rc<Node>, read: messages::JobRead) -> messages::JobPage {
         let page = |status: JobReadStatus| messages::JobPage {
             call: read.call,
             status: status.into(),
@@ -65,13 +61,12 @@
             bytes += result.output.len() + 1;
             first || bytes <= MAX_PAGE_BYTES
         };
-        let results = results.iter().skip(after).take_while(fits).map(|result| {
-            messages::JobResult {
+        let results =
+            results.iter().skip(after).take_while(fits).map(|result| messages::JobResult {
                 item: result.item.to_string(),
                 completed: result.completed,
                 output: result.output.clone(),
-            }
-        });
+            });
         messages::JobPage {
             call: read.call,
             status: JobReadStatus::Found.into(),
--- a/dogwoodtray_gateway/src/driver/retire.rs
+++ b/dogwoodtray_gateway/src/driver/retire.rs
@@ -34,23 +34,27 @@
     let driver = Rc::clone(driver);
     let mut known: HashSet<Name> = HashSet::new();
     let kind = node.dialect.names().retirements;
-    node.spawn_follow(kind, |_| WATCH_WAIT, move |node, update| {
-        let objects = match update {
-            Update::All(objects) => objects,
-            Update::One(Change::Put(object)) => vec![object],
-            Update::One(Change::Removed(name)) => {
-                known.remove(&name);
-                return;
+    node.spawn_follow(
+        kind,
+        |_| WATCH_WAIT,
+        move |node, update| {
+            let objects = match update {
+                Update::All(objects) => objects,
+                Update::One(Change::Put(object)) => vec![object],
+                Update::One(Change::Removed(name)) => {
+                    known.remove(&name);
+                    return;
+                }
+            };
+            for object in objects.iter().filter(|object| is_open(node, object)) {
+                if known.insert(Name::clone(&object.name)) {
+                    let (node, driver) = (Rc::clone(node), Rc::clone(&driver));
+                    let name = Name::clone(&object.name);
+                    spawn_local(async move { retire(&node, &driver, &name).await });
+                }
             }
-        };
-        for object in objects.iter().filter(|object| is_open(node, object)) {
-            if known.insert(Name::clone(&object.name)) {
-                let (node, driver) = (Rc::clone(node), Rc::clone(&driver));
-                let name = Name::clone(&object.name);
-                spawn_local(async move { retire(&node, &driver, &name).await });
-            }
-        }
-    });
+        },
+    );
 }
 
 fn is_open(node: &Node, object: &Object) -> bool {
--- a/dogwoodtray_gateway/src/driver/spec.rs
+++ b/dogwoodtray_gateway/src/driver/spec.rs
@@ -81,7 +81,8 @@
         accepted_unix_ms: u64,
         items: Vec<JobItem>,
     ) -> Self {
-        let millis = |time: std::time::Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let millis =
+            |time: std::time::Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         Self {
             route: Name::clone(&route.name),
             host: Name::clone(&route.host),
--- a/dogwoodtray_gateway/src/front/jobs.rs
+++ b/dogwoodtray_gateway/src/front/jobs.rs
@@ -76,7 +76,11 @@
         Created::TooLarge => answer::plain(StatusCode::PAYLOAD_TOO_LARGE, "item too large\n"),
     };
     let status = answer.status().as_u16();
-    let code = if status == StatusCode::ACCEPTED { &catalogue::JOB_ACCEPTED } else { &catalogue::JOB_REFUSED };
+    let code = if status == StatusCode::ACCEPTED {
+        &catalogue::JOB_ACCEPTED
+    } else {
+        &catalogue::JOB_REFUSED
+    };
     let outcome = format!("{created:?}");
     let fields: [(&str, &dyn Display); 4] =
         [("status", &status), ("items", &count), ("route", &route.name), ("store", &outcome)];
--- a/dogwoodtray_gateway/src/front/server.rs
+++ b/dogwoodtray_gateway/src/front/server.rs
@@ -273,9 +273,8 @@
                         async move { Ok::<_, Infallible>(answer) }
                     });
                     // A check that breaks off is repeated by whoever sent it.
-                    let _ = http1::Builder::new()
-                        .serve_connection(TokioIo::new(stream), service)
-                        .await;
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
                 });
             }
         });
@@ -294,9 +293,7 @@
         };
     }
     match path {
-        "/metrics" => {
-            hyper::Response::new(AnswerBody::full(metrics.render().into_bytes().into()))
-        }
+        "/metrics" => hyper::Response::new(AnswerBody::full(metrics.render().into_bytes().into())),
         _ => answer::plain(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
--- a/dogwoodtray_gateway/src/net/upstream.rs
+++ b/dogwoodtray_gateway/src/net/upstream.rs
@@ -70,7 +70,10 @@
 }
 
 /// Sends a request on a new connection and waits for the head of the answer.
-pub(crate) async fn send(addr: SocketAddr, req: Request<Full<Bytes>>) -> Result<Exchange, SendError> {
+pub(crate) async fn send(
+    addr: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Result<Exchange, SendError> {
     let stream = connect(addr).await.map_err(SendError::NotSent)?;
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake.await.map_err(SendError::Lost)?;
--- a/dogwoodtray_gateway/src/peers.rs
+++ b/dogwoodtray_gateway/src/peers.rs
@@ -197,11 +197,7 @@
         Heartbeat { seq, generation, leaving: self.draining.get(), ..Heartbeat::default() }
     }
 
-    fn link_config(
-        &self,
-        source: Source,
-        tx: UnboundedSender<(Source, LinkEvent)>,
-    ) -> LinkConfig {
+    fn link_config(&self, source: Source, tx: UnboundedSender<(Source, LinkEvent)>) -> LinkConfig {
         let hello = Hello {
             node: self.cfg.node.to_string(),
             incarnation: self.incarnation.0,
--- a/dogwoodtray_gateway/src/places.rs
+++ b/dogwoodtray_gateway/src/places.rs
@@ -341,10 +341,7 @@
         });
     }
 
-    fn dispatch(
-        &self,
-        decide: impl FnOnce(&mut Dispatcher, Timestamp, &mut Vec<PlaceAction>),
-    ) {
+    fn dispatch(&self, decide: impl FnOnce(&mut Dispatcher, Timestamp, &mut Vec<PlaceAction>)) {
         let now = self.now();
         let mut out = Vec::new();
         let waiting = {
--- a/dogwoodtray_gateway/src/request.rs
+++ b/dogwoodtray_gateway/src/request.rs
@@ -94,8 +94,7 @@
 
 /// Judges the head of an answer to the request with this id.
 pub(crate) fn judge(names: &Names, parts: &Parts, request_id: &str) -> Verdict {
-    if parts.headers.contains_key(&names.not_run)
-        || parts.status == StatusCode::MISDIRECTED_REQUEST
+    if parts.headers.contains_key(&names.not_run) || parts.status == StatusCode::MISDIRECTED_REQUEST
     {
         return Verdict::NotRun;
     }
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -335,10 +335,8 @@
 impl Node {
     /// Makes this driver known in the store.
     async fn register(self: Rc<Self>) {
-        let spec = DriverSpec {
-            address: self.cfg.peer.to_string(),
-            incarnation: self.incarnation.0,
-        };
+        let spec =
+            DriverSpec { address: self.cfg.peer.to_string(), incarnation: self.incarnation.0 };
         let spec = serde_json::to_string(&spec).unwrap_or_default();
         let mut pause = Pause::new();
         loop {
--- /dev/null
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -0,0 +1,453 @@
+//! A small site on the loopback: endpoints, a store in memory and processes of both roles.
+
+#![allow(dead_code, reason = "each test file uses part of it")]
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodtray_adapter::SiteDialect;
+use dogwoodtray_coord::Name;
+use dogwoodtray_gateway::Gateway;
+use dogwoodtray_gateway::JobDriver;
+use dogwoodtray_gateway::NodeConfig;
+use dogwoodtray_gateway::NodeRole;
+use dogwoodtray_platform::MemoryObjects;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Longest wait for a condition; generous, as the machine may be busy.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const POLL: Duration = Duration::from_millis(5);
+
+/// Port of all processes under test.
+const PORT: u16 = 7_700;
+
+/// Host of all routes.
+pub const HOST: &str = "site.example";
+
+/// Runs a test on one thread, as the processes do.
+pub fn local(test: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Waits for a condition.
+pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let waited = timeout(PATIENCE, async {
+        while !condition() {
+            sleep(POLL).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "not in time: {what}");
+}
+
+/// What an endpoint does with its next request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Streams the events `from..=to` of the request and ends.
+    Stream { to: u64, pause: Duration },
+    /// Streams up to this event and closes the connection.
+    BreakAfter { event: u64 },
+    /// Sends part of the event after this one and closes the connection.
+    BreakWithin { event: u64 },
+    /// Answers with a status and the usual headers.
+    Status(u16),
+    /// Says that it did not run the request.
+    NotRun(u16),
+    /// Answers a request of another id.
+    Foreign,
+    /// Answers without a signature.
+    Unsigned,
+    /// Never answers.
+    Silence,
+    /// Closes the connection.
+    Close,
+}
+
+/// Request as an endpoint saw it.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub path: String,
+    pub last_event_id: Option<u64>,
+    pub deadline_ms: Option<u64>,
+    pub expected: String,
+    pub body: Bytes,
+    /// Set once the answer was sent in full or the caller left.
+    pub open: Rc<RefCell<bool>>,
+}
+
+/// Endpoint that does what it is told.
+#[derive(Clone)]
+pub struct Endpoint {
+    pub id: &'static str,
+    pub service: &'static str,
+    pub slots: u32,
+    pub addr: SocketAddr,
+    pub runs: Rc<RefCell<Vec<Run>>>,
+    pub acts: Rc<RefCell<VecDeque<Act>>>,
+    /// What it does when `acts` is empty.
+    pub usual: Rc<RefCell<Act>>,
+}
+
+impl Endpoint {
+    pub async fn start(id: &'static str, service: &'static str, slots: u32) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let usual = Act::Stream { to: 3, pause: Duration::ZERO };
+        let endpoint = Self {
+            id,
+            service,
+            slots,
+            addr,
+            runs: Rc::default(),
+            acts: Rc::default(),
+            usual: Rc::new(RefCell::new(usual)),
+        };
+        let this = endpoint.clone();
+        spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let this = this.clone();
+                spawn_local(async move {
+                    let service = service_fn(|req| {
+                        let this = this.clone();
+                        async move { this.serve(req).await }
+                    });
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+        endpoint
+    }
+
+    pub fn entry(&self, state: &str) -> String {
+        format!(
+            r#"{{"service":"{}","address":"{}","zone":"z1","version":"v1","slots":{},
+            "state":"{state}","cold-left-ms":0,"sequence":1}}"#,
+            self.service, self.addr, self.slots
+        )
+    }
+
+    pub fn then(&self, act: Act) {
+        self.acts.borrow_mut().push_back(act);
+    }
+
+    pub fn run_count(&self) -> usize {
+        self.runs.borrow().len()
+    }
+
+    async fn serve(
+        &self,
+        req: Request<Incoming>,
+    ) -> Result<Response<EventBody>, Box<dyn std::error::Error + Send + Sync>> {
+        let (parts, body) = req.into_parts();
+        let body = body.collect().await?.to_bytes();
+        let text = |name: &str| {
+            parts.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+        };
+        let number = |name: &str| text(name).and_then(|text| text.parse().ok());
+        let id = text("attempt-id").unwrap_or_default();
+        let act = self.acts.borrow_mut().pop_front();
+        let act = act.unwrap_or_else(|| self.usual.borrow().clone());
+        let expected = text("expect-instance").unwrap_or_default();
+        if let Act::NotRun(status) = act {
+            let refusal = Response::builder().status(status).header("not-executed", "1");
+            return Ok(refusal.body(whole("")).unwrap());
+        }
+        let open = Rc::new(RefCell::new(true));
+        self.runs.borrow_mut().push(Run {
+            id: id.clone(),
+            path: parts.uri.to_string(),
+            last_event_id: number("last-event-id"),
+            deadline_ms: number("deadline-ms"),
+            expected,
+            body,
+            open: Rc::clone(&open),
+        });
+        let head = |status: u16| {
+            Response::builder()
+                .status(status)
+                .header("attempt-id", id.as_str())
+                .header("server-stamp", "s1")
+        };
+        let from = number("last-event-id").unwrap_or(0) + 1;
+        let (to, pause, tail) = match act {
+            Act::Stream { to, pause } => (to, pause, Tail::End),
+            Act::BreakAfter { event } => (event, Duration::ZERO, Tail::Break),
+            Act::BreakWithin { event } => (event, Duration::ZERO, Tail::Part),
+            Act::Status(status) => return Ok(head(status).body(whole("status")).unwrap()),
+            Act::Foreign => {
+                let foreign = Response::builder().header("attempt-id", "other");
+                return Ok(foreign.header("server-stamp", "s2").body(whole("other")).unwrap());
+            }
+            Act::Unsigned => {
+                let unsigned = Response::builder().header("attempt-id", id.as_str());
+                return Ok(unsigned.body(whole("unsigned")).unwrap());
+            }
+            Act::Silence => std::future::pending().await,
+            Act::Close => return Err("closed".into()),
+            Act::NotRun(_) => unreachable!("answered above"),
+        };
+        let (tx, rx) = mpsc::channel(1);
+        spawn_local(async move {
+            send_events(tx, from, to, pause, tail).await;
+            *open.borrow_mut() = false;
+        });
+        Ok(head(200).body(StreamBody::new(Events(rx))).unwrap())
+    }
+}
+
+type EventBody = StreamBody<Events>;
+
+#[derive(Clone, Copy)]
+enum Tail {
+    End,
+    Break,
+    Part,
+}
+
+/// Frames of an answer.
+pub struct Events(mpsc::Receiver<Result<Frame<Bytes>, std::io::Error>>);
+
+impl futures_util::Stream for Events {
+    type Item = Result<Frame<Bytes>, std::io::Error>;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        self.0.poll_recv(cx)
+    }
+}
+
+fn whole(text: &'static str) -> EventBody {
+    let (tx, rx) = mpsc::channel(1);
+    let frame = Frame::data(Bytes::from_static(text.as_bytes()));
+    tx.try_send(Ok(frame)).unwrap();
+    StreamBody::new(Events(rx))
+}
+
+async fn send_events(
+    tx: mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>,
+    from: u64,
+    to: u64,
+    pause: Duration,
+    tail: Tail,
+) {
+    for event in from..=to {
+        sleep(pause).await;
+        let text = format!("id: {event}\ndata: e{event}\n\n");
+        if tx.send(Ok(Frame::data(Bytes::from(text)))).await.is_err() {
+            return;
+        }
+    }
+    if matches!(tail, Tail::Part) {
+        let text = format!("id: {}\nda", to + 1);
+        let _ = tx.send(Ok(Frame::data(Bytes::from(text)))).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    match tail {
+        // The frames before the error have to leave first.
+        Tail::Break | Tail::Part => {
+            sleep(Duration::from_millis(20)).await;
+            let _ = tx.send(Err(std::io::Error::other("broken"))).await;
+        }
+        // Waits until the caller has taken the answer or left.
+        Tail::End => {}
+    }
+}
+
+/// Site with a store and any number of processes.
+pub struct Site {
+    pub store: MemoryObjects,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Answer as a caller gets it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: hyper::HeaderMap,
+    pub body: String,
+    /// Whether the body ended as it should.
+    pub whole: bool,
+}
+
+impl Site {
+    /// Writes a configuration with one route of each kind.
+    pub fn new() -> Self {
+        let store = MemoryObjects::new();
+        store.put("config", "main", &config(1));
+        Self { store, callers: free_addr(), readiness: free_addr(), tasks: Vec::new() }
+    }
+
+    pub fn register(&self, endpoint: &Endpoint) {
+        self.store.put("servers", endpoint.id, &endpoint.entry("ready"));
+    }
+
+    pub async fn start_driver(&mut self, node: &str) -> JobDriver {
+        let cfg = node_config(node, NodeRole::Driver);
+        let store = Arc::new(self.store.clone());
+        JobDriver::bind(cfg, Arc::new(SiteDialect::new()), store).await.unwrap()
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub async fn start_gateway(&mut self) -> Gateway {
+        let cfg = node_config("g1", NodeRole::Gateway);
+        let store = Arc::new(self.store.clone());
+        let dialect = Arc::new(SiteDialect::new());
+        let gateway =
+            Gateway::bind(cfg, self.callers, self.readiness, dialect, store).await.unwrap();
+        let ready = timeout(PATIENCE, async {
+            while get(self.readiness, "/api/ready").await.status != StatusCode::OK {
+                sleep(POLL).await;
+            }
+        });
+        assert!(ready.await.is_ok(), "the gateway is not ready in time");
+        gateway
+    }
+
+    pub async fn post(&self, path: &str, id: &str, body: &str) -> Answer {
+        let req = Request::post(path)
+            .header("host", HOST)
+            .header("attempt-id", id)
+            .header("deadline-ms", "4000")
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .unwrap();
+        exchange(self.callers, req).await
+    }
+
+    pub async fn get(&self, path: &str) -> Answer {
+        get(self.callers, path).await
+    }
+
+    pub async fn delete(&self, path: &str) -> Answer {
+        let req = Request::delete(path).header("host", HOST).body(Full::default()).unwrap();
+        exchange(self.callers, req).await
+    }
+}
+
+async fn get(addr: SocketAddr, path: &str) -> Answer {
+    let req = Request::get(path).header("host", HOST).body(Full::default()).unwrap();
+    exchange(addr, req).await
+}
+
+/// Sends a request on a connection of its own and reads the answer.
+pub async fn exchange(addr: SocketAddr, req: Request<Full<Bytes>>) -> Answer {
+    let failed = || Answer {
+        status: StatusCode::IM_A_TEAPOT,
+        headers: hyper::HeaderMap::new(),
+        body: String::new(),
+        whole: false,
+    };
+    let Ok(stream) = TcpStream::connect(addr).await else { return failed() };
+    let Ok((mut sender, connection)) = client::handshake(TokioIo::new(stream)).await else {
+        return failed();
+    };
+    spawn_local(async move {
+        let _ = connection.await;
+    });
+    let Ok(response) = sender.send_request(req).await else { return failed() };
+    let (parts, mut body) = response.into_parts();
+    let mut text = Vec::new();
+    let mut whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => text.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(_) => whole = false,
+        }
+    }
+    let body = String::from_utf8(text).unwrap();
+    Answer { status: parts.status, headers: parts.headers, body, whole }
+}
+
+/// Returns an address that no other listener or connection of the tests uses. Each has an IP
+/// address of its own, because a port that was free may be taken before it is bound.
+pub fn free_addr() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let [.., process] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 16 + process % 128, high, low], PORT))
+}
+
+pub fn node_config(node: &str, role: NodeRole) -> NodeConfig {
+    NodeConfig {
+        node: Name::from(node),
+        role,
+        data_centre: Name::from("z1"),
+        peer: free_addr(),
+        admin: free_addr(),
+        grace: Duration::from_secs(8),
+        results_kept: Duration::from_secs(120),
+    }
+}
+
+/// Configuration with one route of each kind.
+pub fn config(version: u64) -> String {
+    let route = |name: &str, kind: &str, service: &str, more: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"{HOST}","path-prefix":"/{name}/","route-kind":"{kind}",
+            "timeout-ms":5000,"latency-goal-ms":300,"priority":0,"service":"{service}",
+            "max-attempts":2,{more}"sticky":true}}"#
+        )
+    };
+    let routes = [
+        route("stream", "streaming", "engine", ""),
+        route("resume", "streaming", "engine", r#""resumable":true,"#),
+        route("plain", "idempotent", "ledger", ""),
+        route("once", "non_idempotent", "ledger", ""),
+        route("job", "batch", "engine", r#""completion-target-ms":18000,"retention-s":60,"#),
+    ];
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[],"limits":{{"max-header-bytes":16384,
+        "max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
+        routes.join(",")
+    )
+}
+
+/// Submission of a job with items of these ids.
+pub fn submission(items: &[&str]) -> String {
+    let items: Vec<String> = items
+        .iter()
+        .map(|id| {
+            format!(
+                r#"{{"id":"{id}","path":"/job/{id}","headers":{{"Model":"m"}},"body":"aGk=",
+                "tokens":9}}"#
+            )
+        })
+        .collect();
+    format!(r#"{{"items":[{}]}}"#, items.join(","))
+}
--- a/dogwoodtray_platform/src/memory_objects.rs
+++ b/dogwoodtray_platform/src/memory_objects.rs
@@ -45,6 +45,7 @@
     revision: u64,
     down: bool,
     lose_replies: u32,
+    slow_lists: Option<(&'static str, Duration)>,
     calls: u64,
 }
 
@@ -66,6 +67,11 @@
         self.lock().lose_replies = count;
     }
 
+    /// Makes lists of one kind take this long, and those of all others no time.
+    pub fn delay_lists(&self, kind: &'static str, delay: Duration) {
+        self.lock().slow_lists = Some((kind, delay));
+    }
+
     /// Returns the number of calls.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -151,7 +157,13 @@
             let objects = of_kind.map(|(_, object)| object.clone()).collect();
             Listed::All { objects, revision: Version(state.revision) }
         };
-        Box::pin(async { listed })
+        let delay = state.slow_lists.filter(|(slow, _)| *slow == kind).map(|(_, delay)| delay);
+        Box::pin(async move {
+            if let Some(delay) = delay {
+                tokio::time::sleep(delay).await;
+            }
+            listed
+        })
     }
 
     fn get(&self, kind: &'static str, name: &Name) -> BoxFuture<Read> {
--- a/dogwoodtray_policy/src/placement/config.rs
+++ b/dogwoodtray_policy/src/placement/config.rs
@@ -5,9 +5,10 @@
 /// Settings of [`super::Dispatcher`].
 #[derive(Clone, Debug)]
 pub struct DispatcherConfig {
-    /// Places of a service that batch work leaves free for the next online requests. A preempted
-    /// stream costs a second prefill, so a few places absorb ordinary arrivals without one.
-    pub online_reserve: u32,
+    /// Share of the places of a service that batch work leaves free for the next online requests.
+    /// A preempted stream costs a second prefill, so a few places absorb ordinary arrivals
+    /// without one. A service with few places keeps none free.
+    pub online_reserve: f64,
     /// Time that an endpoint is avoided after its first failure; it doubles with each further one.
     pub suspect_time: Duration,
     /// Longest time that an endpoint is avoided.
@@ -25,7 +26,7 @@
 impl Default for DispatcherConfig {
     fn default() -> Self {
         Self {
-            online_reserve: 2,
+            online_reserve: 1.0 / 64.0,
             // A crashed endpoint is back after seconds; a refused connection shows within 1 ms.
             suspect_time: Duration::from_millis(400),
             max_suspect_time: Duration::from_secs(3),
--- a/dogwoodtray_policy/src/placement/dispatcher.rs
+++ b/dogwoodtray_policy/src/placement/dispatcher.rs
@@ -89,7 +89,8 @@
         let cfg = self.cfg.clone();
         self.service_of.insert(id, Name::clone(&service));
         self.service(&service).ask(now, ask, &cfg, out);
-        let refused = |action: &PlaceAction| matches!(action, PlaceAction::Refuse { id: r, .. } if *r == id);
+        let refused =
+            |action: &PlaceAction| matches!(action, PlaceAction::Refuse { id: r, .. } if *r == id);
         if out[before..].iter().any(refused) {
             self.service_of.remove(&id);
         }
--- a/dogwoodtray_policy/src/placement/service.rs
+++ b/dogwoodtray_policy/src/placement/service.rs
@@ -253,13 +253,9 @@
         }
     }
 
-    fn fill_batch(
-        &mut self,
-        now: Timestamp,
-        cfg: &DispatcherConfig,
-        out: &mut Vec<PlaceAction>,
-    ) {
-        let mut spare = self.free(now).saturating_sub(cfg.online_reserve);
+    fn fill_batch(&mut self, now: Timestamp, cfg: &DispatcherConfig, out: &mut Vec<PlaceAction>) {
+        let reserve = f64::from(self.slots()) * cfg.online_reserve;
+        let mut spare = self.free(now).saturating_sub(reserve as u32);
         let keys: Vec<_> = self.batch.keys().take(spare as usize).copied().collect();
         for key in keys {
             if spare == 0 {
@@ -288,9 +284,10 @@
                 .held
                 .iter_mut()
                 .filter(|(_, held)| held.class == Class::Batch && !held.preempting)
-                .filter(|(_, held)| held.endpoint.is_some_and(|key| {
-                    self.endpoints.get(key).is_some_and(|e| e.is_sound())
-                }))
+                .filter(|(_, held)| {
+                    held.endpoint
+                        .is_some_and(|key| self.endpoints.get(key).is_some_and(|e| e.is_sound()))
+                })
                 .max_by_key(|(id, held)| (held.due, now - held.since, **id));
             let Some((id, held)) = victim else { return };
             held.preempting = true;
@@ -316,15 +313,17 @@
         self.endpoints.values().map(|endpoint| endpoint.free(now)).sum()
     }
 
-    /// Picks the endpoint with the largest share of free places. Ties are broken in turn.
+    /// Picks the endpoint with the largest share of free places. Ties are broken in turn. An
+    /// endpoint that failed the request is avoided as long as there is another one.
     fn pick(&self, now: Timestamp, excluded: &[Name]) -> Option<EndpointKey> {
         let count = self.endpoints.len();
         let start = self.next_start % count.max(1);
+        let others = self.endpoints.values().any(|e| !excluded.contains(&e.name));
         let turn = |index: usize| (index + count - start) % count.max(1);
         self.endpoints
             .iter()
             .enumerate()
-            .filter(|(_, (_, e))| e.free(now) > 0 && !excluded.contains(&e.name))
+            .filter(|(_, (_, e))| e.free(now) > 0 && !(others && excluded.contains(&e.name)))
             .max_by_key(|(index, (_, e))| {
                 let share = u64::from(e.free(now)) * 1_000 / u64::from(e.slots.max(1));
                 (e.is_sound(), share, turn(*index))
