Carry calls of a process that the store turns away; start watches anew after an outage

The store went silent; the driver's watch of the ends hung on its connection until its own time-out, seconds after the store had returned. Gateways now tell the owner of a new job, and reads and creates go through a peer.

Two of the three new tests fail before the change; the one of the watches does not, because there the gateway hears of the configuration on its link as well.

--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -7,12 +7,17 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Version;
 use dogwoodtray_platform::Created;
+use dogwoodtray_platform::Object;
+use dogwoodtray_platform::Read;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::Frame;
 use dogwoodtray_wire::messages::StoreCreateStatus;
+use dogwoodtray_wire::messages::StoreReadStatus;
 use dogwoodtray_wire::messages::frame::Kind;
+use serde_json::value::RawValue;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -20,9 +25,13 @@
 use crate::driver::BATCH_KINDS;
 use crate::node::Node;
 
-/// Time in which a driver carries out a write for another process: longer than the store takes
+/// Time in which a driver carries out a call for another process: longer than the store takes
 /// when it is slow.
-const CREATE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CARRY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Drivers that are asked one after another to carry out a call. The store may turn some of them
+/// away as well.
+const MAX_CARRIERS: usize = 2;
 
 /// Calls that wait for a reply.
 #[derive(Debug, Default)]
@@ -54,6 +63,7 @@
             Kind::JobPage(page) => page.call,
             Kind::JobItemBody(body) => body.call,
             Kind::StoreCreated(created) => created.call,
+            Kind::StoreObject(object) => object.call,
             _ => return,
         };
         if let Some(tx) = self.calls.waiting.borrow_mut().remove(&call) {
@@ -80,6 +90,22 @@
                     link.send(driver.read_item(&node, read).await);
                 });
             }
+            Kind::JobAccepted(accepted) => {
+                let Some(driver) = self.driver.get().map(Rc::clone) else { return };
+                spawn_local(async move {
+                    driver.on_accepted(&node, &Name::from(accepted.job)).await;
+                });
+            }
+            Kind::JobCancelled(cancelled) => {
+                if let Some(driver) = self.driver.get() {
+                    driver.on_cancelled(Name::from(cancelled.job));
+                }
+            }
+            Kind::StoreRead(read) => {
+                spawn_local(async move {
+                    link.send(node.read_for_peer(read).await);
+                });
+            }
             Kind::StoreCreate(create) => {
                 spawn_local(async move {
                     link.send(node.create_for_peer(create).await);
@@ -90,8 +116,7 @@
     }
 
     async fn create_for_peer(&self, create: messages::StoreCreate) -> messages::StoreCreated {
-        let kind = BATCH_KINDS.iter().find(|kind| **kind == create.kind);
-        let created = match kind {
+        let created = match carried_kind(&create.kind) {
             Some(kind) => self.store.create(kind, &Name::from(create.name), create.spec).await,
             None => Created::Unavailable,
         };
@@ -105,32 +130,103 @@
         messages::StoreCreated { call: create.call, status: status.into() }
     }
 
-    /// Creates an object; if the store turns this process away, a driver does it instead.
-    pub(crate) async fn create(&self, kind: &'static str, name: &Name, spec: String) -> Created {
-        let created = self.store.create(kind, name, spec.clone()).await;
-        if !matches!(created, Created::Unavailable | Created::Unknown) {
-            return created;
-        }
-        let Some(driver) = self.peers.ranked(self, name).into_iter().next() else {
-            return created;
+    async fn read_for_peer(&self, read: messages::StoreRead) -> messages::StoreObject {
+        let found = match carried_kind(&read.kind) {
+            Some(kind) => self.store.get(kind, &Name::from(read.name)).await,
+            None => Read::Unavailable,
         };
-        let Some(link) = self.peers.link_to(&driver) else { return created };
-        let reply = self
-            .call(&link, CREATE_TIMEOUT, |call| messages::StoreCreate {
+        let mut object = messages::StoreObject { call: read.call, ..Default::default() };
+        let outcome = match found {
+            Read::Found(found) => {
+                object.revision = found.revision.0;
+                object.spec = found.spec.get().to_owned();
+                object.status = found.status.get().to_owned();
+                StoreReadStatus::Found
+            }
+            Read::Missing => StoreReadStatus::Missing,
+            Read::Unavailable => StoreReadStatus::Unavailable,
+        };
+        object.set_outcome(outcome);
+        object
+    }
+}
+
+/// # Calls that a driver carries out if the store turns this process away
+impl Node {
+    /// Creates an object.
+    pub(crate) async fn create(&self, kind: &'static str, name: &Name, spec: String) -> Created {
+        let mut created = self.store.create(kind, name, spec.clone()).await;
+        for link in self.carriers(name) {
+            if !matches!(created, Created::Unavailable | Created::Unknown) {
+                return created;
+            }
+            let message = |call| messages::StoreCreate {
                 call,
                 kind: kind.to_owned(),
                 name: name.to_string(),
-                spec,
-            })
-            .await;
-        let Some(Kind::StoreCreated(reply)) = reply else { return Created::Unknown };
-        match reply.status() {
-            StoreCreateStatus::Created => Created::Done,
-            StoreCreateStatus::Exists => Created::Exists,
-            StoreCreateStatus::TooLarge => Created::TooLarge,
-            // Only if neither call had an effect is it certain that there is none.
-            StoreCreateStatus::Unavailable => created,
-            StoreCreateStatus::Unknown | StoreCreateStatus::Unspecified => Created::Unknown,
+                spec: spec.clone(),
+            };
+            let reply = self.call(&link, CARRY_TIMEOUT, message).await;
+            created = match reply {
+                Some(Kind::StoreCreated(reply)) => match reply.status() {
+                    StoreCreateStatus::Created => Created::Done,
+                    StoreCreateStatus::Exists => Created::Exists,
+                    StoreCreateStatus::TooLarge => Created::TooLarge,
+                    // Only if no call had an effect is it certain that there is none.
+                    StoreCreateStatus::Unavailable => created,
+                    StoreCreateStatus::Unknown | StoreCreateStatus::Unspecified => Created::Unknown,
+                },
+                _ => Created::Unknown,
+            };
         }
+        created
     }
+
+    /// Reads an object as it is now.
+    pub(crate) async fn read(&self, kind: &'static str, name: &Name) -> Read {
+        let read = self.store.get(kind, name).await;
+        if !matches!(read, Read::Unavailable) {
+            return read;
+        }
+        for link in self.carriers(name) {
+            let message =
+                |call| messages::StoreRead { call, kind: kind.to_owned(), name: name.to_string() };
+            let reply = self.call(&link, CARRY_TIMEOUT, message).await;
+            let Some(Kind::StoreObject(object)) = reply else { continue };
+            match object.outcome() {
+                StoreReadStatus::Found => {
+                    if let Some(object) = found(name, object) {
+                        return Read::Found(object);
+                    }
+                }
+                StoreReadStatus::Missing => return Read::Missing,
+                StoreReadStatus::Unavailable | StoreReadStatus::Unspecified => {}
+            }
+        }
+        Read::Unavailable
+    }
+
+    fn carriers(&self, name: &Name) -> Vec<LinkHandle> {
+        let ranked = self.peers.ranked(self, name);
+        let links = ranked.iter().filter_map(|driver| self.peers.link_to(driver));
+        links.take(MAX_CARRIERS).collect()
+    }
+}
+
+fn carried_kind(kind: &str) -> Option<&'static str> {
+    BATCH_KINDS.into_iter().find(|known| *known == kind)
+}
+
+fn found(name: &Name, object: messages::StoreObject) -> Option<Object> {
+    let raw = |text: String| {
+        RawValue::from_string(text)
+            .inspect_err(|err| log::error!("object {name} of a peer cannot be read: {err}"))
+            .ok()
+    };
+    Some(Object {
+        name: Name::clone(name),
+        revision: Version(object.revision),
+        spec: raw(object.spec)?,
+        status: raw(object.status)?,
+    })
 }
--- a/dogwoodtray_gateway/src/directory.rs
+++ b/dogwoodtray_gateway/src/directory.rs
@@ -88,6 +88,12 @@
         self.endpoints.values()
     }
 
+    /// Tells whether a list failed since the last one that succeeded.
+    #[must_use]
+    pub const fn has_missed(&self) -> bool {
+        self.missed
+    }
+
     /// Notes that the endpoints could not be listed.
     pub const fn on_list_failed(&mut self) {
         self.missed = true;
--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -163,7 +163,8 @@
         self.listed.borrow().contains(item)
     }
 
-    fn all_listed(&self) -> bool {
+    /// Tells whether every item has a result that this process knows.
+    pub(crate) fn all_listed(&self) -> bool {
         self.listed.borrow().len() >= self.spec.total as usize
     }
 }
@@ -178,7 +179,7 @@
         let mut stored = self.spec.items.clone();
         for part in 0..self.spec.parts {
             let name = JobSpec::part_name(&self.id, part);
-            let Read::Found(object) = node.store.get(PARTS_KIND, &name).await else {
+            let Read::Found(object) = node.read(PARTS_KIND, &name).await else {
                 return Err(Unread);
             };
             let more: Vec<StoredItem> =
@@ -194,7 +195,7 @@
         loop {
             let number = self.next_segment.get();
             let name = Segment::name(&self.id, number);
-            match node.store.get(RESULTS_KIND, &name).await {
+            match node.read(RESULTS_KIND, &name).await {
                 Read::Found(object) => {
                     let segment: Segment =
                         serde_json::from_str(object.spec.get()).map_err(|_| Unread)?;
@@ -298,7 +299,7 @@
         let segment = Segment { writer: node.incarnation.0, results: done[..count].to_vec() };
         let number = self.next_segment.get();
         let name = Segment::name(&self.id, number);
-        match node.store.create(RESULTS_KIND, &name, segment.encode()).await {
+        match node.create(RESULTS_KIND, &name, segment.encode()).await {
             Created::Done => {
                 if self.next_segment.get() == number {
                     self.apply(segment);
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -23,6 +23,7 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_platform::Change;
 use dogwoodtray_platform::Object;
+use dogwoodtray_platform::Read;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -43,12 +44,15 @@
 /// Kind of the marks of cancelled jobs.
 pub(crate) const ENDS_KIND: &str = "batch-ends";
 
-/// Kinds that a driver writes for a process that the store turns away.
-pub(crate) const BATCH_KINDS: [&str; 3] = [JOBS_KIND, PARTS_KIND, ENDS_KIND];
+/// Kinds that a driver reads and writes for a process that the store turns away.
+pub(crate) const BATCH_KINDS: [&str; 4] = [JOBS_KIND, PARTS_KIND, RESULTS_KIND, ENDS_KIND];
 
 /// Wait of the watches of jobs.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 
+/// Time in which the watch brings a new job before it is read for its own sake.
+const WATCH_HEAD_START: Duration = Duration::from_millis(100);
+
 /// Interval at which a driver looks which jobs are its own.
 const OWNER_CHECK: Duration = Duration::from_millis(250);
 
@@ -163,6 +167,27 @@
         }
     }
 
+    /// Takes the news of a gateway that a job was accepted. The watch of jobs brings it as well,
+    /// unless the store turns this process away.
+    pub(crate) async fn on_accepted(self: &Rc<Self>, node: &Rc<Node>, id: &Name) {
+        sleep(WATCH_HEAD_START).await;
+        let known = self.jobs.borrow().contains_key(id);
+        if !known && let Read::Found(object) = node.read(JOBS_KIND, id).await {
+            self.add(&object);
+            self.check_owners(node);
+        }
+    }
+
+    /// Takes the news of a gateway that a job was cancelled.
+    pub(crate) fn on_cancelled(&self, id: Name) {
+        if let Some(job) = self.jobs.borrow().get(&id) {
+            job.end();
+        }
+        if let Some(ended) = self.ended.borrow_mut().as_mut() {
+            ended.insert(id);
+        }
+    }
+
     fn is_ended(&self, job: &Name) -> bool {
         self.ended.borrow().as_ref().is_some_and(|ended| ended.contains(job))
     }
--- a/dogwoodtray_gateway/src/driver/reads.rs
+++ b/dogwoodtray_gateway/src/driver/reads.rs
@@ -41,7 +41,8 @@
         let after = read.after as usize;
         // A caller that is ahead has read results that another process added.
         let behind = after > job.results().len();
-        if (behind || !job.is_driving()) && job.read_on(node).await.is_err() {
+        let certain = job.all_listed() || job.is_driving() && !behind;
+        if !certain && job.read_on(node).await.is_err() {
             return page(JobReadStatus::Unavailable);
         }
         let until = Instant::now() + Duration::from_millis(read.wait_ms.into());
@@ -105,7 +106,7 @@
         if let Some(job) = self.jobs.borrow().get(id) {
             return Found::Job(Rc::clone(job));
         }
-        match node.store.get(JOBS_KIND, id).await {
+        match node.read(JOBS_KIND, id).await {
             Read::Found(object) => self.add(&object).map_or(Found::Unavailable, Found::Job),
             Read::Missing => Found::Missing,
             Read::Unavailable => Found::Unavailable,
--- a/dogwoodtray_gateway/src/front/jobs.rs
+++ b/dogwoodtray_gateway/src/front/jobs.rs
@@ -8,6 +8,7 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_platform::Created;
 use dogwoodtray_runtime::Clock;
+use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::JobReadStatus;
@@ -75,6 +76,11 @@
         }
         Created::TooLarge => answer::plain(StatusCode::PAYLOAD_TOO_LARGE, "item too large\n"),
     };
+    if matches!(created, Created::Done | Created::Exists)
+        && let Some(link) = owner(node, id)
+    {
+        link.send(messages::JobAccepted { job: id.to_string() });
+    }
     let status = answer.status().as_u16();
     let code = if status == StatusCode::ACCEPTED {
         &catalogue::JOB_ACCEPTED
@@ -118,6 +124,12 @@
             answer::plain(StatusCode::GATEWAY_TIMEOUT, "the end may have been stored\n")
         }
     };
+    if matches!(created, Created::Done | Created::Exists) {
+        // Any of them may drive the job, whoever its owner is in the view of this process.
+        for link in node.peers.links() {
+            link.send(messages::JobCancelled { job: id.to_string() });
+        }
+    }
     let status = answer.status().as_u16();
     node.events.emit(&catalogue::JOB_CANCELLED, Some(id), &[("status", &status)]);
     answer
@@ -157,6 +169,10 @@
     Response::new(AnswerBody::full(body.body))
 }
 
+fn owner(node: &Node, id: &Name) -> Option<LinkHandle> {
+    node.peers.ranked(node, id).first().and_then(|name| node.peers.link_to(name))
+}
+
 /// Asks the driver of a job, and another one if it gives no sure answer.
 async fn ask<M: Into<messages::Frame>>(
     node: &Rc<Node>,
--- a/dogwoodtray_gateway/src/peers.rs
+++ b/dogwoodtray_gateway/src/peers.rs
@@ -124,6 +124,11 @@
         self.drivers.borrow().get(name).and_then(|driver| driver.link.clone())
     }
 
+    /// Returns the links to all drivers.
+    pub(crate) fn links(&self) -> Vec<LinkHandle> {
+        self.drivers.borrow().values().filter_map(|driver| driver.link.clone()).collect()
+    }
+
     /// Tells whether any driver can be asked.
     pub(crate) fn has_links(&self) -> bool {
         self.drivers.borrow().values().any(|driver| driver.link.is_some())
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -102,10 +102,16 @@
     }
 
     fn config_wait(&self) -> Duration {
-        let relayed = self.cfg.role == NodeRole::Gateway && self.peers.has_links();
+        let relayed = self.peers.has_links() && !self.lists_for_all();
         if relayed { LONG_WAIT } else { CONFIG_WAIT }
     }
 
+    /// Tells whether this is the driver that keeps all others up to date.
+    fn lists_for_all(&self) -> bool {
+        let first = self.peers.ranked(self, DRIVERS_KIND).into_iter().next();
+        first.as_ref() == Some(&self.cfg.node)
+    }
+
     /// Lists a kind and watches it from there on.
     pub(crate) fn spawn_follow(
         self: &Rc<Self>,
@@ -249,8 +255,7 @@
     /// Tells whether this process has to list the endpoints: it is the driver that does so for
     /// all, or the list that it was sent is old.
     fn must_list(&self) -> bool {
-        let first = self.peers.ranked(self, DRIVERS_KIND).into_iter().next();
-        if first.as_ref() == Some(&self.cfg.node) {
+        if self.lists_for_all() {
             return true;
         }
         let listed_at = self.directory.borrow().listed_at();
@@ -280,6 +285,10 @@
         source: &'static str,
     ) {
         let count = list.len();
+        if self.directory.borrow().has_missed() {
+            // The store is back; watches that were sent meanwhile may never be answered.
+            self.store_silent.notify_waiters();
+        }
         if !self.directory.borrow_mut().set_endpoints(at, revision, list) {
             return;
         }
--- a/dogwoodtray_gateway/tests/jobs.rs
+++ b/dogwoodtray_gateway/tests/jobs.rs
@@ -239,3 +239,47 @@
         }
     });
 }
+
+/// Guards against items of a cancelled job that go on because the watch of the ends is silent.
+#[test]
+fn a_driver_hears_of_an_end_on_its_links() {
+    local(async {
+        let mut site = Site::new();
+        let endpoint = Endpoint::start("e1", "engine", 1).await;
+        site.register(&endpoint);
+        *endpoint.usual.borrow_mut() = Act::Stream { to: 1_000, pause: Duration::from_millis(20) };
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        site.post("/job/x", "j1", &submission(&["a"])).await;
+        until("the item runs", || endpoint.run_count() == 1).await;
+        site.store.silence_watches(true);
+        assert_eq!(site.delete("/api/lots/j1").await.status, StatusCode::OK);
+        until("the item is cut off", || !*endpoint.runs.borrow()[0].open.borrow()).await;
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(endpoint.run_count(), 1);
+    });
+}
+
+/// Guards against jobs that lie idle, and results that are late, because the store turns their
+/// driver away while it serves the other processes.
+#[test]
+fn a_driver_that_the_store_turns_away_works_through_its_peers() {
+    local(async {
+        let mut site = Site::new();
+        let endpoint = Endpoint::start("e1", "engine", 8).await;
+        site.register(&endpoint);
+        let refused = site.store.for_one_process();
+        let _first = site.start_driver_on("d1", refused.clone()).await;
+        let _second = site.start_driver("d2").await;
+        let _gateway = site.start_gateway().await;
+        sleep(Duration::from_millis(500)).await;
+        refused.turn_away(true);
+        let jobs = ["j1", "j2", "j3", "j4", "j5", "j6"];
+        for job in jobs {
+            site.post("/job/x", job, &submission(&["a"])).await;
+        }
+        for job in jobs {
+            assert_eq!(read_all(&site, job, 1).await[0].1, "completed", "{job}");
+        }
+    });
+}
--- a/dogwoodtray_gateway/tests/online.rs
+++ b/dogwoodtray_gateway/tests/online.rs
@@ -319,3 +319,28 @@
         assert!(answer.headers.contains_key("retry-after"));
     });
 }
+
+/// Guards against watches that hang on connections which went silent while the store was away: a
+/// change after its return has to be seen soon, not when the watch times out.
+#[test]
+fn watches_start_anew_when_the_store_returns() {
+    local(async {
+        let mut site = Site::new();
+        let endpoint = Endpoint::start("a", "engine", 2).await;
+        site.register(&endpoint);
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        site.store.silence_watches(true);
+        site.store.set_down(true);
+        sleep(Duration::from_millis(1_200)).await;
+        site.store.set_down(false);
+        site.store.silence_watches(false);
+        site.store.put("config", "main", &config(2).replace("/stream/", "/moved/"));
+        let seen = timeout(Duration::from_secs(2), async {
+            while site.post("/moved/x", "r1", "slip").await.status != StatusCode::OK {
+                sleep(Duration::from_millis(20)).await;
+            }
+        });
+        assert!(seen.await.is_ok(), "the change is not in force after 2 s");
+    });
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -319,8 +319,13 @@
     }
 
     pub async fn start_driver(&mut self, node: &str) -> JobDriver {
+        self.start_driver_on(node, self.store.clone()).await
+    }
+
+    /// Starts a driver with a view of the store of its own.
+    pub async fn start_driver_on(&mut self, node: &str, store: MemoryObjects) -> JobDriver {
         let cfg = node_config(node, NodeRole::Driver);
-        let store = Arc::new(self.store.clone());
+        let store = Arc::new(store);
         JobDriver::bind(cfg, Arc::new(SiteDialect::new()), store).await.unwrap()
     }
 
--- a/dogwoodtray_platform/src/memory_objects.rs
+++ b/dogwoodtray_platform/src/memory_objects.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
@@ -30,6 +32,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct MemoryObjects {
     inner: Arc<Inner>,
+    /// Whether the calls through this handle and its clones are refused.
+    turned_away: Arc<AtomicBool>,
 }
 
 #[derive(Debug, Default)]
@@ -46,6 +50,7 @@
     down: bool,
     lose_replies: u32,
     slow_lists: Option<(&'static str, Duration)>,
+    silent_watches: bool,
     calls: u64,
 }
 
@@ -56,6 +61,22 @@
         Self::default()
     }
 
+    /// Returns a handle whose calls can be refused apart from those of other handles.
+    #[must_use]
+    pub fn for_one_process(&self) -> Self {
+        Self { inner: Arc::clone(&self.inner), turned_away: Arc::default() }
+    }
+
+    /// Makes the store refuse the calls through this handle, or serve them again.
+    pub fn turn_away(&self, refused: bool) {
+        self.turned_away.store(refused, Ordering::Relaxed);
+        self.inner.changed.notify_waiters();
+    }
+
+    fn is_refused(&self, state: &State) -> bool {
+        state.down || self.turned_away.load(Ordering::Relaxed)
+    }
+
     /// Makes the store refuse all calls, or serve them again.
     pub fn set_down(&self, down: bool) {
         self.lock().down = down;
@@ -72,6 +93,13 @@
         self.lock().slow_lists = Some((kind, delay));
     }
 
+    /// Makes watches that begin from now on go unanswered for good, as on a connection that went
+    /// silent, or be answered again.
+    pub fn silence_watches(&self, silent: bool) {
+        self.lock().silent_watches = silent;
+        self.inner.changed.notify_waiters();
+    }
+
     /// Returns the number of calls.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -116,7 +144,7 @@
     ) -> BoxFuture<T> {
         let mut state = self.lock();
         state.calls += 1;
-        if state.down {
+        if self.is_refused(&state) {
             return Box::pin(async { unavailable });
         }
         let reply = write(&mut state);
@@ -150,7 +178,7 @@
     fn list(&self, kind: &'static str) -> BoxFuture<Listed> {
         let mut state = self.lock();
         state.calls += 1;
-        let listed = if state.down {
+        let listed = if self.is_refused(&state) {
             Listed::Unavailable
         } else {
             let of_kind = state.objects.iter().filter(|((other, _), _)| *other == kind);
@@ -169,7 +197,7 @@
     fn get(&self, kind: &'static str, name: &Name) -> BoxFuture<Read> {
         let mut state = self.lock();
         state.calls += 1;
-        let read = if state.down {
+        let read = if self.is_refused(&state) {
             Read::Unavailable
         } else {
             state
@@ -182,7 +210,11 @@
 
     fn watch(&self, kind: &'static str, after: Version, wait: Duration) -> BoxFuture<Watched> {
         let store = self.clone();
+        let silent = self.lock().silent_watches;
         Box::pin(async move {
+            if silent {
+                std::future::pending::<()>().await;
+            }
             let changed = async {
                 loop {
                     let notified = store.inner.changed.notified();
@@ -190,7 +222,10 @@
                     notified.as_mut().enable();
                     {
                         let state = store.lock();
-                        if state.down || !state.changes(kind, after).is_empty() {
+                        if store.is_refused(&state)
+                            || state.silent_watches
+                            || !state.changes(kind, after).is_empty()
+                        {
                             return;
                         }
                     }
@@ -201,7 +236,7 @@
             let _ = timeout(wait, changed).await;
             let mut state = store.lock();
             state.calls += 1;
-            if state.down {
+            if store.is_refused(&state) {
                 return Watched::Unavailable;
             }
             let changes = state.changes(kind, after);
--- a/dogwoodtray_policy/tests/placement.rs
+++ b/dogwoodtray_policy/tests/placement.rs
@@ -107,12 +107,11 @@
 fn a_request_that_cannot_be_met_is_refused_at_once() {
     let mut bench = Bench::with(&[("a", 1)]);
     bench.ask(1, Class::Online);
-    let refused = (2..20).flat_map(|ask| bench.ask(ask, Class::Online)).find_map(|action| {
-        match action {
+    let refused =
+        (2..20).flat_map(|ask| bench.ask(ask, Class::Online)).find_map(|action| match action {
             PlaceAction::Refuse { retry_after, .. } => Some(retry_after),
             _ => None,
-        }
-    });
+        });
     let cfg = DispatcherConfig::default();
     let retry_after = refused.expect("one of them cannot be met");
     assert!((cfg.min_retry_after..=cfg.max_retry_after).contains(&retry_after));
--- a/dogwoodtray_wire/src/convert.rs
+++ b/dogwoodtray_wire/src/convert.rs
@@ -28,6 +28,7 @@
     EndpointSet,
     Heartbeat,
     Hello,
+    JobAccepted,
     JobCancelled,
     JobItemBody,
     JobItemRead,
@@ -46,4 +47,6 @@
     Started,
     StoreCreate,
     StoreCreated,
+    StoreObject,
+    StoreRead,
 );
