--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -24,6 +24,7 @@
 
 use crate::driver::BATCH_KINDS;
 use crate::node::Node;
+use crate::node::NodeRole;
 
 /// Time in which a driver carries out a call for another process: longer than the store takes
 /// when it is slow.
@@ -74,7 +75,11 @@
 
     /// Handles a frame from a process that dialled this one.
     pub(crate) fn on_peer_frame(self: &Rc<Self>, incarnation: u64, link: &LinkHandle, kind: Kind) {
-        let Some(kind) = self.on_place_frame(incarnation, kind) else { return };
+        let kind = match self.cfg.role {
+            NodeRole::Driver => self.on_place_frame(incarnation, kind),
+            NodeRole::Gateway => self.carry(incarnation, link, kind),
+        };
+        let Some(kind) = kind else { return };
         let node = Rc::clone(self);
         let link = link.clone();
         match kind {
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! the platform calls things is hidden behind a [`Dialect`].
 
 mod calls;
+mod carry;
 mod directory;
 mod driver;
 mod front;
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -7,6 +7,7 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,12 +16,16 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_platform::ObjectStore;
+use dogwoodtray_policy::PlaceId;
 use dogwoodtray_runtime::Clock;
 use dogwoodtray_runtime::EventLog;
 use dogwoodtray_wire::messages;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Notify;
 
 use crate::calls::Calls;
+use crate::carry::Carried;
 use crate::directory::Directory;
 use crate::driver::Driver;
 use crate::model::Dialect;
@@ -28,7 +33,8 @@
 use crate::places::Places;
 
 /// What a process does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum NodeRole {
     /// Serves callers.
     Gateway,
@@ -36,6 +42,14 @@
     Driver,
 }
 
+/// Process that has made itself known in the store.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownNode {
+    pub(crate) name: Name,
+    pub(crate) addr: Name,
+    pub(crate) role: NodeRole,
+}
+
 /// Settings that both roles share.
 #[derive(Clone, Debug)]
 pub struct NodeConfig {
@@ -71,8 +85,10 @@
     pub(crate) draining: Cell<bool>,
     /// Newest configuration, as it is relayed on links.
     pub(crate) relayed_config: RefCell<Option<messages::ConfigSet>>,
-    /// Names and addresses of the drivers in the store.
-    pub(crate) known_drivers: RefCell<Vec<(Name, Name)>>,
+    /// Processes that have made themselves known in the store.
+    pub(crate) known_nodes: RefCell<Vec<KnownNode>>,
+    /// Places that this process holds for others.
+    pub(crate) carried: RefCell<HashMap<PlaceId, Carried>>,
     pub(crate) calls: Calls,
     /// Job side of a driver; empty in a gateway.
     pub(crate) driver: OnceCell<Rc<Driver>>,
@@ -101,7 +117,8 @@
             places: Places::new(incarnation),
             draining: Cell::new(false),
             relayed_config: RefCell::new(None),
-            known_drivers: RefCell::new(Vec::new()),
+            known_nodes: RefCell::new(Vec::new()),
+            carried: RefCell::new(HashMap::new()),
             calls: Calls::default(),
             driver: OnceCell::new(),
             store_silent: Notify::new(),
--- a/dogwoodtray_gateway/src/peers.rs
+++ b/dogwoodtray_gateway/src/peers.rs
@@ -28,6 +28,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::node::KnownNode;
 use crate::node::Node;
 use crate::node::NodeRole;
 
@@ -38,6 +39,19 @@
 /// second, and the items that run would be run twice.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Time since the last frame after which a process is not asked; two heartbeats and a margin.
+const QUIET_TIME: Duration = Duration::from_millis(1_250);
+
+/// Age of the list of endpoints at which a driver has lost touch: the list is made every 0.4 s,
+/// and the store takes a quarter of a second when it is slow.
+const STALE_AGE: Duration = Duration::from_millis(2_000);
+
+/// Gateways that a gateway dials while it reaches no driver.
+const MAX_RELAYS: usize = 2;
+
+/// Interval at which a gateway looks whether it reaches a driver.
+const RELAY_CHECK: Duration = Duration::from_millis(200);
+
 /// Time that a driver gets no asks after it failed to answer one.
 const SUSPECT_TIME: Duration = Duration::from_secs(1);
 
@@ -51,15 +65,31 @@
     Accepted,
 }
 
+/// Process that this one has dialled.
 #[derive(Debug)]
-struct Driver {
+struct Dialled {
     addr: Name,
+    role: NodeRole,
     link: Option<LinkHandle>,
+    /// Time of the last frame.
+    heard_at: Timestamp,
     /// Time since which there is no link.
     lost_at: Timestamp,
     suspect_until: Timestamp,
     leaving: bool,
-    _dial: Option<DialHandle>,
+    /// Whether the process says that it has lost touch with the store.
+    stale: bool,
+    _dial: DialHandle,
+}
+
+impl Dialled {
+    fn is_heard(&self, now: Timestamp) -> bool {
+        self.link.is_some() && now - self.heard_at < QUIET_TIME
+    }
+
+    fn can_be_asked(&self, now: Timestamp) -> bool {
+        self.is_heard(now) && !self.leaving && now >= self.suspect_until
+    }
 }
 
 #[derive(Debug)]
@@ -68,10 +98,11 @@
     incarnation: u64,
 }
 
-/// Links of a process: dialled to all drivers, accepted from all processes.
+/// Links of a process: dialled to all drivers, accepted from all processes. A gateway that reaches
+/// no driver dials other gateways, which then pass its asks on.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    drivers: RefCell<HashMap<Name, Driver>>,
+    dialled: RefCell<HashMap<Name, Dialled>>,
     accepted: RefCell<HashMap<LinkId, Accepted>>,
     listener: RefCell<Option<LinkListener>>,
     tx: RefCell<Option<UnboundedSender<(Source, LinkEvent)>>>,
@@ -80,31 +111,50 @@
 /// # Members
 impl Peers {
     /// Returns the drivers in order of preference for a key, those that cannot be asked left out.
+    /// Drivers that have lost touch come last. Without a driver, gateways stand in for them.
     pub(crate) fn ranked(&self, node: &Node, key: &str) -> Vec<Name> {
         let now = node.now();
-        let drivers = self.drivers.borrow();
-        let mut names: Vec<Name> = drivers
-            .iter()
-            .filter(|(_, d)| d.link.is_some() && !d.leaving && now >= d.suspect_until)
-            .map(|(name, _)| Name::clone(name))
-            .collect();
+        let dialled = self.dialled.borrow();
+        let of_role = |role: NodeRole, stale: bool| {
+            dialled
+                .iter()
+                .filter(move |(_, peer)| peer.role == role && peer.can_be_asked(now))
+                .filter(move |(_, peer)| peer.stale == stale)
+                .map(|(name, _)| Name::clone(name))
+                .collect::<Vec<_>>()
+        };
+        let mut fresh = of_role(NodeRole::Driver, false);
+        let mut stale = of_role(NodeRole::Driver, true);
         if node.cfg.role == NodeRole::Driver && !node.draining.get() {
-            names.push(Name::clone(&node.cfg.node));
+            let own = if node.is_stale() { &mut stale } else { &mut fresh };
+            own.push(Name::clone(&node.cfg.node));
+        }
+        let mut ranked = choose_subset(key, &fresh, fresh.len());
+        ranked.extend(choose_subset(key, &stale, stale.len()));
+        if ranked.is_empty() {
+            let relays = of_role(NodeRole::Gateway, false);
+            ranked = choose_subset(key, &relays, relays.len());
         }
-        choose_subset(key, &names, names.len())
+        ranked
     }
 
     /// Tells whether this process drives the job with this id. A driver that was lost a moment ago
-    /// still counts.
+    /// still counts. A driver that reaches neither the store nor another driver drives nothing,
+    /// because the others have taken its jobs over.
     pub(crate) fn owns(&self, node: &Node, job: &str) -> bool {
         if node.draining.get() {
             return false;
         }
         let now = node.now();
-        let drivers = self.drivers.borrow();
-        let mut names: Vec<Name> = drivers
+        let dialled = self.dialled.borrow();
+        let mut others = dialled.values().filter(|peer| peer.role == NodeRole::Driver);
+        if node.is_stale() && !dialled.is_empty() && !others.any(|peer| peer.is_heard(now)) {
+            return false;
+        }
+        let mut names: Vec<Name> = dialled
             .iter()
-            .filter(|(_, d)| !d.leaving && (d.link.is_some() || now - d.lost_at < TAKEOVER_DELAY))
+            .filter(|(_, d)| d.role == NodeRole::Driver && !d.leaving)
+            .filter(|(_, d)| d.link.is_some() || now - d.lost_at < TAKEOVER_DELAY)
             .map(|(name, _)| Name::clone(name))
             .collect();
         names.push(Name::clone(&node.cfg.node));
@@ -114,24 +164,29 @@
     /// Tells whether there is a link to a driver, or was one a moment ago.
     pub(crate) fn is_there(&self, node: &Node, name: &str) -> bool {
         let now = node.now();
-        self.drivers
+        self.dialled
             .borrow()
             .get(name)
             .is_some_and(|d| d.link.is_some() || now - d.lost_at < TAKEOVER_DELAY)
     }
 
     pub(crate) fn link_to(&self, name: &str) -> Option<LinkHandle> {
-        self.drivers.borrow().get(name).and_then(|driver| driver.link.clone())
+        self.dialled.borrow().get(name).and_then(|driver| driver.link.clone())
     }
 
     /// Returns the links to all drivers.
     pub(crate) fn links(&self) -> Vec<LinkHandle> {
-        self.drivers.borrow().values().filter_map(|driver| driver.link.clone()).collect()
+        self.dialled.borrow().values().filter_map(|driver| driver.link.clone()).collect()
     }
 
-    /// Tells whether any driver can be asked.
+    /// Tells whether any process relays for this one.
     pub(crate) fn has_links(&self) -> bool {
-        self.drivers.borrow().values().any(|driver| driver.link.is_some())
+        self.dialled.borrow().values().any(|peer| peer.link.is_some())
+    }
+
+    /// Tells whether any process has dialled this one.
+    pub(crate) fn has_accepted(&self) -> bool {
+        !self.accepted.borrow().is_empty()
     }
 
     pub(crate) fn link_of_incarnation(&self, incarnation: u64) -> Option<LinkHandle> {
@@ -144,7 +199,7 @@
     }
 
     pub(crate) fn suspect(&self, node: &Node, name: &str) {
-        if let Some(driver) = self.drivers.borrow_mut().get_mut(name) {
+        if let Some(driver) = self.dialled.borrow_mut().get_mut(name) {
             driver.suspect_until = node.now() + SUSPECT_TIME;
         }
     }
@@ -159,7 +214,7 @@
 
     fn broadcast_everywhere(&self, frame: &Frame) {
         self.broadcast(frame.clone());
-        for link in self.drivers.borrow().values().filter_map(|driver| driver.link.as_ref()) {
+        for link in self.dialled.borrow().values().filter_map(|driver| driver.link.as_ref()) {
             link.send(frame.clone());
         }
     }
@@ -180,6 +235,15 @@
                 node.on_link(source, event);
             }
         });
+        if self.cfg.role == NodeRole::Gateway {
+            let node = Rc::clone(self);
+            spawn_local(async move {
+                loop {
+                    sleep(RELAY_CHECK).await;
+                    node.check_relays();
+                }
+            });
+        }
         let node = Rc::clone(self);
         spawn_local(async move {
             let mut seq = 0;
@@ -199,7 +263,9 @@
 
     fn heartbeat(&self, seq: u64) -> Heartbeat {
         let generation = self.directory.borrow().generation().0;
-        Heartbeat { seq, generation, leaving: self.draining.get(), ..Heartbeat::default() }
+        let stale = self.cfg.role == NodeRole::Driver && self.is_stale();
+        let leaving = self.draining.get();
+        Heartbeat { seq, generation, leaving, stale, ..Heartbeat::default() }
     }
 
     fn link_config(&self, source: Source, tx: UnboundedSender<(Source, LinkEvent)>) -> LinkConfig {
@@ -227,36 +293,81 @@
         )
     }
 
-    /// Replaces the list of drivers and dials those that are new.
-    pub(crate) fn set_drivers(&self, list: &[(Name, Name)]) {
-        let now = self.now();
-        let mut drivers = self.peers.drivers.borrow_mut();
-        drivers.retain(|name, driver| {
-            list.iter().any(|(other, addr)| other == name && *addr == driver.addr)
+    /// Tells whether this process has lost touch with the store and with whoever relays for it.
+    pub(crate) fn is_stale(&self) -> bool {
+        let listed_at = self.directory.borrow().listed_at();
+        listed_at.is_none_or(|at| self.now() - at >= STALE_AGE)
+    }
+
+    /// Dials the drivers that are new, and forgets those that are gone.
+    pub(crate) fn dial_drivers(&self) {
+        let known = self.known_nodes.borrow();
+        self.peers.dialled.borrow_mut().retain(|name, peer| {
+            known.iter().any(|node| node.name == *name && node.addr == peer.addr)
         });
-        for (name, addr) in list {
-            if *name == self.cfg.node || drivers.contains_key(name) {
-                continue;
-            }
-            let Some(tx) = self.peers.tx.borrow().clone() else { return };
-            let cfg = self.link_config(Source::Dialled(Name::clone(name)), tx);
-            let driver = Driver {
-                addr: Name::clone(addr),
-                link: None,
-                lost_at: now,
-                suspect_until: Timestamp::ZERO,
-                leaving: false,
-                _dial: Some(dial(&Handle::current(), Name::clone(addr), cfg)),
-            };
-            drivers.insert(Name::clone(name), driver);
+        for node in known.iter().filter(|node| node.role == NodeRole::Driver) {
+            self.dial(node);
+        }
+    }
+
+    fn dial(&self, to: &KnownNode) {
+        let mut dialled = self.peers.dialled.borrow_mut();
+        if to.name == self.cfg.node || dialled.contains_key(&to.name) {
+            return;
+        }
+        let Some(tx) = self.peers.tx.borrow().clone() else { return };
+        let cfg = self.link_config(Source::Dialled(Name::clone(&to.name)), tx);
+        let now = self.now();
+        let peer = Dialled {
+            addr: Name::clone(&to.addr),
+            role: to.role,
+            link: None,
+            heard_at: now,
+            lost_at: now,
+            suspect_until: Timestamp::ZERO,
+            leaving: false,
+            stale: false,
+            _dial: dial(&Handle::current(), Name::clone(&to.addr), cfg),
+        };
+        dialled.insert(Name::clone(&to.name), peer);
+    }
+
+    /// Dials other gateways while no driver is heard, and leaves them when one is.
+    fn check_relays(&self) {
+        let now = self.now();
+        let (reached, relays) = {
+            let dialled = self.peers.dialled.borrow();
+            let drivers = dialled.values().filter(|peer| peer.role == NodeRole::Driver);
+            let waited = |peer: &Dialled| now - peer.heard_at < QUIET_TIME;
+            let reached = drivers.clone().count() == 0 || drivers.clone().any(waited);
+            (reached, dialled.values().any(|peer| peer.role == NodeRole::Gateway))
+        };
+        if reached == !relays {
+            return;
+        }
+        if reached {
+            let is_relay = |_: &Name, peer: &mut Dialled| peer.role == NodeRole::Driver;
+            self.peers.dialled.borrow_mut().retain(is_relay);
+            return;
+        }
+        let known = self.known_nodes.borrow();
+        let gateways: Vec<Name> = known
+            .iter()
+            .filter(|node| node.role == NodeRole::Gateway && node.name != self.cfg.node)
+            .map(|node| Name::clone(&node.name))
+            .collect();
+        let chosen = choose_subset(&self.cfg.node, &gateways, MAX_RELAYS);
+        for node in known.iter().filter(|node| chosen.contains(&node.name)) {
+            self.dial(node);
         }
     }
 
     fn on_link(self: &Rc<Self>, source: Source, event: LinkEvent) {
         match (source, event) {
             (Source::Dialled(name), LinkEvent::Up { link, .. }) => {
-                if let Some(driver) = self.peers.drivers.borrow_mut().get_mut(&name) {
+                if let Some(driver) = self.peers.dialled.borrow_mut().get_mut(&name) {
                     driver.link = Some(link);
+                    driver.heard_at = self.now();
                     driver.leaving = false;
                     driver.suspect_until = Timestamp::ZERO;
                 }
@@ -264,7 +375,7 @@
             }
             (Source::Dialled(name), LinkEvent::Down { link, reason }) => {
                 let now = self.now();
-                if let Some(driver) = self.peers.drivers.borrow_mut().get_mut(&name)
+                if let Some(driver) = self.peers.dialled.borrow_mut().get_mut(&name)
                     && driver.link.as_ref().is_some_and(|known| known.id() == link)
                 {
                     driver.link = None;
@@ -289,6 +400,7 @@
             (Source::Accepted, LinkEvent::Down { link, .. }) => {
                 let gone = self.peers.accepted.borrow_mut().remove(&link);
                 let Some(gone) = gone else { return };
+                self.drop_carried(gone.incarnation);
                 let node = Rc::clone(self);
                 spawn_local(async move {
                     sleep(ORPHAN_TIME).await;
@@ -309,12 +421,15 @@
 
     /// Handles a frame from a driver that this process dialled.
     fn on_driver_frame(self: &Rc<Self>, name: &Name, link: LinkId, kind: Kind) {
-        match kind {
-            Kind::Heartbeat(beat) => {
-                if let Some(driver) = self.peers.drivers.borrow_mut().get_mut(name) {
-                    driver.leaving = beat.leaving;
-                }
+        if let Some(peer) = self.peers.dialled.borrow_mut().get_mut(name) {
+            peer.heard_at = self.now();
+            if let Kind::Heartbeat(beat) = &kind {
+                peer.leaving = beat.leaving;
+                peer.stale = beat.stale;
             }
+        }
+        match kind {
+            Kind::Heartbeat(_) => {}
             Kind::ConfigSet(set) => self.on_relayed_config(&set),
             Kind::EndpointSet(set) => self.on_relayed_endpoints(set),
             kind => self.on_place_reply(link, kind),
--- a/dogwoodtray_gateway/src/places.rs
+++ b/dogwoodtray_gateway/src/places.rs
@@ -484,7 +484,7 @@
     }
 }
 
-fn millis(time: Duration) -> u32 {
+pub(crate) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
@@ -511,7 +511,7 @@
     }
 }
 
-const fn end_from_wire(outcome: PlaceOutcome) -> PlaceEnd {
+pub(crate) const fn end_from_wire(outcome: PlaceOutcome) -> PlaceEnd {
     match outcome {
         PlaceOutcome::Answered => PlaceEnd::Answered,
         PlaceOutcome::Full => PlaceEnd::Full,
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -27,11 +27,12 @@
 
 use crate::model::Endpoint;
 use crate::model::EndpointState;
+use crate::node::KnownNode;
 use crate::node::Node;
 use crate::node::NodeRole;
 
-/// Kind of the objects with which drivers make themselves known.
-const DRIVERS_KIND: &str = "drivers";
+/// Kind of the objects with which processes make themselves known.
+const NODES_KIND: &str = "nodes";
 
 /// Interval at which one driver lists the endpoints. A draining endpoint must get no new request
 /// 2 s after it said so, and the relay adds a few milliseconds.
@@ -56,10 +57,11 @@
 /// Longest pause between failed calls; a store that returned is found again within it.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
-/// Entry of a driver in the store.
+/// Entry of a process in the store.
 #[derive(Debug, Serialize, Deserialize)]
-struct DriverSpec {
-    address: String,
+struct NodeSpec {
+    role: NodeRole,
+    address: Name,
     incarnation: u64,
 }
 
@@ -92,13 +94,11 @@
     pub(crate) fn spawn_sync(self: &Rc<Self>) {
         let (kind, _) = self.dialect.names().config;
         self.spawn_follow(kind, Self::config_wait, Self::on_config_update);
-        self.spawn_follow(DRIVERS_KIND, |_| LONG_WAIT, Self::on_drivers_update);
+        self.spawn_follow(NODES_KIND, |_| LONG_WAIT, Self::on_nodes_update);
         let node = Rc::clone(self);
         spawn_local(async move { node.follow_endpoints().await });
-        if self.cfg.role == NodeRole::Driver {
-            let node = Rc::clone(self);
-            spawn_local(async move { node.register().await });
-        }
+        let node = Rc::clone(self);
+        spawn_local(async move { node.register().await });
     }
 
     fn config_wait(&self) -> Duration {
@@ -108,7 +108,7 @@
 
     /// Tells whether this is the driver that keeps all others up to date.
     fn lists_for_all(&self) -> bool {
-        let first = self.peers.ranked(self, DRIVERS_KIND).into_iter().next();
+        let first = self.peers.ranked(self, NODES_KIND).into_iter().next();
         first.as_ref() == Some(&self.cfg.node)
     }
 
@@ -325,6 +325,10 @@
         let now = self.now();
         let at = Timestamp(now.0.saturating_sub(u64::try_from(age.as_micros()).unwrap_or(0)));
         self.set_endpoints(at, Version(set.revision), list, "relay");
+        // A gateway that another one has dialled stands in for the drivers.
+        if self.cfg.role == NodeRole::Gateway && self.peers.has_accepted() {
+            self.peers.broadcast(self.endpoint_set());
+        }
     }
 }
 
@@ -340,49 +344,57 @@
     })
 }
 
-/// # Drivers
+/// # Processes
 impl Node {
-    /// Makes this driver known in the store.
+    /// Makes this process known in the store.
     async fn register(self: Rc<Self>) {
-        let spec =
-            DriverSpec { address: self.cfg.peer.to_string(), incarnation: self.incarnation.0 };
+        let spec = NodeSpec {
+            role: self.cfg.role,
+            address: Name::from(self.cfg.peer.to_string()),
+            incarnation: self.incarnation.0,
+        };
         let spec = serde_json::to_string(&spec).unwrap_or_default();
+        debug_assert!(!spec.is_empty(), "the entry of a process is serializable");
         let mut pause = Pause::new();
         loop {
             let name = &self.cfg.node;
-            match self.store.create(DRIVERS_KIND, name, spec.clone()).await {
+            match self.store.create(NODES_KIND, name, spec.clone()).await {
                 Created::Done => return,
                 Created::Exists => {
-                    let replaced = self.store.replace(DRIVERS_KIND, name, spec.clone()).await;
+                    let replaced = self.store.replace(NODES_KIND, name, spec.clone()).await;
                     if replaced == Updated::Done {
                         return;
                     }
                 }
-                Created::TooLarge => debug_assert!(false, "the entry of a driver is small"),
+                Created::TooLarge => debug_assert!(false, "the entry of a process is small"),
                 Created::Unavailable | Created::Unknown => {}
             }
             pause.wait().await;
         }
     }
 
-    fn on_drivers_update(self: &Rc<Self>, update: Update) {
-        let mut known = self.known_drivers.borrow_mut();
-        match update {
-            Update::All(objects) => {
-                known.clear();
-                known.extend(objects.iter().filter_map(driver_entry));
-            }
-            Update::One(Change::Put(object)) => {
-                known.retain(|(name, _)| *name != object.name);
-                known.extend(driver_entry(&object));
+    fn on_nodes_update(self: &Rc<Self>, update: Update) {
+        {
+            let mut known = self.known_nodes.borrow_mut();
+            match update {
+                Update::All(objects) => {
+                    known.clear();
+                    known.extend(objects.iter().filter_map(known_node));
+                }
+                Update::One(Change::Put(object)) => {
+                    known.retain(|node| node.name != object.name);
+                    known.extend(known_node(&object));
+                }
+                Update::One(Change::Removed(name)) => known.retain(|node| node.name != name),
             }
-            Update::One(Change::Removed(name)) => known.retain(|(other, _)| *other != name),
         }
-        self.set_drivers(&known);
+        self.dial_drivers();
     }
 }
 
-fn driver_entry(object: &Object) -> Option<(Name, Name)> {
-    let spec: DriverSpec = serde_json::from_str(object.spec.get()).ok()?;
-    Some((Name::clone(&object.name), Name::from(spec.address)))
+fn known_node(object: &Object) -> Option<KnownNode> {
+    let spec: NodeSpec = serde_json::from_str(object.spec.get())
+        .inspect_err(|err| log::warn!("entry {} of a process cannot be read: {err}", object.name))
+        .ok()?;
+    Some(KnownNode { name: Name::clone(&object.name), addr: spec.address, role: spec.role })
 }
--- a/dogwoodtray_gateway/tests/online.rs
+++ b/dogwoodtray_gateway/tests/online.rs
@@ -344,3 +344,32 @@
         assert!(seen.await.is_ok(), "the change is not in force after 2 s");
     });
 }
+
+/// Guards against callers of a gateway that is cut off from the drivers and the store, while it
+/// still reaches other gateways: its requests must not overrun the endpoints, and its jobs must
+/// not be refused.
+#[test]
+fn a_gateway_that_reaches_no_driver_works_through_another_one() {
+    local(async {
+        let mut site = Site::new();
+        let endpoint = Endpoint::start("a", "engine", 8).await;
+        site.register(&endpoint);
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        let cut = site.start_cut_gateway().await;
+        sleep(Duration::from_millis(2_500)).await;
+        let callers = cut.callers;
+        *endpoint.usual.borrow_mut() = Act::Stream { to: 20, pause: Duration::from_millis(20) };
+        let post = |to| site.post_to(to, "/stream/x", "r1", "slip");
+        let pair = || async { tokio::join!(post(site.callers), post(callers)) };
+        let pairs = tokio::join!(pair(), pair(), pair(), pair(), pair());
+        for (near, cut) in [pairs.0, pairs.1, pairs.2, pairs.3, pairs.4] {
+            assert_eq!((near.status, near.whole), (StatusCode::OK, true));
+            assert_eq!((cut.status, cut.whole), (StatusCode::OK, true));
+        }
+        let most = endpoint.most_open.get();
+        assert!(most <= 8, "{most} requests at an endpoint with 8 places");
+        let answer = site.post_to(callers, "/job/x", "j1", &support::submission(&["i"])).await;
+        assert_eq!(answer.status, StatusCode::ACCEPTED);
+    });
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses part of it")]
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -114,6 +115,8 @@
     pub slots: u32,
     pub addr: SocketAddr,
     pub runs: Rc<RefCell<Vec<Run>>>,
+    /// Most requests that ran at a time.
+    pub most_open: Rc<Cell<usize>>,
     pub acts: Rc<RefCell<VecDeque<Act>>>,
     /// What it does when `acts` is empty.
     pub usual: Rc<RefCell<Act>>,
@@ -130,6 +133,7 @@
             slots,
             addr,
             runs: Rc::default(),
+            most_open: Rc::default(),
             acts: Rc::default(),
             usual: Rc::new(RefCell::new(usual)),
         };
@@ -195,6 +199,8 @@
             body,
             open: Rc::clone(&open),
         });
+        let running = self.runs.borrow().iter().filter(|run| *run.open.borrow()).count();
+        self.most_open.set(self.most_open.get().max(running));
         let head = |status: u16| {
             Response::builder()
                 .status(status)
@@ -331,28 +337,37 @@
 
     /// Starts a gateway and waits until it is ready.
     pub async fn start_gateway(&mut self) -> Gateway {
-        let cfg = node_config("g1", NodeRole::Gateway);
-        let store = Arc::new(self.store.clone());
-        let dialect = Arc::new(SiteDialect::new());
-        let gateway =
-            Gateway::bind(cfg, self.callers, self.readiness, dialect, store).await.unwrap();
-        let ready = timeout(PATIENCE, async {
-            while get(self.readiness, "/api/ready").await.status != StatusCode::OK {
-                sleep(POLL).await;
-            }
-        });
-        assert!(ready.await.is_ok(), "the gateway is not ready in time");
-        gateway
+        start_gateway("g1", self.callers, self.readiness, self.store.clone()).await
+    }
+
+    /// Starts a gateway that knows the gateway `g1` and cannot reach the driver `d1` or the store.
+    pub async fn start_cut_gateway(&self) -> CutGateway {
+        let store = MemoryObjects::new();
+        store.put("config", "main", &config(1));
+        let known = || self.store.spec("nodes", "g1").is_some();
+        until("the other gateway is known", known).await;
+        store.put("nodes", "g1", &self.store.spec("nodes", "g1").unwrap());
+        let nowhere = free_addr();
+        let driver = format!(r#"{{"role":"driver","address":"{nowhere}","incarnation":1}}"#);
+        store.put("nodes", "d1", &driver);
+        let (callers, readiness) = (free_addr(), free_addr());
+        let gateway = start_gateway("g2", callers, readiness, store.clone()).await;
+        store.set_down(true);
+        CutGateway { callers, _gateway: gateway }
     }
 
     pub async fn post(&self, path: &str, id: &str, body: &str) -> Answer {
+        self.post_to(self.callers, path, id, body).await
+    }
+
+    pub async fn post_to(&self, to: SocketAddr, path: &str, id: &str, body: &str) -> Answer {
         let req = Request::post(path)
             .header("host", HOST)
             .header("attempt-id", id)
             .header("deadline-ms", "4000")
             .body(Full::new(Bytes::from(body.to_owned())))
             .unwrap();
-        exchange(self.callers, req).await
+        exchange(to, req).await
     }
 
     pub async fn get(&self, path: &str) -> Answer {
@@ -365,6 +380,31 @@
     }
 }
 
+/// Gateway that reaches other gateways only.
+pub struct CutGateway {
+    pub callers: SocketAddr,
+    _gateway: Gateway,
+}
+
+/// Starts a gateway and waits until it is ready.
+async fn start_gateway(
+    node: &str,
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    store: MemoryObjects,
+) -> Gateway {
+    let cfg = node_config(node, NodeRole::Gateway);
+    let dialect = Arc::new(SiteDialect::new());
+    let gateway = Gateway::bind(cfg, callers, readiness, dialect, Arc::new(store)).await.unwrap();
+    let ready = timeout(PATIENCE, async {
+        while get(readiness, "/api/ready").await.status != StatusCode::OK {
+            sleep(POLL).await;
+        }
+    });
+    assert!(ready.await.is_ok(), "the gateway is not ready in time");
+    gateway
+}
+
 async fn get(addr: SocketAddr, path: &str) -> Answer {
     let req = Request::get(path).header("host", HOST).body(Full::default()).unwrap();
     exchange(addr, req).await
