Choose one dispatcher for all, and let drivers that gateways pass over drive nothing

Each side drove all jobs and took its own dispatcher, so batch work of one side took the places that the gateways had been given on the other. A stream without a head after 100 ms is now told to the dispatcher, which gives that endpoint nothing for 200 ms.

--- a/dogwoodtray_gateway/src/carry.rs
+++ b/dogwoodtray_gateway/src/carry.rs
@@ -53,6 +53,8 @@
         kind: Kind,
     ) -> Option<Kind> {
         match kind {
+            // Without a driver this gateway can do no more than the one that asks.
+            Kind::PlaceAsk(_) if self.dispatcher().is_none() => {}
             Kind::PlaceAsk(ask) => self.carry_ask(incarnation, link, &ask),
             Kind::PlaceReturn(place) => {
                 let id = PlaceId { holder: incarnation, ask: place.ask };
@@ -61,6 +63,12 @@
                     lease.ended(end_from_wire(place.outcome()));
                 }
             }
+            Kind::PlaceSlow(slow) => {
+                let id = PlaceId { holder: incarnation, ask: slow.ask };
+                if let Some(Carried::Held(lease)) = self.carried.borrow().get(&id) {
+                    lease.slow();
+                }
+            }
             // Places that were taken without a driver are not known to the drivers.
             Kind::PlacesHeld(_) => {}
             Kind::JobRead(read) => self.carry_read(link, read),
@@ -152,6 +160,7 @@
         limit: Duration,
         message: impl FnOnce(u64) -> M,
     ) -> Option<Kind> {
+        self.dispatcher()?;
         let owner = self.peers.ranked(self, job).into_iter().next()?;
         let link = self.peers.link_to(&owner)?;
         self.call(&link, limit, message).await
--- a/dogwoodtray_gateway/src/front/attempt.rs
+++ b/dogwoodtray_gateway/src/front/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts to run one request at an endpoint.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use super::answer::Answer;
 use super::trace::Trace;
 use crate::model::Route;
+use crate::model::RouteKind;
 use crate::net::Exchange;
 use crate::net::SendError;
 use crate::net::send;
@@ -29,6 +31,10 @@
 /// prefill and the first tokens of a stream, or an ordinary call of a plain service.
 const FIRST_BYTE_TIME: Duration = Duration::from_millis(60);
 
+/// Time after which a stream whose head is missing waits inside its endpoint: an engine with a
+/// free place begins within 40 ms.
+const SLOW_HEAD: Duration = Duration::from_millis(100);
+
 /// Endpoints that may turn a request away before it is given up. Each has said, or shown by not
 /// accepting the connection, that it did not run it.
 const MAX_TURNED_AWAY: u32 = 6;
@@ -129,7 +135,7 @@
             };
             self.trace.on_sent(&endpoint.id);
             let limit = silence.map_or(left, |silence| silence.min(left));
-            match timeout(limit, send(endpoint.addr, req)).await {
+            match timeout(limit, self.watched(&lease, send(endpoint.addr, req))).await {
                 Ok(Ok(exchange)) => match judge(names, &exchange.parts, &self.id) {
                     Verdict::Answer | Verdict::Failure => {
                         self.sent += 1;
@@ -165,6 +171,21 @@
         }
     }
 
+    /// Waits for the head of an answer, and tells the dispatcher if that takes so long that the
+    /// request must be waiting inside its endpoint.
+    async fn watched<T>(&self, lease: &Lease, head: impl Future<Output = T>) -> T {
+        tokio::pin!(head);
+        if !matches!(self.route.kind, RouteKind::Streaming { .. }) {
+            return head.await;
+        }
+        loop {
+            match timeout(SLOW_HEAD, &mut head).await {
+                Ok(head) => return head,
+                Err(_) => lease.slow(),
+            }
+        }
+    }
+
     async fn place(&self) -> Result<Lease, Ended> {
         let now = self.node.now();
         let objective = self.arrived + self.route.latency_objective.saturating_sub(FIRST_BYTE_TIME);
--- a/dogwoodtray_gateway/src/peers.rs
+++ b/dogwoodtray_gateway/src/peers.rs
@@ -47,7 +47,7 @@
 const STALE_AGE: Duration = Duration::from_millis(2_000);
 
 /// Gateways that a gateway dials while it reaches no driver.
-const MAX_RELAYS: usize = 2;
+const MAX_RELAYS: usize = 4;
 
 /// Interval at which a gateway looks whether it reaches a driver.
 const RELAY_CHECK: Duration = Duration::from_millis(200);
@@ -58,6 +58,14 @@
 /// Time that the places of a process stay reserved after its link ended.
 const ORPHAN_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which a driver that was lost counts among those that should be there. One that is
+/// gone for longer was taken away.
+const MISSED_TIME: Duration = Duration::from_secs(10);
+
+/// Key by which the driver that gives places and lists endpoints is chosen. It is the same for all
+/// services, so that a partition leaves one such driver and not one for each service.
+pub(crate) const DISPATCHER_KEY: &str = "places";
+
 /// Where a link event comes from.
 #[derive(Debug)]
 enum Source {
@@ -73,6 +81,8 @@
     link: Option<LinkHandle>,
     /// Time of the last frame.
     heard_at: Timestamp,
+    /// Whether there ever was a link.
+    was_heard: bool,
     /// Time since which there is no link.
     lost_at: Timestamp,
     suspect_until: Timestamp,
@@ -96,6 +106,8 @@
 struct Accepted {
     link: LinkHandle,
     incarnation: u64,
+    /// Driver that a gateway asks for places, and when it said so.
+    dispatcher: Option<(Name, Timestamp)>,
 }
 
 /// Links of a process: dialled to all drivers, accepted from all processes. A gateway that reaches
@@ -138,19 +150,47 @@
         ranked
     }
 
+    /// Tells whether most gateways ask a driver that this one does not hear. In a partition the
+    /// drivers on the other side cannot know what runs at the endpoints, and leave them alone.
+    fn is_passed_over(&self, node: &Node) -> bool {
+        let now = node.now();
+        let dialled = self.dialled.borrow();
+        let unheard = |name: &Name| {
+            *name != node.cfg.node && !dialled.get(name).is_some_and(|peer| peer.is_heard(now))
+        };
+        let accepted = self.accepted.borrow();
+        let told = accepted
+            .values()
+            .filter_map(|accepted| accepted.dispatcher.as_ref())
+            .filter(|(_, at)| now - *at < QUIET_TIME);
+        let (mut elsewhere, mut all) = (0, 0);
+        for (name, _) in told {
+            all += 1;
+            elsewhere += usize::from(unheard(name));
+        }
+        elsewhere * 2 > all
+    }
+
+    /// Tells whether this driver hears fewer than half of the others that should be there.
+    fn is_isolated(&self, now: Timestamp) -> bool {
+        let dialled = self.dialled.borrow();
+        let drivers = || dialled.values().filter(|peer| peer.role == NodeRole::Driver);
+        let heard = drivers().filter(|peer| peer.is_heard(now)).count();
+        let missed = drivers()
+            .filter(|peer| peer.was_heard && !peer.is_heard(now) && !peer.leaving)
+            .filter(|peer| now - peer.heard_at < MISSED_TIME)
+            .count();
+        heard < missed
+    }
+
     /// Tells whether this process drives the job with this id. A driver that was lost a moment ago
-    /// still counts. A driver that reaches neither the store nor another driver drives nothing,
-    /// because the others have taken its jobs over.
+    /// still counts.
     pub(crate) fn owns(&self, node: &Node, job: &str) -> bool {
-        if node.draining.get() {
+        if node.draining.get() || self.is_passed_over(node) {
             return false;
         }
         let now = node.now();
         let dialled = self.dialled.borrow();
-        let mut others = dialled.values().filter(|peer| peer.role == NodeRole::Driver);
-        if node.is_stale() && !dialled.is_empty() && !others.any(|peer| peer.is_heard(now)) {
-            return false;
-        }
         let mut names: Vec<Name> = dialled
             .iter()
             .filter(|(_, d)| d.role == NodeRole::Driver && !d.leaving)
@@ -263,9 +303,19 @@
 
     fn heartbeat(&self, seq: u64) -> Heartbeat {
         let generation = self.directory.borrow().generation().0;
-        let stale = self.cfg.role == NodeRole::Driver && self.is_stale();
-        let leaving = self.draining.get();
-        Heartbeat { seq, generation, leaving, stale, ..Heartbeat::default() }
+        let dispatcher = self.dispatcher();
+        let stale = match self.cfg.role {
+            NodeRole::Driver => self.is_stale(),
+            NodeRole::Gateway => dispatcher.is_none(),
+        };
+        Heartbeat {
+            seq,
+            generation,
+            leaving: self.draining.get(),
+            stale,
+            dispatcher: dispatcher.map(|name| name.to_string()).unwrap_or_default(),
+            ..Heartbeat::default()
+        }
     }
 
     fn link_config(&self, source: Source, tx: UnboundedSender<(Source, LinkEvent)>) -> LinkConfig {
@@ -293,10 +343,21 @@
         )
     }
 
-    /// Tells whether this process has lost touch with the store and with whoever relays for it.
+    /// Returns the driver that gives places, if one is reached.
+    pub(crate) fn dispatcher(&self) -> Option<Name> {
+        let first = self.peers.ranked(self, DISPATCHER_KEY).into_iter().next()?;
+        let dialled = self.peers.dialled.borrow();
+        let relay = dialled.get(&first).is_some_and(|peer| peer.role == NodeRole::Gateway);
+        (!relay).then_some(first)
+    }
+
+    /// Tells whether this driver has lost touch with the store and with whoever relays for it, or
+    /// with most of the other drivers.
     pub(crate) fn is_stale(&self) -> bool {
+        let now = self.now();
         let listed_at = self.directory.borrow().listed_at();
-        listed_at.is_none_or(|at| self.now() - at >= STALE_AGE)
+        let old = listed_at.is_none_or(|at| now - at >= STALE_AGE);
+        old || self.peers.is_isolated(now)
     }
 
     /// Dials the drivers that are new, and forgets those that are gone.
@@ -323,6 +384,7 @@
             role: to.role,
             link: None,
             heard_at: now,
+            was_heard: false,
             lost_at: now,
             suspect_until: Timestamp::ZERO,
             leaving: false,
@@ -368,6 +430,7 @@
                 if let Some(driver) = self.peers.dialled.borrow_mut().get_mut(&name) {
                     driver.link = Some(link);
                     driver.heard_at = self.now();
+                    driver.was_heard = true;
                     driver.leaving = false;
                     driver.suspect_until = Timestamp::ZERO;
                 }
@@ -393,7 +456,9 @@
                 // Places of the same process on an older link are told again.
                 self.drop_places_of(hello.incarnation);
                 let id = link.id();
-                let accepted = Accepted { link, incarnation: hello.incarnation };
+                // A process that has just dialled learns at once whether this one can help it.
+                link.send(self.heartbeat(0));
+                let accepted = Accepted { link, incarnation: hello.incarnation, dispatcher: None };
                 self.peers.accepted.borrow_mut().insert(id, accepted);
                 self.relay_on_link(id);
             }
@@ -410,8 +475,13 @@
                 });
             }
             (Source::Accepted, LinkEvent::Frame { link, kind }) => {
-                let accepted = self.peers.accepted.borrow();
-                let Some(from) = accepted.get(&link) else { return };
+                let mut accepted = self.peers.accepted.borrow_mut();
+                let Some(from) = accepted.get_mut(&link) else { return };
+                if let Kind::Heartbeat(beat) = &kind {
+                    let name = (!beat.dispatcher.is_empty()).then(|| Name::from(&*beat.dispatcher));
+                    from.dispatcher = name.map(|name| (name, self.now()));
+                    return;
+                }
                 let (incarnation, link) = (from.incarnation, from.link.clone());
                 drop(accepted);
                 self.on_peer_frame(incarnation, &link, kind);
--- a/dogwoodtray_gateway/src/places.rs
+++ b/dogwoodtray_gateway/src/places.rs
@@ -32,6 +32,7 @@
 use tokio::time::timeout;
 
 use crate::node::Node;
+use crate::peers::DISPATCHER_KEY;
 
 /// Time in which a driver answers an ask. A round trip takes 1 ms and its work far less; the rest
 /// covers a driver that waits for its share of the processor.
@@ -128,6 +129,11 @@
         self.end = end;
     }
 
+    /// Says that the request waits inside its endpoint.
+    pub(crate) fn slow(&self) {
+        self.node.slow_place(self.ask);
+    }
+
     /// Waits until the place is taken back.
     pub(crate) async fn preempted(&mut self) {
         loop {
@@ -233,7 +239,7 @@
     /// Sends an ask to the driver that gives the places of the service. Returns its name, or
     /// nothing if that is this process or no driver can be asked.
     fn ask_driver(&self, ask: u64, want: &Want) -> Option<Name> {
-        let name = self.peers.ranked(self, &want.service).into_iter().next()?;
+        let name = self.peers.ranked(self, DISPATCHER_KEY).into_iter().next()?;
         if name == self.cfg.node {
             return None;
         }
@@ -317,6 +323,17 @@
         });
     }
 
+    fn slow_place(&self, ask: u64) {
+        {
+            let records = self.places.records.borrow();
+            for link in records.get(&ask).iter().flat_map(|record| &record.told) {
+                link.send(messages::PlaceSlow { ask });
+            }
+        }
+        let id = self.places.id(ask);
+        self.places.dispatcher.borrow_mut().on_slow(self.now(), id);
+    }
+
     /// Takes the current list of endpoints over.
     pub(crate) fn refresh_places(&self) {
         let list = self.directory.borrow().places();
@@ -464,6 +481,10 @@
                     dispatcher.end(now, id, end, out);
                 });
             }
+            Kind::PlaceSlow(slow) => {
+                let id = PlaceId { holder: incarnation, ask: slow.ask };
+                self.places.dispatcher.borrow_mut().on_slow(self.now(), id);
+            }
             Kind::PlacesHeld(held) => {
                 let now = self.now();
                 let mut dispatcher = self.places.dispatcher.borrow_mut();
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -108,8 +108,7 @@
 
     /// Tells whether this is the driver that keeps all others up to date.
     fn lists_for_all(&self) -> bool {
-        let first = self.peers.ranked(self, NODES_KIND).into_iter().next();
-        first.as_ref() == Some(&self.cfg.node)
+        self.dispatcher().as_ref() == Some(&self.cfg.node)
     }
 
     /// Lists a kind and watches it from there on.
--- a/dogwoodtray_gateway/tests/jobs.rs
+++ b/dogwoodtray_gateway/tests/jobs.rs
@@ -283,3 +283,28 @@
         }
     });
 }
+
+/// Guards against drivers that both drive a job, and take each other's places at the endpoints,
+/// because they do not reach each other while gateways reach both.
+#[test]
+fn of_two_drivers_that_do_not_hear_each_other_one_drives() {
+    local(async {
+        let mut site = Site::new();
+        let endpoint = Endpoint::start("e1", "engine", 64).await;
+        site.register(&endpoint);
+        let store = site.store.for_one_process();
+        let _first = site.start_driver_on("d1", store.clone().hiding("nodes", "d2")).await;
+        let _second = site.start_driver_on("d2", store.hiding("nodes", "d1")).await;
+        let _gateway = site.start_gateway().await;
+        // The gateway links to both and says whom it asks.
+        sleep(Duration::from_millis(1_500)).await;
+        let jobs = ["j1", "j2", "j3", "j4"];
+        for job in jobs {
+            site.post("/job/x", job, &submission(&["a"])).await;
+        }
+        for job in jobs {
+            assert_eq!(read_all(&site, job, 1).await.len(), 1);
+        }
+        assert_eq!(endpoint.run_count(), jobs.len());
+    });
+}
--- a/dogwoodtray_gateway/tests/online.rs
+++ b/dogwoodtray_gateway/tests/online.rs
@@ -373,3 +373,21 @@
         assert_eq!(answer.status, StatusCode::ACCEPTED);
     });
 }
+
+/// Guards against gateways that pass an ask to each other for ever because none reaches a driver.
+#[test]
+fn gateways_without_a_driver_serve_by_their_own_count() {
+    local(async {
+        let mut site = Site::new();
+        let endpoint = Endpoint::start("a", "engine", 4).await;
+        site.register(&endpoint);
+        let _gateway = site.start_gateway().await;
+        let cut = site.start_cut_gateway().await;
+        let list = Endpoint::entry(&endpoint, "ready");
+        cut.store.set_down(false);
+        cut.store.put("servers", "a", &list);
+        sleep(Duration::from_millis(2_500)).await;
+        let answer = site.post_to(cut.callers, "/stream/x", "r1", "slip").await;
+        assert_eq!((answer.status, answer.body.as_str()), (StatusCode::OK, EVENTS));
+    });
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -353,7 +353,7 @@
         let (callers, readiness) = (free_addr(), free_addr());
         let gateway = start_gateway("g2", callers, readiness, store.clone()).await;
         store.set_down(true);
-        CutGateway { callers, _gateway: gateway }
+        CutGateway { callers, store, _gateway: gateway }
     }
 
     pub async fn post(&self, path: &str, id: &str, body: &str) -> Answer {
@@ -383,6 +383,8 @@
 /// Gateway that reaches other gateways only.
 pub struct CutGateway {
     pub callers: SocketAddr,
+    /// Its own view of the store.
+    pub store: MemoryObjects,
     _gateway: Gateway,
 }
 
--- a/dogwoodtray_platform/src/memory_objects.rs
+++ b/dogwoodtray_platform/src/memory_objects.rs
@@ -34,6 +34,8 @@
     inner: Arc<Inner>,
     /// Whether the calls through this handle and its clones are refused.
     turned_away: Arc<AtomicBool>,
+    /// Object that lists and watches through this handle leave out.
+    hidden: Option<(&'static str, Name)>,
 }
 
 #[derive(Debug, Default)]
@@ -64,7 +66,18 @@
     /// Returns a handle whose calls can be refused apart from those of other handles.
     #[must_use]
     pub fn for_one_process(&self) -> Self {
-        Self { inner: Arc::clone(&self.inner), turned_away: Arc::default() }
+        Self { inner: Arc::clone(&self.inner), turned_away: Arc::default(), hidden: None }
+    }
+
+    /// Leaves an object out of what this handle and its later clones list and watch.
+    #[must_use]
+    pub fn hiding(mut self, kind: &'static str, name: &str) -> Self {
+        self.hidden = Some((kind, Name::from(name)));
+        self
+    }
+
+    fn shows(&self, kind: &'static str, name: &Name) -> bool {
+        self.hidden.as_ref().is_none_or(|hidden| (hidden.0, &hidden.1) != (kind, name))
     }
 
     /// Makes the store refuse the calls through this handle, or serve them again.
@@ -182,7 +195,8 @@
             Listed::Unavailable
         } else {
             let of_kind = state.objects.iter().filter(|((other, _), _)| *other == kind);
-            let objects = of_kind.map(|(_, object)| object.clone()).collect();
+            let shown = of_kind.filter(|((_, name), _)| self.shows(kind, name));
+            let objects = shown.map(|(_, object)| object.clone()).collect();
             Listed::All { objects, revision: Version(state.revision) }
         };
         let delay = state.slow_lists.filter(|(slow, _)| *slow == kind).map(|(_, delay)| delay);
@@ -239,7 +253,11 @@
             if store.is_refused(&state) {
                 return Watched::Unavailable;
             }
-            let changes = state.changes(kind, after);
+            let shown = |change: &Change| match change {
+                Change::Put(object) => store.shows(kind, &object.name),
+                Change::Removed(name) => store.shows(kind, name),
+            };
+            let changes = state.changes(kind, after).into_iter().filter(shown).collect();
             Watched::Changes { changes, revision: Version(state.revision) }
         })
     }
--- a/dogwoodtray_policy/src/placement/config.rs
+++ b/dogwoodtray_policy/src/placement/config.rs
@@ -15,6 +15,9 @@
     pub max_suspect_time: Duration,
     /// Time that an endpoint that says it is full gets no further request.
     pub full_time: Duration,
+    /// Time that an endpoint inside which a request waits gets no further one. The requests that
+    /// run there end at a rate of one in some 90 ms.
+    pub slow_time: Duration,
     /// Time a request holds a place before any was observed.
     pub initial_hold: Duration,
     /// Shortest `Retry-After` of a refusal.
@@ -31,6 +34,7 @@
             suspect_time: Duration::from_millis(400),
             max_suspect_time: Duration::from_secs(3),
             full_time: Duration::from_millis(40),
+            slow_time: Duration::from_millis(200),
             initial_hold: Duration::from_millis(500),
             min_retry_after: Duration::from_millis(250),
             // Callers honour at most a third of the time that they have left, here 5 s.
--- a/dogwoodtray_policy/src/placement/dispatcher.rs
+++ b/dogwoodtray_policy/src/placement/dispatcher.rs
@@ -131,6 +131,15 @@
         }
     }
 
+    /// Notes that a request waits inside its endpoint: something that this dispatcher does not
+    /// know of runs there, such as the requests of a VM that was lost.
+    pub fn on_slow(&mut self, now: Timestamp, id: PlaceId) {
+        let Some(service) = self.service_of.get(&id) else { return };
+        if let Some(places) = self.services.get_mut(service) {
+            places.on_slow(now, id, &self.cfg);
+        }
+    }
+
     /// Notes that an endpoint could not be reached.
     pub fn on_failure(&mut self, now: Timestamp, service: &str, endpoint: &str) {
         if let Some(places) = self.services.get_mut(service) {
--- a/dogwoodtray_policy/src/placement/endpoint.rs
+++ b/dogwoodtray_policy/src/placement/endpoint.rs
@@ -35,6 +35,11 @@
         slots.saturating_sub(self.in_use)
     }
 
+    /// Gives the endpoint no request until this time.
+    pub(super) fn avoid(&mut self, until: Timestamp) {
+        self.avoid_until = self.avoid_until.max(until);
+    }
+
     pub(super) fn is_sound(&self) -> bool {
         self.failures == 0
     }
@@ -42,11 +47,13 @@
     pub(super) fn ended(&mut self, now: Timestamp, end: PlaceEnd, cfg: &DispatcherConfig) {
         match end {
             PlaceEnd::Answered => {
-                self.failures = 0;
-                self.avoid_until = Timestamp::ZERO;
+                if self.failures > 0 {
+                    self.failures = 0;
+                    self.avoid_until = Timestamp::ZERO;
+                }
             }
             PlaceEnd::Withdrawn => {}
-            PlaceEnd::Full => self.avoid_until = self.avoid_until.max(now + cfg.full_time),
+            PlaceEnd::Full => self.avoid(now + cfg.full_time),
             PlaceEnd::Failed => {
                 // Requests that were inside when the endpoint failed report the same failure.
                 if now >= self.avoid_until {
--- a/dogwoodtray_policy/src/placement/service.rs
+++ b/dogwoodtray_policy/src/placement/service.rs
@@ -110,6 +110,13 @@
         }
     }
 
+    pub(super) fn on_slow(&mut self, now: Timestamp, id: PlaceId, cfg: &DispatcherConfig) {
+        let key = self.held.get(&id).and_then(|held| held.endpoint);
+        if let Some(endpoint) = key.and_then(|key| self.endpoints.get_mut(key)) {
+            endpoint.avoid(now + cfg.slow_time);
+        }
+    }
+
     pub(super) fn on_failure(&mut self, now: Timestamp, endpoint: &str, cfg: &DispatcherConfig) {
         if let Some(key) = self.by_name.get(endpoint) {
             self.endpoints[*key].ended(now, PlaceEnd::Failed, cfg);
--- a/dogwoodtray_policy/tests/placement.rs
+++ b/dogwoodtray_policy/tests/placement.rs
@@ -211,3 +211,15 @@
     assert_eq!(bench.ask(1, Class::Online), [PlaceAction::Queued { id: id(1) }]);
     assert_eq!(bench.end(7, PlaceEnd::Answered), [grant(1, "a")]);
 }
+
+/// Guards against requests that pile up inside an endpoint which runs work that the dispatcher
+/// does not know of.
+#[test]
+fn an_endpoint_inside_which_a_request_waits_gets_no_more() {
+    let mut bench = Bench::with(&[("a", 8)]);
+    assert_eq!(bench.ask(1, Class::Online), [grant(1, "a")]);
+    bench.dispatcher.on_slow(bench.now, id(1));
+    assert_eq!(bench.ask(2, Class::Online), [PlaceAction::Queued { id: id(2) }]);
+    assert_eq!(bench.sleep(100), []);
+    assert_eq!(bench.sleep(150), [grant(2, "a")]);
+}
--- a/dogwoodtray_wire/src/convert.rs
+++ b/dogwoodtray_wire/src/convert.rs
@@ -40,6 +40,7 @@
     PlaceQueued,
     PlaceRefused,
     PlaceReturn,
+    PlaceSlow,
     PlacesHeld,
     Probe,
     ProbeReply,
