Hand the output of running items to the driver that would take their job over

A driver now gives the output so far to its successor once a second, and an item whose head is missing after 200 ms leaves its endpoint again.

--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -106,6 +106,11 @@
                     driver.on_cancelled(Name::from(cancelled.job));
                 }
             }
+            Kind::ItemProgress(progress) => {
+                if let Some(driver) = self.driver.get() {
+                    driver.on_progress(progress);
+                }
+            }
             Kind::StoreRead(read) => {
                 spawn_local(async move {
                     link.send(node.read_for_peer(read).await);
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -15,10 +15,12 @@
 use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::job::Job;
+use super::progress::Progress;
 use super::spec::StoredResult;
 use crate::model::JobItem;
 use crate::net::EventReader;
@@ -37,6 +39,11 @@
 /// resumed item reads its prompt and its own output within 100 ms.
 const ITEM_SILENCE: Duration = Duration::from_millis(1_500);
 
+/// Time after which an item whose head is missing leaves its endpoint again: something else runs
+/// there, and online requests would wait behind it. It doubles each time, in case all endpoints
+/// are slow.
+const FIRST_HEAD_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Pause after the first broken run; it doubles with each further one without progress.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
@@ -47,6 +54,10 @@
 /// being replaced may miss it for a moment.
 const ROUTE_GONE_TIME: Duration = Duration::from_secs(4);
 
+/// Interval at which the output of an item is given to another driver. A loss of this process
+/// costs that much of each item; the output grows by some 2.5 KB a second.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Interval at which a missing route is looked for.
 const ROUTE_POLL: Duration = Duration::from_millis(500);
 
@@ -63,41 +74,20 @@
     Impossible,
     /// The place went back to online work.
     Preempted,
+    /// The item waited inside its endpoint.
+    Crowded,
     /// The run broke off or did not begin.
     Broken,
 }
 
-/// Output of an item so far.
-#[derive(Debug, Default)]
-struct Progress {
-    data: Vec<String>,
-    last: Option<u64>,
-}
-
-impl Progress {
-    /// Adds an event. Returns `false` if events before it are missing.
-    fn add(&mut self, id: Option<u64>, data: Option<String>) -> bool {
-        if let (Some(last), Some(id)) = (self.last, id) {
-            if id <= last {
-                return true;
-            }
-            if id != last + 1 {
-                return false;
-            }
-        }
-        self.last = id.or(self.last);
-        self.data.extend(data);
-        true
-    }
-}
-
 /// Runs an item until it has a result.
 pub(super) async fn run(node: Rc<Node>, job: Rc<Job>, item: Rc<JobItem>) -> StoredResult {
-    let mut progress = Progress::default();
+    let mut progress = job.take_kept(&item.id);
     let given_up_at = node.now() + Duration::from_millis(job.spec.retention_ms);
     let due = job.due(&node);
     let mut failures = 0;
     let mut breaks = 0;
+    let mut head_timeout = FIRST_HEAD_TIMEOUT;
     let mut excluded: Vec<Name> = Vec::new();
     loop {
         if node.now() >= given_up_at {
@@ -124,13 +114,13 @@
             Err(NoPlace::Expired) => continue,
         };
         let endpoint = Name::clone(&lease.endpoint);
-        let before = progress.last;
-        match run_once(&node, &job, &item, &mut progress, lease).await {
+        let before = progress.last();
+        match run_once(&node, &job, &item, &mut progress, lease, head_timeout).await {
             Run::Whole => {
                 return StoredResult {
                     item: Name::clone(&item.id),
                     completed: true,
-                    output: progress.data.join("\n"),
+                    output: progress.output(),
                 };
             }
             Run::Impossible => return give_up(&node, &job, &item, "impossible"),
@@ -143,8 +133,9 @@
                 sleep(FIRST_PAUSE).await;
             }
             Run::Preempted => excluded.clear(),
+            Run::Crowded => head_timeout = (head_timeout * 2).min(ITEM_SILENCE),
             Run::Broken => {
-                breaks = if progress.last > before { 0 } else { breaks + 1 };
+                breaks = if progress.last() > before { 0 } else { breaks + 1 };
                 excluded = vec![endpoint];
                 sleep(FIRST_PAUSE * (1 << breaks.min(MAX_DOUBLINGS))).await;
             }
@@ -186,16 +177,20 @@
     item: &JobItem,
     progress: &mut Progress,
     mut lease: Lease,
+    head_timeout: Duration,
 ) -> Run {
     let endpoint = Name::clone(&lease.endpoint);
     let (run, end, reason) = tokio::select! {
         biased;
         () = lease.preempted() => (Run::Preempted, PlaceEnd::Withdrawn, String::new()),
-        ended = exchange(node, job, item, progress, &endpoint) => ended,
+        ended = exchange(node, job, item, progress, &endpoint, head_timeout) => ended,
     };
+    if matches!(run, Run::Crowded) {
+        lease.slow();
+    }
     lease.ended(end);
     if matches!(run, Run::Failed | Run::Broken) {
-        let events = progress.data.len();
+        let events = progress.events();
         let fields: [(&str, &dyn Display); 4] =
             [("item", &item.id), ("endpoint", &endpoint), ("reason", &reason), ("events", &events)];
         node.events.emit(&catalogue::ITEM_RETRIED, Some(job.id()), &fields);
@@ -209,6 +204,7 @@
     item: &JobItem,
     progress: &mut Progress,
     endpoint: &Name,
+    head_timeout: Duration,
 ) -> (Run, PlaceEnd, String) {
     let broken = |end, reason: &dyn Display| (Run::Broken, end, reason.to_string());
     let known = node.directory.borrow().endpoint(endpoint).cloned();
@@ -218,15 +214,15 @@
     let names = node.dialect.names();
     let left = Duration::from_millis(job.spec.retention_ms);
     let Some(req) =
-        outgoing(node, job, item).and_then(|out| out.to(names, &known.id, left, progress.last))
+        outgoing(node, job, item).and_then(|out| out.to(names, &known.id, left, progress.last()))
     else {
         return (Run::Impossible, PlaceEnd::Withdrawn, "not a request".to_owned());
     };
-    let exchange = match timeout(ITEM_SILENCE, send(known.addr, req)).await {
+    let exchange = match timeout(head_timeout, send(known.addr, req)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(err @ SendError::NotSent(_))) => return broken(PlaceEnd::Failed, &err),
         Ok(Err(err @ SendError::Lost(_))) => return broken(PlaceEnd::Failed, &err),
-        Err(_) => return broken(PlaceEnd::Failed, &"silence"),
+        Err(_) => return (Run::Crowded, PlaceEnd::Full, String::new()),
     };
     let status = exchange.parts.status;
     match judge(names, &exchange.parts, &item.id) {
@@ -239,7 +235,10 @@
             (Run::Failed, PlaceEnd::Answered, status.to_string())
         }
         Verdict::Failure => broken(PlaceEnd::Withdrawn, &status),
-        Verdict::Answer if status.is_success() => read(exchange.body, progress).await,
+        Verdict::Answer if status.is_success() => {
+            let keep = |progress: &Progress| hand_over(node, job, item, progress);
+            read(exchange.body, progress, keep).await
+        }
         Verdict::Answer if status == StatusCode::UNPROCESSABLE_ENTITY => {
             (Run::Impossible, PlaceEnd::Answered, status.to_string())
         }
@@ -247,9 +246,23 @@
     }
 }
 
+/// Gives the output so far to the driver that would take the job over.
+fn hand_over(node: &Node, job: &Job, item: &JobItem, progress: &Progress) {
+    if let Some(link) = node.peers.backup_for(node, job.id())
+        && let Some(message) = progress.message(job.id(), &item.id)
+    {
+        link.send(message);
+    }
+}
+
 /// Reads events until the stream ends.
-async fn read(mut body: UpstreamBody, progress: &mut Progress) -> (Run, PlaceEnd, String) {
+async fn read(
+    mut body: UpstreamBody,
+    progress: &mut Progress,
+    hand_over: impl Fn(&Progress),
+) -> (Run, PlaceEnd, String) {
     let mut reader = EventReader::default();
+    let mut handed_over = Instant::now();
     loop {
         let (end, reason) = match timeout(ITEM_SILENCE, body.frame()).await {
             Ok(None) if reader.has_rest() => (PlaceEnd::Withdrawn, "part of an event".to_owned()),
@@ -260,6 +273,10 @@
                 let Ok(data) = frame.into_data() else { continue };
                 reader.push(&data);
                 if take_events(&mut reader, progress) {
+                    if handed_over.elapsed() >= HAND_OVER_INTERVAL {
+                        handed_over = Instant::now();
+                        hand_over(progress);
+                    }
                     continue;
                 }
                 *progress = Progress::default();
--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::fmt::Display;
 use std::rc::Rc;
@@ -24,6 +25,7 @@
 use super::PARTS_KIND;
 use super::RESULTS_KIND;
 use super::item;
+use super::progress::Progress;
 use super::spec::JobSpec;
 use super::spec::JobStatus;
 use super::spec::Segment;
@@ -57,6 +59,8 @@
     listed: RefCell<HashSet<Name>>,
     /// Number of the next segment.
     next_segment: Cell<u32>,
+    /// Output of items that another driver runs, in case it is lost.
+    kept: RefCell<HashMap<Name, Progress>>,
     ended: Cell<bool>,
     finished: Cell<bool>,
     own: Cell<bool>,
@@ -75,6 +79,7 @@
             results: RefCell::new(Vec::new()),
             listed: RefCell::new(HashSet::new()),
             next_segment: Cell::new(0),
+            kept: RefCell::new(HashMap::new()),
             ended: Cell::new(false),
             finished: Cell::new(false),
             own: Cell::new(false),
@@ -113,10 +118,23 @@
         self.changed.notified().await;
     }
 
+    /// Keeps the output of an item that another driver runs.
+    pub(super) fn keep(&self, item: Name, progress: Progress) {
+        if !self.driving.get() && !self.is_over() {
+            self.kept.borrow_mut().insert(item, progress);
+        }
+    }
+
+    /// Takes the output that was kept of an item.
+    pub(super) fn take_kept(&self, item: &Name) -> Progress {
+        self.kept.borrow_mut().remove(item).unwrap_or_default()
+    }
+
     pub(crate) fn on_status(&self, status: &str) {
         let status = serde_json::from_str::<Option<JobStatus>>(status).ok().flatten();
         if status.is_some_and(|status| status.finished) {
             self.finished.set(true);
+            self.kept.borrow_mut().clear();
         }
     }
 
@@ -151,6 +169,7 @@
         let mut results = self.results.borrow_mut();
         let mut listed = self.listed.borrow_mut();
         for result in segment.results {
+            self.kept.borrow_mut().remove(&result.item);
             listed.insert(Name::clone(&result.item));
             results.push(result);
         }
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -8,6 +8,7 @@
 
 mod item;
 mod job;
+mod progress;
 mod reads;
 mod retire;
 mod spec;
@@ -24,10 +25,12 @@
 use dogwoodtray_platform::Change;
 use dogwoodtray_platform::Object;
 use dogwoodtray_platform::Read;
+use dogwoodtray_wire::messages;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 pub(crate) use self::job::Job;
+use self::progress::Progress;
 pub(crate) use self::spec::JobSpec;
 use crate::node::Node;
 use crate::sync::Update;
@@ -101,6 +104,11 @@
         driver
     }
 
+    /// Tells whether a job is driven here.
+    pub(crate) fn drives(&self, job: &str) -> bool {
+        self.jobs.borrow().get(job).is_some_and(|job| job.is_driving())
+    }
+
     /// Tells whether no job is driven.
     pub(crate) fn is_idle(&self) -> bool {
         self.driving.get() == 0
@@ -178,6 +186,14 @@
         }
     }
 
+    /// Keeps the output of an item that another driver runs.
+    pub(crate) fn on_progress(&self, progress: messages::ItemProgress) {
+        if let Some(job) = self.jobs.borrow().get(&*progress.job) {
+            let item = Name::from(progress.item);
+            job.keep(item, Progress::new(progress.data, progress.last_event));
+        }
+    }
+
     /// Takes the news of a gateway that a job was cancelled.
     pub(crate) fn on_cancelled(&self, id: Name) {
         if let Some(job) = self.jobs.borrow().get(&id) {
--- a/dogwoodtray_gateway/src/peers.rs
+++ b/dogwoodtray_gateway/src/peers.rs
@@ -201,6 +201,20 @@
         choose_subset(job, &names, 1).first() == Some(&node.cfg.node)
     }
 
+    /// Returns the link to the driver that would take a job over from this one.
+    pub(crate) fn backup_for(&self, node: &Node, job: &str) -> Option<LinkHandle> {
+        let now = node.now();
+        let dialled = self.dialled.borrow();
+        let names: Vec<Name> = dialled
+            .iter()
+            .filter(|(_, peer)| peer.role == NodeRole::Driver)
+            .filter(|(_, peer)| peer.is_heard(now) && !peer.leaving)
+            .map(|(name, _)| Name::clone(name))
+            .collect();
+        let backup = choose_subset(job, &names, 1).into_iter().next()?;
+        dialled.get(&backup).and_then(|peer| peer.link.clone())
+    }
+
     /// Tells whether there is a link to a driver, or was one a moment ago.
     pub(crate) fn is_there(&self, node: &Node, name: &str) -> bool {
         let now = node.now();
@@ -404,7 +418,7 @@
             let reached = drivers.clone().count() == 0 || drivers.clone().any(waited);
             (reached, dialled.values().any(|peer| peer.role == NodeRole::Gateway))
         };
-        if reached == !relays {
+        if reached != relays {
             return;
         }
         if reached {
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -103,6 +103,12 @@
         Ok(Self { node, driver })
     }
 
+    /// Tells whether this process drives a job.
+    #[must_use]
+    pub fn drives(&self, job: &str) -> bool {
+        self.driver.drives(job)
+    }
+
     /// Stops: other drivers take the jobs over, and what is finished is stored.
     pub async fn drain(self) {
         let began = Instant::now();
--- a/dogwoodtray_gateway/tests/jobs.rs
+++ b/dogwoodtray_gateway/tests/jobs.rs
@@ -308,3 +308,53 @@
         assert_eq!(endpoint.run_count(), jobs.len());
     });
 }
+
+/// Guards against items that stand in the queue of an endpoint which runs something that no driver
+/// knows of: online requests would wait behind them.
+#[test]
+fn an_item_does_not_wait_inside_an_endpoint() {
+    local(async {
+        let mut site = Site::new();
+        let endpoint = Endpoint::start("e1", "engine", 4).await;
+        site.register(&endpoint);
+        endpoint.then(Act::Silence);
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        site.post("/job/x", "j1", &submission(&["a"])).await;
+        until("the item was sent", || endpoint.run_count() == 1).await;
+        let sent = std::time::Instant::now();
+        until("the item is sent again", || endpoint.run_count() == 2).await;
+        assert!(sent.elapsed() < Duration::from_secs(1), "{:?}", sent.elapsed());
+        assert_eq!(read_all(&site, "j1", 1).await[0].1, "completed");
+    });
+}
+
+/// Guards against work that is lost with a driver: the one that takes its job over goes on where
+/// the output that it was given ends.
+#[test]
+fn a_driver_goes_on_where_a_lost_one_stopped() {
+    local(async {
+        let mut site = Site::new();
+        let endpoint = Endpoint::start("e1", "engine", 4).await;
+        site.register(&endpoint);
+        *endpoint.usual.borrow_mut() = Act::Stream { to: 150, pause: Duration::from_millis(20) };
+        let first = site.start_driver("d1").await;
+        let second = site.start_driver("d2").await;
+        let _gateway = site.start_gateway().await;
+        sleep(Duration::from_millis(500)).await;
+        site.post("/job/x", "j1", &submission(&["a"])).await;
+        until("the item runs", || endpoint.run_count() == 1).await;
+        sleep(Duration::from_millis(1_700)).await;
+        let stop = |driver: dogwoodtray_gateway::JobDriver| driver.drain();
+        if first.drives("j1") {
+            stop(first).await;
+        } else {
+            stop(second).await;
+        }
+        let found = read_all(&site, "j1", 1).await;
+        let whole: Vec<String> = (1..=150).map(|event| format!("e{event}")).collect();
+        assert_eq!(found[0].2, whole.join("\n"));
+        let runs = endpoint.runs.borrow();
+        assert!(runs.last().unwrap().last_event_id.is_some_and(|last| last > 30), "{runs:?}");
+    });
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -5,7 +5,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,16 +52,16 @@
 const PORT: u16 = 7_700;
 
 /// Host of all routes.
-pub const HOST: &str = "site.example";
+pub(crate) const HOST: &str = "site.example";
 
 /// Runs a test on one thread, as the processes do.
-pub fn local(test: impl Future<Output = ()>) {
+pub(crate) fn local(test: impl Future<Output = ()>) {
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, test);
 }
 
 /// Waits for a condition.
-pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+pub(crate) async fn until(what: &str, mut condition: impl FnMut() -> bool) {
     let waited = timeout(PATIENCE, async {
         while !condition() {
             sleep(POLL).await;
@@ -73,7 +72,7 @@
 
 /// What an endpoint does with its next request.
 #[derive(Clone, Debug)]
-pub enum Act {
+pub(crate) enum Act {
     /// Streams the events `from..=to` of the request and ends.
     Stream { to: u64, pause: Duration },
     /// Streams up to this event and closes the connection.
@@ -96,34 +95,34 @@
 
 /// Request as an endpoint saw it.
 #[derive(Clone, Debug)]
-pub struct Run {
-    pub id: String,
-    pub path: String,
-    pub last_event_id: Option<u64>,
-    pub deadline_ms: Option<u64>,
-    pub expected: String,
-    pub body: Bytes,
+pub(crate) struct Run {
+    pub(crate) id: String,
+    pub(crate) path: String,
+    pub(crate) last_event_id: Option<u64>,
+    pub(crate) deadline_ms: Option<u64>,
+    pub(crate) expected: String,
+    pub(crate) body: Bytes,
     /// Set once the answer was sent in full or the caller left.
-    pub open: Rc<RefCell<bool>>,
+    pub(crate) open: Rc<RefCell<bool>>,
 }
 
 /// Endpoint that does what it is told.
 #[derive(Clone)]
-pub struct Endpoint {
-    pub id: &'static str,
-    pub service: &'static str,
-    pub slots: u32,
-    pub addr: SocketAddr,
-    pub runs: Rc<RefCell<Vec<Run>>>,
+pub(crate) struct Endpoint {
+    pub(crate) id: &'static str,
+    pub(crate) service: &'static str,
+    pub(crate) slots: u32,
+    pub(crate) addr: SocketAddr,
+    pub(crate) runs: Rc<RefCell<Vec<Run>>>,
     /// Most requests that ran at a time.
-    pub most_open: Rc<Cell<usize>>,
-    pub acts: Rc<RefCell<VecDeque<Act>>>,
+    pub(crate) most_open: Rc<Cell<usize>>,
+    pub(crate) acts: Rc<RefCell<VecDeque<Act>>>,
     /// What it does when `acts` is empty.
-    pub usual: Rc<RefCell<Act>>,
+    pub(crate) usual: Rc<RefCell<Act>>,
 }
 
 impl Endpoint {
-    pub async fn start(id: &'static str, service: &'static str, slots: u32) -> Self {
+    pub(crate) async fn start(id: &'static str, service: &'static str, slots: u32) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let usual = Act::Stream { to: 3, pause: Duration::ZERO };
@@ -155,7 +154,7 @@
         endpoint
     }
 
-    pub fn entry(&self, state: &str) -> String {
+    pub(crate) fn entry(&self, state: &str) -> String {
         format!(
             r#"{{"service":"{}","address":"{}","zone":"z1","version":"v1","slots":{},
             "state":"{state}","cold-left-ms":0,"sequence":1}}"#,
@@ -163,11 +162,11 @@
         )
     }
 
-    pub fn then(&self, act: Act) {
+    pub(crate) fn then(&self, act: Act) {
         self.acts.borrow_mut().push_back(act);
     }
 
-    pub fn run_count(&self) -> usize {
+    pub(crate) fn run_count(&self) -> usize {
         self.runs.borrow().len()
     }
 
@@ -244,7 +243,7 @@
 }
 
 /// Frames of an answer.
-pub struct Events(mpsc::Receiver<Result<Frame<Bytes>, std::io::Error>>);
+struct Events(mpsc::Receiver<Result<Frame<Bytes>, std::io::Error>>);
 
 impl futures_util::Stream for Events {
     type Item = Result<Frame<Bytes>, std::io::Error>;
@@ -295,53 +294,53 @@
 }
 
 /// Site with a store and any number of processes.
-pub struct Site {
-    pub store: MemoryObjects,
-    pub callers: SocketAddr,
-    pub readiness: SocketAddr,
+pub(crate) struct Site {
+    pub(crate) store: MemoryObjects,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
     tasks: Vec<JoinHandle<()>>,
 }
 
 /// Answer as a caller gets it.
 #[derive(Debug)]
-pub struct Answer {
-    pub status: StatusCode,
-    pub headers: hyper::HeaderMap,
-    pub body: String,
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: hyper::HeaderMap,
+    pub(crate) body: String,
     /// Whether the body ended as it should.
-    pub whole: bool,
+    pub(crate) whole: bool,
 }
 
 impl Site {
     /// Writes a configuration with one route of each kind.
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         let store = MemoryObjects::new();
         store.put("config", "main", &config(1));
         Self { store, callers: free_addr(), readiness: free_addr(), tasks: Vec::new() }
     }
 
-    pub fn register(&self, endpoint: &Endpoint) {
+    pub(crate) fn register(&self, endpoint: &Endpoint) {
         self.store.put("servers", endpoint.id, &endpoint.entry("ready"));
     }
 
-    pub async fn start_driver(&mut self, node: &str) -> JobDriver {
+    pub(crate) async fn start_driver(&mut self, node: &str) -> JobDriver {
         self.start_driver_on(node, self.store.clone()).await
     }
 
     /// Starts a driver with a view of the store of its own.
-    pub async fn start_driver_on(&mut self, node: &str, store: MemoryObjects) -> JobDriver {
+    pub(crate) async fn start_driver_on(&mut self, node: &str, store: MemoryObjects) -> JobDriver {
         let cfg = node_config(node, NodeRole::Driver);
         let store = Arc::new(store);
         JobDriver::bind(cfg, Arc::new(SiteDialect::new()), store).await.unwrap()
     }
 
     /// Starts a gateway and waits until it is ready.
-    pub async fn start_gateway(&mut self) -> Gateway {
+    pub(crate) async fn start_gateway(&mut self) -> Gateway {
         start_gateway("g1", self.callers, self.readiness, self.store.clone()).await
     }
 
     /// Starts a gateway that knows the gateway `g1` and cannot reach the driver `d1` or the store.
-    pub async fn start_cut_gateway(&self) -> CutGateway {
+    pub(crate) async fn start_cut_gateway(&self) -> CutGateway {
         let store = MemoryObjects::new();
         store.put("config", "main", &config(1));
         let known = || self.store.spec("nodes", "g1").is_some();
@@ -356,11 +355,11 @@
         CutGateway { callers, store, _gateway: gateway }
     }
 
-    pub async fn post(&self, path: &str, id: &str, body: &str) -> Answer {
+    pub(crate) async fn post(&self, path: &str, id: &str, body: &str) -> Answer {
         self.post_to(self.callers, path, id, body).await
     }
 
-    pub async fn post_to(&self, to: SocketAddr, path: &str, id: &str, body: &str) -> Answer {
+    pub(crate) async fn post_to(&self, to: SocketAddr, path: &str, id: &str, body: &str) -> Answer {
         let req = Request::post(path)
             .header("host", HOST)
             .header("attempt-id", id)
@@ -370,21 +369,21 @@
         exchange(to, req).await
     }
 
-    pub async fn get(&self, path: &str) -> Answer {
+    pub(crate) async fn get(&self, path: &str) -> Answer {
         get(self.callers, path).await
     }
 
-    pub async fn delete(&self, path: &str) -> Answer {
+    pub(crate) async fn delete(&self, path: &str) -> Answer {
         let req = Request::delete(path).header("host", HOST).body(Full::default()).unwrap();
         exchange(self.callers, req).await
     }
 }
 
 /// Gateway that reaches other gateways only.
-pub struct CutGateway {
-    pub callers: SocketAddr,
+pub(crate) struct CutGateway {
+    pub(crate) callers: SocketAddr,
     /// Its own view of the store.
-    pub store: MemoryObjects,
+    pub(crate) store: MemoryObjects,
     _gateway: Gateway,
 }
 
@@ -413,7 +412,7 @@
 }
 
 /// Sends a request on a connection of its own and reads the answer.
-pub async fn exchange(addr: SocketAddr, req: Request<Full<Bytes>>) -> Answer {
+pub(crate) async fn exchange(addr: SocketAddr, req: Request<Full<Bytes>>) -> Answer {
     let failed = || Answer {
         status: StatusCode::IM_A_TEAPOT,
         headers: hyper::HeaderMap::new(),
@@ -443,14 +442,14 @@
 
 /// Returns an address that no other listener or connection of the tests uses. Each has an IP
 /// address of its own, because a port that was free may be taken before it is bound.
-pub fn free_addr() -> SocketAddr {
+pub(crate) fn free_addr() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(1);
     let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let [.., process] = std::process::id().to_be_bytes();
     SocketAddr::from(([127, 16 + process % 128, high, low], PORT))
 }
 
-pub fn node_config(node: &str, role: NodeRole) -> NodeConfig {
+pub(crate) fn node_config(node: &str, role: NodeRole) -> NodeConfig {
     NodeConfig {
         node: Name::from(node),
         role,
@@ -463,7 +462,7 @@
 }
 
 /// Configuration with one route of each kind.
-pub fn config(version: u64) -> String {
+pub(crate) fn config(version: u64) -> String {
     let route = |name: &str, kind: &str, service: &str, more: &str| {
         format!(
             r#"{{"name":"{name}","host":"{HOST}","path-prefix":"/{name}/","route-kind":"{kind}",
@@ -486,7 +485,7 @@
 }
 
 /// Submission of a job with items of these ids.
-pub fn submission(items: &[&str]) -> String {
+pub(crate) fn submission(items: &[&str]) -> String {
     let items: Vec<String> = items
         .iter()
         .map(|id| {
--- a/dogwoodtray_policy/src/placement/service.rs
+++ b/dogwoodtray_policy/src/placement/service.rs
@@ -293,7 +293,7 @@
                 .filter(|(_, held)| held.class == Class::Batch && !held.preempting)
                 .filter(|(_, held)| {
                     held.endpoint
-                        .is_some_and(|key| self.endpoints.get(key).is_some_and(|e| e.is_sound()))
+                        .is_some_and(|key| self.endpoints.get(key).is_some_and(Endpoint::is_sound))
                 })
                 .max_by_key(|(id, held)| (held.due, now - held.since, **id));
             let Some((id, held)) = victim else { return };
--- a/dogwoodtray_wire/src/convert.rs
+++ b/dogwoodtray_wire/src/convert.rs
@@ -28,6 +28,7 @@
     EndpointSet,
     Heartbeat,
     Hello,
+    ItemProgress,
     JobAccepted,
     JobCancelled,
     JobItemBody,
