Open a model again when its retirement plan is withdrawn

Cause: the driver of jobs collected closed models and never forgot one, so a withdrawn plan took effect only after a restart. The list of closed models now replaces the one before. The new test fails before the change, as the second submission is refused.

--- a/dogwoodtray_entry/src/jobs/api.rs
+++ b/dogwoodtray_entry/src/jobs/api.rs
@@ -161,10 +161,11 @@
         /// The job.
         job: Name,
     },
-    /// The last day of a model or service has passed.
-    ServiceClosed {
-        /// Model or service.
-        model: Name,
+    /// The models and services whose last day has passed. The list replaces the one before, so a
+    /// plan that is withdrawn opens its model again.
+    ClosedServices {
+        /// Models and services.
+        models: Vec<Name>,
     },
     /// The names of the entries that are live in the view of this process, itself included.
     LiveEntries {
--- a/dogwoodtray_entry/src/jobs/core.rs
+++ b/dogwoodtray_entry/src/jobs/core.rs
@@ -152,9 +152,7 @@
                 self.watch.on_answer(holder, &object, epoch, held, &mut cx);
             }
             JobEvent::JobCancelled { job } => self.on_job_cancelled(&job, out),
-            JobEvent::ServiceClosed { model } => {
-                self.closed.insert(model);
-            }
+            JobEvent::ClosedServices { models } => self.closed = models.into_iter().collect(),
             JobEvent::LiveEntries { names } => self.watch.set_live(names),
             JobEvent::Drain => {
                 self.draining_since.get_or_insert(now);
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -205,10 +205,8 @@
             matches!(view.retirement(Subject::Model(model), Clock::unix_ms()), Retirement::Open(_))
         };
         let closed = view.models().iter().filter(|model| !open(&model.name));
-        for model in closed {
-            let model = Name::clone(&model.name);
-            self.decide(now, JobEvent::ServiceClosed { model });
-        }
+        let models = closed.map(|model| Name::clone(&model.name)).collect();
+        self.decide(now, JobEvent::ClosedServices { models });
     }
 
     fn on_request(&mut self, now: Timestamp, request: JobRequest, tx: UnboundedSender<JobReply>) {
--- a/dogwoodtray_entry/tests/jobs_drive.rs
+++ b/dogwoodtray_entry/tests/jobs_drive.rs
@@ -92,7 +92,8 @@
             let job = world.accept(0, submission("a", 500, idempotent, due_s));
             world.run(Duration::from_secs(15));
             if reason == Reason::ServiceClosed {
-                world.deliver(0, JobEvent::ServiceClosed { model: Name::from("m") });
+                let models = vec![Name::from("m")];
+                world.deliver(0, JobEvent::ClosedServices { models });
             }
             oracle::assert_clean(&mut world, 0, &job, 500, idempotent);
             assert!(count_failed(&mut world, &job, reason) > 300);
@@ -104,6 +105,19 @@
     }
 }
 
+/// Guards against a model that stays closed in a process after its plan was withdrawn.
+#[test]
+fn a_withdrawn_plan_opens_its_model_again() {
+    let mut world = World::new(1, 1, JobConfig::default());
+    for (models, refused) in [(vec![Name::from("m")], true), (Vec::new(), false)] {
+        world.deliver(0, JobEvent::ClosedServices { models });
+        let token = world.submit(0, submission("a", 1, true, 600));
+        world.run(Duration::from_secs(1));
+        let reply = world.reply(token);
+        assert_eq!(matches!(reply, Some((_, JobReply::NotRun(_)))), refused, "{reply:?}");
+    }
+}
+
 /// Guards against a takeover by all entries at once, and against jobs that stay without a driver.
 #[test]
 fn the_jobs_of_a_lost_driver_spread_over_the_others() {
