Serve late batch items after those that can still be met

Items are now ordered by the latest time at which they can go on and be done in time, late ones last; a late one also loses its place first. Both tests fail before the change.

Ruled out: protecting items that are due soon from preemption, because an online request must not wait behind batch work.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceEnd;
 use dogwoodtray_runtime::catalogue;
@@ -97,10 +98,11 @@
             return give_up(&node, &job, &item, "route gone");
         };
         let now = node.now();
+        let left = node.driver.get().map(|driver| driver.pace.left(progress.events()));
         let want = Want {
             service,
             class: Class::Batch,
-            start_by: now,
+            start_by: earlier(due, left.unwrap_or_default()),
             due,
             give_up_at: now + PLACE_WAIT,
             excluded: excluded.clone(),
@@ -115,8 +117,13 @@
         };
         let endpoint = Name::clone(&lease.endpoint);
         let before = progress.last();
+        let (began, had) = (node.now(), progress.events());
         match run_once(&node, &job, &item, &mut progress, lease, head_timeout).await {
             Run::Whole => {
+                if let Some(driver) = node.driver.get() {
+                    let made = progress.events().saturating_sub(had);
+                    driver.pace.observe(progress.events(), made, node.now() - began);
+                }
                 return StoredResult {
                     item: Name::clone(&item.id),
                     completed: true,
@@ -143,6 +150,10 @@
     }
 }
 
+fn earlier(at: Timestamp, by: Duration) -> Timestamp {
+    Timestamp(at.0.saturating_sub(u64::try_from(by.as_micros()).unwrap_or(u64::MAX)))
+}
+
 /// Finds the service that runs the item under the configuration in force.
 async fn service_of(node: &Node, job: &Job, item: &JobItem) -> Option<Name> {
     let missing_since = node.now();
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -8,6 +8,7 @@
 
 mod item;
 mod job;
+mod pace;
 mod progress;
 mod reads;
 mod retire;
@@ -30,6 +31,7 @@
 use tokio::time::sleep;
 
 pub(crate) use self::job::Job;
+use self::pace::Pace;
 use self::progress::Progress;
 pub(crate) use self::spec::JobSpec;
 use crate::node::Node;
@@ -66,6 +68,7 @@
     /// Cancelled jobs; `None` until they have been listed. Jobs and their ends are followed apart,
     /// so an end may be known before its job.
     ended: RefCell<Option<HashSet<Name>>>,
+    pace: Pace,
     /// Jobs with a task that drives them.
     driving: Cell<usize>,
 }
--- a/dogwoodtray_policy/src/placement/service.rs
+++ b/dogwoodtray_policy/src/placement/service.rs
@@ -135,7 +135,7 @@
     ) {
         let id = ask.id;
         if ask.class == Class::Batch {
-            self.batch.insert((ask.due, id), ask);
+            self.batch.insert((ask.start_by, id), ask);
             self.fill(now, cfg, out);
             if !self.held.contains_key(&id) {
                 out.push(PlaceAction::Queued { id });
@@ -263,7 +263,10 @@
     fn fill_batch(&mut self, now: Timestamp, cfg: &DispatcherConfig, out: &mut Vec<PlaceAction>) {
         let reserve = f64::from(self.slots()) * cfg.online_reserve;
         let mut spare = self.free(now).saturating_sub(reserve as u32);
-        let keys: Vec<_> = self.batch.keys().take(spare as usize).copied().collect();
+        // Items that are late already earn little and must not make others late as well.
+        let in_time = self.batch.range((now, PlaceId::MIN)..);
+        let late = self.batch.range(..(now, PlaceId::MIN));
+        let keys: Vec<_> = in_time.chain(late).map(|(key, _)| *key).take(spare as usize).collect();
         for key in keys {
             if spare == 0 {
                 return;
@@ -281,8 +284,9 @@
         }
     }
 
-    /// Takes one place back from batch work for each online request that waits. The item that is
-    /// due last loses its place, because it has the most time to be resumed.
+    /// Takes one place back from batch work for each online request that waits. An item that is
+    /// late already loses its place first, then the one that is due last, because it has the most
+    /// time to be resumed.
     fn preempt(&mut self, now: Timestamp, out: &mut Vec<PlaceAction>) {
         let waiting = self.online.len();
         let coming = self.held.values().filter(|held| held.preempting).count();
@@ -295,7 +299,7 @@
                     held.endpoint
                         .is_some_and(|key| self.endpoints.get(key).is_some_and(Endpoint::is_sound))
                 })
-                .max_by_key(|(id, held)| (held.due, now - held.since, **id));
+                .max_by_key(|(id, held)| (held.due < now, held.due, now - held.since, **id));
             let Some((id, held)) = victim else { return };
             held.preempting = true;
             out.push(PlaceAction::Preempt { id: *id });
--- a/dogwoodtray_policy/src/placement/types.rs
+++ b/dogwoodtray_policy/src/placement/types.rs
@@ -16,6 +16,11 @@
     pub ask: u64,
 }
 
+impl PlaceId {
+    /// The first of all ids.
+    pub(super) const MIN: Self = Self { holder: 0, ask: 0 };
+}
+
 /// Asks for a place at an endpoint of a service.
 #[derive(Clone, Debug)]
 pub struct PlaceAsk {
@@ -25,9 +30,10 @@
     pub service: Name,
     /// Class of the request.
     pub class: Class,
-    /// Latest time at which the request can start and still meet its latency objective.
+    /// Latest time at which the request can start and still meet its latency objective, or a
+    /// batch item can go on and still be done when it is due. Orders batch work.
     pub start_by: Timestamp,
-    /// Time at which the request is due as a whole; orders batch work.
+    /// Time at which the request is due as a whole.
     pub due: Timestamp,
     /// Endpoints that have already failed the request.
     pub excluded: Vec<Name>,
--- a/dogwoodtray_policy/tests/placement.rs
+++ b/dogwoodtray_policy/tests/placement.rs
@@ -137,6 +137,54 @@
     assert_eq!(bench.end(2, PlaceEnd::Answered), [grant(1, "a")]);
 }
 
+impl Bench {
+    fn item(&mut self, ask: u64, start_s: u64, due_s: u64) -> Vec<PlaceAction> {
+        let mut out = Vec::new();
+        let ask = PlaceAsk {
+            id: id(ask),
+            service: Name::from("s"),
+            class: Class::Batch,
+            start_by: Timestamp::ZERO + Duration::from_secs(start_s),
+            due: Timestamp::ZERO + Duration::from_secs(due_s),
+            excluded: Vec::new(),
+        };
+        self.dispatcher.ask(self.now, ask, &mut out);
+        out
+    }
+}
+
+/// Guards against late items that make one item after the other late.
+#[test]
+fn late_items_wait_behind_those_that_can_still_be_met() {
+    let mut bench = Bench::with(&[("a", 1)]);
+    bench.sleep(10_000);
+    assert_eq!(bench.item(1, 20, 25), [grant(1, "a")]);
+    for (ask, start_s) in [(2, 5), (3, 14), (4, 12)] {
+        bench.item(ask, start_s, start_s + 5);
+    }
+    for (ended, next) in [(1, 4), (4, 3), (3, 2)] {
+        assert_eq!(bench.end(ended, PlaceEnd::Answered), [grant(next, "a")]);
+    }
+}
+
+/// Guards against an item that can be met losing its place while a late one keeps its own.
+#[test]
+fn a_late_item_loses_its_place_first() {
+    let mut bench = Bench::with(&[("a", 3)]);
+    bench.sleep(10_000);
+    for (ask, due_s) in [(1, 20), (2, 8), (3, 15)] {
+        assert_eq!(bench.item(ask, due_s - 4, due_s), [grant(ask, "a")]);
+    }
+    let preempted = |out: Vec<PlaceAction>| {
+        out.into_iter().find_map(|action| match action {
+            PlaceAction::Preempt { id } => Some(id.ask),
+            _ => None,
+        })
+    };
+    assert_eq!(preempted(bench.ask(4, Class::Online)), Some(2));
+    assert_eq!(preempted(bench.ask(5, Class::Online)), Some(1));
+}
+
 /// Guards against more batch work being cut off than online requests wait.
 #[test]
 fn one_place_is_taken_back_for_each_request_that_waits() {
