Let nothing that one gateway relayed for another go further than a driver

Cause: two gateways that are both cut off may dial each other. Each sent the list of endpoints that the other had relayed back to it, without end; news of accepted and cancelled jobs would have gone the same way.

--- a/dogwoodtray_gateway/src/carry.rs
+++ b/dogwoodtray_gateway/src/carry.rs
@@ -74,13 +74,12 @@
             Kind::JobRead(read) => self.carry_read(link, read),
             Kind::JobItemRead(read) => self.carry_item_read(link, read),
             Kind::JobAccepted(accepted) => {
-                let owner = self.peers.ranked(self, &accepted.job).into_iter().next();
-                if let Some(owner) = owner.and_then(|name| self.peers.link_to(&name)) {
+                if let Some(owner) = self.owner(&accepted.job) {
                     owner.send(accepted);
                 }
             }
             Kind::JobCancelled(cancelled) => {
-                for driver in self.peers.links() {
+                for driver in self.peers.driver_links() {
                     driver.send(cancelled.clone());
                 }
             }
@@ -154,15 +153,21 @@
         });
     }
 
+    /// Returns the link to the driver of a job. What another gateway sent goes to a driver or
+    /// nowhere, as that gateway may stand in for the drivers here.
+    fn owner(&self, job: &str) -> Option<LinkHandle> {
+        self.dispatcher()?;
+        let owner = self.peers.ranked(self, job).into_iter().next()?;
+        self.peers.link_to(&owner)
+    }
+
     async fn call_owner<M: Into<messages::Frame>>(
         &self,
         job: &str,
         limit: Duration,
         message: impl FnOnce(u64) -> M,
     ) -> Option<Kind> {
-        self.dispatcher()?;
-        let owner = self.peers.ranked(self, job).into_iter().next()?;
-        let link = self.peers.link_to(&owner)?;
+        let link = self.owner(job)?;
         self.call(&link, limit, message).await
     }
 
--- a/dogwoodtray_gateway/src/peers.rs
+++ b/dogwoodtray_gateway/src/peers.rs
@@ -228,9 +228,16 @@
         self.dialled.borrow().get(name).and_then(|driver| driver.link.clone())
     }
 
-    /// Returns the links to all drivers.
+    /// Returns the links to all drivers and to the gateways that stand in for them.
     pub(crate) fn links(&self) -> Vec<LinkHandle> {
-        self.dialled.borrow().values().filter_map(|driver| driver.link.clone()).collect()
+        self.dialled.borrow().values().filter_map(|peer| peer.link.clone()).collect()
+    }
+
+    /// Returns the links to all drivers.
+    pub(crate) fn driver_links(&self) -> Vec<LinkHandle> {
+        let dialled = self.dialled.borrow();
+        let drivers = dialled.values().filter(|peer| peer.role == NodeRole::Driver);
+        drivers.filter_map(|peer| peer.link.clone()).collect()
     }
 
     /// Tells whether any process relays for this one.
@@ -505,7 +512,9 @@
 
     /// Handles a frame from a driver that this process dialled.
     fn on_driver_frame(self: &Rc<Self>, name: &Name, link: LinkId, kind: Kind) {
+        let mut from = NodeRole::Driver;
         if let Some(peer) = self.peers.dialled.borrow_mut().get_mut(name) {
+            from = peer.role;
             peer.heard_at = self.now();
             if let Kind::Heartbeat(beat) = &kind {
                 peer.leaving = beat.leaving;
@@ -515,7 +524,7 @@
         match kind {
             Kind::Heartbeat(_) => {}
             Kind::ConfigSet(set) => self.on_relayed_config(&set),
-            Kind::EndpointSet(set) => self.on_relayed_endpoints(set),
+            Kind::EndpointSet(set) => self.on_relayed_endpoints(set, from),
             kind => self.on_place_reply(link, kind),
         }
     }
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -315,7 +315,7 @@
         }
     }
 
-    pub(crate) fn on_relayed_endpoints(&self, set: messages::EndpointSet) {
+    pub(crate) fn on_relayed_endpoints(&self, set: messages::EndpointSet, from: NodeRole) {
         let age = Duration::from_millis(set.age_ms.into());
         if age >= MAX_RELAY_AGE {
             return;
@@ -324,8 +324,10 @@
         let now = self.now();
         let at = Timestamp(now.0.saturating_sub(u64::try_from(age.as_micros()).unwrap_or(0)));
         self.set_endpoints(at, Version(set.revision), list, "relay");
-        // A gateway that another one has dialled stands in for the drivers.
-        if self.cfg.role == NodeRole::Gateway && self.peers.has_accepted() {
+        // A gateway that another one has dialled stands in for the drivers. A list that came from
+        // a gateway goes no further, as two gateways may have dialled each other.
+        let first_hand = from == NodeRole::Driver;
+        if self.cfg.role == NodeRole::Gateway && first_hand && self.peers.has_accepted() {
             self.peers.broadcast(self.endpoint_set());
         }
     }
