--- a/dogwoodtray_gateway/src/places.rs
+++ b/dogwoodtray_gateway/src/places/ask.rs
@@ -1,5 +1,4 @@
-//! Places at endpoints: asked of the driver that gives them, or taken on this process's own count
-//! while no driver answers.
+//! Asks for places, and the places that are held.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -21,8 +20,6 @@
 use dogwoodtray_runtime::LinkId;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::PlaceOutcome;
-use dogwoodtray_wire::messages::WorkClass;
-use dogwoodtray_wire::messages::frame::Kind;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -31,6 +28,9 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::wire::class_to_wire;
+use super::wire::end_to_wire;
+use super::wire::millis;
 use crate::node::Node;
 use crate::peers::DISPATCHER_KEY;
 
@@ -64,8 +64,9 @@
     Expired,
 }
 
+/// News for the request that asked.
 #[derive(Debug)]
-enum Note {
+pub(super) enum Note {
     Grant(Name),
     Queued,
     Refuse(Duration),
@@ -75,25 +76,25 @@
 
 /// Place that is held or waited for.
 #[derive(Debug)]
-struct Record {
-    tx: UnboundedSender<Note>,
-    service: Name,
-    class: Class,
-    endpoint: Option<Name>,
+pub(super) struct Record {
+    pub(super) tx: UnboundedSender<Note>,
+    pub(super) service: Name,
+    pub(super) class: Class,
+    pub(super) endpoint: Option<Name>,
     /// Links whose drivers know of it.
-    told: Vec<LinkHandle>,
+    pub(super) told: Vec<LinkHandle>,
 }
 
 /// Places and asks of a process.
 #[derive(Debug)]
 pub(crate) struct Places {
-    me: u64,
-    next: Cell<u64>,
-    dispatcher: RefCell<Dispatcher>,
-    records: RefCell<HashMap<u64, Record>>,
+    pub(super) me: u64,
+    pub(super) next: Cell<u64>,
+    pub(super) dispatcher: RefCell<Dispatcher>,
+    pub(super) records: RefCell<HashMap<u64, Record>>,
     /// Link on which each driver was told of all places held here.
-    synced: RefCell<HashMap<Name, LinkId>>,
-    waiting: Notify,
+    pub(super) synced: RefCell<HashMap<Name, LinkId>>,
+    pub(super) waiting: Notify,
 }
 
 impl Places {
@@ -108,7 +109,7 @@
         }
     }
 
-    const fn id(&self, ask: u64) -> PlaceId {
+    pub(super) const fn id(&self, ask: u64) -> PlaceId {
         PlaceId { holder: self.me, ask }
     }
 }
@@ -358,7 +359,10 @@
         });
     }
 
-    fn dispatch(&self, decide: impl FnOnce(&mut Dispatcher, Timestamp, &mut Vec<PlaceAction>)) {
+    pub(super) fn dispatch(
+        &self,
+        decide: impl FnOnce(&mut Dispatcher, Timestamp, &mut Vec<PlaceAction>),
+    ) {
         let now = self.now();
         let mut out = Vec::new();
         let waiting = {
@@ -401,7 +405,7 @@
         };
     }
 
-    fn note(&self, ask: u64, note: Note) {
+    pub(super) fn note(&self, ask: u64, note: Note) {
         let mut records = self.places.records.borrow_mut();
         let Some(record) = records.get_mut(&ask) else { return };
         if let Note::Grant(endpoint) = &note {
@@ -411,132 +415,3 @@
         let _ = record.tx.send(note);
     }
 }
-
-/// # Links
-impl Node {
-    /// Handles a driver's reply to an ask.
-    pub(crate) fn on_place_reply(&self, link: LinkId, kind: Kind) {
-        match kind {
-            Kind::PlaceGrant(grant) => self.on_grant(link, &grant),
-            Kind::PlaceQueued(queued) => self.note(queued.ask, Note::Queued),
-            Kind::PlaceRefused(refused) => {
-                let retry_after = Duration::from_millis(refused.retry_after_ms.into());
-                self.note(refused.ask, Note::Refuse(retry_after));
-            }
-            Kind::PlacePreempt(preempt) => self.note(preempt.ask, Note::Preempt),
-            kind => self.on_call_reply(kind),
-        }
-    }
-
-    fn on_grant(&self, link: LinkId, grant: &messages::PlaceGrant) {
-        let endpoint = Name::from(grant.endpoint.as_str());
-        let current = {
-            let records = self.places.records.borrow();
-            records.get(&grant.ask).and_then(|record| {
-                let asked = record.told.last().is_some_and(|told| told.id() == link);
-                (asked && record.endpoint.is_none())
-                    .then(|| (Name::clone(&record.service), record.class))
-            })
-        };
-        // A late grant is for an ask that was withdrawn, which its driver has been told.
-        let Some((service, class)) = current else { return };
-        let id = self.places.id(grant.ask);
-        let now = self.now();
-        self.places.dispatcher.borrow_mut().hold(now, id, &service, &endpoint, class);
-        self.note(grant.ask, Note::Grant(endpoint));
-    }
-
-    /// Forgets a link that ended. Asks that wait for its driver go elsewhere.
-    pub(crate) fn places_link_lost(&self, link: LinkId) {
-        for record in self.places.records.borrow_mut().values_mut() {
-            let waits = record.endpoint.is_none()
-                && record.told.last().is_some_and(|told| told.id() == link);
-            record.told.retain(|told| told.id() != link);
-            if waits {
-                // The receiver is dropped with the record at the latest.
-                let _ = record.tx.send(Note::LinkLost);
-            }
-        }
-    }
-
-    /// Handles a frame about places from another process.
-    pub(crate) fn on_place_frame(&self, incarnation: u64, kind: Kind) -> Option<Kind> {
-        match kind {
-            Kind::PlaceAsk(ask) => {
-                let now = self.now();
-                let ask = PlaceAsk {
-                    id: PlaceId { holder: incarnation, ask: ask.ask },
-                    service: Name::from(ask.service.as_str()),
-                    class: class_from_wire(ask.class()),
-                    start_by: now + Duration::from_millis(ask.start_within_ms.into()),
-                    due: now + Duration::from_millis(ask.due_within_ms.into()),
-                    excluded: ask.excluded.iter().map(|name| Name::from(name.as_str())).collect(),
-                };
-                self.dispatch(|dispatcher, now, out| dispatcher.ask(now, ask, out));
-            }
-            Kind::PlaceReturn(place) => {
-                let id = PlaceId { holder: incarnation, ask: place.ask };
-                let end = end_from_wire(place.outcome());
-                self.dispatch(|dispatcher, now, out| {
-                    dispatcher.end(now, id, end, out);
-                });
-            }
-            Kind::PlaceSlow(slow) => {
-                let id = PlaceId { holder: incarnation, ask: slow.ask };
-                self.places.dispatcher.borrow_mut().on_slow(self.now(), id);
-            }
-            Kind::PlacesHeld(held) => {
-                let now = self.now();
-                let mut dispatcher = self.places.dispatcher.borrow_mut();
-                for place in &held.places {
-                    let id = PlaceId { holder: incarnation, ask: place.ask };
-                    let service = Name::from(place.service.as_str());
-                    let class = class_from_wire(place.class());
-                    dispatcher.hold(now, id, &service, &place.endpoint, class);
-                }
-            }
-            kind => return Some(kind),
-        }
-        None
-    }
-
-    pub(crate) fn drop_places_of(&self, incarnation: u64) {
-        self.dispatch(|dispatcher, now, out| dispatcher.drop_holder(now, incarnation, out));
-    }
-}
-
-pub(crate) fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
-const fn class_to_wire(class: Class) -> WorkClass {
-    match class {
-        Class::Online => WorkClass::Online,
-        Class::Batch => WorkClass::Batch,
-    }
-}
-
-const fn class_from_wire(class: WorkClass) -> Class {
-    match class {
-        WorkClass::Batch => Class::Batch,
-        WorkClass::Online | WorkClass::Unspecified => Class::Online,
-    }
-}
-
-const fn end_to_wire(end: PlaceEnd) -> PlaceOutcome {
-    match end {
-        PlaceEnd::Answered => PlaceOutcome::Answered,
-        PlaceEnd::Withdrawn => PlaceOutcome::Withdrawn,
-        PlaceEnd::Full => PlaceOutcome::Full,
-        PlaceEnd::Failed => PlaceOutcome::Failed,
-    }
-}
-
-pub(crate) const fn end_from_wire(outcome: PlaceOutcome) -> PlaceEnd {
-    match outcome {
-        PlaceOutcome::Answered => PlaceEnd::Answered,
-        PlaceOutcome::Full => PlaceEnd::Full,
-        PlaceOutcome::Failed => PlaceEnd::Failed,
-        PlaceOutcome::Withdrawn | PlaceOutcome::Unspecified => PlaceEnd::Withdrawn,
-    }
-}
--- /dev/null
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -0,0 +1,108 @@
+//! Places on links: replies of a driver, and asks of other processes.
+
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_policy::PlaceAsk;
+use dogwoodtray_policy::PlaceId;
+use dogwoodtray_runtime::LinkId;
+use dogwoodtray_wire::messages;
+use dogwoodtray_wire::messages::frame::Kind;
+
+use super::ask::Note;
+use super::wire::class_from_wire;
+use super::wire::end_from_wire;
+use crate::node::Node;
+
+/// # Links
+impl Node {
+    /// Handles a driver's reply to an ask.
+    pub(crate) fn on_place_reply(&self, link: LinkId, kind: Kind) {
+        match kind {
+            Kind::PlaceGrant(grant) => self.on_grant(link, &grant),
+            Kind::PlaceQueued(queued) => self.note(queued.ask, Note::Queued),
+            Kind::PlaceRefused(refused) => {
+                let retry_after = Duration::from_millis(refused.retry_after_ms.into());
+                self.note(refused.ask, Note::Refuse(retry_after));
+            }
+            Kind::PlacePreempt(preempt) => self.note(preempt.ask, Note::Preempt),
+            kind => self.on_call_reply(kind),
+        }
+    }
+
+    fn on_grant(&self, link: LinkId, grant: &messages::PlaceGrant) {
+        let endpoint = Name::from(grant.endpoint.as_str());
+        let current = {
+            let records = self.places.records.borrow();
+            records.get(&grant.ask).and_then(|record| {
+                let asked = record.told.last().is_some_and(|told| told.id() == link);
+                (asked && record.endpoint.is_none())
+                    .then(|| (Name::clone(&record.service), record.class))
+            })
+        };
+        // A late grant is for an ask that was withdrawn, which its driver has been told.
+        let Some((service, class)) = current else { return };
+        let id = self.places.id(grant.ask);
+        let now = self.now();
+        self.places.dispatcher.borrow_mut().hold(now, id, &service, &endpoint, class);
+        self.note(grant.ask, Note::Grant(endpoint));
+    }
+
+    /// Forgets a link that ended. Asks that wait for its driver go elsewhere.
+    pub(crate) fn places_link_lost(&self, link: LinkId) {
+        for record in self.places.records.borrow_mut().values_mut() {
+            let waits = record.endpoint.is_none()
+                && record.told.last().is_some_and(|told| told.id() == link);
+            record.told.retain(|told| told.id() != link);
+            if waits {
+                // The receiver is dropped with the record at the latest.
+                let _ = record.tx.send(Note::LinkLost);
+            }
+        }
+    }
+
+    /// Handles a frame about places from another process.
+    pub(crate) fn on_place_frame(&self, incarnation: u64, kind: Kind) -> Option<Kind> {
+        match kind {
+            Kind::PlaceAsk(ask) => {
+                let now = self.now();
+                let ask = PlaceAsk {
+                    id: PlaceId { holder: incarnation, ask: ask.ask },
+                    service: Name::from(ask.service.as_str()),
+                    class: class_from_wire(ask.class()),
+                    start_by: now + Duration::from_millis(ask.start_within_ms.into()),
+                    due: now + Duration::from_millis(ask.due_within_ms.into()),
+                    excluded: ask.excluded.iter().map(|name| Name::from(name.as_str())).collect(),
+                };
+                self.dispatch(|dispatcher, now, out| dispatcher.ask(now, ask, out));
+            }
+            Kind::PlaceReturn(place) => {
+                let id = PlaceId { holder: incarnation, ask: place.ask };
+                let end = end_from_wire(place.outcome());
+                self.dispatch(|dispatcher, now, out| {
+                    dispatcher.end(now, id, end, out);
+                });
+            }
+            Kind::PlaceSlow(slow) => {
+                let id = PlaceId { holder: incarnation, ask: slow.ask };
+                self.places.dispatcher.borrow_mut().on_slow(self.now(), id);
+            }
+            Kind::PlacesHeld(held) => {
+                let now = self.now();
+                let mut dispatcher = self.places.dispatcher.borrow_mut();
+                for place in &held.places {
+                    let id = PlaceId { holder: incarnation, ask: place.ask };
+                    let service = Name::from(place.service.as_str());
+                    let class = class_from_wire(place.class());
+                    dispatcher.hold(now, id, &service, &place.endpoint, class);
+                }
+            }
+            kind => return Some(kind),
+        }
+        None
+    }
+
+    pub(crate) fn drop_places_of(&self, incarnation: u64) {
+        self.dispatch(|dispatcher, now, out| dispatcher.drop_holder(now, incarnation, out));
+    }
+}
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -9,6 +9,7 @@
 use dogwoodtray_platform::ObjectStore;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_runtime::install_metrics;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -30,6 +31,10 @@
 /// Time that a driver takes at most to store what is finished.
 const HAND_OVER_TIME: Duration = Duration::from_secs(2);
 
+/// Interval at which observations of histograms are folded together; at 1,000 requests a second
+/// they take 80 KB until then.
+const METRICS_UPKEEP: Duration = Duration::from_secs(10);
+
 /// Interval at which the end of a drain is looked for.
 const POLL: Duration = Duration::from_millis(50);
 
@@ -129,7 +134,14 @@
 ) -> io::Result<Rc<Node>> {
     let node = Node::new(cfg, dialect, store);
     node.open_links().await?;
-    Admin::bind(&node, node.cfg.admin, install_metrics()).await?;
+    let metrics = install_metrics();
+    Admin::bind(&node, node.cfg.admin, metrics.clone()).await?;
+    spawn_local(async move {
+        loop {
+            sleep(METRICS_UPKEEP).await;
+            metrics.run_upkeep();
+        }
+    });
     node.spawn_place_ticks();
     node.spawn_sync();
     node.events.emit(&catalogue::PROCESS_STARTED, None, &[("peer", &node.cfg.peer)]);
--- a/dogwoodtray_runtime/src/operator/metrics.rs
+++ b/dogwoodtray_runtime/src/operator/metrics.rs
@@ -19,6 +19,14 @@
     pub fn render(&self) -> String {
         self.inner.as_ref().map(PrometheusHandle::render).unwrap_or_default()
     }
+
+    /// Folds observations of histograms together. Without it they take memory until the metrics
+    /// are rendered, which may be never.
+    pub fn run_upkeep(&self) {
+        if let Some(handle) = &self.inner {
+            handle.run_upkeep();
+        }
+    }
 }
 
 /// Installs the recorder of the process once and returns its handle.
