--- a/dogwoodtray_gateway/src/model/route.rs
+++ b/dogwoodtray_gateway/src/model/route.rs
@@ -1,5 +1,7 @@
 //! Routes and limits of the configuration in force.
 
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use dogwoodtray_coord::Generation;
@@ -96,13 +98,34 @@
 pub struct SiteConfig {
     /// Grows with each version.
     pub generation: Generation,
-    /// Routes, in no order.
-    pub routes: Vec<Route>,
     /// Limits on callers.
     pub limits: Limits,
+    routes: Vec<Route>,
+    /// Indices of the routes of each host, longest prefix first. A configuration may hold
+    /// thousands of routes, and every request looks for one.
+    by_host: HashMap<Name, Vec<usize>>,
 }
 
 impl SiteConfig {
+    /// Creates a version of the configuration.
+    #[must_use]
+    pub fn new(generation: Generation, routes: Vec<Route>, limits: Limits) -> Self {
+        let mut by_host: HashMap<Name, Vec<usize>> = HashMap::new();
+        for (index, route) in routes.iter().enumerate() {
+            by_host.entry(Name::clone(&route.host)).or_default().push(index);
+        }
+        for indices in by_host.values_mut() {
+            indices.sort_by_key(|index| Reverse(routes[*index].path_prefix.len()));
+        }
+        Self { generation, limits, routes, by_host }
+    }
+
+    /// Returns all routes.
+    #[must_use]
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
     /// Finds the route with the longest prefix that covers a path of a host.
     ///
     /// # Examples
@@ -114,9 +137,8 @@
     /// ```
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        self.routes
-            .iter()
-            .filter(|route| *route.host == *host && path.starts_with(&*route.path_prefix))
-            .max_by_key(|route| route.path_prefix.len())
+        let indices = self.by_host.get(host)?;
+        let mut routes = indices.iter().map(|index| &self.routes[*index]);
+        routes.find(|route| path.starts_with(&*route.path_prefix))
     }
 }
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -192,7 +192,7 @@
             }
         };
         let generation = config.generation;
-        let routes = config.routes.len();
+        let routes = config.routes().len();
         if !self.directory.borrow_mut().set_config(config) {
             return;
         }
--- a/dogwoodtray_gateway/tests/directory.rs
+++ b/dogwoodtray_gateway/tests/directory.rs
@@ -11,6 +11,7 @@
 use dogwoodtray_gateway::Directory;
 use dogwoodtray_gateway::Endpoint;
 use dogwoodtray_gateway::EndpointState;
+use dogwoodtray_gateway::Limits;
 use dogwoodtray_gateway::SiteConfig;
 
 fn endpoint(id: &str, state: EndpointState) -> Endpoint {
@@ -33,7 +34,7 @@
 fn the_configuration_never_goes_back() {
     let mut directory = Directory::new();
     let config =
-        |generation| SiteConfig { generation: Generation(generation), ..Default::default() };
+        |generation| SiteConfig::new(Generation(generation), Vec::new(), Limits::default());
     assert!(directory.set_config(config(3)));
     assert!(!directory.set_config(config(2)));
     assert!(!directory.set_config(config(3)));
