Call an absent store less often where the links tell of its return

A process with links now pauses up to 4 s and goes on at once when its links show that the store is back.

--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -24,6 +24,7 @@
 use serde::Serialize;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::model::Endpoint;
 use crate::model::EndpointState;
@@ -54,9 +55,14 @@
 /// Pause after the first failed call; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest pause between failed calls; a store that returned is found again within it.
+/// Longest pause between failed calls of a process that has to find out for itself when the store
+/// returns.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
+/// Longest pause of a process that is told on its links. Refused calls are counted as well, and
+/// some hundred processes would make most of them.
+const MAX_TOLD_PAUSE: Duration = Duration::from_secs(4);
+
 /// Entry of a process in the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct NodeSpec {
@@ -81,10 +87,14 @@
         Self(FIRST_PAUSE)
     }
 
-    async fn wait(&mut self) {
+    /// Waits until the pause is over or the store is known to be back.
+    async fn wait(&mut self, node: &Node) {
+        let told = node.peers.has_links() && !node.lists_for_all();
         // Half of the pause is random, so that processes spread out when the store returns.
-        sleep(self.0.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
-        self.0 = (self.0 * 2).min(MAX_PAUSE);
+        let pause = self.0.mul_f64(0.5 + rand::random::<f64>() / 2.0);
+        // An early end shows the same state as a late one.
+        let _ = timeout(pause, node.store_silent.notified()).await;
+        self.0 = (self.0 * 2).min(if told { MAX_TOLD_PAUSE } else { MAX_PAUSE });
     }
 }
 
@@ -128,7 +138,7 @@
                             apply(&node, Update::All(objects));
                             break revision;
                         }
-                        Listed::Unavailable => pause.wait().await,
+                        Listed::Unavailable => pause.wait(&node).await,
                     }
                 };
                 node.follow_from(kind, &mut at, &wait, &mut apply).await;
@@ -160,7 +170,7 @@
                     }
                 }
                 Watched::HistoryLost => return,
-                Watched::Unavailable => pause.wait().await,
+                Watched::Unavailable => pause.wait(self).await,
             }
         }
     }
@@ -245,7 +255,7 @@
                 Listed::Unavailable => {
                     self.directory.borrow_mut().on_list_failed();
                     self.store_silent.notify_waiters();
-                    pause.wait().await;
+                    pause.wait(&self).await;
                 }
             }
         }
@@ -370,7 +380,7 @@
                 Created::TooLarge => debug_assert!(false, "the entry of a process is small"),
                 Created::Unavailable | Created::Unknown => {}
             }
-            pause.wait().await;
+            pause.wait(&self).await;
         }
     }
 
