Fold what the platform work wrote twice

No change of behaviour, but that a failed accept on the readiness and metrics ports is counted as one on the callers' port is, and that a relayed endpoint without a usable address is logged.

- One accept loop serves the callers', readiness and metrics ports.
- The end of a job is taken in one place, whether the store or a gateway tells.
- A link event carries the role of the process that was dialled, which was looked up and guessed to be a driver once that process was forgotten.
- A resumed stream keeps the body of its exchange, not a made-up head as well.
- Stepping back in time, milliseconds on the wire, numbered object names and the link to the first driver for a key each have one function.
- The settings of the dispatcher are copied and not cloned for each ask.
- Fifteen tests start their site through one function; their assertions stand.

--- a/dogwoodtray_coord/src/types/time.rs
+++ b/dogwoodtray_coord/src/types/time.rs
@@ -25,6 +25,13 @@
     /// The start of time.
     pub const ZERO: Self = Self(0);
 
+    /// Returns the time that lies `by` before this one, and not before the start.
+    #[must_use]
+    pub fn before(self, by: Duration) -> Self {
+        let micros = u64::try_from(by.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Returns the microseconds since the start.
     #[must_use]
     pub const fn as_micros(self) -> u64 {
--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -103,7 +103,7 @@
             }
             Kind::JobCancelled(cancelled) => {
                 if let Some(driver) = self.driver.get() {
-                    driver.on_cancelled(Name::from(cancelled.job));
+                    driver.end(Name::from(cancelled.job));
                 }
             }
             Kind::ItemProgress(progress) => {
--- a/dogwoodtray_gateway/src/carry.rs
+++ b/dogwoodtray_gateway/src/carry.rs
@@ -157,8 +157,7 @@
     /// nowhere, as that gateway may stand in for the drivers here.
     fn owner(&self, job: &str) -> Option<LinkHandle> {
         self.dispatcher()?;
-        let owner = self.peers.ranked(self, job).into_iter().next()?;
-        self.peers.link_to(&owner)
+        self.peers.first_link(self, job)
     }
 
     async fn call_owner<M: Into<messages::Frame>>(
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
-use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceEnd;
 use dogwoodtray_runtime::catalogue;
@@ -25,7 +24,6 @@
 use super::spec::StoredResult;
 use crate::model::JobItem;
 use crate::net::EventReader;
-use crate::net::SendError;
 use crate::net::UpstreamBody;
 use crate::net::send;
 use crate::node::Node;
@@ -102,7 +100,7 @@
         let want = Want {
             service,
             class: Class::Batch,
-            start_by: earlier(due, left.unwrap_or_default()),
+            start_by: due.before(left.unwrap_or_default()),
             due,
             give_up_at: now + PLACE_WAIT,
             excluded: excluded.clone(),
@@ -150,10 +148,6 @@
     }
 }
 
-fn earlier(at: Timestamp, by: Duration) -> Timestamp {
-    Timestamp(at.0.saturating_sub(u64::try_from(by.as_micros()).unwrap_or(u64::MAX)))
-}
-
 /// Finds the service that runs the item under the configuration in force.
 async fn service_of(node: &Node, job: &Job, item: &JobItem) -> Option<Name> {
     let missing_since = node.now();
@@ -231,8 +225,7 @@
     };
     let exchange = match timeout(head_timeout, send(known.addr, req)).await {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(err @ SendError::NotSent(_))) => return broken(PlaceEnd::Failed, &err),
-        Ok(Err(err @ SendError::Lost(_))) => return broken(PlaceEnd::Failed, &err),
+        Ok(Err(err)) => return broken(PlaceEnd::Failed, &err),
         Err(_) => return (Run::Crowded, PlaceEnd::Full, String::new()),
     };
     let status = exchange.parts.status;
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -160,21 +160,15 @@
     }
 
     fn on_ends(&self, update: Update) {
-        let mut ended = self.ended.borrow_mut();
-        let ended = ended.get_or_insert_default();
-        let names = match update {
-            Update::All(objects) => objects.into_iter().map(|object| object.name).collect(),
-            Update::One(Change::Put(object)) => vec![object.name],
+        self.ended.borrow_mut().get_or_insert_default();
+        match update {
+            Update::All(objects) => objects.into_iter().for_each(|object| self.end(object.name)),
+            Update::One(Change::Put(object)) => self.end(object.name),
             Update::One(Change::Removed(name)) => {
-                ended.remove(&name);
-                Vec::new()
-            }
-        };
-        for name in names {
-            if let Some(job) = self.jobs.borrow().get(&name) {
-                job.end();
+                if let Some(ended) = self.ended.borrow_mut().as_mut() {
+                    ended.remove(&name);
+                }
             }
-            ended.insert(name);
         }
     }
 
@@ -197,8 +191,9 @@
         }
     }
 
-    /// Takes the news of a gateway that a job was cancelled.
-    pub(crate) fn on_cancelled(&self, id: Name) {
+    /// Ends a job, as the store or a gateway tells. Before the ends are listed, the list will tell
+    /// again.
+    pub(crate) fn end(&self, id: Name) {
         if let Some(job) = self.jobs.borrow().get(&id) {
             job.end();
         }
--- a/dogwoodtray_gateway/src/driver/spec.rs
+++ b/dogwoodtray_gateway/src/driver/spec.rs
@@ -121,13 +121,13 @@
     }
 
     pub(crate) fn part_name(job: &Name, part: u32) -> Name {
-        Name::from(format!("{job}.{part}"))
+        numbered(job, part)
     }
 }
 
 impl Segment {
     pub(crate) fn name(job: &Name, number: u32) -> Name {
-        Name::from(format!("{job}.{number}"))
+        numbered(job, number)
     }
 
     pub(crate) fn encode(&self) -> String {
@@ -148,6 +148,11 @@
     }
 }
 
+/// Names one of several objects of a job within their kind.
+fn numbered(job: &Name, number: u32) -> Name {
+    Name::from(format!("{job}.{number}"))
+}
+
 pub(crate) fn encode<T: Serialize>(value: &T) -> String {
     // Serialization to memory fails only for maps with keys that are not strings or numbers.
     let text = serde_json::to_string(value).unwrap_or_default();
--- a/dogwoodtray_gateway/src/front/jobs.rs
+++ b/dogwoodtray_gateway/src/front/jobs.rs
@@ -8,7 +8,6 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_platform::Created;
 use dogwoodtray_runtime::Clock;
-use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::JobReadStatus;
@@ -30,6 +29,7 @@
 use crate::model::ResultPage;
 use crate::model::Route;
 use crate::node::Node;
+use crate::places::millis;
 
 /// Items of one job at most, as the platform says.
 const MAX_ITEMS: usize = 200;
@@ -77,7 +77,7 @@
         Created::TooLarge => answer::plain(StatusCode::PAYLOAD_TOO_LARGE, "item too large\n"),
     };
     if matches!(created, Created::Done | Created::Exists)
-        && let Some(link) = owner(node, id)
+        && let Some(link) = node.peers.first_link(node, id)
     {
         link.send(messages::JobAccepted { job: id.to_string() });
     }
@@ -138,7 +138,7 @@
 /// Reads results from a position on.
 pub(crate) async fn read(node: &Rc<Node>, id: &Name, after: u32, wait: Duration) -> Answer {
     let wait = wait.min(MAX_READ_WAIT);
-    let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+    let wait_ms = millis(wait);
     let reply = ask(node, id, wait + READ_GRACE, |call| messages::JobRead {
         call,
         job: id.to_string(),
@@ -169,10 +169,6 @@
     Response::new(AnswerBody::full(body.body))
 }
 
-fn owner(node: &Node, id: &Name) -> Option<LinkHandle> {
-    node.peers.ranked(node, id).first().and_then(|name| node.peers.link_to(name))
-}
-
 /// Asks the driver of a job, and another one if it gives no sure answer.
 async fn ask<M: Into<messages::Frame>>(
     node: &Rc<Node>,
--- a/dogwoodtray_gateway/src/front/mod.rs
+++ b/dogwoodtray_gateway/src/front/mod.rs
@@ -9,5 +9,5 @@
 mod stream;
 mod trace;
 
-pub(crate) use self::server::Admin;
 pub(crate) use self::server::Front;
+pub(crate) use self::server::serve_admin;
--- a/dogwoodtray_gateway/src/front/online.rs
+++ b/dogwoodtray_gateway/src/front/online.rs
@@ -1,6 +1,5 @@
 //! Online requests.
 
-use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +9,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::http::response::Parts;
-use tokio::time::Sleep;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -57,12 +55,11 @@
 
 /// Passes an answer on as it arrives.
 pub(crate) fn pass_on(mut attempts: Attempts, exchange: Exchange, lease: Lease) -> Answer {
-    let deadline = sleep(attempts.left());
     let parts = answer_head(exchange.parts);
     attempts.trace.on_status(parts.status.as_u16());
     let passed = PassedBody {
         body: exchange.body,
-        deadline: Box::pin(deadline) as Pin<Box<Sleep>>,
+        deadline: Box::pin(sleep(attempts.left())),
         lease: Some(lease),
         trace: attempts.trace,
     };
--- a/dogwoodtray_gateway/src/front/server.rs
+++ b/dogwoodtray_gateway/src/front/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -73,19 +74,12 @@
         let (closing, closed) = watch::channel(false);
         let node = Rc::clone(node);
         let count = Rc::clone(&open);
-        spawn_local(async move {
-            loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    metrics::counter!("dogwoodtray_accept_failures_total").increment(1);
-                    sleep(ACCEPT_PAUSE).await;
-                    continue;
-                };
-                let guard = OpenGuard::new(&count);
-                let (node, closed) = (Rc::clone(&node), closed.clone());
-                spawn_local(async move {
-                    serve_connection(node, stream, closed).await;
-                    drop(guard);
-                });
+        accept_each(listener, move |stream| {
+            let guard = OpenGuard::new(&count);
+            let (node, closed) = (Rc::clone(&node), closed.clone());
+            async move {
+                serve_connection(node, stream, closed).await;
+                drop(guard);
             }
         });
         Ok(Self { open, closing })
@@ -102,6 +96,23 @@
     }
 }
 
+/// Serves each connection to a listener in a task of its own.
+fn accept_each<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F + 'static)
+where
+    F: Future<Output = ()> + 'static,
+{
+    spawn_local(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                metrics::counter!("dogwoodtray_accept_failures_total").increment(1);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            spawn_local(serve(stream));
+        }
+    });
+}
+
 struct OpenGuard {
     open: Rc<Cell<usize>>,
 }
@@ -247,39 +258,26 @@
     })
 }
 
-/// Serves readiness and metrics.
-#[derive(Debug)]
-pub(crate) struct Admin;
-
-impl Admin {
-    /// Binds an address for readiness checks and metrics.
-    pub(crate) async fn bind(
-        node: &Rc<Node>,
-        addr: SocketAddr,
-        metrics: MetricsHandle,
-    ) -> io::Result<()> {
-        let listener = TcpListener::bind(addr).await?;
-        let node = Rc::clone(node);
-        spawn_local(async move {
-            loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    sleep(ACCEPT_PAUSE).await;
-                    continue;
-                };
-                let (node, metrics) = (Rc::clone(&node), metrics.clone());
-                spawn_local(async move {
-                    let service = service_fn(|req: Request<Incoming>| {
-                        let answer = admin(&node, &metrics, req.uri().path());
-                        async move { Ok::<_, Infallible>(answer) }
-                    });
-                    // A check that breaks off is repeated by whoever sent it.
-                    let _ =
-                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-                });
-            }
-        });
-        Ok(())
-    }
+/// Binds an address and serves readiness checks and metrics there.
+pub(crate) async fn serve_admin(
+    node: &Rc<Node>,
+    addr: SocketAddr,
+    metrics: MetricsHandle,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(addr).await?;
+    let node = Rc::clone(node);
+    accept_each(listener, move |stream| {
+        let (node, metrics) = (Rc::clone(&node), metrics.clone());
+        async move {
+            let service = service_fn(|req: Request<Incoming>| {
+                let answer = admin(&node, &metrics, req.uri().path());
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            // A check that breaks off is repeated by whoever sent it.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        }
+    });
+    Ok(())
 }
 
 fn admin(node: &Node, metrics: &MetricsHandle, path: &str) -> Answer {
--- a/dogwoodtray_gateway/src/front/stream.rs
+++ b/dogwoodtray_gateway/src/front/stream.rs
@@ -20,6 +20,7 @@
 use super::online::pass_on;
 use crate::net::EventReader;
 use crate::net::Exchange;
+use crate::net::UpstreamBody;
 use crate::places::Lease;
 
 /// Silence after which a stream goes on at another endpoint. Events come every 30 ms; the pauses
@@ -64,12 +65,9 @@
     let parts = answer_head(exchange.parts);
     attempts.trace.on_status(parts.status.as_u16());
     let body = exchange.body;
-    let mut first = Response::new(()).into_parts().0;
-    first.status = parts.status;
     spawn_local(async move {
-        let exchange = Exchange { parts: first, body };
         tokio::select! {
-            () = run(&mut attempts, exchange, lease, &tx) => {}
+            () = run(&mut attempts, body, lease, &tx) => {}
             () = tx.closed() => attempts.trace.finish("caller gone"),
         }
     });
@@ -78,13 +76,13 @@
 
 async fn run(
     attempts: &mut Attempts,
-    mut exchange: Exchange,
+    mut body: UpstreamBody,
     mut lease: Lease,
     tx: &Sender<Result<Bytes, Aborted>>,
 ) {
     let mut last = None;
     loop {
-        match leg(attempts, exchange, &mut last, tx).await {
+        match leg(attempts, body, &mut last, tx).await {
             Leg::Whole => {
                 lease.ended(PlaceEnd::Answered);
                 return attempts.trace.finish("answered");
@@ -95,7 +93,7 @@
         attempts.trace.retried(&lease.endpoint, &"stream broken off");
         drop(lease);
         match resume(attempts, last).await {
-            Some(next) => (exchange, lease) = next,
+            Some(next) => (body, lease) = next,
             None => {
                 attempts.trace.finish("not resumed");
                 // A caller that left needs no notice.
@@ -106,11 +104,11 @@
     }
 }
 
-async fn resume(attempts: &mut Attempts, last: Option<u64>) -> Option<(Exchange, Lease)> {
+async fn resume(attempts: &mut Attempts, last: Option<u64>) -> Option<(UpstreamBody, Lease)> {
     while attempts.may_retry() {
         match attempts.next(last, Some(STREAM_SILENCE)).await {
             Ok((exchange, lease)) if exchange.parts.status.is_success() => {
-                return Some((exchange, lease));
+                return Some((exchange.body, lease));
             }
             Ok((exchange, lease)) => {
                 attempts.trace.retried(&lease.endpoint, &exchange.parts.status);
@@ -125,14 +123,14 @@
 /// Passes whole events on until the exchange ends. Part of an event is dropped with it.
 async fn leg(
     attempts: &mut Attempts,
-    mut exchange: Exchange,
+    mut body: UpstreamBody,
     last: &mut Option<u64>,
     tx: &Sender<Result<Bytes, Aborted>>,
 ) -> Leg {
     let mut reader = EventReader::default();
     loop {
         let limit = attempts.left().min(STREAM_SILENCE);
-        let frame = match timeout(limit, exchange.body.frame()).await {
+        let frame = match timeout(limit, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) if !reader.has_rest() => return Leg::Whole,
             Ok(Some(Err(_)) | None) | Err(_) => return Leg::Broken,
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -9,7 +9,6 @@
 use dogwoodtray_coord::choose_subset;
 use dogwoodtray_runtime::LinkConfig;
 use dogwoodtray_runtime::LinkEvent;
-use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::LinkId;
 use dogwoodtray_runtime::LinkListener;
 use dogwoodtray_runtime::catalogue;
@@ -49,9 +48,9 @@
 const ORPHAN_TIME: Duration = Duration::from_secs(1);
 
 /// Where a link event comes from.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum Source {
-    Dialled(Name),
+    Dialled(Name, NodeRole),
     Accepted,
 }
 
@@ -128,12 +127,8 @@
         LinkConfig::new(
             move || hello.clone(),
             move |event| {
-                let source = match &source {
-                    Source::Dialled(name) => Source::Dialled(Name::clone(name)),
-                    Source::Accepted => Source::Accepted,
-                };
                 // The receiver lives as long as the process.
-                let _ = tx.send((source, event));
+                let _ = tx.send((source.clone(), event));
             },
         )
     }
@@ -172,7 +167,7 @@
             return;
         }
         let Some(tx) = self.peers.tx.borrow().clone() else { return };
-        let cfg = self.link_config(Source::Dialled(Name::clone(&to.name)), tx);
+        let cfg = self.link_config(Source::Dialled(Name::clone(&to.name), to.role), tx);
         let now = self.now();
         let peer = Dialled {
             addr: Name::clone(&to.addr),
@@ -221,7 +216,7 @@
 
     fn on_link(self: &Rc<Self>, source: Source, event: LinkEvent) {
         match (source, event) {
-            (Source::Dialled(name), LinkEvent::Up { link, .. }) => {
+            (Source::Dialled(name, _), LinkEvent::Up { link, .. }) => {
                 if let Some(driver) = self.peers.dialled.borrow_mut().get_mut(&name) {
                     driver.link = Some(link);
                     driver.heard_at = self.now();
@@ -231,7 +226,7 @@
                 }
                 self.events.emit(&catalogue::LINK_UP, None, &[("peer", &name)]);
             }
-            (Source::Dialled(name), LinkEvent::Down { link, reason }) => {
+            (Source::Dialled(name, _), LinkEvent::Down { link, reason }) => {
                 let now = self.now();
                 if let Some(driver) = self.peers.dialled.borrow_mut().get_mut(&name)
                     && driver.link.as_ref().is_some_and(|known| known.id() == link)
@@ -244,18 +239,18 @@
                     [("peer", &name), ("reason", &reason)];
                 self.events.emit(&catalogue::LINK_DOWN, None, &fields);
             }
-            (Source::Dialled(name), LinkEvent::Frame { link, kind }) => {
-                self.on_driver_frame(&name, link, kind);
+            (Source::Dialled(name, role), LinkEvent::Frame { link, kind }) => {
+                self.on_dialled_frame(&name, role, link, kind);
             }
             (Source::Accepted, LinkEvent::Up { link, hello }) => {
                 // Places of the same process on an older link are told again.
                 self.drop_places_of(hello.incarnation);
-                let id = link.id();
                 // A process that has just dialled learns at once whether this one can help it.
                 link.send(self.heartbeat(0));
+                self.relay_on(&link);
+                let id = link.id();
                 let accepted = Accepted { link, incarnation: hello.incarnation, dispatcher: None };
                 self.peers.accepted.borrow_mut().insert(id, accepted);
-                self.relay_on_link(id);
             }
             (Source::Accepted, LinkEvent::Down { link, .. }) => {
                 let gone = self.peers.accepted.borrow_mut().remove(&link);
@@ -284,11 +279,9 @@
         }
     }
 
-    /// Handles a frame from a driver that this process dialled.
-    fn on_driver_frame(self: &Rc<Self>, name: &Name, link: LinkId, kind: Kind) {
-        let mut from = NodeRole::Driver;
+    /// Handles a frame from a process that this one dialled.
+    fn on_dialled_frame(self: &Rc<Self>, name: &Name, role: NodeRole, link: LinkId, kind: Kind) {
         if let Some(peer) = self.peers.dialled.borrow_mut().get_mut(name) {
-            from = peer.role;
             peer.heard_at = self.now();
             if let Kind::Heartbeat(beat) = &kind {
                 peer.leaving = beat.leaving;
@@ -298,13 +291,8 @@
         match kind {
             Kind::Heartbeat(_) => {}
             Kind::ConfigSet(set) => self.on_relayed_config(&set),
-            Kind::EndpointSet(set) => self.on_relayed_endpoints(set, from),
+            Kind::EndpointSet(set) => self.on_relayed_endpoints(set, role),
             kind => self.on_place_reply(link, kind),
         }
     }
-
-    /// Returns the link handle of an accepted link.
-    pub(crate) fn accepted_link(&self, id: LinkId) -> Option<LinkHandle> {
-        self.peers.accepted.borrow().get(&id).map(|accepted| accepted.link.clone())
-    }
 }
--- a/dogwoodtray_gateway/src/peers/view.rs
+++ b/dogwoodtray_gateway/src/peers/view.rs
@@ -192,6 +192,12 @@
         self.dialled.borrow().get(name).and_then(|driver| driver.link.clone())
     }
 
+    /// Returns the link to the first in order of preference for a key.
+    pub(crate) fn first_link(&self, node: &Node, key: &str) -> Option<LinkHandle> {
+        let first = self.ranked(node, key).into_iter().next()?;
+        self.link_to(&first)
+    }
+
     /// Returns the links to all drivers and to the gateways that stand in for them.
     pub(crate) fn links(&self) -> Vec<LinkHandle> {
         self.dialled.borrow().values().filter_map(|peer| peer.link.clone()).collect()
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -14,8 +14,8 @@
 use tokio::time::sleep;
 
 use crate::driver::Driver;
-use crate::front::Admin;
 use crate::front::Front;
+use crate::front::serve_admin;
 use crate::model::Dialect;
 use crate::node::Node;
 use crate::node::NodeConfig;
@@ -60,7 +60,7 @@
     ) -> io::Result<Self> {
         debug_assert_eq!(cfg.role, NodeRole::Gateway);
         let node = start(cfg, dialect, store).await?;
-        Admin::bind(&node, readiness, install_metrics()).await?;
+        serve_admin(&node, readiness, install_metrics()).await?;
         let front = Front::bind(&node, callers).await?;
         Ok(Self { node, front })
     }
@@ -135,7 +135,7 @@
     let node = Node::new(cfg, dialect, store);
     node.open_links().await?;
     let metrics = install_metrics();
-    Admin::bind(&node, node.cfg.admin, metrics.clone()).await?;
+    serve_admin(&node, node.cfg.admin, metrics.clone()).await?;
     spawn_local(async move {
         loop {
             sleep(METRICS_UPKEEP).await;
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -17,7 +17,7 @@
 use dogwoodtray_platform::Object;
 use dogwoodtray_platform::Updated;
 use dogwoodtray_platform::Watched;
-use dogwoodtray_runtime::LinkId;
+use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_wire::messages;
 use serde::Deserialize;
@@ -31,6 +31,7 @@
 use crate::node::KnownNode;
 use crate::node::Node;
 use crate::node::NodeRole;
+use crate::places::millis;
 
 /// Kind of the objects with which processes make themselves known.
 const NODES_KIND: &str = "nodes";
@@ -226,8 +227,7 @@
     }
 
     /// Sends what this process knows to a process that has just connected.
-    pub(crate) fn relay_on_link(&self, id: LinkId) {
-        let Some(link) = self.accepted_link(id) else { return };
+    pub(crate) fn relay_on(&self, link: &LinkHandle) {
         if let Some(set) = self.relayed_config.borrow().clone() {
             link.send(set);
         }
@@ -321,7 +321,7 @@
         messages::EndpointSet {
             revision: directory.revision().0,
             endpoints: endpoints.collect(),
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            age_ms: millis(age),
         }
     }
 
@@ -331,9 +331,7 @@
             return;
         }
         let list = set.endpoints.iter().filter_map(known_endpoint).collect();
-        let now = self.now();
-        let at = Timestamp(now.0.saturating_sub(u64::try_from(age.as_micros()).unwrap_or(0)));
-        self.set_endpoints(at, Version(set.revision), list, "relay");
+        self.set_endpoints(self.now().before(age), Version(set.revision), list, "relay");
         // A gateway that another one has dialled stands in for the drivers. A list that came from
         // a gateway goes no further, as two gateways may have dialled each other.
         let first_hand = from == NodeRole::Driver;
@@ -348,7 +346,11 @@
     Some(Endpoint {
         id: Name::from(known.id.as_str()),
         service: Name::from(known.service.as_str()),
-        addr: known.address.parse().ok()?,
+        addr: known
+            .address
+            .parse()
+            .inspect_err(|err| log::warn!("endpoint {} has no usable address: {err}", known.id))
+            .ok()?,
         data_centre: Name::from(known.data_centre.as_str()),
         slots: known.slots,
         state,
--- a/dogwoodtray_gateway/tests/jobs.rs
+++ b/dogwoodtray_gateway/tests/jobs.rs
@@ -40,11 +40,7 @@
 #[test]
 fn every_item_of_a_job_has_its_whole_output_once() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 2).await;
-        site.register(&endpoint);
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let (site, endpoint, _running) = Site::serving("engine", 2).await;
         let answer = site.post("/job/x", "j1", &submission(&["a", "b", "c"])).await;
         assert_eq!(answer.status, StatusCode::ACCEPTED);
         let again = site.post("/job/x", "j1", &submission(&["a", "b", "c"])).await;
@@ -65,7 +61,7 @@
 #[test]
 fn an_unknown_job_is_missing_and_an_unreadable_one_is_not() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
         until("a link", || true).await;
@@ -82,7 +78,7 @@
 #[test]
 fn a_restarted_driver_does_not_run_a_cancelled_job() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("e1", "engine", 1).await;
         site.register(&endpoint);
         *endpoint.usual.borrow_mut() = Act::Stream { to: 1_000, pause: Duration::from_millis(20) };
@@ -110,13 +106,9 @@
 #[test]
 fn a_broken_item_goes_on_after_its_last_whole_event() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 1).await;
-        site.register(&endpoint);
+        let (site, endpoint, _running) = Site::serving("engine", 1).await;
         endpoint.then(Act::BreakWithin { event: 2 });
         endpoint.then(Act::Stream { to: 4, pause: Duration::ZERO });
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
         site.post("/job/x", "j1", &submission(&["a"])).await;
         let found = read_all(&site, "j1", 1).await;
         assert_eq!(found[0].2, "e1\ne2\ne3\ne4");
@@ -128,14 +120,10 @@
 #[test]
 fn an_item_is_given_up_after_its_failures_or_when_it_is_impossible() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 1).await;
-        site.register(&endpoint);
+        let (site, endpoint, _running) = Site::serving("engine", 1).await;
         endpoint.then(Act::Status(500));
         endpoint.then(Act::Status(500));
         endpoint.then(Act::Status(422));
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
         site.post("/job/x", "j1", &submission(&["a"])).await;
         assert_eq!(read_all(&site, "j1", 1).await[0].1, "dead_letter");
         assert_eq!(endpoint.run_count(), 2);
@@ -149,12 +137,8 @@
 #[test]
 fn a_lost_reply_to_a_commit_doubles_no_result() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 4).await;
-        site.register(&endpoint);
+        let (site, endpoint, _running) = Site::serving("engine", 4).await;
         *endpoint.usual.borrow_mut() = Act::Stream { to: 3, pause: Duration::from_millis(100) };
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
         site.post("/job/x", "j1", &submission(&["a", "b", "c"])).await;
         until("items run", || endpoint.run_count() == 3).await;
         site.store.lose_replies(2);
@@ -169,12 +153,8 @@
 #[test]
 fn a_batch_item_gives_its_place_to_an_online_request() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 3).await;
-        site.register(&endpoint);
+        let (site, endpoint, _running) = Site::serving("engine", 3).await;
         *endpoint.usual.borrow_mut() = Act::Stream { to: 60, pause: Duration::from_millis(20) };
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
         site.post("/job/x", "j1", &submission(&["a", "b"])).await;
         until("both items run", || endpoint.run_count() == 2).await;
         // A few events arrive, so that there is something to go on from.
@@ -198,7 +178,7 @@
 #[test]
 fn the_body_of_an_open_item_can_be_read() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
         site.post("/job/x", "j1", &submission(&["a"])).await;
@@ -218,7 +198,7 @@
 #[test]
 fn a_retired_driver_hands_its_jobs_over_and_says_so() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("e1", "engine", 4).await;
         site.register(&endpoint);
         *endpoint.usual.borrow_mut() = Act::Stream { to: 40, pause: Duration::from_millis(20) };
@@ -244,12 +224,8 @@
 #[test]
 fn a_driver_hears_of_an_end_on_its_links() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 1).await;
-        site.register(&endpoint);
+        let (site, endpoint, _running) = Site::serving("engine", 1).await;
         *endpoint.usual.borrow_mut() = Act::Stream { to: 1_000, pause: Duration::from_millis(20) };
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
         site.post("/job/x", "j1", &submission(&["a"])).await;
         until("the item runs", || endpoint.run_count() == 1).await;
         site.store.silence_watches(true);
@@ -265,7 +241,7 @@
 #[test]
 fn a_driver_that_the_store_turns_away_works_through_its_peers() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("e1", "engine", 8).await;
         site.register(&endpoint);
         let refused = site.store.for_one_process();
@@ -289,7 +265,7 @@
 #[test]
 fn of_two_drivers_that_do_not_hear_each_other_one_drives() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("e1", "engine", 64).await;
         site.register(&endpoint);
         let store = site.store.for_one_process();
@@ -314,12 +290,8 @@
 #[test]
 fn an_item_does_not_wait_inside_an_endpoint() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 4).await;
-        site.register(&endpoint);
+        let (site, endpoint, _running) = Site::serving("engine", 4).await;
         endpoint.then(Act::Silence);
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
         site.post("/job/x", "j1", &submission(&["a"])).await;
         until("the item was sent", || endpoint.run_count() == 1).await;
         let sent = std::time::Instant::now();
@@ -334,7 +306,7 @@
 #[test]
 fn a_driver_goes_on_where_a_lost_one_stopped() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("e1", "engine", 4).await;
         site.register(&endpoint);
         *endpoint.usual.borrow_mut() = Act::Stream { to: 150, pause: Duration::from_millis(20) };
--- a/dogwoodtray_gateway/tests/online.rs
+++ b/dogwoodtray_gateway/tests/online.rs
@@ -31,11 +31,7 @@
 #[test]
 fn a_stream_is_passed_on_unchanged() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 2).await;
-        site.register(&endpoint);
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let (site, endpoint, _running) = Site::serving("engine", 2).await;
         let answer = site.post("/stream/x?y=1", "r1", "slip").await;
         assert_eq!((answer.status, answer.whole), (StatusCode::OK, true));
         assert_eq!(answer.body, EVENTS);
@@ -54,7 +50,7 @@
 #[test]
 fn requests_without_a_route_or_an_id_are_rejected() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
         assert_eq!(site.post("/none/x", "r1", "").await.status, StatusCode::NOT_FOUND);
@@ -71,7 +67,7 @@
 #[test]
 fn a_request_that_may_have_run_is_not_sent_again() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let a = Endpoint::start("a", "ledger", 2).await;
         let b = Endpoint::start("b", "ledger", 2).await;
         site.register(&a);
@@ -95,11 +91,7 @@
 #[test]
 fn a_status_that_promises_not_to_have_run_needs_the_promise() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("a", "ledger", 2).await;
-        site.register(&endpoint);
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let (site, endpoint, _running) = Site::serving("ledger", 2).await;
         for status in [503, 429, 408] {
             endpoint.then(Act::Status(status));
             let answer = site.post("/once/x", "r1", "payout").await;
@@ -113,7 +105,7 @@
 #[test]
 fn an_idempotent_request_is_sent_again() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let a = Endpoint::start("a", "ledger", 2).await;
         let b = Endpoint::start("b", "ledger", 2).await;
         site.register(&a);
@@ -135,7 +127,7 @@
 #[test]
 fn a_request_that_was_turned_away_goes_elsewhere() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let a = Endpoint::start("a", "engine", 2).await;
         let b = Endpoint::start("b", "engine", 2).await;
         site.register(&a);
@@ -155,11 +147,7 @@
 #[test]
 fn a_broken_stream_is_resumed_within_its_answer() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 2).await;
-        site.register(&endpoint);
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let (site, endpoint, _running) = Site::serving("engine", 2).await;
         for act in [Act::BreakAfter { event: 2 }, Act::BreakWithin { event: 2 }] {
             endpoint.then(act);
             let answer = site.post("/resume/x", "r1", "slip").await;
@@ -175,11 +163,7 @@
 #[test]
 fn a_stream_that_cannot_be_resumed_ends_as_broken() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 2).await;
-        site.register(&endpoint);
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let (site, endpoint, _running) = Site::serving("engine", 2).await;
         endpoint.then(Act::BreakAfter { event: 2 });
         let answer = site.post("/stream/x", "r1", "slip").await;
         assert_eq!((answer.status, answer.whole), (StatusCode::OK, false));
@@ -191,12 +175,8 @@
 #[test]
 fn a_caller_that_leaves_ends_the_run() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 2).await;
-        site.register(&endpoint);
+        let (site, endpoint, _running) = Site::serving("engine", 2).await;
         *endpoint.usual.borrow_mut() = Act::Stream { to: 1_000, pause: Duration::from_millis(20) };
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
         for (path, runs) in [("/stream/x", 1), ("/resume/x", 2)] {
             let left = timeout(Duration::from_millis(300), site.post(path, "r1", "slip")).await;
             assert!(left.is_err(), "the stream is longer");
@@ -229,7 +209,7 @@
 #[test]
 fn a_silent_endpoint_is_answered_for_in_time() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("a", "ledger", 2).await;
         site.register(&endpoint);
         *endpoint.usual.borrow_mut() = Act::Silence;
@@ -248,7 +228,7 @@
 #[test]
 fn changes_of_endpoints_and_configuration_are_followed() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let a = Endpoint::start("a", "engine", 2).await;
         let b = Endpoint::start("b", "engine", 2).await;
         site.register(&a);
@@ -275,7 +255,7 @@
 #[test]
 fn a_planned_stop_cuts_no_answer_off() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("a", "engine", 2).await;
         site.register(&endpoint);
         *endpoint.usual.borrow_mut() = Act::Stream { to: 150, pause: Duration::from_millis(20) };
@@ -294,7 +274,7 @@
 #[test]
 fn a_gateway_serves_without_a_driver() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("a", "engine", 2).await;
         site.register(&endpoint);
         let _gateway = site.start_gateway().await;
@@ -306,11 +286,7 @@
 #[test]
 fn requests_are_served_while_the_store_is_down() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 2).await;
-        site.register(&endpoint);
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let (site, _endpoint, _running) = Site::serving("engine", 2).await;
         site.store.set_down(true);
         sleep(Duration::from_secs(2)).await;
         assert_eq!(site.post("/stream/x", "r1", "slip").await.body, EVENTS);
@@ -325,11 +301,7 @@
 #[test]
 fn watches_start_anew_when_the_store_returns() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 2).await;
-        site.register(&endpoint);
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let (site, _endpoint, _running) = Site::serving("engine", 2).await;
         site.store.silence_watches(true);
         site.store.set_down(true);
         sleep(Duration::from_millis(1_200)).await;
@@ -351,11 +323,7 @@
 #[test]
 fn a_gateway_that_reaches_no_driver_works_through_another_one() {
     local(async {
-        let mut site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 8).await;
-        site.register(&endpoint);
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let (site, endpoint, _running) = Site::serving("engine", 8).await;
         let cut = site.start_cut_gateway().await;
         sleep(Duration::from_millis(2_500)).await;
         let callers = cut.callers;
@@ -378,7 +346,7 @@
 #[test]
 fn gateways_without_a_driver_serve_by_their_own_count() {
     local(async {
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("a", "engine", 4).await;
         site.register(&endpoint);
         let _gateway = site.start_gateway().await;
--- a/dogwoodtray_gateway/tests/relays.rs
+++ b/dogwoodtray_gateway/tests/relays.rs
@@ -33,7 +33,7 @@
 fn what_was_relayed_goes_no_further() {
     local(async {
         install_metrics();
-        let mut site = Site::new();
+        let site = Site::new();
         let endpoint = Endpoint::start("a", "engine", 4).await;
         site.register(&endpoint);
         let nowhere = free_addr();
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -37,7 +37,6 @@
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -298,7 +297,12 @@
     pub(crate) store: MemoryObjects,
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
-    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Processes of a site, which stop when this is dropped.
+pub(crate) struct Running {
+    _driver: JobDriver,
+    _gateway: Gateway,
 }
 
 /// Answer as a caller gets it.
@@ -316,26 +320,36 @@
     pub(crate) fn new() -> Self {
         let store = MemoryObjects::new();
         store.put("config", "main", &config(1));
-        Self { store, callers: free_addr(), readiness: free_addr(), tasks: Vec::new() }
+        Self { store, callers: free_addr(), readiness: free_addr() }
+    }
+
+    /// Starts a driver and a gateway in front of one endpoint.
+    pub(crate) async fn serving(service: &'static str, slots: u32) -> (Self, Endpoint, Running) {
+        let site = Self::new();
+        let endpoint = Endpoint::start("e1", service, slots).await;
+        site.register(&endpoint);
+        let driver = site.start_driver("d1").await;
+        let gateway = site.start_gateway().await;
+        (site, endpoint, Running { _driver: driver, _gateway: gateway })
     }
 
     pub(crate) fn register(&self, endpoint: &Endpoint) {
         self.store.put("servers", endpoint.id, &endpoint.entry("ready"));
     }
 
-    pub(crate) async fn start_driver(&mut self, node: &str) -> JobDriver {
+    pub(crate) async fn start_driver(&self, node: &str) -> JobDriver {
         self.start_driver_on(node, self.store.clone()).await
     }
 
     /// Starts a driver with a view of the store of its own.
-    pub(crate) async fn start_driver_on(&mut self, node: &str, store: MemoryObjects) -> JobDriver {
+    pub(crate) async fn start_driver_on(&self, node: &str, store: MemoryObjects) -> JobDriver {
         let cfg = node_config(node, NodeRole::Driver);
         let store = Arc::new(store);
         JobDriver::bind(cfg, Arc::new(SiteDialect::new()), store).await.unwrap()
     }
 
     /// Starts a gateway and waits until it is ready.
-    pub(crate) async fn start_gateway(&mut self) -> Gateway {
+    pub(crate) async fn start_gateway(&self) -> Gateway {
         start_gateway("g1", self.callers, self.readiness, self.store.clone()).await
     }
 
--- a/dogwoodtray_policy/src/placement/config.rs
+++ b/dogwoodtray_policy/src/placement/config.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Settings of [`super::Dispatcher`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct DispatcherConfig {
     /// Share of the places of a service that batch work leaves free for the next online requests.
     /// A preempted stream costs a second prefill, so a few places absorb ordinary arrivals
--- a/dogwoodtray_policy/src/placement/dispatcher.rs
+++ b/dogwoodtray_policy/src/placement/dispatcher.rs
@@ -86,7 +86,7 @@
         let before = out.len();
         let id = ask.id;
         let service = Name::clone(&ask.service);
-        let cfg = self.cfg.clone();
+        let cfg = self.cfg;
         self.service_of.insert(id, Name::clone(&service));
         self.service(&service).ask(now, ask, &cfg, out);
         let refused =
