Keep no gone entry in a process that was kept up to date on its links

The store had turned the first driver away from 16.5 s to 23.5 s, while others kept it up to date. Its first list of its own counted as the end of an outage, so it kept the removed entry for 2.3 s as lapsed, and relayed it to all.

Entries now count as lapsed only if the last list, also a relayed one, is 1.5 s old. Ruled out: the longer pauses between failed calls.

The new test fails before the change.

--- a/dogwoodtray_gateway/src/directory.rs
+++ b/dogwoodtray_gateway/src/directory.rs
@@ -18,6 +18,10 @@
 /// platform says about two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Age of the last list up to which no entry can have lapsed unseen. A process that the store turns
+/// away but that others keep up to date has missed nothing; entries lapse after several seconds.
+const MAX_SEEN_GAP: Duration = Duration::from_millis(1_500);
+
 /// Holds the newest configuration and the list of endpoints.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -109,7 +113,8 @@
         if revision < self.revision {
             return false;
         }
-        if std::mem::take(&mut self.missed) {
+        let blind = self.listed_at.is_none_or(|at| now - at >= MAX_SEEN_GAP);
+        if std::mem::take(&mut self.missed) && blind {
             self.lapse_until = now + LAPSE_GRACE;
         }
         self.revision = revision;
--- a/dogwoodtray_gateway/tests/directory.rs
+++ b/dogwoodtray_gateway/tests/directory.rs
@@ -73,3 +73,15 @@
     directory.set_endpoints(at(7_400), Version(8), vec![ready("a")]);
     assert!(directory.endpoint("b").is_none());
 }
+
+/// Guards against entries that are kept, and relayed to all others, by a process that the store
+/// turned away while it was kept up to date on its links.
+#[test]
+fn a_process_that_was_kept_up_to_date_keeps_no_gone_entry() {
+    let mut directory = Directory::new();
+    let ready = |id| endpoint(id, EndpointState::Ready);
+    directory.set_endpoints(at(0), Version(5), vec![ready("a"), ready("b")]);
+    directory.on_list_failed();
+    directory.set_endpoints(at(1_000), Version(6), vec![ready("a")]);
+    assert!(directory.endpoint("b").is_none());
+}
