Add a fault soak of the gateway and driver programs

The runs under `tests/chaos*` know only the programs of the product's own path. The new soak starts three gateways and two drivers as processes, with endpoints and a store that speak as the platform does (`platform/tests/standin`), and disturbs them from outside: signals, relays in front of peers, endpoints and the store, and faults of the store itself. Faults come in three series that overlap. A calm time follows, in which an endpoint drains, a route moves, and a gateway and a driver shut down under load. The oracle judges what callers and endpoints saw; `soak_oracle` falsifies a sound record in 27 ways and each is found.

Clocks are not disturbed, as that needs rights that a test does not have, and nothing of these programs is stored on disks.

--- a/dogwoodtray_cli/tests/chaos_support/child.rs
+++ b/dogwoodtray_cli/tests/chaos_support/child.rs
@@ -31,7 +31,7 @@
 }
 
 impl Process {
-    /// Starts a process; its stderr goes to a file in `dir`.
+    /// Starts a process; what it prints goes to a file in `dir`.
     pub(crate) fn start(name: &str, program: &'static str, args: Vec<String>, dir: &Path) -> Self {
         let process = Self {
             name: name.to_owned(),
@@ -50,11 +50,12 @@
     pub(crate) fn restart(&self) {
         let number = self.starts.fetch_add(1, SeqCst);
         let log = File::create(self.dir.join(format!("{}.{number}.log", self.name))).unwrap();
+        let printed = log.try_clone().unwrap();
         let child = Command::new(self.program)
             .args(&self.args)
             .env("RUST_LOG", "warn,dogwoodtray_runtime=debug")
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(printed)
             .stderr(log)
             .spawn()
             .unwrap();
@@ -91,6 +92,17 @@
         self.paused.load(SeqCst)
     }
 
+    /// Asks the process to stop in good order.
+    pub(crate) fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Whether the process runs, or was paused or killed from here.
+    pub(crate) fn runs_or_was_killed(&self) -> bool {
+        let mut child = self.child.lock().unwrap();
+        child.as_mut().is_none_or(|child| child.try_wait().unwrap().is_none())
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(child) = &*self.child.lock().unwrap() {
             kill_process(Pid::from_child(child), signal).unwrap();
--- a/dogwoodtray_cli/tests/chaos_support/relay.rs
+++ b/dogwoodtray_cli/tests/chaos_support/relay.rs
@@ -28,20 +28,36 @@
     Cut,
     /// Bytes vanish, and neither side learns of it.
     Silent,
+    /// What the server sends vanishes.
+    OneWay,
+    /// Bytes pass late.
+    Slow(Duration),
 }
 
 /// Relay in front of one server.
 #[derive(Debug)]
 pub(crate) struct Relay {
     connections: Arc<Mutex<Vec<watch::Sender<Mode>>>>,
+    /// What happens to connections that are opened from now on.
+    next: Arc<Mutex<Mode>>,
 }
 
 impl Relay {
     /// Starts to relay from one address to another.
     pub(crate) fn start(rt: &Handle, addr: SocketAddr, target: SocketAddr) -> Self {
         let connections = Arc::default();
-        rt.spawn(accept(addr, target, Arc::clone(&connections)));
-        Self { connections }
+        let next = Arc::new(Mutex::new(Mode::Open));
+        rt.spawn(accept(addr, target, Arc::clone(&connections), Arc::clone(&next)));
+        Self { connections, next }
+    }
+
+    /// Changes all connections, those that are opened later among them.
+    pub(crate) fn set_all(&self, mode: Mode) {
+        *self.next.lock().unwrap() = mode;
+        for connection in self.connections.lock().unwrap().iter() {
+            // A connection that has ended has no receiver.
+            let _ = connection.send(mode);
+        }
     }
 
     /// Changes about this share of the open connections. New ones are not affected.
@@ -57,6 +73,7 @@
     addr: SocketAddr,
     target: SocketAddr,
     connections: Arc<Mutex<Vec<watch::Sender<Mode>>>>,
+    next: Arc<Mutex<Mode>>,
 ) {
     loop {
         // The relay refuses connections while its server does, so that a caller can tell a server
@@ -72,19 +89,28 @@
             let Ok(server) = TcpStream::connect(target).await else { break };
             let _ = caller.set_nodelay(true);
             let _ = server.set_nodelay(true);
-            let (tx, rx) = watch::channel(Mode::Open);
+            let mode = *next.lock().unwrap();
+            if mode == Mode::Cut {
+                continue;
+            }
+            let (tx, rx) = watch::channel(mode);
             let mut open = connections.lock().unwrap();
             open.retain(|connection| connection.receiver_count() > 0);
             open.push(tx);
             let (from_caller, to_caller) = caller.into_split();
             let (from_server, to_server) = server.into_split();
-            tokio::spawn(pipe(from_caller, to_server, rx.clone()));
-            tokio::spawn(pipe(from_server, to_caller, rx));
+            tokio::spawn(pipe(from_caller, to_server, rx.clone(), false));
+            tokio::spawn(pipe(from_server, to_caller, rx, true));
         }
     }
 }
 
-async fn pipe(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut mode: watch::Receiver<Mode>) {
+async fn pipe(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut mode: watch::Receiver<Mode>,
+    from_server: bool,
+) {
     let mut buf = [0; 16 * 1024];
     let mut watched = true;
     loop {
@@ -98,7 +124,11 @@
             }
             read = from.read(&mut buf) => read.unwrap_or(0),
         };
-        if *mode.borrow() == Mode::Silent {
+        let now = *mode.borrow();
+        if let Mode::Slow(delay) = now {
+            sleep(delay).await;
+        }
+        if now == Mode::Silent || (now == Mode::OneWay && from_server) {
             if read == 0 {
                 // The other side never hears of the end.
                 std::future::pending::<()>().await;
--- /dev/null
+++ b/dogwoodtray_cli/tests/soak_oracle.rs
@@ -0,0 +1,194 @@
+//! Shows that the oracle of the soak finds each kind of violation.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+#![allow(dead_code, reason = "each test uses part of the stand-ins")]
+
+#[path = "soak_support/history.rs"]
+mod history;
+#[path = "soak_support/oracle.rs"]
+mod oracle;
+#[path = "../../platform/tests/standin/mod.rs"]
+mod standin;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use history::Call;
+use history::Calm;
+use history::History;
+use history::Job;
+use history::Kind;
+use history::Shutdown;
+use oracle::Rule;
+use standin::caller::ItemResult;
+use standin::caller::Outcome;
+use standin::endpoint::Run;
+use standin::endpoint::item_output;
+use standin::endpoint::plain_body;
+use standin::endpoint::signature;
+use standin::endpoint::stream_body;
+
+/// A rule and a change of the records that breaks it.
+type Falsified = (Rule, fn(&mut History));
+
+const BUDGET: Duration = Duration::from_secs(3);
+
+fn call(id: &str, kind: Kind, at: Instant, body: String) -> Call {
+    let signed = Some(signature("engine-0", id));
+    Call {
+        id: id.to_owned(),
+        kind,
+        gateway: 0,
+        body: format!("ask {id}"),
+        budget: BUDGET,
+        began: at,
+        ended: at + Duration::from_secs(1),
+        outcome: Outcome::Answered { status: 200, signature: signed, body, whole: true },
+    }
+}
+
+fn run(request: &str, path: &str, body: &str, at: Instant) -> Run {
+    Run {
+        endpoint: "engine-0".to_owned(),
+        service: "ledger",
+        request: request.to_owned(),
+        path: path.to_owned(),
+        body: Bytes::from(body.to_owned()),
+        resumed_after: None,
+        time_left: Some(BUDGET),
+        began: at,
+        ended: Some((at + Duration::from_millis(900), true)),
+    }
+}
+
+fn result(item: &str) -> ItemResult {
+    let output = item_output(item);
+    ItemResult { id: item.to_owned(), state: "completed".to_owned(), output }
+}
+
+fn failed(status: u16) -> Outcome {
+    Outcome::Answered { status, signature: None, body: String::new(), whole: true }
+}
+
+/// A run without a violation.
+fn sound(at: Instant) -> History {
+    let later = at + Duration::from_secs(20);
+    let mut left = call("s1", Kind::Stream, at, String::new());
+    left.outcome = Outcome::Left;
+    let mut refused = call("o1", Kind::Once, at, String::new());
+    refused.outcome = failed(503);
+    let job = Job {
+        id: "j".to_owned(),
+        items: vec!["j.0".to_owned()],
+        accepted: true,
+        seen: BTreeMap::from([(0, result("j.0"))]),
+        last: vec![(0, Ok(vec![result("j.0")]))],
+        ..Job::default()
+    };
+    let ended = Job {
+        id: "k".to_owned(),
+        items: vec!["k.0".to_owned()],
+        accepted: true,
+        ended: Some(at + Duration::from_secs(1)),
+        last: vec![(0, Ok(Vec::new()))],
+        ..Job::default()
+    };
+    let turned_away =
+        Job { id: "l".to_owned(), items: vec!["l.0".to_owned()], refused: true, ..Job::default() };
+    History {
+        calls: vec![
+            call("s0", Kind::Stream, at, stream_body("s0")),
+            call("p0", Kind::Plain, later, plain_body("p0")),
+            left,
+            refused,
+        ],
+        runs: vec![
+            run("s0", "/stream/s0", "ask s0", at),
+            run("p0", "/plain/p0", "ask p0", later),
+            run("s1", "/stream/s1", "ask s1", at),
+            run("j.0", "/job/j.0", "hi", at),
+        ],
+        jobs: vec![job, ended, turned_away],
+        calm: Calm { from: at, to: at + Duration::from_secs(5) },
+        shutdowns: vec![Shutdown {
+            node: "gateway-0".to_owned(),
+            gateway: Some(0),
+            began: later,
+            ended: later + Duration::from_secs(2),
+            exit: Some(0),
+        }],
+        drained: Some(("engine-1".to_owned(), at)),
+        moved: Some(("ledger", at)),
+        found: Vec::new(),
+        probes: vec![call("s0", Kind::Stream, at, stream_body("s0"))],
+    }
+}
+
+fn answer(history: &mut History, call: usize) -> (&mut Option<String>, &mut String, &mut bool) {
+    let Outcome::Answered { signature, body, whole, .. } = &mut history.calls[call].outcome else {
+        panic!("the call has an answer")
+    };
+    (signature, body, whole)
+}
+
+fn add_run(history: &mut History, request: &str, path: &str, after: Duration) {
+    let at = history.calm.from + after;
+    let body = history.calls.iter().find(|call| call.id == request);
+    let body = body.map_or("hi".to_owned(), |call| call.body.clone());
+    let mut run = run(request, path, &body, at);
+    run.ended = Some((at, true));
+    history.runs.push(run);
+}
+
+/// Guards against an oracle that passes whatever happened.
+#[test]
+fn each_falsified_record_is_found() {
+    let at = Instant::now();
+    assert_eq!(oracle::check(&sound(at)), []);
+    let falsified: &[Falsified] = &[
+        (Rule::RightAnswer, |h| answer(h, 0).1.push('x')),
+        (Rule::RightAnswer, |h| answer(h, 0).1.truncate(9)),
+        (Rule::RightAnswer, |h| *answer(h, 0).0 = None),
+        (Rule::RightAnswer, |h| *answer(h, 1).0 = Some("engine-2/p0".to_owned())),
+        (Rule::ProperRequestServed, |h| h.calls[3].outcome = failed(404)),
+        (Rule::NotRunIsTrue, |h| add_run(h, "o1", "/once/o1", Duration::ZERO)),
+        (Rule::NotRunIsTrue, |h| add_run(h, "l.0", "/job/l.0", Duration::ZERO)),
+        (Rule::AtMostOnce, |h| add_run(h, "s0", "/stream/s0", Duration::ZERO)),
+        (Rule::NothingElseRuns, |h| add_run(h, "x", "/stream/x", Duration::ZERO)),
+        (Rule::NothingElseRuns, |h| h.runs[0].path = "/once/s0".to_owned()),
+        (Rule::NothingElseRuns, |h| h.runs[0].body = Bytes::new()),
+        (Rule::TimeHandedDown, |h| h.runs[0].time_left = None),
+        (Rule::TimeHandedDown, |h| h.runs[0].time_left = Some(2 * BUDGET)),
+        (Rule::CancelledRunEnds, |h| h.runs[2].ended = None),
+        (Rule::OneResultPerItem, |h| {
+            h.jobs[0].seen.clear();
+            h.jobs[0].last[0].1 = Ok(Vec::new());
+        }),
+        (Rule::OneResultPerItem, |h| h.jobs[0].last[0].1 = Ok(vec![result("j.0"); 2])),
+        (Rule::OneResultPerItem, |h| h.jobs[0].last[0].1 = Err("404".to_owned())),
+        (Rule::RightResult, |h| {
+            h.jobs[1].seen = BTreeMap::from([(0, result("k.0"))]);
+        }),
+        (Rule::RightResult, |h| h.jobs[0].last[0].1.as_mut().unwrap()[0].output.push('x')),
+        (Rule::EndedJobStops, |h| add_run(h, "k.0", "/job/k.0", Duration::from_secs(4))),
+        (Rule::ShutdownEnds, |h| h.shutdowns[0].exit = None),
+        (Rule::ShutdownCutsNothing, |h| *answer(h, 1).2 = false),
+        (Rule::ShutdownCutsNothing, |h| h.calls[1].outcome = Outcome::Closed),
+        (Rule::DrainedEndpointRests, |h| {
+            h.runs[3].endpoint = "engine-1".to_owned();
+            h.runs[3].began += Duration::from_secs(3);
+        }),
+        (Rule::NewestConfiguration, |h| h.runs[1].service = "archive"),
+        (Rule::ServesAgain, |h| h.probes[0].outcome = Outcome::Silent),
+        (Rule::NothingFound, |h| h.found.push("panicked at".to_owned())),
+    ];
+    for (rule, falsify) in falsified {
+        let mut history = sound(at);
+        falsify(&mut history);
+        let found: Vec<Rule> = oracle::check(&history).into_iter().map(|(rule, _)| rule).collect();
+        assert!(!found.is_empty(), "{rule:?} was not found");
+        assert!(found.iter().all(|other| other == rule), "{rule:?} was found as {found:?}");
+    }
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/soak_support/faults.rs
@@ -0,0 +1,243 @@
+//! Faults and their schedule.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use tokio::time::sleep;
+
+use super::child::Process;
+use super::fleet::GRACE_S;
+use super::fleet::Program;
+use super::fleet::Worker;
+use super::relay::Mode;
+use super::run::World;
+use super::standin::site::config_with;
+
+/// Kind of a fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    KillGateway,
+    KillDriver,
+    KillAllDrivers,
+    PauseGateway,
+    PauseDriver,
+    TerminateGateway,
+    TerminateDriver,
+    KillEndpoint,
+    RestartEndpoint,
+    LoseEntry,
+    DisturbEndpoint,
+    UnreliableEndpoint,
+    DisturbPeer,
+    StoreDown,
+    StoreSlow,
+    StoreLosesReplies,
+    StoreTurnsAway,
+    StoreSilentWatches,
+    DisturbStore,
+    NewConfiguration,
+}
+
+const ALL: &[Fault] = &[
+    Fault::KillGateway,
+    Fault::KillDriver,
+    Fault::KillAllDrivers,
+    Fault::PauseGateway,
+    Fault::PauseDriver,
+    Fault::TerminateGateway,
+    Fault::TerminateDriver,
+    Fault::KillEndpoint,
+    Fault::RestartEndpoint,
+    Fault::LoseEntry,
+    Fault::DisturbEndpoint,
+    Fault::UnreliableEndpoint,
+    Fault::DisturbPeer,
+    Fault::StoreDown,
+    Fault::StoreSlow,
+    Fault::StoreLosesReplies,
+    Fault::StoreTurnsAway,
+    Fault::StoreSilentWatches,
+    Fault::DisturbStore,
+    Fault::NewConfiguration,
+];
+
+/// Injects faults in the order that the seed gives until the time is up. Up to three overlap.
+pub(crate) async fn inject_until(world: &World, deadline: Instant) {
+    let mut rng = StdRng::seed_from_u64(world.seed);
+    let mut order: Vec<Fault> = Vec::new();
+    let series = |mut rng: StdRng, faults: Vec<Fault>| async move {
+        for fault in faults {
+            if Instant::now() < deadline {
+                inject(world, fault, &mut rng).await;
+                sleep(Duration::from_millis(rng.random_range(0..300))).await;
+            }
+        }
+    };
+    for _ in 0..3 {
+        let mut more = ALL.to_vec();
+        more.shuffle(&mut rng);
+        order.extend(more);
+    }
+    let third = order.len() / 3;
+    let mut part = || StdRng::from_rng(&mut rng);
+    let series = [
+        series(part(), order[..third].to_vec()),
+        series(part(), order[third..2 * third].to_vec()),
+        series(part(), order[2 * third..].to_vec()),
+    ];
+    futures_util::future::join_all(series).await;
+}
+
+async fn inject(world: &World, fault: Fault, rng: &mut StdRng) {
+    let fleet = &world.fleet;
+    let gateway = any(fleet.gateways(), rng);
+    let driver = any(fleet.drivers(), rng);
+    let program = any(&fleet.programs, rng);
+    let worker = any(&fleet.workers, rng);
+    let engine = any(fleet.engines(), rng);
+    let down = Duration::from_millis(rng.random_range(0..1_500));
+    let pause = Duration::from_millis(rng.random_range(300..4_000));
+    world.note_fault(&format!("{fault:?} {}", target(fault, gateway, driver, program, worker)));
+    match fault {
+        Fault::KillGateway => kill(&gateway.process, down).await,
+        Fault::KillDriver => kill(&driver.process, down).await,
+        Fault::KillAllDrivers => {
+            fleet.drivers().iter().for_each(|driver| driver.process.kill());
+            sleep(down).await;
+            fleet.drivers().iter().for_each(|driver| driver.process.restart());
+        }
+        Fault::PauseGateway => stop(&gateway.process, pause).await,
+        Fault::PauseDriver => stop(&driver.process, pause).await,
+        Fault::TerminateGateway => terminate(&gateway.process).await,
+        Fault::TerminateDriver => terminate(&driver.process).await,
+        Fault::KillEndpoint => restart_endpoint(world, worker, down, true).await,
+        Fault::RestartEndpoint => restart_endpoint(world, worker, down, false).await,
+        Fault::LoseEntry => {
+            worker.endpoint.unregister().await;
+            sleep(pause).await;
+            worker.endpoint.register("ready");
+        }
+        Fault::DisturbEndpoint => disturb(&worker.relay, pause, rng).await,
+        Fault::UnreliableEndpoint => {
+            engine.endpoint.set_unreliable(true);
+            sleep(pause).await;
+            engine.endpoint.set_unreliable(false);
+        }
+        Fault::DisturbPeer => disturb(&program.peer_relay, pause, rng).await,
+        Fault::StoreDown => {
+            fleet.objects.set_down(true);
+            sleep(pause).await;
+            fleet.objects.set_down(false);
+        }
+        Fault::StoreSlow => {
+            let delay = Duration::from_millis(rng.random_range(20..600));
+            fleet.programs.iter().for_each(|program| program.store.set_delay(delay));
+            sleep(pause).await;
+            fleet.programs.iter().for_each(|program| program.store.set_delay(Duration::ZERO));
+        }
+        Fault::StoreLosesReplies => fleet.objects.lose_replies(rng.random_range(1..6)),
+        Fault::StoreTurnsAway => {
+            program.store.objects().turn_away(true);
+            sleep(pause).await;
+            program.store.objects().turn_away(false);
+        }
+        Fault::StoreSilentWatches => {
+            fleet.objects.silence_watches(true);
+            sleep(pause).await;
+            fleet.objects.silence_watches(false);
+        }
+        Fault::DisturbStore => disturb(&program.store_relay, pause, rng).await,
+        Fault::NewConfiguration => publish(world, any::<&str>(&["ledger", "archive"], rng)),
+    }
+}
+
+fn any<'a, T>(of: &'a [T], rng: &mut StdRng) -> &'a T {
+    &of[rng.random_range(0..of.len())]
+}
+
+fn target<'a>(
+    fault: Fault,
+    gateway: &'a Program,
+    driver: &'a Program,
+    program: &'a Program,
+    worker: &'a Worker,
+) -> String {
+    match fault {
+        Fault::KillGateway | Fault::PauseGateway | Fault::TerminateGateway => {
+            gateway.process.name.clone()
+        }
+        Fault::KillDriver | Fault::PauseDriver | Fault::TerminateDriver => {
+            driver.process.name.clone()
+        }
+        Fault::DisturbPeer | Fault::StoreTurnsAway | Fault::DisturbStore => {
+            program.process.name.clone()
+        }
+        Fault::KillEndpoint
+        | Fault::RestartEndpoint
+        | Fault::LoseEntry
+        | Fault::DisturbEndpoint => worker.endpoint.id(),
+        _ => "site".to_owned(),
+    }
+}
+
+/// Writes the next configuration, whose plain route leads to a service.
+pub(crate) fn publish(world: &World, service: &str) {
+    let mut version = world.version.lock().unwrap();
+    *version += 1;
+    world.fleet.objects.put("config", "main", &config_with(*version, service));
+}
+
+async fn kill(process: &Process, down: Duration) {
+    process.kill();
+    sleep(down).await;
+    process.restart();
+}
+
+async fn stop(process: &Process, pause: Duration) {
+    process.pause();
+    sleep(pause).await;
+    process.wake();
+}
+
+/// Asks a process to end, kills it when it does not, and starts it again.
+async fn terminate(process: &Process) {
+    process.terminate();
+    let deadline = Instant::now() + Duration::from_secs(GRACE_S);
+    while process.runs_or_was_killed() && Instant::now() < deadline {
+        sleep(Duration::from_millis(20)).await;
+    }
+    process.kill();
+    process.restart();
+}
+
+/// Kills an endpoint and starts it again, under its old id or, after its entry was removed, under
+/// a new one.
+async fn restart_endpoint(world: &World, worker: &Worker, down: Duration, new_id: bool) {
+    let endpoint = &worker.endpoint;
+    endpoint.kill();
+    sleep(down).await;
+    let mut id = endpoint.id();
+    if new_id {
+        endpoint.unregister().await;
+        let number = world.started.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        id = format!("{}-s{number}", id.split("-s").next().unwrap_or_default());
+    }
+    endpoint.restart(id).await;
+}
+
+async fn disturb(relay: &super::relay::Relay, pause: Duration, rng: &mut StdRng) {
+    let delay = Duration::from_millis(rng.random_range(5..300));
+    let modes = [Mode::Cut, Mode::Silent, Mode::OneWay, Mode::Slow(delay)];
+    let mode = *any(&modes, rng);
+    if rng.random_bool(0.5) {
+        relay.set_all(mode);
+        sleep(pause).await;
+        relay.set_all(Mode::Open);
+    } else {
+        relay.set(mode, 0.5, rng);
+    }
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/soak_support/fleet.rs
@@ -0,0 +1,169 @@
+//! Programs, endpoints and store of a small site.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use std::time::Instant;
+
+use dogwoodtray_platform::MemoryObjects;
+use tokio::runtime::Handle;
+use tokio::time::sleep;
+
+use super::child::Process;
+use super::relay::Relay;
+use super::standin::caller;
+use super::standin::endpoint::Endpoint;
+use super::standin::endpoint::EndpointConfig;
+use super::standin::endpoint::Runs;
+use super::standin::site::config;
+use super::standin::store::StoreServer;
+
+pub(crate) const GATEWAYS: usize = 3;
+const DRIVERS: usize = 2;
+const ENGINES: usize = 3;
+const SLOTS: usize = 4;
+const START_BOUND: Duration = Duration::from_secs(20);
+
+/// Time from SIGTERM to SIGKILL, in seconds, as the sites of the platform have it.
+pub(crate) const GRACE_S: u64 = 8;
+
+const GATEWAY_BIN: &str = env!("CARGO_BIN_EXE_dogwoodtray-gateway");
+const DRIVER_BIN: &str = env!("CARGO_BIN_EXE_dogwoodtray-driver");
+const DATA_CENTRES: [&str; 3] = ["apeldoorn", "deventer", "zutphen"];
+
+/// Gateway or driver, with a store connection and a peer port that can be disturbed.
+#[derive(Debug)]
+pub(crate) struct Program {
+    pub(crate) process: Process,
+    pub(crate) store: StoreServer,
+    pub(crate) store_relay: Relay,
+    pub(crate) peer_relay: Relay,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+}
+
+/// Endpoint and the relay that callers reach it through.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) endpoint: Endpoint,
+    pub(crate) relay: Relay,
+}
+
+/// A running site.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) objects: MemoryObjects,
+    pub(crate) runs: Runs,
+    pub(crate) workers: Vec<Worker>,
+    /// Gateways, then drivers.
+    pub(crate) programs: Vec<Program>,
+}
+
+impl Fleet {
+    /// Starts everything and waits until the gateways are ready.
+    pub(crate) async fn start(dir: &Path) -> Self {
+        let objects = MemoryObjects::new();
+        objects.put("config", "main", &config(1));
+        let runs = Runs::default();
+        let mut workers = Vec::new();
+        let services = ["engine"; ENGINES].into_iter().chain(["ledger", "ledger", "archive"]);
+        for (index, service) in services.enumerate() {
+            workers.push(worker(&objects, &runs, index, service).await);
+        }
+        let mut programs = Vec::new();
+        for index in 0..GATEWAYS + DRIVERS {
+            programs.push(program(&objects, dir, index).await);
+        }
+        let fleet = Self { objects, runs, workers, programs };
+        assert!(fleet.is_ready_within(START_BOUND).await, "the gateways are not ready in time");
+        fleet
+    }
+
+    pub(crate) fn gateways(&self) -> &[Program] {
+        &self.programs[..GATEWAYS]
+    }
+
+    pub(crate) fn drivers(&self) -> &[Program] {
+        &self.programs[GATEWAYS..]
+    }
+
+    pub(crate) fn engines(&self) -> &[Worker] {
+        &self.workers[..ENGINES]
+    }
+
+    /// Waits until all gateways are ready.
+    pub(crate) async fn is_ready_within(&self, bound: Duration) -> bool {
+        let deadline = Instant::now() + bound;
+        for gateway in self.gateways() {
+            while !caller::is_ready(gateway.readiness).await {
+                if Instant::now() > deadline {
+                    return false;
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+        true
+    }
+}
+
+async fn worker(
+    objects: &MemoryObjects,
+    runs: &Runs,
+    index: usize,
+    service: &'static str,
+) -> Worker {
+    let (listen, registered) = (next_addr(), next_addr());
+    let cfg = EndpointConfig {
+        id: format!("{service}-{index}"),
+        service,
+        data_centre: DATA_CENTRES[index % DATA_CENTRES.len()],
+        listen,
+        registered,
+        slots: SLOTS,
+    };
+    let endpoint = Endpoint::start(cfg, objects.clone(), Runs::clone(runs)).await;
+    Worker { endpoint, relay: Relay::start(&Handle::current(), registered, listen) }
+}
+
+async fn program(objects: &MemoryObjects, dir: &Path, index: usize) -> Program {
+    let is_gateway = index < GATEWAYS;
+    let [listen, readiness, peer, admin, peer_relay, store, store_relay] =
+        [(); 7].map(|()| next_addr());
+    let name = if is_gateway { format!("gateway-{index}") } else { format!("driver-{index}") };
+    let objects = objects.for_one_process();
+    let store_server = StoreServer::bind(store, objects, Some((peer, peer_relay))).await;
+    let rt = Handle::current();
+    let store_relay_handle = Relay::start(&rt, store_relay, store);
+    let mut args = vec![
+        format!("--node={name}"),
+        format!("--data-centre={}", DATA_CENTRES[index % DATA_CENTRES.len()]),
+        format!("--peer={peer}"),
+        format!("--admin={admin}"),
+        format!("--platform={store_relay}"),
+        format!("--grace-s={GRACE_S}"),
+        "--results-kept-s=120".to_owned(),
+    ];
+    if is_gateway {
+        args.push(format!("--listen={listen}"));
+        args.push(format!("--readiness={readiness}"));
+    }
+    let program = if is_gateway { GATEWAY_BIN } else { DRIVER_BIN };
+    Program {
+        process: Process::start(&name, program, args, dir),
+        store: store_server,
+        store_relay: store_relay_handle,
+        peer_relay: Relay::start(&rt, peer_relay, peer),
+        callers: listen,
+        readiness,
+    }
+}
+
+/// Returns an IP address that nothing else uses, with a port below those of outgoing connections.
+fn next_addr() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, SeqCst).to_be_bytes();
+    let [.., process] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 144 + process % 96, high, low], 7_700))
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/soak_support/jobs.rs
@@ -0,0 +1,133 @@
+//! Callers that submit, read and end jobs.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::sleep;
+
+use super::history::Job;
+use super::run::World;
+use super::standin::caller;
+use super::standin::caller::ItemResult;
+use super::standin::caller::Page;
+use super::standin::site::submission;
+
+/// Attempts to submit a job before its caller gives up.
+const ATTEMPTS: usize = 8;
+
+/// Longest pause of the caller between two jobs, in milliseconds.
+const PAUSE_MS: u64 = 1_500;
+
+/// Time in which the jobs of a run end after it.
+const FINISH_BOUND: Duration = Duration::from_secs(40);
+
+/// Submits jobs, reads their results now and then and ends some, until the load ends.
+pub(crate) async fn run(world: &World, caller: usize) {
+    let mut rng = StdRng::seed_from_u64(world.seed ^ (0xbeef + caller as u64) << 20);
+    for number in 0.. {
+        if world.stop.load(SeqCst) {
+            return;
+        }
+        let id = format!("job{}{caller}.{number}", world.seed);
+        let items = (0..rng.random_range(1..12)).map(|item| format!("{id}.{item}")).collect();
+        let mut job = Job { id, items, refused: true, ..Job::default() };
+        submit(world, &mut job, &mut rng).await;
+        let reads = if job.accepted { rng.random_range(0..4) } else { 0 };
+        for _ in 0..reads {
+            sleep(Duration::from_millis(rng.random_range(100..700))).await;
+            read_some(world, &mut job, &mut rng).await;
+        }
+        if job.accepted && rng.random_bool(0.3) {
+            end(world, &mut job, &mut rng).await;
+        }
+        world.jobs.lock().unwrap().push(job);
+        sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS))).await;
+    }
+}
+
+fn pick(world: &World, rng: &mut StdRng) -> SocketAddr {
+    let gateways = world.fleet.gateways();
+    gateways[rng.random_range(0..gateways.len())].callers
+}
+
+async fn submit(world: &World, job: &mut Job, rng: &mut StdRng) {
+    let items: Vec<&str> = job.items.iter().map(|item| &**item).collect();
+    let body = submission(&items);
+    for _ in 0..ATTEMPTS {
+        match caller::submit(pick(world, rng), &job.id, &body).await {
+            Some(202) => {
+                job.accepted = true;
+                return;
+            }
+            Some(408 | 421 | 429 | 503) => {}
+            Some(500..=599) | None => job.refused = false,
+            Some(status) => {
+                job.refused = false;
+                world.note(format!("job {} got {status}", job.id));
+            }
+        }
+        sleep(Duration::from_millis(rng.random_range(50..500))).await;
+    }
+}
+
+/// Reads from some position and compares with what was read before.
+async fn read_some(world: &World, job: &mut Job, rng: &mut StdRng) {
+    let after = rng.random_range(0..=job.seen.len());
+    let Ok(page) = caller::results(pick(world, rng), &job.id, after).await else { return };
+    if page.total != job.items.len() || page.next != after + page.results.len() {
+        world.note(format!("job {} has {} items: {page:?}", job.id, job.items.len()));
+    }
+    for (index, result) in page.results.into_iter().enumerate() {
+        let seen = job.seen.entry(after + index).or_insert_with(|| result.clone());
+        if *seen != result {
+            world.note(format!("job {}: {result:?} instead of {seen:?}", job.id));
+        }
+    }
+}
+
+async fn end(world: &World, job: &mut Job, rng: &mut StdRng) {
+    for _ in 0..ATTEMPTS {
+        if caller::end(pick(world, rng), &job.id).await == Some(200) {
+            job.ended = Some(Instant::now());
+            return;
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// Reads all jobs at all gateways once they have ended.
+pub(crate) async fn read_all(world: &World) {
+    let deadline = Instant::now() + FINISH_BOUND;
+    let mut jobs = std::mem::take(&mut *world.jobs.lock().unwrap());
+    for job in jobs.iter_mut().filter(|job| job.accepted) {
+        for (index, gateway) in world.fleet.gateways().iter().enumerate() {
+            let enough = if job.ended.is_some() { 0 } else { job.items.len() };
+            job.last.push((index, read_whole(gateway.callers, job, enough, deadline).await));
+        }
+    }
+    *world.jobs.lock().unwrap() = jobs;
+}
+
+/// Reads all results, and waits until there are `enough`.
+async fn read_whole(
+    gateway: SocketAddr,
+    job: &Job,
+    enough: usize,
+    deadline: Instant,
+) -> Result<Vec<ItemResult>, String> {
+    let mut results = Vec::new();
+    loop {
+        let late = Instant::now() > deadline;
+        match caller::results(gateway, &job.id, results.len()).await {
+            Ok(Page { results: more, .. }) if !more.is_empty() => results.extend(more),
+            Ok(_) if results.len() >= enough || late => return Ok(results),
+            Err(outcome) if late => return Err(format!("{outcome:?}")),
+            Ok(_) | Err(_) => sleep(Duration::from_millis(100)).await,
+        }
+    }
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/soak_support/load.rs
@@ -0,0 +1,102 @@
+//! Callers of the online routes.
+
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::sleep;
+
+use super::fleet::GATEWAYS;
+use super::history::Call;
+use super::history::Kind;
+use super::oracle::path;
+use super::run::World;
+use super::standin::caller::Connection;
+use super::standin::caller::Outcome;
+
+/// Time budget of a request.
+const BUDGET: Duration = Duration::from_secs(3);
+
+/// Share of the requests that their caller abandons.
+const LEAVE_SHARE: f64 = 0.08;
+
+/// Share of the requests after which a caller turns to another gateway.
+const TURN_SHARE: f64 = 0.1;
+
+/// Kinds of the callers. Each caller sends one request after another.
+pub(crate) const CALLERS: [Kind; 10] = [
+    Kind::Stream,
+    Kind::Stream,
+    Kind::Stream,
+    Kind::Resumable,
+    Kind::Resumable,
+    Kind::Resumable,
+    Kind::Plain,
+    Kind::Plain,
+    Kind::Once,
+    Kind::Once,
+];
+
+/// Sends requests until the load ends. A caller keeps its connection until the gateway closes it.
+pub(crate) async fn run(world: &World, caller: usize) {
+    let kind = CALLERS[caller];
+    let mut rng = StdRng::seed_from_u64(world.seed ^ (caller as u64) << 32);
+    let mut gateway = caller % GATEWAYS;
+    let mut connection = Connection::to(world.fleet.gateways()[gateway].callers);
+    for number in 0.. {
+        if world.stop.load(SeqCst) {
+            return;
+        }
+        let leave_after =
+            rng.random_bool(LEAVE_SHARE).then(|| Duration::from_millis(rng.random_range(5..400)));
+        let id = format!("{}{caller}.{number}", world.seed);
+        let call = send(&mut connection, kind, gateway, id, leave_after).await;
+        let answered = call.is_served();
+        world.calls.lock().unwrap().push(call);
+        if !answered || rng.random_bool(TURN_SHARE) {
+            gateway = rng.random_range(0..GATEWAYS);
+            connection = Connection::to(world.fleet.gateways()[gateway].callers);
+        }
+        sleep(Duration::from_millis(rng.random_range(5..120))).await;
+    }
+}
+
+/// Sends one request through each gateway for each kind.
+pub(crate) async fn probe(world: &World) -> Vec<Call> {
+    let mut probes = Vec::new();
+    for (gateway, program) in world.fleet.gateways().iter().enumerate() {
+        for kind in [Kind::Stream, Kind::Resumable, Kind::Plain, Kind::Once] {
+            let id = format!("probe-{gateway}-{}", probes.len());
+            let mut connection = Connection::to(program.callers);
+            probes.push(send(&mut connection, kind, gateway, id, None).await);
+        }
+    }
+    probes
+}
+
+async fn send(
+    connection: &mut Connection,
+    kind: Kind,
+    gateway: usize,
+    id: String,
+    leave_after: Option<Duration>,
+) -> Call {
+    let now = Instant::now();
+    let mut call = Call {
+        body: format!("ask {id}"),
+        id,
+        kind,
+        gateway,
+        budget: BUDGET,
+        began: now,
+        ended: now,
+        outcome: Outcome::Closed,
+    };
+    let path = path(&call);
+    call.outcome = connection.post(&path, &call.id, &call.body, BUDGET, leave_after).await;
+    call.ended = Instant::now();
+    call
+}
--- /dev/null
+++ b/dogwoodtray_cli/tests/soak_support/mod.rs
@@ -0,0 +1,19 @@
+//! Seeded failures of the programs that serve the users' platform, and the oracle that judges a
+//! run.
+
+#[path = "../chaos_support/child.rs"]
+#[allow(dead_code, reason = "the runs of the other programs use the rest")]
+pub(crate) mod child;
+pub(crate) mod faults;
+pub(crate) mod fleet;
+#[allow(dead_code, reason = "some fields are only printed with a violation")]
+pub(crate) mod history;
+pub(crate) mod jobs;
+pub(crate) mod load;
+pub(crate) mod oracle;
+#[path = "../chaos_support/relay.rs"]
+#[allow(dead_code, reason = "the runs of the other programs use the rest")]
+pub(crate) mod relay;
+pub(crate) mod run;
+#[path = "../../../platform/tests/standin/mod.rs"]
+pub(crate) mod standin;
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -2,6 +2,11 @@
 
 #![allow(dead_code, reason = "each test file uses part of it")]
 
+#[path = "../../../platform/tests/standin/body.rs"]
+mod body;
+#[path = "../../../platform/tests/standin/site.rs"]
+mod site;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -23,11 +28,9 @@
 use dogwoodtray_platform::MemoryObjects;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::client::conn::http1 as client;
 use hyper::server::conn::http1;
@@ -36,12 +39,20 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
-use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use self::body::EventBody;
+use self::body::EventSender;
+use self::body::events;
+use self::body::frame;
+use self::body::whole;
+pub(crate) use self::site::HOST;
+pub(crate) use self::site::config;
+pub(crate) use self::site::submission;
+
 /// Longest wait for a condition; generous, as the machine may be busy.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -50,9 +61,6 @@
 /// Port of all processes under test.
 const PORT: u16 = 7_700;
 
-/// Host of all routes.
-pub(crate) const HOST: &str = "site.example";
-
 /// Runs a test on one thread, as the processes do.
 pub(crate) fn local(test: impl Future<Output = ()>) {
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
@@ -185,7 +193,7 @@
         let expected = text("expect-instance").unwrap_or_default();
         if let Act::NotRun(status) = act {
             let refusal = Response::builder().status(status).header("not-executed", "1");
-            return Ok(refusal.body(whole("")).unwrap());
+            return Ok(refusal.body(whole("".to_owned())).unwrap());
         }
         let open = Rc::new(RefCell::new(true));
         self.runs.borrow_mut().push(Run {
@@ -210,30 +218,33 @@
             Act::Stream { to, pause } => (to, pause, Tail::End),
             Act::BreakAfter { event } => (event, Duration::ZERO, Tail::Break),
             Act::BreakWithin { event } => (event, Duration::ZERO, Tail::Part),
-            Act::Status(status) => return Ok(head(status).body(whole("status")).unwrap()),
+            Act::Status(status) => {
+                return Ok(head(status).body(whole("status".to_owned())).unwrap());
+            }
             Act::Foreign => {
                 let foreign = Response::builder().header("attempt-id", "other");
-                return Ok(foreign.header("server-stamp", "s2").body(whole("other")).unwrap());
+                return Ok(foreign
+                    .header("server-stamp", "s2")
+                    .body(whole("other".to_owned()))
+                    .unwrap());
             }
             Act::Unsigned => {
                 let unsigned = Response::builder().header("attempt-id", id.as_str());
-                return Ok(unsigned.body(whole("unsigned")).unwrap());
+                return Ok(unsigned.body(whole("unsigned".to_owned())).unwrap());
             }
             Act::Silence => std::future::pending().await,
             Act::Close => return Err("closed".into()),
             Act::NotRun(_) => unreachable!("answered above"),
         };
-        let (tx, rx) = mpsc::channel(1);
+        let (tx, body) = events();
         spawn_local(async move {
             send_events(tx, from, to, pause, tail).await;
             *open.borrow_mut() = false;
         });
-        Ok(head(200).body(StreamBody::new(Events(rx))).unwrap())
+        Ok(head(200).body(body).unwrap())
     }
 }
 
-type EventBody = StreamBody<Events>;
-
 #[derive(Clone, Copy)]
 enum Tail {
     End,
@@ -241,44 +252,17 @@
     Part,
 }
 
-/// Frames of an answer.
-struct Events(mpsc::Receiver<Result<Frame<Bytes>, std::io::Error>>);
-
-impl futures_util::Stream for Events {
-    type Item = Result<Frame<Bytes>, std::io::Error>;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        self.0.poll_recv(cx)
-    }
-}
-
-fn whole(text: &'static str) -> EventBody {
-    let (tx, rx) = mpsc::channel(1);
-    let frame = Frame::data(Bytes::from_static(text.as_bytes()));
-    tx.try_send(Ok(frame)).unwrap();
-    StreamBody::new(Events(rx))
-}
-
-async fn send_events(
-    tx: mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>,
-    from: u64,
-    to: u64,
-    pause: Duration,
-    tail: Tail,
-) {
+async fn send_events(tx: EventSender, from: u64, to: u64, pause: Duration, tail: Tail) {
     for event in from..=to {
         sleep(pause).await;
         let text = format!("id: {event}\ndata: e{event}\n\n");
-        if tx.send(Ok(Frame::data(Bytes::from(text)))).await.is_err() {
+        if tx.send(frame(text)).await.is_err() {
             return;
         }
     }
     if matches!(tail, Tail::Part) {
         let text = format!("id: {}\nda", to + 1);
-        let _ = tx.send(Ok(Frame::data(Bytes::from(text)))).await;
+        let _ = tx.send(frame(text)).await;
         sleep(Duration::from_millis(20)).await;
     }
     match tail {
@@ -474,40 +458,3 @@
         results_kept: Duration::from_secs(120),
     }
 }
-
-/// Configuration with one route of each kind.
-pub(crate) fn config(version: u64) -> String {
-    let route = |name: &str, kind: &str, service: &str, more: &str| {
-        format!(
-            r#"{{"name":"{name}","host":"{HOST}","path-prefix":"/{name}/","route-kind":"{kind}",
-            "timeout-ms":5000,"latency-goal-ms":300,"priority":0,"service":"{service}",
-            "max-attempts":2,{more}"sticky":true}}"#
-        )
-    };
-    let routes = [
-        route("stream", "streaming", "engine", ""),
-        route("resume", "streaming", "engine", r#""resumable":true,"#),
-        route("plain", "idempotent", "ledger", ""),
-        route("once", "non_idempotent", "ledger", ""),
-        route("job", "batch", "engine", r#""completion-target-ms":18000,"retention-s":60,"#),
-    ];
-    format!(
-        r#"{{"version":{version},"routes":[{}],"services":[],"limits":{{"max-header-bytes":16384,
-        "max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
-        routes.join(",")
-    )
-}
-
-/// Submission of a job with items of these ids.
-pub(crate) fn submission(items: &[&str]) -> String {
-    let items: Vec<String> = items
-        .iter()
-        .map(|id| {
-            format!(
-                r#"{{"id":"{id}","path":"/job/{id}","headers":{{"Model":"m"}},"body":"aGk=",
-                "tokens":9}}"#
-            )
-        })
-        .collect();
-    format!(r#"{{"items":[{}]}}"#, items.join(","))
-}
