End a soak process before it is started again

Cause: two overlapping faults had killed the same driver, and both started it again; the second process could not bind the ports of the first, which ran on unowned. A restart now ends what runs before it, under one lock, and a signal goes only to a process that has not been reaped. The fault was in the harness, not in the programs.

--- a/dogwoodtray_cli/tests/chaos_support/child.rs
+++ b/dogwoodtray_cli/tests/chaos_support/child.rs
@@ -46,8 +46,12 @@
         process
     }
 
-    /// Starts the process again after it ended.
+    /// Starts the process again. Another fault may have started it meanwhile, and two of them could
+    /// not share their ports.
     pub(crate) fn restart(&self) {
+        let mut slot = self.child.lock().unwrap();
+        end(slot.take());
+        self.paused.store(false, SeqCst);
         let number = self.starts.fetch_add(1, SeqCst);
         let log = File::create(self.dir.join(format!("{}.{number}.log", self.name))).unwrap();
         let printed = log.try_clone().unwrap();
@@ -59,7 +63,7 @@
             .stderr(log)
             .spawn()
             .unwrap();
-        *self.child.lock().unwrap() = Some(child);
+        *slot = Some(child);
     }
 
     /// Names the newest start of the process.
@@ -69,10 +73,7 @@
 
     /// Kills the process.
     pub(crate) fn kill(&self) {
-        if let Some(mut child) = self.child.lock().unwrap().take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        end(self.child.lock().unwrap().take());
         self.paused.store(false, SeqCst);
     }
 
@@ -104,7 +105,10 @@
     }
 
     fn signal(&self, signal: Signal) {
-        if let Some(child) = &*self.child.lock().unwrap() {
+        // The id of a process that has ended may belong to another one.
+        let mut slot = self.child.lock().unwrap();
+        let Some(child) = slot.as_mut() else { return };
+        if child.try_wait().unwrap().is_none() {
             kill_process(Pid::from_child(child), signal).unwrap();
         }
     }
@@ -131,6 +135,13 @@
     }
 }
 
+fn end(child: Option<Child>) {
+    if let Some(mut child) = child {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/dogwoodtray_cli/tests/soak.rs
+++ b/dogwoodtray_cli/tests/soak.rs
@@ -35,6 +35,8 @@
     );
     if found.is_empty() {
         std::fs::remove_dir_all(log_dir(seed)).unwrap();
+    } else {
+        std::fs::write(log_dir(seed).join("violations.txt"), format!("{found:#?}")).unwrap();
     }
     found
 }
