--- a/dogwoodtray_cli/tests/soak_oracle.rs
+++ b/dogwoodtray_cli/tests/soak_oracle.rs
@@ -91,6 +91,7 @@
         id: "k".to_owned(),
         items: vec!["k.0".to_owned()],
         accepted: true,
+        end_asked: true,
         ended: Some(at + Duration::from_secs(1)),
         last: vec![(0, Ok(Vec::new()))],
         ..Job::default()
--- a/dogwoodtray_cli/tests/soak_support/history.rs
+++ b/dogwoodtray_cli/tests/soak_support/history.rs
@@ -50,6 +50,8 @@
     pub(crate) accepted: bool,
     /// Whether each answer said that no item runs, and there was no attempt without an answer.
     pub(crate) refused: bool,
+    /// Whether its end was asked for. Without a confirmation it may have taken effect or not.
+    pub(crate) end_asked: bool,
     /// When a gateway confirmed its end.
     pub(crate) ended: Option<Instant>,
     /// Results by position, as the first reader saw them.
