Hand the output of items to the driver that runs them next

A driver that came back later took its jobs back from the one that had gone on with them, and began anew as well; the other one noticed its return up to 2 s late, so the items ran twice meanwhile.

Ruled out: more frequent hand-overs, as the output was there and was not asked for.

Change: a driver gives what it keeps to a driver that dials it and owns the job, and the output up to the last event to its successor when a job is no longer its own. A started process waits 600 ms for this before it runs items. A dialler tries again at once when the peer that it cannot reach has dialled this process. `outputs` holds the output of items, which was a local variable of each run.

--- a/dogwoodtray_cli/tests/soak_support/fleet.rs
+++ b/dogwoodtray_cli/tests/soak_support/fleet.rs
@@ -108,6 +108,15 @@
     }
 }
 
+/// Waits for a condition for as long as a start may take.
+pub(crate) async fn until(what: &str, condition: impl AsyncFn() -> bool) {
+    let deadline = Instant::now() + START_BOUND;
+    while !condition().await {
+        assert!(Instant::now() < deadline, "not within {START_BOUND:?}: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 async fn worker(
     objects: &MemoryObjects,
     runs: &Runs,
--- a/dogwoodtray_cli/tests/soak_support/run.rs
+++ b/dogwoodtray_cli/tests/soak_support/run.rs
@@ -82,19 +82,30 @@
     }
 }
 
-/// Returns the directory of the logs of a seed.
-pub(crate) fn log_dir(seed: u64) -> PathBuf {
-    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"))
+/// Returns the name of a run.
+pub(crate) fn seed_name(seed: u64) -> String {
+    format!("seed-{seed}")
+}
+
+/// Returns the directory of the logs of a run.
+pub(crate) fn log_dir(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{name}"))
+}
+
+/// Returns an empty directory for the logs of a run.
+pub(crate) fn new_dir(name: &str) -> PathBuf {
+    let dir = log_dir(name);
+    // A run before this one may have left logs.
+    let _ = fs::remove_dir_all(&dir);
+    fs::create_dir_all(&dir).unwrap();
+    dir
 }
 
 /// Runs one seed.
 pub(crate) fn run(seed: u64, load: Duration) -> History {
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-    let dir = log_dir(seed);
-    // A run before this one may have left logs.
-    let _ = fs::remove_dir_all(&dir);
-    fs::create_dir_all(&dir).unwrap();
+    let dir = new_dir(&seed_name(seed));
     runtime.block_on(run_in(&dir, seed, load))
 }
 
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -1,5 +1,6 @@
 //! Runs one item until it has a result.
 
+use std::cell::RefCell;
 use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
@@ -81,7 +82,6 @@
 
 /// Runs an item until it has a result.
 pub(super) async fn run(node: Rc<Node>, job: Rc<Job>, item: Rc<JobItem>) -> StoredResult {
-    let mut progress = job.take_kept(&item.id);
     let given_up_at = node.now() + Duration::from_millis(job.spec.retention_ms);
     let due = job.due(&node);
     let mut failures = 0;
@@ -95,8 +95,9 @@
         let Some(service) = service_of(&node, &job, &item).await else {
             return give_up(&node, &job, &item, "route gone");
         };
+        let progress = job.outputs().open(&item.id);
         let now = node.now();
-        let left = node.driver.get().map(|driver| driver.pace.left(progress.events()));
+        let left = node.driver.get().map(|driver| driver.pace.left(progress.borrow().events()));
         let want = Want {
             service,
             class: Class::Batch,
@@ -114,24 +115,26 @@
             Err(NoPlace::Expired) => continue,
         };
         let endpoint = Name::clone(&lease.endpoint);
-        let before = progress.last();
-        let (began, had) = (node.now(), progress.events());
-        match run_once(&node, &job, &item, &mut progress, lease, head_timeout).await {
+        // Output may have been given while the item waited for its place.
+        let progress = job.outputs().open(&item.id);
+        let before = progress.borrow().last();
+        let (began, had) = (node.now(), progress.borrow().events());
+        match run_once(&node, &job, &item, &progress, lease, head_timeout).await {
             Run::Whole => {
                 if let Some(driver) = node.driver.get() {
-                    let made = progress.events().saturating_sub(had);
-                    driver.pace.observe(progress.events(), made, node.now() - began);
+                    let events = progress.borrow().events();
+                    driver.pace.observe(events, events.saturating_sub(had), node.now() - began);
                 }
                 return StoredResult {
                     item: Name::clone(&item.id),
                     completed: true,
-                    output: progress.output(),
+                    output: progress.borrow().output(),
                 };
             }
             Run::Impossible => return give_up(&node, &job, &item, "impossible"),
             Run::Failed => {
                 failures += 1;
-                progress = Progress::default();
+                job.outputs().reset(&item.id);
                 if failures >= job.spec.max_attempts {
                     return give_up(&node, &job, &item, "too many failures");
                 }
@@ -140,7 +143,7 @@
             Run::Preempted => excluded.clear(),
             Run::Crowded => head_timeout = (head_timeout * 2).min(ITEM_SILENCE),
             Run::Broken => {
-                breaks = if progress.last() > before { 0 } else { breaks + 1 };
+                breaks = if progress.borrow().last() > before { 0 } else { breaks + 1 };
                 excluded = vec![endpoint];
                 sleep(FIRST_PAUSE * (1 << breaks.min(MAX_DOUBLINGS))).await;
             }
@@ -180,7 +183,7 @@
     node: &Rc<Node>,
     job: &Job,
     item: &JobItem,
-    progress: &mut Progress,
+    progress: &RefCell<Progress>,
     mut lease: Lease,
     head_timeout: Duration,
 ) -> Run {
@@ -195,7 +198,7 @@
     }
     lease.ended(end);
     if matches!(run, Run::Failed | Run::Broken) {
-        let events = progress.events();
+        let events = progress.borrow().events();
         let fields: [(&str, &dyn Display); 4] =
             [("item", &item.id), ("endpoint", &endpoint), ("reason", &reason), ("events", &events)];
         node.events.emit(&catalogue::ITEM_RETRIED, Some(job.id()), &fields);
@@ -207,7 +210,7 @@
     node: &Rc<Node>,
     job: &Job,
     item: &JobItem,
-    progress: &mut Progress,
+    progress: &RefCell<Progress>,
     endpoint: &Name,
     head_timeout: Duration,
 ) -> (Run, PlaceEnd, String) {
@@ -218,8 +221,8 @@
     };
     let names = node.dialect.names();
     let left = Duration::from_millis(job.spec.retention_ms);
-    let Some(req) =
-        outgoing(node, job, item).and_then(|out| out.to(names, &known.id, left, progress.last()))
+    let Some(req) = outgoing(node, job, item)
+        .and_then(|out| out.to(names, &known.id, left, progress.borrow().last()))
     else {
         return (Run::Impossible, PlaceEnd::Withdrawn, "not a request".to_owned());
     };
@@ -240,7 +243,7 @@
         }
         Verdict::Failure => broken(PlaceEnd::Withdrawn, &status),
         Verdict::Answer if status.is_success() => {
-            let keep = |progress: &Progress| hand_over(node, job, item, progress);
+            let keep = || hand_over(node, job, item, &progress.borrow());
             read(exchange.body, progress, keep).await
         }
         Verdict::Answer if status == StatusCode::UNPROCESSABLE_ENTITY => {
@@ -262,8 +265,8 @@
 /// Reads events until the stream ends.
 async fn read(
     mut body: UpstreamBody,
-    progress: &mut Progress,
-    hand_over: impl Fn(&Progress),
+    progress: &RefCell<Progress>,
+    hand_over: impl Fn(),
 ) -> (Run, PlaceEnd, String) {
     let mut reader = EventReader::default();
     let mut handed_over = Instant::now();
@@ -276,14 +279,14 @@
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue };
                 reader.push(&data);
-                if take_events(&mut reader, progress) {
+                if take_events(&mut reader, &mut progress.borrow_mut()) {
                     if handed_over.elapsed() >= HAND_OVER_INTERVAL {
                         handed_over = Instant::now();
-                        hand_over(progress);
+                        hand_over();
                     }
                     continue;
                 }
-                *progress = Progress::default();
+                progress.replace(Progress::default());
                 (PlaceEnd::Withdrawn, "events are missing".to_owned())
             }
         };
--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::fmt::Display;
 use std::rc::Rc;
@@ -14,6 +13,7 @@
 use dogwoodtray_platform::Created;
 use dogwoodtray_platform::Read;
 use dogwoodtray_runtime::Clock;
+use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::catalogue;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -25,6 +25,7 @@
 use super::PARTS_KIND;
 use super::RESULTS_KIND;
 use super::item;
+use super::outputs::Outputs;
 use super::progress::Progress;
 use super::spec::JobSpec;
 use super::spec::JobStatus;
@@ -45,6 +46,10 @@
 /// Pause before a failed call is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time after its start that a process waits for the output of its items, which other drivers keep.
+/// They dial it about 100 ms after its start and look every 250 ms which jobs are no longer theirs.
+const HAND_BACK_TIME: Duration = Duration::from_millis(600);
+
 /// The store could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Unread;
@@ -59,8 +64,8 @@
     listed: RefCell<HashSet<Name>>,
     /// Number of the next segment.
     next_segment: Cell<u32>,
-    /// Output of items that another driver runs, in case it is lost.
-    kept: RefCell<HashMap<Name, Progress>>,
+    /// Output of items so far, for the driver that runs them next.
+    outputs: Outputs,
     ended: Cell<bool>,
     finished: Cell<bool>,
     own: Cell<bool>,
@@ -79,7 +84,7 @@
             results: RefCell::new(Vec::new()),
             listed: RefCell::new(HashSet::new()),
             next_segment: Cell::new(0),
-            kept: RefCell::new(HashMap::new()),
+            outputs: Outputs::default(),
             ended: Cell::new(false),
             finished: Cell::new(false),
             own: Cell::new(false),
@@ -118,29 +123,42 @@
         self.changed.notified().await;
     }
 
-    /// Keeps the output of an item that another driver runs.
+    /// Keeps the output of an item that another driver runs or ran.
     pub(super) fn keep(&self, item: Name, progress: Progress) {
-        if !self.driving.get() && !self.is_over() {
-            self.kept.borrow_mut().insert(item, progress);
+        if !self.is_over() && !self.is_listed(&item) {
+            self.outputs.keep(item, progress);
         }
     }
 
-    /// Takes the output that was kept of an item.
-    pub(super) fn take_kept(&self, item: &Name) -> Progress {
-        self.kept.borrow_mut().remove(item).unwrap_or_default()
+    pub(super) const fn outputs(&self) -> &Outputs {
+        &self.outputs
+    }
+
+    /// Gives the output of all items to the driver that drives the job next.
+    fn hand_over(&self, node: &Node) {
+        let Some(link) = node.peers.backup_for(node, &self.id) else { return };
+        self.hand_over_on(&link);
+    }
+
+    /// Gives the output of all items to a driver.
+    pub(super) fn hand_over_on(&self, link: &LinkHandle) {
+        for message in self.outputs.messages(&self.id) {
+            link.send(message);
+        }
     }
 
     pub(crate) fn on_status(&self, status: &str) {
         let status = serde_json::from_str::<Option<JobStatus>>(status).ok().flatten();
         if status.is_some_and(|status| status.finished) {
             self.finished.set(true);
-            self.kept.borrow_mut().clear();
+            self.outputs.clear();
         }
     }
 
     /// Cancels the job: nothing of it runs from here on.
     pub(crate) fn end(&self) {
         self.ended.set(true);
+        self.outputs.clear();
         self.changed.notify_waiters();
     }
 
@@ -169,7 +187,7 @@
         let mut results = self.results.borrow_mut();
         let mut listed = self.listed.borrow_mut();
         for result in segment.results {
-            self.kept.borrow_mut().remove(&result.item);
+            self.outputs.remove(&result.item);
             listed.insert(Name::clone(&result.item));
             results.push(result);
         }
@@ -269,10 +287,14 @@
         if !done.is_empty() && !self.ended.get() {
             self.commit_once(node, &mut done).await;
         }
+        if !self.is_over() {
+            self.hand_over(node);
+        }
         self.finish(node).await;
     }
 
     async fn start(self: &Rc<Self>, node: &Rc<Node>) -> Option<JoinSet<StoredResult>> {
+        sleep(HAND_BACK_TIME.saturating_sub(node.now() - Timestamp::ZERO)).await;
         loop {
             if self.is_over() || !self.own.get() {
                 return None;
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -8,6 +8,7 @@
 
 mod item;
 mod job;
+mod outputs;
 mod pace;
 mod progress;
 mod reads;
@@ -26,6 +27,7 @@
 use dogwoodtray_platform::Change;
 use dogwoodtray_platform::Object;
 use dogwoodtray_platform::Read;
+use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_wire::messages;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -191,6 +193,15 @@
         }
     }
 
+    /// Gives a driver that has just started the output of the items that it will run.
+    pub(crate) fn hand_back(&self, node: &Node, to: &Name, link: &LinkHandle) {
+        for job in self.jobs.borrow().values() {
+            if !job.is_driving() && !job.is_over() && node.peers.is_owner(node, job.id(), to) {
+                job.hand_over_on(link);
+            }
+        }
+    }
+
     /// Ends a job, as the store or a gateway tells. Before the ends are listed, the list will tell
     /// again.
     pub(crate) fn end(&self, id: Name) {
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -179,7 +179,7 @@
             suspect_until: Timestamp::ZERO,
             leaving: false,
             stale: false,
-            _dial: dial(&Handle::current(), Name::clone(&to.addr), cfg),
+            dial: dial(&Handle::current(), Name::clone(&to.addr), cfg),
         };
         dialled.insert(Name::clone(&to.name), peer);
     }
@@ -248,6 +248,13 @@
                 // A process that has just dialled learns at once whether this one can help it.
                 link.send(self.heartbeat(0));
                 self.relay_on(&link);
+                let name = Name::from(&*hello.node);
+                if let Some(peer) = self.peers.dialled.borrow().get(&name) {
+                    peer.dial.retry();
+                }
+                if let Some(driver) = self.driver.get() {
+                    driver.hand_back(self, &name, &link);
+                }
                 let id = link.id();
                 let accepted = Accepted { link, incarnation: hello.incarnation, dispatcher: None };
                 self.peers.accepted.borrow_mut().insert(id, accepted);
@@ -291,6 +298,11 @@
         match kind {
             Kind::Heartbeat(_) => {}
             Kind::ConfigSet(set) => self.on_relayed_config(&set),
+            Kind::ItemProgress(progress) => {
+                if let Some(driver) = self.driver.get() {
+                    driver.on_progress(progress);
+                }
+            }
             Kind::EndpointSet(set) => self.on_relayed_endpoints(set, role),
             Kind::EndpointChanges(changes) => {
                 let dialled = self.peers.dialled.borrow();
--- a/dogwoodtray_gateway/src/peers/view.rs
+++ b/dogwoodtray_gateway/src/peers/view.rs
@@ -53,7 +53,7 @@
     pub(super) leaving: bool,
     /// Whether the process says that it has lost touch with the store.
     pub(super) stale: bool,
-    pub(super) _dial: DialHandle,
+    pub(super) dial: DialHandle,
 }
 
 impl Dialled {
@@ -153,6 +153,16 @@
         if node.draining.get() || self.is_passed_over(node) {
             return false;
         }
+        self.preferred(node, job, None).as_ref() == Some(&node.cfg.node)
+    }
+
+    /// Tells whether a driver that has just linked drives the job with this id.
+    pub(crate) fn is_owner(&self, node: &Node, job: &str, of: &Name) -> bool {
+        self.preferred(node, job, Some(of)).as_ref() == Some(of)
+    }
+
+    /// Returns the driver that comes first for a job, this process and another one among them.
+    fn preferred(&self, node: &Node, job: &str, other: Option<&Name>) -> Option<Name> {
         let now = node.now();
         let dialled = self.dialled.borrow();
         let mut names: Vec<Name> = dialled
@@ -160,9 +170,11 @@
             .filter(|(_, d)| d.role == NodeRole::Driver && !d.leaving)
             .filter(|(_, d)| d.link.is_some() || now - d.lost_at < TAKEOVER_DELAY)
             .map(|(name, _)| Name::clone(name))
+            .filter(|name| Some(name) != other)
             .collect();
         names.push(Name::clone(&node.cfg.node));
-        choose_subset(job, &names, 1).first() == Some(&node.cfg.node)
+        names.extend(other.cloned());
+        choose_subset(job, &names, 1).into_iter().next()
     }
 
     /// Returns the link to the driver that would take a job over from this one.
