--- a/dogwoodtray_config/src/publication/machine.rs
+++ b/dogwoodtray_config/src/publication/machine.rs
@@ -51,13 +51,13 @@
 /// let step = publication.on_reply(StoreReply::Missing);
 /// assert_eq!(step, PublicationStep::Finished(PublicationResult::Unchanged { set: None }));
 /// ```
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Publication {
     req: PublicationRequest,
     state: State,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum State {
     ReadPointer,
     ReadCurrent {
--- a/dogwoodtray_config/src/publication/plan.rs
+++ b/dogwoodtray_config/src/publication/plan.rs
@@ -15,7 +15,7 @@
 use crate::snapshot::Snapshot;
 
 /// The published set that a publication builds on.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Current {
     /// State of the pointer that the publication moves.
     pub(super) expect: Expect,
@@ -26,7 +26,7 @@
 }
 
 /// The set that a publication writes, decided before the first write.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Plan {
     pub(super) expect: Expect,
     pub(super) set: SetRef,
