--- a/dogwoodtray_cli/tests/chaos_support/child.rs
+++ b/dogwoodtray_cli/tests/chaos_support/child.rs
@@ -71,6 +71,11 @@
         format!("{}.{}", self.name, self.starts.load(SeqCst))
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn pid(&self) -> Option<u32> {
+        self.child.lock().unwrap().as_ref().map(Child::id)
+    }
+
     /// Kills the process.
     pub(crate) fn kill(&self) {
         end(self.child.lock().unwrap().take());
--- /dev/null
+++ b/dogwoodtray_gateway/benches/path.rs
@@ -0,0 +1,129 @@
+//! Time and allocations of single steps on the path of a request.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use divan::AllocProfiler;
+use divan::Bencher;
+use dogwoodtray_coord::Generation;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Version;
+use dogwoodtray_gateway::Dialect;
+use dogwoodtray_gateway::Directory;
+use dogwoodtray_gateway::Endpoint;
+use dogwoodtray_gateway::EndpointState;
+use dogwoodtray_gateway::EventReader;
+use dogwoodtray_policy::Class;
+use dogwoodtray_policy::Dispatcher;
+use dogwoodtray_policy::DispatcherConfig;
+use dogwoodtray_policy::PlaceAsk;
+use dogwoodtray_policy::PlaceEnd;
+use dogwoodtray_policy::PlaceId;
+
+#[global_allocator]
+static ALLOC: AllocProfiler = AllocProfiler::system();
+
+fn main() {
+    divan::main();
+}
+
+fn endpoints(count: usize) -> Vec<Endpoint> {
+    let endpoint = |index: usize| Endpoint {
+        id: Name::from(format!("endpoint-{index}")),
+        service: Name::from("s"),
+        addr: ([10, 0, 0, 1], 80).into(),
+        data_centre: Name::from("z"),
+        slots: 16,
+        state: EndpointState::Ready,
+    };
+    (0..count).map(endpoint).collect()
+}
+
+/// One event of a stream, split off as it comes.
+#[divan::bench]
+fn event(bencher: Bencher<'_, '_>) {
+    let mut reader = EventReader::default();
+    bencher.bench_local(|| {
+        reader.push(black_box(b"id: 7\ndata: {\"text\":\"a token or two\"}\n\n"));
+        black_box(reader.next_event())
+    });
+}
+
+/// A place at an endpoint, asked for, granted and returned.
+#[divan::bench(args = [47, 3_000])]
+fn place(bencher: Bencher<'_, '_>, count: usize) {
+    let mut directory = Directory::new();
+    directory.set_endpoints(Timestamp::ZERO, Version(1), endpoints(count));
+    let mut dispatcher = Dispatcher::new(DispatcherConfig::default());
+    dispatcher.set_endpoints(&directory.places());
+    let service = Name::from("s");
+    let (mut out, mut ask, mut now) = (Vec::new(), 0, Timestamp::ZERO);
+    bencher.bench_local(|| {
+        ask += 1;
+        now = now + Duration::from_millis(1);
+        let id = PlaceId { holder: 1, ask };
+        let asked = PlaceAsk {
+            id,
+            service: Name::clone(&service),
+            class: Class::Online,
+            start_by: now + Duration::from_secs(1),
+            due: now + Duration::from_secs(5),
+            excluded: Vec::new(),
+        };
+        dispatcher.ask(now, asked, &mut out);
+        dispatcher.end(now, id, PlaceEnd::Answered, &mut out);
+        out.clear();
+    });
+}
+
+/// A list of endpoints without a change, at the driver that reads it from the store.
+#[divan::bench(args = [47, 3_000])]
+fn own_list(bencher: Bencher<'_, '_>, count: usize) {
+    let mut directory = Directory::new();
+    let mut revision = 0;
+    bencher.with_inputs(|| endpoints(count)).bench_local_values(|list| {
+        revision += 1;
+        directory.set_endpoints(Timestamp(revision), Version(revision), list);
+        directory.take_changes()
+    });
+}
+
+/// A list of endpoints without a change, at a process that it is relayed to.
+#[divan::bench(args = [47, 3_000])]
+fn relayed_list(bencher: Bencher<'_, '_>, count: usize) {
+    let (mut sender, mut receiver) = (Directory::new(), Directory::new());
+    sender.set_endpoints(Timestamp::ZERO, Version(1), endpoints(count));
+    sender.take_changes();
+    receiver.set_relayed(Timestamp::ZERO, Version(1), endpoints(count));
+    let changes = sender.take_changes();
+    let mut revision = 1;
+    bencher.bench_local(|| {
+        revision += 1;
+        receiver.apply(Timestamp(revision), Version(revision), black_box(&changes))
+    });
+}
+
+/// The route of a request, among as many as a grown configuration has.
+#[divan::bench(args = [20, 400])]
+fn route(bencher: Bencher<'_, '_>, count: usize) {
+    let route = |index: usize| {
+        format!(
+            r#"{{"name":"r{index}","host":"h{}.example","path-prefix":"/p{index}/",
+            "route-kind":"idempotent","timeout-ms":5000,"latency-goal-ms":300,"priority":0,
+            "service":"s","max-attempts":2,"sticky":true}}"#,
+            index % 8
+        )
+    };
+    let routes: Vec<String> = (0..count).map(route).collect();
+    let text = format!(
+        r#"{{"version":1,"routes":[{}],"services":[],"limits":{{"max-header-bytes":16384,
+        "max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
+        routes.join(",")
+    );
+    let config = dogwoodtray_adapter::SiteDialect::new().config(&text).expect("a configuration");
+    assert_eq!(config.generation, Generation(1));
+    let last = count - 1;
+    let (host, path) = (format!("h{}.example", last % 8), format!("/p{last}/x/y"));
+    bencher.bench_local(|| black_box(config.route(black_box(&host), black_box(&path))));
+}
