--- a/dogwoodtray_cli/tests/soak.rs
+++ b/dogwoodtray_cli/tests/soak.rs
@@ -63,15 +63,20 @@
 
 /// Guards against lost, doubled or wrong answers and results, and against requests that run though
 /// their caller was told that they do not, while processes, connections and the store fail.
+///
+/// This seed once reported a driver that had ended by itself: two faults had started it twice.
 #[test]
-fn seed_1_keeps_every_promise() {
-    assert_keeps_promises(1);
+fn seed_100_keeps_every_promise() {
+    assert_keeps_promises(100);
 }
 
 /// Guards against the same under another order of the faults.
+///
+/// This seed once reported a job without results, whose end had taken effect without a
+/// confirmation.
 #[test]
-fn seed_2_keeps_every_promise() {
-    assert_keeps_promises(2);
+fn seed_112_keeps_every_promise() {
+    assert_keeps_promises(112);
 }
 
 /// Kills the driver of a long item, starts it again after a time, and returns the runs of the item.
--- a/dogwoodtray_cli/tests/soak_support/faults.rs
+++ b/dogwoodtray_cli/tests/soak_support/faults.rs
@@ -1,5 +1,6 @@
 //! Faults and their schedule.
 
+use std::sync::atomic::Ordering::SeqCst;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +15,7 @@
 use super::fleet::Program;
 use super::fleet::Worker;
 use super::relay::Mode;
+use super::relay::Relay;
 use super::run::World;
 use super::standin::site::config_with;
 
@@ -65,31 +67,29 @@
     Fault::NewConfiguration,
 ];
 
-/// Injects faults in the order that the seed gives until the time is up. Up to three overlap.
+/// Series of faults that overlap.
+const SERIES: usize = 3;
+
+/// Injects faults in the order that the seed gives until the time is up.
 pub(crate) async fn inject_until(world: &World, deadline: Instant) {
     let mut rng = StdRng::seed_from_u64(world.seed);
-    let mut order: Vec<Fault> = Vec::new();
-    let series = |mut rng: StdRng, faults: Vec<Fault>| async move {
-        for fault in faults {
-            if Instant::now() < deadline {
-                inject(world, fault, &mut rng).await;
-                sleep(Duration::from_millis(rng.random_range(0..300))).await;
-            }
+    let mut orders = vec![ALL.to_vec(); SERIES];
+    orders.iter_mut().for_each(|faults| faults.shuffle(&mut rng));
+    let series: Vec<_> = orders
+        .into_iter()
+        .map(|faults| inject_series(world, faults, StdRng::from_rng(&mut rng), deadline))
+        .collect();
+    futures_util::future::join_all(series).await;
+}
+
+async fn inject_series(world: &World, faults: Vec<Fault>, mut rng: StdRng, deadline: Instant) {
+    for fault in faults.into_iter().cycle() {
+        if Instant::now() >= deadline {
+            return;
         }
-    };
-    for _ in 0..3 {
-        let mut more = ALL.to_vec();
-        more.shuffle(&mut rng);
-        order.extend(more);
+        inject(world, fault, &mut rng).await;
+        sleep(Duration::from_millis(rng.random_range(0..300))).await;
     }
-    let third = order.len() / 3;
-    let mut part = || StdRng::from_rng(&mut rng);
-    let series = [
-        series(part(), order[..third].to_vec()),
-        series(part(), order[third..2 * third].to_vec()),
-        series(part(), order[2 * third..].to_vec()),
-    ];
-    futures_util::future::join_all(series).await;
 }
 
 async fn inject(world: &World, fault: Fault, rng: &mut StdRng) {
@@ -223,13 +223,13 @@
     let mut id = endpoint.id();
     if new_id {
         endpoint.unregister().await;
-        let number = world.started.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        let number = world.started.fetch_add(1, SeqCst);
         id = format!("{}-s{number}", id.split("-s").next().unwrap_or_default());
     }
     endpoint.restart(id).await;
 }
 
-async fn disturb(relay: &super::relay::Relay, pause: Duration, rng: &mut StdRng) {
+async fn disturb(relay: &Relay, pause: Duration, rng: &mut StdRng) {
     let delay = Duration::from_millis(rng.random_range(5..300));
     let modes = [Mode::Cut, Mode::Silent, Mode::OneWay, Mode::Slow(delay)];
     let mode = *any(&modes, rng);
