Hand output back to drivers only; choose the size of the soak's fleet

Cause: a driver that was dialled by a gateway compared it with the owners of its jobs as if it were a driver, and sent it the output of about one job in (drivers + 1), which the gateway ignored. The role of the greeting decides now.

The soak takes the count of gateways and drivers from the environment, with ten callers for three gateways, so that some runs use a few hundred processes.

--- a/dogwoodtray_cli/tests/soak.rs
+++ b/dogwoodtray_cli/tests/soak.rs
@@ -1,7 +1,8 @@
 //! Seeded failures of the programs that serve the users' platform, as separate processes.
 //!
 //! `DOGWOODTRAY_SOAK_SEED`, `DOGWOODTRAY_SOAK_SEEDS` and `DOGWOODTRAY_SOAK_SECONDS` choose the first
-//! seed, their number and the length of the faults for `soak_by_hand`.
+//! seed, their number and the length of the faults for `soak_by_hand`, and `DOGWOODTRAY_SOAK_GATEWAYS`
+//! and `DOGWOODTRAY_SOAK_DRIVERS` the size of the fleet.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
--- a/dogwoodtray_cli/tests/soak_support/fleet.rs
+++ b/dogwoodtray_cli/tests/soak_support/fleet.rs
@@ -20,7 +20,7 @@
 use super::standin::site::config;
 use super::standin::store::StoreServer;
 
-pub(crate) const GATEWAYS: usize = 3;
+const GATEWAYS: usize = 3;
 const DRIVERS: usize = 2;
 const ENGINES: usize = 3;
 const SLOTS: usize = 4;
@@ -59,6 +59,7 @@
     pub(crate) workers: Vec<Worker>,
     /// Gateways, then drivers.
     pub(crate) programs: Vec<Program>,
+    gateways: usize,
 }
 
 impl Fleet {
@@ -73,20 +74,22 @@
             workers.push(worker(&objects, &runs, index, service).await);
         }
         let mut programs = Vec::new();
-        for index in 0..GATEWAYS + DRIVERS {
-            programs.push(program(&objects, dir, index).await);
+        let gateways = setting("DOGWOODTRAY_SOAK_GATEWAYS").unwrap_or(GATEWAYS);
+        let drivers = setting("DOGWOODTRAY_SOAK_DRIVERS").unwrap_or(DRIVERS);
+        for index in 0..gateways + drivers {
+            programs.push(program(&objects, dir, index, index < gateways).await);
         }
-        let fleet = Self { objects, runs, workers, programs };
+        let fleet = Self { objects, runs, workers, programs, gateways };
         assert!(fleet.is_ready_within(START_BOUND).await, "the gateways are not ready in time");
         fleet
     }
 
     pub(crate) fn gateways(&self) -> &[Program] {
-        &self.programs[..GATEWAYS]
+        &self.programs[..self.gateways]
     }
 
     pub(crate) fn drivers(&self) -> &[Program] {
-        &self.programs[GATEWAYS..]
+        &self.programs[self.gateways..]
     }
 
     pub(crate) fn engines(&self) -> &[Worker] {
@@ -108,6 +111,11 @@
     }
 }
 
+/// Returns a count that the environment sets.
+fn setting(name: &str) -> Option<usize> {
+    std::env::var(name).ok().map(|value| value.parse().unwrap())
+}
+
 /// Waits for a condition for as long as a start may take.
 pub(crate) async fn until(what: &str, condition: impl AsyncFn() -> bool) {
     let deadline = Instant::now() + START_BOUND;
@@ -136,8 +144,7 @@
     Worker { endpoint, relay: Relay::start(&Handle::current(), registered, listen) }
 }
 
-async fn program(objects: &MemoryObjects, dir: &Path, index: usize) -> Program {
-    let is_gateway = index < GATEWAYS;
+async fn program(objects: &MemoryObjects, dir: &Path, index: usize, is_gateway: bool) -> Program {
     let [listen, readiness, peer, admin, peer_relay, store, store_relay] =
         [(); 7].map(|()| next_addr());
     let name = if is_gateway { format!("gateway-{index}") } else { format!("driver-{index}") };
--- a/dogwoodtray_cli/tests/soak_support/load.rs
+++ b/dogwoodtray_cli/tests/soak_support/load.rs
@@ -9,7 +9,6 @@
 use rand::rngs::StdRng;
 use tokio::time::sleep;
 
-use super::fleet::GATEWAYS;
 use super::history::Call;
 use super::history::Kind;
 use super::oracle::path;
@@ -26,7 +25,7 @@
 /// Share of the requests after which a caller turns to another gateway.
 const TURN_SHARE: f64 = 0.1;
 
-/// Kinds of the callers. Each caller sends one request after another.
+/// Kinds of the callers, for three gateways. Each caller sends one request after another.
 pub(crate) const CALLERS: [Kind; 10] = [
     Kind::Stream,
     Kind::Stream,
@@ -42,9 +41,10 @@
 
 /// Sends requests until the load ends. A caller keeps its connection until the gateway closes it.
 pub(crate) async fn run(world: &World, caller: usize) {
-    let kind = CALLERS[caller];
+    let kind = CALLERS[caller % CALLERS.len()];
     let mut rng = StdRng::seed_from_u64(world.seed ^ (caller as u64) << 32);
-    let mut gateway = caller % GATEWAYS;
+    let gateways = world.fleet.gateways().len();
+    let mut gateway = caller % gateways;
     let mut connection = Connection::to(world.fleet.gateways()[gateway].callers);
     for number in 0.. {
         if world.stop.load(SeqCst) {
@@ -57,7 +57,7 @@
         let answered = call.is_served();
         world.calls.lock().unwrap().push(call);
         if !answered || rng.random_bool(TURN_SHARE) {
-            gateway = rng.random_range(0..GATEWAYS);
+            gateway = rng.random_range(0..gateways);
             connection = Connection::to(world.fleet.gateways()[gateway].callers);
         }
         sleep(Duration::from_millis(rng.random_range(5..120))).await;
--- a/dogwoodtray_cli/tests/soak_support/run.rs
+++ b/dogwoodtray_cli/tests/soak_support/run.rs
@@ -123,7 +123,8 @@
         faults: Mutex::default(),
     });
     let mut tasks = tokio::task::JoinSet::new();
-    for caller in 0..load::CALLERS.len() {
+    let callers = load::CALLERS.len() * world.fleet.gateways().len().div_ceil(3);
+    for caller in 0..callers {
         let world = Arc::clone(&world);
         tasks.spawn(async move { load::run(&world, caller).await });
     }
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -252,7 +252,7 @@
                 if let Some(peer) = self.peers.dialled.borrow().get(&name) {
                     peer.dial.retry();
                 }
-                if let Some(driver) = self.driver.get() {
+                if let Some(driver) = self.driver.get().filter(|_| hello.role() == Role::Driver) {
                     driver.hand_back(self, &name, &link);
                 }
                 let id = link.id();
