Answer for the results of a job only after reading what others stored

A driver that takes a job over counts as driving it at once, and answered reads from its memory without the store, although it had not read the results of the driver before it yet. The window is one read of the store, as long as the store does not answer, and up to 600 ms in a process that has just started and waits for kept output.

Ruled out: a lost write (the result is read again later) and the order of segments.

Change: reads trust the memory of a driver only once it has read all stored results. The new test takes a job over while the store is down; before, a caller got an empty page with status 200, now 503 until the store is back.

--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -70,6 +70,8 @@
     finished: Cell<bool>,
     own: Cell<bool>,
     driving: Cell<bool>,
+    /// Whether this process drives the job and has read all results that others stored before.
+    caught_up: Cell<bool>,
     /// Notified when results or the state change.
     changed: Notify,
 }
@@ -89,6 +91,7 @@
             finished: Cell::new(false),
             own: Cell::new(false),
             driving: Cell::new(false),
+            caught_up: Cell::new(false),
             changed: Notify::new(),
         }
     }
@@ -110,6 +113,11 @@
         self.driving.get()
     }
 
+    /// Tells whether this process drives the job and knows all its results.
+    pub(crate) fn is_caught_up(&self) -> bool {
+        self.caught_up.get()
+    }
+
     pub(crate) fn segments(&self) -> u32 {
         self.next_segment.get()
     }
@@ -175,6 +183,7 @@
 
     pub(crate) fn stop_driving(&self) {
         self.driving.set(false);
+        self.caught_up.set(false);
     }
 
     /// Time at which all results are due, on the clock of this process.
@@ -302,6 +311,7 @@
             if self.read_on(node).await.is_ok()
                 && let Ok(items) = self.items(node).await
             {
+                self.caught_up.set(true);
                 let mut running = JoinSet::new();
                 for item in items.iter().filter(|item| !self.is_listed(&item.id)) {
                     running.spawn_local(item::run(
--- a/dogwoodtray_gateway/src/driver/reads.rs
+++ b/dogwoodtray_gateway/src/driver/reads.rs
@@ -41,7 +41,7 @@
         let after = read.after as usize;
         // A caller that is ahead has read results that another process added.
         let behind = after > job.results().len();
-        let certain = job.all_listed() || job.is_driving() && !behind;
+        let certain = job.all_listed() || job.is_caught_up() && !behind;
         if !certain && job.read_on(node).await.is_err() {
             return page(JobReadStatus::Unavailable);
         }
--- a/dogwoodtray_gateway/tests/jobs.rs
+++ b/dogwoodtray_gateway/tests/jobs.rs
@@ -330,3 +330,33 @@
         assert!(runs.last().unwrap().last_event_id.is_some_and(|last| last > 30), "{runs:?}");
     });
 }
+
+/// Guards against results that were read and then seem to be gone, because the driver that takes a
+/// job over answers before it has read what the one before it stored.
+#[test]
+fn a_driver_that_takes_a_job_over_does_not_answer_for_results_that_it_has_not_read() {
+    local(async {
+        let site = Site::new();
+        let endpoint = Endpoint::start("e1", "engine", 4).await;
+        site.register(&endpoint);
+        let first = site.start_driver("d1").await;
+        let second = site.start_driver("d2").await;
+        let _gateway = site.start_gateway().await;
+        sleep(Duration::from_millis(500)).await;
+        endpoint.then(Act::Stream { to: 3, pause: Duration::ZERO });
+        endpoint.then(Act::Stream { to: 1_000, pause: Duration::from_millis(20) });
+        site.post("/job/x", "j1", &submission(&["a", "b"])).await;
+        read_all(&site, "j1", 1).await;
+        let (owner, other) = if first.drives("j1") { (first, second) } else { (second, first) };
+        site.store.set_down(true);
+        owner.drain().await;
+        until("the other driver takes the job over", || other.drives("j1")).await;
+        for _ in 0..20 {
+            let answer = site.get("/api/lots/j1?after=0").await;
+            let lost = answer.status == StatusCode::OK && results(&answer).is_empty();
+            assert!(!lost, "{answer:?}");
+        }
+        site.store.set_down(false);
+        read_all(&site, "j1", 1).await;
+    });
+}
