Fold what the platform work wrote twice; keep wire names out of the benchmark

No behaviour is meant to change.

- `withdraw` and `end_place` told holders and dispatcher of a return in the same lines; both call `return_place`.
A link was looked up by hand beside `Peers::link_to`, and empty answers were built beside `answer::plain`.
- An unchanged list of endpoints was compared twice, when it was read and when it was relayed.
`has_relayed_in_force` now survives a list that changes nothing, and `take_changes` ends there.
It is cleared when relayed changes do not lead to the list that they name, so that the comparison still repairs such a list.
- `unescape` stood in the engine stand-in and in the store stand-in; one copy stands beside `escape`.
Loopback addresses of the gateway tests and the soak come from one function, and a process of the soak is stopped in good order in one place.
Tests register endpoints by `Site::add_endpoint`; three agent tests share their request.
- The benchmark of routes spelled the platform's JSON; it builds the product's types.

Ruled out: `Backoff` of the coordination crate for the pauses of `sync`, whose longest pause changes with the links; its jitter would be lost. The models' `check` functions, which only look alike.

--- a/dogwoodtray_agent/tests/breaks.rs
+++ b/dogwoodtray_agent/tests/breaks.rs
@@ -2,9 +2,12 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod common;
+
 use std::time::Duration;
 
 use bytes::Bytes;
+use common::online_work;
 use dogwoodtray_agent::AgentAction;
 use dogwoodtray_agent::AgentConfig;
 use dogwoodtray_agent::AgentCore;
@@ -13,15 +16,11 @@
 use dogwoodtray_agent::AttemptEnd;
 use dogwoodtray_agent::EndpointEvent;
 use dogwoodtray_agent::PeerId;
-use dogwoodtray_agent::Work;
 use dogwoodtray_coord::AttemptId;
-use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::AdmissionConfig;
-use dogwoodtray_policy::Class;
-use dogwoodtray_policy::Cost;
 
 /// Interval of the agent's ticks.
 const TICK_MS: u64 = 20;
@@ -33,26 +32,6 @@
     AttemptId { incarnation: Incarnation(1), counter }
 }
 
-fn work(counter: u64) -> Work {
-    Work {
-        attempt: attempt(counter),
-        request: Name::from("r"),
-        class: Class::Online,
-        model: Name::from("kegtalk"),
-        method: Name::from("POST"),
-        path: Name::from("/v1/chat/completions"),
-        body: Bytes::new(),
-        idempotent: true,
-        idempotency_key: Name::from(""),
-        fence: None,
-        deadline: Some(Duration::from_secs(60)),
-        cost: Cost { prompt_tokens: 1, output_tokens: 1 },
-        resume_from: 0,
-        content: ContentHash(counter),
-        suspect: false,
-    }
-}
-
 struct Agent {
     core: AgentCore,
     now: Timestamp,
@@ -72,7 +51,7 @@
         let mut agent = Self { core, now: Timestamp::ZERO, out: Vec::new() };
         agent.handle(AgentEvent::PeerUp { peer: PeerId(1) });
         for counter in 1..=running {
-            agent.handle(AgentEvent::Dispatch { peer: PeerId(1), work: work(counter) });
+            agent.handle(AgentEvent::Dispatch { peer: PeerId(1), work: online_work(counter) });
         }
         agent.sleep(100);
         agent
@@ -148,7 +127,7 @@
 fn an_attempt_sent_after_the_break_proves_nothing() {
     let mut agent = Agent::with_running(1);
     agent.endpoint(1, EndpointEvent::Broken);
-    agent.handle(AgentEvent::Dispatch { peer: PeerId(1), work: work(2) });
+    agent.handle(AgentEvent::Dispatch { peer: PeerId(1), work: online_work(2) });
     agent.handle(AgentEvent::Health { up: true });
     for _ in 0..10 {
         agent.sleep(TICK_MS);
--- a/dogwoodtray_agent/tests/credits.rs
+++ b/dogwoodtray_agent/tests/credits.rs
@@ -1,8 +1,10 @@
 //! Offers of batch places.
 
+mod common;
+
 use std::time::Duration;
 
-use bytes::Bytes;
+use common::online_work;
 use dogwoodtray_agent::AgentAction;
 use dogwoodtray_agent::AgentConfig;
 use dogwoodtray_agent::AgentCore;
@@ -12,7 +14,6 @@
 use dogwoodtray_agent::PeerId;
 use dogwoodtray_agent::Work;
 use dogwoodtray_coord::AttemptId;
-use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
@@ -29,17 +30,8 @@
         request: Name::from("job.0"),
         class: Class::Batch,
         model: Name::from("m"),
-        method: Name::from("POST"),
-        path: Name::from("/v1/chat/completions"),
-        body: Bytes::new(),
-        idempotent: true,
-        idempotency_key: Name::from(""),
-        fence: None,
-        deadline: Some(Duration::from_secs(60)),
         cost: Cost { prompt_tokens: 1, output_tokens: 5 },
-        resume_from: 0,
-        content: ContentHash(counter),
-        suspect: false,
+        ..online_work(counter)
     }
 }
 
--- a/dogwoodtray_agent/tests/stall.rs
+++ b/dogwoodtray_agent/tests/stall.rs
@@ -2,44 +2,34 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod common;
+
 use std::time::Duration;
 
-use bytes::Bytes;
+use common::online_work;
 use dogwoodtray_agent::AgentAction;
 use dogwoodtray_agent::AgentConfig;
 use dogwoodtray_agent::AgentCore;
 use dogwoodtray_agent::AgentEvent;
 use dogwoodtray_agent::PeerId;
 use dogwoodtray_agent::Work;
-use dogwoodtray_coord::AttemptId;
-use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::AdmissionConfig;
-use dogwoodtray_policy::Class;
-use dogwoodtray_policy::Cost;
 
 const STALL_TIMEOUT: Duration = Duration::from_secs(60);
 const STEP: Duration = Duration::from_millis(100);
 
 fn work(deadline: Duration) -> Work {
     Work {
-        attempt: AttemptId { incarnation: Incarnation(1), counter: 1 },
         request: Name::from("s1"),
-        class: Class::Online,
         model: Name::from("kegledger"),
-        method: Name::from("POST"),
         path: Name::from("/payouts"),
-        body: Bytes::new(),
         idempotent: false,
         idempotency_key: Name::from("s1"),
-        fence: None,
         deadline: Some(deadline),
-        cost: Cost { prompt_tokens: 1, output_tokens: 1 },
-        resume_from: 0,
-        content: ContentHash(1),
-        suspect: false,
+        ..online_work(1)
     }
 }
 
--- a/dogwoodtray_cli/tests/soak_support/faults.rs
+++ b/dogwoodtray_cli/tests/soak_support/faults.rs
@@ -67,6 +67,9 @@
     Fault::NewConfiguration,
 ];
 
+/// Interval at which the end of a process is looked for.
+const END_POLL: Duration = Duration::from_millis(20);
+
 /// Series of faults that overlap.
 const SERIES: usize = 3;
 
@@ -112,8 +115,8 @@
         }
         Fault::PauseGateway => stop(&gateway.process, pause).await,
         Fault::PauseDriver => stop(&driver.process, pause).await,
-        Fault::TerminateGateway => terminate(&gateway.process).await,
-        Fault::TerminateDriver => terminate(&driver.process).await,
+        Fault::TerminateGateway => drop(terminate(&gateway.process).await),
+        Fault::TerminateDriver => drop(terminate(&driver.process).await),
         Fault::KillEndpoint => restart_endpoint(world, worker, down, true).await,
         Fault::RestartEndpoint => restart_endpoint(world, worker, down, false).await,
         Fault::LoseEntry => {
@@ -203,15 +206,18 @@
     process.wake();
 }
 
-/// Asks a process to end, kills it when it does not, and starts it again.
-async fn terminate(process: &Process) {
+/// Asks a process to end and starts it again. Returns when it ended, and its exit code if it did
+/// so in time.
+pub(crate) async fn terminate(process: &Process) -> (Instant, Option<i32>) {
     process.terminate();
     let deadline = Instant::now() + Duration::from_secs(GRACE_S);
     while process.runs_or_was_killed() && Instant::now() < deadline {
-        sleep(Duration::from_millis(20)).await;
+        sleep(END_POLL).await;
     }
-    process.kill();
+    let ended = Instant::now();
+    let exit = if process.runs_or_was_killed() { None } else { process.wait(END_POLL) };
     process.restart();
+    (ended, exit)
 }
 
 /// Kills an endpoint and starts it again, under its old id or, after its entry was removed, under
--- a/dogwoodtray_cli/tests/soak_support/fleet.rs
+++ b/dogwoodtray_cli/tests/soak_support/fleet.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering::SeqCst;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,6 +11,7 @@
 
 use super::child::Process;
 use super::relay::Relay;
+use super::standin::addr::free_addr;
 use super::standin::caller;
 use super::standin::endpoint::Endpoint;
 use super::standin::endpoint::EndpointConfig;
@@ -131,7 +130,7 @@
     index: usize,
     service: &'static str,
 ) -> Worker {
-    let (listen, registered) = (next_addr(), next_addr());
+    let (listen, registered) = (free_addr(), free_addr());
     let cfg = EndpointConfig {
         id: format!("{service}-{index}"),
         service,
@@ -146,7 +145,7 @@
 
 async fn program(objects: &MemoryObjects, dir: &Path, index: usize, is_gateway: bool) -> Program {
     let [listen, readiness, peer, admin, peer_relay, store, store_relay] =
-        [(); 7].map(|()| next_addr());
+        [(); 7].map(|()| free_addr());
     let name = if is_gateway { format!("gateway-{index}") } else { format!("driver-{index}") };
     let objects = objects.for_one_process();
     let store_server = StoreServer::bind(store, objects, Some((peer, peer_relay))).await;
@@ -175,11 +174,3 @@
         readiness,
     }
 }
-
-/// Returns an IP address that nothing else uses, with a port below those of outgoing connections.
-fn next_addr() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(1);
-    let [high, low] = NEXT.fetch_add(1, SeqCst).to_be_bytes();
-    let [.., process] = std::process::id().to_be_bytes();
-    SocketAddr::from(([127, 144 + process % 96, high, low], 7_700))
-}
--- a/dogwoodtray_cli/tests/soak_support/run.rs
+++ b/dogwoodtray_cli/tests/soak_support/run.rs
@@ -19,7 +19,6 @@
 use super::child;
 use super::faults;
 use super::fleet::Fleet;
-use super::fleet::GRACE_S;
 use super::fleet::Program;
 use super::history::Call;
 use super::history::Calm;
@@ -201,11 +200,6 @@
     let process = &program.process;
     world.note_fault(&format!("shut down {}", process.name));
     let began = Instant::now();
-    process.terminate();
-    let bound = Duration::from_secs(GRACE_S);
-    let exit = tokio::task::block_in_place(|| process.wait(bound));
-    let ended = Instant::now();
-    process.kill();
-    process.restart();
+    let (ended, exit) = faults::terminate(process).await;
     Shutdown { node: process.name.clone(), gateway, began, ended, exit }
 }
--- a/dogwoodtray_gateway/benches/path.rs
+++ b/dogwoodtray_gateway/benches/path.rs
@@ -9,11 +9,14 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::Version;
-use dogwoodtray_gateway::Dialect;
 use dogwoodtray_gateway::Directory;
 use dogwoodtray_gateway::Endpoint;
 use dogwoodtray_gateway::EndpointState;
 use dogwoodtray_gateway::EventReader;
+use dogwoodtray_gateway::Limits;
+use dogwoodtray_gateway::Route;
+use dogwoodtray_gateway::RouteKind;
+use dogwoodtray_gateway::SiteConfig;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::Dispatcher;
 use dogwoodtray_policy::DispatcherConfig;
@@ -21,6 +24,9 @@
 use dogwoodtray_policy::PlaceEnd;
 use dogwoodtray_policy::PlaceId;
 
+/// Hosts that the routes are spread over.
+const HOSTS: usize = 8;
+
 #[global_allocator]
 static ALLOC: AllocProfiler = AllocProfiler::system();
 
@@ -107,23 +113,19 @@
 /// The route of a request, among as many as a grown configuration has.
 #[divan::bench(args = [20, 400])]
 fn route(bencher: Bencher<'_, '_>, count: usize) {
-    let route = |index: usize| {
-        format!(
-            r#"{{"name":"r{index}","host":"h{}.example","path-prefix":"/p{index}/",
-            "route-kind":"idempotent","timeout-ms":5000,"latency-goal-ms":300,"priority":0,
-            "service":"s","max-attempts":2,"sticky":true}}"#,
-            index % 8
-        )
+    let route = |index: usize| Route {
+        name: Name::from(format!("r{index}")),
+        host: Name::from(format!("h{}.example", index % HOSTS)),
+        path_prefix: Name::from(format!("/p{index}/")),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(5),
+        latency_objective: Duration::from_millis(300),
+        max_attempts: 2,
+        services: vec![(Name::from("s"), 1)],
     };
-    let routes: Vec<String> = (0..count).map(route).collect();
-    let text = format!(
-        r#"{{"version":1,"routes":[{}],"services":[],"limits":{{"max-header-bytes":16384,
-        "max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
-        routes.join(",")
-    );
-    let config = dogwoodtray_adapter::SiteDialect::new().config(&text).expect("a configuration");
-    assert_eq!(config.generation, Generation(1));
+    let routes = (0..count).map(route).collect();
+    let config = SiteConfig::new(Generation(1), routes, Limits::default());
     let last = count - 1;
-    let (host, path) = (format!("h{}.example", last % 8), format!("/p{last}/x/y"));
+    let (host, path) = (format!("h{}.example", last % HOSTS), format!("/p{last}/x/y"));
     bencher.bench_local(|| black_box(config.route(black_box(&host), black_box(&path))));
 }
--- a/dogwoodtray_gateway/src/directory.rs
+++ b/dogwoodtray_gateway/src/directory.rs
@@ -136,8 +136,9 @@
         if revision < self.revision {
             return Applied::Older;
         }
-        self.has_relayed_in_force = false;
-        self.put_in_force(now, revision, by_id(list))
+        let applied = self.put_in_force(now, revision, by_id(list));
+        self.has_relayed_in_force &= applied != Applied::Changed;
+        applied
     }
 
     /// Takes over a list that another process has relayed.
@@ -151,7 +152,7 @@
             return Applied::Older;
         }
         self.relayed = by_id(list);
-        self.relayed_digest = digest(&self.relayed);
+        self.relayed_digest = list_digest(&self.relayed);
         self.put_relayed_in_force(now, revision)
     }
 
@@ -182,6 +183,7 @@
         }
         // An endpoint that could not be decoded is missing here.
         if self.relayed_digest != changes.digest {
+            self.has_relayed_in_force = false;
             return Applied::OtherList;
         }
         let unchanged = changes.changed.is_empty() && changes.removed.is_empty();
@@ -195,7 +197,11 @@
     /// Returns what has changed since the last list that was relayed, and takes the endpoints in
     /// force for relayed.
     pub fn take_changes(&mut self) -> EndpointChanges {
-        let mut changes = EndpointChanges { base: self.relayed_digest, ..Default::default() };
+        let digest = self.relayed_digest;
+        let mut changes = EndpointChanges { base: digest, digest, ..Default::default() };
+        if self.has_relayed_in_force {
+            return changes;
+        }
         for (id, endpoint) in &self.endpoints {
             if self.relayed.get(id) != Some(endpoint) {
                 changes.changed.push(Rc::clone(endpoint));
@@ -205,7 +211,7 @@
         changes.removed = gone.cloned().collect();
         if !changes.changed.is_empty() || !changes.removed.is_empty() {
             self.relayed = self.endpoints.clone();
-            self.relayed_digest = digest(&self.relayed);
+            self.relayed_digest = list_digest(&self.relayed);
         }
         self.has_relayed_in_force = true;
         changes.digest = self.relayed_digest;
@@ -260,7 +266,7 @@
     list.into_iter().map(|endpoint| (Name::clone(&endpoint.id), Rc::new(endpoint))).collect()
 }
 
-fn digest(list: &List) -> ListDigest {
+fn list_digest(list: &List) -> ListDigest {
     let mut digest = ListDigest::default();
     list.values().for_each(|endpoint| digest.toggle(endpoint));
     digest
--- a/dogwoodtray_gateway/src/front/jobs.rs
+++ b/dogwoodtray_gateway/src/front/jobs.rs
@@ -65,11 +65,7 @@
     let count = items.len();
     let created = store(node, route, terms, id, items).await;
     let answer = match created {
-        Created::Done | Created::Exists => {
-            let mut answer = Response::new(AnswerBody::full(Bytes::new()));
-            *answer.status_mut() = StatusCode::ACCEPTED;
-            answer
-        }
+        Created::Done | Created::Exists => answer::plain(StatusCode::ACCEPTED, ""),
         Created::Unavailable => answer::refused(RETRY_AFTER),
         Created::Unknown => {
             answer::plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been accepted\n")
@@ -118,7 +114,7 @@
 pub(crate) async fn cancel(node: &Rc<Node>, id: &Name) -> Answer {
     let created = node.create(ENDS_KIND, id, "{}".to_owned()).await;
     let answer = match created {
-        Created::Done | Created::Exists => Response::new(AnswerBody::full(Bytes::new())),
+        Created::Done | Created::Exists => answer::plain(StatusCode::OK, ""),
         Created::Unavailable => answer::refused(RETRY_AFTER),
         Created::Unknown | Created::TooLarge => {
             answer::plain(StatusCode::GATEWAY_TIMEOUT, "the end may have been stored\n")
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -305,10 +305,7 @@
             }
             Kind::EndpointSet(set) => self.on_relayed_endpoints(set, role),
             Kind::EndpointChanges(changes) => {
-                let dialled = self.peers.dialled.borrow();
-                let known = dialled.get(name).and_then(|peer| peer.link.clone());
-                drop(dialled);
-                if let Some(link) = known {
+                if let Some(link) = self.peers.link_to(name) {
                     self.on_relayed_changes(changes, role, &link);
                 }
             }
--- a/dogwoodtray_gateway/src/places/ask.rs
+++ b/dogwoodtray_gateway/src/places/ask.rs
@@ -19,7 +19,6 @@
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::LinkId;
 use dogwoodtray_wire::messages;
-use dogwoodtray_wire::messages::PlaceOutcome;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -302,20 +301,18 @@
             let mut records = self.places.records.borrow_mut();
             records.get_mut(&ask).map(|record| std::mem::take(&mut record.told))
         };
-        let outcome = PlaceOutcome::Withdrawn.into();
-        for link in told.unwrap_or_default() {
-            link.send(messages::PlaceReturn { ask, outcome });
-        }
-        let id = self.places.id(ask);
-        self.dispatch(|dispatcher, now, out| {
-            dispatcher.end(now, id, PlaceEnd::Withdrawn, out);
-        });
+        self.return_place(ask, told.unwrap_or_default(), PlaceEnd::Withdrawn);
     }
 
     fn end_place(&self, ask: u64, end: PlaceEnd) {
         let Some(record) = self.places.records.borrow_mut().remove(&ask) else { return };
+        self.return_place(ask, record.told, end);
+    }
+
+    /// Tells everyone who knows of a place or an ask how it ended.
+    fn return_place(&self, ask: u64, told: Vec<LinkHandle>, end: PlaceEnd) {
         let outcome = end_to_wire(end).into();
-        for link in record.told {
+        for link in told {
             link.send(messages::PlaceReturn { ask, outcome });
         }
         let id = self.places.id(ask);
--- a/dogwoodtray_gateway/tests/jobs.rs
+++ b/dogwoodtray_gateway/tests/jobs.rs
@@ -10,7 +10,6 @@
 use serde_json::Value;
 use support::Act;
 use support::Answer;
-use support::Endpoint;
 use support::Site;
 use support::local;
 use support::submission;
@@ -79,8 +78,7 @@
 fn a_restarted_driver_does_not_run_a_cancelled_job() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 1).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("e1", "engine", 1).await;
         *endpoint.usual.borrow_mut() = Act::Stream { to: 1_000, pause: Duration::from_millis(20) };
         let first = site.start_driver("d1").await;
         let gateway = site.start_gateway().await;
@@ -199,8 +197,7 @@
 fn a_retired_driver_hands_its_jobs_over_and_says_so() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 4).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("e1", "engine", 4).await;
         *endpoint.usual.borrow_mut() = Act::Stream { to: 40, pause: Duration::from_millis(20) };
         let _first = site.start_driver("d1").await;
         let _second = site.start_driver("d2").await;
@@ -242,8 +239,7 @@
 fn a_driver_that_the_store_turns_away_works_through_its_peers() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 8).await;
-        site.register(&endpoint);
+        let _endpoint = site.add_endpoint("e1", "engine", 8).await;
         let refused = site.store.for_one_process();
         let _first = site.start_driver_on("d1", refused.clone()).await;
         let _second = site.start_driver("d2").await;
@@ -266,8 +262,7 @@
 fn of_two_drivers_that_do_not_hear_each_other_one_drives() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 64).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("e1", "engine", 64).await;
         let store = site.store.for_one_process();
         let _first = site.start_driver_on("d1", store.clone().hiding("nodes", "d2")).await;
         let _second = site.start_driver_on("d2", store.hiding("nodes", "d1")).await;
@@ -307,8 +302,7 @@
 fn a_driver_goes_on_where_a_lost_one_stopped() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 4).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("e1", "engine", 4).await;
         *endpoint.usual.borrow_mut() = Act::Stream { to: 150, pause: Duration::from_millis(20) };
         let first = site.start_driver("d1").await;
         let second = site.start_driver("d2").await;
@@ -337,8 +331,7 @@
 fn a_driver_that_takes_a_job_over_does_not_answer_for_results_that_it_has_not_read() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("e1", "engine", 4).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("e1", "engine", 4).await;
         let first = site.start_driver("d1").await;
         let second = site.start_driver("d2").await;
         let _gateway = site.start_gateway().await;
--- a/dogwoodtray_gateway/tests/online.rs
+++ b/dogwoodtray_gateway/tests/online.rs
@@ -68,10 +68,8 @@
 fn a_request_that_may_have_run_is_not_sent_again() {
     local(async {
         let site = Site::new();
-        let a = Endpoint::start("a", "ledger", 2).await;
-        let b = Endpoint::start("b", "ledger", 2).await;
-        site.register(&a);
-        site.register(&b);
+        let a = site.add_endpoint("a", "ledger", 2).await;
+        let b = site.add_endpoint("b", "ledger", 2).await;
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
         for act in [Act::Close, Act::Foreign, Act::Unsigned] {
@@ -106,10 +104,8 @@
 fn an_idempotent_request_is_sent_again() {
     local(async {
         let site = Site::new();
-        let a = Endpoint::start("a", "ledger", 2).await;
-        let b = Endpoint::start("b", "ledger", 2).await;
-        site.register(&a);
-        site.register(&b);
+        let a = site.add_endpoint("a", "ledger", 2).await;
+        let b = site.add_endpoint("b", "ledger", 2).await;
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
         for act in [Act::Close, Act::Foreign, Act::Unsigned, Act::Status(500), Act::NotRun(503)] {
@@ -128,10 +124,8 @@
 fn a_request_that_was_turned_away_goes_elsewhere() {
     local(async {
         let site = Site::new();
-        let a = Endpoint::start("a", "engine", 2).await;
-        let b = Endpoint::start("b", "engine", 2).await;
-        site.register(&a);
-        site.register(&b);
+        let a = site.add_endpoint("a", "engine", 2).await;
+        let b = site.add_endpoint("b", "engine", 2).await;
         *a.usual.borrow_mut() = Act::NotRun(421);
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
@@ -210,8 +204,7 @@
 fn a_silent_endpoint_is_answered_for_in_time() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("a", "ledger", 2).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("a", "ledger", 2).await;
         *endpoint.usual.borrow_mut() = Act::Silence;
         site.store.put("config", "main", &config(2).replace("5000", "400"));
         let _driver = site.start_driver("d1").await;
@@ -256,8 +249,7 @@
 fn a_planned_stop_cuts_no_answer_off() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 2).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("a", "engine", 2).await;
         *endpoint.usual.borrow_mut() = Act::Stream { to: 150, pause: Duration::from_millis(20) };
         let _driver = site.start_driver("d1").await;
         let gateway = site.start_gateway().await;
@@ -275,8 +267,7 @@
 fn a_gateway_serves_without_a_driver() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 2).await;
-        site.register(&endpoint);
+        let _endpoint = site.add_endpoint("a", "engine", 2).await;
         let _gateway = site.start_gateway().await;
         assert_eq!(site.post("/stream/x", "r1", "slip").await.body, EVENTS);
     });
@@ -347,8 +338,7 @@
 fn gateways_without_a_driver_serve_by_their_own_count() {
     local(async {
         let site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 4).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("a", "engine", 4).await;
         let _gateway = site.start_gateway().await;
         let cut = site.start_cut_gateway().await;
         let list = Endpoint::entry(&endpoint, "ready");
--- a/dogwoodtray_gateway/tests/relays.rs
+++ b/dogwoodtray_gateway/tests/relays.rs
@@ -10,7 +10,6 @@
 
 use dogwoodtray_runtime::install_metrics;
 use hyper::StatusCode;
-use support::Endpoint;
 use support::Site;
 use support::free_addr;
 use support::local;
@@ -34,8 +33,7 @@
     local(async {
         install_metrics();
         let site = Site::new();
-        let endpoint = Endpoint::start("a", "engine", 4).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("a", "engine", 4).await;
         let nowhere = free_addr();
         let driver = format!(r#"{{"role":"driver","address":"{nowhere}","incarnation":1}}"#);
         site.store.put("nodes", "d1", &driver);
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses part of it")]
 
+#[path = "../../../platform/tests/standin/addr.rs"]
+mod addr;
 #[path = "../../../platform/tests/standin/body.rs"]
 mod body;
 #[path = "../../../platform/tests/standin/site.rs"]
@@ -14,8 +16,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,6 +44,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+pub(crate) use self::addr::free_addr;
 use self::body::EventBody;
 use self::body::EventSender;
 use self::body::events;
@@ -58,9 +59,6 @@
 
 const POLL: Duration = Duration::from_millis(5);
 
-/// Port of all processes under test.
-const PORT: u16 = 7_700;
-
 /// Runs a test on one thread, as the processes do.
 pub(crate) fn local(test: impl Future<Output = ()>) {
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
@@ -310,13 +308,24 @@
     /// Starts a driver and a gateway in front of one endpoint.
     pub(crate) async fn serving(service: &'static str, slots: u32) -> (Self, Endpoint, Running) {
         let site = Self::new();
-        let endpoint = Endpoint::start("e1", service, slots).await;
-        site.register(&endpoint);
+        let endpoint = site.add_endpoint("e1", service, slots).await;
         let driver = site.start_driver("d1").await;
         let gateway = site.start_gateway().await;
         (site, endpoint, Running { _driver: driver, _gateway: gateway })
     }
 
+    /// Starts an endpoint that is registered.
+    pub(crate) async fn add_endpoint(
+        &self,
+        id: &'static str,
+        service: &'static str,
+        slots: u32,
+    ) -> Endpoint {
+        let endpoint = Endpoint::start(id, service, slots).await;
+        self.register(&endpoint);
+        endpoint
+    }
+
     pub(crate) fn register(&self, endpoint: &Endpoint) {
         self.store.put("servers", endpoint.id, &endpoint.entry("ready"));
     }
@@ -438,15 +447,6 @@
     Answer { status: parts.status, headers: parts.headers, body, whole }
 }
 
-/// Returns an address that no other listener or connection of the tests uses. Each has an IP
-/// address of its own, because a port that was free may be taken before it is bound.
-pub(crate) fn free_addr() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(1);
-    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let [.., process] = std::process::id().to_be_bytes();
-    SocketAddr::from(([127, 16 + process % 128, high, low], PORT))
-}
-
 pub(crate) fn node_config(node: &str, role: NodeRole) -> NodeConfig {
     NodeConfig {
         node: Name::from(node),
--- a/dogwoodtray_platform/src/http.rs
+++ b/dogwoodtray_platform/src/http.rs
@@ -334,6 +334,26 @@
     text.trim_matches('"').parse().ok().map(Version)
 }
 
+/// Resolves percent escapes. Returns `None` when the result is not UTF-8.
+#[must_use]
+pub fn unescape(text: &str) -> Option<String> {
+    let bytes = text.as_bytes();
+    let mut unescaped = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while let Some(&byte) = bytes.get(at) {
+        let escaped = bytes.get(at + 1..at + 3).filter(|_| byte == b'%').and_then(hex_byte);
+        unescaped.push(escaped.unwrap_or(byte));
+        at += if escaped.is_some() { 3 } else { 1 };
+    }
+    String::from_utf8(unescaped).ok()
+}
+
+fn hex_byte(digits: &[u8]) -> Option<u8> {
+    let high = char::from(*digits.first()?).to_digit(16)?;
+    let low = char::from(*digits.get(1)?).to_digit(16)?;
+    u8::try_from(high * 16 + low).ok()
+}
+
 /// Escapes all bytes that are not unreserved in a URI.
 #[must_use]
 pub fn escape(text: &str) -> String {
--- a/dogwoodtray_platform/src/lib.rs
+++ b/dogwoodtray_platform/src/lib.rs
@@ -16,6 +16,7 @@
 pub use crate::http::HttpStore;
 pub use crate::http::HttpStoreConfig;
 pub use crate::http::escape;
+pub use crate::http::unescape;
 pub use crate::memory::MemoryFault;
 pub use crate::memory::MemoryStore;
 pub use crate::memory_objects::MemoryObjects;
