Limit the tokens of unfinished items on a batch route

Gateways ask the driver that is first for the route before they store a job, and answer 429 with Retry-After if it does not fit. The store interface gains a conditional replacement. Drivers report the tokens of unfinished items to the admitting driver.

Ruled out: counting in the memory of one owner (two owners for a moment), shares (a lost process keeps its share), conditional updates by every gateway (calls); see docs/platform.md.

--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -66,6 +66,7 @@
             Kind::JobItemBody(body) => body.call,
             Kind::StoreCreated(created) => created.call,
             Kind::StoreObject(object) => object.call,
+            Kind::JobAdmitted(admitted) => admitted.call,
             _ => return,
         };
         if let Some(tx) = self.calls.pending.borrow_mut().remove(&call) {
@@ -108,6 +109,17 @@
                     driver.cancel_job(Name::from(cancelled.job));
                 }
             }
+            Kind::JobAdmit(admit) => {
+                let Some(driver) = self.driver.get().map(Rc::clone) else { return };
+                spawn_local(async move {
+                    link.send(driver.admit(&node, admit).await);
+                });
+            }
+            Kind::TokensHeld(report) => {
+                if let Some(driver) = self.driver.get() {
+                    driver.on_tokens_held(&report);
+                }
+            }
             Kind::ItemProgress(progress) => {
                 if let Some(driver) = self.driver.get() {
                     driver.on_item_progress(progress);
--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -76,6 +76,12 @@
     driving: Cell<bool>,
     /// Whether this process drives the job and has read all results that other processes stored.
     caught_up: Cell<bool>,
+    /// Items that were completed here and whose results may not be stored yet.
+    completed: RefCell<HashSet<Name>>,
+    /// Upper bound of the tokens of unfinished items, as reported by other drivers.
+    max_open_tokens: Cell<u64>,
+    /// Driver to which the tokens of unfinished items were reported last, and their number.
+    reported_tokens: RefCell<Option<(Name, u64)>>,
     /// Notified when the results or the state change.
     changed: Notify,
 }
@@ -85,6 +91,9 @@
     pub(crate) fn new(id: Name, spec: JobSpec) -> Self {
         Self {
             id,
+            completed: RefCell::new(HashSet::new()),
+            max_open_tokens: Cell::new(spec.tokens),
+            reported_tokens: RefCell::new(None),
             spec,
             items: OnceCell::new(),
             results: RefCell::new(Vec::new()),
@@ -221,6 +230,35 @@
     }
 }
 
+/// # Tokens of unfinished items
+impl Job {
+    /// Returns the tokens of all items that no endpoint is known to have finished.
+    pub(crate) fn open_tokens(&self) -> u64 {
+        let Some(items) = self.items.get() else { return self.max_open_tokens.get() };
+        let completed = self.completed.borrow();
+        let is_open =
+            |item: &&Rc<JobItem>| !completed.contains(&item.id) && !self.has_result(&item.id);
+        let tokens = items.iter().filter(is_open).map(|item| item.tokens).sum();
+        self.max_open_tokens.get().min(tokens)
+    }
+
+    /// Lowers the tokens of unfinished items to those that another driver reported.
+    pub(super) fn limit_open_tokens(&self, tokens: u64) {
+        self.max_open_tokens.set(self.max_open_tokens.get().min(tokens));
+    }
+
+    /// Returns `true` if this number of tokens has not been reported to `owner` yet, and records it
+    /// as reported.
+    pub(super) fn take_unreported(&self, owner: &Name, tokens: u64) -> bool {
+        let mut reported = self.reported_tokens.borrow_mut();
+        let is_reported = reported.as_ref().is_some_and(|(to, n)| to == owner && *n == tokens);
+        if !is_reported {
+            *reported = Some((Name::clone(owner), tokens));
+        }
+        !is_reported
+    }
+}
+
 /// # Loading
 impl Job {
     /// Returns the items. Reads them from the store if they are stored in separate objects.
@@ -282,6 +320,7 @@
             tokio::select! {
                 Some(result) = running.join_next(), if !running.is_empty() => match result {
                     Ok(result) => {
+                        self.completed.borrow_mut().insert(Name::clone(&result.item));
                         commit_at.get_or_insert_with(|| Instant::now() + COMMIT_DELAY);
                         uncommitted.push(result);
                     }
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -6,6 +6,7 @@
 //! after it has read all earlier ones, so the segments define a single order of results: no item
 //! has two positions and no position changes, even if several processes drive the job.
 
+mod admissions;
 mod estimator;
 mod item;
 mod job;
@@ -32,6 +33,8 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use self::admissions::Admissions;
+pub(crate) use self::admissions::admission_key;
 use self::estimator::RunTimeEstimator;
 pub(crate) use self::job::Job;
 use self::progress::Progress;
@@ -70,6 +73,7 @@
     /// Cancelled jobs; `None` until they have been listed. Jobs and cancellations are separate
     /// watches, so a cancellation may arrive before its job.
     cancelled: RefCell<Option<HashSet<Name>>>,
+    admissions: Admissions,
     estimator: RunTimeEstimator,
     /// Number of jobs with a task that drives them.
     driven_jobs: Cell<usize>,
@@ -102,6 +106,8 @@
             loop {
                 sleep(OWNERSHIP_CHECK_INTERVAL).await;
                 this.check_ownership(&task_node);
+                this.report_held_tokens(&task_node);
+                this.tick_quotas(&task_node);
             }
         });
         retire::spawn(node, &driver);
--- a/dogwoodtray_gateway/src/driver/spec.rs
+++ b/dogwoodtray_gateway/src/driver/spec.rs
@@ -33,6 +33,12 @@
     pub(crate) total: u32,
     /// Number of separate objects that hold the items; 0 if they are in `items`.
     pub(crate) parts: u32,
+    /// Whether the route limited the tokens of its unfinished items at the acceptance.
+    #[serde(default)]
+    pub(crate) limited: bool,
+    /// Tokens of all items.
+    #[serde(default)]
+    pub(crate) tokens: u64,
     /// Items; empty if they are in separate objects.
     pub(crate) items: Vec<StoredItem>,
 }
@@ -45,6 +51,8 @@
     headers: Vec<(String, String)>,
     /// Body, encoded in base64.
     body: String,
+    #[serde(default)]
+    tokens: u64,
 }
 
 /// Group of results that is stored in one write.
@@ -92,6 +100,8 @@
             max_attempts: route.max_attempts,
             total: u32::try_from(items.len()).unwrap_or(u32::MAX),
             parts: 0,
+            limited: terms.max_waiting_tokens > 0,
+            tokens: items.iter().map(|item| item.tokens).sum(),
             items: items.into_iter().map(StoredItem::new).collect(),
         }
     }
@@ -138,13 +148,19 @@
 impl StoredItem {
     fn new(item: JobItem) -> Self {
         let body = STANDARD.encode(&item.body);
-        Self { id: item.id, path: item.path, headers: item.headers, body }
+        Self { id: item.id, path: item.path, headers: item.headers, body, tokens: item.tokens }
     }
 
     /// Decodes the item. Returns `None` if its body is not valid base64.
     pub(crate) fn decode(self) -> Option<JobItem> {
         let body = Bytes::from(STANDARD.decode(self.body).ok()?);
-        Some(JobItem { id: self.id, path: self.path, headers: self.headers, body })
+        Some(JobItem {
+            id: self.id,
+            path: self.path,
+            headers: self.headers,
+            body,
+            tokens: self.tokens,
+        })
     }
 }
 
--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -8,11 +8,13 @@
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_wire::messages;
+use dogwoodtray_wire::messages::JobAdmitStatus;
 use dogwoodtray_wire::messages::JobReadStatus;
 use dogwoodtray_wire::messages::frame::Kind;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 
+use crate::driver::admission_key;
 use crate::node::Node;
 use crate::places::PlaceError;
 use crate::places::PlaceParams;
@@ -23,6 +25,9 @@
 /// Time that a read may take in addition to its wait time.
 const READ_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time that the admission of a job may take.
+const ADMISSION_TIME: Duration = Duration::from_millis(900);
+
 /// Place that is requested or held on behalf of another process.
 #[derive(Debug)]
 pub(crate) enum ForwardedPlace {
@@ -74,6 +79,7 @@
             Kind::PlacesHeld(_) => {}
             Kind::JobRead(read) => self.forward_job_read(link, read),
             Kind::JobItemRead(read) => self.forward_item_read(link, read),
+            Kind::JobAdmit(admit) => self.forward_job_admission(link, admit),
             Kind::JobAccepted(accepted) => {
                 if let Some(driver_link) = self.driver_link(&accepted.job) {
                     driver_link.send(accepted);
@@ -159,20 +165,35 @@
         });
     }
 
-    /// Returns the link to the driver of a job. A frame from a gateway is never forwarded to a
+    fn forward_job_admission(self: &Rc<Self>, link: &LinkHandle, admit: messages::JobAdmit) {
+        let (node, link) = (Rc::clone(self), link.clone());
+        spawn_local(async move {
+            let key = admission_key(&admit.route);
+            let message = |call| messages::JobAdmit { call, ..admit.clone() };
+            let reply = node.call_driver(&key, ADMISSION_TIME, message).await;
+            let mut admitted = messages::JobAdmitted { call: admit.call, ..Default::default() };
+            admitted.set_status(JobAdmitStatus::Unavailable);
+            if let Some(Kind::JobAdmitted(decided)) = reply {
+                admitted = messages::JobAdmitted { call: admit.call, ..decided };
+            }
+            link.send(admitted);
+        });
+    }
+
+    /// Returns the link to the preferred driver for a key. A frame from a gateway is never forwarded to a
     /// gateway, because two gateways may relay for each other.
-    fn driver_link(&self, job: &str) -> Option<LinkHandle> {
+    fn driver_link(&self, key: &str) -> Option<LinkHandle> {
         self.dispatcher()?;
-        self.peers.preferred_link(self, job)
+        self.peers.preferred_link(self, key)
     }
 
     async fn call_driver<M: Into<messages::Frame>>(
         &self,
-        job: &str,
+        key: &str,
         limit: Duration,
         message: impl FnOnce(u64) -> M,
     ) -> Option<Kind> {
-        let link = self.driver_link(job)?;
+        let link = self.driver_link(key)?;
         self.call(&link, limit, message).await
     }
 
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -10,6 +10,7 @@
 use dogwoodtray_runtime::Clock;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_wire::messages;
+use dogwoodtray_wire::messages::JobAdmitStatus;
 use dogwoodtray_wire::messages::JobReadStatus;
 use dogwoodtray_wire::messages::frame::Kind;
 use hyper::Response;
@@ -22,6 +23,7 @@
 use crate::driver::JOBS_KIND;
 use crate::driver::JobSpec;
 use crate::driver::PARTS_KIND;
+use crate::driver::admission_key;
 use crate::model::BatchTerms;
 use crate::model::ItemResult;
 use crate::model::ItemState;
@@ -47,7 +49,28 @@
 /// `Retry-After` while the store or the drivers are unreachable.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// Stores a job. It is accepted once its submission exists in the store.
+/// Time in which a driver must decide about the admission of a job: a read and a write of the store,
+/// which take 250 ms each when it is slow, and a second try of both after a conflict.
+const ADMISSION_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Time after an admission in which its job must be stored; half of the time after which its
+/// reservation may be released.
+const MAX_ADMISSION_AGE: Duration = Duration::from_secs(5);
+
+/// Outcome of a submission.
+#[derive(Debug)]
+enum Submitted {
+    /// The store replied to the creation of the job.
+    Stored(CreateResult),
+    /// The job does not fit into the limit of its route.
+    OverLimit(messages::JobAdmitted),
+    /// No driver could decide about the admission.
+    Undecided,
+    /// The reservation may have been released before the job was stored.
+    TooLate,
+}
+
+/// Accepts a job. It is accepted once its submission exists in the store.
 pub(crate) async fn submit(
     node: &Rc<Node>,
     route: &Route,
@@ -64,35 +87,124 @@
         }
     };
     let count = items.len();
-    let created = store_job(node, route, terms, id, items).await;
-    let response = match created {
-        CreateResult::Done | CreateResult::Exists => response::plain(StatusCode::ACCEPTED, ""),
-        CreateResult::Unavailable => response::refused(RETRY_AFTER),
-        CreateResult::Unknown => {
-            response::plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been accepted\n")
-        }
-        CreateResult::TooLarge => {
-            response::plain(StatusCode::PAYLOAD_TOO_LARGE, "item too large\n")
-        }
-    };
-    if matches!(created, CreateResult::Done | CreateResult::Exists)
+    let tokens: u64 = items.iter().map(|item| item.tokens).sum();
+    let submitted = admit_and_store(node, route, terms, id, items).await;
+    let response = submission_response(&submitted);
+    if matches!(submitted, Submitted::Stored(CreateResult::Done | CreateResult::Exists))
         && let Some(link) = node.peers.preferred_link(node, id)
     {
         link.send(messages::JobAccepted { job: id.to_string() });
     }
     let status = response.status().as_u16();
+    if let Submitted::OverLimit(refusal) = &submitted {
+        let limit = terms.max_waiting_tokens;
+        let fields: [(&str, &dyn Display); 8] = [
+            ("status", &status),
+            ("items", &count),
+            ("route", &route.name),
+            ("tokens", &tokens),
+            ("held", &refusal.held),
+            ("limit", &limit),
+            ("age_ms", &refusal.age_ms),
+            ("retry_after_ms", &refusal.retry_after_ms),
+        ];
+        node.events.emit(&catalogue::JOB_REFUSED, Some(id), &fields);
+        return response;
+    }
     let code = if status == StatusCode::ACCEPTED {
         &catalogue::JOB_ACCEPTED
     } else {
         &catalogue::JOB_REFUSED
     };
-    let outcome = format!("{created:?}");
+    let outcome = format!("{submitted:?}");
     let fields: [(&str, &dyn Display); 4] =
         [("status", &status), ("items", &count), ("route", &route.name), ("store", &outcome)];
     node.events.emit(code, Some(id), &fields);
     response
 }
 
+fn submission_response(submitted: &Submitted) -> GatewayResponse {
+    match submitted {
+        Submitted::Stored(CreateResult::Done | CreateResult::Exists) => {
+            response::plain(StatusCode::ACCEPTED, "")
+        }
+        Submitted::Stored(CreateResult::Unavailable) | Submitted::Undecided => {
+            response::refused(RETRY_AFTER)
+        }
+        Submitted::Stored(CreateResult::Unknown) | Submitted::TooLate => {
+            response::plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been accepted\n")
+        }
+        Submitted::Stored(CreateResult::TooLarge) => {
+            response::plain(StatusCode::PAYLOAD_TOO_LARGE, "item too large\n")
+        }
+        Submitted::OverLimit(refusal) => {
+            response::over_limit(Duration::from_millis(refusal.retry_after_ms.into()))
+        }
+    }
+}
+
+/// Stores a job, after its admission if the route limits the tokens of its unfinished items.
+async fn admit_and_store(
+    node: &Rc<Node>,
+    route: &Route,
+    terms: BatchTerms,
+    id: &Name,
+    items: Vec<JobItem>,
+) -> Submitted {
+    if terms.max_waiting_tokens == 0 {
+        return Submitted::Stored(store_job(node, route, terms, id, items).await);
+    }
+    let started = node.now();
+    let tokens = items.iter().map(|item| item.tokens).sum();
+    let admitted = admit(node, route, terms.max_waiting_tokens, id, tokens).await;
+    let status =
+        admitted.as_ref().map_or(JobAdmitStatus::Unavailable, messages::JobAdmitted::status);
+    metrics::counter!("dogwoodtray_job_admissions_total", "decision" => decision_label(status))
+        .increment(1);
+    match admitted {
+        Some(reply) if status == JobAdmitStatus::Admitted => {
+            log::debug!("job {id} was admitted by call {}", reply.call);
+        }
+        Some(reply) if status == JobAdmitStatus::Refused => return Submitted::OverLimit(reply),
+        _ => return Submitted::Undecided,
+    }
+    let stored = store_job(node, route, terms, id, items).await;
+    if node.now() - started > MAX_ADMISSION_AGE {
+        return Submitted::TooLate;
+    }
+    Submitted::Stored(stored)
+}
+
+const fn decision_label(status: JobAdmitStatus) -> &'static str {
+    match status {
+        JobAdmitStatus::Admitted => "admitted",
+        JobAdmitStatus::Refused => "refused",
+        JobAdmitStatus::Unavailable | JobAdmitStatus::Unspecified => "unavailable",
+    }
+}
+
+/// Asks the driver that admits the jobs of a route. Returns `None` if no driver replies.
+async fn admit(
+    node: &Rc<Node>,
+    route: &Route,
+    limit: u64,
+    id: &Name,
+    tokens: u64,
+) -> Option<messages::JobAdmitted> {
+    let key = admission_key(&route.name);
+    let reply = call_driver(node, &key, ADMISSION_TIMEOUT, |call| messages::JobAdmit {
+        call,
+        route: route.name.to_string(),
+        job: id.to_string(),
+        tokens,
+        limit,
+    });
+    match reply.await {
+        Some(Kind::JobAdmitted(admitted)) => Some(admitted),
+        _ => None,
+    }
+}
+
 /// Stores the objects of a job, its submission last.
 async fn store_job(
     node: &Rc<Node>,
@@ -174,24 +286,26 @@
     Response::new(ResponseBody::full(body.body))
 }
 
-/// Calls the driver of a job, and the next one if it does not reply or cannot read the job.
+/// Calls the preferred driver for a key, and the next one if it does not reply or is unavailable.
 async fn call_driver<M: Into<messages::Frame>>(
     node: &Rc<Node>,
-    id: &Name,
+    key: &str,
     limit: Duration,
     message: impl Fn(u64) -> M,
 ) -> Option<Kind> {
-    for name in node.peers.ranked(node, id).into_iter().take(MAX_DRIVERS_TRIED) {
+    for name in node.peers.ranked(node, key).into_iter().take(MAX_DRIVERS_TRIED) {
         let Some(link) = node.peers.link_to(&name) else { continue };
         let reply = node.call(&link, limit, &message).await;
         match &reply {
             Some(Kind::JobPage(page)) if page.status() == JobReadStatus::Unavailable => {}
             Some(Kind::JobItemBody(body)) if body.status() == JobReadStatus::Unavailable => {}
+            Some(Kind::JobAdmitted(admitted))
+                if admitted.status() == JobAdmitStatus::Unavailable => {}
             Some(_) => return reply,
             None => node.peers.mark_suspect(node, &name),
         }
     }
-    log::info!("no driver could read job {id}");
+    log::info!("no driver could reply to a call for {key}");
     None
 }
 
--- a/dogwoodtray_gateway/src/http/response.rs
+++ b/dogwoodtray_gateway/src/http/response.rs
@@ -22,7 +22,17 @@
 
 /// Returns the response to a request that has not run and will not run.
 pub(crate) fn refused(retry_after: Duration) -> GatewayResponse {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "not run; try again later\n");
+    let response = plain(StatusCode::SERVICE_UNAVAILABLE, "not run; try again later\n");
+    with_retry_after(response, retry_after)
+}
+
+/// Returns the response to a job that does not fit into the limit of its route.
+pub(crate) fn over_limit(retry_after: Duration) -> GatewayResponse {
+    let text = "too many tokens wait on this route; not run; try again later\n";
+    with_retry_after(plain(StatusCode::TOO_MANY_REQUESTS, text), retry_after)
+}
+
+fn with_retry_after(mut response: GatewayResponse, retry_after: Duration) -> GatewayResponse {
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/dogwoodtray_gateway/src/model/job.rs
+++ b/dogwoodtray_gateway/src/model/job.rs
@@ -14,6 +14,8 @@
     pub headers: Vec<(String, String)>,
     /// Body of the request.
     pub body: Bytes,
+    /// Tokens of the prompt and the maximum output, summed.
+    pub tokens: u64,
 }
 
 /// Final state of an item.
--- a/dogwoodtray_gateway/src/model/route.rs
+++ b/dogwoodtray_gateway/src/model/route.rs
@@ -14,6 +14,9 @@
     pub completion_target: Duration,
     /// Time after submission at which an incomplete item may be abandoned.
     pub retention: Duration,
+    /// Maximum number of tokens of unfinished items on the route, over all processes; 0 for no
+    /// limit.
+    pub max_waiting_tokens: u64,
 }
 
 /// Kind of the requests of a route.
--- a/dogwoodtray_platform/src/lib.rs
+++ b/dogwoodtray_platform/src/lib.rs
@@ -21,6 +21,7 @@
 pub use crate::memory::MemoryStore;
 pub use crate::memory_objects::MemoryObjects;
 pub use crate::objects::Change;
+pub use crate::objects::ConditionalResult;
 pub use crate::objects::CreateResult;
 pub use crate::objects::GetResult;
 pub use crate::objects::ListResult;
--- a/dogwoodtray_platform/src/memory_objects.rs
+++ b/dogwoodtray_platform/src/memory_objects.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::objects::Change;
+use crate::objects::ConditionalResult;
 use crate::objects::CreateResult;
 use crate::objects::GetResult;
 use crate::objects::ListResult;
@@ -287,6 +288,28 @@
         })
     }
 
+    fn replace_at(
+        &self,
+        kind: &'static str,
+        name: &Name,
+        revision: Version,
+        spec: String,
+    ) -> BoxFuture<ConditionalResult> {
+        self.write(ConditionalResult::Unavailable, ConditionalResult::Unknown, |state| {
+            if spec.len() > MAX_VALUE_BYTES {
+                return ConditionalResult::TooLarge;
+            }
+            match state.objects.get(&(kind, Name::clone(name))) {
+                Some(object) if object.revision == revision => {
+                    let status = object.status.clone();
+                    state.put(kind, name, raw_json(&spec), status);
+                    ConditionalResult::Done { revision: Version(state.revision) }
+                }
+                _ => ConditionalResult::Conflict,
+            }
+        })
+    }
+
     fn set_status(
         &self,
         kind: &'static str,
--- a/dogwoodtray_platform/src/objects.rs
+++ b/dogwoodtray_platform/src/objects.rs
@@ -103,6 +103,24 @@
     Unknown,
 }
 
+/// Result of [`ObjectStore::replace_at`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConditionalResult {
+    /// The specification was replaced.
+    Done {
+        /// Revision after the change.
+        revision: Version,
+    },
+    /// The object has another revision or does not exist. Nothing was changed.
+    Conflict,
+    /// The store is unavailable, and the call had no effect.
+    Unavailable,
+    /// The change may have been applied, or may be applied later.
+    Unknown,
+    /// The specification exceeds the size limit of the store.
+    TooLarge,
+}
+
 /// Operations on the objects of the platform's store.
 pub trait ObjectStore: fmt::Debug + Send + Sync {
     /// Lists all current objects of a kind.
@@ -120,6 +138,15 @@
     /// Replaces the specification of an object. `spec` must be JSON.
     fn replace(&self, kind: &'static str, name: &Name, spec: String) -> BoxFuture<UpdateResult>;
 
+    /// Replaces the specification of an object if it still has this revision. `spec` must be JSON.
+    fn replace_at(
+        &self,
+        kind: &'static str,
+        name: &Name,
+        revision: Version,
+        spec: String,
+    ) -> BoxFuture<ConditionalResult>;
+
     /// Replaces the status of an object. `status` must be JSON.
     fn set_status(
         &self,
--- a/dogwoodtray_wire/src/convert.rs
+++ b/dogwoodtray_wire/src/convert.rs
@@ -32,6 +32,8 @@
     Hello,
     ItemProgress,
     JobAccepted,
+    JobAdmit,
+    JobAdmitted,
     JobCancelled,
     JobItemBody,
     JobItemRead,
@@ -53,4 +55,5 @@
     StoreCreated,
     StoreObject,
     StoreRead,
+    TokensHeld,
 );
