Give places first to batch items that can be in time

Cause: with more items than places, each place went to the item with the least time to spare, so nearly all items of a burst ended just after they were due. The run time of an item was estimated by the average of those that had ended, which in a burst are the short ones.

Change: a plan, renewed every 100 ms while items are queued, leaves items out until the rest fits into the places that online requests leave on average (Moore and Hodgson's rule). Items outside the plan run in places that nobody else can use and give way to planned ones. The estimate follows the tokens of the item. Jobs without a limit are accepted as before and their hopeless items put last, because a late result still has a worth.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -102,7 +102,7 @@
         let remaining = node
             .driver
             .get()
-            .map(|driver| driver.estimator.remaining(progress.borrow().event_count()));
+            .map(|driver| driver.estimator.remaining(item.tokens, progress.borrow().event_count()));
         let params = PlaceParams {
             service,
             class: Class::Batch,
@@ -129,6 +129,7 @@
                 if let Some(driver) = node.driver.get() {
                     let events = progress.borrow().event_count();
                     driver.estimator.observe(
+                        item.tokens,
                         events,
                         events.saturating_sub(events_before),
                         node.now() - started_at,
--- a/dogwoodtray_policy/src/placement/mod.rs
+++ b/dogwoodtray_policy/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! queued inside an engine cannot be overtaken. The [`Dispatcher`] therefore sends an endpoint no
 //! more requests than it has places, keeps the queue itself and preempts batch work.
 
+mod batch_plan;
 mod config;
 mod dispatcher;
 mod endpoint;
--- a/dogwoodtray_policy/src/placement/service.rs
+++ b/dogwoodtray_policy/src/placement/service.rs
@@ -16,6 +16,8 @@
 use super::PlaceId;
 use super::PlaceOutcome;
 use super::PlaceRequest;
+use super::batch_plan::BatchPlan;
+use super::batch_plan::PlannedItem;
 use super::endpoint::Endpoint;
 use crate::Class;
 
@@ -35,10 +37,25 @@
     class: Class,
     granted_at: Timestamp,
     due: Timestamp,
+    /// Run time that was expected when the place was granted; `None` if another dispatcher granted
+    /// it.
+    run_time: Option<Duration>,
     /// Whether a preemption was issued and the place has not been released yet.
     preempting: bool,
 }
 
+impl HeldRequest {
+    /// Returns the expected remaining run time, if it is known.
+    fn left(&self, now: Timestamp) -> Option<Duration> {
+        self.run_time.map(|run_time| run_time.saturating_sub(now - self.granted_at))
+    }
+
+    /// Returns `true` if the request cannot be completed by its due time.
+    fn is_late(&self, now: Timestamp) -> bool {
+        now + self.left(now).unwrap_or_default() > self.due
+    }
+}
+
 /// Endpoints, held places and queued requests of one service.
 #[derive(Debug)]
 pub(super) struct ServicePlaces {
@@ -49,6 +66,8 @@
     online: VecDeque<PlaceRequest>,
     /// Queued batch items, ordered by their latest start.
     batch: BTreeMap<(Timestamp, PlaceId), PlaceRequest>,
+    /// Queued batch items that can be completed in time.
+    plan: BatchPlan,
     /// Moving average of the time that an answered online request held its place.
     mean_hold_time: Duration,
     /// Counter of grants, from which ties between endpoints are broken.
@@ -63,6 +82,7 @@
             held: HashMap::new(),
             online: VecDeque::new(),
             batch: BTreeMap::new(),
+            plan: BatchPlan::default(),
             mean_hold_time: cfg.initial_hold_time,
             round_robin_start: 0,
         }
@@ -190,8 +210,14 @@
         if let Some(key) = key {
             self.endpoints[key].in_use += 1;
         }
-        let held =
-            HeldRequest { endpoint: key, class, granted_at: now, due: now, preempting: false };
+        let held = HeldRequest {
+            endpoint: key,
+            class,
+            granted_at: now,
+            due: now,
+            run_time: None,
+            preempting: false,
+        };
         self.held.insert(id, held);
     }
 
@@ -241,7 +267,8 @@
     }
 
     /// Assigns free places in this order: online requests that can still meet their objective,
-    /// online requests that are already late, batch work.
+    /// online requests that are already late, batch items that can be completed in time, other
+    /// batch items.
     pub(super) fn assign_places(
         &mut self,
         now: Timestamp,
@@ -283,22 +310,12 @@
 
     fn assign_batch(&mut self, now: Timestamp, cfg: &DispatcherConfig, out: &mut Vec<PlaceAction>) {
         let reserve = f64::from(self.total_slots()) * cfg.online_reserve;
-        let mut available = self.free_places(now).saturating_sub(reserve as u32);
-        // Late items come last: they gain little and must not make others late as well.
-        let in_time = self.batch.range((now, PlaceId::MIN)..);
-        let late = self.batch.range(..(now, PlaceId::MIN));
-        let keys: Vec<_> =
-            in_time.chain(late).map(|(key, _)| *key).take(available as usize).collect();
-        for key in keys {
-            if available == 0 {
-                return;
-            }
+        let available = self.free_places(now).saturating_sub(reserve as u32) as usize;
+        self.renew_plan(now, available, out);
+        for key in self.next_items(now, available) {
             let Some(request) = self.batch.remove(&key) else { continue };
             match self.pick_endpoint(now, &request.excluded) {
-                Some(endpoint) => {
-                    self.grant(now, &request, endpoint, out);
-                    available -= 1;
-                }
+                Some(endpoint) => self.grant(now, &request, endpoint, out),
                 None => {
                     self.batch.insert(key, request);
                 }
@@ -306,22 +323,77 @@
         }
     }
 
-    /// Preempts one batch item for each queued online request. Items that are already late are
-    /// preempted first, then those with the latest due time, which leaves most time to resume them.
+    /// Returns the keys of the queued batch items that get the next `count` places: those that can
+    /// be completed in time, the one with the least time to spare first, then those that are not late
+    /// yet, then late ones, of both those with the least work left.
+    fn next_items(&self, now: Timestamp, count: usize) -> Vec<(Timestamp, PlaceId)> {
+        let is_planned = |key: &&(Timestamp, PlaceId)| self.plan.contains(key.1);
+        let mut next: Vec<_> = self.batch.keys().filter(is_planned).take(count).copied().collect();
+        if next.len() < count {
+            let others = self.batch.iter().filter(|(key, _)| !is_planned(key));
+            let mut others: Vec<_> = others
+                .map(|(key, request)| (key.0 < now, request.due - request.start_by, *key))
+                .collect();
+            others.sort_unstable();
+            next.extend(others.into_iter().take(count - next.len()).map(|(.., key)| key));
+        }
+        next
+    }
+
+    /// Renews the plan of batch items if it is due, and preempts items that are late for those that
+    /// can be completed in time.
+    fn renew_plan(&mut self, now: Timestamp, available: usize, out: &mut Vec<PlaceAction>) {
+        if !self.plan.is_due(now) {
+            return;
+        }
+        let running = || self.held.iter().filter(|(_, held)| held.class == Class::Batch);
+        let places = running().filter(|(_, held)| held.endpoint.is_some()).count() + available;
+        self.plan.observe_places(now, u32::try_from(places).unwrap_or(u32::MAX));
+        let running = running().filter_map(|(id, held)| {
+            let left = held.left(now)?;
+            Some(PlannedItem { id: *id, left, due: held.due, is_running: true })
+        });
+        let queued = self.batch.iter().map(|((_, id), request)| PlannedItem {
+            id: *id,
+            left: request.due - request.start_by,
+            due: request.due,
+            is_running: false,
+        });
+        let items = running.chain(queued).collect();
+        self.plan.renew(now, items);
+        let waiting = self.batch.keys().filter(|(_, id)| self.plan.contains(*id)).count();
+        self.preempt_items(now, waiting.saturating_sub(available), true, out);
+    }
+
+    /// Preempts one batch item for each queued online request.
     fn preempt(&mut self, now: Timestamp, out: &mut Vec<PlaceAction>) {
-        let queued = self.online.len();
+        self.preempt_items(now, self.online.len(), false, out);
+    }
+
+    /// Preempts batch items until `count` preemptions are in progress. Items that are late are
+    /// preempted first, then those with the latest due time, which leaves most time to resume them.
+    fn preempt_items(
+        &mut self,
+        now: Timestamp,
+        count: usize,
+        only_late: bool,
+        out: &mut Vec<PlaceAction>,
+    ) {
         let preempting = self.held.values().filter(|held| held.preempting).count();
-        for _ in preempting..queued {
+        for _ in preempting..count {
             let victim = self
                 .held
                 .iter_mut()
                 .filter(|(_, held)| held.class == Class::Batch && !held.preempting)
+                .filter(|(_, held)| !only_late || held.run_time.is_some() && held.is_late(now))
                 .filter(|(_, held)| {
                     held.endpoint.is_some_and(|key| {
                         self.endpoints.get(key).is_some_and(Endpoint::is_healthy)
                     })
                 })
-                .max_by_key(|(id, held)| (held.due < now, held.due, now - held.granted_at, **id));
+                .max_by_key(|(id, held)| {
+                    (held.is_late(now), held.due, now - held.granted_at, **id)
+                });
             let Some((id, held)) = victim else { return };
             held.preempting = true;
             out.push(PlaceAction::Preempt { id: *id });
@@ -384,6 +456,7 @@
             class: request.class,
             granted_at: now,
             due: request.due,
+            run_time: Some(request.due - request.start_by),
             preempting: false,
         };
         self.held.insert(request.id, held);
--- a/dogwoodtray_policy/src/placement/types.rs
+++ b/dogwoodtray_policy/src/placement/types.rs
@@ -16,11 +16,6 @@
     pub number: u64,
 }
 
-impl PlaceId {
-    /// The smallest id.
-    pub(super) const MIN: Self = Self { holder: 0, number: 0 };
-}
-
 /// A request for a place at an endpoint of a service.
 #[derive(Clone, Debug)]
 pub struct PlaceRequest {
