Eject endpoints that answer errors

Cause: an endpoint that answers 500 within a millisecond frees its place at once and is then the one with the most free places, so it drew most of the requests. On the large site 24 of 160 engines did so; requests that must not run twice were lost.

Change: places are released with the outcome that the endpoint answered an error. The dispatcher ejects endpoints whose share of errors exceeds one half and twice that of their service, at most half of them, and tries them with single requests that may be repeated until few fail.

--- a/dogwoodtray_gateway/benches/path.rs
+++ b/dogwoodtray_gateway/benches/path.rs
@@ -75,6 +75,7 @@
             class: Class::Online,
             start_by: now + Duration::from_secs(1),
             due: now + Duration::from_secs(5),
+            repeatable: false,
             excluded: Vec::new(),
         };
         dispatcher.request_place(now, request, &mut out);
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -109,6 +109,7 @@
             start_by: due.saturating_sub(remaining.unwrap_or_default()),
             due,
             expires_at: now + PLACE_TIMEOUT,
+            repeatable: true,
             excluded: excluded.clone(),
         };
         let permit = match node.acquire_place(&params).await {
@@ -257,11 +258,11 @@
             interrupted(PlaceOutcome::Full, &status)
         }
         ResponseClass::NotRun => interrupted(PlaceOutcome::Withdrawn, &status),
-        ResponseClass::Malformed => interrupted(PlaceOutcome::Withdrawn, &"damaged answer"),
+        ResponseClass::Malformed => interrupted(PlaceOutcome::Errored, &"damaged answer"),
         ResponseClass::Failure if status == StatusCode::INTERNAL_SERVER_ERROR => {
-            (RunOutcome::Failed, PlaceOutcome::Answered, status.to_string())
+            (RunOutcome::Failed, PlaceOutcome::Errored, status.to_string())
         }
-        ResponseClass::Failure => interrupted(PlaceOutcome::Withdrawn, &status),
+        ResponseClass::Failure => interrupted(PlaceOutcome::Errored, &status),
         ResponseClass::Answer if status.is_success() => {
             let replicate = || replicate_output(node, job, item, &progress.borrow());
             read_events(exchange.body, progress, replicate).await
--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -110,6 +110,7 @@
             start_by: now + Duration::from_millis(request.start_within_ms.into()),
             due,
             expires_at: due,
+            repeatable: request.repeatable,
             excluded: request.excluded.iter().map(|name| Name::from(name.as_str())).collect(),
         };
         link.send(messages::PlaceQueued { ask: request.ask });
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -142,8 +142,11 @@
             let limit = head_timeout.map_or(remaining, |head_timeout| head_timeout.min(remaining));
             match timeout(limit, self.report_slow_head(&permit, send(endpoint.addr, req))).await {
                 Ok(Ok(exchange)) => match classify_response(names, &exchange.parts, &self.id) {
-                    ResponseClass::Answer | ResponseClass::Failure => {
+                    class @ (ResponseClass::Answer | ResponseClass::Failure) => {
                         self.possible_runs += 1;
+                        if class == ResponseClass::Failure {
+                            permit.set_outcome(PlaceOutcome::Errored);
+                        }
                         return Ok((exchange, permit));
                     }
                     ResponseClass::NotRun => {
@@ -154,7 +157,7 @@
                     }
                     ResponseClass::Malformed => {
                         self.possible_runs += 1;
-                        self.on_failed(&mut permit, PlaceOutcome::Withdrawn, &"damaged answer");
+                        self.on_failed(&mut permit, PlaceOutcome::Errored, &"damaged answer");
                         return Err(AttemptError::OutcomeUnknown);
                     }
                 },
@@ -211,6 +214,7 @@
             start_by: if is_retry { objective.max(now + RETRY_PLACE_TIMEOUT) } else { objective },
             due: self.deadline,
             expires_at: self.deadline,
+            repeatable: self.route.kind.is_repeatable() && self.route.max_attempts > 1,
             excluded: self.excluded.clone(),
         };
         self.node.acquire_place(&params).await.map_err(|error| match error {
--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -61,6 +61,8 @@
 #[derive(Debug)]
 pub(crate) struct ProxiedBody {
     pub(crate) body: UpstreamBody,
+    /// Outcome of the place if the body is complete.
+    pub(crate) complete_outcome: PlaceOutcome,
     pub(crate) deadline: Pin<Box<Sleep>>,
     pub(crate) permit: Option<PlacePermit>,
     pub(crate) trace: Trace,
@@ -85,7 +87,7 @@
                 Poll::Ready(Some(Err(BodyError::Upstream(err))))
             }
             Poll::Ready(None) => {
-                self.finish(PlaceOutcome::Answered, "answered");
+                self.finish(self.complete_outcome, "answered");
                 Poll::Ready(None)
             }
             Poll::Pending if self.deadline.as_mut().poll(cx).is_ready() => {
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dogwoodtray_policy::PlaceOutcome;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::Response;
@@ -21,6 +20,7 @@
 use crate::model::RouteKind;
 use crate::net::Exchange;
 use crate::places::PlacePermit;
+use crate::request::place_outcome;
 use crate::request::strip_hop_by_hop_headers;
 
 /// Maximum size of a response to an idempotent request that is buffered before it is forwarded.
@@ -59,9 +59,11 @@
     exchange: Exchange,
     permit: PlacePermit,
 ) -> GatewayResponse {
+    let complete_outcome = place_outcome(exchange.parts.status);
     let parts = response_head(exchange.parts);
     attempts.trace.on_status(parts.status.as_u16());
     let proxied = ProxiedBody {
+        complete_outcome,
         body: exchange.body,
         deadline: Box::pin(sleep(attempts.remaining())),
         permit: Some(permit),
@@ -136,7 +138,7 @@
         }
         Err(_) => return Err(AttemptError::DeadlineExceeded),
     };
-    permit.set_outcome(PlaceOutcome::Answered);
+    permit.set_outcome(place_outcome(exchange.parts.status));
     let parts = response_head(exchange.parts);
     attempts.trace.on_status(parts.status.as_u16());
     attempts.trace.on_data();
--- a/dogwoodtray_gateway/src/model/route.rs
+++ b/dogwoodtray_gateway/src/model/route.rs
@@ -35,6 +35,18 @@
     Batch(BatchTerms),
 }
 
+impl RouteKind {
+    /// Returns `true` if a request may be sent again after an endpoint may have run it.
+    #[must_use]
+    pub const fn is_repeatable(self) -> bool {
+        match self {
+            Self::Streaming { resumable } => resumable,
+            Self::Idempotent | Self::Batch(_) => true,
+            Self::NonIdempotent => false,
+        }
+    }
+}
+
 /// Route from a host and path prefix to services.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -51,6 +51,8 @@
     pub(crate) due: Timestamp,
     /// Time at which the wait for a place ends with `PlaceError::Expired`.
     pub(crate) expires_at: Timestamp,
+    /// Whether the request may be sent again after an endpoint has failed it.
+    pub(crate) repeatable: bool,
     pub(crate) excluded: Vec<Name>,
 }
 
@@ -264,6 +266,7 @@
             class: class_to_wire(params.class).into(),
             start_within_ms: millis(params.start_by - now),
             due_within_ms: millis(params.due - now),
+            repeatable: params.repeatable,
             excluded: params.excluded.iter().map(ToString::to_string).collect(),
         };
         if !link.send(message) {
@@ -303,6 +306,7 @@
             class: params.class,
             start_by: params.start_by,
             due: params.due,
+            repeatable: params.repeatable,
             excluded: params.excluded.clone(),
         };
         self.dispatch(|dispatcher, now, out| dispatcher.request_place(now, request, out));
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -76,6 +76,7 @@
                     class: class_from_wire(request.class()),
                     start_by: now + Duration::from_millis(request.start_within_ms.into()),
                     due: now + Duration::from_millis(request.due_within_ms.into()),
+                    repeatable: request.repeatable,
                     excluded: request
                         .excluded
                         .iter()
--- a/dogwoodtray_gateway/src/places/wire.rs
+++ b/dogwoodtray_gateway/src/places/wire.rs
@@ -32,6 +32,7 @@
         PlaceOutcome::Withdrawn => messages::PlaceOutcome::Withdrawn,
         PlaceOutcome::Full => messages::PlaceOutcome::Full,
         PlaceOutcome::Failed => messages::PlaceOutcome::Failed,
+        PlaceOutcome::Errored => messages::PlaceOutcome::Errored,
     }
 }
 
@@ -40,6 +41,7 @@
         messages::PlaceOutcome::Answered => PlaceOutcome::Answered,
         messages::PlaceOutcome::Full => PlaceOutcome::Full,
         messages::PlaceOutcome::Failed => PlaceOutcome::Failed,
+        messages::PlaceOutcome::Errored => PlaceOutcome::Errored,
         messages::PlaceOutcome::Withdrawn | messages::PlaceOutcome::Unspecified => {
             PlaceOutcome::Withdrawn
         }
--- a/dogwoodtray_gateway/src/request.rs
+++ b/dogwoodtray_gateway/src/request.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use dogwoodtray_coord::Name;
+use dogwoodtray_policy::PlaceOutcome;
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
@@ -80,6 +81,11 @@
     }
 }
 
+/// Returns the outcome of the place of a request whose response with this status is complete.
+pub(crate) fn place_outcome(status: StatusCode) -> PlaceOutcome {
+    if status.is_server_error() { PlaceOutcome::Errored } else { PlaceOutcome::Answered }
+}
+
 /// Classification of a response by its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ResponseClass {
--- a/dogwoodtray_gateway/tests/online.rs
+++ b/dogwoodtray_gateway/tests/online.rs
@@ -373,3 +373,24 @@
         assert_eq!((response.status, response.body.as_str()), (StatusCode::OK, EVENTS));
     });
 }
+
+/// Guards against an endpoint that fails its requests at once, therefore always has free places, and
+/// draws the requests: those that must not run twice are lost.
+#[test]
+fn an_endpoint_that_answers_errors_gets_few_requests() {
+    run_local(async {
+        let (site, failing, _running) = Site::with_processes("engine", 4).await;
+        *failing.default_behavior.borrow_mut() = Behavior::Status(500);
+        let sound = site.add_endpoint("e2", "engine", 4).await;
+        *sound.default_behavior.borrow_mut() =
+            Behavior::Stream { to: 3, pause: Duration::from_millis(10) };
+        sleep(Duration::from_secs(1)).await;
+        let mut failed = 0;
+        for number in 0..60 {
+            let response = site.post("/stream/x", &format!("r{number}"), "slip").await;
+            failed += usize::from(response.status != StatusCode::OK);
+        }
+        assert!(failed <= 4, "{failed} of 60 failed");
+        assert_eq!(failing.request_count(), failed);
+    });
+}
--- a/dogwoodtray_policy/src/placement/config.rs
+++ b/dogwoodtray_policy/src/placement/config.rs
@@ -13,6 +13,14 @@
     pub failure_backoff: Duration,
     /// Upper bound of the time without requests to an endpoint after failures.
     pub max_failure_backoff: Duration,
+    /// Share of errors among the recent answers of an endpoint from which it is ejected.
+    pub eject_error_share: f64,
+    /// Multiple of the share of errors of the whole service that an endpoint must exceed to be
+    /// ejected. Requests that fail everywhere then eject no endpoint.
+    pub eject_error_ratio: f64,
+    /// Upper bound of the time without requests to an endpoint after errors. It answers quickly, so
+    /// a trial costs little.
+    pub max_ejection: Duration,
     /// Time without requests to an endpoint that reported that it is full.
     pub full_backoff: Duration,
     /// Time without requests to an endpoint that has queued a request internally. Such an endpoint
@@ -33,6 +41,9 @@
             // A crashed endpoint restarts within seconds; a refused connection fails within 1 ms.
             failure_backoff: Duration::from_millis(400),
             max_failure_backoff: Duration::from_secs(3),
+            eject_error_share: 0.5,
+            eject_error_ratio: 2.0,
+            max_ejection: Duration::from_secs(2),
             full_backoff: Duration::from_millis(40),
             slow_backoff: Duration::from_millis(200),
             initial_hold_time: Duration::from_millis(500),
--- a/dogwoodtray_policy/src/placement/dispatcher.rs
+++ b/dogwoodtray_policy/src/placement/dispatcher.rs
@@ -46,7 +46,7 @@
 /// let start_by = now + Duration::from_millis(200);
 /// let class = Class::Online;
 /// let request =
-///     PlaceRequest { id, service, class, start_by, due: start_by, excluded: Vec::new() };
+///     PlaceRequest { id, service, class, start_by, due: start_by, repeatable: false, excluded: vec![] };
 /// let mut out = Vec::new();
 /// dispatcher.request_place(now, request, &mut out);
 /// assert_eq!(out, [PlaceAction::Grant { id, endpoint: Name::from("e1") }]);
--- a/dogwoodtray_policy/src/placement/endpoint.rs
+++ b/dogwoodtray_policy/src/placement/endpoint.rs
@@ -1,5 +1,7 @@
 //! State that the dispatcher keeps for one endpoint.
 
+use std::time::Duration;
+
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 
@@ -9,9 +11,17 @@
 /// Maximum number of doublings of the failure backoff; bounds the shift.
 const MAX_DOUBLINGS: u32 = 6;
 
-/// Concurrent requests at an endpoint that has not answered since its last failure.
+/// Concurrent requests at an endpoint that is on trial after failures or errors.
 const TRIAL_PLACES: u32 = 1;
 
+/// Weight of a new answer in the moving average of the share of errors of an endpoint. Two errors in
+/// a row exceed one half.
+const ERROR_WEIGHT: f64 = 0.3;
+
+/// Share of errors below which an ejected endpoint is used like all others again; three answers in a
+/// row after two errors.
+const READMIT_ERROR_SHARE: f64 = 0.2;
+
 /// Slots, usage and failure backoff of one endpoint.
 #[derive(Debug)]
 pub(super) struct Endpoint {
@@ -20,11 +30,20 @@
     pub(super) in_use: u32,
     consecutive_failures: u32,
     backoff_until: Timestamp,
+    /// Moving average of the share of errors among the answers.
+    error_share: f64,
 }
 
 impl Endpoint {
     pub(super) fn new(name: Name, slots: u32) -> Self {
-        Self { name, slots, in_use: 0, consecutive_failures: 0, backoff_until: Timestamp::ZERO }
+        Self {
+            name,
+            slots,
+            in_use: 0,
+            consecutive_failures: 0,
+            backoff_until: Timestamp::ZERO,
+            error_share: 0.0,
+        }
     }
 
     /// Returns the number of places that can be granted now.
@@ -42,11 +61,39 @@
         self.backoff_until = self.backoff_until.max(until);
     }
 
-    /// Returns `true` if the endpoint has not failed since its last answer.
+    /// Returns `true` if the endpoint is not on trial after failures or errors.
     pub(super) fn is_healthy(&self) -> bool {
         self.consecutive_failures == 0
     }
 
+    /// Returns `true` if the endpoint failed and may be tried with a request now.
+    pub(super) fn is_trial_due(&self, now: Timestamp) -> bool {
+        !self.is_healthy() && self.in_use == 0 && self.free_places(now) > 0
+    }
+
+    /// Returns the share of errors among the recent answers.
+    pub(super) const fn error_share(&self) -> f64 {
+        self.error_share
+    }
+
+    fn record_error(&mut self) {
+        self.error_share += ERROR_WEIGHT * (1.0 - self.error_share);
+    }
+
+    /// Stops requests to the endpoint after errors, for longer after each trial that fails.
+    pub(super) fn eject(&mut self, now: Timestamp, cfg: &DispatcherConfig) {
+        self.back_off(now, cfg.failure_backoff, cfg.max_ejection);
+    }
+
+    fn back_off(&mut self, now: Timestamp, first: Duration, max: Duration) {
+        // Requests that ran during a failure all report it; count it once.
+        if now >= self.backoff_until {
+            let backoff = first * (1 << self.consecutive_failures.min(MAX_DOUBLINGS));
+            self.backoff_until = now + backoff.min(max);
+            self.consecutive_failures += 1;
+        }
+    }
+
     /// Records how a request released its place.
     pub(super) fn record_outcome(
         &mut self,
@@ -56,21 +103,20 @@
     ) {
         match outcome {
             PlaceOutcome::Answered => {
+                self.error_share *= 1.0 - ERROR_WEIGHT;
                 if self.consecutive_failures > 0 {
-                    self.consecutive_failures = 0;
                     self.backoff_until = Timestamp::ZERO;
+                    // After errors, one answer is no proof: the endpoint may fail in part.
+                    if self.error_share < READMIT_ERROR_SHARE {
+                        self.consecutive_failures = 0;
+                    }
                 }
             }
             PlaceOutcome::Withdrawn => {}
+            PlaceOutcome::Errored => self.record_error(),
             PlaceOutcome::Full => self.back_off_until(now + cfg.full_backoff),
             PlaceOutcome::Failed => {
-                // Requests that ran during a failure all report it; count it once.
-                if now >= self.backoff_until {
-                    let backoff =
-                        cfg.failure_backoff * (1 << self.consecutive_failures.min(MAX_DOUBLINGS));
-                    self.backoff_until = now + backoff.min(cfg.max_failure_backoff);
-                    self.consecutive_failures += 1;
-                }
+                self.back_off(now, cfg.failure_backoff, cfg.max_failure_backoff);
             }
         }
     }
--- a/dogwoodtray_policy/src/placement/service.rs
+++ b/dogwoodtray_policy/src/placement/service.rs
@@ -29,6 +29,9 @@
     struct EndpointKey;
 }
 
+/// Weight of a new answer in the moving average of the share of errors of the service.
+const SERVICE_ERROR_WEIGHT: f64 = 0.01;
+
 /// A request that holds a place.
 #[derive(Debug)]
 struct HeldRequest {
@@ -70,6 +73,8 @@
     plan: BatchPlan,
     /// Moving average of the time that an answered online request held its place.
     mean_hold_time: Duration,
+    /// Moving average of the share of errors among the answers of all endpoints.
+    error_share: f64,
     /// Counter of grants, from which ties between endpoints are broken.
     round_robin_start: usize,
 }
@@ -84,6 +89,7 @@
             batch: BTreeMap::new(),
             plan: BatchPlan::default(),
             mean_hold_time: cfg.initial_hold_time,
+            error_share: 0.0,
             round_robin_start: 0,
         }
     }
@@ -150,6 +156,33 @@
         }
     }
 
+    /// Updates the share of errors of the service, and ejects an endpoint that fails far more
+    /// requests than the others. Failing fast, it would otherwise always have free places and draw
+    /// most of the requests.
+    fn record_answer(
+        &mut self,
+        now: Timestamp,
+        key: EndpointKey,
+        outcome: PlaceOutcome,
+        cfg: &DispatcherConfig,
+    ) {
+        let is_error = match outcome {
+            PlaceOutcome::Answered => 0.0,
+            PlaceOutcome::Errored => 1.0,
+            _ => return,
+        };
+        self.error_share += SERVICE_ERROR_WEIGHT * (is_error - self.error_share);
+        let ejected = self.endpoints.values().filter(|e| !e.is_healthy()).count();
+        let count = self.endpoints.len();
+        let Some(endpoint) = self.endpoints.get_mut(key) else { return };
+        // At most half of the endpoints: if more fail, the cause lies elsewhere.
+        let may_eject = !endpoint.is_healthy() || (ejected + 1) * 2 <= count;
+        let threshold = cfg.eject_error_share.max(cfg.eject_error_ratio * self.error_share);
+        if outcome == PlaceOutcome::Errored && may_eject && endpoint.error_share() >= threshold {
+            endpoint.eject(now, cfg);
+        }
+    }
+
     pub(super) fn on_failure(&mut self, now: Timestamp, endpoint: &str, cfg: &DispatcherConfig) {
         if let Some(key) = self.by_name.get(endpoint) {
             self.endpoints[*key].record_outcome(now, PlaceOutcome::Failed, cfg);
@@ -180,7 +213,7 @@
             return;
         }
         if self.online.is_empty()
-            && let Some(endpoint) = self.pick_endpoint(now, &request.excluded)
+            && let Some(endpoint) = self.pick_endpoint(now, &request)
         {
             self.grant(now, &request, endpoint, out);
             return;
@@ -235,6 +268,9 @@
                 endpoint.in_use = endpoint.in_use.saturating_sub(1);
                 endpoint.record_outcome(now, outcome, cfg);
             }
+            if let Some(key) = held.endpoint {
+                self.record_answer(now, key, outcome, cfg);
+            }
             if outcome == PlaceOutcome::Answered && held.class == Class::Online {
                 let observed = (now - held.granted_at).as_secs_f64();
                 let mean = self.mean_hold_time.as_secs_f64();
@@ -295,7 +331,7 @@
                 index += 1;
                 continue;
             }
-            let Some(endpoint) = self.pick_endpoint(now, &self.online[index].excluded) else {
+            let Some(endpoint) = self.pick_endpoint(now, &self.online[index]) else {
                 index += 1;
                 if self.free_places(now) == 0 {
                     return;
@@ -314,7 +350,7 @@
         self.renew_plan(now, available, out);
         for key in self.next_items(now, available) {
             let Some(request) = self.batch.remove(&key) else { continue };
-            match self.pick_endpoint(now, &request.excluded) {
+            match self.pick_endpoint(now, &request) {
                 Some(endpoint) => self.grant(now, &request, endpoint, out),
                 None => {
                     self.batch.insert(key, request);
@@ -422,9 +458,12 @@
 
     /// Returns the endpoint with the largest share of free places; ties are broken round-robin.
     /// Endpoints at which the request failed are skipped if the service has any other endpoint.
-    fn pick_endpoint(&self, now: Timestamp, excluded: &[Name]) -> Option<EndpointKey> {
+    /// Requests that may be repeated are the trials of endpoints that have failed; others are sent
+    /// there only if no other endpoint has a free place.
+    fn pick_endpoint(&self, now: Timestamp, request: &PlaceRequest) -> Option<EndpointKey> {
         let count = self.endpoints.len();
         let start = self.round_robin_start % count.max(1);
+        let excluded = &request.excluded;
         let has_alternative = self.endpoints.values().any(|e| !excluded.contains(&e.name));
         let round_robin_rank = |index: usize| (index + count - start) % count.max(1);
         self.endpoints
@@ -434,8 +473,9 @@
                 e.free_places(now) > 0 && !(has_alternative && excluded.contains(&e.name))
             })
             .max_by_key(|(index, (_, e))| {
+                let is_trial = request.repeatable && e.is_trial_due(now);
                 let share = u64::from(e.free_places(now)) * 1_000 / u64::from(e.slots.max(1));
-                (e.is_healthy(), share, round_robin_rank(*index))
+                (is_trial, e.is_healthy(), share, round_robin_rank(*index))
             })
             .map(|(_, (key, _))| key)
     }
--- a/dogwoodtray_policy/src/placement/types.rs
+++ b/dogwoodtray_policy/src/placement/types.rs
@@ -30,6 +30,8 @@
     pub start_by: Timestamp,
     /// Time by which the whole request is due.
     pub due: Timestamp,
+    /// Whether the request may be sent again after an endpoint has failed it.
+    pub repeatable: bool,
     /// Endpoints at which the request has already failed.
     pub excluded: Vec<Name>,
 }
@@ -45,6 +47,8 @@
     Full,
     /// The endpoint was unreachable or aborted the exchange.
     Failed,
+    /// The endpoint answered that it failed.
+    Errored,
 }
 
 /// Capacity of one endpoint.
--- a/dogwoodtray_policy/tests/placement.rs
+++ b/dogwoodtray_policy/tests/placement.rs
@@ -54,6 +54,7 @@
             class,
             start_by: self.now + OBJECTIVE,
             due: self.now + Duration::from_secs(18),
+            repeatable: false,
             excluded: excluded.iter().map(|name| Name::from(*name)).collect(),
         };
         self.dispatcher.request_place(self.now, request, &mut out);
@@ -159,6 +160,7 @@
             class: Class::Batch,
             start_by: Timestamp::ZERO + Duration::from_secs(start_s),
             due: Timestamp::ZERO + Duration::from_secs(due_s),
+            repeatable: false,
             excluded: Vec::new(),
         };
         self.dispatcher.request_place(self.now, request, &mut out);
--- a/dogwoodtray_policy/tests/placement_overload.rs
+++ b/dogwoodtray_policy/tests/placement_overload.rs
@@ -102,6 +102,7 @@
             class: work.class,
             start_by,
             due: work.due,
+            repeatable: false,
             excluded: Vec::new(),
         };
         let mut out = Vec::new();
