Limit what an endpoint may send without end, and count events as progress

Cause: the event parsers of the gateway and the agent kept an incomplete event without a limit and searched it from its first byte at each read; each byte restarted the idle timeout of a stream, and a sound stream was cut after 600 ms even if it could not be resumed.

Change: one EventSplitter in the runtime crate for both, with a limit of 256 KiB an event, that searches each byte once; stated limits for heads (64 KiB) and for the output of items (512 KiB); idle timeouts run from the last event, double with each interruption, and are 2 s at the last attempt.

Measured: tests over real sockets with endpoints that send headers, informational responses, events and excess bytes until their connection is closed, or a byte each 50 ms; all requests were served elsewhere within 3 s and the endpoints sent under 8 MiB.

--- a/dogwoodtray_agent/src/shell/endpoint.rs
+++ b/dogwoodtray_agent/src/shell/endpoint.rs
@@ -25,10 +25,13 @@
 
 use super::EndpointKind;
 use super::service::AgentServiceEvent;
-use super::sse::EventSplitter;
+use super::sse::TokenCounter;
 use crate::core::EndpointEvent;
 use crate::core::Work;
 
+/// Maximum size of the head of a response. An endpoint that sends more is treated as broken.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -62,6 +65,7 @@
         connector.set_connect_timeout(Some(HEALTH_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
         Self { addr, kind, runtime, client, mailbox, abort_handles: HashMap::new() }
     }
@@ -162,7 +166,7 @@
     }
 
     async fn read_body(&self, mut body: Incoming, is_event_stream: bool) -> EndpointEvent {
-        let mut splitter = EventSplitter::default();
+        let mut counter = TokenCounter::default();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
                 return EndpointEvent::ConnectionLost;
@@ -170,11 +174,19 @@
             let Ok(data) = frame.into_data() else { continue };
             if !is_event_stream {
                 self.send_event(EndpointEvent::Data { data, tokens: 0 });
-            } else if let Some((data, tokens)) = splitter.push(&data) {
-                self.send_event(EndpointEvent::Data { data, tokens });
+                continue;
+            }
+            match counter.push(&data) {
+                Ok(Some((data, tokens))) => self.send_event(EndpointEvent::Data { data, tokens }),
+                Ok(None) => {}
+                Err(err) => {
+                    log::warn!("endpoint {} broke the protocol: {err}", self.addr);
+                    metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
+                    return EndpointEvent::ConnectionLost;
+                }
             }
         }
-        if let Some(data) = splitter.finish() {
+        if let Some(data) = counter.finish() {
             self.send_event(EndpointEvent::Data { data, tokens: 0 });
         }
         EndpointEvent::ResponseEnd
--- a/dogwoodtray_agent/src/shell/sse.rs
+++ b/dogwoodtray_agent/src/shell/sse.rs
@@ -2,40 +2,39 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-
-const EVENT_DELIMITER: &[u8] = b"\n\n";
+use dogwoodtray_runtime::EventSplitter;
+use dogwoodtray_runtime::EventTooLarge;
 
 /// Key of the events that count as tokens. The event with the finish reason does not have it.
 const CONTENT_KEY: &[u8] = b"\"content\":";
 
-/// Splits a stream into complete events, so that a broken stream never ends in a partial token.
+/// Counts the tokens of the complete events of a stream, so that a broken stream never ends in a
+/// partial token.
 #[derive(Debug, Default)]
-pub(super) struct EventSplitter {
-    pending: BytesMut,
+pub(super) struct TokenCounter {
+    splitter: EventSplitter,
 }
 
-impl EventSplitter {
+impl TokenCounter {
     /// Appends data and returns the completed events with the number of tokens in them.
-    pub(super) fn push(&mut self, data: &[u8]) -> Option<(Bytes, u32)> {
-        self.pending.extend_from_slice(data);
-        let mut end = 0;
+    pub(super) fn push(&mut self, data: &[u8]) -> Result<Option<(Bytes, u32)>, EventTooLarge> {
+        self.splitter.push(data);
+        let mut events = BytesMut::new();
         let mut tokens = 0;
-        while let Some(length) = find(&self.pending[end..], EVENT_DELIMITER) {
-            let event = &self.pending[end..end + length];
-            if event.starts_with(b"data:") && find(event, CONTENT_KEY).is_some() {
-                tokens += 1;
-            }
-            end += length + EVENT_DELIMITER.len();
+        while let Some(event) = self.splitter.next_event()? {
+            tokens += u32::from(is_token(&event));
+            events.extend_from_slice(&event);
         }
-        (end > 0).then(|| (self.pending.split_to(end).freeze(), tokens))
+        Ok((!events.is_empty()).then(|| (events.freeze(), tokens)))
     }
 
     /// Returns the remaining data at the end of the stream.
     pub(super) fn finish(&mut self) -> Option<Bytes> {
-        (!self.pending.is_empty()).then(|| self.pending.split().freeze())
+        self.splitter.take_rest()
     }
 }
 
-fn find(data: &[u8], pattern: &[u8]) -> Option<usize> {
-    data.windows(pattern.len()).position(|window| window == pattern)
+fn is_token(event: &[u8]) -> bool {
+    event.starts_with(b"data:")
+        && event.windows(CONTENT_KEY.len()).any(|window| window == CONTENT_KEY)
 }
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -8,6 +8,7 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
+use dogwoodtray_runtime::EventTooLarge;
 use dogwoodtray_runtime::catalogue;
 use http_body_util::BodyExt;
 use hyper::Method;
@@ -16,9 +17,11 @@
 use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use quick_error::quick_error;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use super::job::Job;
 use super::progress::Progress;
@@ -39,6 +42,9 @@
 /// 30 ms, and the prefill of a resumed item, over its prompt and its output, takes at most 100 ms.
 const ITEM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum size of the output of an item. Results are stored in objects of at most 1 MB.
+const MAX_OUTPUT_BYTES: usize = 512 * 1024;
+
 /// Initial limit on the wait for the response head of an item. A later head means that the item is
 /// queued in the endpoint behind other work, where it would delay online requests. The limit
 /// doubles on each timeout, in case all endpoints are slow.
@@ -291,8 +297,11 @@
 ) -> (RunOutcome, PlaceOutcome, String) {
     let mut parser = EventParser::default();
     let mut last_replicated = Instant::now();
+    // Bytes that complete no event are no progress.
+    let mut last_event_at = Instant::now();
     loop {
-        let (place_outcome, reason) = match timeout(ITEM_IDLE_TIMEOUT, body.frame()).await {
+        let idle_until = last_event_at + ITEM_IDLE_TIMEOUT;
+        let (place_outcome, reason) = match timeout_at(idle_until, body.frame()).await {
             Ok(None) if parser.has_partial_event() => {
                 (PlaceOutcome::Withdrawn, "part of an event".to_owned())
             }
@@ -302,29 +311,57 @@
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue };
                 parser.push(&data);
-                if append_events(&mut parser, &mut progress.borrow_mut()) {
+                let appended = append_events(&mut parser, &mut progress.borrow_mut());
+                if let Ok(count) = appended {
+                    if count > 0 {
+                        last_event_at = Instant::now();
+                    }
                     if last_replicated.elapsed() >= REPLICATION_INTERVAL {
                         last_replicated = Instant::now();
                         replicate_output();
                     }
                     continue;
                 }
+                let error = appended.err().map(|error| error.to_string()).unwrap_or_default();
+                metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
                 progress.replace(Progress::default());
-                (PlaceOutcome::Withdrawn, "events are missing".to_owned())
+                (PlaceOutcome::Errored, error)
             }
         };
         return (RunOutcome::Interrupted, place_outcome, reason);
     }
 }
 
-/// Appends all complete events to the output. Returns `false` if events are missing.
-fn append_events(parser: &mut EventParser, progress: &mut Progress) -> bool {
-    while let Some(event) = parser.next_event() {
+quick_error! {
+    /// Reason why the events of an endpoint cannot be used.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    enum EventError {
+        Missing {
+            display("events are missing")
+        }
+        TooLarge(err: EventTooLarge) {
+            display("{err}")
+            from()
+        }
+        OutputTooLarge {
+            display("the output exceeds {MAX_OUTPUT_BYTES} bytes")
+        }
+    }
+}
+
+/// Appends all complete events to the output and returns their number.
+fn append_events(parser: &mut EventParser, progress: &mut Progress) -> Result<usize, EventError> {
+    let mut count = 0;
+    while let Some(event) = parser.next_event()? {
         if !progress.append(event.id(), event.data()) {
-            return false;
+            return Err(EventError::Missing);
         }
+        count += 1;
+    }
+    if progress.output_bytes() > MAX_OUTPUT_BYTES {
+        return Err(EventError::OutputTooLarge);
     }
-    true
+    Ok(count)
 }
 
 fn build_endpoint_request(node: &Node, job: &Job, item: &JobItem) -> Option<EndpointRequest> {
--- a/dogwoodtray_gateway/src/driver/progress.rs
+++ b/dogwoodtray_gateway/src/driver/progress.rs
@@ -7,12 +7,15 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Progress {
     data: Vec<String>,
+    /// Size of `data`.
+    bytes: usize,
     last_event_id: Option<u64>,
 }
 
 impl Progress {
-    pub(super) const fn new(data: Vec<String>, last_event_id: u64) -> Self {
-        Self { data, last_event_id: Some(last_event_id) }
+    pub(super) fn new(data: Vec<String>, last_event_id: u64) -> Self {
+        let bytes = data.iter().map(String::len).sum();
+        Self { data, bytes, last_event_id: Some(last_event_id) }
     }
 
     /// Returns the id of the last event.
@@ -20,6 +23,11 @@
         self.last_event_id
     }
 
+    /// Returns the size of the output in bytes.
+    pub(super) const fn output_bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the number of events with data.
     pub(super) const fn event_count(&self) -> usize {
         self.data.len()
@@ -36,6 +44,7 @@
             }
         }
         self.last_event_id = id.or(self.last_event_id);
+        self.bytes += data.as_ref().map_or(0, String::len);
         self.data.extend(data);
         true
     }
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -117,6 +117,11 @@
         self.possible_runs < self.route.max_attempts && !self.remaining().is_zero()
     }
 
+    /// Returns `true` if the request may be sent only once more after endpoints may have run it.
+    pub(crate) const fn is_last(&self) -> bool {
+        self.possible_runs + 1 >= self.route.max_attempts
+    }
+
     /// Sends the request to one endpoint after another until one runs it. `head_timeout` limits the
     /// wait for the head of each response.
     pub(crate) async fn execute(
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Sender;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use super::attempt::AttemptError;
@@ -23,10 +24,15 @@
 use crate::net::UpstreamBody;
 use crate::places::PlacePermit;
 
-/// Time without data after which a stream is resumed at another endpoint. Events arrive every
-/// 30 ms. Callers accept gaps of at least 400 ms, and resuming a stream takes about 50 ms.
+/// Time without an event after which a stream is resumed at another endpoint. Events arrive every
+/// 30 ms. Callers accept gaps of at least 400 ms, and resuming a stream takes about 50 ms. The time
+/// doubles with each interruption, in case all endpoints are slow.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time without an event after which a stream that cannot be resumed again is given up. Callers
+/// abandon a stream after such a gap at the earliest.
+const LAST_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Capacity of the channel to the caller, in groups of events.
 const EVENT_CHANNEL_CAPACITY: usize = 64;
 
@@ -37,13 +43,13 @@
     /// The caller disconnected.
     CallerDisconnected,
     /// The exchange failed or timed out.
-    Interrupted,
+    Interrupted(&'static str),
 }
 
 /// Serves a stream. The caller receives the response head of the first endpoint that succeeds.
 pub(crate) async fn serve(mut attempts: Attempts) -> GatewayResponse {
     loop {
-        match attempts.execute(None, Some(STREAM_IDLE_TIMEOUT)).await {
+        match attempts.execute(None, Some(head_timeout(&attempts))).await {
             Ok((exchange, permit)) if exchange.parts.status.is_success() => {
                 return start_stream(attempts, exchange, permit);
             }
@@ -61,6 +67,11 @@
     }
 }
 
+/// Returns the time that the next attempt has until the head of its response.
+const fn head_timeout(attempts: &Attempts) -> Duration {
+    if attempts.is_last() { LAST_IDLE_TIMEOUT } else { STREAM_IDLE_TIMEOUT }
+}
+
 /// Starts the task that forwards the events, and returns the response with its channel.
 fn start_stream(
     mut attempts: Attempts,
@@ -88,16 +99,21 @@
     tx: &Sender<Result<Bytes, BodyError>>,
 ) {
     let mut last_event_id = None;
+    let mut idle_timeout = STREAM_IDLE_TIMEOUT;
     loop {
-        match forward_events(attempts, body, &mut last_event_id, tx).await {
+        // A slow but sound stream is not cut if it cannot be resumed.
+        let limit = if attempts.may_retry() { idle_timeout } else { LAST_IDLE_TIMEOUT };
+        match forward_events(attempts, body, &mut last_event_id, limit, tx).await {
             ExchangeOutcome::Completed => {
                 permit.set_outcome(PlaceOutcome::Answered);
                 return attempts.trace.finish("answered");
             }
             ExchangeOutcome::CallerDisconnected => return attempts.trace.finish("caller gone"),
-            ExchangeOutcome::Interrupted => {}
+            ExchangeOutcome::Interrupted(reason) => {
+                attempts.trace.log_retry(&permit.endpoint, &reason);
+            }
         }
-        attempts.trace.log_retry(&permit.endpoint, &"stream broken off");
+        idle_timeout *= 2;
         drop(permit);
         match resume(attempts, last_event_id).await {
             Some(resumed) => (body, permit) = resumed,
@@ -117,7 +133,7 @@
     last_event_id: Option<u64>,
 ) -> Option<(UpstreamBody, PlacePermit)> {
     while attempts.may_retry() {
-        match attempts.execute(last_event_id, Some(STREAM_IDLE_TIMEOUT)).await {
+        match attempts.execute(last_event_id, Some(head_timeout(attempts))).await {
             Ok((exchange, permit)) if exchange.parts.status.is_success() => {
                 return Some((exchange.body, permit));
             }
@@ -131,29 +147,42 @@
     None
 }
 
-/// Forwards complete events until the exchange ends. Drops an incomplete event at its end.
+/// Forwards complete events until the exchange ends, or until no event is completed within
+/// `idle_timeout`. Drops an incomplete event at its end.
 async fn forward_events(
     attempts: &mut Attempts,
     mut body: UpstreamBody,
     last_event_id: &mut Option<u64>,
+    idle_timeout: Duration,
     tx: &Sender<Result<Bytes, BodyError>>,
 ) -> ExchangeOutcome {
     let mut parser = EventParser::default();
+    let mut last_event_at = Instant::now();
     loop {
-        let limit = attempts.remaining().min(STREAM_IDLE_TIMEOUT);
+        // Bytes that complete no event are no progress.
+        let limit = attempts.remaining().min(idle_timeout.saturating_sub(last_event_at.elapsed()));
         let frame = match timeout(limit, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) if !parser.has_partial_event() => return ExchangeOutcome::Completed,
-            Ok(Some(Err(_)) | None) | Err(_) => return ExchangeOutcome::Interrupted,
+            Ok(Some(Err(_)) | None) => return ExchangeOutcome::Interrupted("stream broken off"),
+            Err(_) => return ExchangeOutcome::Interrupted("no event in time"),
         };
         let Ok(data) = frame.into_data() else { continue };
         attempts.trace.on_data();
         parser.push(&data);
         let mut events = bytes::BytesMut::new();
-        while let Some(event) = parser.next_event() {
-            if let Some(id) = event.id() {
-                *last_event_id = Some(id);
-            }
+        loop {
+            let event = match parser.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(err) => {
+                    log::warn!("endpoint broke the protocol in request {}: {err}", attempts.id);
+                    metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
+                    return ExchangeOutcome::Interrupted("event without end");
+                }
+            };
+            last_event_at = Instant::now();
+            *last_event_id = event.id().or(*last_event_id);
             events.extend_from_slice(&event.raw);
         }
         if !events.is_empty() && tx.send(Ok(events.freeze())).await.is_err() {
--- a/dogwoodtray_gateway/src/net/events.rs
+++ b/dogwoodtray_gateway/src/net/events.rs
@@ -1,9 +1,8 @@
 //! Parsing of server-sent event streams.
 
 use bytes::Bytes;
-use bytes::BytesMut;
-
-const EVENT_SEPARATOR: &[u8] = b"\n\n";
+use dogwoodtray_runtime::EventSplitter;
+use dogwoodtray_runtime::EventTooLarge;
 
 /// One complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,32 +58,33 @@
 ///
 /// let mut parser = EventParser::default();
 /// parser.push(b"id: 4\ndata: ab\n\nid: 5\nda");
-/// let event = parser.next_event().unwrap();
+/// let event = parser.next_event().unwrap().unwrap();
 /// assert_eq!((event.id(), event.data().as_deref()), (Some(4), Some("ab")));
-/// assert!(parser.next_event().is_none());
+/// assert!(parser.next_event().unwrap().is_none());
 /// ```
 #[derive(Debug, Default)]
 pub struct EventParser {
-    buf: BytesMut,
+    splitter: EventSplitter,
 }
 
 impl EventParser {
     /// Appends bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buf.extend_from_slice(bytes);
+        self.splitter.push(bytes);
     }
 
     /// Returns the next complete event.
-    pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end =
-            self.buf.windows(EVENT_SEPARATOR.len()).position(|window| window == EVENT_SEPARATOR)?;
-        let raw = self.buf.split_to(end + EVENT_SEPARATOR.len()).freeze();
-        Some(StreamEvent { raw })
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event has no end within the limit of [`EventSplitter`].
+    pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLarge> {
+        Ok(self.splitter.next_event()?.map(|raw| StreamEvent { raw }))
     }
 
     /// Returns `true` if an incomplete event is buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        !self.buf.is_empty()
+        self.splitter.has_partial_event()
     }
 }
--- a/dogwoodtray_gateway/src/net/upstream.rs
+++ b/dogwoodtray_gateway/src/net/upstream.rs
@@ -34,6 +34,9 @@
 /// Time after which the kernel closes a connection whose peer does not acknowledge data.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum size of the head of a response, including informational ones before it.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 type Connection = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
 
 quick_error! {
@@ -75,7 +78,8 @@
     req: Request<Full<Bytes>>,
 ) -> Result<Exchange, SendError> {
     let stream = connect(addr).await.map_err(SendError::NotSent)?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake.await.map_err(SendError::Lost)?;
     let mut connection = Box::pin(connection);
     let mut is_open = true;
--- /dev/null
+++ b/dogwoodtray_gateway/tests/endless.rs
@@ -0,0 +1,270 @@
+//! Tests of endpoints that send bytes that are no answer, without end, and of slow and stalled
+//! streams.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod support;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::StatusCode;
+use support::Behavior;
+use support::Site;
+use support::TestResponse;
+use support::run_local;
+use support::submission;
+use support::wait_until;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Maximum number of bytes that an endpoint can send before its connection is closed: the limit of
+/// the gateway, and what the sockets on both sides buffer.
+const MAX_SENT_BYTES: usize = 8 << 20;
+
+/// Head of a response to `id`, up to the body.
+fn head(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-stamp: s1\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
+
+/// What a [`RawEndpoint`] repeats until its connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Noise {
+    /// Headers of a response.
+    Headers,
+    /// Whole informational responses.
+    Informational,
+    /// Data of an event that does not end.
+    Event,
+    /// One byte of an event each 50 ms, after a first event.
+    Trickle,
+    /// Bytes after a complete response.
+    Excess,
+}
+
+/// Endpoint that sends bytes without end.
+struct RawEndpoint {
+    sent: Rc<Cell<usize>>,
+    /// Number of connections, and of those that the other side has closed.
+    connections: Rc<Cell<usize>>,
+    closed: Rc<Cell<usize>>,
+}
+
+impl RawEndpoint {
+    /// Starts an endpoint of the service `engine` and registers it under `id`.
+    async fn start(site: &Site, id: &str, noise: Noise) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let endpoint =
+            Self { sent: Rc::default(), connections: Rc::default(), closed: Rc::default() };
+        let (sent, connections, closed) = (
+            Rc::clone(&endpoint.sent),
+            Rc::clone(&endpoint.connections),
+            Rc::clone(&endpoint.closed),
+        );
+        spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                connections.set(connections.get() + 1);
+                let (sent, closed) = (Rc::clone(&sent), Rc::clone(&closed));
+                spawn_local(async move {
+                    send_noise(stream, noise, &sent).await;
+                    closed.set(closed.get() + 1);
+                });
+            }
+        });
+        let entry = format!(
+            r#"{{"service":"engine","address":"{addr}","zone":"z1","version":"v1","slots":8,
+            "state":"ready","cold-left-ms":0,"sequence":1}}"#
+        );
+        site.store.put("servers", id, &entry);
+        endpoint
+    }
+}
+
+/// Reads a request and returns its id.
+async fn read_id(stream: &mut TcpStream) -> Option<String> {
+    let mut request = Vec::new();
+    while !request.windows(4).any(|window| window == b"\r\n\r\n") {
+        let mut buf = [0; 1024];
+        let count = stream.read(&mut buf).await.ok().filter(|count| *count > 0)?;
+        request.extend_from_slice(&buf[..count]);
+    }
+    let text = String::from_utf8_lossy(&request).into_owned();
+    let id = text.lines().find_map(|line| line.strip_prefix("attempt-id: "))?;
+    Some(id.trim().to_owned())
+}
+
+async fn send_noise(mut stream: TcpStream, noise: Noise, sent: &Cell<usize>) {
+    let Some(id) = read_id(&mut stream).await else { return };
+    let filler = "a".repeat(4_000);
+    let (first, repeated) = match noise {
+        Noise::Headers => {
+            ("HTTP/1.1 200 OK\r\n".into(), format!("x-filler: {filler}\r\n").into_bytes())
+        }
+        Noise::Informational => (Vec::new(), b"HTTP/1.1 103 Early Hints\r\n\r\n".to_vec()),
+        Noise::Event => {
+            let mut first = head(&id).into_bytes();
+            first.extend(chunk("id: 1\ndata: "));
+            (first, chunk(&filler))
+        }
+        Noise::Trickle => {
+            let mut first = head(&id).into_bytes();
+            first.extend(chunk("id: 1\ndata: e1\n\nid: 2\ndata: "));
+            (first, chunk("a"))
+        }
+        Noise::Excess => {
+            let mut first = head(&id).into_bytes();
+            first.extend(chunk("id: 1\ndata: e1\n\n"));
+            first.extend_from_slice(b"0\r\n\r\n");
+            (first, filler.into_bytes())
+        }
+    };
+    if stream.write_all(&first).await.is_err() {
+        return;
+    }
+    while stream.write_all(&repeated).await.is_ok() {
+        sent.set(sent.get() + repeated.len());
+        if noise == Noise::Trickle {
+            sleep(Duration::from_millis(50)).await;
+        }
+        // Lets the gateway run, which shares the thread.
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Sends requests until one has reached the endpoint, and returns its response.
+async fn post_to_noise(site: &Site, endpoint: &RawEndpoint, path: &str) -> TestResponse {
+    for number in 0..100 {
+        let response = site.post(path, &format!("r{number}"), "slip").await;
+        if endpoint.connections.get() > 0 {
+            return response;
+        }
+    }
+    panic!("no request reached the endpoint");
+}
+
+async fn wait_until_closed(endpoint: &RawEndpoint) {
+    let is_closed =
+        || endpoint.connections.get() > 0 && endpoint.connections.get() == endpoint.closed.get();
+    wait_until("the connection is closed", is_closed).await;
+    assert!(endpoint.sent.get() <= MAX_SENT_BYTES, "{} bytes sent", endpoint.sent.get());
+}
+
+/// Guards against heads, informational responses and events without end that fill the memory or
+/// keep the request from another endpoint.
+#[test]
+fn a_stream_moves_away_from_bytes_without_end() {
+    for noise in [Noise::Headers, Noise::Informational, Noise::Event] {
+        run_local(async {
+            let (site, _endpoint, _running) = Site::with_processes("engine", 2).await;
+            let noisy = RawEndpoint::start(&site, "e2", noise).await;
+            let started = Instant::now();
+            let response = post_to_noise(&site, &noisy, "/resume/x").await;
+            assert_eq!((response.status, response.complete), (StatusCode::OK, true), "{noise:?}");
+            assert!(started.elapsed() < Duration::from_secs(3), "{noise:?}");
+            wait_until_closed(&noisy).await;
+        });
+    }
+}
+
+/// Guards against a request that must not run twice and that is answered with bytes without end: it
+/// is not sent again, and its caller gets no success.
+#[test]
+fn a_non_idempotent_request_ends_at_bytes_without_end() {
+    run_local(async {
+        let site = Site::new();
+        let noisy = RawEndpoint::start(&site, "e1", Noise::Headers).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        let response = post_to_noise(&site, &noisy, "/stream/x").await;
+        assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+        assert_eq!(noisy.connections.get(), 1);
+        wait_until_closed(&noisy).await;
+    });
+}
+
+/// Guards against bytes after a complete response that reach a caller, or that keep the connection
+/// and its place.
+#[test]
+fn bytes_after_a_complete_response_are_dropped() {
+    run_local(async {
+        let site = Site::new();
+        let noisy = RawEndpoint::start(&site, "e1", Noise::Excess).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for path in ["/stream/x", "/resume/x"] {
+            let response = post_to_noise(&site, &noisy, path).await;
+            assert_eq!((response.status, response.complete), (StatusCode::OK, true));
+            assert_eq!(response.body, "id: 1\ndata: e1\n\n");
+        }
+        wait_until_closed(&noisy).await;
+    });
+}
+
+/// Guards against an item that stays at an endpoint that sends an event without end.
+#[test]
+fn an_item_moves_away_from_an_event_without_end() {
+    run_local(async {
+        let (site, _endpoint, _running) = Site::with_processes("engine", 2).await;
+        let noisy = RawEndpoint::start(&site, "e2", Noise::Event).await;
+        let ids: Vec<String> = (0..6).map(|number| format!("i{number}")).collect();
+        let items: Vec<&str> = ids.iter().map(String::as_str).collect();
+        site.post("/job/x", "j1", &submission(&items)).await;
+        let is_done = async {
+            loop {
+                let page = site.get("/api/lots/j1?after=0").await;
+                if page.body.matches("completed").count() == ids.len() {
+                    break;
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(20), is_done).await.unwrap();
+        wait_until_closed(&noisy).await;
+    });
+}
+
+/// Guards against a stalled stream that never ends because its endpoint sends a byte now and then.
+#[test]
+fn a_stalled_stream_moves_although_bytes_arrive() {
+    run_local(async {
+        let (site, _endpoint, _running) = Site::with_processes("engine", 2).await;
+        let stalled = RawEndpoint::start(&site, "e2", Noise::Trickle).await;
+        let started = Instant::now();
+        let response = post_to_noise(&site, &stalled, "/resume/x").await;
+        assert_eq!((response.status, response.complete), (StatusCode::OK, true));
+        assert_eq!(response.body, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n");
+        assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+        wait_until_closed(&stalled).await;
+    });
+}
+
+/// Guards against a slow but sound stream that is cut although nothing better is free, with
+/// endpoints that take 20 and 30 times as long for an event.
+#[test]
+fn a_slow_stream_is_completed_if_all_endpoints_are_slow() {
+    for pause_ms in [600, 900] {
+        run_local(async {
+            let (site, endpoint, _running) = Site::with_processes("engine", 2).await;
+            let pause = Duration::from_millis(pause_ms);
+            *endpoint.default_behavior.borrow_mut() = Behavior::Stream { to: 3, pause };
+            let response = site.post("/resume/x", "r1", "slip").await;
+            assert_eq!((response.status, response.complete), (StatusCode::OK, true));
+            assert_eq!(response.body.matches("data: ").count(), 3, "{}", response.body);
+        });
+    }
+}
--- /dev/null
+++ b/dogwoodtray_runtime/src/event_splitter.rs
@@ -0,0 +1,81 @@
+//! Splitting of server-sent event streams into events.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use quick_error::quick_error;
+
+const EVENT_SEPARATOR: &[u8] = b"\n\n";
+
+/// Maximum size of an event in bytes. Events of engines hold a few tokens; a peer that sends bytes
+/// without the end of an event must not fill the memory.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+quick_error! {
+    /// Error of a stream that contains an event above [`MAX_EVENT_BYTES`].
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum EventTooLarge {
+        /// The event has no end within the limit.
+        NoEnd {
+            display("an event exceeds {MAX_EVENT_BYTES} bytes")
+        }
+    }
+}
+
+/// Splits a stream of server-sent events into complete events. An incomplete event is buffered until
+/// its end arrives, and each byte is searched once.
+///
+/// # Examples
+///
+/// ```
+/// use dogwoodtray_runtime::EventSplitter;
+///
+/// let mut splitter = EventSplitter::default();
+/// splitter.push(b"data: a\n\ndata");
+/// assert_eq!(splitter.next_event().unwrap().unwrap(), "data: a\n\n");
+/// assert_eq!(splitter.next_event(), Ok(None));
+/// assert_eq!(splitter.take_rest().unwrap(), "data");
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buf: BytesMut,
+    /// Number of bytes at the start of `buf` that contain no end of an event.
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Appends bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Returns the next complete event with its separator, or `None` until more bytes arrive.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the incomplete event exceeds [`MAX_EVENT_BYTES`]. The stream is unusable
+    /// then.
+    pub fn next_event(&mut self) -> Result<Option<Bytes>, EventTooLarge> {
+        // The separator may have begun in the bytes that were searched before.
+        let from = self.searched.saturating_sub(EVENT_SEPARATOR.len() - 1);
+        let mut windows = self.buf[from..].windows(EVENT_SEPARATOR.len());
+        if let Some(position) = windows.position(|window| window == EVENT_SEPARATOR) {
+            self.searched = 0;
+            let end = from + position + EVENT_SEPARATOR.len();
+            return Ok(Some(self.buf.split_to(end).freeze()));
+        }
+        self.searched = self.buf.len();
+        if self.buf.len() > MAX_EVENT_BYTES { Err(EventTooLarge::NoEnd) } else { Ok(None) }
+    }
+
+    /// Returns `true` if an incomplete event is buffered.
+    #[must_use]
+    pub fn has_partial_event(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Returns the bytes after the last complete event, at the end of the stream.
+    pub fn take_rest(&mut self) -> Option<Bytes> {
+        self.searched = 0;
+        (!self.buf.is_empty()).then(|| self.buf.split().freeze())
+    }
+}
--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -5,6 +5,7 @@
 //! the sockets and send events to the mailboxes of services.
 
 mod convert;
+mod event_splitter;
 mod events;
 mod link;
 mod log_writer;
@@ -16,6 +17,9 @@
 pub use crate::convert::config_set;
 pub use crate::convert::suspicions_from_wire;
 pub use crate::convert::suspicions_to_wire;
+pub use crate::event_splitter::EventSplitter;
+pub use crate::event_splitter::EventTooLarge;
+pub use crate::event_splitter::MAX_EVENT_BYTES;
 pub use crate::events::EventCode;
 pub use crate::events::EventLog;
 pub use crate::events::EventRecord;
--- /dev/null
+++ b/dogwoodtray_runtime/tests/event_splitter.rs
@@ -0,0 +1,62 @@
+//! Tests of the splitting of event streams.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use dogwoodtray_runtime::EventSplitter;
+use dogwoodtray_runtime::EventTooLarge;
+use dogwoodtray_runtime::MAX_EVENT_BYTES;
+use quickcheck::quickcheck;
+
+/// Returns all complete events and the rest of a stream that arrives in parts of these sizes.
+fn split(stream: &[u8], sizes: &[usize]) -> (Vec<Vec<u8>>, Vec<u8>) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    let mut rest = stream;
+    let mut sizes = sizes.iter().cycle();
+    while !rest.is_empty() {
+        let size = sizes.next().copied().unwrap_or(1).clamp(1, rest.len());
+        splitter.push(&rest[..size]);
+        rest = &rest[size..];
+        while let Some(event) = splitter.next_event().unwrap() {
+            events.push(event.to_vec());
+        }
+    }
+    (events, splitter.take_rest().map(|rest| rest.to_vec()).unwrap_or_default())
+}
+
+/// Returns the events and the rest of a whole stream, one byte after the other.
+fn split_naively(stream: &[u8]) -> (Vec<Vec<u8>>, Vec<u8>) {
+    let (mut events, mut event) = (Vec::new(), Vec::new());
+    for byte in stream {
+        event.push(*byte);
+        if event.ends_with(b"\n\n") {
+            events.push(std::mem::take(&mut event));
+        }
+    }
+    (events, event)
+}
+
+quickcheck! {
+    /// Guards against events that depend on how the stream is divided into parts, such as one whose
+    /// separator arrives in two parts.
+    fn events_do_not_depend_on_the_parts(stream: Vec<bool>, sizes: Vec<usize>) -> bool {
+        let stream: Vec<u8> =
+            stream.into_iter().map(|is_end| if is_end { b'\n' } else { b'a' }).collect();
+        let sizes: Vec<usize> = sizes.into_iter().map(|size| size % 5 + 1).collect();
+        split(&stream, &sizes) == split_naively(&stream)
+    }
+}
+
+/// Guards against an event without end that fills the memory, or that is searched again from its
+/// start with each part, which takes time that grows with the square of its length.
+#[test]
+fn an_event_without_end_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    let part = [b'a'; 64];
+    for _ in 0..MAX_EVENT_BYTES / part.len() {
+        splitter.push(&part);
+        assert_eq!(splitter.next_event(), Ok(None));
+    }
+    splitter.push(b"a");
+    assert_eq!(splitter.next_event(), Err(EventTooLarge::NoEnd));
+}
