Let three drivers watch the jobs for all

Cause: every driver watched the submissions, their status and the cancellations of all jobs, so each change of a job was answered to 18 drivers on the large site, and each answer is a counted call.

Change: the first three drivers by rendezvous hashing watch for all. Gateways and watchers tell the owner of a job over their links, watchers tell again when the owner or its link changes, and relay cancellations. A driver that does not watch drives only jobs that it was told to drive. Output that is replicated before the job is known is kept for 30 s. Submissions are read from the memory of a watcher while the store is down. Jobs are admitted by the first watcher.

Ruled out: one watcher with a stand-by, submissions over links (docs/platform.md).

--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -23,6 +23,8 @@
 use tokio::time::timeout;
 
 use crate::driver::BATCH_KINDS;
+use crate::driver::JOBS_KIND;
+use crate::driver::WATCHERS_KEY;
 use crate::node::Node;
 use crate::node::NodeRole;
 
@@ -106,7 +108,7 @@
             }
             Kind::JobCancelled(cancelled) => {
                 if let Some(driver) = self.driver.get() {
-                    driver.cancel_job(Name::from(cancelled.job));
+                    driver.cancel_job(self.now(), Name::from(cancelled.job));
                 }
             }
             Kind::JobAdmit(admit) => {
@@ -122,7 +124,7 @@
             }
             Kind::ItemProgress(progress) => {
                 if let Some(driver) = self.driver.get() {
-                    driver.on_item_progress(progress);
+                    driver.on_item_progress(self.now(), progress);
                 }
             }
             Kind::StoreRead(read) => {
@@ -156,7 +158,7 @@
 
     async fn read_for_peer(&self, read: messages::StoreRead) -> messages::StoreObject {
         let found = match delegable_kind(&read.kind) {
-            Some(kind) => self.store.get(kind, &Name::from(read.name)).await,
+            Some(kind) => self.store.get(kind, &Name::from(read.name.as_str())).await,
             None => GetResult::Unavailable,
         };
         let mut object = messages::StoreObject { call: read.call, ..Default::default() };
@@ -168,13 +170,31 @@
                 StoreReadStatus::Found
             }
             GetResult::Missing => StoreReadStatus::Missing,
-            GetResult::Unavailable => StoreReadStatus::Unavailable,
+            GetResult::Unavailable => match self.known_job(&read) {
+                Some((spec, status)) => {
+                    object.spec = spec;
+                    object.status = status;
+                    StoreReadStatus::Found
+                }
+                None => StoreReadStatus::Unavailable,
+            },
         };
         object.set_outcome(outcome);
         object
     }
 }
 
+/// # Copies of submissions
+impl Node {
+    /// Returns the submission of a job from the memory of this process. It never changes.
+    fn known_job(&self, read: &messages::StoreRead) -> Option<(String, String)> {
+        if read.kind != JOBS_KIND {
+            return None;
+        }
+        self.driver.get()?.job_object(&Name::from(read.name.as_str()))
+    }
+}
+
 /// # Store calls with drivers as fallback
 impl Node {
     /// Creates an object. If the store is unavailable to this process, drivers create it instead.
@@ -220,7 +240,9 @@
         if !matches!(read, GetResult::Unavailable) {
             return read;
         }
-        for link in self.delegates(name) {
+        // The drivers that watch the jobs hold copies of them.
+        let key = if kind == JOBS_KIND { WATCHERS_KEY } else { name };
+        for link in self.delegates(key) {
             let message =
                 |call| messages::StoreRead { call, kind: kind.to_owned(), name: name.to_string() };
             let reply = self.call(&link, DELEGATED_CALL_TIMEOUT, message).await;
@@ -238,8 +260,8 @@
         GetResult::Unavailable
     }
 
-    fn delegates(&self, name: &Name) -> Vec<LinkHandle> {
-        let ranked = self.peers.ranked(self, name);
+    fn delegates(&self, key: &str) -> Vec<LinkHandle> {
+        let ranked = self.peers.ranked(self, key);
         let links = ranked.iter().filter_map(|driver| self.peers.link_to(driver));
         links.take(MAX_DELEGATES).collect()
     }
--- a/dogwoodtray_gateway/src/driver/admissions.rs
+++ b/dogwoodtray_gateway/src/driver/admissions.rs
@@ -29,17 +29,13 @@
 
 use super::Driver;
 use super::JOBS_KIND;
+use super::WATCHERS_KEY;
 use crate::node::Node;
 use crate::places::millis;
 
 /// Kind of the records of admitted jobs, named after their routes.
 const QUOTAS_KIND: &str = "batch-quotas";
 
-/// Returns the key by which the driver that admits the jobs of a route is selected.
-pub(crate) fn admission_key(route: &str) -> String {
-    format!("quota:{route}")
-}
-
 /// Quotas of the routes whose jobs this process admits.
 #[derive(Debug, Default)]
 pub(super) struct Admissions {
@@ -186,29 +182,21 @@
 
 /// # Reports
 impl Driver {
-    /// Reports the tokens of unfinished items of driven jobs to the drivers that admit jobs to their
-    /// routes. A report contains only what has changed since the last one to the same driver.
+    /// Reports the tokens of unfinished items of driven jobs to the driver that admits jobs. A report
+    /// contains only what has changed since the last one to the same driver.
     pub(super) fn report_held_tokens(&self, node: &Node) {
-        let mut owners: HashMap<Name, Option<Name>> = HashMap::new();
-        let mut reports: HashMap<Name, messages::TokensHeld> = HashMap::new();
+        let first = node.peers.ranked(node, WATCHERS_KEY).into_iter().next();
+        let Some(owner) = first.filter(|owner| *owner != node.cfg.node) else { return };
+        let Some(link) = node.peers.link_to(&owner) else { return };
+        let mut report = messages::TokensHeld::default();
         for job in self.jobs.borrow().values().filter(|job| job.spec.limited && job.is_driving()) {
-            let route = &job.spec.route;
-            let owner = owners.entry(Name::clone(route)).or_insert_with(|| {
-                node.peers.ranked(node, &admission_key(route)).into_iter().next()
-            });
-            let Some(owner) = owner.as_ref().filter(|owner| **owner != node.cfg.node) else {
-                continue;
-            };
             let tokens = job.open_tokens();
-            if job.take_unreported(owner, tokens) {
-                let held = messages::HeldTokens { job: job.id().to_string(), tokens };
-                reports.entry(Name::clone(owner)).or_default().jobs.push(held);
+            if job.take_unreported(&owner, tokens) {
+                report.jobs.push(messages::HeldTokens { job: job.id().to_string(), tokens });
             }
         }
-        for (owner, report) in reports {
-            if let Some(link) = node.peers.link_to(&owner) {
-                link.send(report);
-            }
+        if !report.jobs.is_empty() {
+            link.send(report);
         }
     }
 
--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -72,6 +72,8 @@
     finished: Cell<bool>,
     /// Whether this process owns the job and should drive it.
     owned: Cell<bool>,
+    /// Whether this process was told to drive the job, or has driven it.
+    assigned: Cell<bool>,
     /// Whether a task of this process drives the job.
     driving: Cell<bool>,
     /// Whether this process drives the job and has read all results that other processes stored.
@@ -103,6 +105,7 @@
             cancelled: Cell::new(false),
             finished: Cell::new(false),
             owned: Cell::new(false),
+            assigned: Cell::new(false),
             driving: Cell::new(false),
             caught_up: Cell::new(false),
             changed: Notify::new(),
@@ -122,6 +125,20 @@
         self.cancelled.get()
     }
 
+    pub(crate) fn is_assigned(&self) -> bool {
+        self.assigned.get()
+    }
+
+    /// Records that this process was told to drive the job.
+    pub(crate) fn assign(&self) {
+        self.assigned.set(true);
+    }
+
+    /// Returns the status of the job as it is stored.
+    pub(super) fn status(&self) -> JobStatus {
+        JobStatus { finished: self.finished.get() }
+    }
+
     pub(crate) fn is_driving(&self) -> bool {
         self.driving.get()
     }
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -16,6 +16,7 @@
 mod retire;
 mod spec;
 mod sweep;
+mod watchers;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -25,6 +26,7 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
 use dogwoodtray_platform::Change;
 use dogwoodtray_platform::GetResult;
 use dogwoodtray_platform::Object;
@@ -34,11 +36,14 @@
 use tokio::time::sleep;
 
 use self::admissions::Admissions;
-pub(crate) use self::admissions::admission_key;
 use self::estimator::RunTimeEstimator;
 pub(crate) use self::job::Job;
+use self::outputs::EarlyOutputs;
 use self::progress::Progress;
 pub(crate) use self::spec::JobSpec;
+use self::spec::encode;
+pub(crate) use self::watchers::WATCHERS_KEY;
+use self::watchers::Watcher;
 use crate::node::Node;
 use crate::sync::Update;
 
@@ -63,6 +68,12 @@
 /// Time in which the watch normally delivers a new job; after that the job is read directly.
 const WATCH_DELIVERY_TIME: Duration = Duration::from_millis(100);
 
+/// Delay before a failed read of an assigned job is retried.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Time for which a cancelled job is remembered; longer than jobs stay in the store.
+const CANCELLATION_TIME: Duration = Duration::from_secs(600);
+
 /// Interval at which a driver checks which jobs it owns.
 const OWNERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -70,9 +81,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Driver {
     jobs: RefCell<HashMap<Name, Rc<Job>>>,
-    /// Cancelled jobs; `None` until they have been listed. Jobs and cancellations are separate
+    /// Cancelled jobs, with the time at which this process learned of it; `None` until they have been listed. Jobs and cancellations are separate
     /// watches, so a cancellation may arrive before its job.
-    cancelled: RefCell<Option<HashSet<Name>>>,
+    cancelled: RefCell<Option<HashMap<Name, Timestamp>>>,
+    watcher: Watcher,
+    /// Assigned jobs that are being read.
+    loading: RefCell<HashSet<Name>>,
+    early_outputs: EarlyOutputs,
     admissions: Admissions,
     estimator: RunTimeEstimator,
     /// Number of jobs with a task that drives them.
@@ -84,19 +99,23 @@
     pub(crate) fn spawn(node: &Rc<Node>) -> Rc<Self> {
         let driver = Rc::new(Self::default());
         let this = Rc::clone(&driver);
-        node.spawn_watch(
+        let watcher = Rc::clone(&driver);
+        node.spawn_watch_while(
             JOBS_KIND,
+            move |node| watcher.is_watcher(node),
             |_| WATCH_TIMEOUT,
             move |node, update| {
                 this.on_jobs(node, update);
             },
         );
         let this = Rc::clone(&driver);
-        node.spawn_watch(
+        let watcher = Rc::clone(&driver);
+        node.spawn_watch_while(
             CANCELLATIONS_KIND,
+            move |node| watcher.is_watcher(node),
             |_| WATCH_TIMEOUT,
             move |node, update| {
-                this.on_cancellations(update);
+                this.on_cancellations(node, update);
                 this.check_ownership(node);
             },
         );
@@ -108,6 +127,7 @@
                 this.check_ownership(&task_node);
                 this.report_held_tokens(&task_node);
                 this.tick_quotas(&task_node);
+                this.early_outputs.drop_old(task_node.now());
             }
         });
         retire::spawn(node, &driver);
@@ -164,17 +184,22 @@
         if self.is_cancelled(&object.name) {
             job.cancel();
         }
+        for (item, progress) in self.early_outputs.take(&object.name) {
+            job.set_replica(item, progress);
+        }
         jobs.insert(Name::clone(&object.name), Rc::clone(&job));
         Some(job)
     }
 
-    fn on_cancellations(&self, update: Update) {
+    fn on_cancellations(&self, node: &Node, update: Update) {
         self.cancelled.borrow_mut().get_or_insert_default();
         match update {
             Update::All(objects) => {
-                objects.into_iter().for_each(|object| self.cancel_job(object.name));
+                for object in objects {
+                    self.cancel_and_relay(node, object.name);
+                }
             }
-            Update::One(Change::Put(object)) => self.cancel_job(object.name),
+            Update::One(Change::Put(object)) => self.cancel_and_relay(node, object.name),
             Update::One(Change::Removed(name)) => {
                 if let Some(cancelled) = self.cancelled.borrow_mut().as_mut() {
                     cancelled.remove(&name);
@@ -183,22 +208,76 @@
         }
     }
 
-    /// Handles the message of a gateway that it accepted a job. The watch of jobs delivers the job
-    /// as well, unless the store rejects the calls of this process.
+    fn cancel_and_relay(&self, node: &Node, id: Name) {
+        if !self.is_cancelled(&id) {
+            self.relay_cancellation(node, &id);
+            self.cancel_job(node.now(), id);
+        }
+    }
+
+    /// Handles the message of a gateway that it accepted a job, or of a watcher that this process
+    /// is to drive it. A watcher receives the job as well, unless the store rejects its calls.
     pub(crate) async fn on_accepted(self: &Rc<Self>, node: &Rc<Node>, id: &Name) {
-        sleep(WATCH_DELIVERY_TIME).await;
-        let known = self.jobs.borrow().contains_key(id);
-        if !known && let GetResult::Found(object) = node.read(JOBS_KIND, id).await {
-            self.add_job(&object);
+        if self.is_watcher(node) && !self.jobs.borrow().contains_key(id) {
+            sleep(WATCH_DELIVERY_TIME).await;
+        }
+        let job = self.jobs.borrow().get(id).map(Rc::clone);
+        let job = match job {
+            Some(job) => Some(job),
+            None if !self.loading.borrow_mut().insert(Name::clone(id)) => return,
+            None => {
+                let job = self.read_job(node, id).await;
+                self.loading.borrow_mut().remove(id);
+                job
+            }
+        };
+        if let Some(job) = job {
+            job.assign();
             self.check_ownership(node);
         }
     }
 
+    /// Reads a job, with retries while the store is unavailable and this process owns the job.
+    async fn read_job(&self, node: &Node, id: &Name) -> Option<Rc<Job>> {
+        loop {
+            match node.read(JOBS_KIND, id).await {
+                GetResult::Found(object) => return self.add_job(&object),
+                GetResult::Missing => return None,
+                GetResult::Unavailable => sleep(READ_RETRY_DELAY).await,
+            }
+            if !node.peers.owns(node, id) {
+                return None;
+            }
+        }
+    }
+
+    /// Returns a copy of the submission of a job, for a process that cannot read the store.
+    pub(crate) fn job_object(&self, id: &Name) -> Option<(String, String)> {
+        let jobs = self.jobs.borrow();
+        let job = jobs.get(id)?;
+        Some((encode(&job.spec), encode(&job.status())))
+    }
+
     /// Stores the output of an item that another driver runs.
-    pub(crate) fn on_item_progress(&self, progress: messages::ItemProgress) {
+    pub(crate) fn on_item_progress(&self, now: Timestamp, progress: messages::ItemProgress) {
+        let item = Name::from(progress.item);
+        let output = Progress::new(progress.data, progress.last_event);
         if let Some(job) = self.jobs.borrow().get(&*progress.job) {
-            let item = Name::from(progress.item);
-            job.set_replica(item, Progress::new(progress.data, progress.last_event));
+            return job.set_replica(item, output);
+        }
+        self.early_outputs.insert(now, Name::from(progress.job), item, output);
+    }
+
+    /// Drops the state of a job that has been removed from the store. A watcher learns of it from the
+    /// store as well.
+    fn forget_job(&self, id: &Name) {
+        self.jobs.borrow_mut().remove(id);
+    }
+
+    /// Drops old cancellations.
+    fn forget_cancellations(&self, now: Timestamp) {
+        if let Some(cancelled) = self.cancelled.borrow_mut().as_mut() {
+            cancelled.retain(|_, at| now - *at < CANCELLATION_TIME);
         }
     }
 
@@ -209,21 +288,24 @@
                 job.send_outputs(link);
             }
         }
+        for message in self.early_outputs.messages(|job| node.peers.is_owner(node, job, to)) {
+            link.send(message);
+        }
     }
 
     /// Cancels a job, on an update from the store or a message from a gateway. A cancellation that
     /// arrives before the first listing need not be recorded, because that listing contains it.
-    pub(crate) fn cancel_job(&self, id: Name) {
+    pub(crate) fn cancel_job(&self, now: Timestamp, id: Name) {
         if let Some(job) = self.jobs.borrow().get(&id) {
             job.cancel();
         }
         if let Some(cancelled) = self.cancelled.borrow_mut().as_mut() {
-            cancelled.insert(id);
+            cancelled.entry(id).or_insert(now);
         }
     }
 
     fn is_cancelled(&self, job: &Name) -> bool {
-        self.cancelled.borrow().as_ref().is_some_and(|cancelled| cancelled.contains(job))
+        self.cancelled.borrow().as_ref().is_some_and(|cancelled| cancelled.contains_key(job))
     }
 
     /// Updates the ownership of all jobs, and starts to drive those that this process owns.
@@ -231,10 +313,16 @@
         if self.cancelled.borrow().is_none() {
             return;
         }
+        let is_watcher = self.is_watcher(node);
         let jobs: Vec<Rc<Job>> = self.jobs.borrow().values().cloned().collect();
         for job in jobs {
-            let owned = !job.is_terminal() && node.peers.owns(node, job.id());
+            // Without the watch, the state of a job may be outdated until a watcher assigns it.
+            let may_drive = !job.is_terminal() && (is_watcher || job.is_assigned());
+            let owned = may_drive && node.peers.owns(node, job.id());
             job.set_owned(owned);
+            if owned {
+                job.assign();
+            }
             if owned && job.start_driving() {
                 self.driven_jobs.set(self.driven_jobs.get() + 1);
                 let (node, driver) = (Rc::clone(node), Rc::clone(self));
@@ -245,5 +333,8 @@
                 });
             }
         }
+        if is_watcher {
+            self.notify_owners(node);
+        }
     }
 }
--- a/dogwoodtray_gateway/src/driver/outputs.rs
+++ b/dogwoodtray_gateway/src/driver/outputs.rs
@@ -3,12 +3,18 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
 use dogwoodtray_wire::messages;
 
 use super::progress::Progress;
 
+/// Time for which output of an unknown job is kept. Running items send it every second, and items
+/// that wait for a place send none.
+const EARLY_OUTPUT_TIME: Duration = Duration::from_secs(30);
+
 /// Output of unfinished items, by item id.
 #[derive(Debug, Default)]
 pub(super) struct Outputs {
@@ -74,3 +80,48 @@
         items.iter().filter_map(message).collect()
     }
 }
+
+/// Output that other drivers replicated for jobs which this process does not know yet.
+#[derive(Debug, Default)]
+pub(super) struct EarlyOutputs {
+    jobs: RefCell<HashMap<Name, JobOutput>>,
+}
+
+#[derive(Debug, Default)]
+struct JobOutput {
+    updated_at: Timestamp,
+    items: HashMap<Name, Progress>,
+}
+
+impl EarlyOutputs {
+    /// Stores the output of an item.
+    pub(super) fn insert(&self, now: Timestamp, job: Name, item: Name, progress: Progress) {
+        let mut jobs = self.jobs.borrow_mut();
+        let output = jobs.entry(job).or_default();
+        output.updated_at = now;
+        output.items.insert(item, progress);
+    }
+
+    /// Removes and returns the output of a job.
+    pub(super) fn take(&self, job: &Name) -> HashMap<Name, Progress> {
+        self.jobs.borrow_mut().remove(job).map(|output| output.items).unwrap_or_default()
+    }
+
+    /// Drops output that has not been updated for a while.
+    pub(super) fn drop_old(&self, now: Timestamp) {
+        self.jobs.borrow_mut().retain(|_, output| now - output.updated_at < EARLY_OUTPUT_TIME);
+    }
+
+    /// Returns the messages that send the output of the jobs for which `is_wanted` returns `true`.
+    pub(super) fn messages(
+        &self,
+        is_wanted: impl Fn(&Name) -> bool,
+    ) -> Vec<messages::ItemProgress> {
+        let jobs = self.jobs.borrow();
+        let wanted = jobs.iter().filter(|(job, _)| is_wanted(job));
+        let items = wanted.flat_map(|(job, output)| {
+            output.items.iter().map(move |(item, progress)| (job, item, progress))
+        });
+        items.filter_map(|(job, item, progress)| progress.to_message(job, item)).collect()
+    }
+}
--- a/dogwoodtray_gateway/src/driver/sweep.rs
+++ b/dogwoodtray_gateway/src/driver/sweep.rs
@@ -12,6 +12,7 @@
 use super::JOBS_KIND;
 use super::PARTS_KIND;
 use super::RESULTS_KIND;
+use super::WATCHERS_KEY;
 use super::job::Job;
 use super::spec::JobSpec;
 use super::spec::Segment;
@@ -30,20 +31,34 @@
         loop {
             sleep(SWEEP_INTERVAL).await;
             let jobs: Vec<Rc<Job>> = driver.jobs.borrow().values().cloned().collect();
+            let first = node.peers.ranked(&node, WATCHERS_KEY).into_iter().next();
+            let is_first = first.as_ref() == Some(&node.cfg.node);
             for job in jobs {
-                if is_expired(&node, &job) && node.peers.owns(&node, job.id()) {
+                if is_first && is_expired(&node, &job) {
                     remove_job(&node, &job).await;
                 }
+                let may_forget =
+                    job.is_terminal() || !driver.is_watcher(&node) && !job.is_driving();
+                if may_forget && age(&job) >= retention(&node, &job) + RETENTION_MARGIN {
+                    driver.forget_job(job.id());
+                }
             }
+            driver.forget_cancellations(node.now());
         }
     });
 }
 
 fn is_expired(node: &Node, job: &Job) -> bool {
-    let retention =
-        node.cfg.results_kept.max(Duration::from_millis(job.spec.retention_ms)) + RETENTION_MARGIN;
-    let age = Clock::unix_ms().saturating_sub(job.spec.accepted_unix_ms);
-    job.is_terminal() && Duration::from_millis(age) >= retention
+    job.is_terminal() && age(job) >= retention(node, job)
+}
+
+/// Returns the time since the acceptance after which a job that has ended is removed.
+fn retention(node: &Node, job: &Job) -> Duration {
+    node.cfg.results_kept.max(Duration::from_millis(job.spec.retention_ms)) + RETENTION_MARGIN
+}
+
+fn age(job: &Job) -> Duration {
+    Duration::from_millis(Clock::unix_ms().saturating_sub(job.spec.accepted_unix_ms))
 }
 
 /// Removes the objects of a job. The submission is last, so that a later sweep completes the
--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -14,7 +14,7 @@
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 
-use crate::driver::admission_key;
+use crate::driver::WATCHERS_KEY;
 use crate::node::Node;
 use crate::places::PlaceError;
 use crate::places::PlaceParams;
@@ -169,9 +169,8 @@
     fn forward_job_admission(self: &Rc<Self>, link: &LinkHandle, admit: messages::JobAdmit) {
         let (node, link) = (Rc::clone(self), link.clone());
         spawn_local(async move {
-            let key = admission_key(&admit.route);
             let message = |call| messages::JobAdmit { call, ..admit.clone() };
-            let reply = node.call_driver(&key, ADMISSION_TIME, message).await;
+            let reply = node.call_driver(WATCHERS_KEY, ADMISSION_TIME, message).await;
             let mut admitted = messages::JobAdmitted { call: admit.call, ..Default::default() };
             admitted.set_status(JobAdmitStatus::Unavailable);
             if let Some(Kind::JobAdmitted(decided)) = reply {
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -23,7 +23,7 @@
 use crate::driver::JOBS_KIND;
 use crate::driver::JobSpec;
 use crate::driver::PARTS_KIND;
-use crate::driver::admission_key;
+use crate::driver::WATCHERS_KEY;
 use crate::model::BatchTerms;
 use crate::model::ItemResult;
 use crate::model::ItemState;
@@ -191,8 +191,7 @@
     id: &Name,
     tokens: u64,
 ) -> Option<messages::JobAdmitted> {
-    let key = admission_key(&route.name);
-    let reply = call_driver(node, &key, ADMISSION_TIMEOUT, |call| messages::JobAdmit {
+    let reply = call_driver(node, WATCHERS_KEY, ADMISSION_TIMEOUT, |call| messages::JobAdmit {
         call,
         route: route.name.to_string(),
         job: id.to_string(),
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -258,6 +258,7 @@
                 }
                 if let Some(driver) = self.driver.get().filter(|_| hello.role() == Role::Driver) {
                     driver.send_outputs_to(self, &name, &link);
+                    driver.send_cancellations(self, &link);
                 }
                 let id = link.id();
                 let accepted =
@@ -306,7 +307,12 @@
             Kind::ConfigSet(set) => self.on_relayed_config(&set),
             Kind::ItemProgress(progress) => {
                 if let Some(driver) = self.driver.get() {
-                    driver.on_item_progress(progress);
+                    driver.on_item_progress(self.now(), progress);
+                }
+            }
+            Kind::JobCancelled(cancelled) => {
+                if let Some(driver) = self.driver.get() {
+                    driver.cancel_job(self.now(), Name::from(cancelled.job));
                 }
             }
             Kind::EndpointSet(set) => self.on_relayed_endpoints(set, role),
--- a/dogwoodtray_gateway/src/peers/view.rs
+++ b/dogwoodtray_gateway/src/peers/view.rs
@@ -160,6 +160,11 @@
         self.preferred_driver(node, job, None).as_ref() == Some(&node.cfg.node)
     }
 
+    /// Returns the driver that is to drive the job with this id, as seen by this process.
+    pub(crate) fn owner_of(&self, node: &Node, job: &str) -> Option<Name> {
+        self.preferred_driver(node, job, None)
+    }
+
     /// Returns `true` if a driver that has just connected is to drive the job with this id.
     pub(crate) fn is_owner(&self, node: &Node, job: &str, driver: &Name) -> bool {
         self.preferred_driver(node, job, Some(driver)).as_ref() == Some(driver)
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -22,6 +22,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::node::Node;
@@ -38,6 +39,9 @@
 /// Wait time of a watch whose changes are also relayed on links, or are not urgent.
 const LONG_WATCH_WAIT: Duration = Duration::from_secs(10);
 
+/// Interval at which a process checks whether it is to watch a kind again.
+const ACTIVITY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Delay after the first failed call; doubles with each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -112,6 +116,18 @@
         self: &Rc<Self>,
         kind: &'static str,
         wait: impl Fn(&Self) -> Duration + 'static,
+        apply: impl FnMut(&Rc<Self>, Update) + 'static,
+    ) {
+        self.spawn_watch_while(kind, |_| true, wait, apply);
+    }
+
+    /// Lists the objects of a kind and watches them for changes while `is_active` returns `true`.
+    /// Lists them again when it does so after a break.
+    pub(crate) fn spawn_watch_while(
+        self: &Rc<Self>,
+        kind: &'static str,
+        is_active: impl Fn(&Self) -> bool + 'static,
+        wait: impl Fn(&Self) -> Duration + 'static,
         mut apply: impl FnMut(&Rc<Self>, Update) + 'static,
     ) {
         let node = Rc::clone(self);
@@ -127,21 +143,26 @@
                         ListResult::Unavailable => backoff.wait(&node).await,
                     }
                 };
-                node.watch_from(kind, &mut at, &wait, &mut apply).await;
+                node.watch_from(kind, &mut at, &is_active, &wait, &mut apply).await;
+                while !is_active(&node) {
+                    sleep(ACTIVITY_CHECK_INTERVAL).await;
+                }
             }
         });
     }
 
-    /// Watches a kind until the store no longer has the history of its changes.
+    /// Watches a kind until the store no longer has the history of its changes, or `is_active`
+    /// returns `false`.
     async fn watch_from(
         self: &Rc<Self>,
         kind: &'static str,
         at: &mut Version,
+        is_active: &impl Fn(&Self) -> bool,
         wait: &impl Fn(&Self) -> Duration,
         apply: &mut impl FnMut(&Rc<Self>, Update),
     ) {
         let mut backoff = Backoff::new();
-        loop {
+        while is_active(self) {
             let watched = tokio::select! {
                 watched = self.store.watch(kind, *at, wait(self)) => watched,
                 // Another connection to the store stalled, and this one may have as well.
--- a/dogwoodtray_platform/src/memory_objects.rs
+++ b/dogwoodtray_platform/src/memory_objects.rs
@@ -55,6 +55,9 @@
     slow_lists: Option<(&'static str, Duration)>,
     stalled_watches: bool,
     calls: u64,
+    calls_by_kind: BTreeMap<&'static str, u64>,
+    /// Number of watches that wait, by kind.
+    open_watches: BTreeMap<&'static str, usize>,
 }
 
 impl MemoryObjects {
@@ -121,6 +124,18 @@
         self.lock().calls
     }
 
+    /// Returns the number of calls for objects of a kind made so far.
+    #[must_use]
+    pub fn calls_of(&self, kind: &str) -> u64 {
+        self.lock().calls_by_kind.get(kind).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of watches of a kind that wait for a change.
+    #[must_use]
+    pub fn open_watches(&self, kind: &str) -> usize {
+        self.lock().open_watches.get(kind).copied().unwrap_or(0)
+    }
+
     /// Creates an object or replaces its specification, as operators and endpoints do.
     pub fn put(&self, kind: &'static str, name: &str, spec: &str) {
         let mut state = self.lock();
@@ -153,12 +168,13 @@
 
     fn write<T: Send + 'static>(
         &self,
+        kind: &'static str,
         unavailable: T,
         unknown: T,
         write: impl FnOnce(&mut State) -> T,
     ) -> BoxFuture<T> {
         let mut state = self.lock();
-        state.calls += 1;
+        state.count_call(kind);
         if self.rejects(&state) {
             return Box::pin(async { unavailable });
         }
@@ -171,7 +187,31 @@
     }
 }
 
+/// Watch that waits for a change.
+struct OpenWatch {
+    store: MemoryObjects,
+    kind: &'static str,
+}
+
+impl OpenWatch {
+    fn new(store: &MemoryObjects, kind: &'static str) -> Self {
+        *store.lock().open_watches.entry(kind).or_default() += 1;
+        Self { store: store.clone(), kind }
+    }
+}
+
+impl Drop for OpenWatch {
+    fn drop(&mut self) {
+        *self.store.lock().open_watches.entry(self.kind).or_default() -= 1;
+    }
+}
+
 impl State {
+    fn count_call(&mut self, kind: &'static str) {
+        self.calls += 1;
+        *self.calls_by_kind.entry(kind).or_default() += 1;
+    }
+
     fn put(&mut self, kind: &'static str, name: &Name, spec: Box<RawValue>, status: Box<RawValue>) {
         self.revision += 1;
         let revision = Version(self.revision);
@@ -192,7 +232,7 @@
 impl ObjectStore for MemoryObjects {
     fn list(&self, kind: &'static str) -> BoxFuture<ListResult> {
         let mut state = self.lock();
-        state.calls += 1;
+        state.count_call(kind);
         let listed = if self.rejects(&state) {
             ListResult::Unavailable
         } else {
@@ -212,7 +252,7 @@
 
     fn get(&self, kind: &'static str, name: &Name) -> BoxFuture<GetResult> {
         let mut state = self.lock();
-        state.calls += 1;
+        state.count_call(kind);
         let read = if self.rejects(&state) {
             GetResult::Unavailable
         } else {
@@ -228,6 +268,7 @@
         let store = self.clone();
         let stalled = self.lock().stalled_watches;
         Box::pin(async move {
+            let open_watch = OpenWatch::new(&store, kind);
             if stalled {
                 std::future::pending::<()>().await;
             }
@@ -250,8 +291,9 @@
             };
             // If the wait time elapses, the state below has no changes.
             let _ = timeout(wait, changed).await;
+            drop(open_watch);
             let mut state = store.lock();
-            state.calls += 1;
+            state.count_call(kind);
             if store.rejects(&state) {
                 return WatchResult::Unavailable;
             }
@@ -265,7 +307,7 @@
     }
 
     fn create(&self, kind: &'static str, name: &Name, spec: String) -> BoxFuture<CreateResult> {
-        self.write(CreateResult::Unavailable, CreateResult::Unknown, |state| {
+        self.write(kind, CreateResult::Unavailable, CreateResult::Unknown, |state| {
             if spec.len() > MAX_VALUE_BYTES {
                 return CreateResult::TooLarge;
             }
@@ -278,7 +320,7 @@
     }
 
     fn replace(&self, kind: &'static str, name: &Name, spec: String) -> BoxFuture<UpdateResult> {
-        self.write(UpdateResult::Unavailable, UpdateResult::Unknown, |state| {
+        self.write(kind, UpdateResult::Unavailable, UpdateResult::Unknown, |state| {
             let Some(object) = state.objects.get(&(kind, Name::clone(name))) else {
                 return UpdateResult::Missing;
             };
@@ -295,7 +337,7 @@
         revision: Version,
         spec: String,
     ) -> BoxFuture<ConditionalResult> {
-        self.write(ConditionalResult::Unavailable, ConditionalResult::Unknown, |state| {
+        self.write(kind, ConditionalResult::Unavailable, ConditionalResult::Unknown, |state| {
             if spec.len() > MAX_VALUE_BYTES {
                 return ConditionalResult::TooLarge;
             }
@@ -316,7 +358,7 @@
         name: &Name,
         status: String,
     ) -> BoxFuture<UpdateResult> {
-        self.write(UpdateResult::Unavailable, UpdateResult::Unknown, |state| {
+        self.write(kind, UpdateResult::Unavailable, UpdateResult::Unknown, |state| {
             let Some(object) = state.objects.get(&(kind, Name::clone(name))) else {
                 return UpdateResult::Missing;
             };
@@ -327,7 +369,7 @@
     }
 
     fn remove(&self, kind: &'static str, name: &Name) -> BoxFuture<UpdateResult> {
-        self.write(UpdateResult::Unavailable, UpdateResult::Unknown, |state| {
+        self.write(kind, UpdateResult::Unavailable, UpdateResult::Unknown, |state| {
             if state.objects.remove(&(kind, Name::clone(name))).is_none() {
                 return UpdateResult::Missing;
             }
