Send a configuration once to each process, and collect changes before the next watch

A watch returned at the first change, so a burst of changes cost one call for each and watcher.

Change: only the driver that lists the endpoints sends a new configuration. Heartbeats carry the generation, and a process that is behind for 300 ms requests it from one peer. The watches of jobs and of processes pause for 250 ms and 1 s after a change. The batch part of the places of a service is a file of its own.

--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -87,6 +87,7 @@
         let node = Rc::clone(self);
         let link = link.clone();
         match kind {
+            Kind::ConfigFetch(_) => self.on_config_fetch(&link),
             Kind::EndpointFetch(_) => self.send_endpoints(&link),
             Kind::JobRead(read) => {
                 let Some(driver) = self.driver.get().map(Rc::clone) else { return };
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -46,6 +46,7 @@
 use self::watchers::Watcher;
 use crate::node::Node;
 use crate::sync::Update;
+use crate::sync::WatchConfig;
 
 /// Kind of the submissions of jobs.
 pub(crate) const JOBS_KIND: &str = "batch-jobs";
@@ -65,8 +66,9 @@
 /// Timeout of the watches of jobs and cancellations.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time in which the watch normally delivers a new job; after that the job is read directly.
-const WATCH_DELIVERY_TIME: Duration = Duration::from_millis(100);
+/// Time for which changes of jobs and cancellations are collected. Gateways tell the drivers
+/// themselves; the watch serves takeovers, and gateways that failed.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
 
 /// Delay before a failed read of an assigned job is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -94,26 +96,31 @@
     driven_jobs: Cell<usize>,
 }
 
+/// Returns how the jobs and cancellations are watched.
+fn watch_config(
+    driver: Rc<Driver>,
+) -> WatchConfig<impl Fn(&Node) -> bool + 'static, impl Fn(&Node) -> Duration + 'static> {
+    WatchConfig {
+        is_active: move |node: &Node| driver.is_watcher(node),
+        wait: |_: &Node| WATCH_TIMEOUT,
+        pause: WATCH_PAUSE,
+    }
+}
+
 impl Driver {
     /// Starts to follow the jobs and to drive those that this process owns.
     pub(crate) fn spawn(node: &Rc<Node>) -> Rc<Self> {
         let driver = Rc::new(Self::default());
         let this = Rc::clone(&driver);
         let watcher = Rc::clone(&driver);
-        node.spawn_watch_while(
-            JOBS_KIND,
-            move |node| watcher.is_watcher(node),
-            |_| WATCH_TIMEOUT,
-            move |node, update| {
-                this.on_jobs(node, update);
-            },
-        );
+        node.spawn_configured_watch(JOBS_KIND, watch_config(watcher), move |node, update| {
+            this.on_jobs(node, update);
+        });
         let this = Rc::clone(&driver);
         let watcher = Rc::clone(&driver);
-        node.spawn_watch_while(
+        node.spawn_configured_watch(
             CANCELLATIONS_KIND,
-            move |node| watcher.is_watcher(node),
-            |_| WATCH_TIMEOUT,
+            watch_config(watcher),
             move |node, update| {
                 this.on_cancellations(node, update);
                 this.check_ownership(node);
@@ -216,11 +223,8 @@
     }
 
     /// Handles the message of a gateway that it accepted a job, or of a watcher that this process
-    /// is to drive it. A watcher receives the job as well, unless the store rejects its calls.
+    /// is to drive it.
     pub(crate) async fn on_accepted(self: &Rc<Self>, node: &Rc<Node>, id: &Name) {
-        if self.is_watcher(node) && !self.jobs.borrow().contains_key(id) {
-            sleep(WATCH_DELIVERY_TIME).await;
-        }
         let job = self.jobs.borrow().get(id).map(Rc::clone);
         let job = match job {
             Some(job) => Some(job),
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -31,6 +31,7 @@
 use crate::model::Dialect;
 use crate::peers::Peers;
 use crate::places::Places;
+use crate::sync::ConfigFetch;
 
 /// Role of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +86,7 @@
     pub(crate) draining: Cell<bool>,
     /// Newest configuration, as it is relayed on links.
     pub(crate) relayed_config: RefCell<Option<messages::ConfigSet>>,
+    pub(crate) config_fetch: Cell<ConfigFetch>,
     /// Processes that are registered in the store.
     pub(crate) registered_nodes: RefCell<Vec<RegisteredNode>>,
     /// Places that this process requests or holds for others.
@@ -117,6 +119,7 @@
             places: Places::new(incarnation),
             draining: Cell::new(false),
             relayed_config: RefCell::new(None),
+            config_fetch: Cell::default(),
             registered_nodes: RefCell::new(Vec::new()),
             forwarded_places: RefCell::new(HashMap::new()),
             calls: PendingCalls::default(),
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -251,7 +251,7 @@
                 self.remove_places_of(hello.incarnation);
                 // Informs the new peer at once whether this process is stale or leaving.
                 link.send(self.heartbeat(0));
-                self.send_state(&link);
+                self.send_endpoints(&link);
                 let name = Name::from(&*hello.node);
                 if let Some(peer) = self.peers.dialed.borrow().get(&name) {
                     peer.dial.retry();
@@ -303,7 +303,11 @@
             }
         }
         match kind {
-            Kind::Heartbeat(_) => {}
+            Kind::Heartbeat(heartbeat) => {
+                if let Some(link) = self.peers.link_to(name) {
+                    self.on_peer_generation(heartbeat.generation, &link);
+                }
+            }
             Kind::ConfigSet(set) => self.on_relayed_config(&set),
             Kind::ItemProgress(progress) => {
                 if let Some(driver) = self.driver.get() {
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::Version;
 use dogwoodtray_platform::Change;
 use dogwoodtray_platform::CreateResult;
@@ -39,6 +40,18 @@
 /// Wait time of a watch whose changes are also relayed on links, or are not urgent.
 const LONG_WATCH_WAIT: Duration = Duration::from_secs(10);
 
+/// Time for which changes of the registered processes are collected. A process that restarts keeps
+/// its address, so only new addresses wait for it.
+const NODES_WATCH_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time for which a process waits for a configuration that its peers have before it requests it.
+/// The store and the driver that lists the endpoints normally deliver it sooner.
+const CONFIG_FETCH_DELAY: Duration = Duration::from_millis(300);
+
+/// Interval between requests for a configuration. It has thousands of routes at most and takes a
+/// tenth of a second on a slow link.
+const CONFIG_FETCH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Interval at which a process checks whether it is to watch a kind again.
 const ACTIVITY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -61,6 +74,42 @@
     incarnation: u64,
 }
 
+/// When and how a kind is watched.
+pub(crate) struct WatchConfig<A, W> {
+    /// Whether this process watches the kind now.
+    pub(crate) is_active: A,
+    /// Maximum time that a watch waits for a change.
+    pub(crate) wait: W,
+    /// Time after a change before the next watch starts, so that one call returns the changes of
+    /// that time.
+    pub(crate) pause: Duration,
+}
+
+/// Requests for a configuration that peers have and this process does not.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ConfigFetch {
+    behind_since: Option<Timestamp>,
+    requested_at: Option<Timestamp>,
+}
+
+impl ConfigFetch {
+    /// Returns `true` if the configuration is to be requested now: this process has been behind for
+    /// `delay`, and the last request is not recent.
+    fn is_due(&mut self, now: Timestamp, is_behind: bool, delay: Duration) -> bool {
+        if !is_behind {
+            self.behind_since = None;
+            return false;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        let is_recent = self.requested_at.is_some_and(|at| now - at < CONFIG_FETCH_INTERVAL);
+        let is_due = now - since >= delay && !is_recent;
+        if is_due {
+            self.requested_at = Some(now);
+        }
+        is_due
+    }
+}
+
 /// Update of the objects of a watched kind.
 pub(crate) enum Update {
     /// All objects of the kind.
@@ -94,7 +143,12 @@
     pub(crate) fn spawn_sync(self: &Rc<Self>) {
         let (kind, _) = self.dialect.names().config;
         self.spawn_watch(kind, Self::config_watch_wait, Self::on_config_update);
-        self.spawn_watch(NODES_KIND, |_| LONG_WATCH_WAIT, Self::on_nodes_update);
+        let cfg = WatchConfig {
+            is_active: |_: &Self| true,
+            wait: |_: &Self| LONG_WATCH_WAIT,
+            pause: NODES_WATCH_PAUSE,
+        };
+        self.spawn_configured_watch(NODES_KIND, cfg, Self::on_nodes_update);
         let node = Rc::clone(self);
         spawn_local(async move { node.sync_endpoints().await });
         let node = Rc::clone(self);
@@ -118,16 +172,16 @@
         wait: impl Fn(&Self) -> Duration + 'static,
         apply: impl FnMut(&Rc<Self>, Update) + 'static,
     ) {
-        self.spawn_watch_while(kind, |_| true, wait, apply);
+        let cfg = WatchConfig { is_active: |_: &Self| true, wait, pause: Duration::ZERO };
+        self.spawn_configured_watch(kind, cfg, apply);
     }
 
-    /// Lists the objects of a kind and watches them for changes while `is_active` returns `true`.
-    /// Lists them again when it does so after a break.
-    pub(crate) fn spawn_watch_while(
+    /// Lists the objects of a kind and watches them for changes while the configuration is active.
+    /// Lists them again when it is so after a break.
+    pub(crate) fn spawn_configured_watch(
         self: &Rc<Self>,
         kind: &'static str,
-        is_active: impl Fn(&Self) -> bool + 'static,
-        wait: impl Fn(&Self) -> Duration + 'static,
+        cfg: WatchConfig<impl Fn(&Self) -> bool + 'static, impl Fn(&Self) -> Duration + 'static>,
         mut apply: impl FnMut(&Rc<Self>, Update) + 'static,
     ) {
         let node = Rc::clone(self);
@@ -143,28 +197,27 @@
                         ListResult::Unavailable => backoff.wait(&node).await,
                     }
                 };
-                node.watch_from(kind, &mut at, &is_active, &wait, &mut apply).await;
-                while !is_active(&node) {
+                node.watch_from(kind, &mut at, &cfg, &mut apply).await;
+                while !(cfg.is_active)(&node) {
                     sleep(ACTIVITY_CHECK_INTERVAL).await;
                 }
             }
         });
     }
 
-    /// Watches a kind until the store no longer has the history of its changes, or `is_active`
-    /// returns `false`.
+    /// Watches a kind until the store no longer has the history of its changes, or the configuration
+    /// is not active.
     async fn watch_from(
         self: &Rc<Self>,
         kind: &'static str,
         at: &mut Version,
-        is_active: &impl Fn(&Self) -> bool,
-        wait: &impl Fn(&Self) -> Duration,
+        cfg: &WatchConfig<impl Fn(&Self) -> bool, impl Fn(&Self) -> Duration>,
         apply: &mut impl FnMut(&Rc<Self>, Update),
     ) {
         let mut backoff = Backoff::new();
-        while is_active(self) {
+        while (cfg.is_active)(self) {
             let watched = tokio::select! {
-                watched = self.store.watch(kind, *at, wait(self)) => watched,
+                watched = self.store.watch(kind, *at, (cfg.wait)(self)) => watched,
                 // Another connection to the store stalled, and this one may have as well.
                 () = self.restart_store_calls.notified() => continue,
             };
@@ -172,9 +225,13 @@
                 WatchResult::Changes { changes, revision } => {
                     backoff = Backoff::new();
                     *at = revision;
+                    let is_changed = !changes.is_empty();
                     for change in changes {
                         apply(self, Update::One(change));
                     }
+                    if is_changed && !cfg.pause.is_zero() {
+                        sleep(cfg.pause).await;
+                    }
                 }
                 WatchResult::HistoryLost => return,
                 WatchResult::Unavailable => backoff.wait(self).await,
@@ -219,7 +276,31 @@
         let snapshot = spec.to_owned().into_bytes().into();
         let set = messages::ConfigSet { generation: generation.0, snapshot };
         self.relayed_config.replace(Some(set.clone()));
-        self.peers.broadcast_to_accepted(set);
+        // One driver sends it. A process that misses it learns the generation from heartbeats.
+        if self.is_listing_driver() {
+            self.peers.broadcast_to_accepted(set);
+        }
+    }
+
+    /// Handles the generation in a heartbeat. If the configuration here is older for a while, it is
+    /// requested on the link of the heartbeat.
+    pub(crate) fn on_peer_generation(&self, generation: u64, link: &LinkHandle) {
+        let now = self.now();
+        let is_behind = generation > self.directory.borrow().generation().0;
+        let has_config = self.directory.borrow().config().is_some();
+        let delay = if has_config { CONFIG_FETCH_DELAY } else { Duration::ZERO };
+        let mut fetch = self.config_fetch.get();
+        if fetch.is_due(now, is_behind, delay) {
+            link.send(messages::ConfigFetch { generation });
+        }
+        self.config_fetch.set(fetch);
+    }
+
+    /// Sends the configuration to a process that requests it.
+    pub(crate) fn on_config_fetch(&self, link: &LinkHandle) {
+        if let Some(set) = self.relayed_config.borrow().clone() {
+            link.send(set);
+        }
     }
 
     pub(crate) fn on_relayed_config(&self, set: &messages::ConfigSet) {
@@ -231,14 +312,6 @@
             Err(err) => log::warn!("relayed configuration is not valid UTF-8: {err}"),
         }
     }
-
-    /// Sends the configuration and the endpoints to a process that has just connected.
-    pub(crate) fn send_state(&self, link: &LinkHandle) {
-        if let Some(set) = self.relayed_config.borrow().clone() {
-            link.send(set);
-        }
-        self.send_endpoints(link);
-    }
 }
 
 /// # Processes
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! A small site on the loopback interface: endpoints, an in-memory store and processes of both
 //! roles.
 
-#![allow(dead_code, reason = "each test file uses some of the items")]
+#![allow(dead_code, unused_imports, reason = "each test file uses some of the items")]
 
 #[path = "../../../platform/tests/standin/addr.rs"]
 mod addr;
--- a/dogwoodtray_policy/src/placement/service.rs
+++ b/dogwoodtray_policy/src/placement/service/mod.rs
@@ -1,5 +1,7 @@
 //! Places and queues of one service.
 
+mod batch;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -17,7 +19,6 @@
 use super::PlaceOutcome;
 use super::PlaceRequest;
 use super::batch_plan::BatchPlan;
-use super::batch_plan::PlannedItem;
 use super::endpoint::Endpoint;
 use crate::Class;
 
@@ -344,98 +345,6 @@
         }
     }
 
-    fn assign_batch(&mut self, now: Timestamp, cfg: &DispatcherConfig, out: &mut Vec<PlaceAction>) {
-        let reserve = f64::from(self.total_slots()) * cfg.online_reserve;
-        let available = self.free_places(now).saturating_sub(reserve as u32) as usize;
-        self.renew_plan(now, available, out);
-        for key in self.next_items(now, available) {
-            let Some(request) = self.batch.remove(&key) else { continue };
-            match self.pick_endpoint(now, &request) {
-                Some(endpoint) => self.grant(now, &request, endpoint, out),
-                None => {
-                    self.batch.insert(key, request);
-                }
-            }
-        }
-    }
-
-    /// Returns the keys of the queued batch items that get the next `count` places: those that can
-    /// be completed in time, the one with the least time to spare first, then those that are not late
-    /// yet, then late ones, of both those with the least work left.
-    fn next_items(&self, now: Timestamp, count: usize) -> Vec<(Timestamp, PlaceId)> {
-        let is_planned = |key: &&(Timestamp, PlaceId)| self.plan.contains(key.1);
-        let mut next: Vec<_> = self.batch.keys().filter(is_planned).take(count).copied().collect();
-        if next.len() < count {
-            let others = self.batch.iter().filter(|(key, _)| !is_planned(key));
-            let mut others: Vec<_> = others
-                .map(|(key, request)| (key.0 < now, request.due - request.start_by, *key))
-                .collect();
-            others.sort_unstable();
-            next.extend(others.into_iter().take(count - next.len()).map(|(.., key)| key));
-        }
-        next
-    }
-
-    /// Renews the plan of batch items if it is due, and preempts items that are late for those that
-    /// can be completed in time.
-    fn renew_plan(&mut self, now: Timestamp, available: usize, out: &mut Vec<PlaceAction>) {
-        if !self.plan.is_due(now) {
-            return;
-        }
-        let running = || self.held.iter().filter(|(_, held)| held.class == Class::Batch);
-        let places = running().filter(|(_, held)| held.endpoint.is_some()).count() + available;
-        self.plan.observe_places(now, u32::try_from(places).unwrap_or(u32::MAX));
-        let running = running().filter_map(|(id, held)| {
-            let left = held.left(now)?;
-            Some(PlannedItem { id: *id, left, due: held.due, is_running: true })
-        });
-        let queued = self.batch.iter().map(|((_, id), request)| PlannedItem {
-            id: *id,
-            left: request.due - request.start_by,
-            due: request.due,
-            is_running: false,
-        });
-        let items = running.chain(queued).collect();
-        self.plan.renew(now, items);
-        let waiting = self.batch.keys().filter(|(_, id)| self.plan.contains(*id)).count();
-        self.preempt_items(now, waiting.saturating_sub(available), true, out);
-    }
-
-    /// Preempts one batch item for each queued online request.
-    fn preempt(&mut self, now: Timestamp, out: &mut Vec<PlaceAction>) {
-        self.preempt_items(now, self.online.len(), false, out);
-    }
-
-    /// Preempts batch items until `count` preemptions are in progress. Items that are late are
-    /// preempted first, then those with the latest due time, which leaves most time to resume them.
-    fn preempt_items(
-        &mut self,
-        now: Timestamp,
-        count: usize,
-        only_late: bool,
-        out: &mut Vec<PlaceAction>,
-    ) {
-        let preempting = self.held.values().filter(|held| held.preempting).count();
-        for _ in preempting..count {
-            let victim = self
-                .held
-                .iter_mut()
-                .filter(|(_, held)| held.class == Class::Batch && !held.preempting)
-                .filter(|(_, held)| !only_late || held.run_time.is_some() && held.is_late(now))
-                .filter(|(_, held)| {
-                    held.endpoint.is_some_and(|key| {
-                        self.endpoints.get(key).is_some_and(Endpoint::is_healthy)
-                    })
-                })
-                .max_by_key(|(id, held)| {
-                    (held.is_late(now), held.due, now - held.granted_at, **id)
-                });
-            let Some((id, held)) = victim else { return };
-            held.preempting = true;
-            out.push(PlaceAction::Preempt { id: *id });
-        }
-    }
-
     /// Returns the expected wait of the next online request: the number of queued requests that can
     /// still meet their objective and this one, less the places that batch work can return, divided
     /// by the rate at which places become free.
