--- a/dogwoodtray_policy/src/placement/batch_plan.rs
+++ b/dogwoodtray_policy/src/placement/batch_plan.rs
@@ -16,10 +16,6 @@
 /// peaks and valleys of the online load.
 const PLACES_WINDOW: Duration = Duration::from_secs(8);
 
-/// Share of the places that the plan does not count on, because preempted items read their prompt
-/// again when they resume.
-const PLAN_MARGIN: f64 = 0.1;
-
 /// Batch item that runs or is queued.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlannedItem {
@@ -71,7 +67,6 @@
     pub(super) fn renew(&mut self, now: Timestamp, mut items: Vec<PlannedItem>) {
         self.made_at = Some(now);
         self.selected.clear();
-        let speed = self.mean_places * (1.0 - PLAN_MARGIN);
         items.sort_unstable_by_key(|item| (item.due, item.id));
         let mut work = Duration::ZERO;
         // The item with the most remaining work is left out first, and of several the most urgent
@@ -83,7 +78,7 @@
                 self.selected.insert(item.id);
                 droppable.push((item.left, Reverse(item.due), item.id));
             }
-            let capacity = (item.due - now).mul_f64(speed);
+            let capacity = (item.due - now).mul_f64(self.mean_places);
             while work > capacity {
                 let Some((left, _, id)) = droppable.pop() else { break };
                 work = work.saturating_sub(left);
