Relay each cancellation that the store reports

A watcher that a gateway had told of a cancellation did not relay it, although that gateway may have failed before it told the owner; and a driver that was assigned a job gave up reading it when the store was unavailable and its own view of the owner was outdated.

Change: watchers relay every cancellation that the store reports; reads of an assigned job are retried for 60 s.

--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -73,6 +73,9 @@
 /// Delay before a failed read of an assigned job is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Time for which reads of an assigned job are retried; longer than outages of the store.
+const READ_RETRY_TIME: Duration = Duration::from_secs(60);
+
 /// Time for which a cancelled job is remembered; longer than jobs stay in the store.
 const CANCELLATION_TIME: Duration = Duration::from_secs(600);
 
@@ -83,8 +86,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Driver {
     jobs: RefCell<HashMap<Name, Rc<Job>>>,
-    /// Cancelled jobs, with the time at which this process learned of it; `None` until they have been listed. Jobs and cancellations are separate
-    /// watches, so a cancellation may arrive before its job.
+    /// Cancelled jobs, with the time at which this process learned of it; `None` until they have
+    /// been listed. Jobs and cancellations are separate watches, so a cancellation may arrive
+    /// before its job.
     cancelled: RefCell<Option<HashMap<Name, Timestamp>>>,
     watcher: Watcher,
     /// Assigned jobs that are being read.
@@ -202,11 +206,17 @@
         self.cancelled.borrow_mut().get_or_insert_default();
         match update {
             Update::All(objects) => {
-                for object in objects {
-                    self.cancel_and_relay(node, object.name);
+                for object in objects.into_iter().filter(|object| !self.is_cancelled(&object.name))
+                {
+                    self.relay_cancellation(node, &object.name);
+                    self.cancel_job(node.now(), object.name);
                 }
             }
-            Update::One(Change::Put(object)) => self.cancel_and_relay(node, object.name),
+            Update::One(Change::Put(object)) => {
+                // A gateway that told this process may have failed to tell others.
+                self.relay_cancellation(node, &object.name);
+                self.cancel_job(node.now(), object.name);
+            }
             Update::One(Change::Removed(name)) => {
                 if let Some(cancelled) = self.cancelled.borrow_mut().as_mut() {
                     cancelled.remove(&name);
@@ -215,13 +225,6 @@
         }
     }
 
-    fn cancel_and_relay(&self, node: &Node, id: Name) {
-        if !self.is_cancelled(&id) {
-            self.relay_cancellation(node, &id);
-            self.cancel_job(node.now(), id);
-        }
-    }
-
     /// Handles the message of a gateway that it accepted a job, or of a watcher that this process
     /// is to drive it.
     pub(crate) async fn on_accepted(self: &Rc<Self>, node: &Rc<Node>, id: &Name) {
@@ -241,18 +244,18 @@
         }
     }
 
-    /// Reads a job, with retries while the store is unavailable and this process owns the job.
+    /// Reads a job, with retries while neither the store nor a watcher can provide it.
     async fn read_job(&self, node: &Node, id: &Name) -> Option<Rc<Job>> {
-        loop {
+        let give_up_at = node.now() + READ_RETRY_TIME;
+        while node.now() < give_up_at {
             match node.read(JOBS_KIND, id).await {
                 GetResult::Found(object) => return self.add_job(&object),
                 GetResult::Missing => return None,
                 GetResult::Unavailable => sleep(READ_RETRY_DELAY).await,
             }
-            if !node.peers.owns(node, id) {
-                return None;
-            }
         }
+        log::warn!("job {id} could not be read");
+        None
     }
 
     /// Returns a copy of the submission of a job, for a process that cannot read the store.
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -161,11 +161,9 @@
         admitted.as_ref().map_or(JobAdmitStatus::Unavailable, messages::JobAdmitted::status);
     metrics::counter!("dogwoodtray_job_admissions_total", "decision" => decision_label(status))
         .increment(1);
-    match admitted {
-        Some(reply) if status == JobAdmitStatus::Admitted => {
-            log::debug!("job {id} was admitted by call {}", reply.call);
-        }
-        Some(reply) if status == JobAdmitStatus::Refused => return Submitted::OverLimit(reply),
+    match (status, admitted) {
+        (JobAdmitStatus::Admitted, _) => {}
+        (JobAdmitStatus::Refused, Some(refusal)) => return Submitted::OverLimit(refusal),
         _ => return Submitted::Undecided,
     }
     let stored = store_job(node, route, terms, id, items).await;
