Keep the order of batch items between renewals of the plan

Cause: each release of a place looked through all queued items, and each change of one job checked all jobs.

Change: the plan keeps the queued items in the order in which they get places, so that a grant takes the next one; it is renewed less often the longer the queue is.

--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -162,9 +162,12 @@
                 for object in &objects {
                     self.add_job(object);
                 }
+                self.check_ownership(node);
             }
             Update::One(Change::Put(object)) => {
-                self.add_job(&object);
+                if let Some(job) = self.add_job(&object) {
+                    self.check_job(node, &job, self.is_watcher(node));
+                }
             }
             Update::One(Change::Removed(name)) => {
                 if let Some(job) = self.jobs.borrow_mut().remove(&name) {
@@ -172,7 +175,6 @@
                 }
             }
         }
-        self.check_ownership(node);
     }
 
     /// Adds a job, or updates its status if it is already present. Returns `None` if its submission
@@ -240,7 +242,7 @@
         };
         if let Some(job) = job {
             job.assign();
-            self.check_ownership(node);
+            self.check_job(node, &job, self.is_watcher(node));
         }
     }
 
@@ -317,31 +319,37 @@
 
     /// Updates the ownership of all jobs, and starts to drive those that this process owns.
     fn check_ownership(self: &Rc<Self>, node: &Rc<Node>) {
-        if self.cancelled.borrow().is_none() {
-            return;
-        }
         let is_watcher = self.is_watcher(node);
         let jobs: Vec<Rc<Job>> = self.jobs.borrow().values().cloned().collect();
-        for job in jobs {
-            // Without the watch, the state of a job may be outdated until a watcher assigns it.
-            let may_drive = !job.is_terminal() && (is_watcher || job.is_assigned());
-            let owned = may_drive && node.peers.owns(node, job.id());
-            job.set_owned(owned);
-            if owned {
-                job.assign();
-            }
-            if owned && job.start_driving() {
-                self.driven_jobs.set(self.driven_jobs.get() + 1);
-                let (node, driver) = (Rc::clone(node), Rc::clone(self));
-                spawn_local(async move {
-                    job.drive(&node).await;
-                    job.stop_driving();
-                    driver.driven_jobs.set(driver.driven_jobs.get() - 1);
-                });
-            }
+        for job in &jobs {
+            self.check_job(node, job, is_watcher);
         }
         if is_watcher {
             self.notify_owners(node);
         }
     }
+
+    /// Updates the ownership of a job, and starts to drive it if this process owns it.
+    fn check_job(self: &Rc<Self>, node: &Rc<Node>, job: &Rc<Job>, is_watcher: bool) {
+        if self.cancelled.borrow().is_none() {
+            return;
+        }
+        // Without the watch, the state of a job may be outdated until a watcher assigns it.
+        let may_drive = !job.is_terminal() && (is_watcher || job.is_assigned());
+        let owned = may_drive && node.peers.owns(node, job.id());
+        job.set_owned(owned);
+        if !owned {
+            return;
+        }
+        job.assign();
+        if job.start_driving() {
+            self.driven_jobs.set(self.driven_jobs.get() + 1);
+            let (node, driver, job) = (Rc::clone(node), Rc::clone(self), Rc::clone(job));
+            spawn_local(async move {
+                job.drive(&node).await;
+                job.stop_driving();
+                driver.driven_jobs.set(driver.driven_jobs.get() - 1);
+            });
+        }
+    }
 }
--- a/dogwoodtray_policy/src/placement/batch_plan.rs
+++ b/dogwoodtray_policy/src/placement/batch_plan.rs
@@ -1,40 +1,55 @@
 //! Selection of the batch items that can be completed by their due times.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use dogwoodtray_coord::Timestamp;
 
 use super::PlaceId;
 
-/// Interval at which the selection is renewed while items are queued.
+/// Interval at which the plan is renewed, for each 1,000 items that are queued or fewer. Its cost
+/// grows with the queue.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
+const ITEMS_PER_INTERVAL: usize = 1_000;
+
 /// Time constant of the moving average of the places that are left for batch work. It spans several
 /// peaks and valleys of the online load.
 const PLACES_WINDOW: Duration = Duration::from_secs(8);
 
+/// Key of a queued batch item: its latest start, and its id.
+pub(super) type ItemKey = (Timestamp, PlaceId);
+
 /// Batch item that runs or is queued.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlannedItem {
-    pub(super) id: PlaceId,
+    /// Latest start, and id.
+    pub(super) key: ItemKey,
     /// Remaining run time.
     pub(super) left: Duration,
     pub(super) due: Timestamp,
     pub(super) is_running: bool,
 }
 
-/// Queued batch items that can be completed in time if all others wait.
+/// Order in which queued batch items get places.
 ///
 /// With more items than places, serving the item first that is the next to become late completes
 /// nearly all of them just after they are due. The plan therefore leaves items out until the rest
 /// fits: Moore and Hodgson's rule, which maximizes the number of items in time on one machine, with
-/// the average number of places as its speed.
+/// the average number of places as its speed. Items that are left out come last.
 #[derive(Debug, Default)]
 pub(super) struct BatchPlan {
-    selected: HashSet<PlaceId>,
+    /// Queued items in the order in which they get places. It may contain items that are no longer
+    /// queued.
+    order: VecDeque<ItemKey>,
+    /// Number of items at the start of `order` that can be completed in time.
+    selected: usize,
+    /// Items that were queued after the plan was made.
+    recent: BTreeSet<ItemKey>,
     made_at: Option<Timestamp>,
     /// Moving average of the places that are left for batch work.
     mean_places: f64,
@@ -42,14 +57,41 @@
 }
 
 impl BatchPlan {
-    /// Returns `true` if the item is selected.
-    pub(super) fn contains(&self, id: PlaceId) -> bool {
-        self.selected.contains(&id)
+    /// Adds an item that was queued after the plan was made.
+    pub(super) fn push(&mut self, key: ItemKey) {
+        self.recent.insert(key);
+    }
+
+    /// Removes and returns the next item: the selected ones, those that were queued since and are
+    /// not late, the others.
+    pub(super) fn pop(&mut self, now: Timestamp) -> Option<ItemKey> {
+        if self.selected > 0 {
+            self.selected -= 1;
+            return self.order.pop_front();
+        }
+        let in_time = self.recent.range((now, PlaceId { holder: 0, number: 0 })..).next().copied();
+        if let Some(key) = in_time {
+            self.recent.remove(&key);
+            return Some(key);
+        }
+        self.order.pop_front().or_else(|| self.recent.pop_first())
     }
 
-    /// Returns `true` if the plan is to be renewed.
-    pub(super) fn is_due(&self, now: Timestamp) -> bool {
-        self.made_at.is_none_or(|at| now - at >= PLAN_INTERVAL)
+    /// Returns items that got no place to the start of the order.
+    pub(super) fn restore(&mut self, keys: Vec<ItemKey>) {
+        self.selected += keys.len();
+        keys.into_iter().rev().for_each(|key| self.order.push_front(key));
+    }
+
+    /// Returns the number of queued items that can be completed in time, when the plan was made.
+    pub(super) const fn selected(&self) -> usize {
+        self.selected
+    }
+
+    /// Returns `true` if the plan is to be renewed, with this number of queued items.
+    pub(super) fn is_due(&self, now: Timestamp, queued: usize) -> bool {
+        let factor = u32::try_from(1 + queued / ITEMS_PER_INTERVAL).unwrap_or(u32::MAX);
+        self.made_at.is_none_or(|at| now - at >= PLAN_INTERVAL.saturating_mul(factor))
     }
 
     /// Records how many places batch work uses or could use.
@@ -63,11 +105,27 @@
         self.mean_places += weight * (places - self.mean_places);
     }
 
-    /// Selects the queued items that can be completed in time, together with those that run.
+    /// Makes the order anew: first the queued items that can be completed in time, together with
+    /// those that run, by their latest start; then those that are not late yet, then late ones, of
+    /// both those with the least work left.
     pub(super) fn renew(&mut self, now: Timestamp, mut items: Vec<PlannedItem>) {
         self.made_at = Some(now);
-        self.selected.clear();
-        items.sort_unstable_by_key(|item| (item.due, item.id));
+        self.recent.clear();
+        items.sort_unstable_by_key(|item| (item.due, item.key));
+        let selected = self.select(now, &items);
+        items.retain(|item| !item.is_running);
+        items.sort_by_cached_key(|item| {
+            let is_selected = selected.contains(&item.key);
+            let left = if is_selected { Duration::ZERO } else { item.left };
+            (!is_selected, !is_selected && item.key.0 < now, left, item.key)
+        });
+        self.selected = selected.len();
+        self.order = items.into_iter().map(|item| item.key).collect();
+    }
+
+    /// Returns the queued items that can be completed in time. `items` are ordered by due time.
+    fn select(&self, now: Timestamp, items: &[PlannedItem]) -> HashSet<ItemKey> {
+        let mut selected = HashSet::new();
         let mut work = Duration::ZERO;
         // The item with the most remaining work is left out first, and of several the most urgent
         // one, which leaves the others more time.
@@ -75,15 +133,16 @@
         for item in items.iter().filter(|item| now + item.left <= item.due) {
             work += item.left;
             if !item.is_running {
-                self.selected.insert(item.id);
-                droppable.push((item.left, Reverse(item.due), item.id));
+                selected.insert(item.key);
+                droppable.push((item.left, Reverse(item.due), item.key));
             }
             let capacity = (item.due - now).mul_f64(self.mean_places);
             while work > capacity {
-                let Some((left, _, id)) = droppable.pop() else { break };
+                let Some((left, _, key)) = droppable.pop() else { break };
                 work = work.saturating_sub(left);
-                self.selected.remove(&id);
+                selected.remove(&key);
             }
         }
+        selected
     }
 }
--- a/dogwoodtray_policy/src/placement/service/batch.rs
+++ b/dogwoodtray_policy/src/placement/service/batch.rs
@@ -6,7 +6,7 @@
 use crate::Class;
 use crate::placement::DispatcherConfig;
 use crate::placement::PlaceAction;
-use crate::placement::PlaceId;
+use crate::placement::PlaceRequest;
 use crate::placement::batch_plan::PlannedItem;
 use crate::placement::endpoint::Endpoint;
 
@@ -21,38 +21,36 @@
         let reserve = f64::from(self.total_slots()) * cfg.online_reserve;
         let available = self.free_places(now).saturating_sub(reserve as u32) as usize;
         self.renew_plan(now, available, out);
-        for key in self.next_items(now, available) {
-            let Some(request) = self.batch.remove(&key) else { continue };
+        let mut skipped = Vec::new();
+        for _ in 0..available {
+            // Items that were withdrawn or granted are still in the plan.
+            let Some(request) = self.next_item(now) else { break };
+            let key = (request.start_by, request.id);
             match self.pick_endpoint(now, &request) {
                 Some(endpoint) => self.grant(now, &request, endpoint, out),
                 None => {
                     self.batch.insert(key, request);
+                    skipped.push(key);
                 }
             }
         }
+        self.plan.restore(skipped);
     }
 
-    /// Returns the keys of the queued batch items that get the next `count` places: those that can
-    /// be completed in time, the one with the least time to spare first, then those that are not late
-    /// yet, then late ones, of both those with the least work left.
-    fn next_items(&self, now: Timestamp, count: usize) -> Vec<(Timestamp, PlaceId)> {
-        let is_planned = |key: &&(Timestamp, PlaceId)| self.plan.contains(key.1);
-        let mut next: Vec<_> = self.batch.keys().filter(is_planned).take(count).copied().collect();
-        if next.len() < count {
-            let others = self.batch.iter().filter(|(key, _)| !is_planned(key));
-            let mut others: Vec<_> = others
-                .map(|(key, request)| (key.0 < now, request.due - request.start_by, *key))
-                .collect();
-            others.sort_unstable();
-            next.extend(others.into_iter().take(count - next.len()).map(|(.., key)| key));
+    /// Removes and returns the queued batch item that gets the next place.
+    fn next_item(&mut self, now: Timestamp) -> Option<PlaceRequest> {
+        loop {
+            let key = self.plan.pop(now)?;
+            if let Some(request) = self.batch.remove(&key) {
+                return Some(request);
+            }
         }
-        next
     }
 
     /// Renews the plan of batch items if it is due, and preempts items that are late for those that
     /// can be completed in time.
     fn renew_plan(&mut self, now: Timestamp, available: usize, out: &mut Vec<PlaceAction>) {
-        if !self.plan.is_due(now) {
+        if !self.plan.is_due(now, self.batch.len()) {
             return;
         }
         let running = || self.held.iter().filter(|(_, held)| held.class == Class::Batch);
@@ -60,18 +58,17 @@
         self.plan.observe_places(now, u32::try_from(places).unwrap_or(u32::MAX));
         let running = running().filter_map(|(id, held)| {
             let left = held.left(now)?;
-            Some(PlannedItem { id: *id, left, due: held.due, is_running: true })
+            Some(PlannedItem { key: (now, *id), left, due: held.due, is_running: true })
         });
-        let queued = self.batch.iter().map(|((_, id), request)| PlannedItem {
-            id: *id,
+        let queued = self.batch.iter().map(|(key, request)| PlannedItem {
+            key: *key,
             left: request.due - request.start_by,
             due: request.due,
             is_running: false,
         });
         let items = running.chain(queued).collect();
         self.plan.renew(now, items);
-        let waiting = self.batch.keys().filter(|(_, id)| self.plan.contains(*id)).count();
-        self.preempt_items(now, waiting.saturating_sub(available), true, out);
+        self.preempt_items(now, self.plan.selected().saturating_sub(available), true, out);
     }
 
     /// Preempts one batch item for each queued online request.
--- a/dogwoodtray_policy/src/placement/service/mod.rs
+++ b/dogwoodtray_policy/src/placement/service/mod.rs
@@ -70,7 +70,7 @@
     online: VecDeque<PlaceRequest>,
     /// Queued batch items, ordered by their latest start.
     batch: BTreeMap<(Timestamp, PlaceId), PlaceRequest>,
-    /// Queued batch items that can be completed in time.
+    /// Order in which the queued batch items get places.
     plan: BatchPlan,
     /// Moving average of the time that an answered online request held its place.
     mean_hold_time: Duration,
@@ -202,6 +202,7 @@
     ) {
         let id = request.id;
         if request.class == Class::Batch {
+            self.plan.push((request.start_by, id));
             self.batch.insert((request.start_by, id), request);
             self.assign_places(now, cfg, out);
             if !self.held.contains_key(&id) {
