Let drivers learn of new processes at once again

Cause: since each process collected changes of the registered processes for 1 s.

Change: only gateways collect them; they are most of the processes.

The two tests of the soak around a restart pass.

--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -40,8 +40,8 @@
 /// Wait time of a watch whose changes are also relayed on links, or are not urgent.
 const LONG_WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// Time for which changes of the registered processes are collected. A process that restarts keeps
-/// its address, so only new addresses wait for it.
+/// Time for which a gateway collects changes of the registered processes. A process that restarts
+/// keeps its address, so only new addresses wait for it.
 const NODES_WATCH_PAUSE: Duration = Duration::from_secs(1);
 
 /// Time for which a process waits for a configuration that its peers have before it requests it.
@@ -146,7 +146,11 @@
         let cfg = WatchConfig {
             is_active: |_: &Self| true,
             wait: |_: &Self| LONG_WATCH_WAIT,
-            pause: NODES_WATCH_PAUSE,
+            pause: match self.cfg.role {
+                NodeRole::Gateway => NODES_WATCH_PAUSE,
+                // Two drivers that do not know each other drive the same jobs.
+                NodeRole::Driver => Duration::ZERO,
+            },
         };
         self.spawn_configured_watch(NODES_KIND, cfg, Self::on_nodes_update);
         let node = Rc::clone(self);
