Log the contents of runs that endpoints break off

What was missing: a request that broke off when its endpoint crashed looked like one whose connection was reset, and no line named its content.

Change: a Run stands for one request at one endpoint and records how far it got.

--- /dev/null
+++ b/dogwoodtray_coord/src/crashes/mod.rs
@@ -0,0 +1,5 @@
+//! Endpoint crashes, and the contents of requests that cause them.
+
+mod contents;
+
+pub use self::contents::Contents;
--- /dev/null
+++ b/dogwoodtray_gateway/src/contents.rs
@@ -0,0 +1,36 @@
+//! Hashes of the contents of requests.
+
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Contents;
+use hyper::header;
+use hyper::header::HeaderMap;
+
+use crate::model::Dialect;
+use crate::request::EndpointRequest;
+
+/// Returns the contents of a request: a hash that it shares with its resends, and those of the parts
+/// of its prompt that it shares with others.
+pub(crate) fn request_contents(dialect: &dyn Dialect, req: &EndpointRequest) -> Contents {
+    let host = req.headers.get(header::HOST).map_or(&b""[..], |host| host.as_bytes());
+    let whole = [
+        ContentHash::of(host),
+        ContentHash::of(req.method.as_str().as_bytes()),
+        ContentHash::of(req.path_and_query.as_bytes()),
+        ContentHash::of(&req.body),
+    ];
+    let request = ContentHash::of(&whole.map(|hash| hash.0.to_le_bytes()).concat());
+    Contents { request, parts: shared_parts(dialect, &req.headers) }
+}
+
+/// Returns the hashes of the parts of a prompt that other requests may share.
+pub(crate) fn shared_parts(dialect: &dyn Dialect, headers: &HeaderMap) -> Vec<ContentHash> {
+    let prompt = headers.get(&dialect.names().prompt_parts).and_then(|value| value.to_str().ok());
+    let ids = prompt.map(|prompt| dialect.shared_parts(prompt)).unwrap_or_default();
+    ids.into_iter().map(|id| ContentHash::of(id.as_bytes())).collect()
+}
+
+/// Returns the hashes as they appear in a log line.
+pub(crate) fn content_list(contents: &[ContentHash]) -> String {
+    let texts: Vec<String> = contents.iter().map(ToString::to_string).collect();
+    texts.join(",")
+}
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::Class;
@@ -13,7 +14,9 @@
 
 use super::response;
 use super::response::GatewayResponse;
+use super::run::Run;
 use super::trace::Trace;
+use crate::contents::request_contents;
 use crate::model::Route;
 use crate::model::RouteKind;
 use crate::net::Exchange;
@@ -70,6 +73,7 @@
     pub(crate) service: Name,
     pub(crate) id: Name,
     pub(crate) endpoint_request: EndpointRequest,
+    contents: Rc<Contents>,
     pub(crate) arrived: Timestamp,
     pub(crate) deadline: Timestamp,
     pub(crate) trace: Trace,
@@ -82,7 +86,7 @@
 
 impl Attempts {
     /// Creates the state of a request without attempts. `times` holds its arrival and its deadline.
-    pub(crate) const fn new(
+    pub(crate) fn new(
         node: Rc<Node>,
         route: Route,
         service: Name,
@@ -92,12 +96,14 @@
         trace: Trace,
     ) -> Self {
         let (arrived, deadline) = times;
+        let contents = Rc::new(request_contents(&*node.dialect, &endpoint_request));
         Self {
             node,
             route,
             service,
             id,
             endpoint_request,
+            contents,
             arrived,
             deadline,
             trace,
@@ -128,14 +134,15 @@
         &mut self,
         resume_after: Option<u64>,
         head_timeout: Option<Duration>,
-    ) -> Result<(Exchange, PlacePermit), AttemptError> {
+    ) -> Result<(Exchange, Run), AttemptError> {
         loop {
-            let mut permit = self.acquire_place().await?;
+            let permit = self.acquire_place().await?;
             let endpoint = self.node.directory.borrow().endpoint(&permit.endpoint).cloned();
+            let mut run = Run::start(&self.node, &self.id, &self.contents, permit);
             let remaining = self.remaining();
             let names = self.node.dialect.names();
             let Some(endpoint) = endpoint else {
-                self.on_rejected(&mut permit, PlaceOutcome::Withdrawn, &"endpoint left")?;
+                self.on_rejected(&mut run, PlaceOutcome::Withdrawn, &"endpoint left")?;
                 continue;
             };
             let Some(req) =
@@ -145,33 +152,36 @@
             };
             self.trace.on_sent(&endpoint.id);
             let limit = head_timeout.map_or(remaining, |head_timeout| head_timeout.min(remaining));
-            match timeout(limit, self.report_slow_head(&permit, send(endpoint.addr, req))).await {
+            let head = self.report_slow_head(run.permit(), send(endpoint.addr, req));
+            match timeout(limit, head).await {
                 Ok(Ok(exchange)) => match classify_response(names, &exchange.parts, &self.id) {
                     class @ (ResponseClass::Answer | ResponseClass::Failure) => {
                         self.possible_runs += 1;
+                        run.on_head();
                         if class == ResponseClass::Failure {
-                            permit.set_outcome(PlaceOutcome::Errored);
+                            run.set_outcome(PlaceOutcome::Errored);
                         }
-                        return Ok((exchange, permit));
+                        return Ok((exchange, run));
                     }
                     ResponseClass::NotRun => {
                         let is_full = exchange.parts.status == StatusCode::SERVICE_UNAVAILABLE;
                         let place_outcome =
                             if is_full { PlaceOutcome::Full } else { PlaceOutcome::Withdrawn };
-                        self.on_rejected(&mut permit, place_outcome, &exchange.parts.status)?;
+                        self.on_rejected(&mut run, place_outcome, &exchange.parts.status)?;
                     }
                     ResponseClass::Malformed => {
                         self.possible_runs += 1;
-                        self.on_failed(&mut permit, PlaceOutcome::Errored, &"damaged answer");
+                        self.on_failed(&mut run, PlaceOutcome::Errored, &"damaged answer");
                         return Err(AttemptError::OutcomeUnknown);
                     }
                 },
                 Ok(Err(SendError::NotSent(err))) => {
-                    self.on_rejected(&mut permit, PlaceOutcome::Failed, &err)?;
+                    self.on_rejected(&mut run, PlaceOutcome::Failed, &err)?;
                 }
                 Ok(Err(SendError::Lost(err))) => {
                     self.possible_runs += 1;
-                    self.on_failed(&mut permit, PlaceOutcome::Failed, &err);
+                    run.on_broken_off(&err);
+                    self.on_failed(&mut run, PlaceOutcome::Failed, &err);
                     return Err(AttemptError::OutcomeUnknown);
                 }
                 Err(_) => {
@@ -182,7 +192,7 @@
                     } else {
                         PlaceOutcome::Failed
                     };
-                    self.on_failed(&mut permit, place_outcome, &"silence");
+                    self.on_failed(&mut run, place_outcome, &"silence");
                     return Err(if deadline_passed {
                         AttemptError::DeadlineExceeded
                     } else {
@@ -231,16 +241,16 @@
     /// Records that an endpoint did not run the request. Returns an error if it cannot be retried.
     fn on_rejected(
         &mut self,
-        permit: &mut PlacePermit,
+        run: &mut Run,
         place_outcome: PlaceOutcome,
         reason: &dyn std::fmt::Display,
     ) -> Result<(), AttemptError> {
         self.rejections += 1;
         if place_outcome == PlaceOutcome::Full {
-            self.trace.log_retry(&permit.endpoint, reason);
-            permit.set_outcome(place_outcome);
+            self.trace.log_retry(run.endpoint(), reason);
+            run.set_outcome(place_outcome);
         } else {
-            self.on_failed(permit, place_outcome, reason);
+            self.on_failed(run, place_outcome, reason);
         }
         if self.rejections >= MAX_REJECTIONS || self.remaining().is_zero() {
             return Err(AttemptError::NoPlace(EXPIRED_RETRY_AFTER));
@@ -251,16 +261,16 @@
     /// Records a failure of an endpoint and excludes it from the next attempts.
     fn on_failed(
         &mut self,
-        permit: &mut PlacePermit,
+        run: &mut Run,
         place_outcome: PlaceOutcome,
         reason: &dyn std::fmt::Display,
     ) {
-        self.trace.log_retry(&permit.endpoint, reason);
-        permit.set_outcome(place_outcome);
+        self.trace.log_retry(run.endpoint(), reason);
+        run.set_outcome(place_outcome);
         if self.excluded.len() >= MAX_EXCLUDED {
             self.excluded.remove(0);
         }
-        self.excluded.push(Name::clone(&permit.endpoint));
+        self.excluded.push(Name::clone(run.endpoint()));
     }
 
     /// Returns the response to a request that no endpoint answered.
--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -14,9 +14,9 @@
 use tokio::sync::mpsc::Receiver;
 use tokio::time::Sleep;
 
+use super::run::Run;
 use super::trace::Trace;
 use crate::net::UpstreamBody;
-use crate::places::PlacePermit;
 
 quick_error! {
     /// Error that ends a response before it is complete. The connection to the caller is closed, so
@@ -64,14 +64,14 @@
     /// Outcome of the place if the body is complete.
     pub(crate) complete_outcome: PlaceOutcome,
     pub(crate) deadline: Pin<Box<Sleep>>,
-    pub(crate) permit: Option<PlacePermit>,
+    pub(crate) run: Option<Run>,
     pub(crate) trace: Trace,
 }
 
 impl ProxiedBody {
     fn finish(&mut self, place_outcome: PlaceOutcome, outcome: &'static str) {
-        if let Some(mut permit) = self.permit.take() {
-            permit.set_outcome(place_outcome);
+        if let Some(mut run) = self.run.take() {
+            run.set_outcome(place_outcome);
         }
         self.trace.finish(outcome);
     }
@@ -80,9 +80,15 @@
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.trace.on_data();
+                if let Some(run) = &mut self.run {
+                    run.on_output();
+                }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(err))) => {
+                if let Some(run) = &self.run {
+                    run.on_broken_off(&err);
+                }
                 self.finish(PlaceOutcome::Withdrawn, "broken off by the endpoint");
                 Poll::Ready(Some(Err(BodyError::Upstream(err))))
             }
--- a/dogwoodtray_gateway/src/http/mod.rs
+++ b/dogwoodtray_gateway/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod online;
 mod response;
+mod run;
 mod server;
 mod stream;
 mod trace;
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -16,10 +16,10 @@
 use super::body::ProxiedBody;
 use super::body::ResponseBody;
 use super::response::GatewayResponse;
+use super::run::Run;
 use super::stream;
 use crate::model::RouteKind;
 use crate::net::Exchange;
-use crate::places::PlacePermit;
 use crate::request::place_outcome;
 use crate::request::strip_hop_by_hop_headers;
 
@@ -48,7 +48,7 @@
 /// Serves a request that must not run twice. It is not retried once an endpoint may have run it.
 async fn serve_once(mut attempts: Attempts) -> GatewayResponse {
     match attempts.execute(None, None).await {
-        Ok((exchange, permit)) => proxy_response(attempts, exchange, permit),
+        Ok((exchange, run)) => proxy_response(attempts, exchange, run),
         Err(error) => attempts.error_response(error),
     }
 }
@@ -57,7 +57,7 @@
 pub(crate) fn proxy_response(
     mut attempts: Attempts,
     exchange: Exchange,
-    permit: PlacePermit,
+    run: Run,
 ) -> GatewayResponse {
     let complete_outcome = place_outcome(exchange.parts.status);
     let parts = response_head(exchange.parts);
@@ -66,7 +66,7 @@
         complete_outcome,
         body: exchange.body,
         deadline: Box::pin(sleep(attempts.remaining())),
-        permit: Some(permit),
+        run: Some(run),
         trace: attempts.trace,
     };
     Response::from_parts(parts, ResponseBody::Proxied(Box::new(proxied)))
@@ -94,20 +94,20 @@
     loop {
         let head_timeout = (attempts.route.max_attempts > 1).then_some(IDEMPOTENT_HEAD_TIMEOUT);
         let error = match attempts.execute(None, head_timeout).await {
-            Ok((exchange, permit)) => {
+            Ok((exchange, run)) => {
                 let is_failure = exchange.parts.status.is_server_error();
                 let is_large = exchange
                     .body
                     .size_hint_upper()
                     .is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64);
                 if is_large && !is_failure {
-                    return proxy_response(attempts, exchange, permit);
+                    return proxy_response(attempts, exchange, run);
                 }
                 if is_failure && attempts.may_retry() {
-                    attempts.trace.log_retry(&permit.endpoint, &exchange.parts.status);
+                    attempts.trace.log_retry(run.endpoint(), &exchange.parts.status);
                     AttemptError::OutcomeUnknown
                 } else {
-                    match buffer_response(&mut attempts, exchange, permit).await {
+                    match buffer_response(&mut attempts, exchange, run).await {
                         Ok(response) => return response,
                         Err(error) => error,
                     }
@@ -127,18 +127,19 @@
 async fn buffer_response(
     attempts: &mut Attempts,
     exchange: Exchange,
-    mut permit: PlacePermit,
+    mut run: Run,
 ) -> Result<GatewayResponse, AttemptError> {
     let body = Limited::new(exchange.body, MAX_BUFFERED_BYTES);
     let bytes: Bytes = match timeout(attempts.remaining(), body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(err)) => {
-            attempts.trace.log_retry(&permit.endpoint, &err);
+            run.on_broken_off(&err);
+            attempts.trace.log_retry(run.endpoint(), &err);
             return Err(AttemptError::OutcomeUnknown);
         }
         Err(_) => return Err(AttemptError::DeadlineExceeded),
     };
-    permit.set_outcome(place_outcome(exchange.parts.status));
+    run.set_outcome(place_outcome(exchange.parts.status));
     let parts = response_head(exchange.parts);
     attempts.trace.on_status(parts.status.as_u16());
     attempts.trace.on_data();
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -19,10 +19,10 @@
 use super::online::proxy_response;
 use super::online::response_head;
 use super::response::GatewayResponse;
+use super::run::Run;
 use crate::net::EventParser;
 use crate::net::Exchange;
 use crate::net::UpstreamBody;
-use crate::places::PlacePermit;
 
 /// Time without an event after which a stream is resumed at another endpoint. Events arrive every
 /// 30 ms. Callers accept gaps of at least 400 ms, and resuming a stream takes about 50 ms. The time
@@ -50,15 +50,15 @@
 pub(crate) async fn serve(mut attempts: Attempts) -> GatewayResponse {
     loop {
         match attempts.execute(None, Some(head_timeout(&attempts))).await {
-            Ok((exchange, permit)) if exchange.parts.status.is_success() => {
-                return start_stream(attempts, exchange, permit);
+            Ok((exchange, run)) if exchange.parts.status.is_success() => {
+                return start_stream(attempts, exchange, run);
             }
-            Ok((exchange, permit)) => {
+            Ok((exchange, run)) => {
                 if exchange.parts.status.is_server_error() && attempts.may_retry() {
-                    attempts.trace.log_retry(&permit.endpoint, &exchange.parts.status);
+                    attempts.trace.log_retry(run.endpoint(), &exchange.parts.status);
                     continue;
                 }
-                return proxy_response(attempts, exchange, permit);
+                return proxy_response(attempts, exchange, run);
             }
             Err(AttemptError::OutcomeUnknown | AttemptError::EndpointTimeout)
                 if attempts.may_retry() => {}
@@ -73,18 +73,14 @@
 }
 
 /// Starts the task that forwards the events, and returns the response with its channel.
-fn start_stream(
-    mut attempts: Attempts,
-    exchange: Exchange,
-    permit: PlacePermit,
-) -> GatewayResponse {
+fn start_stream(mut attempts: Attempts, exchange: Exchange, run: Run) -> GatewayResponse {
     let (tx, rx) = mpsc::channel(EVENT_CHANNEL_CAPACITY);
     let parts = response_head(exchange.parts);
     attempts.trace.on_status(parts.status.as_u16());
     let body = exchange.body;
     spawn_local(async move {
         tokio::select! {
-            () = run_stream(&mut attempts, body, permit, &tx) => {}
+            () = run_stream(&mut attempts, body, run, &tx) => {}
             () = tx.closed() => attempts.trace.finish("caller gone"),
         }
     });
@@ -95,7 +91,7 @@
 async fn run_stream(
     attempts: &mut Attempts,
     mut body: UpstreamBody,
-    mut permit: PlacePermit,
+    mut run: Run,
     tx: &Sender<Result<Bytes, BodyError>>,
 ) {
     let mut last_event_id = None;
@@ -103,20 +99,20 @@
     loop {
         // A slow but sound stream is not cut if it cannot be resumed.
         let limit = if attempts.may_retry() { idle_timeout } else { LAST_IDLE_TIMEOUT };
-        match forward_events(attempts, body, &mut last_event_id, limit, tx).await {
+        match forward_events(attempts, &mut run, body, &mut last_event_id, limit, tx).await {
             ExchangeOutcome::Completed => {
-                permit.set_outcome(PlaceOutcome::Answered);
+                run.set_outcome(PlaceOutcome::Answered);
                 return attempts.trace.finish("answered");
             }
             ExchangeOutcome::CallerDisconnected => return attempts.trace.finish("caller gone"),
             ExchangeOutcome::Interrupted(reason) => {
-                attempts.trace.log_retry(&permit.endpoint, &reason);
+                attempts.trace.log_retry(run.endpoint(), &reason);
             }
         }
         idle_timeout *= 2;
-        drop(permit);
+        drop(run);
         match resume(attempts, last_event_id).await {
-            Some(resumed) => (body, permit) = resumed,
+            Some(resumed) => (body, run) = resumed,
             None => {
                 attempts.trace.finish("not resumed");
                 // The send fails only if the caller has disconnected.
@@ -131,14 +127,14 @@
 async fn resume(
     attempts: &mut Attempts,
     last_event_id: Option<u64>,
-) -> Option<(UpstreamBody, PlacePermit)> {
+) -> Option<(UpstreamBody, Run)> {
     while attempts.may_retry() {
         match attempts.execute(last_event_id, Some(head_timeout(attempts))).await {
-            Ok((exchange, permit)) if exchange.parts.status.is_success() => {
-                return Some((exchange.body, permit));
+            Ok((exchange, run)) if exchange.parts.status.is_success() => {
+                return Some((exchange.body, run));
             }
-            Ok((exchange, permit)) => {
-                attempts.trace.log_retry(&permit.endpoint, &exchange.parts.status);
+            Ok((exchange, run)) => {
+                attempts.trace.log_retry(run.endpoint(), &exchange.parts.status);
             }
             Err(AttemptError::OutcomeUnknown | AttemptError::EndpointTimeout) => {}
             Err(_) => return None,
@@ -151,6 +147,7 @@
 /// `idle_timeout`. Drops an incomplete event at its end.
 async fn forward_events(
     attempts: &mut Attempts,
+    run: &mut Run,
     mut body: UpstreamBody,
     last_event_id: &mut Option<u64>,
     idle_timeout: Duration,
@@ -164,7 +161,11 @@
         let frame = match timeout(limit, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) if !parser.has_partial_event() => return ExchangeOutcome::Completed,
-            Ok(Some(Err(_)) | None) => return ExchangeOutcome::Interrupted("stream broken off"),
+            Ok(Some(Err(_)) | None) => {
+                let reason = "stream broken off";
+                run.on_broken_off(&reason);
+                return ExchangeOutcome::Interrupted(reason);
+            }
             Err(_) => return ExchangeOutcome::Interrupted("no event in time"),
         };
         let Ok(data) = frame.into_data() else { continue };
@@ -185,6 +186,9 @@
             *last_event_id = event.id().or(*last_event_id);
             events.extend_from_slice(&event.raw);
         }
+        if !events.is_empty() {
+            run.on_output();
+        }
         if !events.is_empty() && tx.send(Ok(events.freeze())).await.is_err() {
             return ExchangeOutcome::CallerDisconnected;
         }
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Dialect`] hides the names and encodings of the platform.
 
 mod calls;
+mod contents;
 mod directory;
 mod driver;
 mod endpoint_list;
--- a/dogwoodtray_gateway/src/model/dialect.rs
+++ b/dogwoodtray_gateway/src/model/dialect.rs
@@ -41,6 +41,8 @@
     pub not_run: HeaderName,
     /// Header with the id of the last received event, for resuming a stream.
     pub last_event_id: HeaderName,
+    /// Header with the parts of the prompt of a request.
+    pub prompt_parts: HeaderName,
     /// Header with the maximum wait of a read for a result, in milliseconds.
     pub wait_ms: HeaderName,
     /// Path of the readiness check.
@@ -80,6 +82,10 @@
     /// Returns an error if the entry is not a valid endpoint.
     fn endpoint(&self, id: &Name, spec: &str) -> Result<Endpoint, DecodeError>;
 
+    /// Returns the ids of the parts of a prompt that other requests may share, from the value of its
+    /// header. A part that belongs to the request itself is left out.
+    fn shared_parts<'a>(&self, prompt: &'a str) -> Vec<&'a str>;
+
     /// Decodes the submission of a batch job.
     ///
     /// # Errors
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -66,6 +66,8 @@
     ROUTED_ANSWERED = 2013, Info, "routed request answered";
     /// A routed request was rejected, was interrupted or timed out.
     ROUTED_FAILED = 2014, Info, "routed request not answered in full";
+    /// An endpoint broke off an exchange before its end.
+    RUN_BROKEN_OFF = 2015, Info, "run broken off by its endpoint";
 
     /// A job was accepted.
     JOB_ACCEPTED = 3001, Info, "job accepted";
