--- /dev/null
+++ b/dogwoodtray_gateway/tests/support/crashing.rs
@@ -0,0 +1,144 @@
+//! Endpoints that crash when they begin to answer certain requests.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dogwoodtray_platform::MemoryObjects;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Text in the head or body of a request that crashes an endpoint.
+pub(crate) const DEADLY: &str = "dead";
+
+/// Time from the head of a response to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(15);
+
+/// Pause before each event of a response.
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Counts of requests over all endpoints of a group.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    /// Requests with the deadly text that an endpoint received.
+    pub(crate) deadly: Cell<u32>,
+    /// Requests without it that an endpoint answered in full.
+    pub(crate) sound: Cell<u32>,
+    pub(crate) crashes: Cell<u32>,
+}
+
+/// Endpoint process that is replaced some time after each crash.
+#[derive(Clone)]
+struct Process {
+    addr: SocketAddr,
+    counts: Rc<Counts>,
+    /// Time for which the endpoint is down after a crash.
+    down: Duration,
+    is_crashed: Rc<Cell<bool>>,
+}
+
+/// Starts endpoints of the service `engine` and registers them.
+pub(crate) async fn start_crashing(
+    store: &MemoryObjects,
+    count: usize,
+    down: Duration,
+) -> Rc<Counts> {
+    let counts: Rc<Counts> = Rc::default();
+    for number in 0..count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let process = Process { addr, counts: Rc::clone(&counts), down, is_crashed: Rc::default() };
+        spawn_local(process.run(listener));
+        let entry = format!(
+            r#"{{"service":"engine","address":"{addr}","zone":"z1","version":"v1","slots":8,
+            "state":"ready","cold-left-ms":0,"sequence":1}}"#
+        );
+        store.put("servers", &format!("c{number}"), &entry);
+    }
+    counts
+}
+
+impl Process {
+    async fn run(self, mut listener: TcpListener) {
+        loop {
+            let mut connections = JoinSet::new();
+            while !self.is_crashed.get() {
+                tokio::select! {
+                    Ok((stream, _)) = listener.accept() => {
+                        let this = self.clone();
+                        connections.spawn_local(async move {
+                            // A caller that disconnects ends its exchange.
+                            let _ = this.serve(stream).await;
+                        });
+                    }
+                    () = sleep(Duration::from_millis(2)) => {}
+                }
+            }
+            drop(listener);
+            drop(connections);
+            self.counts.crashes.set(self.counts.crashes.get() + 1);
+            sleep(self.down).await;
+            self.is_crashed.set(false);
+            listener = self.rebind();
+        }
+    }
+
+    fn rebind(&self) -> TcpListener {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind(self.addr).unwrap();
+        socket.listen(64).unwrap()
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut text = Vec::new();
+        while !is_complete(&text) {
+            if stream.read_buf(&mut text).await? == 0 {
+                return Ok(());
+            }
+        }
+        let text = String::from_utf8_lossy(&text).to_lowercase();
+        let is_deadly = text.contains(DEADLY);
+        if is_deadly {
+            self.counts.deadly.set(self.counts.deadly.get() + 1);
+        }
+        let id = header(&text, "attempt-id");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-stamp: s1\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await?;
+        if is_deadly {
+            sleep(CRASH_DELAY).await;
+            self.is_crashed.set(true);
+            return std::future::pending().await;
+        }
+        for event in 1..=3 {
+            sleep(EVENT_PAUSE).await;
+            let event = format!("id: {event}\ndata: e{event}\n\n");
+            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+        }
+        stream.write_all(b"0\r\n\r\n").await?;
+        self.counts.sound.set(self.counts.sound.get() + 1);
+        Ok(())
+    }
+}
+
+/// Returns `true` if a request has been received in full.
+fn is_complete(received: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(received).to_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    body.len() >= header(head, "content-length").parse().unwrap_or(0)
+}
+
+fn header<'a>(text: &'a str, name: &str) -> &'a str {
+    let prefix = format!("{name}: ");
+    text.lines().find_map(|line| line.strip_prefix(&*prefix)).unwrap_or_default().trim()
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 mod addr;
 #[path = "../../../platform/tests/standin/body.rs"]
 mod body;
+mod crashing;
 #[path = "../../../platform/tests/standin/site.rs"]
 mod site;
 
@@ -51,6 +52,8 @@
 use self::body::events;
 use self::body::frame;
 use self::body::whole;
+pub(crate) use self::crashing::Counts;
+pub(crate) use self::crashing::start_crashing;
 pub(crate) use self::site::HOST;
 pub(crate) use self::site::config;
 pub(crate) use self::site::submission;
@@ -392,6 +395,35 @@
         exchange(to, req).await
     }
 
+    /// Sends a request with these parts in its prompt.
+    pub(crate) async fn post_prompt(
+        &self,
+        path: &str,
+        id: &str,
+        parts: &str,
+        body: &str,
+    ) -> TestResponse {
+        self.post_prompt_to(self.caller_addr, path, id, parts, body).await
+    }
+
+    pub(crate) async fn post_prompt_to(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        id: &str,
+        parts: &str,
+        body: &str,
+    ) -> TestResponse {
+        let req = Request::post(path)
+            .header("host", HOST)
+            .header("attempt-id", id)
+            .header("deadline-ms", "4000")
+            .header("prompt-prefix", parts)
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .unwrap();
+        exchange(to, req).await
+    }
+
     pub(crate) async fn get(&self, path: &str) -> TestResponse {
         get(self.caller_addr, path).await
     }
