Block the contents of requests that crash endpoints

Cause: a broken exchange was recorded against its endpoint only. Nothing connected the crash with the request, so the next one with the same content or part was placed like any other.

Change: each run that breaks off without its endpoint being drained is checked with one connection; a refused one is a crash, and the run is reported with its contents and stage to the two drivers that rank first. A pure CrashAnalyzer (dogwoodtray_coord) waits 150 ms for all reports about a crash and blocks the request or part that explains the crashes; sound runs clear innocent ones. The drivers send the blocks to all processes, which refuse such requests with 503 before they ask for a place. Batch items are neither accused nor blocked.

Why it works: requests that had begun without output are the few that can have caused a crash, and what different such requests have in common is guilty unless it has had sound runs.

--- /dev/null
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -0,0 +1,363 @@
+//! Search for the contents that crash endpoints.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::Block;
+use super::Blocklist;
+use super::CrashPattern;
+use super::CrashedRun;
+use super::RunStage;
+use super::SoundRun;
+use super::crash::Crash;
+use super::crash::count_explanations;
+use crate::ContentHash;
+use crate::Timestamp;
+
+/// Settings of a [`CrashAnalyzer`].
+#[derive(Clone, Copy, Debug)]
+pub struct CrashConfig {
+    /// Crashes at the start of an answer after which a content is blocked. Sound requests are rarely
+    /// at this stage.
+    pub start_crashes: usize,
+    /// The same for a part that had sound runs before.
+    pub sound_start_crashes: usize,
+    /// Crashes, one after the other, after which a whole request is blocked whatever its stage.
+    pub request_crashes: usize,
+    /// Crashes, one after the other, after which a part is blocked whatever its stage. Parts are
+    /// often present at crashes that they do not cause.
+    pub part_crashes: usize,
+    /// Time in which the reports of all processes about a crash arrive.
+    pub report_time: Duration,
+    /// Time for which crashes are kept.
+    pub retention: Duration,
+    /// Maximum number of crashes that are kept.
+    pub max_crashes: usize,
+    /// Maximum number of blocks.
+    pub max_blocks: usize,
+}
+
+impl Default for CrashConfig {
+    fn default() -> Self {
+        Self {
+            start_crashes: 2,
+            sound_start_crashes: 3,
+            request_crashes: 3,
+            part_crashes: 6,
+            report_time: Duration::from_millis(150),
+            retention: Duration::from_secs(600),
+            max_crashes: 1_024,
+            max_blocks: 1_024,
+        }
+    }
+}
+
+/// Evidence against one content.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    content: ContentHash,
+    is_part: bool,
+    had_sound_runs: bool,
+    pattern: CrashPattern,
+    crashes: usize,
+    first: Timestamp,
+    last: Timestamp,
+}
+
+/// Finds the contents that crash endpoints.
+///
+/// Requests beside a guilty one break off with it, so being present at a crash proves little. Two
+/// hypotheses are therefore kept for each content: that it crashes an endpoint before the first
+/// output, or at any time. Runs that had begun without output are few, and two crashes suffice for
+/// the first; the second needs more, each by a run that was sent after the previous crash, so that
+/// endpoints that are killed together count once. A run with output refutes the first hypothesis, a
+/// complete run both.
+///
+/// A part counts as many crashes as different requests are needed to explain those at which it was
+/// present: one request that comes again accuses itself, not its parts. A crash at which a blocked
+/// part was present is explained and accuses no other content. Contents with the same evidence are
+/// blocked together, and sound runs clear those that are innocent.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use dogwoodtray_coord::ContentHash;
+/// use dogwoodtray_coord::ContentVerdict;
+/// use dogwoodtray_coord::Contents;
+/// use dogwoodtray_coord::CrashAnalyzer;
+/// use dogwoodtray_coord::CrashConfig;
+/// use dogwoodtray_coord::CrashedRun;
+/// use dogwoodtray_coord::Name;
+/// use dogwoodtray_coord::RunStage;
+/// use dogwoodtray_coord::Timestamp;
+///
+/// let part = ContentHash(7);
+/// let mut analyzer = CrashAnalyzer::new(CrashConfig::default());
+/// for number in 0..2 {
+///     let sent_at = Timestamp::ZERO + Duration::from_secs(number);
+///     let run = CrashedRun {
+///         contents: Contents { request: ContentHash(100 + number), parts: vec![part] },
+///         endpoint: Name::from("e1"),
+///         sent_at,
+///         ended_at: sent_at + Duration::from_millis(50),
+///         stage: RunStage::Starting,
+///         sound: Vec::new(),
+///     };
+///     analyzer.record_crash(run.ended_at, run);
+/// }
+/// let next = Contents { request: ContentHash(102), parts: vec![part] };
+/// let now = Timestamp::ZERO + Duration::from_secs(2);
+/// analyzer.tick(now);
+/// assert!(matches!(analyzer.blocks().check(now, &next), ContentVerdict::Blocked { .. }));
+/// ```
+#[derive(Clone, Debug)]
+pub struct CrashAnalyzer {
+    cfg: CrashConfig,
+    /// Crashes by their number, in the order of their first report.
+    crashes: VecDeque<Crash>,
+    /// Number of the first crash in `crashes`.
+    first_number: u64,
+    /// Numbers of the crashes that accuse each content.
+    by_content: HashMap<ContentHash, Vec<u64>>,
+    blocks: Blocklist,
+}
+
+impl CrashAnalyzer {
+    /// Creates an analyzer without evidence.
+    #[must_use]
+    pub fn new(cfg: CrashConfig) -> Self {
+        Self {
+            cfg,
+            crashes: VecDeque::new(),
+            first_number: 0,
+            by_content: HashMap::new(),
+            blocks: Blocklist::new(cfg.max_blocks),
+        }
+    }
+
+    /// Returns the blocked contents.
+    #[must_use]
+    pub const fn blocks(&self) -> &Blocklist {
+        &self.blocks
+    }
+
+    /// Returns the blocked contents for changes.
+    pub const fn blocks_mut(&mut self) -> &mut Blocklist {
+        &mut self.blocks
+    }
+
+    /// Returns the number of crashes that are kept.
+    #[must_use]
+    pub fn crash_count(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Returns the time at which [`tick`](Self::tick) is to be called next, if any crash has not been
+    /// analyzed.
+    #[must_use]
+    pub fn next_tick(&self) -> Option<Timestamp> {
+        self.crashes.iter().rev().filter_map(|crash| crash.analyze_at).min()
+    }
+
+    /// Records a run that ended because its endpoint crashed. Returns the blocks of its contents that
+    /// have changed.
+    pub fn record_crash(&mut self, now: Timestamp, run: CrashedRun) -> Vec<Block> {
+        self.drop_old(now);
+        let contents = run.contents.clone();
+        let ended_at = run.ended_at;
+        let known = self.crashes.iter().rposition(|crash| crash.ended(&run));
+        let is_new = |content: &ContentHash| known.is_none_or(|i| !self.crashes[i].has(*content));
+        let new_contents: Vec<ContentHash> = contents.iter().filter(is_new).collect();
+        let number = match known {
+            Some(index) => {
+                self.crashes[index].push(run);
+                self.first_number + index as u64
+            }
+            None => {
+                self.crashes.push_back(Crash::new(run, now + self.cfg.report_time));
+                self.first_number + self.crashes.len() as u64 - 1
+            }
+        };
+        for content in &new_contents {
+            self.by_content.entry(*content).or_default().push(number);
+        }
+        new_contents
+            .into_iter()
+            .filter_map(|content| self.blocks.record_crash(content, ended_at))
+            .collect()
+    }
+
+    /// Analyzes the crashes about which all reports should have arrived. Returns the new blocks.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<Block> {
+        let mut blocks = Vec::new();
+        for index in 0..self.crashes.len() {
+            let is_due = |crash: &Crash| crash.analyze_at.is_some_and(|at| at <= now);
+            if is_due(&self.crashes[index]) {
+                self.crashes[index].analyze_at = None;
+                self.analyze(index, &mut blocks);
+            }
+        }
+        blocks
+    }
+
+    /// Records a sound run. Returns `true` if it cleared a blocked content.
+    pub fn record_sound_run(&mut self, now: Timestamp, run: &SoundRun) -> bool {
+        let is_refuted = self.blocks.refute(now, run);
+        if is_refuted {
+            self.by_content.remove(&run.content);
+        }
+        is_refuted
+    }
+
+    /// Removes the block of a content that another process found innocent. Returns `true` if it was
+    /// blocked.
+    pub fn clear(&mut self, now: Timestamp, content: ContentHash) -> bool {
+        self.by_content.remove(&content);
+        self.blocks.clear(now, content)
+    }
+
+    fn drop_old(&mut self, now: Timestamp) {
+        while self.crashes.len() >= self.cfg.max_crashes
+            || self.crashes.front().is_some_and(|old| now - old.at > self.cfg.retention)
+        {
+            let Some(old) = self.crashes.pop_front() else { return };
+            for content in old.runs.iter().flat_map(|run| run.contents.iter()) {
+                if let Some(numbers) = self.by_content.get_mut(&content) {
+                    numbers.retain(|number| *number != self.first_number);
+                    if numbers.is_empty() {
+                        self.by_content.remove(&content);
+                    }
+                }
+            }
+            self.first_number += 1;
+        }
+    }
+}
+
+/// # Analysis
+impl CrashAnalyzer {
+    /// Blocks the contents that explain a crash, if the evidence suffices.
+    fn analyze(&mut self, index: usize, blocks: &mut Vec<Block>) {
+        let evidence = self.strongest_evidence(&self.crashes[index]);
+        let contents: Vec<ContentHash> = evidence.iter().map(|found| found.content).collect();
+        for found in evidence {
+            let rivals =
+                contents.iter().copied().filter(|content| *content != found.content).collect();
+            let block = Block::new(
+                found.content,
+                found.pattern,
+                u32::try_from(found.crashes).unwrap_or(u32::MAX),
+                (found.first, found.last),
+                found.had_sound_runs,
+                rivals,
+            );
+            if self.blocks.merge(block.clone()) {
+                blocks.push(block);
+            }
+        }
+    }
+
+    /// Returns the contents to block on account of a crash. Of those with sufficient evidence they
+    /// are the ones with most crashes, then those without sound runs, then whole requests, whose
+    /// block affects fewer others.
+    fn strongest_evidence(&self, crash: &Crash) -> Vec<Evidence> {
+        let mut contents: HashMap<ContentHash, bool> = HashMap::new();
+        for run in &crash.runs {
+            contents.entry(run.contents.request).or_insert(false);
+            run.contents.parts.iter().for_each(|part| {
+                contents.insert(*part, true);
+            });
+        }
+        let is_explained = contents
+            .iter()
+            .any(|(content, is_part)| *is_part && self.blocks.get(*content).is_some());
+        if is_explained {
+            return Vec::new();
+        }
+        let found = contents.into_iter().filter(|(content, _)| self.blocks.get(*content).is_none());
+        let mut found: Vec<Evidence> =
+            found.filter_map(|(content, is_part)| self.evidence(content, is_part)).collect();
+        let rank = |found: &Evidence| {
+            (
+                found.pattern == CrashPattern::AtStart,
+                found.crashes,
+                !found.had_sound_runs,
+                !found.is_part,
+            )
+        };
+        let best = found.iter().map(rank).max();
+        found.retain(|found| Some(rank(found)) == best);
+        found.sort_by_key(|found| found.content);
+        found
+    }
+
+    /// Returns the evidence against a content if it suffices to block it.
+    fn evidence(&self, content: ContentHash, is_part: bool) -> Option<Evidence> {
+        let crashes = self.accusing_crashes(content);
+        let (first, last) = (crashes.first()?.at, crashes.last()?.at);
+        let had_sound_runs =
+            crashes.iter().any(|crash| crash.runs.iter().any(|run| run.sound.contains(&content)));
+        let found = |pattern, crashes| {
+            Some(Evidence { content, is_part, had_sound_runs, pattern, crashes, first, last })
+        };
+        let starting: Vec<HashSet<ContentHash>> = crashes
+            .iter()
+            .map(|crash| crash.requests_with(content, Some(RunStage::Starting)))
+            .filter(|requests| !requests.is_empty())
+            .collect();
+        let start_limit = if is_part && had_sound_runs {
+            self.cfg.sound_start_crashes
+        } else {
+            self.cfg.start_crashes
+        };
+        let at_start =
+            if is_part { count_explanations(starting, start_limit) } else { starting.len() };
+        if at_start >= start_limit {
+            return found(CrashPattern::AtStart, at_start);
+        }
+        let limit = if is_part { self.cfg.part_crashes } else { self.cfg.request_crashes };
+        let mut in_turn = count_in_turn(content, &crashes);
+        if is_part && in_turn >= limit {
+            let requests = crashes.iter().map(|crash| crash.requests_with(content, None)).collect();
+            in_turn = in_turn.min(count_explanations(requests, limit));
+        }
+        if in_turn >= limit { found(CrashPattern::AnyTime, in_turn) } else { None }
+    }
+
+    /// Returns the crashes at which a content was present and that no blocked part explains, in the
+    /// order of time.
+    fn accusing_crashes(&self, content: ContentHash) -> Vec<&Crash> {
+        let numbers = self.by_content.get(&content).map(Vec::as_slice).unwrap_or_default();
+        let is_blocked_part =
+            |part: &ContentHash| *part != content && self.blocks.get(*part).is_some();
+        let mut crashes: Vec<&Crash> = numbers
+            .iter()
+            .filter_map(|number| {
+                let index = number.checked_sub(self.first_number)?;
+                self.crashes.get(usize::try_from(index).ok()?)
+            })
+            .filter(|crash| {
+                !crash.runs.iter().any(|run| run.contents.parts.iter().any(is_blocked_part))
+            })
+            .collect();
+        crashes.sort_by_key(|crash| crash.at);
+        crashes
+    }
+}
+
+/// Returns the number of crashes by runs with a content that were each sent after the previous one.
+fn count_in_turn(content: ContentHash, crashes: &[&Crash]) -> usize {
+    let mut count = 0;
+    let mut last = None;
+    for crash in crashes {
+        if last.is_none_or(|at| crash.has_sent_after(content, at)) {
+            count += 1;
+            last = Some(crash.at);
+        }
+    }
+    count
+}
--- /dev/null
+++ b/dogwoodtray_coord/src/crashes/blocklist.rs
@@ -0,0 +1,168 @@
+//! Blocked contents.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::Block;
+use super::Contents;
+use super::SoundRun;
+use crate::ContentHash;
+use crate::Timestamp;
+
+/// Treatment of a request by its contents.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ContentVerdict {
+    /// No content is blocked.
+    Allowed,
+    /// The request may run to find out whether these blocked contents still crash endpoints.
+    Trial(Vec<ContentHash>),
+    /// The request is not to be run.
+    Blocked {
+        /// One of its blocked contents.
+        content: ContentHash,
+        /// Time after which it may run as a trial.
+        retry_after: Duration,
+    },
+}
+
+/// Contents that are blocked, bounded in number. All processes hold a copy.
+#[derive(Clone, Debug)]
+pub struct Blocklist {
+    capacity: usize,
+    blocks: HashMap<ContentHash, Block>,
+    /// Contents that were found innocent, and when. A block that another process still holds is
+    /// ignored if it is based on earlier crashes.
+    cleared: HashMap<ContentHash, Timestamp>,
+}
+
+impl Blocklist {
+    /// Creates an empty list of at most `capacity` blocks.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self { capacity, blocks: HashMap::new(), cleared: HashMap::new() }
+    }
+
+    /// Returns `true` if no content is blocked.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Returns the number of blocked contents.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Returns all blocks.
+    pub fn iter(&self) -> impl Iterator<Item = &Block> {
+        self.blocks.values()
+    }
+
+    /// Returns the block of a content.
+    #[must_use]
+    pub fn get(&self, content: ContentHash) -> Option<&Block> {
+        self.blocks.get(&content)
+    }
+
+    /// Returns how a request with these contents is to be treated.
+    #[must_use]
+    pub fn check(&self, now: Timestamp, contents: &Contents) -> ContentVerdict {
+        if self.blocks.is_empty() {
+            return ContentVerdict::Allowed;
+        }
+        let blocks = || contents.iter().filter_map(|content| self.blocks.get(&content));
+        let is_alone = blocks().count() == 1;
+        let Some(last) = blocks().max_by_key(|block| block.trial_due(is_alone)) else {
+            return ContentVerdict::Allowed;
+        };
+        let due = last.trial_due(is_alone);
+        if now >= due {
+            return ContentVerdict::Trial(blocks().map(|block| block.content).collect());
+        }
+        ContentVerdict::Blocked { content: last.content, retry_after: due - now }
+    }
+
+    /// Starts a trial of the contents, unless another request has taken it. Returns the changed
+    /// blocks.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the next trial if none is due.
+    pub fn start_trial(
+        &mut self,
+        now: Timestamp,
+        contents: &[ContentHash],
+    ) -> Result<Vec<Block>, Duration> {
+        let is_alone = contents.len() == 1;
+        let blocks = || contents.iter().filter_map(|content| self.blocks.get(content));
+        let due = blocks().map(|block| block.trial_due(is_alone)).max();
+        if let Some(due) = due.filter(|due| *due > now) {
+            return Err(due - now);
+        }
+        let mut changed = Vec::new();
+        for content in contents {
+            if let Some(block) = self.blocks.get_mut(content) {
+                block.start_trial(now);
+                changed.push(block.clone());
+            }
+        }
+        Ok(changed)
+    }
+
+    /// Adds a block, or merges it with the one at hand. Returns `true` if this changed the list.
+    pub fn merge(&mut self, block: Block) -> bool {
+        if self.cleared.get(&block.content).is_some_and(|at| block.last_crash <= *at) {
+            return false;
+        }
+        if let Some(known) = self.blocks.get_mut(&block.content) {
+            return known.merge(&block);
+        }
+        self.blocks.insert(block.content, block);
+        while self.blocks.len() > self.capacity {
+            self.evict();
+        }
+        true
+    }
+
+    /// Records a further crash of an endpoint that ran a blocked content. Returns the changed block.
+    pub(super) fn record_crash(&mut self, content: ContentHash, at: Timestamp) -> Option<Block> {
+        let block = self.blocks.get_mut(&content)?;
+        block.record_crash(at);
+        Some(block.clone())
+    }
+
+    /// Removes the block of a content if the run shows that it is innocent.
+    pub fn refute(&mut self, now: Timestamp, run: &SoundRun) -> bool {
+        let is_refuted =
+            self.blocks.get(&run.content).is_some_and(|block| block.is_refuted_by(run));
+        is_refuted && self.clear(now, run.content)
+    }
+
+    /// Removes the block of a content that was found innocent. Returns `true` if it was blocked.
+    pub fn clear(&mut self, now: Timestamp, content: ContentHash) -> bool {
+        if self.cleared.len() >= self.capacity {
+            let oldest =
+                self.cleared.iter().min_by_key(|(_, at)| **at).map(|(content, _)| *content);
+            oldest.map(|content| self.cleared.remove(&content));
+        }
+        self.cleared.insert(content, now);
+        if self.blocks.remove(&content).is_none() {
+            return false;
+        }
+        for block in self.blocks.values_mut() {
+            block.remove_rival(content);
+        }
+        true
+    }
+
+    /// Removes the block with the fewest crashes, and of several the one with the oldest crash.
+    fn evict(&mut self) {
+        let victim = self
+            .blocks
+            .values()
+            .min_by_key(|block| (block.crashes, block.last_crash, block.content))
+            .map(|block| block.content);
+        victim.map(|content| self.blocks.remove(&content));
+    }
+}
--- a/dogwoodtray_coord/src/crashes/mod.rs
+++ b/dogwoodtray_coord/src/crashes/mod.rs
@@ -1,5 +1,25 @@
 //! Endpoint crashes, and the contents of requests that cause them.
+//!
+//! A [`CrashAnalyzer`] receives the runs that ended because their endpoint crashed, from all
+//! processes, and blocks the contents that they have in common. [`SoundRuns`] keeps what a process
+//! knows of sound runs, which clear innocent contents.
 
+mod analyzer;
+mod block;
+mod blocklist;
 mod contents;
+mod crash;
+mod run;
+mod sound;
 
+pub use self::analyzer::CrashAnalyzer;
+pub use self::analyzer::CrashConfig;
+pub use self::block::Block;
+pub use self::block::CrashPattern;
+pub use self::blocklist::Blocklist;
+pub use self::blocklist::ContentVerdict;
 pub use self::contents::Contents;
+pub use self::run::CrashedRun;
+pub use self::run::RunStage;
+pub use self::run::SoundRun;
+pub use self::sound::SoundRuns;
--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -128,6 +128,10 @@
                     driver.on_item_progress(self.now(), progress);
                 }
             }
+            Kind::CrashReport(report) => self.on_crash_report(report),
+            Kind::SoundRunReport(report) => self.on_sound_run_report(&report),
+            // Frames of processes that dialed this one are not relayed further.
+            Kind::BlockSet(set) => self.on_block_set(set, NodeRole::Gateway),
             Kind::StoreRead(read) => {
                 spawn_local(async move {
                     link.send(node.read_for_peer(read).await);
--- /dev/null
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -0,0 +1,353 @@
+//! Exchange of evidence about endpoint crashes, and of the contents that are blocked for them.
+//!
+//! Processes report crashed runs to the drivers that rank first for assigning places. These decide
+//! which contents are blocked and tell all processes. Every process holds the list, so that a new
+//! driver knows it and a process that loses its links keeps it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::fmt::Display;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dogwoodtray_coord::Block;
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::ContentVerdict;
+use dogwoodtray_coord::Contents;
+use dogwoodtray_coord::CrashAnalyzer;
+use dogwoodtray_coord::CrashConfig;
+use dogwoodtray_coord::CrashPattern;
+use dogwoodtray_coord::CrashedRun;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::RunStage;
+use dogwoodtray_coord::SoundRun;
+use dogwoodtray_coord::SoundRuns;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_runtime::LinkHandle;
+use dogwoodtray_runtime::catalogue;
+use dogwoodtray_wire::messages;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::contents::content_list;
+use crate::node::Node;
+use crate::node::NodeRole;
+use crate::peers::DISPATCHER_KEY;
+use crate::places::millis;
+
+/// Number of drivers that receive the evidence. The second one continues if the first is lost.
+const ANALYZING_DRIVERS: usize = 2;
+
+/// Maximum number of blocks in one frame; about 20 KB.
+const MAX_BLOCKS_PER_FRAME: usize = 256;
+
+/// What a process knows of crashes and of sound runs.
+#[derive(Debug)]
+pub(crate) struct Crashes {
+    analyzer: RefCell<CrashAnalyzer>,
+    sound_runs: RefCell<SoundRuns>,
+    /// Whether a task waits for the next analysis.
+    is_tick_scheduled: Cell<bool>,
+}
+
+impl Crashes {
+    pub(crate) fn new() -> Self {
+        Self {
+            analyzer: RefCell::new(CrashAnalyzer::new(CrashConfig::default())),
+            sound_runs: RefCell::default(),
+            is_tick_scheduled: Cell::new(false),
+        }
+    }
+}
+
+/// # Requests
+impl Node {
+    /// Returns how a request with these contents is to be treated.
+    pub(crate) fn check_contents(&self, contents: &Contents) -> ContentVerdict {
+        self.crashes.analyzer.borrow().blocks().check(self.now(), contents)
+    }
+
+    /// Starts a trial of blocked contents, unless another request has taken it.
+    pub(crate) fn start_trial(&self, contents: &[ContentHash]) -> Result<(), Duration> {
+        if contents.is_empty() {
+            return Ok(());
+        }
+        let now = self.now();
+        let changed = self.crashes.analyzer.borrow_mut().blocks_mut().start_trial(now, contents)?;
+        for block in &changed {
+            let fields: [(&str, &dyn Display); 3] = [
+                ("content", &block.content),
+                ("crashes", &block.crashes),
+                ("trials", &block.trials),
+            ];
+            self.events.emit(&catalogue::CONTENT_TRIED, None, &fields);
+        }
+        self.broadcast_blocks(&changed);
+        Ok(())
+    }
+}
+
+/// # Evidence
+impl Node {
+    /// Reports a run that ended because its endpoint crashed.
+    pub(crate) fn report_crash(self: &Rc<Self>, mut run: CrashedRun) {
+        let now = self.now();
+        run.sound = self.crashes.sound_runs.borrow().known(&run.contents);
+        let report = messages::CrashReport {
+            request: run.contents.request.0,
+            parts: run.contents.parts.iter().map(|part| part.0).collect(),
+            endpoint: run.endpoint.to_string(),
+            sent_ago_ms: millis(now - run.sent_at),
+            ended_ago_ms: millis(now - run.ended_at),
+            at_start: run.stage == RunStage::Starting,
+            sound: run.sound.iter().map(|content| content.0).collect(),
+        };
+        if self.send_to_analyzers(&report.into()) {
+            self.analyze_crash(run);
+        }
+    }
+
+    /// Handles the report of another process.
+    pub(crate) fn on_crash_report(self: &Rc<Self>, report: messages::CrashReport) {
+        let now = self.now();
+        let ago = |ms: u32| now.saturating_sub(Duration::from_millis(ms.into()));
+        self.analyze_crash(CrashedRun {
+            contents: Contents {
+                request: ContentHash(report.request),
+                parts: report.parts.into_iter().map(ContentHash).collect(),
+            },
+            endpoint: Name::from(report.endpoint),
+            sent_at: ago(report.sent_ago_ms),
+            ended_at: ago(report.ended_ago_ms),
+            stage: if report.at_start { RunStage::Starting } else { RunStage::Running },
+            sound: report.sound.into_iter().map(ContentHash).collect(),
+        });
+    }
+
+    fn analyze_crash(self: &Rc<Self>, run: CrashedRun) {
+        let endpoint = Name::clone(&run.endpoint);
+        let changed = self.crashes.analyzer.borrow_mut().record_crash(self.now(), run);
+        for block in &changed {
+            let fields: [(&str, &dyn Display); 4] = [
+                ("content", &block.content),
+                ("crashes", &block.crashes),
+                ("trials", &block.trials),
+                ("endpoint", &endpoint),
+            ];
+            self.events.emit(&catalogue::BLOCKED_CONTENT_CRASHED, None, &fields);
+        }
+        self.broadcast_blocks(&changed);
+        self.schedule_analysis();
+    }
+
+    /// Starts a task that analyzes the reported crashes once all reports should have arrived.
+    fn schedule_analysis(self: &Rc<Self>) {
+        let next = self.crashes.analyzer.borrow().next_tick();
+        let Some(at) = next.filter(|_| !self.crashes.is_tick_scheduled.replace(true)) else {
+            return;
+        };
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            sleep(at - node.now()).await;
+            node.crashes.is_tick_scheduled.set(false);
+            let blocks = node.crashes.analyzer.borrow_mut().tick(node.now());
+            node.on_new_blocks(&blocks);
+            node.schedule_analysis();
+        });
+    }
+
+    fn on_new_blocks(&self, blocks: &[Block]) {
+        for block in blocks {
+            let pattern = pattern_text(block.pattern);
+            let rivals = content_list(&block.rivals);
+            let fields: [(&str, &dyn Display); 4] = [
+                ("content", &block.content),
+                ("crashes", &block.crashes),
+                ("pattern", &pattern),
+                ("rivals", &rivals),
+            ];
+            self.events.emit(&catalogue::CONTENT_BLOCKED, None, &fields);
+            metrics::counter!("dogwoodtray_content_blocks_total").increment(1);
+        }
+        self.refute_blocks(blocks);
+        self.broadcast_blocks(blocks);
+    }
+
+    /// Records that an endpoint produced output for a request, or completed it.
+    pub(crate) fn record_sound_run(
+        &self,
+        contents: &Contents,
+        sent_at: Timestamp,
+        completed: bool,
+    ) {
+        let now = self.now();
+        self.crashes.sound_runs.borrow_mut().record(now, contents, sent_at, completed);
+        if self.crashes.analyzer.borrow().blocks().is_empty() {
+            return;
+        }
+        for content in contents.iter() {
+            self.report_sound_run(SoundRun { content, sent_at, completed });
+        }
+    }
+
+    /// Reports a run to the drivers if it shows that a blocked content is innocent.
+    fn report_sound_run(&self, run: SoundRun) {
+        let is_refuted = {
+            let analyzer = self.crashes.analyzer.borrow();
+            analyzer.blocks().get(run.content).is_some_and(|block| block.is_refuted_by(&run))
+        };
+        if !is_refuted {
+            return;
+        }
+        let report = messages::SoundRunReport {
+            content: run.content.0,
+            sent_ago_ms: millis(self.now() - run.sent_at),
+            completed: run.completed,
+        };
+        self.send_to_analyzers(&report.into());
+        self.clear_content(&run);
+    }
+
+    /// Handles the report of another process.
+    pub(crate) fn on_sound_run_report(&self, report: &messages::SoundRunReport) {
+        self.clear_content(&SoundRun {
+            content: ContentHash(report.content),
+            sent_at: self.now().saturating_sub(Duration::from_millis(report.sent_ago_ms.into())),
+            completed: report.completed,
+        });
+    }
+
+    /// Clears a content that a run shows to be innocent.
+    fn clear_content(&self, run: &SoundRun) {
+        if !self.crashes.analyzer.borrow_mut().record_sound_run(self.now(), run) {
+            return;
+        }
+        let fields: [(&str, &dyn Display); 2] =
+            [("content", &run.content), ("completed", &run.completed)];
+        self.events.emit(&catalogue::CONTENT_CLEARED, None, &fields);
+        self.count_blocks();
+        if self.cfg.role == NodeRole::Driver {
+            let cleared = vec![run.content.0];
+            self.peers.broadcast_to_accepted(messages::BlockSet { blocked: Vec::new(), cleared });
+        }
+    }
+
+    /// Sends a report to the drivers that analyze crashes. Returns `true` if this process is one of
+    /// them, or none can be reached.
+    fn send_to_analyzers(&self, report: &messages::Frame) -> bool {
+        let mut is_analyzer = false;
+        let mut sent = 0;
+        for name in self.peers.ranked(self, DISPATCHER_KEY).iter().take(ANALYZING_DRIVERS) {
+            if *name == self.cfg.node {
+                is_analyzer = true;
+            } else if let Some(link) = self.peers.link_to(name)
+                && link.send(report.clone())
+            {
+                sent += 1;
+            }
+        }
+        is_analyzer || sent == 0
+    }
+
+    /// Forwards a report for a gateway that cannot reach a driver.
+    pub(crate) fn forward_report(&self, report: &messages::Frame) {
+        if self.dispatcher().is_some() {
+            self.send_to_analyzers(report);
+        }
+    }
+}
+
+/// # Blocks
+impl Node {
+    /// Sends all blocks on a new link.
+    pub(crate) fn send_blocks(&self, link: &LinkHandle) {
+        let blocks: Vec<Block> = self.crashes.analyzer.borrow().blocks().iter().cloned().collect();
+        for group in blocks.chunks(MAX_BLOCKS_PER_FRAME) {
+            link.send(self.block_set(group));
+        }
+    }
+
+    /// Applies the blocks of another process. Processes that dialed a gateway because they reach no
+    /// driver receive them from it.
+    pub(crate) fn on_block_set(self: &Rc<Self>, set: messages::BlockSet, from: NodeRole) {
+        let now = self.now();
+        let blocks: Vec<Block> = set.blocked.iter().map(|blocked| decode(now, blocked)).collect();
+        {
+            let mut analyzer = self.crashes.analyzer.borrow_mut();
+            for content in &set.cleared {
+                analyzer.clear(now, ContentHash(*content));
+            }
+            for block in &blocks {
+                analyzer.blocks_mut().merge(block.clone());
+            }
+        }
+        self.count_blocks();
+        self.refute_blocks(&blocks);
+        self.relay_driver_frame(set, from);
+    }
+
+    /// Reports sound runs of this process that show that blocked contents are innocent.
+    fn refute_blocks(&self, blocks: &[Block]) {
+        for block in blocks {
+            let refutation = self.crashes.sound_runs.borrow().refutation(block);
+            if let Some(run) = refutation {
+                self.report_sound_run(run);
+            }
+        }
+    }
+
+    fn broadcast_blocks(&self, blocks: &[Block]) {
+        self.count_blocks();
+        if self.cfg.role == NodeRole::Driver && !blocks.is_empty() {
+            self.peers.broadcast_to_accepted(self.block_set(blocks));
+        }
+    }
+
+    fn block_set(&self, blocks: &[Block]) -> messages::BlockSet {
+        let now = self.now();
+        let blocked = blocks.iter().map(|block| encode(now, block)).collect();
+        messages::BlockSet { blocked, cleared: Vec::new() }
+    }
+
+    fn count_blocks(&self) {
+        let count = self.crashes.analyzer.borrow().blocks().len();
+        metrics::gauge!("dogwoodtray_blocked_contents").set(count as f64);
+    }
+}
+
+const fn pattern_text(pattern: CrashPattern) -> &'static str {
+    match pattern {
+        CrashPattern::AtStart => "at start",
+        CrashPattern::AnyTime => "any time",
+    }
+}
+
+fn encode(now: Timestamp, block: &Block) -> messages::BlockedContent {
+    messages::BlockedContent {
+        content: block.content.0,
+        at_start: block.pattern == CrashPattern::AtStart,
+        crashes: block.crashes,
+        first_crash_ago_ms: millis(now - block.first_crash),
+        last_crash_ago_ms: millis(now - block.last_crash),
+        trial_in_ms: millis(block.trial_at - now),
+        lone_trial_in_ms: millis(block.lone_trial_at - now),
+        trials: block.trials,
+        rivals: block.rivals.iter().map(|rival| rival.0).collect(),
+    }
+}
+
+fn decode(now: Timestamp, blocked: &messages::BlockedContent) -> Block {
+    let ago = |ms: u32| now.saturating_sub(Duration::from_millis(ms.into()));
+    let later = |ms: u32| now + Duration::from_millis(ms.into());
+    Block {
+        content: ContentHash(blocked.content),
+        pattern: if blocked.at_start { CrashPattern::AtStart } else { CrashPattern::AnyTime },
+        crashes: blocked.crashes,
+        first_crash: ago(blocked.first_crash_ago_ms),
+        last_crash: ago(blocked.last_crash_ago_ms),
+        trial_at: later(blocked.trial_in_ms),
+        lone_trial_at: later(blocked.lone_trial_in_ms),
+        trials: blocked.trials,
+        rivals: blocked.rivals.iter().copied().map(ContentHash).collect(),
+    }
+}
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -117,6 +117,7 @@
             expires_at: now + PLACE_TIMEOUT,
             repeatable: true,
             excluded: excluded.clone(),
+            trial: Vec::new(),
         };
         let permit = match node.acquire_place(&params).await {
             Ok(permit) => permit,
--- a/dogwoodtray_gateway/src/endpoint_list.rs
+++ b/dogwoodtray_gateway/src/endpoint_list.rs
@@ -193,7 +193,7 @@
 
     /// Relays a frame from a driver to the gateways that dialed this one because they cannot reach
     /// a driver. Frames from a gateway are not relayed, as two gateways may have dialed each other.
-    fn relay_driver_frame(&self, frame: impl Into<messages::Frame>, from: NodeRole) {
+    pub(crate) fn relay_driver_frame(&self, frame: impl Into<messages::Frame>, from: NodeRole) {
         let from_driver = from == NodeRole::Driver;
         if self.cfg.role == NodeRole::Gateway && from_driver && self.peers.has_accepted() {
             self.peers.broadcast_to_accepted(frame);
--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Name;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceId;
@@ -90,6 +91,8 @@
                     driver.send(cancelled.clone());
                 }
             }
+            Kind::CrashReport(report) => self.forward_report(&report.into()),
+            Kind::SoundRunReport(report) => self.forward_report(&report.into()),
             kind => return Some(kind),
         }
         None
@@ -112,6 +115,7 @@
             expires_at: due,
             repeatable: request.repeatable,
             excluded: request.excluded.iter().map(|name| Name::from(name.as_str())).collect(),
+            trial: request.trial.iter().copied().map(ContentHash).collect(),
         };
         link.send(messages::PlaceQueued { ask: request.ask });
         let (node, link) = (Rc::clone(self), link.clone());
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::ContentVerdict;
 use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
@@ -61,6 +63,8 @@
     OutcomeUnknown,
     /// The endpoint did not respond in time; the request may have run.
     EndpointTimeout,
+    /// The request has a content that crashes endpoints.
+    Blocked(Duration),
     /// The deadline of the request passed.
     DeadlineExceeded,
 }
@@ -136,9 +140,16 @@
         head_timeout: Option<Duration>,
     ) -> Result<(Exchange, Run), AttemptError> {
         loop {
-            let permit = self.acquire_place().await?;
+            let trial = self.check_contents()?;
+            let is_trial = !trial.is_empty();
+            let permit = self.acquire_place(trial).await?;
+            if !is_trial {
+                // A content may have been blocked while the request waited.
+                self.check_contents()?;
+            }
             let endpoint = self.node.directory.borrow().endpoint(&permit.endpoint).cloned();
-            let mut run = Run::start(&self.node, &self.id, &self.contents, permit);
+            let mut run =
+                Run::start(&self.node, &self.id, &self.contents, permit, self.is_stream());
             let remaining = self.remaining();
             let names = self.node.dialect.names();
             let Some(endpoint) = endpoint else {
@@ -181,6 +192,9 @@
                 Ok(Err(SendError::Lost(err))) => {
                     self.possible_runs += 1;
                     run.on_broken_off(&err);
+                    if self.may_retry() {
+                        run.reported().await;
+                    }
                     self.on_failed(&mut run, PlaceOutcome::Failed, &err);
                     return Err(AttemptError::OutcomeUnknown);
                 }
@@ -207,7 +221,7 @@
     /// the request appears to be queued in its endpoint.
     async fn report_slow_head<T>(&self, permit: &PlacePermit, head: impl Future<Output = T>) -> T {
         tokio::pin!(head);
-        if !matches!(self.route.kind, RouteKind::Streaming { .. }) {
+        if !self.is_stream() {
             return head.await;
         }
         loop {
@@ -218,8 +232,25 @@
         }
     }
 
+    const fn is_stream(&self) -> bool {
+        matches!(self.route.kind, RouteKind::Streaming { .. })
+    }
+
+    /// Returns the blocked contents if the request may run as a trial of them, none if it has none,
+    /// or an error if it must not run.
+    fn check_contents(&self) -> Result<Vec<ContentHash>, AttemptError> {
+        match self.node.check_contents(&self.contents) {
+            ContentVerdict::Allowed => Ok(Vec::new()),
+            ContentVerdict::Trial(contents) => Ok(contents),
+            ContentVerdict::Blocked { content, retry_after } => {
+                log::debug!("request {} has the blocked content {content}", self.id);
+                Err(AttemptError::Blocked(retry_after))
+            }
+        }
+    }
+
     /// Waits for a place at an endpoint.
-    async fn acquire_place(&self) -> Result<PlacePermit, AttemptError> {
+    async fn acquire_place(&self, trial: Vec<ContentHash>) -> Result<PlacePermit, AttemptError> {
         let now = self.node.now();
         let objective = self.arrived + self.route.latency_objective.saturating_sub(FIRST_BYTE_TIME);
         let is_retry = self.possible_runs + self.rejections > 0;
@@ -231,6 +262,7 @@
             expires_at: self.deadline,
             repeatable: self.route.kind.is_repeatable() && self.route.max_attempts > 1,
             excluded: self.excluded.clone(),
+            trial,
         };
         self.node.acquire_place(&params).await.map_err(|error| match error {
             PlaceError::Refused { retry_after } => AttemptError::NoPlace(retry_after),
@@ -279,10 +311,14 @@
             AttemptError::NoPlace(retry_after) if self.possible_runs == 0 => {
                 (response::refused(retry_after), "refused")
             }
+            AttemptError::Blocked(retry_after) if self.possible_runs == 0 => {
+                (response::blocked(retry_after), "blocked")
+            }
             AttemptError::DeadlineExceeded => {
                 (response::plain(StatusCode::GATEWAY_TIMEOUT, "out of time\n"), "out of time")
             }
             AttemptError::NoPlace(_)
+            | AttemptError::Blocked(_)
             | AttemptError::OutcomeUnknown
             | AttemptError::EndpointTimeout => {
                 let text = "the endpoint gave no answer; the request may have run\n";
--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -86,13 +86,16 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(err))) => {
-                if let Some(run) = &self.run {
+                if let Some(run) = &mut self.run {
                     run.on_broken_off(&err);
                 }
                 self.finish(PlaceOutcome::Withdrawn, "broken off by the endpoint");
                 Poll::Ready(Some(Err(BodyError::Upstream(err))))
             }
             Poll::Ready(None) => {
+                if let Some(run) = &self.run {
+                    run.on_completed();
+                }
                 self.finish(self.complete_outcome, "answered");
                 Poll::Ready(None)
             }
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -134,11 +134,13 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(err)) => {
             run.on_broken_off(&err);
+            run.reported().await;
             attempts.trace.log_retry(run.endpoint(), &err);
             return Err(AttemptError::OutcomeUnknown);
         }
         Err(_) => return Err(AttemptError::DeadlineExceeded),
     };
+    run.on_completed();
     run.set_outcome(place_outcome(exchange.parts.status));
     let parts = response_head(exchange.parts);
     attempts.trace.on_status(parts.status.as_u16());
--- a/dogwoodtray_gateway/src/http/response.rs
+++ b/dogwoodtray_gateway/src/http/response.rs
@@ -26,6 +26,12 @@
     with_retry_after(response, retry_after)
 }
 
+/// Returns the response to a request with a content that crashes endpoints.
+pub(crate) fn blocked(retry_after: Duration) -> GatewayResponse {
+    let text = "requests with this content crashed endpoints; not run\n";
+    with_retry_after(plain(StatusCode::SERVICE_UNAVAILABLE, text), retry_after)
+}
+
 /// Returns the response to a job that does not fit into the limit of its route.
 pub(crate) fn over_limit(retry_after: Duration) -> GatewayResponse {
     let text = "too many tokens wait on this route; not run; try again later\n";
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -101,6 +101,7 @@
         let limit = if attempts.may_retry() { idle_timeout } else { LAST_IDLE_TIMEOUT };
         match forward_events(attempts, &mut run, body, &mut last_event_id, limit, tx).await {
             ExchangeOutcome::Completed => {
+                run.on_completed();
                 run.set_outcome(PlaceOutcome::Answered);
                 return attempts.trace.finish("answered");
             }
@@ -110,6 +111,7 @@
             }
         }
         idle_timeout *= 2;
+        run.reported().await;
         drop(run);
         match resume(attempts, last_event_id).await {
             Some(resumed) => (body, run) = resumed,
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod contents;
+mod crashes;
 mod directory;
 mod driver;
 mod endpoint_list;
--- a/dogwoodtray_gateway/src/net/upstream.rs
+++ b/dogwoodtray_gateway/src/net/upstream.rs
@@ -98,6 +98,12 @@
     Ok(Exchange { parts, body: UpstreamBody { connection, incoming } })
 }
 
+/// Returns `true` if nothing listens at the address any more. An endpoint that only reset a connection
+/// or cannot be reached does not count.
+pub(crate) async fn is_refused(addr: SocketAddr) -> bool {
+    connect(addr).await.is_err_and(|err| err.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
         .await
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 
 use crate::calls::PendingCalls;
+use crate::crashes::Crashes;
 use crate::directory::Directory;
 use crate::driver::Driver;
 use crate::forward::ForwardedPlace;
@@ -82,6 +83,7 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) peers: Peers,
     pub(crate) places: Places,
+    pub(crate) crashes: Crashes,
     /// Whether a graceful stop has started.
     pub(crate) draining: Cell<bool>,
     /// Newest configuration, as it is relayed on links.
@@ -117,6 +119,7 @@
             directory: RefCell::new(Directory::new()),
             peers: Peers::default(),
             places: Places::new(incarnation),
+            crashes: Crashes::new(),
             draining: Cell::new(false),
             relayed_config: RefCell::new(None),
             config_fetch: Cell::default(),
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -221,6 +221,8 @@
     fn on_link_event(self: &Rc<Self>, source: LinkSource, event: LinkEvent) {
         match (source, event) {
             (LinkSource::Dialed(name, _), LinkEvent::Up { link, .. }) => {
+                // The driver may have restarted and lost its list.
+                self.send_blocks(&link);
                 if let Some(driver) = self.peers.dialed.borrow_mut().get_mut(&name) {
                     driver.link = Some(link);
                     driver.last_frame_at = self.now();
@@ -252,6 +254,7 @@
                 // Informs the new peer at once whether this process is stale or leaving.
                 link.send(self.heartbeat(0));
                 self.send_endpoints(&link);
+                self.send_blocks(&link);
                 let name = Name::from(&*hello.node);
                 if let Some(peer) = self.peers.dialed.borrow().get(&name) {
                     peer.dial.retry();
@@ -319,6 +322,7 @@
                     driver.cancel_job(self.now(), Name::from(cancelled.job));
                 }
             }
+            Kind::BlockSet(set) => self.on_block_set(set, role),
             Kind::EndpointSet(set) => self.on_relayed_endpoints(set, role),
             Kind::EndpointChanges(changes) => {
                 if let Some(link) = self.peers.link_to(name) {
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
@@ -54,6 +55,8 @@
     /// Whether the request may be sent again after an endpoint has failed it.
     pub(crate) repeatable: bool,
     pub(crate) excluded: Vec<Name>,
+    /// Blocked contents of the request, if it runs as a trial of them.
+    pub(crate) trial: Vec<ContentHash>,
 }
 
 /// Reason why no place was assigned.
@@ -268,6 +271,7 @@
             due_within_ms: millis(params.due - now),
             repeatable: params.repeatable,
             excluded: params.excluded.iter().map(ToString::to_string).collect(),
+            trial: params.trial.iter().map(|content| content.0).collect(),
         };
         if !link.send(message) {
             return None;
@@ -300,6 +304,9 @@
     }
 
     fn request_locally(&self, number: u64, params: &PlaceParams) {
+        if let Err(retry_after) = self.start_trial(&params.trial) {
+            return self.deliver(number, PlaceEvent::Refuse(retry_after));
+        }
         let request = PlaceRequest {
             id: self.places.id(number),
             service: Name::clone(&params.service),
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Name;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceRequest;
@@ -11,6 +12,7 @@
 
 use super::acquire::PlaceEvent;
 use super::wire::class_from_wire;
+use super::wire::millis;
 use super::wire::outcome_from_wire;
 use crate::node::Node;
 
@@ -70,6 +72,16 @@
         match kind {
             Kind::PlaceAsk(request) => {
                 let now = self.now();
+                let trial: Vec<ContentHash> =
+                    request.trial.iter().copied().map(ContentHash).collect();
+                if let Err(retry_after) = self.start_trial(&trial) {
+                    let ask = request.ask;
+                    let retry_after_ms = millis(retry_after);
+                    if let Some(link) = self.peers.link_of_incarnation(incarnation) {
+                        link.send(messages::PlaceRefused { ask, retry_after_ms });
+                    }
+                    return None;
+                }
                 let request = PlaceRequest {
                     id: PlaceId { holder: incarnation, number: request.ask },
                     service: Name::from(request.service.as_str()),
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -68,6 +68,16 @@
     ROUTED_FAILED = 2014, Info, "routed request not answered in full";
     /// An endpoint broke off an exchange before its end.
     RUN_BROKEN_OFF = 2015, Info, "run broken off by its endpoint";
+    /// A run broke off because its endpoint crashed.
+    ENDPOINT_CRASHED = 2016, Warn, "endpoint crashed during a run";
+    /// Requests with a content that crashes endpoints are not run any more.
+    CONTENT_BLOCKED = 2017, Warn, "content blocked";
+    /// A request with a blocked content runs as a trial.
+    CONTENT_TRIED = 2018, Info, "blocked content is tried";
+    /// A blocked content was found innocent.
+    CONTENT_CLEARED = 2019, Info, "content cleared";
+    /// An endpoint crashed while it ran a request with a blocked content.
+    BLOCKED_CONTENT_CRASHED = 2020, Warn, "blocked content crashed an endpoint again";
 
     /// A job was accepted.
     JOB_ACCEPTED = 3001, Info, "job accepted";
--- a/dogwoodtray_wire/src/convert.rs
+++ b/dogwoodtray_wire/src/convert.rs
@@ -18,10 +18,12 @@
 
 impl_from_message!(
     Ack,
+    BlockSet,
     Cancel,
     Chunk,
     ConfigFetch,
     ConfigSet,
+    CrashReport,
     Credit,
     Dispatch,
     Done,
@@ -50,6 +52,7 @@
     Probe,
     ProbeReply,
     Reattach,
+    SoundRunReport,
     Started,
     StoreCreate,
     StoreCreated,
