Block parts without sound runs before those with sound runs

Cause: explanations were counted up to the threshold of each part. A part with sound runs has a higher threshold, so it was counted to 3 while the guilty one stopped at 2, and the strongest evidence was against the innocent one. A request with both parts then took its trial and crashed again.

Change: all parts are counted to the same limit, and parts without sound runs come first. When a part is cleared, the crashes that it explained are analyzed again, so a guilty part needs no further crash.

--- a/dogwoodtray_coord/src/crashes/analyzer.rs
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -16,6 +16,10 @@
 use crate::ContentHash;
 use crate::Timestamp;
 
+/// Number up to which explanations are counted. It exceeds all thresholds, so that contents with
+/// different thresholds compare.
+const MAX_EXPLANATIONS: usize = 16;
+
 /// Settings of a [`CrashAnalyzer`].
 #[derive(Clone, Copy, Debug)]
 pub struct CrashConfig {
@@ -208,7 +212,7 @@
     pub fn record_sound_run(&mut self, now: Timestamp, run: &SoundRun) -> bool {
         let is_refuted = self.blocks.refute(now, run);
         if is_refuted {
-            self.by_content.remove(&run.content);
+            self.drop_evidence(now, run.content);
         }
         is_refuted
     }
@@ -216,8 +220,24 @@
     /// Removes the block of a content that another process found innocent. Returns `true` if it was
     /// blocked.
     pub fn clear(&mut self, now: Timestamp, content: ContentHash) -> bool {
-        self.by_content.remove(&content);
-        self.blocks.clear(now, content)
+        let was_blocked = self.blocks.clear(now, content);
+        if was_blocked {
+            self.drop_evidence(now, content);
+        }
+        was_blocked
+    }
+
+    /// Drops the evidence against an innocent content. The crashes that it explained are analyzed
+    /// again.
+    fn drop_evidence(&mut self, now: Timestamp, content: ContentHash) {
+        for number in self.by_content.remove(&content).unwrap_or_default() {
+            let index = number.checked_sub(self.first_number).map(usize::try_from);
+            if let Some(Ok(index)) = index
+                && let Some(crash) = self.crashes.get_mut(index)
+            {
+                crash.analyze_at = Some(now);
+            }
+        }
     }
 
     fn drop_old(&mut self, now: Timestamp) {
@@ -262,7 +282,7 @@
     }
 
     /// Returns the contents to block on account of a crash. Of those with sufficient evidence they
-    /// are the ones with most crashes, then those without sound runs, then whole requests, whose
+    /// are those without sound runs, then the ones with most crashes, then whole requests, whose
     /// block affects fewer others.
     fn strongest_evidence(&self, crash: &Crash) -> Vec<Evidence> {
         let mut contents: HashMap<ContentHash, bool> = HashMap::new();
@@ -282,12 +302,8 @@
         let mut found: Vec<Evidence> =
             found.filter_map(|(content, is_part)| self.evidence(content, is_part)).collect();
         let rank = |found: &Evidence| {
-            (
-                found.pattern == CrashPattern::AtStart,
-                found.crashes,
-                !found.had_sound_runs,
-                !found.is_part,
-            )
+            let is_at_start = found.pattern == CrashPattern::AtStart;
+            (is_at_start, !found.had_sound_runs, found.crashes, !found.is_part)
         };
         let best = found.iter().map(rank).max();
         found.retain(|found| Some(rank(found)) == best);
@@ -315,7 +331,7 @@
             self.cfg.start_crashes
         };
         let at_start =
-            if is_part { count_explanations(starting, start_limit) } else { starting.len() };
+            if is_part { count_explanations(starting, MAX_EXPLANATIONS) } else { starting.len() };
         if at_start >= start_limit {
             return found(CrashPattern::AtStart, at_start);
         }
@@ -323,7 +339,7 @@
         let mut in_turn = count_in_turn(content, &crashes);
         if is_part && in_turn >= limit {
             let requests = crashes.iter().map(|crash| crash.requests_with(content, None)).collect();
-            in_turn = in_turn.min(count_explanations(requests, limit));
+            in_turn = in_turn.min(count_explanations(requests, MAX_EXPLANATIONS));
         }
         if in_turn >= limit { found(CrashPattern::AnyTime, in_turn) } else { None }
     }
--- a/dogwoodtray_coord/tests/crashes.rs
+++ b/dogwoodtray_coord/tests/crashes.rs
@@ -145,6 +145,40 @@
     }
 }
 
+/// Guards against a part that had sound runs being blocked in place of one that never had, because
+/// its threshold is higher and more of its crashes are counted.
+#[test]
+fn a_part_without_sound_runs_is_blocked_before_one_with_sound_runs() {
+    let mut analyzer = CrashAnalyzer::new(CrashConfig::default());
+    for number in 0..4 {
+        let crashed = run(10 + number, &[1, 7], "e", 1_000 + number, RunStage::Starting);
+        let endpoint = Name::from(format!("e{number}"));
+        let crashed = CrashedRun { endpoint, sound: vec![ContentHash(1)], ..crashed };
+        analyzer.record_crash(crashed.ended_at, crashed);
+    }
+    assert_eq!(blocked(&mut analyzer, Vec::new()), [0u64; 0]);
+    analyzer.tick(at(2_000));
+    assert_eq!(blocked(&mut analyzer, Vec::new()), [7]);
+}
+
+/// Guards against a part that goes unnoticed because its crashes were attributed to an innocent one.
+#[test]
+fn crashes_of_a_cleared_part_are_analyzed_again() {
+    let mut analyzer = CrashAnalyzer::new(CrashConfig::default());
+    // The first part is present at one more crash than the guilty second one.
+    let mut runs = vec![run(10, &[1], "e0", 1_000, RunStage::Starting)];
+    runs.extend((1..3).map(|n| run(10 + n, &[1, 7], "e1", 1_000 + n * 2_000, RunStage::Starting)));
+    for crashed in runs {
+        analyzer.record_crash(crashed.ended_at, crashed);
+    }
+    analyzer.tick(at(6_000));
+    assert_eq!(blocked(&mut analyzer, Vec::new()), [1]);
+    let sound = SoundRun { content: ContentHash(1), sent_at: at(6_000), completed: false };
+    assert!(analyzer.record_sound_run(at(6_100), &sound));
+    analyzer.tick(at(6_100));
+    assert_eq!(blocked(&mut analyzer, Vec::new()), [7]);
+}
+
 /// Guards against memory that grows with the number of guilty parts or of crashes.
 #[test]
 fn thousands_of_parts_are_kept_within_bounds() {
--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -156,7 +156,7 @@
         });
     }
 
-    fn on_new_blocks(&self, blocks: &[Block]) {
+    fn on_new_blocks(self: &Rc<Self>, blocks: &[Block]) {
         for block in blocks {
             let pattern = pattern_text(block.pattern);
             let rivals = content_list(&block.rivals);
@@ -175,7 +175,7 @@
 
     /// Records that an endpoint produced output for a request, or completed it.
     pub(crate) fn record_sound_run(
-        &self,
+        self: &Rc<Self>,
         contents: &Contents,
         sent_at: Timestamp,
         completed: bool,
@@ -191,7 +191,7 @@
     }
 
     /// Reports a run to the drivers if it shows that a blocked content is innocent.
-    fn report_sound_run(&self, run: SoundRun) {
+    fn report_sound_run(self: &Rc<Self>, run: SoundRun) {
         let is_refuted = {
             let analyzer = self.crashes.analyzer.borrow();
             analyzer.blocks().get(run.content).is_some_and(|block| block.is_refuted_by(&run))
@@ -209,7 +209,7 @@
     }
 
     /// Handles the report of another process.
-    pub(crate) fn on_sound_run_report(&self, report: &messages::SoundRunReport) {
+    pub(crate) fn on_sound_run_report(self: &Rc<Self>, report: &messages::SoundRunReport) {
         self.clear_content(&SoundRun {
             content: ContentHash(report.content),
             sent_at: self.now().saturating_sub(Duration::from_millis(report.sent_ago_ms.into())),
@@ -218,7 +218,7 @@
     }
 
     /// Clears a content that a run shows to be innocent.
-    fn clear_content(&self, run: &SoundRun) {
+    fn clear_content(self: &Rc<Self>, run: &SoundRun) {
         if !self.crashes.analyzer.borrow_mut().record_sound_run(self.now(), run) {
             return;
         }
@@ -226,6 +226,7 @@
             [("content", &run.content), ("completed", &run.completed)];
         self.events.emit(&catalogue::CONTENT_CLEARED, None, &fields);
         self.count_blocks();
+        self.schedule_analysis();
         if self.cfg.role == NodeRole::Driver {
             let cleared = vec![run.content.0];
             self.peers.broadcast_to_accepted(messages::BlockSet { blocked: Vec::new(), cleared });
@@ -287,7 +288,7 @@
     }
 
     /// Reports sound runs of this process that show that blocked contents are innocent.
-    fn refute_blocks(&self, blocks: &[Block]) {
+    fn refute_blocks(self: &Rc<Self>, blocks: &[Block]) {
         for block in blocks {
             let refutation = self.crashes.sound_runs.borrow().refutation(block);
             if let Some(run) = refutation {
