Owe the items under which endpoints crashed in the product's own interface

Callers of a system like ours saw a sound item of a batch that was never run again after several endpoints had died while they ran it. It could happen here, in three ways: each crash counted as a failed attempt, so the item ended as attempts_exhausted after three; two crashes put its content into the quarantine, so the entry ended it as quarantined; and the agent refused it, or held it back while another suspect ran.

Cause: items were treated like online requests, which may crash endpoints by themselves. Items that are handed in for later never do.

Change: a crash is no attempt of an idempotent item, which is retried elsewhere until its deadline; crashes of items are not recorded in the quarantine, and items are neither refused nor held back by it.

--- a/dogwoodtray_agent/src/core/endpoint.rs
+++ b/dogwoodtray_agent/src/core/endpoint.rs
@@ -6,6 +6,7 @@
 use dogwoodtray_coord::AttemptId;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::AdmissionEvent;
+use dogwoodtray_policy::Class;
 
 use super::AgentAction;
 use super::AgentMessage;
@@ -173,7 +174,8 @@
         self.crash_count += 1;
         let crash_id = self.cfg.incarnation.0.wrapping_mul(31).wrapping_add(self.crash_count);
         for &id in ids {
-            if let Some(attempt) = self.attempts.get(id) {
+            let online = self.attempts.get(id).filter(|a| a.work.class == Class::Online);
+            if let Some(attempt) = online {
                 self.quarantine.record_crash(attempt.work.content, crash_id);
             }
             out.push(AgentAction::Abort { attempt: id });
--- a/dogwoodtray_agent/src/core/events.rs
+++ b/dogwoodtray_agent/src/core/events.rs
@@ -96,8 +96,9 @@
                 AttemptOutcome::Unknown,
             ));
         }
-        let verdict = self.quarantine.verdict(work.content);
-        work.suspect |= verdict != Verdict::Clear;
+        // Items do not crash endpoints by themselves, and are owed whatever their content.
+        work.suspect = work.class == Class::Online
+            && (work.suspect || self.quarantine.verdict(work.content) != Verdict::Clear);
         if let Some(reason) = self.not_run_reason(&work) {
             let outcome = AttemptOutcome::NotRun(reason);
             return out.push(reply::done_without_state(peer, work.attempt, outcome));
@@ -126,7 +127,8 @@
         if work.deadline.is_some_and(|left| left.is_zero()) {
             return Some(NotRun::Deadline);
         }
-        if self.quarantine.verdict(work.content) == Verdict::Refused {
+        if work.class == Class::Online && self.quarantine.verdict(work.content) == Verdict::Refused
+        {
             return Some(NotRun::Quarantined);
         }
         if work.suspect && self.attempts.iter().any(|(_, a)| a.work.suspect && !is_ended(a.stage)) {
--- a/dogwoodtray_agent/tests/breaks.rs
+++ b/dogwoodtray_agent/tests/breaks.rs
@@ -16,11 +16,15 @@
 use dogwoodtray_agent::AttemptOutcome;
 use dogwoodtray_agent::EndpointEvent;
 use dogwoodtray_agent::EntryLinkId;
+use dogwoodtray_agent::NotRun;
+use dogwoodtray_agent::Work;
 use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::AdmissionConfig;
+use dogwoodtray_policy::Class;
 
 /// Tick interval of the agent.
 const TICK_MS: u64 = 20;
@@ -163,3 +167,33 @@
     assert!(is_crashed(agent.outcome(1)), "{:?}", agent.outcome(1));
     assert_eq!(agent.outcome(2), None);
 }
+
+/// Guards against an item that is never run again because endpoints crashed while they ran it, and
+/// against one that waits until no suspect runs beside it.
+#[test]
+fn an_item_is_forwarded_whatever_crashed_with_its_content() {
+    let item =
+        |counter| Work { class: Class::Batch, content: ContentHash(7), ..online_work(counter) };
+    let mut agent = TestAgent::with_running_attempts(0);
+    for counter in 1..=3 {
+        agent.handle(AgentEvent::Dispatch { peer: EntryLinkId(1), work: item(counter) });
+        agent.advance(100);
+        agent.endpoint_event(counter, EndpointEvent::ConnectionLost);
+        agent.handle(AgentEvent::Health { up: false });
+        assert!(is_crashed(agent.outcome(counter)), "{:?}", agent.outcome(counter));
+        agent.handle(AgentEvent::Health { up: true });
+    }
+    // The same content is refused if it comes online and has crashed endpoints there.
+    for counter in 4..=6 {
+        let work = Work { class: Class::Online, ..item(counter) };
+        agent.handle(AgentEvent::Dispatch { peer: EntryLinkId(1), work });
+        agent.advance(100);
+        agent.endpoint_event(counter, EndpointEvent::ConnectionLost);
+        agent.handle(AgentEvent::Health { up: false });
+        agent.handle(AgentEvent::Health { up: true });
+    }
+    assert_eq!(agent.outcome(6), Some(AttemptOutcome::NotRun(NotRun::Quarantined)));
+    agent.handle(AgentEvent::Dispatch { peer: EntryLinkId(1), work: item(7) });
+    agent.advance(100);
+    assert_eq!(agent.outcome(7), None, "the item runs");
+}
--- a/dogwoodtray_entry/src/jobs/api.rs
+++ b/dogwoodtray_entry/src/jobs/api.rs
@@ -66,8 +66,6 @@
     },
     /// The agent reported that it never forwarded the item.
     NotRun,
-    /// The content is quarantined and must not be run again.
-    Quarantined,
     /// This entry cancelled the attempt.
     Cancelled,
     /// The connection to the agent, or between agent and endpoint, failed after the item was sent.
--- a/dogwoodtray_entry/src/jobs/attempt_end.rs
+++ b/dogwoodtray_entry/src/jobs/attempt_end.rs
@@ -68,20 +68,21 @@
             ItemAttemptEnd::Answered { status, body } => {
                 return Some(ItemOutcome::Done { status, body });
             }
-            ItemAttemptEnd::Quarantined => return Some(ItemOutcome::failed(Reason::Quarantined)),
             ItemAttemptEnd::Preempted { partial, tokens } => {
                 self.on_preempted(item, now, partial, tokens);
             }
             ItemAttemptEnd::NotRun | ItemAttemptEnd::Cancelled => {
                 self.schedule_retry(item, now + cfg.retry_delay);
             }
+            // Items do not crash endpoints, so a crash is no failure of the item.
+            ItemAttemptEnd::Crashed => self.retry_elsewhere(cfg, now, attempt),
             ItemAttemptEnd::Failed { status, body } if is_final(status) => {
                 return Some(ItemOutcome::Failed { reason: Reason::Refused, status, body });
             }
             ItemAttemptEnd::Failed { status, body } => {
                 return self.count_failed_attempt(cfg, now, attempt, status, body);
             }
-            ItemAttemptEnd::Crashed | ItemAttemptEnd::Unknown => {
+            ItemAttemptEnd::Unknown => {
                 return self.count_failed_attempt(cfg, now, attempt, 0, Bytes::new());
             }
         }
@@ -100,9 +101,6 @@
             ItemAttemptEnd::Failed { status, body } => {
                 Some(ItemOutcome::Failed { reason: Reason::Refused, status, body })
             }
-            ItemAttemptEnd::Quarantined if !attempt.started => {
-                Some(ItemOutcome::failed(Reason::Quarantined))
-            }
             // The agent never forwarded the item, and its intent is still stored.
             ItemAttemptEnd::NotRun if !attempt.started => {
                 self.active.remove(&attempt.item);
@@ -153,11 +151,15 @@
         if *tries >= cfg.max_attempts {
             return Some(ItemOutcome::Failed { reason: Reason::AttemptsExhausted, status, body });
         }
-        if let Some(active) = self.active.get_mut(&item) {
+        self.retry_elsewhere(cfg, now, attempt);
+        None
+    }
+
+    fn retry_elsewhere(&mut self, cfg: &JobConfig, now: Timestamp, attempt: &Attempt) {
+        if let Some(active) = self.active.get_mut(&attempt.item) {
             active.excluded_endpoint = Some(attempt.endpoint);
         }
-        self.schedule_retry(item, now + cfg.retry_delay);
-        None
+        self.schedule_retry(attempt.item, now + cfg.retry_delay);
     }
 
     /// Records the outcome of an item. Returns its remaining attempts, which are now redundant.
--- a/dogwoodtray_entry/src/jobs/config.rs
+++ b/dogwoodtray_entry/src/jobs/config.rs
@@ -39,7 +39,7 @@
     pub request_timeout: Duration,
     /// Time until the deadline of a job submitted without one.
     pub default_due: Duration,
-    /// Maximum number of crashed or failed attempts at an item.
+    /// Maximum number of attempts at an item that fail while their endpoint runs on.
     pub max_attempts: u8,
     /// Delay before the next attempt at an item.
     pub retry_delay: Duration,
--- a/dogwoodtray_entry/src/jobs/outcome.rs
+++ b/dogwoodtray_entry/src/jobs/outcome.rs
@@ -8,9 +8,9 @@
 pub enum Reason {
     /// The endpoint rejected the item with a permanent error.
     Refused,
-    /// All attempts crashed or failed.
+    /// All attempts failed.
     AttemptsExhausted,
-    /// The content is quarantined.
+    /// The content is quarantined. Only earlier versions recorded it.
     Quarantined,
     /// The deadline of the job passed before the item had an outcome.
     Deadline,
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -272,14 +272,9 @@
         resume_from: u32,
         actions: &mut Vec<OnlineAction>,
     ) {
-        let verdict = self.quarantine.verdict(spec.content);
-        if verdict == Verdict::Refused {
-            return actions
-                .push(OnlineAction::BatchEnded { attempt: id, end: BatchEnd::Quarantined });
-        }
         let reachable = self.endpoints.get_by_link(link).filter(|(_, e)| e.link == Some(link));
         let Some((node, endpoint)) = reachable.filter(|(_, e)| !e.leaving) else {
-            let end = BatchEnd::Ended {
+            let end = BatchEnd {
                 outcome: AttemptOutcome::NotRun(NotRunReason::Leaving),
                 content_type: Name::from(""),
                 answer: bytes::Bytes::new(),
@@ -301,7 +296,8 @@
             tokens: resume_from,
             resume_from,
             answer: BytesMut::new(),
-            suspect: verdict == Verdict::Suspect,
+            // Items do not crash endpoints by themselves.
+            suspect: false,
             cancelled: false,
         };
         self.dispatch(now, attempt, spec.timeout, actions);
--- a/dogwoodtray_entry/src/online/event.rs
+++ b/dogwoodtray_entry/src/online/event.rs
@@ -142,20 +142,15 @@
 
 /// End of a batch attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum BatchEnd {
-    /// The attempt ended, with or without a complete answer.
-    Ended {
-        /// How it ended.
-        outcome: AttemptOutcome,
-        /// Content type of the answer.
-        content_type: Name,
-        /// Answer, or the part of it that was received.
-        answer: Bytes,
-        /// Number of tokens, including those of earlier attempts.
-        tokens: u32,
-    },
-    /// Requests with this content were running on two endpoints that crashed.
-    Quarantined,
+pub struct BatchEnd {
+    /// How it ended.
+    pub outcome: AttemptOutcome,
+    /// Content type of the answer.
+    pub content_type: Name,
+    /// Answer, or the part of it that was received.
+    pub answer: Bytes,
+    /// Number of tokens, including those of earlier attempts.
+    pub tokens: u32,
 }
 
 /// Input of the online core.
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -215,6 +215,8 @@
 
     fn record_content(&mut self, attempt: &Attempt, outcome: AttemptOutcome) {
         match outcome {
+            // Items run beside the requests that crash endpoints and are never those.
+            AttemptOutcome::Crashed { .. } if matches!(attempt.owner, Owner::Job) => {}
             AttemptOutcome::Crashed { crash_id } => {
                 self.suspicions_changed |=
                     self.quarantine.record_crash(attempt.spec.content, crash_id);
@@ -233,7 +235,7 @@
         done: AttemptDone,
         actions: &mut Vec<OnlineAction>,
     ) {
-        let end = BatchEnd::Ended {
+        let end = BatchEnd {
             outcome: done.outcome,
             content_type: done.content_type,
             answer: attempt.answer.freeze(),
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -44,7 +44,6 @@
 use crate::online::AttemptOutcome;
 use crate::online::BatchEnd;
 use crate::online::DispatchMode;
-use crate::online::NotRunReason;
 use crate::online::RequestSpec;
 
 /// Interval between backlog reports. A change in the set of models with a backlog is reported at
@@ -323,9 +322,7 @@
     /// if the attempt was preempted.
     fn item_attempt_end(&mut self, attempt: AttemptId, end: BatchEnd) -> ItemAttemptEnd {
         let running = self.running.remove(&attempt);
-        let BatchEnd::Ended { outcome, content_type, answer, tokens } = end else {
-            return ItemAttemptEnd::Quarantined;
-        };
+        let BatchEnd { outcome, content_type, answer, tokens } = end;
         let partial = running.as_ref().map(|item| item.partial.clone()).unwrap_or_default();
         match outcome {
             AttemptOutcome::Answered { status } if status < SERVER_ERROR => {
@@ -345,7 +342,6 @@
                 let partial = Bytes::from([partial, answer].concat());
                 ItemAttemptEnd::Preempted { partial, tokens }
             }
-            AttemptOutcome::NotRun(NotRunReason::Quarantined) => ItemAttemptEnd::Quarantined,
             AttemptOutcome::NotRun(_) => ItemAttemptEnd::NotRun,
             // The exchange ended without an answer, so it is not known whether the item ran.
             AttemptOutcome::Failed | AttemptOutcome::Unknown => ItemAttemptEnd::Unknown,
