Let completed items clear the parts that they share with online requests

A blocked part that is innocent is cleared by sound runs. Runs of items were no evidence, although they have the same parts and are never blocked, so an innocent part could stay blocked until its trial.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -26,6 +26,7 @@
 use super::job::Job;
 use super::progress::Progress;
 use super::spec::StoredResult;
+use crate::contents::request_contents;
 use crate::model::JobItem;
 use crate::net::EventParser;
 use crate::net::UpstreamBody;
@@ -250,11 +251,15 @@
     };
     let names = node.dialect.names();
     let remaining = Duration::from_millis(job.spec.retention_ms);
-    let Some(req) = build_endpoint_request(node, job, item).and_then(|out| {
-        out.request_for(names, &target.id, remaining, progress.borrow().last_event_id())
-    }) else {
+    let prepared = build_endpoint_request(node, job, item).and_then(|out| {
+        let contents = request_contents(&*node.dialect, &out);
+        let last_event = progress.borrow().last_event_id();
+        Some((contents, out.request_for(names, &target.id, remaining, last_event)?))
+    });
+    let Some((contents, req)) = prepared else {
         return (RunOutcome::Unprocessable, PlaceOutcome::Withdrawn, "not a request".to_owned());
     };
+    let sent_at = node.now();
     let exchange = match timeout(head_timeout, send(target.addr, req)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(err)) => return interrupted(PlaceOutcome::Failed, &err),
@@ -273,7 +278,12 @@
         ResponseClass::Failure => interrupted(PlaceOutcome::Errored, &status),
         ResponseClass::Answer if status.is_success() => {
             let replicate = || replicate_output(node, job, item, &progress.borrow());
-            read_events(exchange.body, progress, replicate).await
+            let ended = read_events(exchange.body, progress, replicate).await;
+            if matches!(ended.0, RunOutcome::Completed) {
+                // Clears the parts that it shares with online requests.
+                node.record_sound_run(&contents, sent_at, true);
+            }
+            ended
         }
         ResponseClass::Answer if status == StatusCode::UNPROCESSABLE_ENTITY => {
             (RunOutcome::Unprocessable, PlaceOutcome::Answered, status.to_string())
--- a/dogwoodtray_gateway/tests/support/crashing.rs
+++ b/dogwoodtray_gateway/tests/support/crashing.rs
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 
 /// Text in the head or body of a request that crashes an endpoint.
-pub(crate) const DEADLY: &str = "dead";
+pub(crate) const DEADLY: &str = "lethal";
 
 /// Time from the head of a response to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(15);
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -359,6 +359,13 @@
         start_gateway("g1", self.caller_addr, self.admin_addr, self.store.clone()).await
     }
 
+    /// Starts a further gateway. Returns the address at which it serves callers.
+    pub(crate) async fn start_other_gateway(&self, node: &str) -> (SocketAddr, Gateway) {
+        let (caller_addr, admin_addr) = (free_addr(), free_addr());
+        let gateway = start_gateway(node, caller_addr, admin_addr, self.store.clone()).await;
+        (caller_addr, gateway)
+    }
+
     /// Starts a gateway that can reach the gateway `g1`, but neither the driver `d1` nor the store.
     pub(crate) async fn start_isolated_gateway(&self) -> IsolatedGateway {
         let store = MemoryObjects::new();
