--- a/dogwoodtray_gateway/tests/crashes.rs
+++ b/dogwoodtray_gateway/tests/crashes.rs
@@ -176,14 +176,27 @@
 
 /// Guards against requests that are refused because an endpoint that runs on broke off others.
 #[test]
-fn an_endpoint_that_breaks_off_requests_without_a_crash_accuses_nobody() {
+fn endpoints_that_break_off_requests_without_a_crash_accuse_nobody() {
     run_local(async {
-        let (site, endpoint, _running) = Site::with_processes("engine", 8).await;
-        *endpoint.default_behavior.borrow_mut() = Behavior::DisconnectAfter { event: 0 };
+        let site = Site::new();
+        let mut endpoints = Vec::new();
+        for id in ["e1", "e2", "e3", "e4"] {
+            let endpoint = site.add_endpoint(id, "engine", 8).await;
+            *endpoint.default_behavior.borrow_mut() = Behavior::DisconnectAfter { event: 0 };
+            endpoints.push(endpoint);
+        }
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
         for number in 0..8 {
             site.post_prompt("/stream/x", &format!("r{number}"), "a1:9,p1:9,x:9", "same").await;
         }
-        *endpoint.default_behavior.borrow_mut() = Behavior::Stream { to: 3, pause: Duration::ZERO };
+        let broken: usize = endpoints.iter().map(Endpoint::request_count).sum();
+        assert!(broken >= 4, "{broken} requests broke off");
+        for endpoint in &endpoints {
+            *endpoint.default_behavior.borrow_mut() =
+                Behavior::Stream { to: 3, pause: Duration::ZERO };
+        }
+        sleep(Duration::from_millis(500)).await;
         let response = site.post_prompt("/stream/x", "r9", "a1:9,p1:9,x:9", "same").await;
         assert_eq!((response.status, response.complete), (StatusCode::OK, true));
     });
