Do not accuse the bystanders of requests that are retried

Cause: a guilty request that is retried crashes several endpoints and counts once against its part, while bystanders at each of these crashes are different requests and counted more. The part of the bystanders was blocked in place of the guilty one.

Change: a crash at which a blocked request was present accuses only contents of that request.

--- a/dogwoodtray_coord/src/crashes/analyzer.rs
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -81,8 +81,8 @@
 ///
 /// A part counts as many crashes as different requests are needed to explain those at which it was
 /// present: one request that comes again accuses itself, not its parts. A crash at which a blocked
-/// part was present is explained and accuses no other content. Contents with the same evidence are
-/// blocked together, and sound runs clear those that are innocent.
+/// part or request was present is explained and accuses no content of other requests. Contents with
+/// the same evidence are blocked together, and sound runs clear those that are innocent.
 ///
 /// # Examples
 ///
@@ -344,21 +344,25 @@
         if in_turn >= limit { found(CrashPattern::AnyTime, in_turn) } else { None }
     }
 
-    /// Returns the crashes at which a content was present and that no blocked part explains, in the
-    /// order of time.
+    /// Returns the crashes at which a content was present and that nothing else explains, in the order
+    /// of time. Another blocked part explains a crash, and so does a blocked request without the
+    /// content.
     fn accusing_crashes(&self, content: ContentHash) -> Vec<&Crash> {
         let numbers = self.by_content.get(&content).map(Vec::as_slice).unwrap_or_default();
-        let is_blocked_part =
-            |part: &ContentHash| *part != content && self.blocks.get(*part).is_some();
+        let is_blocked = |other: &ContentHash| self.blocks.get(*other).is_some();
+        let is_other_part = |part: &ContentHash| *part != content && is_blocked(part);
+        let is_other_cause = |run: &CrashedRun| {
+            let contents = &run.contents;
+            let is_other_request = !contents.contains(content) && is_blocked(&contents.request);
+            is_other_request || contents.parts.iter().any(is_other_part)
+        };
         let mut crashes: Vec<&Crash> = numbers
             .iter()
             .filter_map(|number| {
                 let index = number.checked_sub(self.first_number)?;
                 self.crashes.get(usize::try_from(index).ok()?)
             })
-            .filter(|crash| {
-                !crash.runs.iter().any(|run| run.contents.parts.iter().any(is_blocked_part))
-            })
+            .filter(|crash| !crash.runs.iter().any(is_other_cause))
             .collect();
         crashes.sort_by_key(|crash| crash.at);
         crashes
--- a/dogwoodtray_coord/tests/crashes.rs
+++ b/dogwoodtray_coord/tests/crashes.rs
@@ -179,6 +179,24 @@
     assert_eq!(blocked(&mut analyzer, Vec::new()), [7]);
 }
 
+/// Guards against a part of bystanders that is blocked in place of the guilty one, because requests
+/// with the guilty part are retried and count once for several crashes.
+#[test]
+fn bystanders_of_retried_requests_are_not_accused() {
+    let mut analyzer = CrashAnalyzer::new(CrashConfig::default());
+    for number in 0..4 {
+        let (endpoint, ms) = (format!("e{number}"), 1_000 + number * 300);
+        // Each guilty request crashes two endpoints, each beside another bystander.
+        let guilty = run(10 + number / 2, &[7], &endpoint, ms, RunStage::Starting);
+        let beside = run(20 + number, &[1], &endpoint, ms, RunStage::Starting);
+        analyzer.record_crash(at(ms), beside);
+        analyzer.record_crash(at(ms), guilty);
+        analyzer.tick(at(ms + 200));
+    }
+    let blocked = blocked(&mut analyzer, Vec::new());
+    assert!(blocked.contains(&7) && !blocked.contains(&1), "{blocked:?}");
+}
+
 /// Guards against memory that grows with the number of guilty parts or of crashes.
 #[test]
 fn thousands_of_parts_are_kept_within_bounds() {
