--- a/dogwoodtray_cli/tests/chaos_support/oracle.rs
+++ b/dogwoodtray_cli/tests/chaos_support/oracle.rs
@@ -33,11 +33,10 @@
 const POISON_LIMIT: u64 = 2;
 
 /// Outcomes allowed for an item of a job that was not cancelled.
-const ALLOWED_OUTCOMES: &[&str] = &["done", "attempts_exhausted", "quarantined"];
+const ALLOWED_OUTCOMES: &[&str] = &["done", "attempts_exhausted"];
 /// Outcomes allowed for a non-idempotent item. `unknown` is allowed because such an item is not run
 /// again.
-const ALLOWED_OUTCOMES_NON_IDEMPOTENT: &[&str] =
-    &["done", "attempts_exhausted", "quarantined", "unknown"];
+const ALLOWED_OUTCOMES_NON_IDEMPOTENT: &[&str] = &["done", "attempts_exhausted", "unknown"];
 
 /// Returns all violations.
 pub(crate) fn check(history: &History) -> Vec<(Rule, String)> {
