Log requests that are refused for a blocked content

An operator could not get from a refused request to the crashes that it was refused for: the hash was in a debug line only. DT2021 names content, crashes and the time until the next trial; a counter counts these requests. Entries log the prefixes that they block (DT2017). A driver that learns that a content was cleared analyzes the crashes again that it explained, as the driver that cleared it does.

--- a/dogwoodtray_coord/src/crashes/analyzer.rs
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -164,7 +164,7 @@
     /// analyzed.
     #[must_use]
     pub fn next_tick(&self) -> Option<Timestamp> {
-        self.crashes.iter().rev().filter_map(|crash| crash.analyze_at).min()
+        self.crashes.iter().filter_map(|crash| crash.analyze_at).min()
     }
 
     /// Records a run that ended because its endpoint crashed. Returns the blocks of its contents that
--- a/dogwoodtray_entry/src/online/blocks.rs
+++ b/dogwoodtray_entry/src/online/blocks.rs
@@ -46,6 +46,8 @@
 pub(super) struct PrefixBlocks {
     analyzer: CrashAnalyzer,
     sound_runs: SoundRuns,
+    /// Blocks that were decided here and have not been logged.
+    decided: Vec<Block>,
     changed: bool,
 }
 
@@ -54,6 +56,7 @@
         Self {
             analyzer: CrashAnalyzer::new(CrashConfig::default()),
             sound_runs: SoundRuns::new(),
+            decided: Vec::new(),
             changed: false,
         }
     }
@@ -114,6 +117,7 @@
         for block in self.analyzer.tick(now) {
             self.changed = true;
             self.refute(now, &block);
+            self.decided.push(block);
         }
     }
 
@@ -146,6 +150,11 @@
         }
     }
 
+    /// Returns the blocks that this entry decided since the last call.
+    pub fn take_decided_blocks(&mut self) -> Vec<Block> {
+        std::mem::take(&mut self.prefixes.decided)
+    }
+
     /// Returns whether the blocked prefixes have changed since the last call, and clears the flag.
     pub const fn take_blocked_prefixes_changed(&mut self) -> bool {
         std::mem::replace(&mut self.prefixes.changed, false)
--- a/dogwoodtray_entry/src/shell/router/service.rs
+++ b/dogwoodtray_entry/src/shell/router/service.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 use dogwoodtray_runtime::LinkEvent;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::Service;
+use dogwoodtray_runtime::catalogue;
 use dogwoodtray_wire::messages::Role;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::UnboundedSender;
@@ -193,6 +195,11 @@
         self.handle_event(now, OnlineEvent::Tick);
         let has_new_suspicions = self.core.take_suspicions_changed();
         let has_new_blocks = self.core.take_blocked_prefixes_changed();
+        for block in self.core.take_decided_blocks() {
+            let fields: [(&str, &dyn Display); 2] =
+                [("content", &block.content), ("crashes", &block.crashes)];
+            self.shared.events.emit(&catalogue::CONTENT_BLOCKED, None, &fields);
+        }
         if has_new_suspicions || has_new_blocks || now >= self.next_heartbeat {
             self.members.remove_dead(now);
             self.send_heartbeats(now);
--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -64,9 +64,26 @@
 
 /// # Requests
 impl Node {
-    /// Returns how a request with these contents is to be treated.
-    pub(crate) fn check_contents(&self, contents: &Contents) -> ContentVerdict {
-        self.crashes.analyzer.borrow().blocks().check(self.now(), contents)
+    /// Returns the blocked contents of a request if it may run as a trial of them, none if it has none,
+    /// or the time until the next trial if it must not run.
+    pub(crate) fn check_contents(
+        &self,
+        request: &Name,
+        contents: &Contents,
+    ) -> Result<Vec<ContentHash>, Duration> {
+        let analyzer = self.crashes.analyzer.borrow();
+        let (content, retry_after) = match analyzer.blocks().check(self.now(), contents) {
+            ContentVerdict::Allowed => return Ok(Vec::new()),
+            ContentVerdict::Trial(contents) => return Ok(contents),
+            ContentVerdict::Blocked { content, retry_after } => (content, retry_after),
+        };
+        let crashes = analyzer.blocks().get(content).map_or(0, |block| block.crashes);
+        let retry_after_ms = retry_after.as_millis();
+        let fields: [(&str, &dyn Display); 3] =
+            [("content", &content), ("crashes", &crashes), ("retry_after_ms", &retry_after_ms)];
+        self.events.emit(&catalogue::REQUEST_BLOCKED, Some(request), &fields);
+        metrics::counter!("dogwoodtray_blocked_requests_total").increment(1);
+        Err(retry_after)
     }
 
     /// Starts a trial of blocked contents, unless another request has taken it.
@@ -286,6 +303,7 @@
             }
         }
         self.count_blocks();
+        self.schedule_analysis();
         self.refute_blocks(&blocks);
         self.relay_driver_frame(set, from);
     }
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::ContentHash;
-use dogwoodtray_coord::ContentVerdict;
 use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
@@ -239,14 +238,7 @@
     /// Returns the blocked contents if the request may run as a trial of them, none if it has none,
     /// or an error if it must not run.
     fn check_contents(&self) -> Result<Vec<ContentHash>, AttemptError> {
-        match self.node.check_contents(&self.contents) {
-            ContentVerdict::Allowed => Ok(Vec::new()),
-            ContentVerdict::Trial(contents) => Ok(contents),
-            ContentVerdict::Blocked { content, retry_after } => {
-                log::debug!("request {} has the blocked content {content}", self.id);
-                Err(AttemptError::Blocked(retry_after))
-            }
-        }
+        self.node.check_contents(&self.id, &self.contents).map_err(AttemptError::Blocked)
     }
 
     /// Waits for a place at an endpoint.
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -78,6 +78,8 @@
     CONTENT_CLEARED = 2019, Info, "content cleared";
     /// An endpoint crashed while it ran a request with a blocked content.
     BLOCKED_CONTENT_CRASHED = 2020, Warn, "blocked content crashed an endpoint again";
+    /// A request was not run because of a blocked content.
+    REQUEST_BLOCKED = 2021, Info, "request has a blocked content";
 
     /// A job was accepted.
     JOB_ACCEPTED = 3001, Info, "job accepted";
