Do not look for a crash after bytes that are no response

Cause: since the confirmation of crashes, the gateway opened one more connection to an endpoint whose response head was too large. It closes that exchange itself, so nothing suggests a crash; the test usually checked before the connection arrived.

Change: an exchange that ends with a parse error is not confirmed.

Measured: the test now checks again after 100 ms; it fails on the code before (2) and passes.

--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -190,7 +190,10 @@
                 }
                 Ok(Err(SendError::Lost(err))) => {
                     self.possible_runs += 1;
-                    run.on_broken_off(&err);
+                    // After bytes that are no response, the gateway closed the connection itself.
+                    if !err.is_parse() {
+                        run.on_broken_off(&err);
+                    }
                     if self.may_retry() {
                         run.reported().await;
                     }
--- a/dogwoodtray_gateway/tests/endless.rs
+++ b/dogwoodtray_gateway/tests/endless.rs
@@ -194,6 +194,8 @@
         assert_eq!(response.status, StatusCode::BAD_GATEWAY);
         assert_eq!(noisy.connections.get(), 1);
         wait_until_closed(&noisy).await;
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(noisy.connections.get(), 1, "no connection follows later");
     });
 }
 
