Judge the runs that a drain ended when all jobs are known

Cause, from the logs of the run: the items belong to an idempotent job, which a draining agent may preempt, and each ran again at another agent within 2 s. An entry had accepted the job (DT3001, 19:46:02), and its caller got the answer only when it sent the job again (resent=true, 19:46:06), after the drain (19:46:04). The harness judged during the drain, did not know the job yet, and took its items for online requests. Why the first answer was lost was not traced: store replies were being lost, and the entry was drained at that moment.

Change: a drain records what ended; the oracle judges it at the end of the run, when the callers know their jobs. Jobs cancelled before the end of the drain are recorded with it, so later cancellations excuse nothing. The check is as strict as before: two falsified histories more are found, and one that is allowed is not.

--- a/dogwoodtray_cli/tests/chaos_oracle.rs
+++ b/dogwoodtray_cli/tests/chaos_oracle.rs
@@ -82,6 +82,9 @@
             node: "entry-0".to_owned(),
             exit_code: Some(0),
             interrupted: Vec::new(),
+            ended_early: Vec::new(),
+            cancelled_hedges: 0,
+            cancelled_jobs: Vec::new(),
         }],
         panics: Vec::new(),
         probes: vec![call(CallKind::Online, "o1.0", Outcome::Answered(None))],
@@ -121,6 +124,8 @@
         (Rule::GenerationsIncrease, |h| h.reported[0].generations.push(1)),
         (Rule::DrainExitsCleanly, |h| h.drains[0].exit_code = None),
         (Rule::DrainInterruptsNothing, |h| h.drains[0].interrupted.push("n0.0".to_owned())),
+        (Rule::DrainInterruptsNothing, |h| h.drains[0].ended_early.push("n0.0".to_owned())),
+        (Rule::DrainInterruptsNothing, |h| h.drains[0].ended_early.push("j1.0".to_owned())),
         (Rule::ServesAfterFaults, |h| h.probes[0].outcome = Outcome::TimedOut),
         (Rule::NoPanic, |h| h.panics.push("panicked at".to_owned())),
     ];
@@ -136,3 +141,13 @@
         );
     }
 }
+
+/// Guards against a violation for items that a draining agent may preempt, when their caller learned
+/// of the job only after the drain.
+#[test]
+fn preempted_items_of_idempotent_jobs_are_allowed() {
+    let mut history = valid_history();
+    history.jobs[0].idempotent = true;
+    history.drains[0].ended_early.push("j0.0".to_owned());
+    assert_eq!(oracle::check(&history), []);
+}
--- a/dogwoodtray_cli/tests/chaos_support/drain.rs
+++ b/dogwoodtray_cli/tests/chaos_support/drain.rs
@@ -46,6 +46,9 @@
         node: entry.process.name.clone(),
         exit_code,
         interrupted,
+        ended_early: Vec::new(),
+        cancelled_hedges: 0,
+        cancelled_jobs: Vec::new(),
     });
     entry.process.restart();
     entry.in_balancer.store(true, SeqCst);
@@ -59,17 +62,18 @@
     let exit_code = endpoint.agent.wait(DRAIN_TIMEOUT);
     let (after, hedges_after) = read_runs_and_hedges(test_run, endpoint);
     let log = endpoint.agent.log();
-    // The slower attempt of each hedge is cancelled intentionally.
-    let cancelled_hedges = hedges_after - hedges_before;
-    let mut interrupted: Vec<String> = drain_timeout_event(&log).into_iter().collect();
-    let ended_early = runs_ended_early(test_run, &before, &after);
-    if ended_early.len() as u64 > cancelled_hedges {
-        interrupted.push(format!(
-            "{ended_early:?} ended early, {cancelled_hedges} of them cancelled as hedges"
-        ));
-    }
-    let node = endpoint.agent.name.clone();
-    test_run.drains.lock().unwrap().push(Drain { node, exit_code, interrupted });
+    let jobs = test_run.jobs.lock().unwrap();
+    let cancelled = jobs.iter().filter(|job| job.cancelled.is_some());
+    let cancelled_jobs = cancelled.map(|job| job.id.clone()).collect();
+    drop(jobs);
+    test_run.drains.lock().unwrap().push(Drain {
+        node: endpoint.agent.name.clone(),
+        exit_code,
+        interrupted: drain_timeout_event(&log).into_iter().collect(),
+        ended_early: runs_ended_early(&before, &after),
+        cancelled_hedges: hedges_after - hedges_before,
+        cancelled_jobs,
+    });
     endpoint.agent.restart();
 }
 
@@ -86,23 +90,10 @@
 }
 
 /// Returns the requests that were cancelled or crashed between two readings.
-///
-/// Items of idempotent and of cancelled jobs are left out: a draining agent preempts the former, as
-/// it does for an online request, and they continue at another agent; the latter are aborted.
-fn runs_ended_early(test_run: &TestRun, before: &Runs, after: &Runs) -> Vec<String> {
-    let jobs = test_run.jobs.lock().unwrap();
-    let is_relevant = |run: &str| {
-        let job = jobs.iter().find(|job| run.starts_with(&job.id));
-        job.is_none_or(|job| !job.idempotent && job.cancelled.is_none())
-    };
+fn runs_ended_early(before: &Runs, after: &Runs) -> Vec<String> {
     let count_ended_early = |run: &str, runs: &Runs| {
         runs.get(run).map_or(0, |counts| counts.cancelled + counts.crashed)
     };
-    after
-        .keys()
-        .filter(|run| {
-            is_relevant(run) && count_ended_early(run, after) > count_ended_early(run, before)
-        })
-        .cloned()
-        .collect()
+    let has_ended = |run: &&String| count_ended_early(run, after) > count_ended_early(run, before);
+    after.keys().filter(has_ended).cloned().collect()
 }
--- a/dogwoodtray_cli/tests/chaos_support/history.rs
+++ b/dogwoodtray_cli/tests/chaos_support/history.rs
@@ -103,6 +103,12 @@
     pub(crate) node: String,
     pub(crate) exit_code: Option<i32>,
     pub(crate) interrupted: Vec<String>,
+    /// Runs at the endpoint of a draining agent that were cancelled or crashed during the drain.
+    pub(crate) ended_early: Vec<String>,
+    /// Slower attempts of hedges that were cancelled during the drain.
+    pub(crate) cancelled_hedges: u64,
+    /// Jobs that had been cancelled before the drain ended.
+    pub(crate) cancelled_jobs: Vec<String>,
 }
 
 /// Generations that one instance of a process reported, in order.
--- a/dogwoodtray_cli/tests/chaos_support/oracle.rs
+++ b/dogwoodtray_cli/tests/chaos_support/oracle.rs
@@ -5,6 +5,7 @@
 
 use super::history::Call;
 use super::history::CallKind;
+use super::history::Drain;
 use super::history::History;
 use super::history::Job;
 use super::history::JobView;
@@ -53,6 +54,15 @@
         }
         let interrupted = drain.interrupted.iter().map(|what| format!("{}: {what}", drain.node));
         violations.extend(interrupted.map(|what| (Rule::DrainInterruptsNothing, what)));
+        let ended_early = interrupted_runs(history, drain);
+        if ended_early.len() as u64 > drain.cancelled_hedges {
+            let hedges = drain.cancelled_hedges;
+            let what = format!(
+                "{}: {ended_early:?} ended early, {hedges} of them cancelled as hedges",
+                drain.node
+            );
+            violations.push((Rule::DrainInterruptsNothing, what));
+        }
     }
     let failed = history.probes.iter().filter(|call| call.outcome != Outcome::Answered(None));
     violations.extend(failed.map(|call| (Rule::ServesAfterFaults, format!("{call:?}"))));
@@ -60,6 +70,17 @@
     violations
 }
 
+/// Returns the runs that a draining agent must not have ended. It may preempt items of idempotent
+/// jobs, as it does for an online request, and they continue at another agent; items of cancelled
+/// jobs are aborted. A caller may learn of its job only after the drain.
+fn interrupted_runs<'a>(history: &History, drain: &'a Drain) -> Vec<&'a String> {
+    let is_relevant = |run: &&String| {
+        let job = history.jobs.iter().find(|job| run.starts_with(&job.id));
+        job.is_none_or(|job| !job.idempotent && !drain.cancelled_jobs.contains(&job.id))
+    };
+    drain.ended_early.iter().filter(is_relevant).collect()
+}
+
 fn check_job(history: &History, job: &Job, violations: &mut Vec<(Rule, String)>) {
     for view in &job.views {
         check_view(job, view, violations);
