Do not report an answer as complete after dropping its data

A caller would have taken a truncated result for a whole one.

While an attempt is being aborted, the agent drops data from the endpoint, but a response end that is already on its way still completed the attempt, without that data.

Change: an attempt that dropped data ends as what it was aborted for (preempted, and run again from its last token), not as answered. A response end without dropped data still counts.

Measured: the first of two new tests reported Answered before and Preempted now; the second guards the complete answer that is kept.

--- a/dogwoodtray_agent/src/core/attempt.rs
+++ b/dogwoodtray_agent/src/core/attempt.rs
@@ -48,6 +48,8 @@
     pub(super) content_type: Name,
     pub(super) response_body: BytesMut,
     pub(super) tokens: u32,
+    /// Whether data that arrived while the attempt was being aborted has been dropped.
+    pub(super) has_dropped_data: bool,
     /// Time at which the entry detached or the attempt ended.
     pub(super) idle_since: Timestamp,
     /// Time of the last data from the endpoint, or of forwarding before the first data.
@@ -69,6 +71,7 @@
             status: 0,
             content_type: Name::from(""),
             response_body: BytesMut::new(),
+            has_dropped_data: false,
             idle_since: now,
             progress_at: now,
             forwarded_at: now,
--- a/dogwoodtray_agent/src/core/endpoint.rs
+++ b/dogwoodtray_agent/src/core/endpoint.rs
@@ -49,6 +49,10 @@
             EndpointEvent::Data { data, tokens } => self.on_data(now, id, data, tokens, out),
             EndpointEvent::ResponseEnd => {
                 let Some(attempt) = self.attempts.get(id) else { return };
+                if attempt.has_dropped_data {
+                    // The end of the response makes it complete only together with all its data.
+                    return self.end_aborted(now, id, out);
+                }
                 let status = attempt.status;
                 if attempt.work.suspect {
                     self.quarantine.record_completion(attempt.work.content);
@@ -83,6 +87,7 @@
     ) {
         let Some(attempt) = self.attempts.get_mut(id) else { return };
         if attempt.stage != Stage::Running {
+            attempt.has_dropped_data = true;
             return;
         }
         let work_id = attempt.work_id;
--- a/dogwoodtray_agent/tests/breaks.rs
+++ b/dogwoodtray_agent/tests/breaks.rs
@@ -197,3 +197,33 @@
     agent.advance(100);
     assert_eq!(agent.outcome(7), None, "the item runs");
 }
+
+/// Guards against an answer that is reported as complete although its last data arrived after the
+/// attempt was preempted and was dropped.
+#[test]
+fn an_answer_whose_end_arrives_during_a_preemption_is_not_complete_without_its_data() {
+    let item = Work { class: Class::Batch, ..online_work(1) };
+    let mut agent = TestAgent::with_running_attempts(0);
+    agent.handle(AgentEvent::Dispatch { peer: EntryLinkId(1), work: item });
+    agent.advance(100);
+    agent.receive_token(1);
+    agent.handle(AgentEvent::Drain);
+    // Already on their way when the agent aborts the exchange.
+    agent.receive_token(1);
+    agent.endpoint_event(1, EndpointEvent::ResponseEnd);
+    assert_eq!(agent.outcome(1), Some(AttemptOutcome::Preempted));
+}
+
+/// Guards against a complete answer that is thrown away because its end arrives while the attempt is
+/// preempted.
+#[test]
+fn a_complete_answer_is_kept_during_a_preemption() {
+    let item = Work { class: Class::Batch, ..online_work(1) };
+    let mut agent = TestAgent::with_running_attempts(0);
+    agent.handle(AgentEvent::Dispatch { peer: EntryLinkId(1), work: item });
+    agent.advance(100);
+    agent.receive_token(1);
+    agent.handle(AgentEvent::Drain);
+    agent.endpoint_event(1, EndpointEvent::ResponseEnd);
+    assert!(matches!(agent.outcome(1), Some(AttemptOutcome::Answered { .. })));
+}
