--- a/dogwoodtray_gateway/tests/support/crashing.rs
+++ b/dogwoodtray_gateway/tests/support/crashing.rs
@@ -24,14 +24,41 @@
 /// Pause before each event of a response.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 
-/// Counts of requests over all endpoints of a group.
-#[derive(Debug, Default)]
+/// Counts of requests over all endpoints of a group, and how these behave.
+#[derive(Debug)]
 pub(crate) struct Counts {
     /// Requests with the deadly text that an endpoint received.
     pub(crate) deadly: Cell<u32>,
-    /// Requests without it that an endpoint answered in full.
+    /// Requests that an endpoint answered in full.
     pub(crate) sound: Cell<u32>,
+    /// Requests that an endpoint received.
+    pub(crate) received: Cell<u32>,
     pub(crate) crashes: Cell<u32>,
+    /// Number of events of each answer.
+    pub(crate) events: Cell<u64>,
+    /// Whether requests with the deadly text are answered like others.
+    pub(crate) is_healed: Cell<bool>,
+    /// Number of times that all endpoints were killed.
+    kills: Cell<u32>,
+}
+
+impl Counts {
+    fn new() -> Self {
+        Self {
+            deadly: Cell::default(),
+            sound: Cell::default(),
+            received: Cell::default(),
+            crashes: Cell::default(),
+            events: Cell::new(3),
+            is_healed: Cell::default(),
+            kills: Cell::default(),
+        }
+    }
+
+    /// Kills all endpoints.
+    pub(crate) fn kill_all(&self) {
+        self.kills.set(self.kills.get() + 1);
+    }
 }
 
 /// Endpoint process that is replaced some time after each crash.
@@ -50,7 +77,7 @@
     count: usize,
     down: Duration,
 ) -> Rc<Counts> {
-    let counts: Rc<Counts> = Rc::default();
+    let counts = Rc::new(Counts::new());
     for number in 0..count {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
@@ -69,7 +96,8 @@
     async fn run(self, mut listener: TcpListener) {
         loop {
             let mut connections = JoinSet::new();
-            while !self.is_crashed.get() {
+            let kills = self.counts.kills.get();
+            while !self.is_crashed.get() && self.counts.kills.get() == kills {
                 tokio::select! {
                     Ok((stream, _)) = listener.accept() => {
                         let this = self.clone();
@@ -105,8 +133,9 @@
             }
         }
         let text = String::from_utf8_lossy(&text).to_lowercase();
-        let is_deadly = text.contains(DEADLY);
-        if is_deadly {
+        self.counts.received.set(self.counts.received.get() + 1);
+        let is_deadly = text.contains(DEADLY) && !self.counts.is_healed.get();
+        if text.contains(DEADLY) {
             self.counts.deadly.set(self.counts.deadly.get() + 1);
         }
         let id = header(&text, "attempt-id");
@@ -120,7 +149,8 @@
             self.is_crashed.set(true);
             return std::future::pending().await;
         }
-        for event in 1..=3 {
+        let first = header(&text, "last-event-id").parse().unwrap_or(0) + 1;
+        for event in first..=self.counts.events.get() {
             sleep(EVENT_PAUSE).await;
             let event = format!("id: {event}\ndata: e{event}\n\n");
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
