Log the contents of items that endpoints break off, and hashes of their bodies

DT2015 is now written for items as well: ObservedRun, split from the run of online requests, serves both. DT3001 and DT3004 carry a hash of the ids and bodies of a job. The first output of an item counts as a sound run, as that of a stream does.

--- a/dogwoodtray_coord/src/crashes/run.rs
+++ b/dogwoodtray_coord/src/crashes/run.rs
@@ -12,6 +12,8 @@
     Starting,
     /// The endpoint had produced output, or it is unknown whether it had begun.
     Running,
+    /// The endpoint had produced output after which the next run continues.
+    Resumable,
 }
 
 /// Run that ended because its endpoint crashed.
--- a/dogwoodtray_gateway/src/contents.rs
+++ b/dogwoodtray_gateway/src/contents.rs
@@ -6,6 +6,7 @@
 use hyper::header::HeaderMap;
 
 use crate::model::Dialect;
+use crate::model::JobItem;
 use crate::request::EndpointRequest;
 
 /// Returns the contents of a request: a hash that it shares with its resends, and those of the parts
@@ -29,6 +30,16 @@
     ids.into_iter().map(|id| ContentHash::of(id.as_bytes())).collect()
 }
 
+/// Returns a hash of the ids and bodies of the items of a job, by which a body that changes on its way
+/// from the caller to the endpoint is noticed.
+pub(crate) fn bodies_hash<'a>(items: impl IntoIterator<Item = &'a JobItem>) -> ContentHash {
+    let hashes = items
+        .into_iter()
+        .flat_map(|item| [ContentHash::of(item.id.as_bytes()), ContentHash::of(&item.body)]);
+    let bytes: Vec<u8> = hashes.flat_map(|hash| hash.0.to_le_bytes()).collect();
+    ContentHash::of(&bytes)
+}
+
 /// Returns the hashes as they appear in a log line.
 pub(crate) fn content_list(contents: &[ContentHash]) -> String {
     let texts: Vec<String> = contents.iter().map(ToString::to_string).collect();
--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -119,6 +119,7 @@
             sent_ago_ms: millis(now - run.sent_at),
             ended_ago_ms: millis(now - run.ended_at),
             at_start: run.stage == RunStage::Starting,
+            resumable: run.stage == RunStage::Resumable,
             sound: run.sound.iter().map(|content| content.0).collect(),
         };
         if self.send_to_analyzers(&report.into()) {
@@ -138,7 +139,11 @@
             endpoint: Name::from(report.endpoint),
             sent_at: ago(report.sent_ago_ms),
             ended_at: ago(report.ended_ago_ms),
-            stage: if report.at_start { RunStage::Starting } else { RunStage::Running },
+            stage: match (report.at_start, report.resumable) {
+                (true, _) => RunStage::Starting,
+                (false, true) => RunStage::Resumable,
+                (false, false) => RunStage::Running,
+            },
             sound: report.sound.into_iter().map(ContentHash).collect(),
         });
     }
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -29,9 +29,12 @@
 use crate::contents::request_contents;
 use crate::model::JobItem;
 use crate::net::EventParser;
+use crate::net::SendError;
 use crate::net::UpstreamBody;
 use crate::net::send;
 use crate::node::Node;
+use crate::observed_run::ObservedRun;
+use crate::observed_run::RunKind;
 use crate::places::PlaceError;
 use crate::places::PlaceParams;
 use crate::places::PlacePermit;
@@ -259,10 +262,17 @@
     let Some((contents, req)) = prepared else {
         return (RunOutcome::Unprocessable, PlaceOutcome::Withdrawn, "not a request".to_owned());
     };
-    let sent_at = node.now();
+    let contents = Rc::new(contents);
+    let mut observed = ObservedRun::start(node, &item.id, &contents, endpoint, RunKind::Item);
     let exchange = match timeout(head_timeout, send(target.addr, req)).await {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(err)) => return interrupted(PlaceOutcome::Failed, &err),
+        Ok(Err(err)) => {
+            // After bytes that are no response, the driver closed the connection itself.
+            if matches!(&err, SendError::Lost(err) if !err.is_parse()) {
+                observed.log_broken_off(&err);
+            }
+            return interrupted(PlaceOutcome::Failed, &err);
+        }
         Err(_) => return (RunOutcome::Queued, PlaceOutcome::Full, String::new()),
     };
     let status = exchange.parts.status;
@@ -278,12 +288,8 @@
         ResponseClass::Failure => interrupted(PlaceOutcome::Errored, &status),
         ResponseClass::Answer if status.is_success() => {
             let replicate = || replicate_output(node, job, item, &progress.borrow());
-            let ended = read_events(exchange.body, progress, replicate).await;
-            if matches!(ended.0, RunOutcome::Completed) {
-                // Clears the parts that it shares with online requests.
-                node.record_sound_run(&contents, sent_at, true);
-            }
-            ended
+            observed.on_head();
+            read_events(exchange.body, progress, &mut observed, replicate).await
         }
         ResponseClass::Answer if status == StatusCode::UNPROCESSABLE_ENTITY => {
             (RunOutcome::Unprocessable, PlaceOutcome::Answered, status.to_string())
@@ -305,6 +311,7 @@
 async fn read_events(
     mut body: UpstreamBody,
     progress: &RefCell<Progress>,
+    observed: &mut ObservedRun,
     replicate_output: impl Fn(),
 ) -> (RunOutcome, PlaceOutcome, String) {
     let mut parser = EventParser::default();
@@ -315,10 +322,18 @@
         let idle_until = last_event_at + ITEM_IDLE_TIMEOUT;
         let (place_outcome, reason) = match timeout_at(idle_until, body.frame()).await {
             Ok(None) if parser.has_partial_event() => {
+                observed.log_broken_off(&"part of an event");
                 (PlaceOutcome::Withdrawn, "part of an event".to_owned())
             }
-            Ok(None) => return (RunOutcome::Completed, PlaceOutcome::Answered, String::new()),
-            Ok(Some(Err(err))) => (PlaceOutcome::Withdrawn, err.to_string()),
+            Ok(None) => {
+                // Clears the parts that it shares with other requests.
+                observed.on_completed();
+                return (RunOutcome::Completed, PlaceOutcome::Answered, String::new());
+            }
+            Ok(Some(Err(err))) => {
+                observed.log_broken_off(&err);
+                (PlaceOutcome::Withdrawn, err.to_string())
+            }
             Err(_) => (PlaceOutcome::Failed, "silence".to_owned()),
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue };
@@ -327,6 +342,7 @@
                 if let Ok(count) = appended {
                     if count > 0 {
                         last_event_at = Instant::now();
+                        observed.on_output();
                     }
                     if last_replicated.elapsed() >= REPLICATION_INTERVAL {
                         last_replicated = Instant::now();
--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -33,6 +33,7 @@
 use super::spec::StoredItem;
 use super::spec::StoredResult;
 use super::spec::encode;
+use crate::contents::bodies_hash;
 use crate::model::JobItem;
 use crate::node::Node;
 
@@ -325,7 +326,10 @@
         let Some(mut running) = self.start_items(node).await else { return };
         let open = running.len();
         let results = self.results.borrow().len();
-        let fields: [(&str, &dyn Display); 2] = [("open", &open), ("results", &results)];
+        let items = self.items.get().into_iter().flatten();
+        let bodies = bodies_hash(items.map(|item| &**item));
+        let fields: [(&str, &dyn Display); 3] =
+            [("open", &open), ("results", &results), ("bodies", &bodies)];
         node.events.emit(&catalogue::JOB_CLAIMED, Some(&self.id), &fields);
         let mut uncommitted: Vec<StoredResult> = Vec::new();
         let mut commit_at = None;
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -19,6 +19,7 @@
 use super::body::ResponseBody;
 use super::response;
 use super::response::GatewayResponse;
+use crate::contents::bodies_hash;
 use crate::driver::CANCELLATIONS_KIND;
 use crate::driver::JOBS_KIND;
 use crate::driver::JobSpec;
@@ -88,6 +89,7 @@
     };
     let count = items.len();
     let tokens: u64 = items.iter().map(|item| item.tokens).sum();
+    let bodies = bodies_hash(&items);
     let submitted = admit_and_store(node, route, terms, id, items).await;
     let response = submission_response(&submitted);
     if matches!(submitted, Submitted::Stored(CreateResult::Done | CreateResult::Exists))
@@ -117,8 +119,13 @@
         &catalogue::JOB_REFUSED
     };
     let outcome = format!("{submitted:?}");
-    let fields: [(&str, &dyn Display); 4] =
-        [("status", &status), ("items", &count), ("route", &route.name), ("store", &outcome)];
+    let fields: [(&str, &dyn Display); 5] = [
+        ("status", &status),
+        ("items", &count),
+        ("route", &route.name),
+        ("store", &outcome),
+        ("bodies", &bodies),
+    ];
     node.events.emit(code, Some(id), &fields);
     response
 }
--- a/dogwoodtray_gateway/src/http/run.rs
+++ b/dogwoodtray_gateway/src/http/run.rs
@@ -2,63 +2,21 @@
 
 use std::fmt::Display;
 use std::rc::Rc;
-use std::time::Duration;
 
 use dogwoodtray_coord::Contents;
-use dogwoodtray_coord::CrashedRun;
 use dogwoodtray_coord::Name;
-use dogwoodtray_coord::RunStage;
-use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::PlaceOutcome;
-use dogwoodtray_runtime::catalogue;
-use tokio::task::JoinHandle;
-use tokio::task::spawn_local;
-use tokio::time::timeout;
 
-use crate::contents::content_list;
-use crate::model::Endpoint;
-use crate::net::is_refused;
 use crate::node::Node;
+use crate::observed_run::ObservedRun;
+use crate::observed_run::RunKind;
 use crate::places::PlacePermit;
 
-/// Time that a retry waits until the crash of an endpoint is confirmed and reported. A refused
-/// connection takes one round trip.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(30);
-
-/// How far a run got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Progress {
-    /// The request was sent; it is unknown whether it began.
-    Sent,
-    /// The head of the response arrived.
-    Begun,
-    /// Output arrived after the head.
-    Output,
-}
-
-impl Progress {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Sent => "sent",
-            Self::Begun => "head",
-            Self::Output => "output",
-        }
-    }
-}
-
 /// Run of a request at an endpoint. Holds the place there, which is released when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Run {
-    node: Rc<Node>,
-    request: Name,
-    contents: Rc<Contents>,
     permit: PlacePermit,
-    /// Whether the head of the response arrives before its output is produced.
-    is_stream: bool,
-    sent_at: Timestamp,
-    progress: Progress,
-    /// Task that confirms and reports a crash of the endpoint.
-    confirmation: Option<JoinHandle<()>>,
+    observed: ObservedRun,
 }
 
 impl Run {
@@ -70,16 +28,9 @@
         permit: PlacePermit,
         is_stream: bool,
     ) -> Self {
-        Self {
-            node: Rc::clone(node),
-            request: Name::clone(request),
-            contents: Rc::clone(contents),
-            permit,
-            is_stream,
-            sent_at: node.now(),
-            progress: Progress::Sent,
-            confirmation: None,
-        }
+        let kind = if is_stream { RunKind::Stream } else { RunKind::Plain };
+        let observed = ObservedRun::start(node, request, contents, &permit.endpoint, kind);
+        Self { permit, observed }
     }
 
     /// Returns the id of the endpoint.
@@ -98,80 +49,27 @@
     }
 
     /// Records that the head of the response arrived.
-    pub(crate) fn on_head(&mut self) {
-        self.progress = Progress::Begun;
+    pub(crate) const fn on_head(&mut self) {
+        self.observed.on_head();
     }
 
     /// Records that a part of the output arrived.
     pub(crate) fn on_output(&mut self) {
-        if self.progress != Progress::Output {
-            self.progress = Progress::Output;
-            self.node.record_sound_run(&self.contents, self.sent_at, false);
-        }
+        self.observed.on_output();
     }
 
     /// Records that the response is complete.
     pub(crate) fn on_completed(&self) {
-        self.node.record_sound_run(&self.contents, self.sent_at, true);
+        self.observed.on_completed();
     }
 
     /// Records that the endpoint broke off the exchange before its end.
-    ///
-    /// Starts to find out whether it crashed.
     pub(crate) fn on_broken_off(&mut self, reason: &dyn Display) {
-        let ran_ms = (self.node.now() - self.sent_at).as_millis();
-        let parts = content_list(&self.contents.parts);
-        let fields: [(&str, &dyn Display); 6] = [
-            ("endpoint", self.endpoint()),
-            ("reason", reason),
-            ("stage", &self.progress.as_str()),
-            ("ran_ms", &ran_ms),
-            ("content", &self.contents.request),
-            ("parts", &parts),
-        ];
-        self.node.events.emit(&catalogue::RUN_BROKEN_OFF, Some(&self.request), &fields);
-        metrics::counter!("dogwoodtray_broken_runs_total", "stage" => self.progress.as_str())
-            .increment(1);
-        self.confirm_crash();
+        self.observed.on_broken_off(reason);
     }
 
-    /// Waits until a crash of the endpoint is reported, so that the next attempt takes it into
-    /// account.
+    /// Waits until a crash of the endpoint is reported.
     pub(crate) async fn reported(&mut self) {
-        if let Some(confirmation) = self.confirmation.take() {
-            // A confirmation that takes longer goes on in its task.
-            let _ = timeout(CONFIRMATION_TIMEOUT, confirmation).await;
-        }
-    }
-
-    /// Starts a task that reports a crash if the endpoint is gone unexpectedly: it is still listed as
-    /// ready, and its address refuses connections. One that was cut off, reset a connection or was
-    /// stopped as planned does not.
-    fn confirm_crash(&mut self) {
-        let endpoint = self.node.directory.borrow().endpoint(self.endpoint()).cloned();
-        let Some(endpoint) = endpoint else { return };
-        let is_starting = self.is_stream && self.progress == Progress::Begun;
-        let run = CrashedRun {
-            contents: Contents::clone(&self.contents),
-            endpoint: Name::clone(&endpoint.id),
-            sent_at: self.sent_at,
-            ended_at: self.node.now(),
-            stage: if is_starting { RunStage::Starting } else { RunStage::Running },
-            sound: Vec::new(),
-        };
-        let (node, request) = (Rc::clone(&self.node), Name::clone(&self.request));
-        self.confirmation = Some(spawn_local(confirm_crash(node, request, endpoint, run)));
-    }
-}
-
-async fn confirm_crash(node: Rc<Node>, request: Name, endpoint: Rc<Endpoint>, run: CrashedRun) {
-    if !is_refused(endpoint.addr).await {
-        return;
+        self.observed.reported().await;
     }
-    let at_start = run.stage == RunStage::Starting;
-    let fields: [(&str, &dyn Display); 3] =
-        [("endpoint", &endpoint.id), ("at_start", &at_start), ("content", &run.contents.request)];
-    node.events.emit(&catalogue::ENDPOINT_CRASHED, Some(&request), &fields);
-    metrics::counter!("dogwoodtray_crashed_runs_total").increment(1);
-    node.report_crash(run);
 }
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod model;
 mod net;
 mod node;
+mod observed_run;
 mod peers;
 mod places;
 mod process;
--- /dev/null
+++ b/dogwoodtray_gateway/src/observed_run.rs
@@ -0,0 +1,183 @@
+//! Run at one endpoint, observed for what it says about its contents.
+
+use std::fmt::Display;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dogwoodtray_coord::Contents;
+use dogwoodtray_coord::CrashedRun;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::RunStage;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_runtime::catalogue;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::contents::content_list;
+use crate::model::Endpoint;
+use crate::net::is_refused;
+use crate::node::Node;
+
+/// Time that a retry waits until the crash of an endpoint is confirmed and reported. A refused
+/// connection takes one round trip.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(30);
+
+/// What an endpoint runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunKind {
+    /// Request whose output arrives with the head of the response.
+    Plain,
+    /// Request whose output arrives after the head of the response.
+    Stream,
+    /// Item of a job. Its next run continues after the output of this one.
+    Item,
+}
+
+/// How far a run got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// The request was sent; it is unknown whether it began.
+    Sent,
+    /// The head of the response arrived.
+    Begun,
+    /// Output arrived after the head.
+    Output,
+}
+
+impl Progress {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Begun => "head",
+            Self::Output => "output",
+        }
+    }
+}
+
+/// Run of a request or an item at an endpoint.
+#[derive(Debug)]
+pub(crate) struct ObservedRun {
+    node: Rc<Node>,
+    /// Id of the request or the item.
+    id: Name,
+    contents: Rc<Contents>,
+    endpoint: Name,
+    kind: RunKind,
+    sent_at: Timestamp,
+    progress: Progress,
+    /// Task that confirms and reports a crash of the endpoint.
+    confirmation: Option<JoinHandle<()>>,
+}
+
+impl ObservedRun {
+    /// Starts the observation of a run that is about to be sent.
+    pub(crate) fn start(
+        node: &Rc<Node>,
+        id: &Name,
+        contents: &Rc<Contents>,
+        endpoint: &Name,
+        kind: RunKind,
+    ) -> Self {
+        Self {
+            node: Rc::clone(node),
+            id: Name::clone(id),
+            contents: Rc::clone(contents),
+            endpoint: Name::clone(endpoint),
+            kind,
+            sent_at: node.now(),
+            progress: Progress::Sent,
+            confirmation: None,
+        }
+    }
+
+    /// Records that the head of the response arrived.
+    pub(crate) const fn on_head(&mut self) {
+        self.progress = Progress::Begun;
+    }
+
+    /// Records that a part of the output arrived.
+    pub(crate) fn on_output(&mut self) {
+        if self.progress != Progress::Output {
+            self.progress = Progress::Output;
+            self.node.record_sound_run(&self.contents, self.sent_at, false);
+        }
+    }
+
+    /// Records that the response is complete.
+    pub(crate) fn on_completed(&self) {
+        self.node.record_sound_run(&self.contents, self.sent_at, true);
+    }
+
+    /// Records that the endpoint broke off the exchange before its end.
+    ///
+    /// Starts to find out whether it crashed.
+    pub(crate) fn on_broken_off(&mut self, reason: &dyn Display) {
+        self.log_broken_off(reason);
+        self.confirm_crash();
+    }
+
+    /// Logs that the endpoint broke off the exchange, with what it had of the request.
+    pub(crate) fn log_broken_off(&self, reason: &dyn Display) {
+        let ran_ms = (self.node.now() - self.sent_at).as_millis();
+        let parts = content_list(&self.contents.parts);
+        let fields: [(&str, &dyn Display); 6] = [
+            ("endpoint", &self.endpoint),
+            ("reason", reason),
+            ("stage", &self.progress.as_str()),
+            ("ran_ms", &ran_ms),
+            ("content", &self.contents.request),
+            ("parts", &parts),
+        ];
+        self.node.events.emit(&catalogue::RUN_BROKEN_OFF, Some(&self.id), &fields);
+        metrics::counter!("dogwoodtray_broken_runs_total", "stage" => self.progress.as_str())
+            .increment(1);
+    }
+
+    /// Waits until a crash of the endpoint is reported, so that the next attempt takes it into
+    /// account.
+    pub(crate) async fn reported(&mut self) {
+        if let Some(confirmation) = self.confirmation.take() {
+            // A confirmation that takes longer goes on in its task.
+            let _ = timeout(CONFIRMATION_TIMEOUT, confirmation).await;
+        }
+    }
+
+    /// Starts a task that reports a crash if the endpoint is gone unexpectedly: it is still listed as
+    /// ready, and its address refuses connections. One that was cut off, reset a connection or was
+    /// stopped as planned does not.
+    fn confirm_crash(&mut self) {
+        let endpoint = self.node.directory.borrow().endpoint(&self.endpoint).cloned();
+        let Some(endpoint) = endpoint else { return };
+        let run = CrashedRun {
+            contents: Contents::clone(&self.contents),
+            endpoint: Name::clone(&endpoint.id),
+            sent_at: self.sent_at,
+            ended_at: self.node.now(),
+            stage: self.stage(),
+            sound: Vec::new(),
+        };
+        let (node, id) = (Rc::clone(&self.node), Name::clone(&self.id));
+        self.confirmation = Some(spawn_local(confirm_crash(node, id, endpoint, run)));
+    }
+
+    const fn stage(&self) -> RunStage {
+        match (self.progress, self.kind) {
+            (Progress::Begun, RunKind::Stream | RunKind::Item) => RunStage::Starting,
+            (Progress::Output, RunKind::Item) => RunStage::Resumable,
+            _ => RunStage::Running,
+        }
+    }
+}
+
+async fn confirm_crash(node: Rc<Node>, id: Name, endpoint: Rc<Endpoint>, run: CrashedRun) {
+    if !is_refused(endpoint.addr).await {
+        return;
+    }
+    let at_start = run.stage == RunStage::Starting;
+    let fields: [(&str, &dyn Display); 3] =
+        [("endpoint", &endpoint.id), ("at_start", &at_start), ("content", &run.contents.request)];
+    node.events.emit(&catalogue::ENDPOINT_CRASHED, Some(&id), &fields);
+    metrics::counter!("dogwoodtray_crashed_runs_total").increment(1);
+    node.report_crash(run);
+}
