Hold batch items that crash the endpoints that begin to run them

Cause: items were left out of the search for contents that crash endpoints. The drivers reported no crash under an item and checked no item before they sent it. Crashes that nothing explained were put down to popular parts of sound online requests.

Change: a crash under an item is evidence like one under a request, and an item with a blocked content waits until it is cleared or may be tried. An item runs for seconds and is resumed, so it is present at many crashes that it does not cause: a run with output accuses none of its parts, and the item itself only if it is present at every second crash, four times in turn. After a crash without output the next run waits 250 ms, until the crash is analyzed. The prompt as a whole is a content as well, since requests may share it under different bodies.

--- a/dogwoodtray_coord/src/crashes/analyzer.rs
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -26,13 +26,16 @@
     /// Crashes at the start of an answer after which a content is blocked. Sound requests are rarely
     /// at this stage.
     pub start_crashes: usize,
-    /// The same for a part that had sound runs before.
+    /// The same for a content that had sound runs before.
     pub sound_start_crashes: usize,
     /// Crashes, one after the other, after which a whole request is blocked whatever its stage.
     pub request_crashes: usize,
     /// Crashes, one after the other, after which a part is blocked whatever its stage. Parts are
     /// often present at crashes that they do not cause.
     pub part_crashes: usize,
+    /// Crashes, one after the other, after which an item is blocked although its runs produced
+    /// output, if they are at least half of all crashes since the first of them.
+    pub resumable_crashes: usize,
     /// Time in which the reports of all processes about a crash arrive.
     pub report_time: Duration,
     /// Time for which crashes are kept.
@@ -50,6 +53,7 @@
             sound_start_crashes: 3,
             request_crashes: 3,
             part_crashes: 6,
+            resumable_crashes: 4,
             report_time: Duration::from_millis(150),
             retention: Duration::from_secs(600),
             max_crashes: 1_024,
@@ -84,6 +88,10 @@
 /// part or request was present is explained and accuses no content of other requests. Contents with
 /// the same evidence are blocked together, and sound runs clear those that are innocent.
 ///
+/// An item of a job runs for seconds and is resumed after each crash, so it is present at many that
+/// it does not cause. A run that produced output says nothing about the parts of an item, and counts
+/// against the item only if it is present at every second crash.
+///
 /// # Examples
 ///
 /// ```
@@ -169,8 +177,11 @@
 
     /// Records a run that ended because its endpoint crashed. Returns the blocks of its contents that
     /// have changed.
-    pub fn record_crash(&mut self, now: Timestamp, run: CrashedRun) -> Vec<Block> {
+    pub fn record_crash(&mut self, now: Timestamp, mut run: CrashedRun) -> Vec<Block> {
         self.drop_old(now);
+        if run.stage == RunStage::Resumable {
+            run.contents.parts.clear();
+        }
         let contents = run.contents.clone();
         let ended_at = run.ended_at;
         let known = self.crashes.iter().rposition(|crash| crash.ended(&run));
@@ -313,7 +324,7 @@
 
     /// Returns the evidence against a content if it suffices to block it.
     fn evidence(&self, content: ContentHash, is_part: bool) -> Option<Evidence> {
-        let crashes = self.accusing_crashes(content);
+        let mut crashes = self.accusing_crashes(content);
         let (first, last) = (crashes.first()?.at, crashes.last()?.at);
         let had_sound_runs =
             crashes.iter().any(|crash| crash.runs.iter().any(|run| run.sound.contains(&content)));
@@ -325,16 +336,17 @@
             .map(|crash| crash.requests_with(content, Some(RunStage::Starting)))
             .filter(|requests| !requests.is_empty())
             .collect();
-        let start_limit = if is_part && had_sound_runs {
-            self.cfg.sound_start_crashes
-        } else {
-            self.cfg.start_crashes
-        };
+        let start_limit =
+            if had_sound_runs { self.cfg.sound_start_crashes } else { self.cfg.start_crashes };
         let at_start =
             if is_part { count_explanations(starting, MAX_EXPLANATIONS) } else { starting.len() };
         if at_start >= start_limit {
             return found(CrashPattern::AtStart, at_start);
         }
+        if let Some(in_turn) = self.resumable_crashes(content, &crashes) {
+            return found(CrashPattern::AnyTime, in_turn);
+        }
+        crashes.retain(|crash| !crash.is_resumable(content));
         let limit = if is_part { self.cfg.part_crashes } else { self.cfg.request_crashes };
         let mut in_turn = count_in_turn(content, &crashes);
         if is_part && in_turn >= limit {
@@ -344,6 +356,18 @@
         if in_turn >= limit { found(CrashPattern::AnyTime, in_turn) } else { None }
     }
 
+    /// Returns the number of crashes, one after the other, under an item whose runs produced output,
+    /// if it suffices to block the item.
+    fn resumable_crashes(&self, content: ContentHash, crashes: &[&Crash]) -> Option<usize> {
+        let first = crashes.first()?.at;
+        let since = self.crashes.iter().filter(|crash| crash.at >= first).count();
+        let in_turn = count_in_turn(content, crashes);
+        let is_often_present = crashes.len() * 2 >= since;
+        let is_resumable = crashes.iter().any(|crash| crash.is_resumable(content));
+        (is_resumable && is_often_present && in_turn >= self.cfg.resumable_crashes)
+            .then_some(in_turn)
+    }
+
     /// Returns the crashes at which a content was present and that nothing else explains, in the order
     /// of time. Another blocked part explains a crash, and so does a blocked request without the
     /// content.
--- a/dogwoodtray_coord/src/crashes/crash.rs
+++ b/dogwoodtray_coord/src/crashes/crash.rs
@@ -56,6 +56,12 @@
         self.runs.iter().any(|run| run.contents.contains(content))
     }
 
+    /// Returns `true` if the content is an item whose run had produced output.
+    pub(super) fn is_resumable(&self, content: ContentHash) -> bool {
+        let mut runs = self.runs.iter().filter(|run| run.stage == RunStage::Resumable);
+        runs.any(|run| run.contents.request == content)
+    }
+
     /// Returns the requests with a content that were ended at a stage, or at any one.
     pub(super) fn requests_with(
         &self,
--- a/dogwoodtray_gateway/src/contents.rs
+++ b/dogwoodtray_gateway/src/contents.rs
@@ -9,8 +9,8 @@
 use crate::model::JobItem;
 use crate::request::EndpointRequest;
 
-/// Returns the contents of a request: a hash that it shares with its resends, and those of the parts
-/// of its prompt that it shares with others.
+/// Returns the contents of a request: a hash that it shares with its resends, and those of its prompt
+/// and the parts of it, which it may share with others.
 pub(crate) fn request_contents(dialect: &dyn Dialect, req: &EndpointRequest) -> Contents {
     let host = req.headers.get(header::HOST).map_or(&b""[..], |host| host.as_bytes());
     let whole = [
@@ -20,14 +20,18 @@
         ContentHash::of(&req.body),
     ];
     let request = ContentHash::of(&whole.map(|hash| hash.0.to_le_bytes()).concat());
-    Contents { request, parts: shared_parts(dialect, &req.headers) }
+    Contents { request, parts: prompt_contents(dialect, &req.headers) }
 }
 
-/// Returns the hashes of the parts of a prompt that other requests may share.
-pub(crate) fn shared_parts(dialect: &dyn Dialect, headers: &HeaderMap) -> Vec<ContentHash> {
+/// Returns the hashes of the parts of a prompt that other requests may share, and that of the whole
+/// prompt, which requests with different bodies may share.
+fn prompt_contents(dialect: &dyn Dialect, headers: &HeaderMap) -> Vec<ContentHash> {
     let prompt = headers.get(&dialect.names().prompt_parts).and_then(|value| value.to_str().ok());
-    let ids = prompt.map(|prompt| dialect.shared_parts(prompt)).unwrap_or_default();
-    ids.into_iter().map(|id| ContentHash::of(id.as_bytes())).collect()
+    let Some(prompt) = prompt else { return Vec::new() };
+    let parts = dialect.shared_parts(prompt).into_iter();
+    let mut contents: Vec<_> = parts.map(|id| ContentHash::of(id.as_bytes())).collect();
+    contents.push(ContentHash::of(prompt.as_bytes()));
+    contents
 }
 
 /// Returns a hash of the ids and bodies of the items of a job, by which a body that changes on its way
--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -28,6 +28,7 @@
 use dogwoodtray_runtime::block_to_wire;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_wire::messages;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -50,6 +51,8 @@
     sound_runs: RefCell<SoundRuns>,
     /// Whether a task waits for the next analysis.
     is_tick_scheduled: Cell<bool>,
+    /// Notified when a content is cleared.
+    cleared: Notify,
 }
 
 impl Crashes {
@@ -58,6 +61,7 @@
             analyzer: RefCell::new(CrashAnalyzer::new(CrashConfig::default())),
             sound_runs: RefCell::default(),
             is_tick_scheduled: Cell::new(false),
+            cleared: Notify::new(),
         }
     }
 }
@@ -71,13 +75,12 @@
         request: &Name,
         contents: &Contents,
     ) -> Result<Vec<ContentHash>, Duration> {
-        let analyzer = self.crashes.analyzer.borrow();
-        let (content, retry_after) = match analyzer.blocks().check(self.now(), contents) {
+        let (content, retry_after) = match self.content_verdict(contents) {
             ContentVerdict::Allowed => return Ok(Vec::new()),
             ContentVerdict::Trial(contents) => return Ok(contents),
             ContentVerdict::Blocked { content, retry_after } => (content, retry_after),
         };
-        let crashes = analyzer.blocks().get(content).map_or(0, |block| block.crashes);
+        let crashes = self.crash_count(content);
         let retry_after_ms = retry_after.as_millis();
         let fields: [(&str, &dyn Display); 3] =
             [("content", &content), ("crashes", &crashes), ("retry_after_ms", &retry_after_ms)];
@@ -86,6 +89,21 @@
         Err(retry_after)
     }
 
+    /// Returns how a request or item with these contents is to be treated.
+    pub(crate) fn content_verdict(&self, contents: &Contents) -> ContentVerdict {
+        self.crashes.analyzer.borrow().blocks().check(self.now(), contents)
+    }
+
+    /// Returns the number of crashes that are attributed to a blocked content.
+    pub(crate) fn crash_count(&self, content: ContentHash) -> u32 {
+        self.crashes.analyzer.borrow().blocks().get(content).map_or(0, |block| block.crashes)
+    }
+
+    /// Waits until a blocked content is cleared.
+    pub(crate) async fn content_cleared(&self) {
+        self.crashes.cleared.notified().await;
+    }
+
     /// Starts a trial of blocked contents, unless another request has taken it.
     pub(crate) fn start_trial(&self, contents: &[ContentHash]) -> Result<(), Duration> {
         if contents.is_empty() {
@@ -249,6 +267,7 @@
         let fields: [(&str, &dyn Display); 2] =
             [("content", &run.content), ("completed", &run.completed)];
         self.events.emit(&catalogue::CONTENT_CLEARED, None, &fields);
+        self.crashes.cleared.notify_waiters();
         self.count_blocks();
         self.schedule_analysis();
         if self.cfg.role == NodeRole::Driver {
@@ -307,6 +326,9 @@
                 analyzer.blocks_mut().merge(block.clone());
             }
         }
+        if !set.cleared.is_empty() {
+            self.crashes.cleared.notify_waiters();
+        }
         self.count_blocks();
         self.schedule_analysis();
         self.refute_blocks(&blocks);
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -5,7 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::ContentVerdict;
+use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_runtime::EventTooLarge;
@@ -57,11 +61,17 @@
 /// Delay after the first interrupted run; it doubles with each further run without progress.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 
-/// Maximum number of doublings of the delay, to 400 ms. Endpoints that crash under an item are no
-/// reason to delay it further: items do not crash endpoints, and the places that are left for them
-/// limit how many are tried.
+/// Maximum number of doublings of the delay, to 400 ms. Items that crash endpoints are held back by
+/// the evidence of these crashes, and others are not to wait.
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
+/// Delay after a run that crashed its endpoint before any output, in which the drivers analyze the
+/// crash.
+const CRASH_ANALYSIS_TIME: Duration = Duration::from_millis(250);
+
+/// Maximum time until an item whose trial was given to another one checks its contents again.
+const MAX_TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Time for which a route may be missing before its items fail. The route may be absent briefly
 /// while a configuration is being replaced.
 const MISSING_ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -91,6 +101,8 @@
     Queued,
     /// The run was interrupted or did not start.
     Interrupted,
+    /// The endpoint crashed, or broke off the exchange, before any output of the run.
+    BrokenOffAtStart,
 }
 
 /// Runs an item, at one endpoint after another, until it has a result.
@@ -101,7 +113,11 @@
     let mut interruptions = 0;
     let mut head_timeout = INITIAL_HEAD_TIMEOUT;
     let mut excluded: Vec<Name> = Vec::new();
+    let Some(prepared) = PreparedItem::new(&node, &job, &item) else {
+        return failed_result(&node, &job, &item, "impossible");
+    };
     loop {
+        let trial = hold(&node, &job, &item, &prepared.contents, expires_at).await;
         if node.now() >= expires_at {
             return failed_result(&node, &job, &item, "retention over");
         }
@@ -122,22 +138,26 @@
             expires_at: now + PLACE_TIMEOUT,
             repeatable: true,
             excluded: excluded.clone(),
-            trial: Vec::new(),
+            trial: trial.clone(),
         };
         let permit = match node.acquire_place(&params).await {
             Ok(permit) => permit,
             Err(PlaceError::Refused { retry_after }) => {
-                sleep(retry_after).await;
+                sleep(retry_after.min(MAX_TRIAL_RETRY_DELAY)).await;
                 continue;
             }
             Err(PlaceError::Expired) => continue,
         };
+        // A content may have been blocked while the item waited for its place.
+        if trial.is_empty() && node.content_verdict(&prepared.contents) != ContentVerdict::Allowed {
+            continue;
+        }
         let endpoint = Name::clone(&permit.endpoint);
         // Another driver may have sent output while the item waited for its place.
         let progress = job.outputs().longest(&item.id);
         let last_event_before = progress.borrow().last_event_id();
         let (started_at, events_before) = (node.now(), progress.borrow().event_count());
-        match run_once(&node, &job, &item, &progress, permit, head_timeout).await {
+        match run_once(&node, &job, &item, &prepared, &progress, permit, head_timeout).await {
             RunOutcome::Completed => {
                 if let Some(driver) = node.driver.get() {
                     let events = progress.borrow().event_count();
@@ -165,6 +185,11 @@
             }
             RunOutcome::Preempted => excluded.clear(),
             RunOutcome::Queued => head_timeout = (head_timeout * 2).min(ITEM_IDLE_TIMEOUT),
+            RunOutcome::BrokenOffAtStart => {
+                interruptions += 1;
+                excluded = vec![endpoint];
+                sleep(CRASH_ANALYSIS_TIME).await;
+            }
             RunOutcome::Interrupted => {
                 interruptions = if progress.borrow().last_event_id() > last_event_before {
                     0
@@ -178,6 +203,46 @@
     }
 }
 
+/// Waits while contents of the item are blocked because they crash endpoints. Returns those that its
+/// next run is to try, if any. Also returns when the retention of the item is over.
+async fn hold(
+    node: &Node,
+    job: &Job,
+    item: &JobItem,
+    contents: &Contents,
+    expires_at: Timestamp,
+) -> Vec<ContentHash> {
+    let mut is_logged = false;
+    loop {
+        let (content, retry_after) = match node.content_verdict(contents) {
+            ContentVerdict::Allowed => return Vec::new(),
+            ContentVerdict::Trial(contents) => return contents,
+            ContentVerdict::Blocked { content, retry_after } => (content, retry_after),
+        };
+        let left = expires_at - node.now();
+        if left.is_zero() {
+            return Vec::new();
+        }
+        if !is_logged {
+            is_logged = true;
+            let crashes = node.crash_count(content);
+            let retry_after_ms = retry_after.as_millis();
+            let fields: [(&str, &dyn Display); 4] = [
+                ("item", &item.id),
+                ("content", &content),
+                ("crashes", &crashes),
+                ("retry_after_ms", &retry_after_ms),
+            ];
+            node.events.emit(&catalogue::ITEM_HELD, Some(job.id()), &fields);
+            metrics::counter!("dogwoodtray_held_items_total").increment(1);
+        }
+        tokio::select! {
+            () = sleep(retry_after.min(left)) => {}
+            () = node.content_cleared() => {}
+        }
+    }
+}
+
 /// Returns the service that the current configuration selects for the item. Waits while its route
 /// is missing, and returns `None` if that takes too long.
 async fn resolve_service(node: &Node, job: &Job, item: &JobItem) -> Option<Name> {
@@ -212,6 +277,7 @@
     node: &Rc<Node>,
     job: &Job,
     item: &JobItem,
+    prepared: &PreparedItem,
     progress: &RefCell<Progress>,
     mut permit: PlacePermit,
     head_timeout: Duration,
@@ -220,13 +286,15 @@
     let (run, place_outcome, reason) = tokio::select! {
         biased;
         () = permit.preempted() => (RunOutcome::Preempted, PlaceOutcome::Withdrawn, String::new()),
-        ended = exchange(node, job, item, progress, &endpoint, head_timeout) => ended,
+        ended = exchange(node, job, item, prepared, progress, &endpoint, head_timeout) => ended,
     };
     if matches!(run, RunOutcome::Queued) {
         permit.report_slow();
     }
     permit.set_outcome(place_outcome);
-    if matches!(run, RunOutcome::Failed | RunOutcome::Interrupted) {
+    let is_retried =
+        matches!(run, RunOutcome::Failed | RunOutcome::Interrupted | RunOutcome::BrokenOffAtStart);
+    if is_retried {
         let events = progress.borrow().event_count();
         let fields: [(&str, &dyn Display); 4] =
             [("item", &item.id), ("endpoint", &endpoint), ("reason", &reason), ("events", &events)];
@@ -241,6 +309,7 @@
     node: &Rc<Node>,
     job: &Job,
     item: &JobItem,
+    prepared: &PreparedItem,
     progress: &RefCell<Progress>,
     endpoint: &Name,
     head_timeout: Duration,
@@ -254,22 +323,19 @@
     };
     let names = node.dialect.names();
     let remaining = Duration::from_millis(job.spec.retention_ms);
-    let prepared = build_endpoint_request(node, job, item).and_then(|out| {
-        let contents = request_contents(&*node.dialect, &out);
-        let last_event = progress.borrow().last_event_id();
-        Some((contents, out.request_for(names, &target.id, remaining, last_event)?))
-    });
-    let Some((contents, req)) = prepared else {
+    let last_event = progress.borrow().last_event_id();
+    let Some(req) = prepared.request.request_for(names, &target.id, remaining, last_event) else {
         return (RunOutcome::Unprocessable, PlaceOutcome::Withdrawn, "not a request".to_owned());
     };
-    let contents = Rc::new(contents);
-    let mut observed = ObservedRun::start(node, &item.id, &contents, endpoint, RunKind::Item);
+    let contents = &prepared.contents;
+    let mut observed = ObservedRun::start(node, &item.id, contents, endpoint, RunKind::Item);
     let exchange = match timeout(head_timeout, send(target.addr, req)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(err)) => {
             // After bytes that are no response, the driver closed the connection itself.
             if matches!(&err, SendError::Lost(err) if !err.is_parse()) {
-                observed.log_broken_off(&err);
+                let outcome = broken_off(&mut observed, &err).await;
+                return (outcome, PlaceOutcome::Failed, err.to_string());
             }
             return interrupted(PlaceOutcome::Failed, &err);
         }
@@ -298,6 +364,13 @@
     }
 }
 
+/// Reports a run that its endpoint broke off, and returns its outcome.
+async fn broken_off(observed: &mut ObservedRun, reason: &dyn Display) -> RunOutcome {
+    observed.on_broken_off(reason);
+    observed.reported().await;
+    if observed.has_output() { RunOutcome::Interrupted } else { RunOutcome::BrokenOffAtStart }
+}
+
 /// Sends the output so far to the driver that would take over the job.
 fn replicate_output(node: &Node, job: &Job, item: &JobItem, progress: &Progress) {
     if let Some(link) = node.peers.backup_for(node, job.id())
@@ -322,8 +395,9 @@
         let idle_until = last_event_at + ITEM_IDLE_TIMEOUT;
         let (place_outcome, reason) = match timeout_at(idle_until, body.frame()).await {
             Ok(None) if parser.has_partial_event() => {
-                observed.log_broken_off(&"part of an event");
-                (PlaceOutcome::Withdrawn, "part of an event".to_owned())
+                let reason = "part of an event";
+                let outcome = broken_off(observed, &reason).await;
+                return (outcome, PlaceOutcome::Withdrawn, reason.to_owned());
             }
             Ok(None) => {
                 // Clears the parts that it shares with other requests.
@@ -331,8 +405,8 @@
                 return (RunOutcome::Completed, PlaceOutcome::Answered, String::new());
             }
             Ok(Some(Err(err))) => {
-                observed.log_broken_off(&err);
-                (PlaceOutcome::Withdrawn, err.to_string())
+                let outcome = broken_off(observed, &err).await;
+                return (outcome, PlaceOutcome::Withdrawn, err.to_string());
             }
             Err(_) => (PlaceOutcome::Failed, "silence".to_owned()),
             Ok(Some(Ok(frame))) => {
@@ -392,6 +466,21 @@
     Ok(count)
 }
 
+/// Item in the form in which it is sent to endpoints.
+struct PreparedItem {
+    request: EndpointRequest,
+    contents: Rc<Contents>,
+}
+
+impl PreparedItem {
+    /// Returns `None` if the item cannot be sent.
+    fn new(node: &Node, job: &Job, item: &JobItem) -> Option<Self> {
+        let request = build_endpoint_request(node, job, item)?;
+        let contents = Rc::new(request_contents(&*node.dialect, &request));
+        Some(Self { request, contents })
+    }
+}
+
 fn build_endpoint_request(node: &Node, job: &Job, item: &JobItem) -> Option<EndpointRequest> {
     let mut headers = HeaderMap::new();
     headers.insert(header::HOST, HeaderValue::from_str(&job.spec.host).ok()?);
--- a/dogwoodtray_gateway/src/observed_run.rs
+++ b/dogwoodtray_gateway/src/observed_run.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Returns `true` if a part of the output arrived.
+    pub(crate) fn has_output(&self) -> bool {
+        self.progress == Progress::Output
+    }
+
     /// Records that the response is complete.
     pub(crate) fn on_completed(&self) {
         self.node.record_sound_run(&self.contents, self.sent_at, true);
@@ -113,12 +118,6 @@
     ///
     /// Starts to find out whether it crashed.
     pub(crate) fn on_broken_off(&mut self, reason: &dyn Display) {
-        self.log_broken_off(reason);
-        self.confirm_crash();
-    }
-
-    /// Logs that the endpoint broke off the exchange, with what it had of the request.
-    pub(crate) fn log_broken_off(&self, reason: &dyn Display) {
         let ran_ms = (self.node.now() - self.sent_at).as_millis();
         let parts = content_list(&self.contents.parts);
         let fields: [(&str, &dyn Display); 6] = [
@@ -132,6 +131,7 @@
         self.node.events.emit(&catalogue::RUN_BROKEN_OFF, Some(&self.id), &fields);
         metrics::counter!("dogwoodtray_broken_runs_total", "stage" => self.progress.as_str())
             .increment(1);
+        self.confirm_crash();
     }
 
     /// Waits until a crash of the endpoint is reported, so that the next attempt takes it into
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -98,6 +98,8 @@
     ITEM_RETRIED = 3007, Info, "item is run again";
     /// An item failed permanently, without an answer.
     ITEM_GIVEN_UP = 3008, Info, "item given up";
+    /// An item is not run for now because of a blocked content.
+    ITEM_HELD = 3009, Info, "item is held for a blocked content";
 
     /// A key range was claimed.
     RANGE_CLAIMED = 3101, Info, "key range claimed";
