Break off a stream that the next endpoint does not continue after its last event

What callers saw: if the endpoint at which a stream was resumed ignored the last event id, events came twice, or some were missing, in an answer that ended as complete.

Cause: the gateway forwarded the events of a resumed run without a look at their ids. Items have always checked them.

Change: the first event of a resumed run has to follow the last one that was forwarded, and ids have to increase. Otherwise the run counts as interrupted.

a_stream_that_is_not_continued_after_its_last_event_breaks_off failed before: the caller received e1 e2 e1 e2 e3.

--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -157,6 +157,7 @@
 ) -> ExchangeOutcome {
     let mut parser = EventParser::default();
     let mut last_event_at = Instant::now();
+    let resumed_after = *last_event_id;
     loop {
         // Bytes that complete no event are no progress.
         let limit = attempts.remaining().min(idle_timeout.saturating_sub(last_event_at.elapsed()));
@@ -174,6 +175,7 @@
         attempts.trace.on_data();
         parser.push(&data);
         let mut events = bytes::BytesMut::new();
+        let mut is_in_order = true;
         loop {
             let event = match parser.next_event() {
                 Ok(Some(event)) => event,
@@ -185,6 +187,12 @@
                 }
             };
             last_event_at = Instant::now();
+            if !follows(event.id(), *last_event_id, resumed_after) {
+                log::warn!("endpoint sent events of request {} out of order", attempts.id);
+                metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
+                is_in_order = false;
+                break;
+            }
             *last_event_id = event.id().or(*last_event_id);
             events.extend_from_slice(&event.raw);
         }
@@ -194,5 +202,15 @@
         if !events.is_empty() && tx.send(Ok(events.freeze())).await.is_err() {
             return ExchangeOutcome::CallerDisconnected;
         }
+        if !is_in_order {
+            return ExchangeOutcome::Interrupted("events out of order");
+        }
     }
 }
+
+/// Returns `true` if an event may follow the last one. The first one of a resumed run continues
+/// exactly after the last event of the run before.
+fn follows(id: Option<u64>, last: Option<u64>, resumed_after: Option<u64>) -> bool {
+    let (Some(id), Some(last)) = (id, last) else { return true };
+    if resumed_after == Some(last) { last.checked_add(1) == Some(id) } else { id > last }
+}
--- /dev/null
+++ b/dogwoodtray_gateway/tests/faulty_endpoints.rs
@@ -0,0 +1,205 @@
+//! Tests of endpoints that repeat, truncate or confuse their answers.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod support;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use support::Site;
+use support::run_local;
+use support::submission;
+use support::wait_until;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Endpoints of one service that answer with given bytes, one text for each request in the order of
+/// arrival, and close the connection after it. `{id}` stands for the id of the request. The last
+/// text is repeated.
+struct Scripted {
+    texts: Rc<RefCell<Vec<String>>>,
+    received: Rc<Cell<usize>>,
+}
+
+impl Scripted {
+    async fn start(site: &Site, service: &str, texts: &[&str]) -> Self {
+        let texts = texts.iter().map(|text| (*text).to_owned()).rev().collect();
+        let this = Self { texts: Rc::new(RefCell::new(texts)), received: Rc::default() };
+        for number in 0..2 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let addr = listener.local_addr().unwrap();
+            let (texts, received) = (Rc::clone(&this.texts), Rc::clone(&this.received));
+            spawn_local(async move {
+                loop {
+                    let (stream, _) = listener.accept().await.unwrap();
+                    spawn_local(answer(stream, Rc::clone(&texts), Rc::clone(&received)));
+                }
+            });
+            let entry = format!(
+                r#"{{"service":"{service}","address":"{addr}","zone":"z1","version":"v1","slots":8,
+                "state":"ready","cold-left-ms":0,"sequence":1}}"#
+            );
+            site.store.put("servers", &format!("{service}{number}"), &entry);
+        }
+        this
+    }
+
+    /// Replaces the texts for the next requests.
+    fn set(&self, texts: &[&str]) {
+        *self.texts.borrow_mut() = texts.iter().map(|text| (*text).to_owned()).rev().collect();
+        self.received.set(0);
+    }
+}
+
+async fn answer(mut stream: TcpStream, texts: Rc<RefCell<Vec<String>>>, received: Rc<Cell<usize>>) {
+    let mut request = Vec::new();
+    while !is_complete(&request) {
+        if stream.read_buf(&mut request).await.unwrap_or(0) == 0 {
+            return;
+        }
+    }
+    received.set(received.get() + 1);
+    let text = {
+        let mut texts = texts.borrow_mut();
+        if texts.len() > 1 { texts.pop() } else { texts.last().cloned() }
+    };
+    let head = String::from_utf8_lossy(&request).to_lowercase();
+    let id = head.lines().find_map(|line| line.strip_prefix("attempt-id: ")).unwrap_or_default();
+    let text = text.unwrap_or_default().replace("{id}", id);
+    // The gateway may have closed the connection.
+    let _ = stream.write_all(text.as_bytes()).await;
+    sleep(Duration::from_millis(20)).await;
+}
+
+fn is_complete(request: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(request).to_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    body.len() >= length.and_then(|length| length.parse().ok()).unwrap_or(0)
+}
+
+/// Returns a head with a status, up to the empty line.
+fn head(status: u16) -> String {
+    format!("HTTP/1.1 {status} X\r\nattempt-id: {{id}}\r\nserver-stamp: s1\r\n")
+}
+
+/// Returns a stream in which these events arrive and, if `is_whole`, its end.
+fn stream(events: std::ops::RangeInclusive<u64>, is_whole: bool) -> String {
+    let mut text = head(200) + "transfer-encoding: chunked\r\n\r\n";
+    for event in events {
+        let event = format!("id: {event}\ndata: e{event}\n\n");
+        text += &format!("{:x}\r\n{event}\r\n", event.len());
+    }
+    if is_whole { text + "0\r\n\r\n" } else { text }
+}
+
+/// Returns an answer with a status and a short text.
+fn error(status: u16) -> String {
+    head(status) + "content-length: 6\r\n\r\nbroken"
+}
+
+/// Guards against the text of an error in the middle of a stream, and against a stream that looks
+/// complete after it.
+#[test]
+fn an_error_of_the_next_endpoint_does_not_reach_a_stream_that_has_begun() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "engine", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for status in [400, 404, 422, 429, 500, 503] {
+            endpoints.set(&[&stream(1..=1, false), &error(status)]);
+            let response = site.post("/resume/x", &format!("r{status}"), "slip").await;
+            assert_eq!(response.status, StatusCode::OK, "{status}");
+            assert_eq!(response.body, "id: 1\ndata: e1\n\n", "{status}");
+            assert!(!response.complete, "{status}");
+            sleep(Duration::from_millis(900)).await;
+        }
+    });
+}
+
+/// Guards against events that a caller receives twice or not at all, because the next endpoint does
+/// not continue after the last event.
+#[test]
+fn a_stream_that_is_not_continued_after_its_last_event_breaks_off() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "engine", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for (number, next) in [1..=3, 4..=5].into_iter().enumerate() {
+            endpoints.set(&[&stream(1..=2, false), &stream(next.clone(), true)]);
+            let response = site.post("/resume/x", &format!("r{number}"), "slip").await;
+            assert_eq!(response.body, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", "{next:?}");
+            assert!(!response.complete, "{next:?}");
+            sleep(Duration::from_millis(900)).await;
+        }
+    });
+}
+
+/// Guards against a success with an empty or short body because the endpoint closed the connection
+/// within the head of its answer.
+#[test]
+fn a_head_that_breaks_off_is_no_answer() {
+    let whole = head(200) + "content-length: 0\r\n";
+    let lengths = [0, 5, 12, 17, 30, whole.len() - 20, whole.len() - 2, whole.len()];
+    run_local(async {
+        let site = Site::new();
+        let _engines = Scripted::start(&site, "engine", &[""]).await;
+        let ledgers = Scripted::start(&site, "ledger", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for length in lengths {
+            let cut = whole[..length].to_owned();
+            ledgers.set(&[&cut]);
+            let response = site.post("/once/x", &format!("o{length}"), "payout").await;
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{length} bytes");
+            assert_eq!(ledgers.received.get(), 1, "{length} bytes: it was sent again");
+            sleep(Duration::from_millis(900)).await;
+            let answer = head(200) + "content-length: 2\r\n\r\nok";
+            ledgers.set(&[&cut, &answer]);
+            let response = site.post("/plain/x", &format!("p{length}"), "lookup").await;
+            assert_eq!((response.status, &*response.body), (StatusCode::OK, "ok"), "{length}");
+            sleep(Duration::from_millis(900)).await;
+        }
+    });
+}
+
+/// Guards against a result of an item with the text of an error, a repeated refusal or a head that
+/// breaks off in it, or without the events that came before.
+#[test]
+fn faulty_answers_leave_no_trace_in_the_output_of_an_item() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "engine", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        let refusal = "HTTP/1.1 503 X\r\nattempt-id: other\r\nnot-executed: 1\r\n\
+                       content-length: 0\r\n\r\n";
+        endpoints.set(&[
+            &stream(1..=1, false),
+            &error(503),
+            refusal,
+            &head(200)[..40],
+            &error(404),
+            &stream(2..=3, true),
+        ]);
+        assert_eq!(
+            site.post("/job/x", "j1", &submission(&["a"])).await.status,
+            StatusCode::ACCEPTED
+        );
+        wait_until("all answers were sent", || endpoints.received.get() >= 6).await;
+        sleep(Duration::from_millis(500)).await;
+        let page = site.get("/api/lots/j1?after=0").await;
+        assert!(page.body.contains(r#""output":"e1\ne2\ne3""#), "{}", page.body);
+        assert!(page.body.contains(r#""state":"completed""#), "{}", page.body);
+    });
+}
