Do not believe a refusal that belongs to another request

What callers saw: 503 with the promise that the request had not run, or a second run of it, after an answer that bears Not-Executed, or status 421, and the id of another request. Gateways and drivers open a connection for each exchange, so a repeated refusal cannot reach them on a kept one; found by the test.

Cause: the header was looked at before the id.

Change: an answer with the id of another request is malformed, whatever else it says: the request may have run.

--- a/dogwoodtray_gateway/src/request.rs
+++ b/dogwoodtray_gateway/src/request.rs
@@ -105,12 +105,14 @@
     parts: &Parts,
     request_id: &str,
 ) -> ResponseClass {
-    if parts.headers.contains_key(&names.not_run) || parts.status == StatusCode::MISDIRECTED_REQUEST
-    {
-        return ResponseClass::NotRun;
-    }
     let echoed = parts.headers.get(&names.request_id);
     let is_mismatched = echoed.is_some_and(|id| id.as_bytes() != request_id.as_bytes());
+    let is_not_run = parts.headers.contains_key(&names.not_run)
+        || parts.status == StatusCode::MISDIRECTED_REQUEST;
+    // A refusal of another request says nothing about this one.
+    if is_not_run && !is_mismatched {
+        return ResponseClass::NotRun;
+    }
     if is_mismatched || parts.headers.contains_key(header::CONTENT_ENCODING) {
         return ResponseClass::Malformed;
     }
--- a/dogwoodtray_gateway/tests/faulty_endpoints.rs
+++ b/dogwoodtray_gateway/tests/faulty_endpoints.rs
@@ -106,6 +106,30 @@
     head(status) + "content-length: 6\r\n\r\nbroken"
 }
 
+/// Guards against a caller that is told that its request did not run, or a second run of it, because
+/// an endpoint repeated its refusal of another request.
+#[test]
+fn a_refusal_of_another_request_does_not_count_as_not_run() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "ledger", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for status in [503, 429, 421, 400] {
+            let other = format!(
+                "HTTP/1.1 {status} X\r\nattempt-id: r0\r\nnot-executed: 1\r\n\
+                 content-length: 0\r\n\r\n"
+            );
+            endpoints.set(&[&other]);
+            let response = site.post("/once/x", &format!("r{status}"), "payout").await;
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{status}");
+            assert_eq!(endpoints.received.get(), 1, "{status}: it was sent again");
+            // Both endpoints are avoided for a while after a failure.
+            sleep(Duration::from_millis(900)).await;
+        }
+    });
+}
+
 /// Guards against the text of an error in the middle of a stream, and against a stream that looks
 /// complete after it.
 #[test]
