Keep the error of the next endpoint out of a stream that has begun

What callers saw: a stream had begun and its endpoint crashed; the next one answered with an error. The caller found the error's text in the middle of the stream, which ended as if it were complete.

Cause: the entry retried an error answer only if no token had been generated. A resumed attempt starts with the tokens of the one before, so its error went to the caller like the rest of the answer.

Change: once tokens have been delivered, an answer with another status than 200, or that is no event stream, is a failed attempt: it is tried elsewhere, and if that is not possible the stream ends with an error event.

an_error_of_the_next_endpoint_does_not_reach_a_stream_that_has_begun failed before: the caller received 'data: one' and then the text of the error.

--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -33,6 +33,8 @@
 
 const STATUS_OK: u16 = 200;
 
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
+
 /// # Parts of answers
 impl OnlineCore {
     pub(super) fn on_started(&self, id: AttemptId, actions: &mut Vec<OnlineAction>) {
@@ -294,6 +296,10 @@
         actions: &mut Vec<OnlineAction>,
     ) {
         let queued = self.requests.get(&request_no).is_some_and(super::request::Request::is_queued);
+        let has_begun = self.requests.get(&request_no).is_some_and(|request| request.delivered > 0);
+        if has_begun && !continues_stream(status, content_type) {
+            return self.retry_failed(now, request_no, attempt, AttemptOutcome::Failed, actions);
+        }
         if status >= MIN_SERVER_ERROR_STATUS
             && attempt.spec.idempotent
             && queued
@@ -395,6 +401,11 @@
     }
 }
 
+/// Returns `true` if an answer can follow tokens that the caller has received.
+fn continues_stream(status: u16, content_type: &str) -> bool {
+    status == STATUS_OK && (content_type.is_empty() || content_type.starts_with(EVENT_STREAM_TYPE))
+}
+
 const fn is_answer(outcome: AttemptOutcome) -> bool {
     matches!(outcome, AttemptOutcome::Answered { .. })
 }
