Open a connection to the endpoint for each exchange of an agent

What callers saw: an endpoint that writes an earlier refusal once more on a kept connection has it taken for the answer to the next request. Its caller is told 503 although the endpoint runs the request; one that must not run twice may be sent again.

Cause: the agent kept connections to its endpoint and told answers apart by their order only.

Change: each exchange has its own connection, as at the gateways, and the client repeats no request by itself. The endpoint is beside its agent, so a connection costs one local round trip.

a_refusal_that_is_written_twice_is_not_taken_for_the_next_answer failed before (503 where 200 is expected). an_answer_that_breaks_off_is_not_reported_as_answered passed before and after: an answer that ends within its head or body is a lost connection.

--- a/dogwoodtray_agent/src/shell/endpoint.rs
+++ b/dogwoodtray_agent/src/shell/endpoint.rs
@@ -35,9 +35,6 @@
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Kept short because a middlebox may silently drop the state of idle connections.
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
 
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -63,8 +60,11 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(HEALTH_TIMEOUT));
+        // Each exchange has its own connection. On a kept one, surplus bytes after an answer could be
+        // taken for the answer to the next request.
         let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
             .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
         Self { addr, kind, runtime, client, mailbox, abort_handles: HashMap::new() }
