Hold items that crash endpoints in the product's own interface

What callers saw: a crash was no failure of an item and said nothing about it, so an item that crashes endpoints was sent to one after the other without end, with the online requests beside it.

Cause: the entry left items out of its analysis of crashes, as the drivers did.

Change: crashes under items are evidence, by their content and their prompt prefix, and output of items clears blocked prefixes.

--- a/dogwoodtray_entry/src/http/chat.rs
+++ b/dogwoodtray_entry/src/http/chat.rs
@@ -153,6 +153,12 @@
     Ok(ChatRequest { model: Name::from(model), stream, body })
 }
 
+/// Returns the hash of the prompt prefix of a chat request, 0 if it has none.
+pub(crate) fn chat_prefix(body: &[u8]) -> u64 {
+    let parsed: Option<Value> = serde_json::from_slice(body).ok();
+    parsed.as_ref().map_or(0, prompt_prefix_hash)
+}
+
 fn prompt_prefix_hash(body: &Value) -> u64 {
     let first = body["messages"][0]["content"].as_str().unwrap_or_default().as_bytes();
     ContentHash::of(&first[..first.len().min(PREFIX_BYTES)]).0
--- a/dogwoodtray_entry/src/http/mod.rs
+++ b/dogwoodtray_entry/src/http/mod.rs
@@ -11,6 +11,7 @@
 mod server;
 mod stream;
 
+pub(crate) use self::chat::chat_prefix;
 pub(crate) use self::chat::estimate_chat_cost;
 pub use self::limits::OrganizationLimits;
 pub(crate) use self::limits::RateLimiter;
--- a/dogwoodtray_entry/src/jobs/attempt_end.rs
+++ b/dogwoodtray_entry/src/jobs/attempt_end.rs
@@ -74,7 +74,8 @@
             ItemAttemptEnd::NotRun | ItemAttemptEnd::Cancelled => {
                 self.schedule_retry(item, now + cfg.retry_delay);
             }
-            // Items do not crash endpoints, so a crash is no failure of the item.
+            // A crash is no failure of the item. One that crashes endpoints is held by the online core,
+            // which then reports that it was not run.
             ItemAttemptEnd::Crashed => self.retry_elsewhere(cfg, now, attempt),
             ItemAttemptEnd::Failed { status, body } if is_final(status) => {
                 return Some(ItemOutcome::Failed { reason: Reason::Refused, status, body });
--- a/dogwoodtray_entry/src/online/blocks.rs
+++ b/dogwoodtray_entry/src/online/blocks.rs
@@ -1,8 +1,8 @@
-//! Prompt prefixes that crash endpoints.
+//! Prompt prefixes and items of jobs that crash endpoints.
 //!
-//! The quarantine recognizes a request that comes again. Requests that have only their prompt prefix
-//! in common are recognized by a [`CrashAnalyzer`]. Each entry analyzes the crashes of its own
-//! requests, and the blocks travel with heartbeats.
+//! The quarantine recognizes an online request that comes again. Requests that have only their prompt
+//! prefix in common, and items, are recognized by a [`CrashAnalyzer`]. Each entry analyzes the crashes
+//! of its own requests and items, and the blocks travel with heartbeats.
 
 use std::time::Duration;
 
@@ -18,10 +18,12 @@
 use dogwoodtray_coord::SoundRun;
 use dogwoodtray_coord::SoundRuns;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::TrialSubject;
 
 use super::OnlineCore;
 use super::RequestSpec;
 use super::attempt::Attempt;
+use super::attempt::Owner;
 
 /// Reason of the refusal of a request whose prompt prefix is blocked.
 pub(super) const PREFIX_BLOCKED: &str = "requests with this prompt prefix crashed endpoints";
@@ -80,6 +82,19 @@
         }
     }
 
+    /// Returns `true` if an item may run now. Starts a trial of its blocked contents if one is due.
+    pub(super) fn admit_item(&mut self, now: Timestamp, spec: &RequestSpec) -> bool {
+        let blocks = self.analyzer.blocks_mut();
+        match blocks.check_for(TrialSubject::Item, now, &item_contents(spec)) {
+            ContentVerdict::Allowed => true,
+            ContentVerdict::Blocked { .. } => false,
+            ContentVerdict::Trial(contents) => {
+                self.changed = true;
+                blocks.start_trial_for(TrialSubject::Item, now, &contents).is_ok()
+            }
+        }
+    }
+
     fn check(&self, now: Timestamp, spec: &RequestSpec) -> ContentVerdict {
         // The quarantine decides about the request itself.
         let prefix = Contents { request: ContentHash(spec.prefix), parts: Vec::new() };
@@ -88,25 +103,30 @@
 
     /// Records an attempt that ended because its endpoint crashed.
     pub(super) fn record_crash(&mut self, now: Timestamp, attempt: &Attempt) {
-        let Some(contents) = contents(&attempt.spec) else { return };
+        let Some(contents) = contents(attempt) else { return };
         let has_output = attempt.tokens > attempt.resume_from;
+        let stage = match (has_output, attempt.owner) {
+            (false, _) => RunStage::Starting,
+            (true, Owner::Job) => RunStage::Resumable,
+            (true, _) => RunStage::Running,
+        };
         let run = CrashedRun {
             sound: self.sound_runs.known(&contents),
             contents,
             endpoint: Name::clone(&attempt.node),
             sent_at: attempt.sent_at,
             ended_at: now,
-            stage: if has_output { RunStage::Running } else { RunStage::Starting },
+            stage,
         };
         self.changed |= !self.analyzer.record_crash(now, run).is_empty();
     }
 
     /// Records an attempt that produced output or completed its answer.
     pub(super) fn record_sound_run(&mut self, now: Timestamp, attempt: &Attempt, completed: bool) {
-        let Some(contents) = contents(&attempt.spec) else { return };
+        let Some(contents) = contents(attempt) else { return };
         let sent_at = attempt.sent_at;
         self.sound_runs.record(now, &contents, sent_at, completed);
-        for content in contents.parts {
+        for content in contents.iter() {
             let run = SoundRun { content, sent_at, completed };
             self.changed |= self.analyzer.record_sound_run(now, &run);
         }
@@ -161,8 +181,14 @@
     }
 }
 
-/// Returns the contents of a request, or `None` if it has no prompt prefix.
-fn contents(spec: &RequestSpec) -> Option<Contents> {
-    let parts = vec![ContentHash(spec.prefix)];
-    (spec.prefix != 0).then_some(Contents { request: spec.content, parts })
+/// Returns the contents of an attempt, or `None` if it is that of a request without a prompt prefix.
+fn contents(attempt: &Attempt) -> Option<Contents> {
+    let spec = &attempt.spec;
+    let is_item = attempt.owner == Owner::Job;
+    (is_item || spec.prefix != 0).then(|| item_contents(spec))
+}
+
+fn item_contents(spec: &RequestSpec) -> Contents {
+    let prefix = (spec.prefix != 0).then_some(ContentHash(spec.prefix));
+    Contents { request: spec.content, parts: prefix.into_iter().collect() }
 }
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -276,15 +276,21 @@
         actions: &mut Vec<OnlineAction>,
     ) {
         let reachable = self.endpoints.get_by_link(link).filter(|(_, e)| e.link == Some(link));
+        let not_run = |reason| BatchEnd {
+            outcome: AttemptOutcome::NotRun(reason),
+            content_type: Name::from(""),
+            answer: bytes::Bytes::new(),
+            tokens: resume_from,
+        };
         let Some((node, endpoint)) = reachable.filter(|(_, e)| !e.leaving) else {
-            let end = BatchEnd {
-                outcome: AttemptOutcome::NotRun(NotRunReason::Leaving),
-                content_type: Name::from(""),
-                answer: bytes::Bytes::new(),
-                tokens: resume_from,
-            };
+            let end = not_run(NotRunReason::Leaving);
             return actions.push(OnlineAction::BatchEnded { attempt: id, end });
         };
+        // An item that must not run twice ends with its first crash.
+        if spec.idempotent && !self.prefixes.admit_item(now, &spec) {
+            let end = not_run(NotRunReason::Blocked);
+            return actions.push(OnlineAction::BatchEnded { attempt: id, end });
+        }
         let attempt = Attempt {
             id,
             owner: Owner::Job,
@@ -299,7 +305,7 @@
             tokens: resume_from,
             resume_from,
             answer: BytesMut::new(),
-            // Items do not crash endpoints by themselves.
+            // Items are held by the evidence of several crashes, not after the first one.
             suspect: false,
             cancelled: false,
         };
--- a/dogwoodtray_entry/src/online/event.rs
+++ b/dogwoodtray_entry/src/online/event.rs
@@ -96,6 +96,8 @@
     EndpointDown,
     /// Requests with this content were running on two endpoints that crashed.
     Quarantined,
+    /// The item has a content that crashes endpoints, and no trial of it is due.
+    Blocked,
     /// The attempt was cancelled before it was forwarded.
     Cancelled,
     /// The agent never received the attempt.
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -220,8 +220,9 @@
 
     fn record_content(&mut self, now: Timestamp, attempt: &Attempt, outcome: AttemptOutcome) {
         match outcome {
-            // Items run beside the requests that crash endpoints and are never those.
-            AttemptOutcome::Crashed { .. } if matches!(attempt.owner, Owner::Job) => {}
+            AttemptOutcome::Crashed { .. } if matches!(attempt.owner, Owner::Job) => {
+                self.prefixes.record_crash(now, attempt);
+            }
             AttemptOutcome::Crashed { crash_id } => {
                 self.suspicions_changed |=
                     self.quarantine.record_crash(attempt.spec.content, crash_id);
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -33,6 +33,7 @@
 use super::probe::ProbeRequest;
 use super::probe::probe;
 use super::store::StoreRunner;
+use crate::http::chat_prefix;
 use crate::http::estimate_chat_cost;
 use crate::jobs::CallId;
 use crate::jobs::ItemAttemptEnd;
@@ -303,12 +304,12 @@
             method: Name::from("POST"),
             path: Name::from("/v1/chat/completions"),
             cost: estimate_chat_cost(&body),
+            prefix: chat_prefix(&body),
             body,
             idempotent,
             idempotency_key: request,
             fence: Some((Name::from(format!("jobs/{job}")), epoch)),
             timeout: deadline,
-            prefix: 0,
             content,
             organization: Name::from(""),
             mode: DispatchMode::Whole,
