Give the trial of a held item a place like one that is due soon

Cause: an item that is held becomes late, and late items wait behind all others for a place. A trial that began at 28.1 s got its place at 40.9 s, after the next trial of the same content had begun; both ran at once and crashed two endpoints.

Change: a trial asks for a place as an item that is due in 10 s, and gives up after that time, before the next trial.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -71,6 +71,9 @@
 /// crash.
 const CRASH_ANALYSIS_TIME: Duration = Duration::from_millis(250);
 
+/// Time in which a trial has to get a place. The next trial of the same content is due 2 s later.
+const TRIAL_PLACE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Maximum time until an item whose trial was given to another one checks its contents again.
 const MAX_TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -134,12 +137,19 @@
             .driver
             .get()
             .map(|driver| driver.estimator.remaining(item.tokens, progress.borrow().event_count()));
+        let remaining = remaining.unwrap_or_default();
+        // An item that has been held is late and would wait behind all others.
+        let (due, place_timeout) = if trial.is_empty() {
+            (due, PLACE_TIMEOUT)
+        } else {
+            (now + TRIAL_PLACE_TIMEOUT + remaining, TRIAL_PLACE_TIMEOUT)
+        };
         let params = PlaceParams {
             service,
             class: Class::Batch,
-            start_by: due.saturating_sub(remaining.unwrap_or_default()),
+            start_by: due.saturating_sub(remaining),
             due,
-            expires_at: now + PLACE_TIMEOUT,
+            expires_at: now + place_timeout,
             repeatable: true,
             excluded: excluded.clone(),
             trial: trial.clone(),
