--- a/dogwoodtray_entry/src/http/chat.rs
+++ b/dogwoodtray_entry/src/http/chat.rs
@@ -28,14 +28,15 @@
 use super::stream::ResponseBody;
 use super::stream::TokenStream;
 use crate::online::DispatchMode;
+use crate::online::EVENT_STREAM;
 use crate::online::RequestEnd;
 use crate::online::RequestSpec;
+use crate::online::is_stream_part;
 use crate::shell::AnswerPart;
 use crate::shell::ChatAnswer;
 use crate::shell::RouterInput;
 
 const CHAT_PATH: &str = "/v1/chat/completions";
-const EVENT_STREAM: &str = "text/event-stream";
 
 /// Approximate number of bytes of text in one token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -113,9 +114,18 @@
 }
 
 /// Estimates the cost of a chat request from its size and its token limit.
-pub(crate) fn estimate_chat_cost(body: &[u8]) -> Cost {
+fn estimate_chat_cost(body: &[u8]) -> Cost {
+    chat_cost(body, serde_json::from_slice(body).ok().as_ref())
+}
+
+/// Returns the estimated cost of a chat request, and the hash of its prompt prefix, 0 if it has none.
+pub(crate) fn chat_cost_and_prefix(body: &[u8]) -> (Cost, u64) {
     let parsed: Option<Value> = serde_json::from_slice(body).ok();
-    let limit = parsed.as_ref().and_then(|body| body["max_tokens"].as_u64());
+    (chat_cost(body, parsed.as_ref()), parsed.as_ref().map_or(0, prompt_prefix_hash))
+}
+
+fn chat_cost(body: &[u8], parsed: Option<&Value>) -> Cost {
+    let limit = parsed.and_then(|body| body["max_tokens"].as_u64());
     let output = limit.and_then(|limit| u32::try_from(limit).ok());
     Cost {
         prompt_tokens: u32::try_from(body.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
@@ -153,12 +163,6 @@
     Ok(ChatRequest { model: Name::from(model), stream, body })
 }
 
-/// Returns the hash of the prompt prefix of a chat request, 0 if it has none.
-pub(crate) fn chat_prefix(body: &[u8]) -> u64 {
-    let parsed: Option<Value> = serde_json::from_slice(body).ok();
-    parsed.as_ref().map_or(0, prompt_prefix_hash)
-}
-
 fn prompt_prefix_hash(body: &Value) -> u64 {
     let first = body["messages"][0]["content"].as_str().unwrap_or_default().as_bytes();
     ContentHash::of(&first[..first.len().min(PREFIX_BYTES)]).0
@@ -223,8 +227,8 @@
     id: Name,
 ) -> Result<Response<ResponseBody>, ApiError> {
     match parts.recv().await {
-        Some(AnswerPart::Data { status: 200, content_type, data })
-            if content_type.is_empty() || content_type.starts_with(EVENT_STREAM) =>
+        Some(AnswerPart::Data { status, content_type, data })
+            if is_stream_part(status, &content_type) =>
         {
             let tokens = TokenStream::new(data, parts, id, guard);
             let mut response = bytes_response(StatusCode::OK, EVENT_STREAM, Bytes::new());
--- a/dogwoodtray_entry/src/http/mod.rs
+++ b/dogwoodtray_entry/src/http/mod.rs
@@ -11,8 +11,7 @@
 mod server;
 mod stream;
 
-pub(crate) use self::chat::chat_prefix;
-pub(crate) use self::chat::estimate_chat_cost;
+pub(crate) use self::chat::chat_cost_and_prefix;
 pub use self::limits::OrganizationLimits;
 pub(crate) use self::limits::RateLimiter;
 pub(crate) use self::request::next_request_no;
--- a/dogwoodtray_entry/src/online/mod.rs
+++ b/dogwoodtray_entry/src/online/mod.rs
@@ -26,3 +26,5 @@
 pub use self::event::RequestEnd;
 pub use self::event::RequestNo;
 pub use self::event::RequestSpec;
+pub(crate) use self::stream::EVENT_STREAM;
+pub(crate) use self::stream::is_stream_part;
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -33,7 +33,8 @@
 
 const STATUS_OK: u16 = 200;
 
-const EVENT_STREAM_TYPE: &str = "text/event-stream";
+/// Content type of a stream of tokens.
+pub(crate) const EVENT_STREAM: &str = "text/event-stream";
 
 /// # Parts of answers
 impl OnlineCore {
@@ -220,12 +221,11 @@
 
     fn record_content(&mut self, now: Timestamp, attempt: &Attempt, outcome: AttemptOutcome) {
         match outcome {
-            AttemptOutcome::Crashed { .. } if matches!(attempt.owner, Owner::Job) => {
-                self.prefixes.record_crash(now, attempt);
-            }
             AttemptOutcome::Crashed { crash_id } => {
-                self.suspicions_changed |=
-                    self.quarantine.record_crash(attempt.spec.content, crash_id);
+                if attempt.owner != Owner::Job {
+                    self.suspicions_changed |=
+                        self.quarantine.record_crash(attempt.spec.content, crash_id);
+                }
                 self.prefixes.record_crash(now, attempt);
             }
             AttemptOutcome::Answered { .. } => {
@@ -298,7 +298,7 @@
     ) {
         let queued = self.requests.get(&request_no).is_some_and(super::request::Request::is_queued);
         let has_begun = self.requests.get(&request_no).is_some_and(|request| request.delivered > 0);
-        if has_begun && !continues_stream(status, content_type) {
+        if has_begun && !is_stream_part(status, content_type) {
             return self.retry_failed(now, request_no, attempt, AttemptOutcome::Failed, actions);
         }
         if status >= MIN_SERVER_ERROR_STATUS
@@ -402,9 +402,10 @@
     }
 }
 
-/// Returns `true` if an answer can follow tokens that the caller has received.
-fn continues_stream(status: u16, content_type: &str) -> bool {
-    status == STATUS_OK && (content_type.is_empty() || content_type.starts_with(EVENT_STREAM_TYPE))
+/// Returns `true` if a part of an answer belongs to a stream of tokens. Parts within a stream have no
+/// content type.
+pub(crate) fn is_stream_part(status: u16, content_type: &str) -> bool {
+    status == STATUS_OK && (content_type.is_empty() || content_type.starts_with(EVENT_STREAM))
 }
 
 const fn is_answer(outcome: AttemptOutcome) -> bool {
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -33,8 +33,7 @@
 use super::probe::ProbeRequest;
 use super::probe::probe;
 use super::store::StoreRunner;
-use crate::http::chat_prefix;
-use crate::http::estimate_chat_cost;
+use crate::http::chat_cost_and_prefix;
 use crate::jobs::CallId;
 use crate::jobs::ItemAttemptEnd;
 use crate::jobs::JobAction;
@@ -45,6 +44,7 @@
 use crate::online::AttemptOutcome;
 use crate::online::BatchEnd;
 use crate::online::DispatchMode;
+use crate::online::EVENT_STREAM;
 use crate::online::RequestSpec;
 
 /// Interval between backlog reports. A change in the set of models with a backlog is reported at
@@ -297,14 +297,15 @@
         };
         let request = Name::from(format!("{job}.{item}"));
         self.running.insert(attempt, RunningItem { request: Name::clone(&request), partial });
+        let (cost, prefix) = chat_cost_and_prefix(&body);
         let spec = RequestSpec {
             id: Name::clone(&request),
             class: Class::Batch,
             model,
             method: Name::from("POST"),
             path: Name::from("/v1/chat/completions"),
-            cost: estimate_chat_cost(&body),
-            prefix: chat_prefix(&body),
+            cost,
+            prefix,
             body,
             idempotent,
             idempotency_key: request,
@@ -327,7 +328,7 @@
         let partial = running.as_ref().map(|item| item.partial.clone()).unwrap_or_default();
         match outcome {
             AttemptOutcome::Answered { status } if status < SERVER_ERROR => {
-                let streamed = content_type.starts_with("text/event-stream");
+                let streamed = content_type.starts_with(EVENT_STREAM);
                 let body =
                     if streamed { render_completion(&running, [partial, answer]) } else { answer };
                 if status < 400 {
--- a/dogwoodtray_gateway/src/contents.rs
+++ b/dogwoodtray_gateway/src/contents.rs
@@ -19,8 +19,7 @@
         ContentHash::of(req.path_and_query.as_bytes()),
         ContentHash::of(&req.body),
     ];
-    let request = ContentHash::of(&whole.map(|hash| hash.0.to_le_bytes()).concat());
-    Contents { request, parts: prompt_contents(dialect, &req.headers) }
+    Contents { request: combined(whole), parts: prompt_contents(dialect, &req.headers) }
 }
 
 /// Returns the hashes of the parts of a prompt that other requests may share, and that of the whole
@@ -37,10 +36,15 @@
 /// Returns a hash of the ids and bodies of the items of a job, by which a body that changes on its way
 /// from the caller to the endpoint is noticed.
 pub(crate) fn bodies_hash<'a>(items: impl IntoIterator<Item = &'a JobItem>) -> ContentHash {
-    let hashes = items
-        .into_iter()
-        .flat_map(|item| [ContentHash::of(item.id.as_bytes()), ContentHash::of(&item.body)]);
-    let bytes: Vec<u8> = hashes.flat_map(|hash| hash.0.to_le_bytes()).collect();
+    combined(
+        items
+            .into_iter()
+            .flat_map(|item| [ContentHash::of(item.id.as_bytes()), ContentHash::of(&item.body)]),
+    )
+}
+
+fn combined(hashes: impl IntoIterator<Item = ContentHash>) -> ContentHash {
+    let bytes: Vec<u8> = hashes.into_iter().flat_map(|hash| hash.0.to_le_bytes()).collect();
     ContentHash::of(&bytes)
 }
 
--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -40,8 +40,9 @@
 use crate::peers::DISPATCHER_KEY;
 use crate::places::millis;
 
-/// Number of drivers that receive the evidence. The second one continues if the first is lost.
-const ANALYZING_DRIVERS: usize = 2;
+/// Number of drivers that are told what all processes are to know. The second one continues if the
+/// first is lost.
+const INFORMED_DRIVERS: usize = 2;
 
 /// Maximum number of blocks in one frame; about 20 KB.
 const MAX_BLOCKS_PER_FRAME: usize = 256;
@@ -157,7 +158,7 @@
             resumable: run.stage == RunStage::Resumable,
             sound: run.sound.iter().map(|content| content.0).collect(),
         };
-        if self.send_to_analyzers(&report.into()) {
+        if self.send_to_first_drivers(&report.into()) {
             self.analyze_crash(run);
         }
     }
@@ -263,7 +264,7 @@
             sent_ago_ms: millis(self.now() - run.sent_at),
             completed: run.completed,
         };
-        self.send_to_analyzers(&report.into());
+        self.send_to_first_drivers(&report.into());
         self.clear_content(&run);
     }
 
@@ -293,12 +294,12 @@
         }
     }
 
-    /// Sends a report to the drivers that analyze crashes. Returns `true` if this process is one of
-    /// them, or none can be reached.
-    fn send_to_analyzers(&self, report: &messages::Frame) -> bool {
+    /// Sends a report to the drivers that analyze crashes and assign places. Returns `true` if this
+    /// process is one of them, or none can be reached.
+    pub(crate) fn send_to_first_drivers(&self, report: &messages::Frame) -> bool {
         let mut is_analyzer = false;
         let mut sent = 0;
-        for name in self.peers.ranked(self, DISPATCHER_KEY).iter().take(ANALYZING_DRIVERS) {
+        for name in self.peers.ranked(self, DISPATCHER_KEY).iter().take(INFORMED_DRIVERS) {
             if *name == self.cfg.node {
                 is_analyzer = true;
             } else if let Some(link) = self.peers.link_to(name)
@@ -313,7 +314,7 @@
     /// Forwards a report for a gateway that cannot reach a driver.
     pub(crate) fn forward_report(&self, report: &messages::Frame) {
         if self.dispatcher().is_some() {
-            self.send_to_analyzers(report);
+            self.send_to_first_drivers(report);
         }
     }
 }
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -152,7 +152,7 @@
             expires_at: now + place_timeout,
             repeatable: true,
             excluded: excluded.clone(),
-            trial: trial.clone(),
+            trial,
         };
         let permit = match node.acquire_place(&params).await {
             Ok(permit) => permit,
@@ -163,8 +163,10 @@
             Err(PlaceError::Expired) => continue,
         };
         // A content may have been blocked while the item waited for its place.
-        let verdict = node.content_verdict(TrialSubject::Item, &prepared.contents);
-        if trial.is_empty() && verdict != ContentVerdict::Allowed {
+        if params.trial.is_empty()
+            && node.content_verdict(TrialSubject::Item, &prepared.contents)
+                != ContentVerdict::Allowed
+        {
             continue;
         }
         let endpoint = Name::clone(&permit.endpoint);
--- a/dogwoodtray_gateway/src/leaving.rs
+++ b/dogwoodtray_gateway/src/leaving.rs
@@ -16,7 +16,7 @@
 use crate::model::ProtocolNames;
 use crate::node::Node;
 use crate::node::NodeRole;
-use crate::peers::DISPATCHER_KEY;
+use crate::request::is_for_other_request;
 
 /// Maximum number of marks. The oldest one is dropped.
 const MAX_MARKS: usize = 4_096;
@@ -28,10 +28,6 @@
 /// Value of the header of an endpoint that is leaving.
 const LEAVING_VALUE: &[u8] = b"1";
 
-/// Number of drivers that are told of a leaving endpoint. The second one continues if the first is
-/// lost.
-const INFORMED_DRIVERS: usize = 2;
-
 /// Life of an endpoint, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Life {
@@ -91,10 +87,10 @@
 /// Returns `true` if the answer to a request with this id says that its endpoint is leaving. An answer
 /// to another request proves nothing, and neither do other values or several that differ.
 pub(crate) fn says_leaving(names: &ProtocolNames, parts: &Parts, request_id: &str) -> bool {
-    let echoed = parts.headers.get(&names.request_id);
-    let is_mismatched = echoed.is_some_and(|id| id.as_bytes() != request_id.as_bytes());
     let mut values = parts.headers.get_all(&names.leaving).iter().peekable();
-    !is_mismatched && values.peek().is_some() && values.all(|value| value == LEAVING_VALUE)
+    values.peek().is_some()
+        && values.all(|value| value == LEAVING_VALUE)
+        && !is_for_other_request(names, parts, request_id)
 }
 
 /// # Leaving endpoints
@@ -163,10 +159,6 @@
             self.peers.broadcast_to_accepted(message);
             return;
         }
-        for name in self.peers.ranked(self, DISPATCHER_KEY).iter().take(INFORMED_DRIVERS) {
-            if let Some(link) = self.peers.link_to(name) {
-                link.send(message.clone());
-            }
-        }
+        self.send_to_first_drivers(&message.into());
     }
 }
--- a/dogwoodtray_gateway/src/request.rs
+++ b/dogwoodtray_gateway/src/request.rs
@@ -99,14 +99,19 @@
     Malformed,
 }
 
+/// Returns `true` if a response bears the id of another request than this one.
+pub(crate) fn is_for_other_request(names: &ProtocolNames, parts: &Parts, request_id: &str) -> bool {
+    let echoed = parts.headers.get(&names.request_id);
+    echoed.is_some_and(|id| id.as_bytes() != request_id.as_bytes())
+}
+
 /// Classifies the head of a response to the request with this id.
 pub(crate) fn classify_response(
     names: &ProtocolNames,
     parts: &Parts,
     request_id: &str,
 ) -> ResponseClass {
-    let echoed = parts.headers.get(&names.request_id);
-    let is_mismatched = echoed.is_some_and(|id| id.as_bytes() != request_id.as_bytes());
+    let is_mismatched = is_for_other_request(names, parts, request_id);
     let is_not_run = parts.headers.contains_key(&names.not_run)
         || parts.status == StatusCode::MISDIRECTED_REQUEST;
     // A refusal of another request says nothing about this one.
@@ -117,7 +122,8 @@
         return ResponseClass::Malformed;
     }
     if parts.status.is_success() {
-        let is_signed = parts.headers.contains_key(&names.signature) && echoed.is_some();
+        let is_signed = parts.headers.contains_key(&names.signature)
+            && parts.headers.contains_key(&names.request_id);
         return if is_signed { ResponseClass::Answer } else { ResponseClass::Malformed };
     }
     if parts.status.is_server_error() { ResponseClass::Failure } else { ResponseClass::Answer }
