Limit what the log thread gathers for one write

A process that logs steadily kept its lines in memory without limit and wrote none of them until the log paused.

Cause: the log thread took lines until the queue was empty before it wrote. The queue is bounded, but a producer that is as fast as the thread keeps it from becoming empty, so the limit did not hold.

Change: a write takes the lines that are queued when it begins.

--- a/dogwoodtray_runtime/src/log_writer.rs
+++ b/dogwoodtray_runtime/src/log_writer.rs
@@ -9,7 +9,8 @@
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
 
-/// Maximum number of queued lines. At about 200 bytes each they use 1.6 MB.
+/// Maximum number of queued lines. At about 200 bytes each they use 1.6 MB, and a write holds as many
+/// once more.
 const MAX_QUEUED_LINES: usize = 8_192;
 
 /// Pause between writes, so that lines are written in batches and the thread wakes up rarely.
@@ -17,7 +18,7 @@
 
 /// Writer that passes lines to a background thread. If the queue is full, lines are dropped and
 /// counted in `dogwoodtray_log_lines_dropped_total`.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct LogWriter {
     tx: Sender<Vec<u8>>,
 }
@@ -53,7 +54,9 @@
     while let Ok(line) = rx.recv() {
         lines.clear();
         lines.extend_from_slice(&line);
-        for line in rx.try_iter() {
+        // Lines that arrive from now on belong to the next write. Otherwise a steady log would keep
+        // this loop going and its memory growing.
+        for line in rx.try_iter().take(rx.len()) {
             lines.extend_from_slice(&line);
         }
         // A failed log output leaves no place to report the error to.
--- a/dogwoodtray_runtime/tests/log_writer.rs
+++ b/dogwoodtray_runtime/tests/log_writer.rs
@@ -6,6 +6,8 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -14,6 +16,12 @@
 /// Number of lines, more than the writer queues.
 const LINES: usize = 20_000;
 
+/// A log line.
+const LINE: &[u8] = b"line\n";
+
+/// Number of threads that log at the same time.
+const LOGGING_THREADS: usize = 4;
+
 /// Output that blocks until the sender of `unblock` is dropped, and then records what is written.
 struct BlockedOutput {
     unblock: mpsc::Receiver<()>,
@@ -57,6 +65,37 @@
     assert!((1_000..LINES).contains(&lines()), "{} lines", lines());
 }
 
+/// Guards against a writer that collects lines without limit, and never writes them, while several
+/// threads log faster than it takes lines from the queue.
+#[test]
+fn steady_log_does_not_grow_one_write_without_limit() {
+    struct LargestWrite(Arc<AtomicUsize>);
+    impl Write for LargestWrite {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.0.fetch_max(bytes.len(), Ordering::Relaxed);
+            Ok(bytes.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let largest = Arc::new(AtomicUsize::new(0));
+    let writer = LogWriter::spawn(LargestWrite(Arc::clone(&largest))).unwrap();
+    std::thread::scope(|scope| {
+        for _ in 0..LOGGING_THREADS {
+            let mut writer = writer.clone();
+            scope.spawn(move || {
+                for _ in 0..10 * LINES {
+                    writer.write_all(LINE).unwrap();
+                }
+            });
+        }
+    });
+    let lines = largest.load(Ordering::Relaxed) / LINE.len();
+    assert!((1..LINES).contains(&lines), "{lines} lines in one write");
+}
+
 /// Guards against a process that exits because writing to a closed log output fails.
 #[test]
 fn closed_output_is_ignored() {
@@ -72,6 +111,6 @@
     }
     let mut writer = LogWriter::spawn(ClosedOutput).unwrap();
     for _ in 0..LINES {
-        writer.write_all(b"line\n").unwrap();
+        writer.write_all(LINE).unwrap();
     }
 }
