Send a true Retry-After with a request whose contents are blocked

What callers saw: 503 with Retry-After: 1 for a request with a content that crashed endpoints, again and again until a trial was due 15 s or more later.

Cause: the end of a request that was not run carried no time, and the callers' port used one second for all of them.

Change: the end carries the time until the next trial, rounded up to seconds; without one it stays one second. A trial that another request has taken returns its time too.

Measured: a_request_that_ran_at_two_crashes_is_tried_again_and_cleared_by_its_answer now asserts a time between 10 and 20 s; before, the end had none.

--- a/dogwoodtray_coord/src/crashes/pool.rs
+++ b/dogwoodtray_coord/src/crashes/pool.rs
@@ -175,18 +175,20 @@
         self.blocks().check_for(subject, now.saturating_sub(self.trial_delay), contents)
     }
 
-    /// Starts a trial of blocked contents. Returns `false` if another request or item has taken it.
+    /// Starts a trial of blocked contents, unless another request or item has taken it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the next trial if none is due.
     pub fn start_trial(
         &mut self,
         subject: TrialSubject,
         now: Timestamp,
         contents: &[ContentHash],
-    ) -> bool {
-        let Ok(changed) = self.analyzer.blocks_mut().start_trial_for(subject, now, contents) else {
-            return false;
-        };
+    ) -> Result<(), Duration> {
+        let changed = self.analyzer.blocks_mut().start_trial_for(subject, now, contents)?;
         self.news.extend(changed.into_iter().map(Evidence::Block));
-        true
+        Ok(())
     }
 
     /// Returns `true` if a whole request was present at several crashes and the last of them has not
--- a/dogwoodtray_coord/tests/evidence_pool.rs
+++ b/dogwoodtray_coord/tests/evidence_pool.rs
@@ -133,7 +133,8 @@
                 _ => {
                     let verdict = pool.check(TrialSubject::Request, now, &request(content));
                     if let ContentVerdict::Trial(contents) = verdict {
-                        pool.start_trial(TrialSubject::Request, now, &contents);
+                        let started = pool.start_trial(TrialSubject::Request, now, &contents);
+                        assert_eq!(started, Ok(()), "a trial that is due does not start");
                     }
                 }
             }
--- a/dogwoodtray_entry/src/http/error.rs
+++ b/dogwoodtray_entry/src/http/error.rs
@@ -1,5 +1,7 @@
 //! Error responses to callers.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Response;
@@ -13,8 +15,8 @@
 use super::stream::ResponseBody;
 use crate::online::RequestEnd;
 
-/// Value of the `Retry-After` header, in seconds.
-const RETRY_AFTER_SECONDS: u64 = 1;
+/// Value of the `Retry-After` header if nothing more is known.
+pub(crate) const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
 
 /// Execution status of a request, as reported to its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +43,8 @@
     pub(crate) code: &'static str,
     pub(crate) message: String,
     pub(crate) run: RunStatus,
-    pub(crate) retryable: bool,
+    /// Time after which the caller may send the request again, if that can help.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 impl ApiError {
@@ -54,7 +57,8 @@
     }
 
     pub(crate) fn unavailable(code: &'static str, message: impl Into<String>) -> Self {
-        Self { retryable: true, ..Self::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message) }
+        let retry_after = Some(RETRY_AFTER_DEFAULT);
+        Self { retry_after, ..Self::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message) }
     }
 
     pub(crate) fn not_run(
@@ -62,7 +66,7 @@
         code: &'static str,
         message: impl Into<String>,
     ) -> Self {
-        Self { status, code, message: message.into(), run: RunStatus::NotRun, retryable: false }
+        Self { status, code, message: message.into(), run: RunStatus::NotRun, retry_after: None }
     }
 
     pub(crate) fn unknown(
@@ -70,7 +74,7 @@
         code: &'static str,
         message: impl Into<String>,
     ) -> Self {
-        Self { status, code, message: message.into(), run: RunStatus::Unknown, retryable: false }
+        Self { status, code, message: message.into(), run: RunStatus::Unknown, retry_after: None }
     }
 
     pub(crate) fn stopping() -> Self {
@@ -84,7 +88,10 @@
     /// Converts the end of a request that has no answer to deliver.
     pub(crate) fn from_request_end(end: &RequestEnd) -> Self {
         match end {
-            RequestEnd::NotRun { reason, .. } => Self::unavailable("no_capacity", *reason),
+            RequestEnd::NotRun { reason, retry_after, .. } => {
+                let refused = Self::unavailable("no_capacity", *reason);
+                Self { retry_after: retry_after.or(refused.retry_after), ..refused }
+            }
             RequestEnd::Unknown { reason } => {
                 Self::unknown(StatusCode::BAD_GATEWAY, "endpoint_lost", *reason)
             }
@@ -105,8 +112,11 @@
 
     pub(crate) fn response(&self, request_id: &str) -> Response<ResponseBody> {
         let mut response = json_response(self.status, &self.to_json(request_id));
-        if self.retryable {
-            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECONDS));
+        if let Some(retry_after) = self.retry_after {
+            // Rounded up, so that the caller does not return too early.
+            let seconds = retry_after.as_millis().div_ceil(1_000);
+            let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
         }
         response
     }
--- a/dogwoodtray_entry/src/http/limits.rs
+++ b/dogwoodtray_entry/src/http/limits.rs
@@ -11,6 +11,7 @@
 use hyper::StatusCode;
 
 use super::error::ApiError;
+use super::error::RETRY_AFTER_DEFAULT;
 
 /// Number of tracked organizations at which those without open requests are removed. The fleet is
 /// designed for 5,700 organizations.
@@ -102,5 +103,5 @@
 
 fn rate_limited(message: &'static str) -> ApiError {
     let error = ApiError::not_run(StatusCode::TOO_MANY_REQUESTS, "rate_limited", message);
-    ApiError { retryable: true, ..error }
+    ApiError { retry_after: Some(RETRY_AFTER_DEFAULT), ..error }
 }
--- a/dogwoodtray_entry/src/online/blocks.rs
+++ b/dogwoodtray_entry/src/online/blocks.rs
@@ -34,7 +34,10 @@
     Trial,
     /// A request waits, because a trial or the analysis of a crash is due soon.
     Undecided,
-    Blocked,
+    Blocked {
+        /// Time after which it may run as a trial.
+        retry_after: Duration,
+    },
 }
 
 impl OnlineCore {
@@ -57,12 +60,11 @@
             {
                 Admission::Undecided
             }
-            ContentVerdict::Blocked { .. } => Admission::Blocked,
+            ContentVerdict::Blocked { retry_after, .. } => Admission::Blocked { retry_after },
             ContentVerdict::Trial(contents) => {
-                if self.pool.start_trial(subject, now, &contents) {
-                    Admission::Trial
-                } else {
-                    Admission::Blocked
+                match self.pool.start_trial(subject, now, &contents) {
+                    Ok(()) => Admission::Trial,
+                    Err(retry_after) => Admission::Blocked { retry_after },
                 }
             }
         }
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -264,7 +264,7 @@
         } else {
             Admission::Allowed
         };
-        if admission == Admission::Blocked {
+        if matches!(admission, Admission::Blocked { .. }) {
             return actions.push(OnlineAction::BatchEnded { attempt: id, end: held });
         }
         let attempt = Attempt {
--- a/dogwoodtray_entry/src/online/event.rs
+++ b/dogwoodtray_entry/src/online/event.rs
@@ -258,6 +258,8 @@
         proof: NotRunProof,
         /// Why.
         reason: &'static str,
+        /// Time after which it may run, if that is known.
+        retry_after: Option<Duration>,
     },
     /// The request may have run.
     Unknown {
--- a/dogwoodtray_entry/src/online/placement.rs
+++ b/dogwoodtray_entry/src/online/placement.rs
@@ -39,8 +39,10 @@
             match self.admit(now, TrialSubject::Request, &spec) {
                 Admission::Allowed => {}
                 Admission::Undecided => return self.wait_for_place(now, request_no),
-                Admission::Blocked => {
-                    return self.refuse(now, request_no, CONTENT_BLOCKED, actions);
+                Admission::Blocked { retry_after } => {
+                    let end =
+                        self.end_without_answer(request_no, CONTENT_BLOCKED, Some(retry_after));
+                    return self.finish(now, request_no, end, actions);
                 }
                 Admission::Trial => {
                     is_trial = true;
@@ -201,8 +203,7 @@
         }
     }
 
-    /// Ends a request without an answer. Reports it as not run only with a proof of that, and as
-    /// unknown otherwise.
+    /// Ends a request without an answer.
     pub(super) fn refuse(
         &mut self,
         now: Timestamp,
@@ -210,17 +211,27 @@
         reason: &'static str,
         actions: &mut Vec<OnlineAction>,
     ) {
-        let Some(request) = self.requests.get_mut(&request_no) else { return };
-        let end = match request.stage.take() {
-            Some(Stage::Queued(queued)) => match queued.into_not_run_proof() {
-                Ok(proof) => RequestEnd::NotRun { proof, reason },
-                Err(()) => RequestEnd::Unknown { reason },
-            },
-            Some(Stage::Sent(_)) | None => RequestEnd::Unknown { reason },
-        };
+        let end = self.end_without_answer(request_no, reason, None);
         self.finish(now, request_no, end, actions);
     }
 
+    /// Returns the end of a request without an answer: not run only with a proof of that, and unknown
+    /// otherwise.
+    fn end_without_answer(
+        &mut self,
+        request_no: RequestNo,
+        reason: &'static str,
+        retry_after: Option<Duration>,
+    ) -> RequestEnd {
+        let stage = self.requests.get_mut(&request_no).and_then(|request| request.stage.take());
+        if let Some(Stage::Queued(queued)) = stage
+            && let Ok(proof) = queued.into_not_run_proof()
+        {
+            return RequestEnd::NotRun { proof, reason, retry_after };
+        }
+        RequestEnd::Unknown { reason }
+    }
+
     pub(super) fn finish(
         &mut self,
         now: Timestamp,
--- a/dogwoodtray_entry/tests/request_crashes.rs
+++ b/dogwoodtray_entry/tests/request_crashes.rs
@@ -12,6 +12,9 @@
 use crate::core_support::exchange_evidence;
 use crate::core_support::online;
 
+/// Time for which a request that was present at two crashes does not run again.
+const MIN_HELD: Duration = Duration::from_secs(10);
+
 /// Time after which a request runs again although it was present at crashes.
 const MAX_HELD: Duration = Duration::from_secs(20);
 
@@ -32,6 +35,13 @@
     }
     entry.run(STEP * 5);
     assert!(entry.running.is_empty(), "it runs a third time at once");
+    let refused = entry.submit_online(&spec);
+    let (number, end) = entry.ended.pop().expect("it is refused at once");
+    let RequestEnd::NotRun { retry_after: Some(retry_after), .. } = end else {
+        panic!("not refused as not run: {end:?}");
+    };
+    assert_eq!(number, refused);
+    assert!(retry_after > MIN_HELD && retry_after <= MAX_HELD, "{retry_after:?}");
     entry.run(MAX_HELD);
     for _ in 0..2 {
         let request = entry.submit_online(&spec);
