Let the endpoints of the soak say that they are leaving, and check the rule

Change: a further series of the soak lets one endpoint after the other say in all its answers that it is leaving, for 2.5 to 4 s, while its entry says that it is ready, and then restarts it. The series has its own random numbers, so the faults of a seed stay as they were. The drained endpoint of the orderly changes says it too. The oracle has the rule: no request that a caller sent later than 2 s after a gateway passed on such an answer reaches that start of the endpoint through that gateway, unless the gateway was stopped or paused since.

The oracle's own tests break the rule twice and excuse it three times.

--- a/dogwoodtray_cli/tests/soak_oracle.rs
+++ b/dogwoodtray_cli/tests/soak_oracle.rs
@@ -52,6 +52,8 @@
 fn run(request: &str, path: &str, body: &str, at: Instant) -> Run {
     Run {
         endpoint: "engine-0".to_owned(),
+        life: 1,
+        said_leaving: false,
         service: "ledger",
         request: request.to_owned(),
         path: path.to_owned(),
@@ -120,6 +122,7 @@
             ended: later + Duration::from_secs(2),
             exit_code: Some(0),
         }],
+        gateway_faults: Vec::new(),
         drained: Some(("engine-1".to_owned(), at)),
         plain_route_target: Some(("ledger", at)),
         violations: Vec::new(),
@@ -184,6 +187,12 @@
             h.runs[3].endpoint = "engine-1".to_owned();
             h.runs[3].began += Duration::from_secs(3);
         }),
+        (Rule::LeavingEndpointUnused, |h| h.runs[0].said_leaving = true),
+        (Rule::LeavingEndpointUnused, |h| {
+            h.runs[0].said_leaving = true;
+            // Excuses another gateway only.
+            h.gateway_faults = vec![(1, h.calls[0].began, h.calls[1].began)];
+        }),
         (Rule::NewestConfigurationApplied, |h| h.runs[1].service = "archive"),
         (Rule::ServesAfterFaults, |h| h.probes[0].outcome = Outcome::Silent),
         (Rule::NoViolationDuringRun, |h| h.violations.push("panicked at".to_owned())),
@@ -200,3 +209,21 @@
         );
     }
 }
+
+/// Guards against an oracle that reports requests to another start of a leaving endpoint, or after a
+/// pause of the gateway.
+#[test]
+fn requests_that_may_reach_a_leaving_endpoint_are_accepted() {
+    let at = Instant::now();
+    let cases: [fn(&mut History); 3] = [
+        |h| h.runs[1].life = 2,
+        |h| h.calls[1].gateway = 1,
+        |h| h.gateway_faults = vec![(0, h.calls[0].ended, h.calls[0].ended)],
+    ];
+    for excuse in cases {
+        let mut history = valid_history(at);
+        history.runs[0].said_leaving = true;
+        excuse(&mut history);
+        assert_eq!(oracle::check(&history), []);
+    }
+}
--- a/dogwoodtray_cli/tests/soak_support/faults.rs
+++ b/dogwoodtray_cli/tests/soak_support/faults.rs
@@ -70,6 +70,9 @@
 /// Interval at which a terminating process is polled for its exit.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Separates the choices of the endpoints that leave from those of the other faults.
+const LEAVING_SEED: u64 = 1 << 48;
+
 /// Number of series of faults that run concurrently.
 const CONCURRENT_SERIES: usize = 3;
 
@@ -78,11 +81,28 @@
     let mut rng = StdRng::seed_from_u64(test_run.seed);
     let mut orders = vec![ALL.to_vec(); CONCURRENT_SERIES];
     orders.iter_mut().for_each(|faults| faults.shuffle(&mut rng));
+    let leaving_rng = StdRng::seed_from_u64(test_run.seed ^ LEAVING_SEED);
     let series: Vec<_> = orders
         .into_iter()
         .map(|faults| inject_series(test_run, faults, StdRng::from_rng(&mut rng), deadline))
         .collect();
-    futures_util::future::join_all(series).await;
+    tokio::join!(
+        futures_util::future::join_all(series),
+        let_endpoints_leave(test_run, leaving_rng, deadline)
+    );
+}
+
+/// Lets one endpoint after the other say that it is leaving, while its entry says that it is ready,
+/// and restarts it.
+async fn let_endpoints_leave(test_run: &TestRun, mut rng: StdRng, deadline: Instant) {
+    while Instant::now() < deadline {
+        let endpoint = choose(&test_run.fleet.endpoints, &mut rng);
+        test_run.record_fault(&format!("LeaveEndpoint {}", endpoint.server.id()));
+        endpoint.server.announce_leaving();
+        sleep(Duration::from_millis(rng.random_range(2_500..4_000))).await;
+        let downtime = Duration::from_millis(rng.random_range(0..1_500));
+        restart_endpoint(test_run, endpoint, downtime, rng.random_bool(0.5)).await;
+    }
 }
 
 async fn inject_series(test_run: &TestRun, faults: Vec<Fault>, mut rng: StdRng, deadline: Instant) {
@@ -108,6 +128,7 @@
         "{fault:?} {}",
         target_name(fault, gateway, driver, program, endpoint)
     ));
+    let began = Instant::now();
     match fault {
         Fault::KillGateway => kill_and_restart(&gateway.process, downtime).await,
         Fault::KillDriver => kill_and_restart(&driver.process, downtime).await,
@@ -159,6 +180,11 @@
         Fault::DisturbStore => disturb_relay(&program.store_relay, pause, rng).await,
         Fault::NewConfiguration => publish(test_run, choose::<&str>(&["ledger", "archive"], rng)),
     }
+    if matches!(fault, Fault::KillGateway | Fault::PauseGateway | Fault::TerminateGateway) {
+        let index = fleet.gateways().iter().position(|other| std::ptr::eq(other, gateway));
+        let fault = (index.expect("the gateway is in the fleet"), began, Instant::now());
+        test_run.gateway_faults.lock().unwrap().push(fault);
+    }
 }
 
 fn choose<'a, T>(items: &'a [T], rng: &mut StdRng) -> &'a T {
--- a/dogwoodtray_cli/tests/soak_support/history.rs
+++ b/dogwoodtray_cli/tests/soak_support/history.rs
@@ -94,6 +94,8 @@
     pub(crate) jobs: Vec<Job>,
     pub(crate) undisturbed: UndisturbedPeriod,
     pub(crate) shutdowns: Vec<Shutdown>,
+    /// Times in which a gateway, by its index, was stopped, restarted or paused.
+    pub(crate) gateway_faults: Vec<(usize, Instant, Instant)>,
     /// Endpoint that was registered as draining, and the time.
     pub(crate) drained: Option<(String, Instant)>,
     /// Target service of the plain route in the last configuration, and the time of its
--- a/dogwoodtray_cli/tests/soak_support/oracle.rs
+++ b/dogwoodtray_cli/tests/soak_support/oracle.rs
@@ -31,6 +31,7 @@
     ShutdownExitsCleanly,
     ShutdownInterruptsNothing,
     DrainedEndpointIdle,
+    LeavingEndpointUnused,
     NewestConfigurationApplied,
     ServesAfterFaults,
     NoViolationDuringRun,
@@ -72,6 +73,7 @@
         check_job(history, job, &runs, &mut violations);
     }
     check_runs(history, &mut violations);
+    check_leaving_endpoints(history, &runs, &mut violations);
     for shutdown in history.shutdowns.iter().filter(|shutdown| shutdown.exit_code != Some(0)) {
         violations.push((Rule::ShutdownExitsCleanly, format!("{shutdown:?}")));
     }
@@ -96,13 +98,12 @@
     let mut report =
         |rule: Rule, what: &str| violations.push((rule, format!("{what}: {call:?} {runs:?}")));
     match &call.outcome {
-        Outcome::Answered { status: 200, signature: signed, body, whole } => {
+        Outcome::Answered { status: 200, body, whole, .. } => {
             let expected = expected_body(call);
             if *body != expected && (*whole || !expected.starts_with(body)) {
                 report(Rule::CorrectAnswer, "wrong body");
             }
-            let is_signed_by = |run: &&Run| Some(signature(&run.endpoint, &call.id)) == *signed;
-            if !runs.iter().any(is_signed_by) {
+            if !runs.iter().any(|run| is_answer_of(call, run)) {
                 report(Rule::CorrectAnswer, "wrong signature");
             }
         }
@@ -215,6 +216,43 @@
     }
 }
 
+/// Checks that no gateway sends a request to an endpoint some time after it passed on a response in
+/// which the endpoint says that it is leaving, unless the gateway was stopped or paused since then.
+fn check_leaving_endpoints(
+    history: &History,
+    runs: &Runs<'_>,
+    violations: &mut Vec<(Rule, String)>,
+) {
+    let runs_of = |call: &Call| runs.get(&*call.id).into_iter().flatten().copied();
+    // First call by gateway, endpoint and its start.
+    let mut told: BTreeMap<(usize, &str, u64), &Call> = BTreeMap::new();
+    for call in history.calls.iter().filter(|call| call.has_full_answer()) {
+        for run in runs_of(call).filter(|run| run.said_leaving && is_answer_of(call, run)) {
+            let first = told.entry((call.gateway, &run.endpoint, run.life)).or_insert(call);
+            if call.ended < first.ended {
+                *first = call;
+            }
+        }
+    }
+    for call in history.calls.iter().chain(&history.probes) {
+        for run in runs_of(call) {
+            let Some(first) = told.get(&(call.gateway, &*run.endpoint, run.life)) else { continue };
+            let is_excused = history.gateway_faults.iter().any(|(gateway, from, to)| {
+                *gateway == call.gateway && *to >= first.began && *from <= run.began
+            });
+            if call.began > first.ended + DRAIN_TIME && !is_excused {
+                violations.push((Rule::LeavingEndpointUnused, format!("{first:?}, then {run:?}")));
+            }
+        }
+    }
+}
+
+/// Returns `true` if the endpoint of the run signed the answer of the call.
+fn is_answer_of(call: &Call, run: &Run) -> bool {
+    let Outcome::Answered { signature: signed, .. } = &call.outcome else { return false };
+    *signed == Some(signature(&run.endpoint, &call.id))
+}
+
 fn check_runs(history: &History, violations: &mut Vec<(Rule, String)>) {
     let calls: BTreeMap<&str, &Call> =
         history.calls.iter().chain(&history.probes).map(|call| (&*call.id, call)).collect();
--- a/dogwoodtray_cli/tests/soak_support/run.rs
+++ b/dogwoodtray_cli/tests/soak_support/run.rs
@@ -54,6 +54,8 @@
     pub(crate) version: Mutex<u64>,
     /// Number of endpoints restarted with a new id.
     pub(crate) new_endpoint_ids: AtomicU64,
+    /// Times in which a gateway, by its index, was stopped, restarted or paused.
+    pub(crate) gateway_faults: Mutex<Vec<(usize, Instant, Instant)>>,
     violations: Mutex<Vec<String>>,
     began: Instant,
     faults: Mutex<String>,
@@ -117,6 +119,7 @@
         jobs: Mutex::default(),
         version: Mutex::new(1),
         new_endpoint_ids: AtomicU64::new(0),
+        gateway_faults: Mutex::default(),
         violations: Mutex::default(),
         began: Instant::now(),
         faults: Mutex::default(),
@@ -152,6 +155,7 @@
         jobs: test_run.jobs.lock().unwrap().clone(),
         undisturbed: changes.undisturbed,
         shutdowns: changes.shutdowns,
+        gateway_faults: test_run.gateway_faults.lock().unwrap().clone(),
         drained: Some(changes.drained),
         plain_route_target: Some(changes.plain_route_target),
         violations,
@@ -178,6 +182,7 @@
     let to = Instant::now();
     let endpoint = &test_run.fleet.engines()[rng.random_range(0..test_run.fleet.engines().len())];
     test_run.record_fault(&format!("drain {}", endpoint.server.id()));
+    endpoint.server.announce_leaving();
     endpoint.server.register("draining");
     let drained = (endpoint.server.id(), Instant::now());
     let service = if rng.random_bool(0.5) { "ledger" } else { "archive" };
@@ -206,5 +211,8 @@
     test_run.record_fault(&format!("shut down {}", process.name));
     let began = Instant::now();
     let (ended, exit_code) = faults::terminate_and_restart(process).await;
+    if let Some(gateway) = gateway {
+        test_run.gateway_faults.lock().unwrap().push((gateway, began, Instant::now()));
+    }
     Shutdown { node: process.name.clone(), gateway, began, ended, exit_code }
 }
