Test that word of a leaving endpoint crosses a gateway without drivers

What callers saw: nothing.

Measured: both pass. With the passing on by the relaying gateway taken out by hand, a third gateway sends one more request and the first test fails.

--- a/dogwoodtray_agent/tests/breaks.rs
+++ b/dogwoodtray_agent/tests/breaks.rs
@@ -233,3 +233,18 @@
     agent.endpoint_event(1, EndpointEvent::ResponseEnd);
     assert!(matches!(agent.outcome(1), Some(AttemptOutcome::Answered { .. })));
 }
+
+/// Guards against new work for an endpoint that is shutting down, from an entry that has not heard of
+/// it or dispatched before it could.
+#[test]
+fn a_leaving_agent_forwards_nothing_more() {
+    let mut agent = TestAgent::with_running_attempts(1);
+    agent.handle(AgentEvent::Drain);
+    for work in [online_work(2), Work { class: Class::Batch, ..online_work(3) }] {
+        let counter = work.attempt.counter;
+        agent.handle(AgentEvent::Dispatch { peer: EntryLinkId(1), work });
+        agent.advance(100);
+        assert_eq!(agent.outcome(counter), Some(AttemptOutcome::NotRun(NotRun::Leaving)));
+    }
+    assert_eq!(agent.outcome(1), None, "the running attempt goes on");
+}
--- a/dogwoodtray_gateway/tests/leaving.rs
+++ b/dogwoodtray_gateway/tests/leaving.rs
@@ -90,6 +90,45 @@
     });
 }
 
+/// Guards against a gateway without drivers that uses an endpoint of which it saw that it is leaving,
+/// or does not pass on what it saw, and against one that is not told what others saw.
+#[test]
+fn a_gateway_without_drivers_tells_and_is_told_that_an_endpoint_is_leaving() {
+    run_local(async {
+        let site = Site::new();
+        let a = site.add_endpoint("a", "ledger", 2).await;
+        let b = site.add_endpoint("b", "ledger", 2).await;
+        let _c = site.add_endpoint("c", "ledger", 2).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        let (other_addr, _other) = site.start_other_gateway("g3").await;
+        let isolated = site.start_isolated_gateway().await;
+        sleep(Duration::from_millis(2_500)).await;
+        let post = async |addr, label: &str, number: usize| {
+            let id = format!("{label}{number}");
+            site.post_to(addr, "/plain/x", &id, "lookup").await.status
+        };
+        for (endpoint, seen_at) in [(&a, isolated.caller_addr), (&b, site.caller_addr)] {
+            *endpoint.leaving.borrow_mut() = vec!["1"];
+            let unused = endpoint.request_count();
+            let mut number = 0;
+            while endpoint.request_count() == unused {
+                assert_eq!(post(seen_at, &endpoint.id, number).await, StatusCode::OK);
+                number += 1;
+            }
+            sleep(Duration::from_millis(100)).await;
+            let before = endpoint.request_count();
+            for addr in [other_addr, site.caller_addr, isolated.caller_addr] {
+                for number in 0..REQUESTS {
+                    let label = format!("{}-{}-", endpoint.id, addr.port());
+                    assert_eq!(post(addr, &label, number).await, StatusCode::OK);
+                }
+            }
+            assert_eq!(endpoint.request_count(), before, "{}", endpoint.id);
+        }
+    });
+}
+
 /// Guards against requests that wait, or are sent from one endpoint to the next, when all of them are
 /// leaving.
 #[test]
