Keep the age of evidence in a process that started after the crash

Cause: found by logging each merged crash. The clock of a process starts at zero, and a report carries the age of a crash. A process that started 20 ms ago gave a crash of 600 ms ago the time zero, and passed it on to the next new peer as old as itself. There it was more than a second from the true time and counted as a second crash of the same endpoint.

Change: the clocks of entries and agents start at the time for which evidence is kept (600 s). Evidence that is older than that is not taken over. The retry budget still earns from the start of the process only.

--- a/dogwoodtray_agent/src/shell/agent.rs
+++ b/dogwoodtray_agent/src/shell/agent.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dogwoodtray_config::CurrentSnapshot;
+use dogwoodtray_coord::EVIDENCE_RETENTION;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
@@ -90,7 +91,7 @@
     pub async fn bind(settings: AgentSettings) -> Result<Self, AgentError> {
         let metrics = install_metrics();
         let registry = ServiceRegistry::new();
-        let clock = Clock::start();
+        let clock = Clock::start_at(Timestamp::ZERO + EVIDENCE_RETENTION);
         let incarnation = Incarnation(rand::random());
         let events = EventLog::open(Name::clone(&settings.node), incarnation);
         let shared = Arc::new(PublishedState::default());
--- a/dogwoodtray_coord/src/crashes/analyzer.rs
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -9,6 +9,7 @@
 use super::Blocklist;
 use super::CrashPattern;
 use super::CrashedRun;
+use super::EVIDENCE_RETENTION;
 use super::RunStage;
 use super::SoundRun;
 use super::crash::Crash;
@@ -55,7 +56,7 @@
             part_crashes: 6,
             resumable_crashes: 4,
             report_time: Duration::from_millis(150),
-            retention: Duration::from_secs(600),
+            retention: EVIDENCE_RETENTION,
             max_crashes: 1_024,
             max_blocks: 1_024,
         }
--- a/dogwoodtray_coord/src/crashes/mod.rs
+++ b/dogwoodtray_coord/src/crashes/mod.rs
@@ -31,5 +31,8 @@
 pub use self::run::SoundRun;
 pub use self::sound::SoundRuns;
 
+/// Time for which evidence about crashes is kept by default.
+pub const EVIDENCE_RETENTION: Duration = Duration::from_secs(600);
+
 /// Uncertainty of times that another process reported.
 const TIME_MARGIN: Duration = Duration::from_millis(100);
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -53,6 +53,8 @@
     pub incarnation: Incarnation,
     /// Seed of the random number generator.
     pub seed: u64,
+    /// Time of the start, from which retries are earned.
+    pub started_at: Timestamp,
     /// Maximum number of concurrent requests; further requests are refused.
     pub max_requests: usize,
     /// Number of attempts of one request that may fail before the request is refused.
@@ -74,6 +76,7 @@
         Self {
             incarnation,
             seed,
+            started_at: Timestamp::ZERO,
             max_requests: 8192,
             max_failed_attempts: 3,
             max_wait: Duration::from_secs(10),
@@ -119,7 +122,7 @@
                 budget: MOVE_BUDGET,
                 ..HedgeConfig::default()
             }),
-            retry_budget: RetryBudget::new(Timestamp::ZERO, RETRY_BUDGET),
+            retry_budget: RetryBudget::new(cfg.started_at, RETRY_BUDGET),
             pool: EvidencePool::new(cfg.incarnation.0),
             rng: StdRng::seed_from_u64(cfg.seed),
             endpoints: Endpoints::default(),
--- a/dogwoodtray_entry/src/shell/entry.rs
+++ b/dogwoodtray_entry/src/shell/entry.rs
@@ -6,8 +6,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use dogwoodtray_coord::EVIDENCE_RETENTION;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
 use dogwoodtray_platform::HttpStore;
 use dogwoodtray_platform::HttpStoreConfig;
 use dogwoodtray_platform::Store;
@@ -195,11 +197,12 @@
     let Some(routing) = dogwoodtray_policy::route_policy(&settings.routing) else {
         return Err(EntryError::UnknownPolicy(Name::clone(&settings.routing)));
     };
-    let clock = Clock::start();
+    let clock = Clock::start_at(Timestamp::ZERO + EVIDENCE_RETENTION);
     let runtime = Handle::current();
     // The job core numbers its attempts itself, so online attempts use a separate incarnation to
     // keep the ids unique.
     let mut online = OnlineConfig::new(Incarnation(rand::random()), rand::random());
+    online.started_at = clock.now();
     online.hedging = settings.hedging;
     online.max_requests = settings.max_requests;
     let router = RouterService::new(
--- a/dogwoodtray_gateway/tests/leaving.rs
+++ b/dogwoodtray_gateway/tests/leaving.rs
@@ -113,7 +113,7 @@
             let unused = endpoint.request_count();
             let mut number = 0;
             while endpoint.request_count() == unused {
-                assert_eq!(post(seen_at, &endpoint.id, number).await, StatusCode::OK);
+                assert_eq!(post(seen_at, endpoint.id, number).await, StatusCode::OK);
                 number += 1;
             }
             sleep(Duration::from_millis(100)).await;
--- a/dogwoodtray_runtime/src/convert.rs
+++ b/dogwoodtray_runtime/src/convert.rs
@@ -60,16 +60,22 @@
     frames
 }
 
-/// Converts a frame that carries evidence about crashes. Returns no evidence for other frames. `now`
-/// is the current time of this process.
+/// Converts a frame that carries evidence about crashes. Returns no evidence for other frames, and
+/// none of events that were too long before the start of this process for its clock. `now` is the
+/// current time of this process.
 #[must_use]
 pub fn evidence_from_wire(now: Timestamp, kind: Kind) -> Vec<Evidence> {
     match kind {
-        Kind::CrashReport(report) => vec![Evidence::Crash(crashed_run(now, report))],
+        Kind::CrashReport(report) if is_representable(now, report.ended_ago_ms) => {
+            vec![Evidence::Crash(crashed_run(now, report))]
+        }
         Kind::BlockSet(set) => {
             let ages = set.cleared_ago_ms.into_iter().chain(std::iter::repeat(0));
-            let cleared = set.cleared.into_iter().zip(ages).map(|(content, ago)| {
-                Evidence::Cleared { content: ContentHash(content), at: time_ago(now, ago) }
+            let cleared = set.cleared.into_iter().zip(ages);
+            let cleared = cleared.filter(|(_, ago)| is_representable(now, *ago));
+            let cleared = cleared.map(|(content, ago)| Evidence::Cleared {
+                content: ContentHash(content),
+                at: time_ago(now, ago),
             });
             let blocks =
                 set.blocked.iter().map(|blocked| Evidence::Block(block_from_wire(now, blocked)));
@@ -149,6 +155,10 @@
     }
 }
 
+fn is_representable(now: Timestamp, ago_ms: u32) -> bool {
+    Duration::from_millis(ago_ms.into()) <= now - Timestamp::ZERO
+}
+
 fn time_ago(now: Timestamp, ms: u32) -> Timestamp {
     now.saturating_sub(Duration::from_millis(ms.into()))
 }
--- a/dogwoodtray_runtime/src/services/clock.rs
+++ b/dogwoodtray_runtime/src/services/clock.rs
@@ -8,23 +8,31 @@
 
 const MICROS_PER_MILLI: u64 = 1_000;
 
-/// Monotonic clock that starts at zero, with access to the wall clock.
+/// Monotonic clock with access to the wall clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
+    first: Timestamp,
 }
 
 impl Clock {
     /// Creates a clock that starts at zero.
     #[must_use]
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self::start_at(Timestamp::ZERO)
     }
 
-    /// Returns the monotonic time since the start of the clock.
+    /// Creates a clock that starts at `first`, so that events of other processes before the start of
+    /// this one have a time.
+    #[must_use]
+    pub fn start_at(first: Timestamp) -> Self {
+        Self { start: Instant::now(), first }
+    }
+
+    /// Returns the current time.
     #[must_use]
     pub fn now(&self) -> Timestamp {
-        Timestamp::ZERO + self.start.elapsed()
+        self.first + self.start.elapsed()
     }
 
     /// Returns the wall time in microseconds since the Unix epoch.
