Let the tests of broken streams use the entry of the crash tests

Change: stream_errors had its own entry with three agents, a copy of the set-up that item_crashes and request_crashes share by now. No behaviour changes.

--- a/dogwoodtray_entry/tests/core_support/mod.rs
+++ b/dogwoodtray_entry/tests/core_support/mod.rs
@@ -31,6 +31,9 @@
 /// Number of connected endpoints.
 pub(crate) const ENDPOINTS: u64 = 4;
 
+/// A token as an endpoint sends it.
+pub(crate) const TOKEN: &str = "data: one\n\n";
+
 /// Time that passes with each tick.
 pub(crate) const STEP: Duration = Duration::from_millis(100);
 
@@ -90,6 +93,8 @@
     pub(crate) running: Vec<Running>,
     /// Requests that have ended, with their ends.
     pub(crate) ended: Vec<(RequestNo, RequestEnd)>,
+    /// What callers have received.
+    pub(crate) delivered: Vec<u8>,
 }
 
 impl Entry {
@@ -103,6 +108,7 @@
             next_request: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            delivered: Vec::new(),
         };
         for number in 1..=ENDPOINTS {
             let peer = PeerInfo {
@@ -133,6 +139,7 @@
                 OnlineAction::Dispatch { attempt, link, .. } => {
                     self.running.push(Running { attempt, link });
                 }
+                OnlineAction::Deliver { data, .. } => self.delivered.extend_from_slice(&data),
                 OnlineAction::Finish { request, end } => self.ended.push((request, end)),
                 _ => {}
             }
@@ -172,14 +179,38 @@
     }
 
     pub(crate) fn output(&mut self, attempt: AttemptId) {
-        let data = Bytes::from_static(b"data: one\n\n");
+        self.chunk(attempt, TOKEN);
+    }
+
+    fn chunk(&mut self, attempt: AttemptId, text: &'static str) {
+        let data = Bytes::from_static(text.as_bytes());
         self.handle(OnlineEvent::Chunk { attempt, offset: 0, data, tokens: 1 });
     }
 
     pub(crate) fn done(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
-        self.running.retain(|running| running.attempt != attempt);
         let content_type = Name::from("text/event-stream");
-        let done = AttemptDone { outcome, content_type, total_bytes: 0, tokens: 0 };
+        self.end(attempt, AttemptDone { outcome, content_type, total_bytes: 0, tokens: 0 });
+    }
+
+    /// Answers an attempt with an error.
+    pub(crate) fn answer_with_error(
+        &mut self,
+        attempt: AttemptId,
+        status: u16,
+        text: &'static str,
+    ) {
+        self.chunk(attempt, text);
+        let done = AttemptDone {
+            outcome: AttemptOutcome::Answered { status },
+            content_type: Name::from("application/json"),
+            total_bytes: text.len() as u64,
+            tokens: 1,
+        };
+        self.end(attempt, done);
+    }
+
+    fn end(&mut self, attempt: AttemptId, done: AttemptDone) {
+        self.running.retain(|running| running.attempt != attempt);
         self.handle(OnlineEvent::Done { attempt, done });
     }
 
