Let entry and agent share the interface of the evidence pool

Change: both cores wrapped the same three methods of EvidencePool; they now give access to it. The pool merges several pieces of evidence in one call. No behaviour changes.

--- a/dogwoodtray_agent/src/core/state.rs
+++ b/dogwoodtray_agent/src/core/state.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use dogwoodtray_coord::Evidence;
 use dogwoodtray_coord::EvidencePool;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
@@ -126,22 +125,9 @@
         self.admission.set_batch_weight(weight);
     }
 
-    /// Merges evidence about crashes received from an entry.
-    pub fn merge_evidence(&mut self, now: Timestamp, evidence: Vec<Evidence>) {
-        for evidence in evidence {
-            self.pool.merge(now, evidence);
-        }
-    }
-
-    /// Returns the evidence about crashes that is new since the last call, for all entries.
-    pub fn take_evidence(&mut self) -> Vec<Evidence> {
-        self.pool.take_news()
-    }
-
-    /// Returns the evidence about crashes for a new entry.
-    #[must_use]
-    pub fn known_evidence(&self) -> Vec<Evidence> {
-        self.pool.known()
+    /// Returns the evidence about crashes, which is exchanged with entries.
+    pub const fn evidence_mut(&mut self) -> &mut EvidencePool {
+        &mut self.pool
     }
 
     pub(super) const fn accepts_work(&self) -> bool {
--- a/dogwoodtray_agent/src/shell/service.rs
+++ b/dogwoodtray_agent/src/shell/service.rs
@@ -132,7 +132,7 @@
                 self.events.observe(hello.clock);
                 self.events.emit(&catalogue::LINK_UP, None, &[("peer", &hello.node)]);
                 self.sync_config(&link, hello.generation);
-                for frame in evidence_to_wire(now, &self.core.known_evidence()) {
+                for frame in evidence_to_wire(now, &self.core.evidence_mut().known()) {
                     link.send(frame);
                 }
                 self.links.insert(peer, EntryLink { node: hello.node.into(), link });
@@ -189,7 +189,7 @@
             }
             Kind::ConfigSet(set) => self.on_config(peer, &set),
             kind @ (Kind::CrashReport(_) | Kind::BlockSet(_)) => {
-                self.core.merge_evidence(now, evidence_from_wire(now, kind));
+                self.core.evidence_mut().merge(now, evidence_from_wire(now, kind));
                 self.send_evidence(now);
             }
             // Entries do not send the other kinds to agents.
@@ -252,7 +252,7 @@
 
     /// Sends new evidence about crashes to all entries.
     fn send_evidence(&mut self, now: Timestamp) {
-        for frame in evidence_to_wire(now, &self.core.take_evidence()) {
+        for frame in evidence_to_wire(now, &self.core.evidence_mut().take_news()) {
             for entry in self.links.values() {
                 entry.link.send(frame.clone());
             }
--- a/dogwoodtray_coord/src/crashes/pool.rs
+++ b/dogwoodtray_coord/src/crashes/pool.rs
@@ -74,9 +74,7 @@
 ///     first.record_crash(run.ended_at, run);
 /// }
 /// let now = Timestamp::ZERO + Duration::from_secs(2);
-/// for evidence in first.take_news() {
-///     second.merge(now, evidence);
-/// }
+/// second.merge(now, first.take_news());
 /// second.tick(now + Duration::from_secs(1));
 /// assert!(second.blocks().get(request).is_some());
 /// ```
@@ -209,11 +207,13 @@
 /// # Exchange
 impl EvidencePool {
     /// Merges the evidence of a peer.
-    pub fn merge(&mut self, now: Timestamp, evidence: Evidence) {
-        match evidence {
-            Evidence::Crash(run) => self.record_crash(now, run),
-            Evidence::Block(block) => self.merge_block(now, block),
-            Evidence::Cleared { content, at } => self.merge_cleared(content, at),
+    pub fn merge(&mut self, now: Timestamp, evidence: impl IntoIterator<Item = Evidence>) {
+        for evidence in evidence {
+            match evidence {
+                Evidence::Crash(run) => self.record_crash(now, run),
+                Evidence::Block(block) => self.merge_block(now, block),
+                Evidence::Cleared { content, at } => self.merge_cleared(content, at),
+            }
         }
     }
 
--- a/dogwoodtray_coord/tests/evidence_pool.rs
+++ b/dogwoodtray_coord/tests/evidence_pool.rs
@@ -93,7 +93,7 @@
             for (from, news) in news.iter().enumerate() {
                 for to in [from.wrapping_sub(1), from + 1] {
                     let Some(pool) = self.pools.get_mut(to) else { continue };
-                    news.iter().for_each(|news| pool.merge(self.now, transferred(news)));
+                    pool.merge(self.now, news.iter().map(transferred));
                 }
             }
         }
@@ -151,7 +151,7 @@
         }
         let known = fleet.pools[0].known();
         let mut late = EvidencePool::new(9);
-        known.iter().for_each(|known| late.merge(fleet.now, transferred(known)));
+        late.merge(fleet.now, known.iter().map(transferred));
         let all = fleet.blocked(0);
         let late: BTreeSet<ContentHash> = late.blocks().iter().map(|block| block.content).collect();
         (1..PROCESSES).all(|process| fleet.blocked(process) == all) && late == all
@@ -186,7 +186,7 @@
         let found = |runs: Vec<CrashedRun>| {
             let mut pool = EvidencePool::new(1);
             let now = Timestamp::ZERO + Duration::from_secs(20);
-            runs.into_iter().for_each(|run| pool.merge(now, Evidence::Crash(run)));
+            pool.merge(now, runs.into_iter().map(Evidence::Crash));
             pool.tick(now + ANALYSIS);
             let guilty = pool.blocks().get(GUILTY).map(|block| block.crashes);
             (guilty, pool.known().len() - pool.blocks().len())
--- a/dogwoodtray_entry/src/online/blocks.rs
+++ b/dogwoodtray_entry/src/online/blocks.rs
@@ -4,10 +4,9 @@
 
 use std::time::Duration;
 
-use dogwoodtray_coord::Block;
 use dogwoodtray_coord::ContentVerdict;
 use dogwoodtray_coord::CrashedRun;
-use dogwoodtray_coord::Evidence;
+use dogwoodtray_coord::EvidencePool;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::RunStage;
 use dogwoodtray_coord::Timestamp;
@@ -101,26 +100,8 @@
 
 /// # Exchange of evidence
 impl OnlineCore {
-    /// Merges evidence about crashes received from a peer.
-    pub fn merge_evidence(&mut self, now: Timestamp, evidence: Vec<Evidence>) {
-        for evidence in evidence {
-            self.pool.merge(now, evidence);
-        }
-    }
-
-    /// Returns the evidence about crashes that is new since the last call, for all peers.
-    pub fn take_evidence(&mut self) -> Vec<Evidence> {
-        self.pool.take_news()
-    }
-
-    /// Returns the evidence about crashes for a new peer.
-    #[must_use]
-    pub fn known_evidence(&self) -> Vec<Evidence> {
-        self.pool.known()
-    }
-
-    /// Returns the blocks that this entry decided since the last call.
-    pub fn take_decided_blocks(&mut self) -> Vec<Block> {
-        self.pool.take_decided()
+    /// Returns the evidence about crashes, which is exchanged with peers.
+    pub const fn evidence_mut(&mut self) -> &mut EvidencePool {
+        &mut self.pool
     }
 }
--- a/dogwoodtray_entry/src/shell/router/links.rs
+++ b/dogwoodtray_entry/src/shell/router/links.rs
@@ -102,7 +102,7 @@
         let heartbeat = self.heartbeat();
         peer.link.send(heartbeat);
         if !peer.transient {
-            for frame in evidence_to_wire(now, &self.core.known_evidence()) {
+            for frame in evidence_to_wire(now, &self.core.evidence_mut().known()) {
                 peer.link.send(frame);
             }
         }
@@ -156,7 +156,7 @@
                 self.shared.send_to_jobs(JobsInput::JobCancelled(message.job.into()));
             }
             kind @ (Kind::CrashReport(_) | Kind::BlockSet(_)) => {
-                self.core.merge_evidence(now, evidence_from_wire(now, kind));
+                self.core.evidence_mut().merge(now, evidence_from_wire(now, kind));
                 self.send_evidence(now);
             }
             // Other kinds are not sent to an entry over a link.
@@ -210,7 +210,7 @@
     /// Sends new evidence about crashes to all peers. They pass it on, so it reaches the entries that
     /// have no link to this one.
     pub(super) fn send_evidence(&mut self, now: Timestamp) {
-        for frame in evidence_to_wire(now, &self.core.take_evidence()) {
+        for frame in evidence_to_wire(now, &self.core.evidence_mut().take_news()) {
             for peer in self.links.values().filter(|peer| !peer.transient) {
                 peer.link.send(frame.clone());
             }
--- a/dogwoodtray_entry/src/shell/router/service.rs
+++ b/dogwoodtray_entry/src/shell/router/service.rs
@@ -188,7 +188,7 @@
 
     fn on_tick(&mut self, now: Timestamp) -> Flow {
         self.handle_event(now, OnlineEvent::Tick);
-        for block in self.core.take_decided_blocks() {
+        for block in self.core.evidence_mut().take_decided() {
             let fields: [(&str, &dyn Display); 2] =
                 [("content", &block.content), ("crashes", &block.crashes)];
             self.shared.events.emit(&catalogue::CONTENT_BLOCKED, None, &fields);
--- a/dogwoodtray_entry/tests/core_support/mod.rs
+++ b/dogwoodtray_entry/tests/core_support/mod.rs
@@ -77,10 +77,10 @@
 
 /// Passes on what each entry has to tell the other.
 pub(crate) fn exchange_evidence(first: &mut Entry, second: &mut Entry) {
-    let news = first.core.take_evidence();
-    second.core.merge_evidence(second.now, news);
-    let news = second.core.take_evidence();
-    first.core.merge_evidence(first.now, news);
+    let news = first.core.evidence_mut().take_news();
+    second.core.evidence_mut().merge(second.now, news);
+    let news = second.core.evidence_mut().take_news();
+    first.core.evidence_mut().merge(first.now, news);
 }
 
 /// Entry whose agents report a crash for each item that they run, or complete it.
--- a/dogwoodtray_entry/tests/online_support/simulation.rs
+++ b/dogwoodtray_entry/tests/online_support/simulation.rs
@@ -202,13 +202,13 @@
 
     /// Passes the news about crashes over the links that work.
     fn exchange_evidence(&mut self) {
-        let news = self.entry.take_evidence();
+        let news = self.entry.evidence_mut().take_news();
         let linked = self.links.values().filter(|link| link.silent_since.is_none());
         let linked: Vec<usize> = linked.map(|link| link.endpoint).collect();
         for index in linked {
-            self.endpoints[index].core.merge_evidence(self.now, news.clone());
-            let news = self.endpoints[index].core.take_evidence();
-            self.entry.merge_evidence(self.now, news);
+            self.endpoints[index].core.evidence_mut().merge(self.now, news.clone());
+            let news = self.endpoints[index].core.evidence_mut().take_news();
+            self.entry.evidence_mut().merge(self.now, news);
         }
     }
 
@@ -350,10 +350,10 @@
             data_centre: Name::from("dc"),
             models: vec![Name::from("m")],
         };
-        let known = self.entry.known_evidence();
-        self.endpoints[index].core.merge_evidence(self.now, known);
-        let known = self.endpoints[index].core.known_evidence();
-        self.entry.merge_evidence(self.now, known);
+        let known = self.entry.evidence_mut().known();
+        self.endpoints[index].core.evidence_mut().merge(self.now, known);
+        let known = self.endpoints[index].core.evidence_mut().known();
+        self.entry.evidence_mut().merge(self.now, known);
         self.handle_entry_event(OnlineEvent::LinkUp { link: LinkNo(link_no), peer });
     }
 
