Log refusals, trials and clearings of contents in the entry

What callers saw: nothing. An operator saw why a request was refused on the platform (DT2021), but not in the product's own interface: the entry logged only the blocks that it decided itself.

Change: the entry writes DT2021 with content and time for each request that it refuses for a blocked content and counts it in dogwoodtray_blocked_requests_total, DT2018 for the request that runs as a trial, and DT2019 when a content is cleared.

--- a/dogwoodtray_entry/src/online/blocks.rs
+++ b/dogwoodtray_entry/src/online/blocks.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::ContentVerdict;
 use dogwoodtray_coord::CrashedRun;
 use dogwoodtray_coord::EvidencePool;
@@ -34,6 +35,8 @@
     /// A request waits, because a trial or the analysis of a crash is due soon.
     Undecided,
     Blocked {
+        /// One of its blocked contents.
+        content: ContentHash,
         /// Time after which it may run as a trial.
         retry_after: Duration,
     },
@@ -59,11 +62,13 @@
             {
                 Admission::Undecided
             }
-            ContentVerdict::Blocked { retry_after, .. } => Admission::Blocked { retry_after },
+            ContentVerdict::Blocked { content, retry_after } => {
+                Admission::Blocked { content, retry_after }
+            }
             ContentVerdict::Trial(contents) => {
                 match self.pool.start_trial(subject, now, &contents) {
                     Ok(()) => Admission::Trial,
-                    Err(retry_after) => Admission::Blocked { retry_after },
+                    Err(retry_after) => Admission::Blocked { content: contents[0], retry_after },
                 }
             }
         }
--- a/dogwoodtray_entry/src/online/event.rs
+++ b/dogwoodtray_entry/src/online/event.rs
@@ -346,6 +346,20 @@
         /// Why.
         reason: &'static str,
     },
+    /// A request is refused because it has a blocked content.
+    Blocked {
+        /// Request id.
+        id: Name,
+        /// Blocked content.
+        content: ContentHash,
+        /// Time after which it may run as a trial.
+        retry_after: Duration,
+    },
+    /// A request runs as a trial of its blocked contents.
+    Tried {
+        /// Request id.
+        id: Name,
+    },
     /// A second attempt of a slow request was started.
     Hedged {
         /// Request id.
--- a/dogwoodtray_entry/src/online/placement.rs
+++ b/dogwoodtray_entry/src/online/placement.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_policy::Class;
@@ -39,13 +40,16 @@
             match self.admit(now, TrialSubject::Request, &spec) {
                 Admission::Allowed => {}
                 Admission::Undecided => return self.wait_for_place(now, request_no),
-                Admission::Blocked { retry_after } => {
+                Admission::Blocked { content, retry_after } => {
+                    let id = Name::clone(&spec.id);
+                    actions.push(OnlineAction::Blocked { id, content, retry_after });
                     let end =
                         self.end_without_answer(request_no, CONTENT_BLOCKED, Some(retry_after));
                     return self.finish(now, request_no, end, actions);
                 }
                 Admission::Trial => {
                     is_trial = true;
+                    actions.push(OnlineAction::Tried { id: Name::clone(&spec.id) });
                     self.set_trial(request_no, true);
                 }
             }
--- a/dogwoodtray_entry/src/shell/router/actions.rs
+++ b/dogwoodtray_entry/src/shell/router/actions.rs
@@ -74,6 +74,16 @@
                 let fields: [(&str, &dyn Display); 1] = [("reason", &reason)];
                 self.shared.events.emit(&catalogue::REQUEST_RETRIED, Some(&id), &fields);
             }
+            OnlineAction::Blocked { id, content, retry_after } => {
+                metrics::counter!("dogwoodtray_blocked_requests_total").increment(1);
+                let retry_after_ms = retry_after.as_millis();
+                let fields: [(&str, &dyn Display); 2] =
+                    [("content", &content), ("retry_after_ms", &retry_after_ms)];
+                self.shared.events.emit(&catalogue::REQUEST_BLOCKED, Some(&id), &fields);
+            }
+            OnlineAction::Tried { id } => {
+                self.shared.events.emit(&catalogue::CONTENT_TRIED, Some(&id), &[]);
+            }
             OnlineAction::Hedged { id } => {
                 metrics::counter!("dogwoodtray_hedges_total").increment(1);
                 self.shared.events.emit(&catalogue::REQUEST_HEDGED, Some(&id), &[]);
--- a/dogwoodtray_entry/src/shell/router/links.rs
+++ b/dogwoodtray_entry/src/shell/router/links.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::fmt::Display;
 
+use dogwoodtray_coord::Evidence;
 use dogwoodtray_coord::Generation;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
@@ -210,7 +211,14 @@
     /// Sends new evidence about crashes to all peers. They pass it on, so it reaches the entries that
     /// have no link to this one.
     pub(super) fn send_evidence(&mut self, now: Timestamp) {
-        for frame in evidence_to_wire(now, &self.core.evidence_mut().take_news()) {
+        let news = self.core.evidence_mut().take_news();
+        for evidence in &news {
+            if let Evidence::Cleared { content, .. } = evidence {
+                let fields: [(&str, &dyn Display); 1] = [("content", content)];
+                self.shared.events.emit(&catalogue::CONTENT_CLEARED, None, &fields);
+            }
+        }
+        for frame in evidence_to_wire(now, &news) {
             for peer in self.links.values().filter(|peer| !peer.transient) {
                 peer.link.send(frame.clone());
             }
