Let evidence that a process has no room for come to rest

What callers saw: nothing; found when the change was read again. After the crash of an endpoint that ran more than 64 requests, entries and agents would have sent each other the reports of the remaining ones without end.

Cause: a process passes on what is new to it, and a report that it cannot keep is new each time. The same holds for crashes and blocks beyond the limits of their lists.

Change: a run adds nothing if no more runs of its crash are kept, if the list is full and holds only later crashes, or if it is older than evidence is kept. A block of a peer is taken over and passed on only if the list would hold it, with a second as the margin for the shift of its times.

Test: evidence_beyond_the_limits_comes_to_rest fails before the change at its first check (200 runs of one crash), with only that mended at its second (2,000 contents), and passes now.

--- a/dogwoodtray_coord/src/crashes/analyzer.rs
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -176,11 +176,17 @@
         self.crashes.iter().filter_map(|crash| crash.analyze_at).min()
     }
 
-    /// Returns `true` if a run of the same request, ended by the same crash, was recorded.
+    /// Returns `true` if a run adds nothing: one of the same request, ended by the same crash, was
+    /// recorded, no more runs of that crash are kept, or only later crashes are.
     #[must_use]
-    pub fn knows(&self, run: &CrashedRun) -> bool {
+    pub fn knows(&self, now: Timestamp, run: &CrashedRun) -> bool {
         let request = run.contents.request;
-        self.crashes.iter().any(|crash| crash.ended(run) && crash.has_request(request))
+        let has_run = |crash: &Crash| crash.has_request(request) || crash.is_full();
+        let is_full = self.crashes.len() >= self.cfg.max_crashes;
+        let is_dropped = is_full && self.crashes.front().is_some_and(|old| run.ended_at < old.at);
+        is_dropped
+            || now - run.ended_at > self.cfg.retention
+            || self.crashes.iter().any(|crash| crash.ended(run) && has_run(crash))
     }
 
     /// Returns the recorded runs, those of the newest crash first.
--- a/dogwoodtray_coord/src/crashes/blocklist.rs
+++ b/dogwoodtray_coord/src/crashes/blocklist.rs
@@ -162,6 +162,17 @@
         true
     }
 
+    /// Returns `true` if the list would hold a block, with a margin for the uncertainty of its times.
+    #[must_use]
+    pub fn has_room_for(&self, block: &Block, margin: Duration) -> bool {
+        let is_weaker = |known: &Block| {
+            (known.crashes, known.last_crash + margin) < (block.crashes, block.last_crash)
+        };
+        self.blocks.len() < self.capacity
+            || self.blocks.contains_key(&block.content)
+            || self.blocks.values().any(is_weaker)
+    }
+
     /// Records a further crash of an endpoint that ran a blocked content. Returns the changed block.
     pub(super) fn record_crash(&mut self, content: ContentHash, at: Timestamp) -> Option<Block> {
         let block = self.blocks.get_mut(&content)?;
--- a/dogwoodtray_coord/src/crashes/crash.rs
+++ b/dogwoodtray_coord/src/crashes/crash.rs
@@ -49,11 +49,16 @@
 
     /// Adds another run that this crash ended.
     pub(super) fn push(&mut self, run: CrashedRun) {
-        if self.runs.len() < MAX_RUNS {
+        if !self.is_full() {
             self.runs.push(run);
         }
     }
 
+    /// Returns `true` if no more runs are kept.
+    pub(super) const fn is_full(&self) -> bool {
+        self.runs.len() >= MAX_RUNS
+    }
+
     /// Returns `true` if a run with the content was ended.
     pub(super) fn has(&self, content: ContentHash) -> bool {
         self.runs.iter().any(|run| run.contents.contains(content))
--- a/dogwoodtray_coord/src/crashes/pool.rs
+++ b/dogwoodtray_coord/src/crashes/pool.rs
@@ -104,9 +104,9 @@
         }
     }
 
-    /// Records a run that ended because its endpoint crashed, unless it is known.
+    /// Records a run that ended because its endpoint crashed, unless it adds nothing.
     pub fn record_crash(&mut self, now: Timestamp, mut run: CrashedRun) {
-        if self.analyzer.knows(&run) {
+        if self.analyzer.knows(now, &run) {
             return;
         }
         for content in self.sound_runs.known(&run.contents) {
@@ -250,6 +250,9 @@
         if let Some(at) = self.blocks().cleared_at(content).filter(|at| block.first_crash <= *at) {
             return self.news.push(Evidence::Cleared { content, at });
         }
+        if !self.blocks().has_room_for(&block, MAX_SHIFT) {
+            return;
+        }
         let known_trials = self.blocks().get(content).map(|known| known.trials);
         self.analyzer.blocks_mut().merge(block.clone());
         if known_trials.is_none_or(|trials| trials < block.trials) {
--- a/dogwoodtray_coord/tests/evidence_pool.rs
+++ b/dogwoodtray_coord/tests/evidence_pool.rs
@@ -7,6 +7,7 @@
 use dogwoodtray_coord::ContentVerdict;
 use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::CrashedRun;
+use dogwoodtray_coord::EVIDENCE_RETENTION;
 use dogwoodtray_coord::Evidence;
 use dogwoodtray_coord::EvidencePool;
 use dogwoodtray_coord::Name;
@@ -200,6 +201,35 @@
         .quickcheck(property as fn(Vec<(u8, u8)>, usize) -> bool);
 }
 
+/// Guards against evidence that processes have no room for and pass on to each other without end.
+#[test]
+fn evidence_beyond_the_limits_comes_to_rest() {
+    let mut fleet = Fleet::new();
+    let sent_at = fleet.now;
+    fleet.tick(STEP);
+    // More runs than are kept of one crash.
+    for content in 0..200 {
+        fleet.pools[0].record_crash(fleet.now, crash(ContentHash(content), 1, sent_at));
+    }
+    assert!(fleet.exchange(), "runs of one crash are passed on without end");
+    // More contents than can be blocked.
+    for content in 0..2_000 {
+        for endpoint in 0..2 {
+            fleet.tick(Duration::from_millis(1));
+            let run = crash(ContentHash(1_000 + content), 2 + endpoint, fleet.now);
+            fleet.pools[0].record_crash(fleet.now, run);
+        }
+    }
+    fleet.tick(ANALYSIS);
+    assert!(fleet.exchange(), "blocks are passed on without end");
+    fleet.tick(EVIDENCE_RETENTION);
+    let known = fleet.pools[0].known();
+    fleet.pools[1].merge(fleet.now + STEP, known);
+    let news = fleet.pools[1].take_news();
+    let is_crash = |news: &Evidence| matches!(news, Evidence::Crash(_));
+    assert!(!news.iter().any(is_crash), "crashes that are no longer kept are passed on");
+}
+
 /// Guards against an innocent request that is treated as a suspect after it was answered.
 #[test]
 fn an_answer_after_the_crash_ends_the_suspicion() {
