Carry the evidence of a crash in one frame

What callers saw: nothing. Each run that a crash had ended was a frame of its own on each link, and each entry passed them on one by one as the ends of its attempts arrived.

Change: entries and agents exchange EvidenceSet, with up to 256 crashed runs, blocks and cleared contents. An agent sends the evidence of a crash before the ends of the attempts, so an entry passes it on once.

--- a/dogwoodtray_agent/src/shell/service.rs
+++ b/dogwoodtray_agent/src/shell/service.rs
@@ -188,8 +188,8 @@
                 self.send(peer, set);
             }
             Kind::ConfigSet(set) => self.on_config(peer, &set),
-            kind @ (Kind::CrashReport(_) | Kind::BlockSet(_)) => {
-                self.core.evidence_mut().merge(now, evidence_from_wire(now, kind));
+            Kind::EvidenceSet(set) => {
+                self.core.evidence_mut().merge(now, evidence_from_wire(now, set));
                 self.send_evidence(now);
             }
             // Entries do not send the other kinds to agents.
@@ -243,11 +243,12 @@
     fn handle(&mut self, now: Timestamp, event: AgentEvent) {
         let mut actions = std::mem::take(&mut self.actions);
         self.core.handle(now, event, &mut actions);
+        // An entry learns of all runs that a crash ended at once, and then of the end of each.
+        self.send_evidence(now);
         for action in actions.drain(..) {
             self.execute(action);
         }
         self.actions = actions;
-        self.send_evidence(now);
     }
 
     /// Sends new evidence about crashes to all entries.
--- a/dogwoodtray_entry/src/shell/router/links.rs
+++ b/dogwoodtray_entry/src/shell/router/links.rs
@@ -156,8 +156,8 @@
             Kind::JobCancelled(message) => {
                 self.shared.send_to_jobs(JobsInput::JobCancelled(message.job.into()));
             }
-            kind @ (Kind::CrashReport(_) | Kind::BlockSet(_)) => {
-                self.core.evidence_mut().merge(now, evidence_from_wire(now, kind));
+            Kind::EvidenceSet(set) => {
+                self.core.evidence_mut().merge(now, evidence_from_wire(now, set));
                 self.send_evidence(now);
             }
             // Other kinds are not sent to an entry over a link.
--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -352,7 +352,7 @@
     fn block_set(&self, blocks: &[Block]) -> messages::BlockSet {
         let now = self.now();
         let blocked = blocks.iter().map(|block| block_to_wire(now, block)).collect();
-        messages::BlockSet { blocked, ..messages::BlockSet::default() }
+        messages::BlockSet { blocked, cleared: Vec::new() }
     }
 
     fn count_blocks(&self) {
--- a/dogwoodtray_runtime/src/convert.rs
+++ b/dogwoodtray_runtime/src/convert.rs
@@ -16,7 +16,9 @@
 use dogwoodtray_coord::RunStage;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_wire::messages;
-use dogwoodtray_wire::messages::frame::Kind;
+
+/// Maximum number of pieces of evidence in one frame; about 20 KB.
+const MAX_EVIDENCE_PER_FRAME: usize = 256;
 
 /// Converts an attempt id from its wire message. Returns `None` if the field is not set.
 #[must_use]
@@ -40,49 +42,48 @@
 
 /// Converts evidence about crashes to the frames that carry it. `now` is the current time of this
 /// process.
-#[must_use]
-pub fn evidence_to_wire(now: Timestamp, evidence: &[Evidence]) -> Vec<messages::Frame> {
-    let mut frames = Vec::new();
-    let mut set = messages::BlockSet::default();
-    for evidence in evidence {
-        match evidence {
-            Evidence::Crash(run) => frames.push(crash_report(now, run).into()),
-            Evidence::Block(block) => set.blocked.push(block_to_wire(now, block)),
-            Evidence::Cleared { content, at } => {
-                set.cleared.push(content.0);
-                set.cleared_ago_ms.push(millis(now - *at));
+pub fn evidence_to_wire(
+    now: Timestamp,
+    evidence: &[Evidence],
+) -> impl Iterator<Item = messages::EvidenceSet> {
+    evidence.chunks(MAX_EVIDENCE_PER_FRAME).map(move |evidence| {
+        let mut set = messages::EvidenceSet::default();
+        for evidence in evidence {
+            match evidence {
+                Evidence::Crash(run) => set.crashes.push(crash_report(now, run)),
+                Evidence::Block(block) => set.blocked.push(block_to_wire(now, block)),
+                Evidence::Cleared { content, at } => set.cleared.push(messages::ClearedContent {
+                    content: content.0,
+                    cleared_ago_ms: millis(now - *at),
+                }),
             }
         }
-    }
-    if set != messages::BlockSet::default() {
-        frames.push(set.into());
-    }
-    frames
+        set
+    })
 }
 
-/// Converts a frame that carries evidence about crashes. Returns no evidence for other frames, and
-/// none of events that were too long before the start of this process for its clock. `now` is the
-/// current time of this process.
-#[must_use]
-pub fn evidence_from_wire(now: Timestamp, kind: Kind) -> Vec<Evidence> {
-    match kind {
-        Kind::CrashReport(report) if is_representable(now, report.ended_ago_ms) => {
-            vec![Evidence::Crash(crashed_run(now, report))]
-        }
-        Kind::BlockSet(set) => {
-            let ages = set.cleared_ago_ms.into_iter().chain(std::iter::repeat(0));
-            let cleared = set.cleared.into_iter().zip(ages);
-            let cleared = cleared.filter(|(_, ago)| is_representable(now, *ago));
-            let cleared = cleared.map(|(content, ago)| Evidence::Cleared {
-                content: ContentHash(content),
-                at: time_ago(now, ago),
-            });
-            let blocks =
-                set.blocked.iter().map(|blocked| Evidence::Block(block_from_wire(now, blocked)));
-            cleared.chain(blocks).collect()
-        }
-        _ => Vec::new(),
-    }
+/// Converts received evidence about crashes, without events that were too long before the start of
+/// this process for its clock. `now` is the current time of this process.
+pub fn evidence_from_wire(
+    now: Timestamp,
+    set: messages::EvidenceSet,
+) -> impl Iterator<Item = Evidence> {
+    let cleared = set
+        .cleared
+        .into_iter()
+        .filter(move |cleared| is_representable(now, cleared.cleared_ago_ms))
+        .map(move |cleared| Evidence::Cleared {
+            content: ContentHash(cleared.content),
+            at: time_ago(now, cleared.cleared_ago_ms),
+        });
+    let crashes = set
+        .crashes
+        .into_iter()
+        .filter(move |report| is_representable(now, report.ended_ago_ms))
+        .map(move |report| Evidence::Crash(crashed_run(now, report)));
+    let blocks =
+        set.blocked.into_iter().map(move |blocked| Evidence::Block(block_from_wire(now, &blocked)));
+    cleared.chain(crashes).chain(blocks)
 }
 
 /// Converts a crashed run to its report. `now` is the current time of this process.
--- a/dogwoodtray_runtime/tests/evidence.rs
+++ b/dogwoodtray_runtime/tests/evidence.rs
@@ -1,7 +1,5 @@
 //! Evidence about crashes on its way between processes whose clocks differ.
 
-#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
-
 use std::time::Duration;
 
 use dogwoodtray_coord::ContentHash;
@@ -27,13 +25,12 @@
         stage: RunStage::Starting,
         sound: Vec::new(),
     };
-    vec![Evidence::Crash(run), Evidence::Cleared { content: ContentHash(2), at: ended_at }]
+    vec![Evidence::Cleared { content: ContentHash(2), at: ended_at }, Evidence::Crash(run)]
 }
 
 /// Passes evidence on to a process whose clock shows `now`.
 fn pass_on(sent_at: Timestamp, evidence: &[Evidence], now: Timestamp) -> Vec<Evidence> {
-    let frames = evidence_to_wire(sent_at, evidence);
-    frames.into_iter().flat_map(|frame| evidence_from_wire(now, frame.kind.unwrap())).collect()
+    evidence_to_wire(sent_at, evidence).flat_map(|set| evidence_from_wire(now, set)).collect()
 }
 
 /// Guards against an old crash that a restarted process passes on as a new one.
--- a/dogwoodtray_wire/src/convert.rs
+++ b/dogwoodtray_wire/src/convert.rs
@@ -30,6 +30,7 @@
     EndpointChanges,
     EndpointFetch,
     EndpointLeaving,
+    EvidenceSet,
     EndpointSet,
     Heartbeat,
     Hello,
