Tell quick crashes apart only where reports are about received runs

A gateway reports a run also if the endpoint did not receive it, and such a run, sent to an endpoint that was down, became a crash of its own: without the guilty part, it accuses others, and the share of crashes at which an item was present falls.

Change: the rule is a setting of the analyzer, reports_received_runs. It is set for entries and agents, whose agents report only what they forwarded, and not for gateways and drivers, which count as before.

Measured: tests of the coordination crate pass.

--- a/dogwoodtray_coord/src/crashes/analyzer.rs
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -39,6 +39,9 @@
     pub resumable_crashes: usize,
     /// Time in which the reports of all processes about a crash arrive.
     pub report_time: Duration,
+    /// Whether a run that was sent after a crash was ended by another one, however soon that followed.
+    /// This holds if only runs are reported that the endpoint received.
+    pub reports_received_runs: bool,
     /// Time for which crashes are kept.
     pub retention: Duration,
     /// Maximum number of crashes that are kept.
@@ -56,6 +59,7 @@
             part_crashes: 6,
             resumable_crashes: 4,
             report_time: Duration::from_millis(150),
+            reports_received_runs: false,
             retention: EVIDENCE_RETENTION,
             max_crashes: 1_024,
             max_blocks: 1_024,
@@ -186,7 +190,11 @@
         let is_dropped = is_full && self.crashes.front().is_some_and(|old| run.ended_at < old.at);
         is_dropped
             || now - run.ended_at > self.cfg.retention
-            || self.crashes.iter().any(|crash| crash.ended(run) && has_run(crash))
+            || self.crashes.iter().any(|crash| self.ended(crash, run) && has_run(crash))
+    }
+
+    fn ended(&self, crash: &Crash, run: &CrashedRun) -> bool {
+        crash.ended(run) && !(self.cfg.reports_received_runs && crash.is_before(run))
     }
 
     /// Returns the recorded runs, those of the newest crash first.
@@ -216,7 +224,7 @@
         }
         let contents = run.contents.clone();
         let ended_at = run.ended_at;
-        let known = self.crashes.iter().rposition(|crash| crash.ended(&run));
+        let known = self.crashes.iter().rposition(|crash| self.ended(crash, &run));
         let is_new = |content: &ContentHash| known.is_none_or(|i| !self.crashes[i].has(*content));
         let new_contents: Vec<ContentHash> = contents.iter().filter(is_new).collect();
         let number = match known {
--- a/dogwoodtray_coord/src/crashes/crash.rs
+++ b/dogwoodtray_coord/src/crashes/crash.rs
@@ -39,12 +39,15 @@
         }
     }
 
-    /// Returns `true` if this crash ended the run. A run that was sent after it was ended by another
-    /// one, however soon that followed.
+    /// Returns `true` if this crash ended the run.
     pub(super) fn ended(&self, run: &CrashedRun) -> bool {
         let apart = (run.ended_at - self.at).max(self.at - run.ended_at);
-        let is_later = run.sent_at > self.at + TIME_MARGIN;
-        run.endpoint == self.endpoint && apart < CRASH_WINDOW && !is_later
+        run.endpoint == self.endpoint && apart < CRASH_WINDOW
+    }
+
+    /// Returns `true` if the run was sent after this crash.
+    pub(super) fn is_before(&self, run: &CrashedRun) -> bool {
+        run.sent_at > self.at + TIME_MARGIN
     }
 
     /// Adds another run that this crash ended.
--- a/dogwoodtray_coord/src/crashes/pool.rs
+++ b/dogwoodtray_coord/src/crashes/pool.rs
@@ -96,7 +96,10 @@
     #[must_use]
     pub fn new(seed: u64) -> Self {
         Self {
-            analyzer: CrashAnalyzer::new(CrashConfig::default()),
+            analyzer: CrashAnalyzer::new(CrashConfig {
+                reports_received_runs: true,
+                ..CrashConfig::default()
+            }),
             sound_runs: SoundRuns::new(),
             trial_delay: Duration::from_millis(seed % TRIAL_SPREAD_MS),
             news: Vec::new(),
