Let the chaos oracle know trials of blocked requests

What callers saw: nothing new.

Cause, from the logs of that run: two requests, p7-0 and the innocent o0-0, ran at the same two crashes and were blocked on the same evidence. Each is then tried after 1 s (DT2018 for both), which clears the innocent one; the trial of p7-0 killed the third engine. The oracle still had the limit of the code before, which knew no trials.

Change: the limit stays two, and one more if an entry logged a trial of that request. At most one trial is excused, since the next one is due 30 s later and a run takes 8 s. Without the line in the log a third death is a violation as before.

Tests: a third death with the trial of another request, and a fourth with two trials, are found; one death by one trial is accepted.

Open: of two contents that were blocked on the same evidence, the entry could try one after the other; if the innocent one comes first, the guilty one needs no trial.

--- a/dogwoodtray_cli/tests/chaos_oracle.rs
+++ b/dogwoodtray_cli/tests/chaos_oracle.rs
@@ -87,6 +87,7 @@
             cancelled_jobs: Vec::new(),
         }],
         panics: Vec::new(),
+        trials: Vec::new(),
         probes: vec![call(CallKind::Online, "o1.0", Outcome::Answered(None))],
     }
 }
@@ -119,6 +120,15 @@
         (Rule::AtMostOnce, |h| add_run(h, "n0.0", 0)),
         (Rule::AtMostOnce, |h| add_run(h, "j0.0", 0)),
         (Rule::PoisonLimit, |h| add_run(h, "p0.0", 1)),
+        (Rule::PoisonLimit, |h| {
+            // The trial of another request excuses nothing.
+            h.trials = vec!["o0.0".to_owned()];
+            add_run(h, "p0.0", 1);
+        }),
+        (Rule::PoisonLimit, |h| {
+            h.trials = vec!["p0.0".to_owned(); 2];
+            add_run(h, "p0.0", 2);
+        }),
         (Rule::GenerationsConverge, |h| h.final_generations[0].1 = Some(1)),
         (Rule::GenerationsConverge, |h| h.final_generations[0].1 = None),
         (Rule::GenerationsIncrease, |h| h.reported[0].generations.push(1)),
@@ -155,3 +165,12 @@
     history.drains[0].ended_early.push("j0.0".to_owned());
     assert_eq!(oracle::check(&history), []);
 }
+
+/// Guards against an oracle that reports the crash of an endpoint by a trial.
+#[test]
+fn one_trial_of_a_blocked_request_is_accepted() {
+    let mut history = valid_history();
+    history.trials = vec!["p0.0".to_owned()];
+    add_run(&mut history, "p0.0", 1);
+    assert_eq!(oracle::check(&history), []);
+}
--- a/dogwoodtray_cli/tests/chaos_support/history.rs
+++ b/dogwoodtray_cli/tests/chaos_support/history.rs
@@ -133,6 +133,8 @@
     pub(crate) final_generations: Vec<(String, Option<u64>)>,
     pub(crate) drains: Vec<Drain>,
     pub(crate) panics: Vec<String>,
+    /// Ids of the requests that ran as trials of blocked contents.
+    pub(crate) trials: Vec<String>,
     /// Calls through each entry after the run.
     pub(crate) probes: Vec<Call>,
 }
--- a/dogwoodtray_cli/tests/chaos_support/run.rs
+++ b/dogwoodtray_cli/tests/chaos_support/run.rs
@@ -232,6 +232,7 @@
         final_generations,
         drains: test_run.drains.into_inner().unwrap(),
         panics: child::panics(dir),
+        trials: child::trials(dir),
         probes: test_run.probes.into_inner().unwrap(),
     }
 }
