Build the contents of a request once in the agent

What callers saw: nothing. Cause: the agent built the hashes of a request, with an allocation, for each piece of output and used them at the first only. Change: they are built at the first output. No behaviour changes.

--- a/dogwoodtray_agent/src/core/endpoint.rs
+++ b/dogwoodtray_agent/src/core/endpoint.rs
@@ -100,13 +100,15 @@
         attempt.tokens += tokens;
         attempt.progress_at = now;
         let total_tokens = attempt.tokens;
-        let (contents, sent_at) = (attempt.work.contents(), attempt.forwarded_at);
+        if is_first_token {
+            let (contents, sent_at) = (attempt.work.contents(), attempt.forwarded_at);
+            self.pool.record_sound_run(now, &contents, sent_at, false);
+        }
         if let Some(peer) = attempt.peer {
             let message = AgentMessage::Chunk { attempt: id, offset, data, tokens: total_tokens };
             out.push(AgentAction::Send { peer, message });
         }
         if is_first_token {
-            self.pool.record_sound_run(now, &contents, sent_at, false);
             self.notify_admission(now, AdmissionEvent::FirstToken { id: work_id }, out);
         }
         if tokens > 0 {
