Give the list of blocks one check and one start of a trial

What callers saw: nothing. Cause: Blocklist had a check and a start_trial for requests that only tests still called, the test whether a cleared content voids a block stood in list and pool, and the entry built an end that it mostly threw away. Change: one method each, with the subject as a parameter; voided_at serves both. Tests name the subject; their assertions are as before. No behaviour changes.

--- a/dogwoodtray_coord/src/crashes/analyzer.rs
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -111,6 +111,7 @@
 /// use dogwoodtray_coord::Name;
 /// use dogwoodtray_coord::RunStage;
 /// use dogwoodtray_coord::Timestamp;
+/// use dogwoodtray_coord::TrialSubject;
 ///
 /// let part = ContentHash(7);
 /// let mut analyzer = CrashAnalyzer::new(CrashConfig::default());
@@ -129,7 +130,8 @@
 /// let next = Contents { request: ContentHash(102), parts: vec![part] };
 /// let now = Timestamp::ZERO + Duration::from_secs(2);
 /// analyzer.tick(now);
-/// assert!(matches!(analyzer.blocks().check(now, &next), ContentVerdict::Blocked { .. }));
+/// let verdict = analyzer.blocks().check(TrialSubject::Request, now, &next);
+/// assert!(matches!(verdict, ContentVerdict::Blocked { .. }));
 /// ```
 #[derive(Clone, Debug)]
 pub struct CrashAnalyzer {
--- a/dogwoodtray_coord/src/crashes/blocklist.rs
+++ b/dogwoodtray_coord/src/crashes/blocklist.rs
@@ -76,15 +76,9 @@
         self.blocks.get(&content)
     }
 
-    /// Returns how a request with these contents is to be treated.
-    #[must_use]
-    pub fn check(&self, now: Timestamp, contents: &Contents) -> ContentVerdict {
-        self.check_for(TrialSubject::Request, now, contents)
-    }
-
     /// Returns how a request or item with these contents is to be treated.
     #[must_use]
-    pub fn check_for(
+    pub fn check(
         &self,
         subject: TrialSubject,
         now: Timestamp,
@@ -105,27 +99,13 @@
         ContentVerdict::Blocked { content: last.content, retry_after: due - now }
     }
 
-    /// Starts a trial of the contents by a request, unless another one has taken it. Returns the
-    /// changed blocks.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time until the next trial if none is due.
-    pub fn start_trial(
-        &mut self,
-        now: Timestamp,
-        contents: &[ContentHash],
-    ) -> Result<Vec<Block>, Duration> {
-        self.start_trial_for(TrialSubject::Request, now, contents)
-    }
-
     /// Starts a trial of the contents by a request or item, unless another one has taken it. Returns
     /// the changed blocks.
     ///
     /// # Errors
     ///
     /// Returns the time until the next trial if none is due.
-    pub fn start_trial_for(
+    pub fn start_trial(
         &mut self,
         subject: TrialSubject,
         now: Timestamp,
@@ -147,9 +127,16 @@
         Ok(changed)
     }
 
+    /// Returns the time at which the content of a block was found innocent, if the block is based on
+    /// a crash before that.
+    #[must_use]
+    pub fn voided_at(&self, block: &Block) -> Option<Timestamp> {
+        self.cleared_at(block.content).filter(|at| block.first_crash <= *at)
+    }
+
     /// Adds a block, or merges it with the one at hand. Returns `true` if this changed the list.
     pub fn merge(&mut self, block: Block) -> bool {
-        if self.cleared_at(block.content).is_some_and(|at| block.first_crash <= at) {
+        if self.voided_at(&block).is_some() {
             return false;
         }
         if let Some(known) = self.blocks.get_mut(&block.content) {
--- a/dogwoodtray_coord/src/crashes/pool.rs
+++ b/dogwoodtray_coord/src/crashes/pool.rs
@@ -173,7 +173,7 @@
         now: Timestamp,
         contents: &Contents,
     ) -> ContentVerdict {
-        self.blocks().check_for(subject, now.saturating_sub(self.trial_delay), contents)
+        self.blocks().check(subject, now.saturating_sub(self.trial_delay), contents)
     }
 
     /// Starts a trial of blocked contents, unless another request or item has taken it.
@@ -187,7 +187,7 @@
         now: Timestamp,
         contents: &[ContentHash],
     ) -> Result<(), Duration> {
-        let changed = self.analyzer.blocks_mut().start_trial_for(subject, now, contents)?;
+        let changed = self.analyzer.blocks_mut().start_trial(subject, now, contents)?;
         self.news.extend(changed.into_iter().map(Evidence::Block));
         Ok(())
     }
@@ -250,7 +250,7 @@
     /// and a new trial are passed on.
     fn merge_block(&mut self, now: Timestamp, block: Block) {
         let content = block.content;
-        if let Some(at) = self.blocks().cleared_at(content).filter(|at| block.first_crash <= *at) {
+        if let Some(at) = self.blocks().voided_at(&block) {
             return self.news.push(Evidence::Cleared { content, at });
         }
         if !self.blocks().has_room_for(&block, MAX_SHIFT) {
--- a/dogwoodtray_coord/tests/crash_support/mod.rs
+++ b/dogwoodtray_coord/tests/crash_support/mod.rs
@@ -16,6 +16,7 @@
 use dogwoodtray_coord::SoundRun;
 use dogwoodtray_coord::SoundRuns;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::TrialSubject;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -237,13 +238,16 @@
             Finder::Presence(limit, counts) => {
                 contents.iter().any(|content| counts.get(&content).is_some_and(|n| n >= limit))
             }
-            Finder::Analyzer(analyzer) => match analyzer.blocks().check(self.now, contents) {
-                ContentVerdict::Allowed => false,
-                ContentVerdict::Trial(trial) => {
-                    analyzer.blocks_mut().start_trial(self.now, &trial).is_err()
+            Finder::Analyzer(analyzer) => {
+                match analyzer.blocks().check(TrialSubject::Request, self.now, contents) {
+                    ContentVerdict::Allowed => false,
+                    ContentVerdict::Trial(trial) => analyzer
+                        .blocks_mut()
+                        .start_trial(TrialSubject::Request, self.now, &trial)
+                        .is_err(),
+                    ContentVerdict::Blocked { .. } => true,
                 }
-                ContentVerdict::Blocked { .. } => true,
-            },
+            }
         }
     }
 
--- a/dogwoodtray_coord/tests/crashes.rs
+++ b/dogwoodtray_coord/tests/crashes.rs
@@ -262,8 +262,9 @@
     for second in 4..600 {
         for _ in 0..3 {
             let now = at(second * 1_000);
-            if let ContentVerdict::Trial(trial) = analyzer.blocks().check(now, &request)
-                && analyzer.blocks_mut().start_trial(now, &trial).is_ok()
+            if let ContentVerdict::Trial(trial) =
+                analyzer.blocks().check(TrialSubject::Request, now, &request)
+                && analyzer.blocks_mut().start_trial(TrialSubject::Request, now, &trial).is_ok()
             {
                 trials.push(second);
             }
@@ -283,9 +284,9 @@
     for second in 4..240 {
         for item in 0..3 {
             let (now, item) = (at(second * 1_000), contents(30 + item, &[7]));
-            let verdict = analyzer.blocks().check_for(TrialSubject::Item, now, &item);
+            let verdict = analyzer.blocks().check(TrialSubject::Item, now, &item);
             if let ContentVerdict::Trial(trial) = verdict
-                && analyzer.blocks_mut().start_trial_for(TrialSubject::Item, now, &trial).is_ok()
+                && analyzer.blocks_mut().start_trial(TrialSubject::Item, now, &trial).is_ok()
             {
                 trials.push(second);
             }
@@ -293,7 +294,7 @@
     }
     assert_eq!(trials, [16, 28, 40, 52, 64, 88, 136, 232]);
     let request = contents(40, &[7]);
-    let verdict = analyzer.blocks().check(at(240_000), &request);
+    let verdict = analyzer.blocks().check(TrialSubject::Request, at(240_000), &request);
     assert!(matches!(verdict, ContentVerdict::Blocked { .. }), "trials by requests become rarer");
 }
 
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -255,7 +255,6 @@
             answer: bytes::Bytes::new(),
             tokens: resume_from,
         };
-        let held = not_run(NotRunReason::Blocked);
         let Some((node, endpoint)) = reachable.filter(|(_, e)| !e.leaving) else {
             let end = not_run(NotRunReason::Leaving);
             return actions.push(OnlineAction::BatchEnded { attempt: id, end });
@@ -268,7 +267,8 @@
             Admission::Allowed
         };
         if matches!(admission, Admission::Blocked { .. }) {
-            return actions.push(OnlineAction::BatchEnded { attempt: id, end: held });
+            let end = not_run(NotRunReason::Blocked);
+            return actions.push(OnlineAction::BatchEnded { attempt: id, end });
         }
         let attempt = Attempt {
             id,
--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -99,7 +99,7 @@
         subject: TrialSubject,
         contents: &Contents,
     ) -> ContentVerdict {
-        self.crashes.analyzer.borrow().blocks().check_for(subject, self.now(), contents)
+        self.crashes.analyzer.borrow().blocks().check(subject, self.now(), contents)
     }
 
     /// Returns the number of crashes that are attributed to a blocked content.
@@ -128,7 +128,7 @@
         };
         let changed = {
             let mut analyzer = self.crashes.analyzer.borrow_mut();
-            analyzer.blocks_mut().start_trial_for(subject, now, contents)?
+            analyzer.blocks_mut().start_trial(subject, now, contents)?
         };
         for block in &changed {
             let fields: [(&str, &dyn Display); 3] = [
@@ -266,10 +266,7 @@
         self.schedule_analysis();
         if self.cfg.role == NodeRole::Driver {
             let cleared = vec![run.content.0];
-            self.peers.broadcast_to_accepted(messages::BlockSet {
-                cleared,
-                ..messages::BlockSet::default()
-            });
+            self.peers.broadcast_to_accepted(messages::BlockSet { blocked: Vec::new(), cleared });
         }
     }
 
