Log how answers of endpoints are delimited, and count truncated ones

The exchange with an endpoint moves to a crate of its own, dogwoodtray_http, to serve the agent as well. EndCheck decides from the framing and the last bytes of an answer whether it is complete. No answer is treated differently.

--- a/dogwoodtray_agent/src/shell/sse.rs
+++ b/dogwoodtray_agent/src/shell/sse.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use dogwoodtray_runtime::EventSplitter;
-use dogwoodtray_runtime::EventTooLarge;
+use dogwoodtray_http::EventSplitter;
+use dogwoodtray_http::EventTooLarge;
 
 /// Key of the events that count as tokens. The event with the finish reason does not have it.
 const CONTENT_KEY: &[u8] = b"\"content\":";
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -11,9 +11,9 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::TrialSubject;
+use dogwoodtray_http::EventTooLarge;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
-use dogwoodtray_runtime::EventTooLarge;
 use dogwoodtray_runtime::catalogue;
 use http_body_util::BodyExt;
 use hyper::Method;
@@ -33,9 +33,10 @@
 use super::spec::StoredResult;
 use crate::contents::request_contents;
 use crate::model::JobItem;
+use crate::net::AnswerBody;
+use crate::net::AnswerKind;
 use crate::net::EventParser;
 use crate::net::SendError;
-use crate::net::UpstreamBody;
 use crate::net::send;
 use crate::node::Node;
 use crate::observed_run::ABORT_CHECK_DELAY;
@@ -356,7 +357,7 @@
     };
     let contents = &prepared.contents;
     let mut observed = ObservedRun::start(node, &item.id, contents, endpoint, RunKind::Item);
-    let exchange = match timeout(head_timeout, send(target.addr, req)).await {
+    let exchange = match timeout(head_timeout, send(target.addr, req, AnswerKind::Stream)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(err)) => {
             // After bytes that are no response, the driver closed the connection itself.
@@ -410,7 +411,7 @@
 
 /// Reads events until the stream ends, and replicates the output at intervals.
 async fn read_events(
-    mut body: UpstreamBody,
+    mut body: AnswerBody,
     progress: &RefCell<Progress>,
     observed: &mut ObservedRun,
     replicate_output: impl Fn(),
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -20,6 +20,7 @@
 use crate::contents::request_contents;
 use crate::model::Route;
 use crate::model::RouteKind;
+use crate::net::AnswerKind;
 use crate::net::Exchange;
 use crate::net::SendError;
 use crate::net::send;
@@ -163,7 +164,8 @@
             };
             self.trace.on_sent(&endpoint.id);
             let limit = head_timeout.map_or(remaining, |head_timeout| head_timeout.min(remaining));
-            let head = self.report_slow_head(run.permit(), send(endpoint.addr, req));
+            let kind = if self.is_stream() { AnswerKind::Stream } else { AnswerKind::Plain };
+            let head = self.report_slow_head(run.permit(), send(endpoint.addr, req, kind));
             let sent = timeout(limit, head).await;
             if let Ok(Ok(exchange)) = &sent {
                 self.node.on_answer_head(&endpoint, &exchange.parts, &self.id);
@@ -173,6 +175,7 @@
                     class @ (ResponseClass::Answer | ResponseClass::Failure) => {
                         self.possible_runs += 1;
                         run.on_head();
+                        self.trace.on_head(exchange.body.framing());
                         if class == ResponseClass::Failure {
                             run.set_outcome(PlaceOutcome::Errored);
                         }
--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -16,7 +16,7 @@
 
 use super::run::Run;
 use super::trace::Trace;
-use crate::net::UpstreamBody;
+use crate::net::AnswerBody;
 
 quick_error! {
     /// Error that ends a response before it is complete. The connection to the caller is closed, so
@@ -60,7 +60,7 @@
 /// Body that is forwarded, with the state that is released when it ends.
 #[derive(Debug)]
 pub(crate) struct ProxiedBody {
-    pub(crate) body: UpstreamBody,
+    pub(crate) body: AnswerBody,
     /// Outcome of the place if the body is complete.
     pub(crate) complete_outcome: PlaceOutcome,
     pub(crate) deadline: Pin<Box<Sleep>>,
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -20,9 +20,9 @@
 use super::online::response_head;
 use super::response::GatewayResponse;
 use super::run::Run;
+use crate::net::AnswerBody;
 use crate::net::EventParser;
 use crate::net::Exchange;
-use crate::net::UpstreamBody;
 
 /// Time without an event after which a stream is resumed at another endpoint. Events arrive every
 /// 30 ms. Callers accept gaps of at least 400 ms, and resuming a stream takes about 50 ms. The time
@@ -90,7 +90,7 @@
 /// Forwards the events of a stream until it is complete, across several endpoints if necessary.
 async fn run_stream(
     attempts: &mut Attempts,
-    mut body: UpstreamBody,
+    mut body: AnswerBody,
     mut run: Run,
     tx: &Sender<Result<Bytes, BodyError>>,
 ) {
@@ -126,10 +126,7 @@
 }
 
 /// Resumes a stream after its last forwarded event. Returns `None` if no endpoint could resume it.
-async fn resume(
-    attempts: &mut Attempts,
-    last_event_id: Option<u64>,
-) -> Option<(UpstreamBody, Run)> {
+async fn resume(attempts: &mut Attempts, last_event_id: Option<u64>) -> Option<(AnswerBody, Run)> {
     while attempts.may_retry() {
         match attempts.execute(last_event_id, Some(head_timeout(attempts))).await {
             Ok((exchange, run)) if exchange.parts.status.is_success() => {
@@ -150,7 +147,7 @@
 async fn forward_events(
     attempts: &mut Attempts,
     run: &mut Run,
-    mut body: UpstreamBody,
+    mut body: AnswerBody,
     last_event_id: &mut Option<u64>,
     idle_timeout: Duration,
     tx: &Sender<Result<Bytes, BodyError>>,
--- a/dogwoodtray_gateway/src/http/trace.rs
+++ b/dogwoodtray_gateway/src/http/trace.rs
@@ -5,6 +5,7 @@
 
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_http::BodyFraming;
 use dogwoodtray_runtime::catalogue;
 
 use crate::node::Node;
@@ -20,6 +21,7 @@
     first_sent: Option<Timestamp>,
     first_data: Option<Timestamp>,
     endpoint: Option<Name>,
+    framing: Option<BodyFraming>,
     sent: u32,
     status: u16,
     finished: bool,
@@ -42,6 +44,7 @@
             first_sent: None,
             first_data: None,
             endpoint: None,
+            framing: None,
             sent: 0,
             status: 0,
             finished: false,
@@ -52,9 +55,15 @@
     pub(crate) fn on_sent(&mut self, endpoint: &Name) {
         self.first_sent.get_or_insert_with(|| self.node.now());
         self.endpoint = Some(Name::clone(endpoint));
+        self.framing = None;
         self.sent += 1;
     }
 
+    /// Records how the response of the endpoint is delimited.
+    pub(crate) const fn on_head(&mut self, framing: BodyFraming) {
+        self.framing = Some(framing);
+    }
+
     /// Records the status of the response to the caller.
     pub(crate) const fn on_status(&mut self, status: u16) {
         self.status = status;
@@ -85,12 +94,14 @@
         let endpoint = self.endpoint.as_deref().unwrap_or("-");
         let total = millis_between(now, self.arrived);
         let (waited, first) = (since_arrival(self.first_sent), since_arrival(self.first_data));
-        let fields: [(&str, &dyn Display); 9] = [
+        let framing = self.framing.map_or("-", BodyFraming::as_str);
+        let fields: [(&str, &dyn Display); 10] = [
             ("outcome", &outcome),
             ("status", &self.status),
             ("route", &self.route),
             ("generation", &self.generation),
             ("endpoint", &endpoint),
+            ("framing", &framing),
             ("sent", &self.sent),
             ("waited_ms", &waited),
             ("first_ms", &first),
--- a/dogwoodtray_gateway/src/net/events.rs
+++ b/dogwoodtray_gateway/src/net/events.rs
@@ -1,8 +1,8 @@
 //! Parsing of server-sent event streams.
 
 use bytes::Bytes;
-use dogwoodtray_runtime::EventSplitter;
-use dogwoodtray_runtime::EventTooLarge;
+use dogwoodtray_http::EventSplitter;
+use dogwoodtray_http::EventTooLarge;
 
 /// One complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/dogwoodtray_runtime/src/event_splitter.rs
+++ b/dogwoodtray_http/src/event_splitter.rs
@@ -4,7 +4,7 @@
 use bytes::BytesMut;
 use quick_error::quick_error;
 
-const EVENT_SEPARATOR: &[u8] = b"\n\n";
+const EVENT_SEPARATORS: [&[u8]; 1] = [b"\n\n"];
 
 /// Maximum size of an event in bytes. Events of engines hold a few tokens; a peer that sends bytes
 /// without the end of an event must not fill the memory.
@@ -21,13 +21,19 @@
     }
 }
 
+/// Returns `true` if the last byte ends an event.
+pub(crate) fn ends_event(bytes: &[u8]) -> bool {
+    matches!(bytes.last(), Some(b'\n' | b'\r'))
+        && EVENT_SEPARATORS.iter().any(|separator| bytes.ends_with(separator))
+}
+
 /// Splits a stream of server-sent events into complete events. An incomplete event is buffered until
 /// its end arrives, and each byte is searched once.
 ///
 /// # Examples
 ///
 /// ```
-/// use dogwoodtray_runtime::EventSplitter;
+/// use dogwoodtray_http::EventSplitter;
 ///
 /// let mut splitter = EventSplitter::default();
 /// splitter.push(b"data: a\n\ndata");
@@ -55,13 +61,10 @@
     /// Returns an error if the incomplete event exceeds [`MAX_EVENT_BYTES`]. The stream is unusable
     /// then.
     pub fn next_event(&mut self) -> Result<Option<Bytes>, EventTooLarge> {
-        // The separator may have begun in the bytes that were searched before.
-        let from = self.searched.saturating_sub(EVENT_SEPARATOR.len() - 1);
-        let mut windows = self.buf[from..].windows(EVENT_SEPARATOR.len());
-        if let Some(position) = windows.position(|window| window == EVENT_SEPARATOR) {
+        let mut unsearched = self.searched..self.buf.len();
+        if let Some(last) = unsearched.find(|last| ends_event(&self.buf[..=*last])) {
             self.searched = 0;
-            let end = from + position + EVENT_SEPARATOR.len();
-            return Ok(Some(self.buf.split_to(end).freeze()));
+            return Ok(Some(self.buf.split_to(last + 1).freeze()));
         }
         self.searched = self.buf.len();
         if self.buf.len() > MAX_EVENT_BYTES { Err(EventTooLarge::NoEnd) } else { Ok(None) }
--- a/dogwoodtray_gateway/src/net/upstream.rs
+++ b/dogwoodtray_http/src/exchange.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::Response;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -27,9 +28,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Timeout of connecting to an endpoint. A round trip takes 2 ms and the endpoint 1 ms more; a
-/// packet that is dropped because the accept queue is full is retransmitted only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+use crate::end::AnswerKind;
+use crate::end::BodyFraming;
+use crate::end::BodyKind;
+use crate::end::EndCheck;
 
 /// Time after which the kernel closes a connection whose peer does not acknowledge data.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -56,28 +58,55 @@
     }
 }
 
+/// How a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct SendConfig {
+    /// Kind of answer that the request asks for.
+    pub kind: AnswerKind,
+    /// Time in which the connection has to be established.
+    pub connect_timeout: Duration,
+}
+
 /// Response of an endpoint.
 #[derive(Debug)]
-pub(crate) struct Exchange {
+pub struct Exchange {
     /// Head of the response.
-    pub(crate) parts: Parts,
+    pub parts: Parts,
     /// Body of the response; dropping it closes the connection.
-    pub(crate) body: UpstreamBody,
+    pub body: AnswerBody,
+}
+
+impl Exchange {
+    /// Wraps a response to a request for this kind of answer, whose connection is polled elsewhere.
+    #[must_use]
+    pub fn new(response: Response<Incoming>, kind: AnswerKind) -> Self {
+        let (parts, incoming) = response.into_parts();
+        let framing = BodyFraming::new(&parts.headers, incoming.size_hint().exact());
+        let check = EndCheck::new(framing, BodyKind::new(kind, &parts));
+        Self { parts, body: AnswerBody { connection: None, incoming, check } }
+    }
 }
 
-/// Body of a response, with the connection on which it is received.
+/// Body of a response.
 #[derive(Debug)]
-pub(crate) struct UpstreamBody {
+pub struct AnswerBody {
+    /// Connection on which the body is received, if it is polled by the reader of the body.
     connection: Option<Pin<Box<Connection>>>,
     incoming: Incoming,
+    check: EndCheck,
 }
 
 /// Sends a request on a new connection and waits for the head of the response.
-pub(crate) async fn send(
+///
+/// # Errors
+///
+/// Returns an error if no connection can be established or it fails before the head of the response.
+pub async fn send(
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
+    cfg: SendConfig,
 ) -> Result<Exchange, SendError> {
-    let stream = connect(addr).await.map_err(SendError::NotSent)?;
+    let stream = connect(addr, cfg.connect_timeout).await.map_err(SendError::NotSent)?;
     let handshake =
         http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake.await.map_err(SendError::Lost)?;
@@ -93,19 +122,25 @@
             _ = &mut connection, if is_open => is_open = false,
         }
     };
-    let (parts, incoming) = response.into_parts();
-    let connection = is_open.then_some(connection);
-    Ok(Exchange { parts, body: UpstreamBody { connection, incoming } })
+    let mut exchange = Exchange::new(response, cfg.kind);
+    exchange.body.connection = is_open.then_some(connection);
+    Ok(exchange)
 }
 
 /// Returns `true` if nothing listens at the address any more. An endpoint that only reset a connection
 /// or cannot be reached does not count.
-pub(crate) async fn is_refused(addr: SocketAddr) -> bool {
-    connect(addr).await.is_err_and(|err| err.kind() == io::ErrorKind::ConnectionRefused)
+pub async fn is_refused(addr: SocketAddr, connect_timeout: Duration) -> bool {
+    let connected = connect(addr, connect_timeout).await;
+    connected.is_err_and(|err| err.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
+/// Opens a connection to an endpoint.
+///
+/// # Errors
+///
+/// Returns an error if the connection is not established in time.
+pub async fn connect(addr: SocketAddr, connect_timeout: Duration) -> io::Result<TcpStream> {
+    let stream = timeout(connect_timeout, TcpStream::connect(addr))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
@@ -113,14 +148,39 @@
     Ok(stream)
 }
 
-impl UpstreamBody {
+impl AnswerBody {
     /// Returns the upper bound of the body length, if the head of the response specifies one.
-    pub(crate) fn size_hint_upper(&self) -> Option<u64> {
+    #[must_use]
+    pub fn size_hint_upper(&self) -> Option<u64> {
         self.incoming.size_hint().upper()
     }
+
+    /// Returns how the head of the response delimits the body.
+    #[must_use]
+    pub const fn framing(&self) -> BodyFraming {
+        self.check.framing()
+    }
+
+    fn observe(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        match &frame {
+            Some(Ok(frame)) => self.check.push(frame.data_ref().map_or(&[], |data| data)),
+            Some(Err(_)) => {}
+            None => {
+                if let Err(truncation) = self.check.verify() {
+                    let reason = truncation.label();
+                    metrics::counter!("dogwoodtray_truncated_answers_total", "reason" => reason)
+                        .increment(1);
+                }
+            }
+        }
+        frame
+    }
 }
 
-impl Body for UpstreamBody {
+impl Body for AnswerBody {
     type Data = Bytes;
     type Error = hyper::Error;
 
@@ -130,14 +190,14 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let this = &mut *self;
         if let Poll::Ready(frame) = Pin::new(&mut this.incoming).poll_frame(cx) {
-            return Poll::Ready(frame);
+            return Poll::Ready(this.observe(frame));
         }
         if let Some(connection) = &mut this.connection
             && connection.as_mut().poll(cx).is_ready()
         {
             this.connection = None;
         }
-        Pin::new(&mut this.incoming).poll_frame(cx)
+        Pin::new(&mut this.incoming).poll_frame(cx).map(|frame| this.observe(frame))
     }
 
     fn is_end_stream(&self) -> bool {
--- /dev/null
+++ b/dogwoodtray_http/src/lib.rs
@@ -0,0 +1,24 @@
+//! HTTP exchanges with endpoints, and what the end of an answer proves.
+//!
+//! [`EndCheck`] decides whether an answer is complete. [`AnswerBody`] applies it to each answer of an
+//! endpoint, so that its reader gets an error where the answer was broken off.
+
+mod end;
+mod event_splitter;
+mod exchange;
+
+pub use crate::end::AnswerKind;
+pub use crate::end::BodyFraming;
+pub use crate::end::BodyKind;
+pub use crate::end::EndCheck;
+pub use crate::end::Truncation;
+pub use crate::event_splitter::EventSplitter;
+pub use crate::event_splitter::EventTooLarge;
+pub use crate::event_splitter::MAX_EVENT_BYTES;
+pub use crate::exchange::AnswerBody;
+pub use crate::exchange::Exchange;
+pub use crate::exchange::SendConfig;
+pub use crate::exchange::SendError;
+pub use crate::exchange::connect;
+pub use crate::exchange::is_refused;
+pub use crate::exchange::send;
--- a/dogwoodtray_runtime/tests/event_splitter.rs
+++ b/dogwoodtray_http/tests/event_splitter.rs
@@ -2,9 +2,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use dogwoodtray_runtime::EventSplitter;
-use dogwoodtray_runtime::EventTooLarge;
-use dogwoodtray_runtime::MAX_EVENT_BYTES;
+use dogwoodtray_http::EventSplitter;
+use dogwoodtray_http::EventTooLarge;
+use dogwoodtray_http::MAX_EVENT_BYTES;
 use quickcheck::quickcheck;
 
 /// Returns all complete events and the rest of a stream that arrives in parts of these sizes.
--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -5,7 +5,6 @@
 //! the sockets and send events to the mailboxes of services.
 
 mod convert;
-mod event_splitter;
 mod events;
 mod link;
 mod log_writer;
@@ -21,9 +20,6 @@
 pub use crate::convert::crashed_run;
 pub use crate::convert::evidence_from_wire;
 pub use crate::convert::evidence_to_wire;
-pub use crate::event_splitter::EventSplitter;
-pub use crate::event_splitter::EventTooLarge;
-pub use crate::event_splitter::MAX_EVENT_BYTES;
 pub use crate::events::EventCode;
 pub use crate::events::EventLog;
 pub use crate::events::EventRecord;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub use dogwoodtray_coord as coord;
 pub use dogwoodtray_entry as entry;
 pub use dogwoodtray_gateway as gateway;
+pub use dogwoodtray_http as http;
 pub use dogwoodtray_load as load;
 pub use dogwoodtray_platform as platform;
 pub use dogwoodtray_policy as policy;
