--- /dev/null
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -0,0 +1,215 @@
+//! Tests of what callers and drivers take for the end of an answer.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod support;
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use support::HOST;
+use support::Scripted;
+use support::Site;
+use support::head;
+use support::run_local;
+use support::stream;
+use support::submission;
+use support::wait_until;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Time after which both endpoints are used again after a failure.
+const AVOIDANCE_TIME: Duration = Duration::from_millis(900);
+
+/// Ends of a body within an event.
+const PARTS_OF_EVENTS: [&str; 4] = ["id: 2\nda", "id: 2\ndata: e2\n", ":", "data: [DONE]\r"];
+
+/// Returns a whole answer with these headers and this body.
+fn answer(headers: &str, body: &str) -> String {
+    head(200) + headers + "\r\n" + body
+}
+
+/// Returns an answer in each framing that HTTP allows.
+fn framed(body: &str) -> [(&'static str, String); 3] {
+    let length = format!("content-length: {}\r\n", body.len());
+    let chunks = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+    [
+        ("connection", answer("", body)),
+        ("length", answer(&length, body)),
+        ("chunks", answer("transfer-encoding: chunked\r\n", &chunks)),
+    ]
+}
+
+/// Guards against a stream that was broken off within an event and looks complete.
+#[test]
+fn a_stream_that_ends_within_an_event_does_not_look_complete() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "engine", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for path in ["/stream/x", "/resume/x"] {
+            for (index, part) in PARTS_OF_EVENTS.iter().enumerate() {
+                let framings = framed(&format!("id: 1\ndata: e1\n\n{part}"));
+                let count = if index == 0 { framings.len() } else { 1 };
+                for (framing, text) in framings.into_iter().take(count) {
+                    endpoints.set(&[&text]);
+                    let response = site.post(path, "r1", "slip").await;
+                    assert!(!response.complete, "{path}, {framing}, {part:?}");
+                    let events = "id: 1\ndata: e1\n\n";
+                    assert!(response.body.starts_with(events), "{path}, {framing}, {part:?}");
+                    sleep(AVOIDANCE_TIME).await;
+                }
+            }
+        }
+    });
+}
+
+/// Guards against an empty stream that looks complete although nothing says so.
+#[test]
+fn a_stream_without_events_and_framing_does_not_look_complete() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "engine", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for path in ["/stream/x", "/resume/x"] {
+            endpoints.set(&[&answer("", "")]);
+            let response = site.post(path, "r1", "slip").await;
+            assert!(!response.complete, "{path}");
+            sleep(AVOIDANCE_TIME).await;
+        }
+    });
+}
+
+/// Guards against a part of an event in an answer of a route without streams.
+#[test]
+fn events_of_a_plain_service_that_end_within_one_do_not_look_complete() {
+    run_local(async {
+        let site = Site::new();
+        let ledgers = Scripted::start(&site, "ledger", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        let cut = answer("content-type: text/event-stream\r\n", "data: a\n\nda");
+        ledgers.set(&[&cut]);
+        assert!(!site.post("/once/x", "r1", "payout").await.complete);
+        sleep(AVOIDANCE_TIME).await;
+        let whole = answer("content-type: text/event-stream\r\n", "data: a\n\n");
+        ledgers.set(&[&cut, &whole]);
+        let response = site.post("/plain/x", "r2", "lookup").await;
+        assert!(response.complete);
+        assert_eq!(response.body, "data: a\n\n");
+    });
+}
+
+/// Guards against a whole answer without length and chunks that is cut or repeated.
+#[test]
+fn a_whole_answer_without_framing_reaches_its_caller() {
+    run_local(async {
+        let site = Site::new();
+        let engines = Scripted::start(&site, "engine", &[""]).await;
+        let ledgers = Scripted::start(&site, "ledger", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for (endpoints, path, body) in [
+            (&engines, "/stream/x", "id: 1\ndata: e1\n\n"),
+            (&engines, "/resume/x", "id: 1\ndata: e1\n\n"),
+            (&ledgers, "/plain/x", "half"),
+            (&ledgers, "/once/x", "half"),
+        ] {
+            endpoints.set(&[&answer("", body)]);
+            let response = site.post(path, "r1", "slip").await;
+            assert!(response.complete, "{path}");
+            assert_eq!(response.body, body, "{path}");
+            assert_eq!(endpoints.received.get(), 1, "{path}");
+        }
+    });
+}
+
+/// Guards against an answer that looks complete because all its bytes were read before the reset.
+#[test]
+fn an_answer_without_framing_that_is_reset_does_not_look_complete() {
+    run_local(async {
+        let site = Site::new();
+        let engines = Scripted::start(&site, "engine", &[""]).await;
+        let ledgers = Scripted::start(&site, "ledger", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for (endpoints, path, body) in [
+            (&engines, "/stream/x", "id: 1\ndata: e1\n\n"),
+            (&engines, "/resume/x", "id: 1\ndata: e1\n\n"),
+            (&ledgers, "/once/x", "half"),
+            (&ledgers, "/plain/x", "half"),
+        ] {
+            endpoints.resets.set(true);
+            endpoints.set(&[&answer("", body)]);
+            let response = site.post(path, "r1", "slip").await;
+            assert!(!response.complete || response.status.is_server_error(), "{path}");
+            sleep(AVOIDANCE_TIME).await;
+        }
+    });
+}
+
+/// Guards against a result of an item that lacks the events after a break.
+#[test]
+fn an_item_whose_stream_ends_within_an_event_is_resumed() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "engine", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        endpoints.set(&[
+            &answer("", ""),
+            &answer("", "id: 1\ndata: e1\n\nid: 2\ndata: e2\n"),
+            &stream(2..=3, true),
+        ]);
+        site.post("/job/x", "j1", &submission(&["a"])).await;
+        wait_until("all answers were sent", || endpoints.received.get() >= 3).await;
+        sleep(Duration::from_millis(500)).await;
+        let page = site.get("/api/lots/j1?after=0").await;
+        assert!(page.body.contains(r#""output":"e1\ne2\ne3""#), "{}", page.body);
+    });
+}
+
+/// Sends a request of HTTP/1.0. Returns the answer up to the end of the connection, and how it ended.
+async fn post_http10(to: SocketAddr, path: &str) -> (String, io::Result<usize>) {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let request = format!(
+        "POST {path} HTTP/1.0\r\nhost: {HOST}\r\nattempt-id: r1\r\ndeadline-ms: 4000\r\n\
+         content-length: 4\r\n\r\nslip"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let ended = loop {
+        match stream.read_buf(&mut received).await {
+            Ok(0) => break Ok(received.len()),
+            Ok(_) => {}
+            Err(err) => break Err(err),
+        }
+    };
+    (String::from_utf8(received).unwrap(), ended)
+}
+
+/// Guards against a broken answer that a caller of HTTP/1.0 takes for a complete one.
+#[test]
+fn a_caller_of_http_1_0_can_tell_a_broken_answer_from_a_complete_one() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "engine", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for path in ["/stream/x", "/resume/x"] {
+            endpoints.set(&[&stream(1..=2, true)]);
+            let (text, ended) = post_http10(site.caller_addr, path).await;
+            assert!(text.ends_with("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"), "{path}: {text}");
+            assert!(ended.is_ok(), "{path}: {ended:?}");
+            endpoints.set(&[&stream(1..=1, false)]);
+            let (_, ended) = post_http10(site.caller_addr, path).await;
+            assert_eq!(ended.unwrap_err().kind(), io::ErrorKind::ConnectionReset, "{path}");
+            sleep(AVOIDANCE_TIME).await;
+        }
+    });
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 #[path = "../../../platform/tests/standin/body.rs"]
 mod body;
 mod crashing;
+mod scripted;
 #[path = "../../../platform/tests/standin/site.rs"]
 mod site;
 
@@ -55,6 +56,10 @@
 pub(crate) use self::crashing::Counts;
 pub(crate) use self::crashing::start_crashing;
 pub(crate) use self::crashing::start_crashing_with;
+pub(crate) use self::scripted::Scripted;
+pub(crate) use self::scripted::error;
+pub(crate) use self::scripted::head;
+pub(crate) use self::scripted::stream;
 pub(crate) use self::site::HOST;
 pub(crate) use self::site::config;
 pub(crate) use self::site::submission;
