Let one check decide what the end of an endpoint's answer proves

An endpoint without length and chunks ends its answer with its connection; the path that forwards bytes took each such end for the end of the answer, while the paths that parse events looked for the rest of one. The same with a stated length or with chunks that end within an event, for events on plain routes, and for an empty stream without framing, which also completed an item with no output.

AnswerBody now ends without an error only where EndCheck finds the answer complete, so each reader of it (forwarded, buffered, resumed, items) sees the same. The checks of the single paths are gone. The length of a stream is not forwarded, as a caller that has all its bytes would not see the break.

Where the events arrive together with the break, the HTTP server dropped them with the head of the answer; the error of a body now follows one poll later.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -423,11 +423,6 @@
     loop {
         let idle_until = last_event_at + ITEM_IDLE_TIMEOUT;
         let (place_outcome, reason) = match timeout_at(idle_until, body.frame()).await {
-            Ok(None) if parser.has_partial_event() => {
-                let reason = "part of an event";
-                let outcome = broken_off(observed, &reason).await;
-                return (outcome, PlaceOutcome::Withdrawn, reason.to_owned());
-            }
             Ok(None) => {
                 // Clears the parts that it shares with other requests.
                 observed.on_completed();
--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -17,6 +17,7 @@
 use super::run::Run;
 use super::trace::Trace;
 use crate::net::AnswerBody;
+use crate::net::AnswerError;
 
 quick_error! {
     /// Error that ends a response before it is complete. The connection to the caller is closed, so
@@ -24,7 +25,7 @@
     #[derive(Debug)]
     pub enum BodyError {
         /// The exchange with the endpoint failed.
-        Upstream(err: hyper::Error) {
+        Upstream(err: AnswerError) {
             display("the response of the endpoint was interrupted: {err}")
             source(err)
             from()
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -7,6 +7,7 @@
 use http_body_util::Limited;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header;
 use hyper::http::response::Parts;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -19,6 +20,7 @@
 use super::run::Run;
 use super::stream;
 use crate::model::RouteKind;
+use crate::net::BodyKind;
 use crate::net::Exchange;
 use crate::request::place_outcome;
 use crate::request::strip_hop_by_hop_headers;
@@ -60,7 +62,7 @@
     run: Run,
 ) -> GatewayResponse {
     let complete_outcome = place_outcome(exchange.parts.status);
-    let parts = response_head(exchange.parts);
+    let parts = response_head(exchange.parts, exchange.body.kind());
     attempts.trace.on_status(parts.status.as_u16());
     let proxied = ProxiedBody {
         complete_outcome,
@@ -73,9 +75,13 @@
 }
 
 /// Prepares the head of an endpoint's response for the caller. Replaces the statuses by which
-/// callers conclude that a request did not run: this endpoint may have run it.
-pub(crate) fn response_head(mut parts: Parts) -> Parts {
+/// callers conclude that a request did not run: this endpoint may have run it. The length of a
+/// stream is left out, as one that breaks off may have it.
+pub(crate) fn response_head(mut parts: Parts, body: BodyKind) -> Parts {
     strip_hop_by_hop_headers(&mut parts.headers);
+    if body != BodyKind::Opaque {
+        parts.headers.remove(header::CONTENT_LENGTH);
+    }
     let not_run_statuses = [
         StatusCode::REQUEST_TIMEOUT,
         StatusCode::TOO_MANY_REQUESTS,
@@ -129,6 +135,7 @@
     exchange: Exchange,
     mut run: Run,
 ) -> Result<GatewayResponse, AttemptError> {
+    let kind = exchange.body.kind();
     let body = Limited::new(exchange.body, MAX_BUFFERED_BYTES);
     let bytes: Bytes = match timeout(attempts.remaining(), body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
@@ -142,7 +149,7 @@
     };
     run.on_completed();
     run.set_outcome(place_outcome(exchange.parts.status));
-    let parts = response_head(exchange.parts);
+    let parts = response_head(exchange.parts, kind);
     attempts.trace.on_status(parts.status.as_u16());
     attempts.trace.on_data();
     attempts.trace.finish("answered");
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_http::FlushBeforeError;
 use dogwoodtray_runtime::MetricsHandle;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -144,7 +145,7 @@
     let limits = node.directory.borrow().config().map(|config| config.limits).unwrap_or_default();
     let service = service_fn(|req| {
         let node = Rc::clone(&node);
-        async move { Ok::<_, Infallible>(handle(&node, req).await) }
+        async move { Ok::<_, Infallible>(handle(&node, req).await.map(FlushBeforeError::new)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -75,7 +75,7 @@
 /// Starts the task that forwards the events, and returns the response with its channel.
 fn start_stream(mut attempts: Attempts, exchange: Exchange, run: Run) -> GatewayResponse {
     let (tx, rx) = mpsc::channel(EVENT_CHANNEL_CAPACITY);
-    let parts = response_head(exchange.parts);
+    let parts = response_head(exchange.parts, exchange.body.kind());
     attempts.trace.on_status(parts.status.as_u16());
     let body = exchange.body;
     spawn_local(async move {
@@ -160,11 +160,10 @@
         let limit = attempts.remaining().min(idle_timeout.saturating_sub(last_event_at.elapsed()));
         let frame = match timeout(limit, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) if !parser.has_partial_event() => return ExchangeOutcome::Completed,
-            Ok(Some(Err(_)) | None) => {
-                let reason = "stream broken off";
-                run.on_broken_off(&reason);
-                return ExchangeOutcome::Interrupted(reason);
+            Ok(None) => return ExchangeOutcome::Completed,
+            Ok(Some(Err(err))) => {
+                run.on_broken_off(&err);
+                return ExchangeOutcome::Interrupted("stream broken off");
             }
             Err(_) => return ExchangeOutcome::Interrupted("no event in time"),
         };
--- a/dogwoodtray_gateway/src/net/events.rs
+++ b/dogwoodtray_gateway/src/net/events.rs
@@ -81,10 +81,4 @@
     pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLarge> {
         Ok(self.splitter.next_event()?.map(|raw| StreamEvent { raw }))
     }
-
-    /// Returns `true` if an incomplete event is buffered.
-    #[must_use]
-    pub fn has_partial_event(&self) -> bool {
-        self.splitter.has_partial_event()
-    }
 }
--- a/dogwoodtray_gateway/src/net/mod.rs
+++ b/dogwoodtray_gateway/src/net/mod.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 pub(crate) use dogwoodtray_http::AnswerBody;
+pub(crate) use dogwoodtray_http::AnswerError;
 pub(crate) use dogwoodtray_http::AnswerKind;
+pub(crate) use dogwoodtray_http::BodyKind;
 pub(crate) use dogwoodtray_http::Exchange;
 use dogwoodtray_http::SendConfig;
 pub(crate) use dogwoodtray_http::SendError;
--- a/dogwoodtray_http/src/end.rs
+++ b/dogwoodtray_http/src/end.rs
@@ -168,6 +168,12 @@
         self.framing
     }
 
+    /// Returns the structure of the body.
+    #[must_use]
+    pub const fn kind(&self) -> BodyKind {
+        self.kind
+    }
+
     /// Records a received part of the body.
     pub fn push(&mut self, data: &[u8]) {
         self.received += data.len() as u64;
--- a/dogwoodtray_http/src/event_splitter.rs
+++ b/dogwoodtray_http/src/event_splitter.rs
@@ -70,12 +70,6 @@
         if self.buf.len() > MAX_EVENT_BYTES { Err(EventTooLarge::NoEnd) } else { Ok(None) }
     }
 
-    /// Returns `true` if an incomplete event is buffered.
-    #[must_use]
-    pub fn has_partial_event(&self) -> bool {
-        !self.buf.is_empty()
-    }
-
     /// Returns the bytes after the last complete event, at the end of the stream.
     pub fn take_rest(&mut self) -> Option<Bytes> {
         self.searched = 0;
--- a/dogwoodtray_http/src/exchange.rs
+++ b/dogwoodtray_http/src/exchange.rs
@@ -32,6 +32,7 @@
 use crate::end::BodyFraming;
 use crate::end::BodyKind;
 use crate::end::EndCheck;
+use crate::end::Truncation;
 
 /// Time after which the kernel closes a connection whose peer does not acknowledge data.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -58,6 +59,25 @@
     }
 }
 
+quick_error! {
+    /// Error that ends the body of an answer before the answer is complete.
+    #[derive(Debug)]
+    pub enum AnswerError {
+        /// The connection failed, or its framing broke off.
+        Connection(err: hyper::Error) {
+            display("{err}")
+            source(err)
+            from()
+        }
+        /// The end of the body does not prove that the answer is complete.
+        Truncated(err: Truncation) {
+            display("{err}")
+            source(err)
+            from()
+        }
+    }
+}
+
 /// How a request is sent.
 #[derive(Clone, Copy, Debug)]
 pub struct SendConfig {
@@ -87,7 +107,7 @@
     }
 }
 
-/// Body of a response.
+/// Body of a response. It ends without an error only if the response is complete.
 #[derive(Debug)]
 pub struct AnswerBody {
     /// Connection on which the body is received, if it is polled by the reader of the body.
@@ -161,50 +181,62 @@
         self.check.framing()
     }
 
-    fn observe(
+    /// Returns the structure of the body.
+    #[must_use]
+    pub const fn kind(&self) -> BodyKind {
+        self.check.kind()
+    }
+
+    /// Checks a frame of the body, or its end.
+    fn check(
         &mut self,
         frame: Option<Result<Frame<Bytes>, hyper::Error>>,
-    ) -> Option<Result<Frame<Bytes>, hyper::Error>> {
-        match &frame {
-            Some(Ok(frame)) => self.check.push(frame.data_ref().map_or(&[], |data| data)),
-            Some(Err(_)) => {}
-            None => {
-                if let Err(truncation) = self.check.verify() {
-                    let reason = truncation.label();
-                    metrics::counter!("dogwoodtray_truncated_answers_total", "reason" => reason)
-                        .increment(1);
-                }
-            }
+    ) -> Option<Result<Frame<Bytes>, AnswerError>> {
+        let Some(frame) = frame else {
+            let truncation = self.check.verify().err()?;
+            let reason = truncation.label();
+            metrics::counter!("dogwoodtray_truncated_answers_total", "reason" => reason)
+                .increment(1);
+            return Some(Err(truncation.into()));
+        };
+        if let Ok(frame) = &frame
+            && let Some(data) = frame.data_ref()
+        {
+            self.check.push(data);
         }
-        frame
+        Some(frame.map_err(AnswerError::from))
     }
 }
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = AnswerError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         let this = &mut *self;
         if let Poll::Ready(frame) = Pin::new(&mut this.incoming).poll_frame(cx) {
-            return Poll::Ready(this.observe(frame));
+            return Poll::Ready(this.check(frame));
         }
         if let Some(connection) = &mut this.connection
             && connection.as_mut().poll(cx).is_ready()
         {
             this.connection = None;
         }
-        Pin::new(&mut this.incoming).poll_frame(cx).map(|frame| this.observe(frame))
+        Pin::new(&mut this.incoming).poll_frame(cx).map(|frame| this.check(frame))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+        self.incoming.is_end_stream() && self.check.verify().is_ok()
     }
 
+    /// Returns no length for a stream: one that has its stated length may still end within an event.
     fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
+        match self.kind() {
+            BodyKind::Opaque => self.incoming.size_hint(),
+            BodyKind::Events | BodyKind::AnnouncedEvents => SizeHint::default(),
+        }
     }
 }
--- a/dogwoodtray_http/src/lib.rs
+++ b/dogwoodtray_http/src/lib.rs
@@ -3,10 +3,12 @@
 //! [`EndCheck`] decides whether an answer is complete. [`AnswerBody`] applies it to each answer of an
 //! endpoint, so that its reader gets an error where the answer was broken off.
 
+mod break_off;
 mod end;
 mod event_splitter;
 mod exchange;
 
+pub use crate::break_off::FlushBeforeError;
 pub use crate::end::AnswerKind;
 pub use crate::end::BodyFraming;
 pub use crate::end::BodyKind;
@@ -16,6 +18,7 @@
 pub use crate::event_splitter::EventTooLarge;
 pub use crate::event_splitter::MAX_EVENT_BYTES;
 pub use crate::exchange::AnswerBody;
+pub use crate::exchange::AnswerError;
 pub use crate::exchange::Exchange;
 pub use crate::exchange::SendConfig;
 pub use crate::exchange::SendError;
