Reset the connection of a caller of HTTP/1.0 whose answer breaks off

CallerStream sets the socket to reset on close while a request of HTTP/1.0 is being answered. The HTTP server shuts the connection down after a complete answer only, which takes the setting back. A process that is killed within an answer resets it as well, as the kernel closes the socket.

--- a/dogwoodtray_entry/src/http/server.rs
+++ b/dogwoodtray_entry/src/http/server.rs
@@ -9,6 +9,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use dogwoodtray_http::CallerStream;
+use dogwoodtray_http::FlushBeforeError;
 use dogwoodtray_runtime::catalogue;
 use hyper::Method;
 use hyper::Request;
@@ -76,7 +78,12 @@
 async fn serve(stream: TcpStream, shared: SharedState) {
     // Token events are small, and Nagle's algorithm would delay them.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |req| handle_request(Arc::clone(&shared), req));
+    let (stream, versions) = CallerStream::new(stream);
+    let service = service_fn(move |req: Request<Incoming>| {
+        versions.on_request(req.version());
+        let shared = Arc::clone(&shared);
+        async move { Ok::<_, Infallible>(handle_request(shared, req).await.map(FlushBeforeError::new)) }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
@@ -85,13 +92,10 @@
     let _ = connection.await;
 }
 
-async fn handle_request(
-    shared: SharedState,
-    req: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
+async fn handle_request(shared: SharedState, req: Request<Incoming>) -> Response<ResponseBody> {
     let headers = match CallerHeaders::parse(&shared, req.headers()) {
         Ok(headers) => headers,
-        Err(err) => return Ok(err.response("")),
+        Err(err) => return err.response(""),
     };
     let id = headers.request_id.clone();
     let mut response = match route(&shared, headers, req).await {
@@ -113,7 +117,7 @@
         let close = hyper::header::HeaderValue::from_static("close");
         response.headers_mut().insert(hyper::header::CONNECTION, close);
     }
-    Ok(response)
+    response
 }
 
 async fn route(
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_http::CallerStream;
 use dogwoodtray_http::FlushBeforeError;
 use dogwoodtray_runtime::MetricsHandle;
 use http_body_util::BodyExt;
@@ -143,7 +144,9 @@
         return;
     }
     let limits = node.directory.borrow().config().map(|config| config.limits).unwrap_or_default();
+    let (stream, versions) = CallerStream::new(stream);
     let service = service_fn(|req| {
+        versions.on_request(req.version());
         let node = Rc::clone(&node);
         async move { Ok::<_, Infallible>(handle(&node, req).await.map(FlushBeforeError::new)) }
     });
--- /dev/null
+++ b/dogwoodtray_http/src/caller_stream.rs
@@ -0,0 +1,111 @@
+//! Connections of callers whose answers may end with the connection.
+
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use hyper::Version;
+use socket2::SockRef;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Connection of a caller.
+///
+/// An answer to a request of HTTP/1.0 may end with the connection. While one is incomplete, closing the
+/// connection resets it, also if the process is killed, so that the caller can tell a break from the
+/// end. The HTTP server shuts a connection down after a complete answer only.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: TcpStream,
+    is_reset_wanted: Arc<AtomicBool>,
+    is_reset_set: bool,
+}
+
+/// Handle by which the requests of a connection are made known to its [`CallerStream`].
+#[derive(Clone, Debug)]
+pub struct RequestVersions {
+    is_reset_wanted: Arc<AtomicBool>,
+}
+
+impl RequestVersions {
+    /// Records that a request of this version of HTTP is about to be answered.
+    pub fn on_request(&self, version: Version) {
+        self.is_reset_wanted.store(version < Version::HTTP_11, Ordering::Relaxed);
+    }
+}
+
+impl CallerStream {
+    /// Wraps an accepted connection.
+    #[must_use]
+    pub fn new(stream: TcpStream) -> (Self, RequestVersions) {
+        let is_reset_wanted = Arc::new(AtomicBool::new(false));
+        let versions = RequestVersions { is_reset_wanted: Arc::clone(&is_reset_wanted) };
+        (Self { stream, is_reset_wanted, is_reset_set: false }, versions)
+    }
+
+    /// Sets whether closing the connection resets it.
+    fn set_reset(&mut self, reset: bool) -> io::Result<()> {
+        if self.is_reset_set != reset {
+            SockRef::from(&self.stream).set_linger(reset.then_some(Duration::ZERO))?;
+            self.is_reset_set = reset;
+        }
+        Ok(())
+    }
+
+    fn before_write(&mut self) -> io::Result<()> {
+        let reset = self.is_reset_wanted.load(Ordering::Relaxed);
+        self.set_reset(reset)
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.before_write()?;
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.before_write()?;
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        Poll::Ready(self.set_reset(false))
+    }
+}
--- a/dogwoodtray_http/src/lib.rs
+++ b/dogwoodtray_http/src/lib.rs
@@ -4,11 +4,14 @@
 //! endpoint, so that its reader gets an error where the answer was broken off.
 
 mod break_off;
+mod caller_stream;
 mod end;
 mod event_splitter;
 mod exchange;
 
 pub use crate::break_off::FlushBeforeError;
+pub use crate::caller_stream::CallerStream;
+pub use crate::caller_stream::RequestVersions;
 pub use crate::end::AnswerKind;
 pub use crate::end::BodyFraming;
 pub use crate::end::BodyKind;
