Accept each standard line end in event streams

A sound stream whose lines end with CR and LF was broken off on resumable routes and in items, as the parsers knew LF only; on other routes its end would now count as one within an event. The standard of server-sent events allows LF, CR and both. The splitter, the check of the end and the parsers of gateway, entry and load tool share this now.

--- a/dogwoodtray_entry/src/shell/chat_answer.rs
+++ b/dogwoodtray_entry/src/shell/chat_answer.rs
@@ -19,7 +19,7 @@
 impl ChatAnswer {
     /// Appends complete server-sent events.
     pub(crate) fn push(&mut self, events: &[u8]) {
-        for line in String::from_utf8_lossy(events).lines() {
+        for line in String::from_utf8_lossy(events).split(['\n', '\r']) {
             if let Some(data) = line.strip_prefix(DATA_FIELD) {
                 self.push_event(data.trim());
             }
--- a/dogwoodtray_gateway/src/net/events.rs
+++ b/dogwoodtray_gateway/src/net/events.rs
@@ -37,7 +37,7 @@
     }
 
     fn lines(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
-        self.raw.split(|byte| *byte == b'\n').filter_map(|line| {
+        self.raw.split(|byte| matches!(byte, b'\n' | b'\r')).filter_map(|line| {
             let colon = line.iter().position(|byte| *byte == b':')?;
             let value = &line[colon + 1..];
             Some((&line[..colon], value.strip_prefix(b" ").unwrap_or(value)))
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -129,6 +129,35 @@
     });
 }
 
+/// Guards against a sound stream that is broken off, or loses ids, because its lines end with CR.
+#[test]
+fn lines_may_end_with_each_of_the_standard_ends() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "engine", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        for (number, end) in ["\r\n", "\r"].into_iter().enumerate() {
+            let event = |id: u64| format!("id: {id}{end}data: e{id}{end}{end}");
+            let whole = event(1) + &event(2);
+            for path in ["/stream/x", "/resume/x"] {
+                endpoints.set(&[&answer("", &whole)]);
+                let response = site.post(path, "r1", "slip").await;
+                assert!(response.complete, "{path}, {end:?}");
+                assert_eq!(response.body, whole, "{path}, {end:?}");
+                assert_eq!(endpoints.received.get(), 1, "{path}, {end:?}");
+            }
+            endpoints.set(&[&answer("", &whole)]);
+            let job = format!("j{number}");
+            site.post("/job/x", &job, &submission(&[&format!("a{number}")])).await;
+            wait_until("the item has run", || endpoints.received.get() >= 1).await;
+            sleep(Duration::from_millis(500)).await;
+            let page = site.get(&format!("/api/lots/{job}?after=0")).await;
+            assert!(page.body.contains(r#""output":"e1\ne2""#), "{end:?}: {}", page.body);
+        }
+    });
+}
+
 /// Guards against an answer that looks complete because all its bytes were read before the reset.
 #[test]
 fn an_answer_without_framing_that_is_reset_does_not_look_complete() {
--- a/dogwoodtray_http/src/event_splitter.rs
+++ b/dogwoodtray_http/src/event_splitter.rs
@@ -4,7 +4,8 @@
 use bytes::BytesMut;
 use quick_error::quick_error;
 
-const EVENT_SEPARATORS: [&[u8]; 1] = [b"\n\n"];
+/// Ends of an event: an empty line, whether lines end with LF, CR or both.
+const EVENT_SEPARATORS: [&[u8]; 3] = [b"\n\n", b"\r\r", b"\n\r\n"];
 
 /// Maximum size of an event in bytes. Events of engines hold a few tokens; a peer that sends bytes
 /// without the end of an event must not fill the memory.
--- a/dogwoodtray_load/src/sse.rs
+++ b/dogwoodtray_load/src/sse.rs
@@ -41,7 +41,7 @@
     /// Parses the next bytes and calls `on_event` for each complete event.
     pub(crate) fn push(&mut self, bytes: &[u8], mut on_event: impl FnMut(ChatEvent)) {
         let mut rest = bytes;
-        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+        while let Some(end) = rest.iter().position(|byte| matches!(byte, b'\n' | b'\r')) {
             self.line.extend_from_slice(&rest[..end]);
             rest = &rest[end + 1..];
             if let Some(data) = self.line.strip_prefix(b"data:") {
