Complete an item whose endpoints repeatedly have nothing left to send

Since an empty answer without length and chunks proves nothing, an item whose last run broke off after its last event would be run again until its retention is over, where endpoints do not frame their answers. Three runs in turn that end without an event after the same one count as the end.

an_item_of_which_nothing_is_left_completes_without_framing guards it; without the rule the item is run without end.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -12,6 +12,7 @@
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_http::EventTooLarge;
+use dogwoodtray_http::Truncation;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_runtime::catalogue;
@@ -34,6 +35,7 @@
 use crate::contents::request_contents;
 use crate::model::JobItem;
 use crate::net::AnswerBody;
+use crate::net::AnswerError;
 use crate::net::AnswerKind;
 use crate::net::EventParser;
 use crate::net::SendError;
@@ -72,6 +74,10 @@
 /// crash.
 const CRASH_ANALYSIS_TIME: Duration = Duration::from_millis(250);
 
+/// Number of runs in turn that end without an event after the same one, by which an item is complete.
+/// An endpoint that does not frame its answers has no other way to say that nothing is left.
+const CONFIRMING_EMPTY_RUNS: u32 = 3;
+
 /// Time in which a trial has to get a place. The next trial of the same content is due 2 s later.
 const TRIAL_PLACE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -111,6 +117,8 @@
     Interrupted,
     /// The endpoint crashed, or broke off the exchange, before any output of the run.
     BrokenOffAtStart,
+    /// The endpoint sent no event after those of earlier runs, and nothing proves that none is left.
+    Empty,
 }
 
 /// Runs an item, at one endpoint after another, until it has a result.
@@ -119,6 +127,7 @@
     let due = job.due(&node);
     let mut failures = 0;
     let mut interruptions = 0;
+    let mut empty_runs = 0;
     let mut head_timeout = INITIAL_HEAD_TIMEOUT;
     let mut excluded: Vec<Name> = Vec::new();
     let Some(prepared) = PreparedItem::new(&node, &job, &item) else {
@@ -175,7 +184,17 @@
         let progress = job.outputs().longest(&item.id);
         let last_event_before = progress.borrow().last_event_id();
         let (started_at, events_before) = (node.now(), progress.borrow().event_count());
-        match run_once(&node, &job, &item, &prepared, &progress, permit, head_timeout).await {
+        let mut outcome =
+            run_once(&node, &job, &item, &prepared, &progress, permit, head_timeout).await;
+        if progress.borrow().event_count() > events_before {
+            empty_runs = 0;
+        } else if matches!(outcome, RunOutcome::Empty) {
+            empty_runs += 1;
+            if empty_runs >= CONFIRMING_EMPTY_RUNS {
+                outcome = RunOutcome::Completed;
+            }
+        }
+        match outcome {
             RunOutcome::Completed => {
                 if let Some(driver) = node.driver.get() {
                     let events = progress.borrow().event_count();
@@ -212,7 +231,7 @@
                 excluded = vec![endpoint];
                 sleep(CRASH_ANALYSIS_TIME).await;
             }
-            RunOutcome::Interrupted => {
+            RunOutcome::Interrupted | RunOutcome::Empty => {
                 interruptions = if progress.borrow().last_event_id() > last_event_before {
                     0
                 } else {
@@ -319,8 +338,13 @@
         permit.report_slow();
     }
     permit.set_outcome(place_outcome);
-    let is_retried =
-        matches!(run, RunOutcome::Failed | RunOutcome::Interrupted | RunOutcome::BrokenOffAtStart);
+    let is_retried = matches!(
+        run,
+        RunOutcome::Failed
+            | RunOutcome::Interrupted
+            | RunOutcome::BrokenOffAtStart
+            | RunOutcome::Empty
+    );
     if is_retried {
         let events = progress.borrow().event_count();
         let fields: [(&str, &dyn Display); 4] =
@@ -429,7 +453,12 @@
                 return (RunOutcome::Completed, PlaceOutcome::Answered, String::new());
             }
             Ok(Some(Err(err))) => {
-                let outcome = broken_off(observed, &err).await;
+                let mut outcome = broken_off(observed, &err).await;
+                if matches!(err, AnswerError::Truncated(Truncation::NoEvents))
+                    && progress.borrow().event_count() > 0
+                {
+                    outcome = RunOutcome::Empty;
+                }
                 return (outcome, PlaceOutcome::Withdrawn, err.to_string());
             }
             Err(_) => (PlaceOutcome::Failed, "silence".to_owned()),
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -203,6 +203,25 @@
     });
 }
 
+/// Guards against an item that is run again and again because its last run broke off after its last
+/// event, and nothing frames the empty answers that follow.
+#[test]
+fn an_item_of_which_nothing_is_left_completes_without_framing() {
+    run_local(async {
+        let site = Site::new();
+        let endpoints = Scripted::start(&site, "engine", &[""]).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        endpoints.set(&[&stream(1..=2, false), &answer("", "")]);
+        site.post("/job/x", "j1", &submission(&["a"])).await;
+        wait_until("the item has run", || endpoints.received.get() >= 4).await;
+        sleep(Duration::from_secs(1)).await;
+        let page = site.get("/api/lots/j1?after=0").await;
+        assert!(page.body.contains(r#""output":"e1\ne2""#), "{}", page.body);
+        assert_eq!(endpoints.received.get(), 4);
+    });
+}
+
 /// Sends a request of HTTP/1.0. Returns the answer up to the end of the connection, and how it ended.
 async fn post_http10(to: SocketAddr, path: &str) -> (String, io::Result<usize>) {
     let mut stream = TcpStream::connect(to).await.unwrap();
