Report an answer that breaks off within an event as failed in the agent

The agent passed the rest of an event on and reported the answer as ended, so an entry delivered a stream that was broken off as a complete one, and an item got its text as a result. An engine announces the end of a stream with its last event; nothing looked for it.

The agent reads answers through AnswerBody. One that ends as framed but is not complete ends as failed, without suspicion of a crash; one that ends with its connection is treated like a lost connection.

--- a/dogwoodtray_agent/src/core/endpoint.rs
+++ b/dogwoodtray_agent/src/core/endpoint.rs
@@ -62,6 +62,14 @@
                 self.pool.record_sound_run(now, &contents, sent_at, true);
                 self.end(now, id, AttemptOutcome::Answered { status }, out);
             }
+            EndpointEvent::Truncated => {
+                let Some(attempt) = self.attempts.get(id) else { return };
+                let outcome = match attempt.stage {
+                    Stage::Aborting(outcome) => outcome,
+                    _ => AttemptOutcome::Failed,
+                };
+                self.end(now, id, outcome, out);
+            }
             EndpointEvent::ConnectFailed => {
                 self.end(now, id, AttemptOutcome::NotRun(NotRun::EndpointDown), out);
                 out.push(AgentAction::CheckHealth);
--- a/dogwoodtray_agent/src/core/message.rs
+++ b/dogwoodtray_agent/src/core/message.rs
@@ -181,7 +181,9 @@
     ResponseEnd,
     /// No connection was established, so nothing was sent.
     ConnectFailed,
-    /// The connection broke after the request was sent.
+    /// The response ended as the endpoint framed it, but is not complete.
+    Truncated,
+    /// The connection broke after the request was sent, or ended within the response.
     ConnectionLost,
     /// The agent aborted the exchange.
     Aborted,
--- a/dogwoodtray_agent/src/shell/endpoint.rs
+++ b/dogwoodtray_agent/src/shell/endpoint.rs
@@ -8,13 +8,18 @@
 use bytes::Bytes;
 use dogwoodtray_coord::AttemptId;
 use dogwoodtray_coord::Name;
+use dogwoodtray_http::AnswerBody;
+use dogwoodtray_http::AnswerError;
+use dogwoodtray_http::AnswerKind;
+use dogwoodtray_http::BodyFraming;
+use dogwoodtray_http::BodyKind;
+use dogwoodtray_http::Exchange;
 use dogwoodtray_runtime::Mailbox;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
-use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
+use hyper::http::response::Parts;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -35,8 +40,6 @@
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
-const EVENT_STREAM_TYPE: &str = "text/event-stream";
-
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Runs exchanges with the endpoint on the tokio runtime.
@@ -74,14 +77,14 @@
         let (abort, aborted) = oneshot::channel();
         let attempt = work.attempt;
         self.abort_handles.insert(attempt, abort);
-        let exchange = Exchange {
+        let forwarded = ForwardedAttempt {
             addr: self.addr,
             kind: self.kind,
             client: self.client.clone(),
             mailbox: self.mailbox.clone(),
             attempt,
         };
-        self.runtime.spawn(exchange.run(work, aborted));
+        self.runtime.spawn(forwarded.run(work, aborted));
     }
 
     /// Aborts an exchange. `EndpointEvent::Aborted` follows if it was still running.
@@ -125,7 +128,8 @@
     matches!(result, Ok(Ok(response)) if response.status().is_success())
 }
 
-struct Exchange {
+/// Attempt whose exchange with the endpoint runs on the tokio runtime.
+struct ForwardedAttempt {
     addr: SocketAddr,
     kind: EndpointKind,
     client: HttpClient,
@@ -133,7 +137,7 @@
     attempt: AttemptId,
 }
 
-impl Exchange {
+impl ForwardedAttempt {
     async fn run(self, work: Arc<Work>, aborted: oneshot::Receiver<()>) {
         let event = tokio::select! {
             event = self.execute(&work) => event,
@@ -158,21 +162,26 @@
             Err(err) if err.is_connect() => return EndpointEvent::ConnectFailed,
             Err(_) => return EndpointEvent::ConnectionLost,
         };
-        let content_type = content_type(&response);
-        let status = response.status().as_u16();
-        let is_event_stream = content_type.starts_with(EVENT_STREAM_TYPE);
+        let kind = match self.kind {
+            EndpointKind::Engine => AnswerKind::Chat,
+            EndpointKind::Service => AnswerKind::Plain,
+        };
+        let answer = Exchange::new(response, kind);
+        let content_type = content_type(&answer.parts);
+        let status = answer.parts.status.as_u16();
         self.send_event(EndpointEvent::ResponseHead { status, content_type });
-        self.read_body(response.into_body(), is_event_stream).await
+        self.read_body(answer.body).await
     }
 
-    async fn read_body(&self, mut body: Incoming, is_event_stream: bool) -> EndpointEvent {
+    async fn read_body(&self, mut body: AnswerBody) -> EndpointEvent {
         let mut counter = TokenCounter::default();
         while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                return EndpointEvent::ConnectionLost;
+            let frame = match frame {
+                Ok(frame) => frame,
+                Err(err) => return self.on_broken_off(&err, body.framing()),
             };
             let Ok(data) = frame.into_data() else { continue };
-            if !is_event_stream {
+            if body.kind() == BodyKind::Opaque {
                 self.send_event(EndpointEvent::Data { data, tokens: 0 });
                 continue;
             }
@@ -186,12 +195,20 @@
                 }
             }
         }
-        if let Some(data) = counter.finish() {
-            self.send_event(EndpointEvent::Data { data, tokens: 0 });
-        }
         EndpointEvent::ResponseEnd
     }
 
+    fn on_broken_off(&self, err: &AnswerError, framing: BodyFraming) -> EndpointEvent {
+        log::info!("answer of {} to attempt {} broke off: {err}", self.addr, self.attempt);
+        match err {
+            // An endpoint that ended its framing has not crashed.
+            AnswerError::Truncated(_) if framing != BodyFraming::Connection => {
+                EndpointEvent::Truncated
+            }
+            _ => EndpointEvent::ConnectionLost,
+        }
+    }
+
     fn build_request(&self, work: &Work) -> Option<Request<Full<Bytes>>> {
         let uri = format!("http://{}{}", self.addr, work.path);
         let mut builder = Request::builder()
@@ -237,7 +254,7 @@
     Bytes::from(body.to_string())
 }
 
-fn content_type(response: &Response<Incoming>) -> Name {
-    let value = response.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+fn content_type(parts: &Parts) -> Name {
+    let value = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     Name::from(value.unwrap_or_default())
 }
--- a/dogwoodtray_agent/src/shell/sse.rs
+++ b/dogwoodtray_agent/src/shell/sse.rs
@@ -27,11 +27,6 @@
         }
         Ok((!events.is_empty()).then(|| (events.freeze(), tokens)))
     }
-
-    /// Returns the remaining data at the end of the stream.
-    pub(super) fn finish(&mut self) -> Option<Bytes> {
-        self.splitter.take_rest()
-    }
 }
 
 fn is_token(event: &[u8]) -> bool {
--- a/dogwoodtray_agent/tests/faulty_endpoint.rs
+++ b/dogwoodtray_agent/tests/faulty_endpoint.rs
@@ -104,7 +104,7 @@
     }
 }
 
-async fn start_agent(endpoint: SocketAddr) -> (Agent, EntryLink) {
+async fn start_agent(endpoint: SocketAddr, kind: EndpointKind) -> (Agent, EntryLink) {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let peer = std::net::TcpListener::bind(any).and_then(|l| l.local_addr()).unwrap();
     let settings = AgentSettings {
@@ -113,7 +113,7 @@
         peer,
         admin: any,
         endpoint,
-        kind: EndpointKind::Service,
+        kind,
         models: vec![Name::from("ledger")],
         checks_fence: false,
         admission: Name::from("fifo"),
@@ -164,7 +164,7 @@
             });
         }
     });
-    let (_agent, mut link) = start_agent(addr).await;
+    let (_agent, mut link) = start_agent(addr, EndpointKind::Service).await;
     let (done, _) = link.run(1).await;
     assert_eq!((done.outcome(), done.status), (Outcome::Answered, 503));
     sleep(Duration::from_millis(50)).await;
@@ -194,9 +194,80 @@
             }
         }
     });
-    let (_agent, mut link) = start_agent(addr).await;
+    let (_agent, mut link) = start_agent(addr, EndpointKind::Service).await;
     for (index, length) in lengths.into_iter().enumerate() {
         let (done, _) = link.run(1 + index as u64).await;
         assert_ne!(done.outcome(), Outcome::Answered, "{length} bytes");
     }
 }
+
+/// Starts an endpoint whose health is good and that answers each request with the next text.
+async fn start_scripted(texts: Vec<String>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut texts = texts.into_iter();
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = Vec::new();
+            while !request.ends_with(b"payout") && !request.starts_with(b"GET /health") {
+                if stream.read_buf(&mut request).await.unwrap_or(0) == 0 {
+                    break;
+                }
+            }
+            let text = match &*request {
+                [] => continue,
+                [b'G', ..] => ANSWER.to_owned(),
+                _ => texts.next().unwrap(),
+            };
+            let _ = stream.write_all(text.as_bytes()).await;
+        }
+    });
+    addr
+}
+
+/// Guards against a stream that is reported as answered although it ends within an event or without
+/// the event that announces its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_breaks_off_is_not_reported_as_answered() {
+    const TOKEN: &str = "data: {\"content\":1}\n\n";
+    const DONE: &str = "data: [DONE]\n\n";
+    let framed = |body: &str| {
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+        let length = body.len();
+        [
+            format!("{head}connection: close\r\n\r\n{body}"),
+            format!("{head}content-length: {length}\r\n\r\n{body}"),
+            format!("{head}transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n"),
+        ]
+    };
+    let cases = [
+        (EndpointKind::Service, format!("{TOKEN}data"), false),
+        (EndpointKind::Service, format!("{TOKEN}data: x\n"), false),
+        (EndpointKind::Service, TOKEN.to_owned(), true),
+        (EndpointKind::Engine, format!("{TOKEN}{DONE}data"), false),
+        (EndpointKind::Engine, TOKEN.to_owned(), false),
+        (EndpointKind::Engine, format!("{TOKEN}{DONE}"), true),
+    ];
+    for (kind, body, is_complete) in cases {
+        let addr = start_scripted(framed(&body).to_vec()).await;
+        let (_agent, mut link) = start_agent(addr, kind).await;
+        let mut counter = 0;
+        for framing in ["connection", "length", "chunks"] {
+            let done = loop {
+                counter += 1;
+                let (done, _) = link.run(counter).await;
+                // After a break, the agent first checks whether the endpoint is still up.
+                if done.outcome() != Outcome::NotRun {
+                    break done;
+                }
+                sleep(Duration::from_millis(20)).await;
+            };
+            let is_answered = done.outcome() == Outcome::Answered;
+            assert_eq!(is_answered, is_complete, "{kind:?}, {framing}, {body:?}: {done:?}");
+            if framing != "connection" && !is_complete {
+                assert_eq!(done.outcome(), Outcome::Failed, "{kind:?}, {framing}, {body:?}");
+            }
+        }
+    }
+}
--- a/dogwoodtray_http/src/event_splitter.rs
+++ b/dogwoodtray_http/src/event_splitter.rs
@@ -40,7 +40,6 @@
 /// splitter.push(b"data: a\n\ndata");
 /// assert_eq!(splitter.next_event().unwrap().unwrap(), "data: a\n\n");
 /// assert_eq!(splitter.next_event(), Ok(None));
-/// assert_eq!(splitter.take_rest().unwrap(), "data");
 /// ```
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -70,10 +69,4 @@
         self.searched = self.buf.len();
         if self.buf.len() > MAX_EVENT_BYTES { Err(EventTooLarge::NoEnd) } else { Ok(None) }
     }
-
-    /// Returns the bytes after the last complete event, at the end of the stream.
-    pub fn take_rest(&mut self) -> Option<Bytes> {
-        self.searched = 0;
-        (!self.buf.is_empty()).then(|| self.buf.split().freeze())
-    }
 }
--- a/dogwoodtray_http/tests/event_splitter.rs
+++ b/dogwoodtray_http/tests/event_splitter.rs
@@ -21,7 +21,8 @@
             events.push(event.to_vec());
         }
     }
-    (events, splitter.take_rest().map(|rest| rest.to_vec()).unwrap_or_default())
+    let length = events.iter().map(Vec::len).sum::<usize>();
+    (events, stream[length..].to_vec())
 }
 
 /// Returns the events and the rest of a whole stream, one byte after the other.
