Break the framing of an entry's stream that is not complete

A stream whose endpoint was lost ended with an error event and then like a complete answer; if the process stopped, it ended without the event. A caller that goes by the framing, such as a generic HTTP client, saw a complete answer.

After the error event the body fails now, so the last chunk is missing, and a caller of HTTP/1.0 gets a reset. Where the router is gone, the error event is sent as well.

--- /dev/null
+++ b/dogwoodtray_cli/tests/broken_answers.rs
@@ -0,0 +1,92 @@
+//! Streams of an entry that break off after they have begun.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dogwoodtray_cli::local::Fleet;
+use dogwoodtray_cli::local::FleetConfig;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+
+async fn start_fleet() -> Fleet {
+    let cfg = FleetConfig { entries: 1, endpoints: 1, ..FleetConfig::default() };
+    Fleet::start(&cfg).await.unwrap()
+}
+
+/// Starts a stream of this number of tokens, and returns the connection once a token has arrived.
+async fn begin(entry: SocketAddr, version: &str, tokens: u32) -> (TcpStream, Vec<u8>) {
+    let body = format!(
+        r#"{{"model":"standin","stream":true,"max_tokens":{tokens},
+        "messages":[{{"role":"user","content":"slip 7"}}]}}"#
+    );
+    let request = format!(
+        "POST /v1/chat/completions {version}\r\nhost: entry\r\nx-deadline-ms: 2000\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(entry).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    while !String::from_utf8_lossy(&received).contains("content\":") {
+        let read = timeout(WAIT_TIMEOUT, stream.read_buf(&mut received)).await.unwrap().unwrap();
+        assert!(read > 0, "{}", String::from_utf8_lossy(&received));
+    }
+    (stream, received)
+}
+
+/// Reads the rest of an answer. Returns how the connection ended.
+async fn read_rest(stream: &mut TcpStream, received: &mut Vec<u8>) -> io::Result<usize> {
+    loop {
+        match timeout(WAIT_TIMEOUT, stream.read_buf(received)).await.unwrap() {
+            Ok(read) if read > 0 => {}
+            ended => return ended,
+        }
+    }
+}
+
+/// Guards against a stream that ends like a complete one after its endpoint was lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_without_its_last_tokens_is_not_framed_as_complete() {
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        let mut fleet = start_fleet().await;
+        let (mut stream, mut received) = begin(fleet.caller_addrs()[0], version, 100_000).await;
+        fleet.agents.clear();
+        let ended = read_rest(&mut stream, &mut received).await;
+        let text = String::from_utf8_lossy(&received);
+        assert!(text.contains(r#""error""#), "{version}: the caller is not told the reason");
+        if version == "HTTP/1.1" {
+            assert!(!text.ends_with("\r\n0\r\n\r\n"), "framed as complete");
+        } else {
+            assert_eq!(ended.unwrap_err().kind(), io::ErrorKind::ConnectionReset, "{version}");
+        }
+    }
+}
+
+/// Guards against a complete stream that looks broken.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_with_its_last_event_is_framed_as_complete() {
+    let fleet = start_fleet().await;
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        let (mut stream, mut received) = begin(fleet.caller_addrs()[0], version, 3).await;
+        let text = loop {
+            let text = String::from_utf8_lossy(&received).into_owned();
+            let end = if version == "HTTP/1.1" { "\r\n0\r\n\r\n" } else { "[DONE]\n\n" };
+            if text.ends_with(end) {
+                break text;
+            }
+            let read = timeout(WAIT_TIMEOUT, stream.read_buf(&mut received)).await.unwrap();
+            assert!(read.unwrap() > 0, "{version}: {text}");
+        };
+        assert!(text.contains("data: [DONE]\n\n"), "{version}: {text}");
+        if version == "HTTP/1.0" {
+            assert_eq!(read_rest(&mut stream, &mut received).await.unwrap(), 0);
+        }
+    }
+}
--- a/dogwoodtray_entry/src/http/stream.rs
+++ b/dogwoodtray_entry/src/http/stream.rs
@@ -5,11 +5,13 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
+use quick_error::quick_error;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::error::ApiError;
@@ -59,6 +61,18 @@
     }
 }
 
+quick_error! {
+    /// Error that ends a response before it is complete. The connection to the caller is closed, so
+    /// that the caller can detect the truncation.
+    #[derive(Debug)]
+    pub enum BodyError {
+        /// The answer broke off after it had begun.
+        BrokenOff {
+            display("the answer broke off")
+        }
+    }
+}
+
 /// Body of a response.
 #[derive(Debug)]
 pub(crate) enum ResponseBody {
@@ -68,13 +82,24 @@
     Tokens(TokenStream),
 }
 
+/// How far a stream of tokens has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamStage {
+    /// More parts may follow.
+    Open,
+    /// The caller was told that the answer broke off.
+    BrokenOff,
+    /// The answer is complete.
+    Complete,
+}
+
 /// Stream of the tokens of an answer.
 #[derive(Debug)]
 pub(crate) struct TokenStream {
     first: Option<Bytes>,
     parts: UnboundedReceiver<AnswerPart>,
     request_id: Arc<str>,
-    ended: bool,
+    stage: StreamStage,
     _guard: CallerGuard,
     permit: Option<Permit>,
 }
@@ -86,7 +111,14 @@
         request_id: Arc<str>,
         guard: CallerGuard,
     ) -> Self {
-        Self { first: Some(first), parts, request_id, ended: false, _guard: guard, permit: None }
+        Self {
+            first: Some(first),
+            parts,
+            request_id,
+            stage: StreamStage::Open,
+            _guard: guard,
+            permit: None,
+        }
     }
 
     /// Keeps the permit of the request until the stream has ended.
@@ -94,43 +126,45 @@
         self.permit = Some(permit);
     }
 
-    fn poll_next_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
+    fn poll_next_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         if let Some(first) = self.first.take() {
-            return Poll::Ready(Some(first));
+            return Poll::Ready(Some(Ok(first)));
         }
-        if self.ended {
-            return Poll::Ready(None);
+        match self.stage {
+            StreamStage::Open => {}
+            StreamStage::BrokenOff => return Poll::Ready(Some(Err(BodyError::BrokenOff))),
+            StreamStage::Complete => return Poll::Ready(None),
         }
-        match self.parts.poll_recv(cx) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(AnswerPart::Data { data, .. })) => Poll::Ready(Some(data)),
-            Poll::Ready(Some(AnswerPart::End(RequestEnd::Answered { .. })) | None) => {
-                self.ended = true;
-                Poll::Ready(None)
-            }
-            Poll::Ready(Some(AnswerPart::End(end))) => {
-                self.ended = true;
-                // The headers are already sent, so the error is sent as an event in place of
-                // `[DONE]`.
-                let error = ApiError::from_request_end(&end).to_json(&self.request_id);
-                Poll::Ready(Some(Bytes::from(format!("data: {error}\n\n"))))
+        let error = match ready!(self.parts.poll_recv(cx)) {
+            Some(AnswerPart::Data { data, .. }) => return Poll::Ready(Some(Ok(data))),
+            Some(AnswerPart::End(RequestEnd::Answered { .. })) => {
+                self.stage = StreamStage::Complete;
+                return Poll::Ready(None);
             }
-        }
+            Some(AnswerPart::End(end)) => ApiError::from_request_end(&end),
+            None => ApiError::stopping(),
+        };
+        // The headers are already sent, so the error is sent as an event in place of `[DONE]`.
+        self.stage = StreamStage::BrokenOff;
+        let error = error.to_json(&self.request_id);
+        Poll::Ready(Some(Ok(Bytes::from(format!("data: {error}\n\n")))))
     }
 }
 
 impl hyper::body::Body for ResponseBody {
     type Data = Bytes;
-    type Error = std::convert::Infallible;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(cx),
+            Self::Whole(body) => {
+                Pin::new(body).poll_frame(cx).map_err(|infallible| match infallible {})
+            }
             Self::Tokens(stream) => {
-                stream.poll_next_part(cx).map(|part| part.map(|data| Ok(Frame::data(data))))
+                stream.poll_next_part(cx).map(|part| part.map(|data| data.map(Frame::data)))
             }
         }
     }
