Count a stream whose framing breaks off as truncated in the load tool

The load tool took a stream for whole once it had seen the last event, whether its body ended or failed. faulty_answers_are_counted_by_kind covers it and failed before (35 of 35 whole).

--- a/dogwoodtray_load/src/online.rs
+++ b/dogwoodtray_load/src/online.rs
@@ -56,6 +56,8 @@
     text: String,
     /// Whether the event that ends the stream was received.
     done: bool,
+    /// Whether the body ended without an error.
+    is_framed_whole: bool,
     first_token: Option<Duration>,
     token_gaps: Vec<Duration>,
 }
@@ -78,17 +80,19 @@
     /// Reads the body until it ends or fails.
     async fn read(&mut self, mut body: Incoming) {
         let mut parser = EventParser::default();
-        while let Some(Ok(frame)) = body.frame().await {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return };
             let now = Instant::now();
             if let Some(bytes) = frame.data_ref() {
                 parser.push(bytes, |event| self.add_event(now, event));
             }
         }
+        self.is_framed_whole = true;
     }
 
     fn outcome(&self, chat_request: &ChatRequest) -> Outcome {
         match check_answer(chat_request.prompt, chat_request.tokens, &self.text) {
-            Ok(()) if self.done => Outcome::Complete,
+            Ok(()) if self.done && self.is_framed_whole => Outcome::Complete,
             Ok(()) | Err(AnswerFault::Truncated { .. }) => Outcome::Truncated,
             Err(AnswerFault::Wrong { .. }) => Outcome::Wrong,
         }
@@ -111,6 +115,7 @@
         last_token_at: None,
         text: String::new(),
         done: false,
+        is_framed_whole: false,
         first_token: None,
         token_gaps: Vec::new(),
     };
--- a/dogwoodtray_load/tests/common/mod.rs
+++ b/dogwoodtray_load/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use dogwoodtray_http::FlushBeforeError;
 use dogwoodtray_standin::PromptHash;
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -36,28 +38,37 @@
     /// Chat answers lack the last token. A job lacks the result of one item and has another result
     /// twice.
     TruncatedAnswers,
+    /// Chat answers are correct, but their connection breaks before their last chunk.
+    BrokenFraming,
     /// Chat requests and the first submission of a job are refused with status 429.
     Overloaded,
 }
 
 /// Body that is sent in small chunks, so that chunk boundaries lie inside events.
-struct ChunkedBody(VecDeque<Bytes>);
+struct ChunkedBody {
+    chunks: VecDeque<Bytes>,
+    /// Whether the body fails at its end.
+    fails: bool,
+}
 
 impl ChunkedBody {
-    fn new(text: &str) -> Self {
-        Self(text.as_bytes().chunks(7).map(Bytes::copy_from_slice).collect())
+    fn new(text: &str, fails: bool) -> Self {
+        let chunks = text.as_bytes().chunks(7).map(Bytes::copy_from_slice).collect();
+        Self { chunks, fails }
     }
 }
 
 impl Body for ChunkedBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Poll::Ready(self.0.pop_front().map(|part| Ok(Frame::data(part))))
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let frame = self.chunks.pop_front().map(|part| Ok(Frame::data(part)));
+        let error = || self.fails.then(|| Err(io::ErrorKind::ConnectionAborted.into()));
+        Poll::Ready(frame.or_else(error))
     }
 }
 
@@ -93,7 +104,7 @@
 async fn answer(
     entry: Arc<Entry>,
     req: Request<Incoming>,
-) -> Result<Response<ChunkedBody>, Infallible> {
+) -> Result<Response<FlushBeforeError<ChunkedBody>>, Infallible> {
     let path = req.uri().path().to_owned();
     let key = req.headers().get("idempotency-key").map(|key| key.to_str().unwrap().to_owned());
     let body = req.into_body().collect().await.unwrap().to_bytes();
@@ -105,7 +116,9 @@
         ["batches", id, "results"] => entry.results(id),
         _ => (404, String::new()),
     };
-    Ok(Response::builder().status(status).body(ChunkedBody::new(&text)).unwrap())
+    let fails = entry.fault == Fault::BrokenFraming;
+    let body = FlushBeforeError::new(ChunkedBody::new(&text, fails));
+    Ok(Response::builder().status(status).body(body).unwrap())
 }
 
 fn overloaded_response() -> (u16, String) {
@@ -162,7 +175,7 @@
                     json!({ "custom_id": "item-1", "error": { "code": "unknown" } }).to_string();
             }
             Fault::TruncatedAnswers => lines[0] = lines[1].clone(),
-            Fault::None | Fault::Overloaded => {}
+            Fault::None | Fault::BrokenFraming | Fault::Overloaded => {}
         }
         (200, lines.join("\n"))
     }
--- a/dogwoodtray_load/tests/online.rs
+++ b/dogwoodtray_load/tests/online.rs
@@ -117,6 +117,8 @@
     assert_eq!((wrong.wrong, wrong.whole), (wrong.sent, 0));
     let truncated = run_with_fault(Fault::TruncatedAnswers).await;
     assert_eq!((truncated.truncated, truncated.whole), (truncated.sent, 0));
+    let broken = run_with_fault(Fault::BrokenFraming).await;
+    assert_eq!((broken.truncated, broken.whole), (broken.sent, 0));
     let overloaded = run_with_fault(Fault::Overloaded).await;
     assert_eq!(overloaded.refused["429 overloaded"], overloaded.sent);
     let unreachable = run(config("127.0.0.1:1".parse().unwrap())).await.unwrap();
