--- a/dogwoodtray_policy/src/placement/batch_plan.rs
+++ b/dogwoodtray_policy/src/placement/batch_plan.rs
@@ -131,12 +131,13 @@
         // one, which leaves the others more time.
         let mut droppable = BinaryHeap::new();
         for item in items.iter().filter(|item| now + item.left <= item.due) {
-            work += item.left;
+            work = work.saturating_add(item.left);
             if !item.is_running {
                 selected.insert(item.key);
                 droppable.push((item.left, Reverse(item.due), item.key));
             }
-            let capacity = (item.due - now).mul_f64(self.mean_places);
+            let capacity = (item.due - now).as_secs_f64() * self.mean_places;
+            let capacity = Duration::try_from_secs_f64(capacity).unwrap_or(Duration::MAX);
             while work > capacity {
                 let Some((left, _, key)) = droppable.pop() else { break };
                 work = work.saturating_sub(left);
--- a/dogwoodtray_policy/src/placement/service/batch.rs
+++ b/dogwoodtray_policy/src/placement/service/batch.rs
@@ -18,7 +18,7 @@
         cfg: &DispatcherConfig,
         out: &mut Vec<PlaceAction>,
     ) {
-        let reserve = f64::from(self.total_slots()) * cfg.online_reserve;
+        let reserve = f64::from(self.healthy_slots()) * cfg.online_reserve;
         let available = self.free_places(now).saturating_sub(reserve as u32) as usize;
         self.renew_plan(now, available, out);
         let mut skipped = Vec::new();
--- a/dogwoodtray_policy/src/placement/service/mod.rs
+++ b/dogwoodtray_policy/src/placement/service/mod.rs
@@ -112,7 +112,13 @@
     }
 
     pub(super) fn total_slots(&self) -> u32 {
-        self.endpoints.values().map(|e| e.slots).sum()
+        sum(self.endpoints.values().map(|endpoint| endpoint.slots))
+    }
+
+    /// Returns the slots of the endpoints that are not on trial after failures or errors.
+    fn healthy_slots(&self) -> u32 {
+        let healthy = self.endpoints.values().filter(|endpoint| endpoint.is_healthy());
+        sum(healthy.map(|endpoint| endpoint.slots))
     }
 }
 
@@ -356,14 +362,12 @@
             .values()
             .filter(|held| held.class == Class::Batch && held.endpoint.is_some())
             .count();
-        let slots =
-            self.endpoints.values().filter(|e| e.is_healthy()).map(|e| e.slots).sum::<u32>();
         let excess = (ahead + 1).saturating_sub(batch);
-        self.mean_hold_time.mul_f64(excess as f64 / f64::from(slots.max(1)))
+        self.mean_hold_time.mul_f64(excess as f64 / f64::from(self.healthy_slots().max(1)))
     }
 
     fn free_places(&self, now: Timestamp) -> u32 {
-        self.endpoints.values().map(|endpoint| endpoint.free_places(now)).sum()
+        sum(self.endpoints.values().map(|endpoint| endpoint.free_places(now)))
     }
 
     /// Returns the endpoint with the largest share of free places; ties are broken round-robin.
@@ -413,3 +417,8 @@
         out.push(PlaceAction::Grant { id: request.id, endpoint: name });
     }
 }
+
+/// Adds up numbers that endpoints state.
+fn sum(numbers: impl Iterator<Item = u32>) -> u32 {
+    numbers.fold(0, u32::saturating_add)
+}
