Bound the numbers that callers and the operator state

The tokens of items are any numbers; two items with the largest one overflowed the sum at the gateway (a panic in a debug build, a wrong sum against the limit of the route in a release build), and a large estimate of the remaining time stopped the task of an item.

The weights of services are added as floating-point numbers.

--- a/dogwoodtray_gateway/src/driver/estimator.rs
+++ b/dogwoodtray_gateway/src/driver/estimator.rs
@@ -18,6 +18,9 @@
 /// Minimum estimate, which covers the prefill of the prompt.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(100);
 
+/// Maximum estimate. Callers state the tokens of an item, which may be any number.
+const MAX_REMAINING_TIME: Duration = Duration::from_secs(7 * 24 * 3_600);
+
 /// Moving averages of the time per event, and of the events per item and per token of an item.
 #[derive(Debug)]
 pub(super) struct RunTimeEstimator {
@@ -59,8 +62,10 @@
             tokens => tokens as f64 * self.mean_events_per_token.get(),
         };
         let remaining = (expected - events as f64).max(0.0);
-        Duration::from_secs_f64(remaining * self.mean_seconds_per_event.get())
-            .max(MIN_REMAINING_TIME)
+        let seconds = remaining * self.mean_seconds_per_event.get();
+        Duration::try_from_secs_f64(seconds)
+            .unwrap_or(MAX_REMAINING_TIME)
+            .clamp(MIN_REMAINING_TIME, MAX_REMAINING_TIME)
     }
 }
 
--- a/dogwoodtray_gateway/src/driver/spec.rs
+++ b/dogwoodtray_gateway/src/driver/spec.rs
@@ -9,6 +9,7 @@
 
 use crate::model::BatchTerms;
 use crate::model::JobItem;
+use crate::model::MAX_ITEM_TOKENS;
 use crate::model::Route;
 
 /// Maximum size of a submission that is stored as one object. The store limits values to 1 MB.
@@ -159,7 +160,7 @@
             path: self.path,
             headers: self.headers,
             body,
-            tokens: self.tokens,
+            tokens: self.tokens.min(MAX_ITEM_TOKENS),
         })
     }
 }
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub use crate::model::JobItem;
 pub use crate::model::Limits;
 pub use crate::model::ListDigest;
+pub use crate::model::MAX_ITEM_TOKENS;
 pub use crate::model::ProtocolNames;
 pub use crate::model::ResultPage;
 pub use crate::model::Route;
--- a/dogwoodtray_gateway/src/model/job.rs
+++ b/dogwoodtray_gateway/src/model/job.rs
@@ -14,10 +14,13 @@
     pub headers: Vec<(String, String)>,
     /// Body of the request.
     pub body: Bytes,
-    /// Tokens of the prompt and the maximum output, summed.
+    /// Tokens of the prompt and the maximum output, summed; at most [`MAX_ITEM_TOKENS`].
     pub tokens: u64,
 }
 
+/// Maximum number of tokens that counts for an item. Callers may state any number.
+pub const MAX_ITEM_TOKENS: u64 = 1 << 32;
+
 /// Final state of an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ItemState {
--- a/dogwoodtray_gateway/src/model/mod.rs
+++ b/dogwoodtray_gateway/src/model/mod.rs
@@ -16,6 +16,7 @@
 pub use self::job::ItemResult;
 pub use self::job::ItemState;
 pub use self::job::JobItem;
+pub use self::job::MAX_ITEM_TOKENS;
 pub use self::job::ResultPage;
 pub use self::route::BatchTerms;
 pub use self::route::Limits;
--- a/dogwoodtray_gateway/src/model/route.rs
+++ b/dogwoodtray_gateway/src/model/route.rs
@@ -72,8 +72,8 @@
     /// Selects a service by weight. `point` is in `0.0..1.0`.
     #[must_use]
     pub fn pick_service(&self, point: f64) -> Option<&Name> {
-        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
-        let mut remaining = point * f64::from(total);
+        let total: f64 = self.services.iter().map(|(_, weight)| f64::from(*weight)).sum();
+        let mut remaining = point * total;
         for (service, weight) in &self.services {
             remaining -= f64::from(*weight);
             if remaining < 0.0 {
