Ignore odd entries among VMs and processes, and log each odd endpoint once

One odd entry made an entry drop the platform's whole list of VMs at each poll, so it dialed no new agent and kept links to removed ones. Entries with an address that no VM has were dialed for good. An odd entry of an endpoint was logged at debug level only, at each list.

Each entry of the list of VMs is decoded by itself, and a change in the number of odd ones is logged. Registered processes need a usable address. DT5004 names an odd endpoint entry once, with a shortened reason.

--- a/dogwoodtray_gateway/src/endpoint_list.rs
+++ b/dogwoodtray_gateway/src/endpoint_list.rs
@@ -5,6 +5,7 @@
 //! endpoints, so it is sent only to a process that has just connected or whose list differs from
 //! the base of the changes.
 
+use std::collections::HashSet;
 use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +39,9 @@
 /// Interval at which a process checks the age of its list.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Maximum length of an error in the log; an entry may hold up to 1 MB.
+const MAX_ERROR_CHARS: usize = 200;
+
 /// # Listing
 impl Node {
     /// Lists the endpoints whenever no recent list is relayed to this process.
@@ -74,16 +78,7 @@
     }
 
     fn on_endpoints(&self, revision: Version, objects: &[Object]) {
-        let mut list = Vec::with_capacity(objects.len());
-        for object in objects {
-            match self.dialect.endpoint(&object.name, object.spec.get()) {
-                Ok(endpoint) => list.push(endpoint),
-                Err(err) => {
-                    metrics::counter!("dogwoodtray_unreadable_entries_total").increment(1);
-                    log::debug!("failed to decode endpoint entry {}: {err}", object.name);
-                }
-            }
-        }
+        let list = self.decode_entries(objects);
         self.restart_watches_after_outage();
         let now = self.now();
         let applied = self.directory.borrow_mut().set_endpoints(now, revision, list);
@@ -92,6 +87,32 @@
         self.peers.broadcast_to_accepted(self.encode_changes(&changes));
     }
 
+    /// Decodes the entries that name endpoints. Logs each of the others once.
+    fn decode_entries(&self, objects: &[Object]) -> Vec<Endpoint> {
+        let mut list = Vec::with_capacity(objects.len());
+        let mut ignored = HashSet::new();
+        let mut logged = self.ignored_entries.borrow_mut();
+        for object in objects {
+            let err = match self.dialect.endpoint(&object.name, object.spec.get()) {
+                Ok(endpoint) => {
+                    list.push(endpoint);
+                    continue;
+                }
+                Err(err) => err,
+            };
+            metrics::counter!("dogwoodtray_unreadable_entries_total").increment(1);
+            if !logged.contains(&object.name) {
+                let error: String = err.to_string().chars().take(MAX_ERROR_CHARS).collect();
+                let fields: [(&str, &dyn Display); 3] =
+                    [("entry", &object.name), ("revision", &object.revision.0), ("error", &error)];
+                self.events.emit(&catalogue::ENTRY_IGNORED, None, &fields);
+            }
+            ignored.insert(Name::clone(&object.name));
+        }
+        *logged = ignored;
+        list
+    }
+
     /// Restarts watches that were started during a store outage, as they may never complete.
     fn restart_watches_after_outage(&self) {
         if self.directory.borrow().has_list_failed() {
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -8,6 +8,7 @@
 use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -91,6 +92,8 @@
     pub(crate) config_fetch: Cell<ConfigFetch>,
     /// Processes that are registered in the store.
     pub(crate) registered_nodes: RefCell<Vec<RegisteredNode>>,
+    /// Entries in the list of endpoints that name none.
+    pub(crate) ignored_entries: RefCell<HashSet<Name>>,
     /// Places that this process requests or holds for others.
     pub(crate) forwarded_places: RefCell<HashMap<PlaceId, ForwardedPlace>>,
     pub(crate) calls: PendingCalls,
@@ -124,6 +127,7 @@
             relayed_config: RefCell::new(None),
             config_fetch: Cell::default(),
             registered_nodes: RefCell::new(Vec::new()),
+            ignored_entries: RefCell::new(HashSet::new()),
             forwarded_places: RefCell::new(HashMap::new()),
             calls: PendingCalls::default(),
             driver: OnceCell::new(),
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -5,6 +5,7 @@
 //! change rarely are watched.
 
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -370,5 +371,10 @@
     let spec: NodeSpec = serde_json::from_str(object.spec.get())
         .inspect_err(|err| log::warn!("failed to decode process entry {}: {err}", object.name))
         .ok()?;
+    let is_usable = spec.address.parse().is_ok_and(|addr: SocketAddr| addr.port() != 0);
+    if !is_usable {
+        log::warn!("process entry {} has no usable address", object.name);
+        return None;
+    }
     Some(RegisteredNode { name: Name::clone(&object.name), addr: spec.address, role: spec.role })
 }
--- a/dogwoodtray_platform/src/http.rs
+++ b/dogwoodtray_platform/src/http.rs
@@ -1,8 +1,11 @@
 //! Store client over HTTP.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,6 +27,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::budget::BudgetConfig;
 use crate::budget::CallBudget;
@@ -90,6 +94,8 @@
     client: Client<HttpConnector, Full<Bytes>>,
     budget: Mutex<CallBudget>,
     start: Instant,
+    /// Number of entries in the last list of VMs that name no VM.
+    odd_vms: AtomicUsize,
 }
 
 /// Response of the platform, or the reason why there is none.
@@ -119,7 +125,7 @@
 
 #[derive(Deserialize)]
 struct VmsBody {
-    vms: Vec<VmEntry>,
+    vms: Vec<Box<RawValue>>,
 }
 
 impl HttpStore {
@@ -128,7 +134,15 @@
     pub fn open(cfg: HttpStoreConfig) -> Self {
         let client = Client::builder(TokioExecutor::new()).build_http();
         let budget = Mutex::new(CallBudget::new(cfg.budget));
-        Self { inner: Arc::new(Inner { cfg, client, budget, start: Instant::now() }) }
+        Self {
+            inner: Arc::new(Inner {
+                cfg,
+                client,
+                budget,
+                start: Instant::now(),
+                odd_vms: AtomicUsize::new(0),
+            }),
+        }
     }
 }
 
@@ -206,8 +220,15 @@
         else {
             return None;
         };
-        let list: VmsBody = serde_json::from_slice(&body).ok()?;
-        Some(list.vms)
+        let list: VmsBody = serde_json::from_slice(&body)
+            .inspect_err(|err| log::warn!("failed to decode the list of VMs: {err}"))
+            .ok()?;
+        let vms: Vec<VmEntry> = list.vms.iter().filter_map(|vm| decode_vm(vm)).collect();
+        let odd = list.vms.len() - vms.len();
+        if self.odd_vms.swap(odd, Ordering::Relaxed) != odd {
+            log::warn!("{odd} entries in the list of VMs name no VM");
+        }
+        Some(vms)
     }
 
     async fn acquire_budget(&self, write: bool) -> bool {
@@ -299,6 +320,14 @@
     metrics::counter!("dogwoodtray_platform_calls_total", "op" => name).increment(1);
 }
 
+/// Decodes an entry of the list of VMs, which may be of another writer.
+fn decode_vm(entry: &RawValue) -> Option<VmEntry> {
+    let vm: VmEntry = serde_json::from_str(entry.get()).ok()?;
+    let addr: SocketAddr = vm.addr.parse().ok()?;
+    let is_usable = addr.port() != 0 && !addr.ip().is_unspecified() && !vm.name.is_empty();
+    is_usable.then_some(vm)
+}
+
 fn decode_reply(
     op: &StoreOp,
     status: StatusCode,
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -133,6 +133,8 @@
     CONFIG_REJECTED = 5002, Error, "configuration snapshot rejected";
     /// The list of endpoints changed.
     ENDPOINTS_CHANGED = 5003, Info, "endpoints changed";
+    /// An entry in the list of endpoints names no endpoint.
+    ENTRY_IGNORED = 5004, Warn, "entry names no endpoint";
     /// The platform is unreachable.
     PLATFORM_DOWN = 5101, Warn, "platform unavailable";
     /// The platform is reachable again.
