Take only requests that end before a planned stop does

Requests that came late in the grace period were passed on and cut at its end without an answer, among them requests that may not be repeated. A connection that began after the first 2.5 s was closed unread, and one whose caller had pipelined a further request was reset, which may cut the answer before it.

DrainWindow decides by the deadline of a request and, while a refused caller may come back to this VM, by the slowest recent request of its route. Weighed: taking only what ends for certain from the start (each caller whose timeout is longer than the grace period is refused for 2.5 s, and may be sent here again) and judging by recent requests to the end (a slow one is cut, and out of rotation a refusal costs one connection to another VM only). The check is repeated when the body has arrived. What is open at the end gets 503 or 504. Connections stay open for reading for up to 0.5 s after their last answer.

--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -166,7 +166,12 @@
             let limit = head_timeout.map_or(remaining, |head_timeout| head_timeout.min(remaining));
             let kind = if self.is_stream() { AnswerKind::Stream } else { AnswerKind::Plain };
             let head = self.report_slow_head(run.permit(), send(endpoint.addr, req, kind));
-            let sent = timeout(limit, head).await;
+            let sent = self.node.drain.until_end(timeout(limit, head)).await;
+            let Some(sent) = sent else {
+                self.possible_runs += 1;
+                self.on_failed(&mut run, PlaceOutcome::Withdrawn, &"drain ended");
+                return Err(AttemptError::DeadlineExceeded);
+            };
             if let Ok(Ok(exchange)) = &sent {
                 self.node.on_answer_head(&endpoint, &exchange.parts, &self.id);
             }
@@ -267,7 +272,8 @@
             excluded: self.excluded.clone(),
             trial,
         };
-        self.node.acquire_place(&params).await.map_err(|error| match error {
+        let place = self.node.drain.until_end(self.node.acquire_place(&params)).await;
+        place.unwrap_or(Err(PlaceError::Expired)).map_err(|error| match error {
             PlaceError::Refused { retry_after } => AttemptError::NoPlace(retry_after),
             PlaceError::Expired => AttemptError::NoPlace(EXPIRED_RETRY_AFTER),
         })
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -38,7 +38,7 @@
 const MAX_ITEMS: usize = 200;
 
 /// Maximum time that a read waits for a result.
-const MAX_READ_WAIT: Duration = Duration::from_secs(2);
+pub(super) const MAX_READ_WAIT: Duration = Duration::from_secs(2);
 
 /// Additional time, beyond the wait of a read, that a driver has to reply. It may have to load the
 /// job first.
@@ -258,7 +258,7 @@
     after: u32,
     wait: Duration,
 ) -> GatewayResponse {
-    let wait = wait.min(MAX_READ_WAIT);
+    debug_assert!(wait <= MAX_READ_WAIT, "the server bounds the wait");
     let wait_ms = millis(wait);
     let reply = call_driver(node, id, wait + READ_REPLY_MARGIN, |call| messages::JobRead {
         call,
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -137,15 +137,16 @@
 ) -> Result<GatewayResponse, AttemptError> {
     let kind = exchange.body.kind();
     let body = Limited::new(exchange.body, MAX_BUFFERED_BYTES);
-    let bytes: Bytes = match timeout(attempts.remaining(), body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(err)) => {
+    let collect = timeout(attempts.remaining(), body.collect());
+    let bytes: Bytes = match attempts.node.drain.until_end(collect).await {
+        Some(Ok(Ok(body))) => body.to_bytes(),
+        Some(Ok(Err(err))) => {
             run.on_broken_off(&err);
             run.reported().await;
             attempts.trace.log_retry(run.endpoint(), &err);
             return Err(AttemptError::OutcomeUnknown);
         }
-        Err(_) => return Err(AttemptError::DeadlineExceeded),
+        Some(Err(_)) | None => return Err(AttemptError::DeadlineExceeded),
     };
     run.on_completed();
     run.set_outcome(place_outcome(exchange.parts.status));
--- a/dogwoodtray_gateway/src/http/response.rs
+++ b/dogwoodtray_gateway/src/http/response.rs
@@ -26,6 +26,13 @@
     with_retry_after(response, retry_after)
 }
 
+/// Returns the response to a request that this process does not take because it is stopping. Another
+/// VM can run it at once.
+pub(crate) fn stopping() -> GatewayResponse {
+    let response = plain(StatusCode::SERVICE_UNAVAILABLE, "not run; this VM is stopping\n");
+    with_retry_after(response, Duration::ZERO)
+}
+
 /// Returns the response to a request with a content that crashes endpoints.
 pub(crate) fn blocked(retry_after: Duration) -> GatewayResponse {
     let text = "requests with this content crashed endpoints; not run\n";
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -32,6 +32,7 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::attempt::Attempts;
 use super::body::ResponseBody;
@@ -56,9 +57,16 @@
 /// Minimum size of the read buffer of a connection. A request head must fit into it.
 const MIN_READ_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Time in which the first request has to arrive on a connection that begins during a shutdown.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 /// Timeout of a request that states no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time that a call for a job takes at most, in addition to its wait for a result. A call to the store
+/// times out after 1 s.
+const JOB_CALL_TIME: Duration = Duration::from_millis(1_300);
+
 /// `Retry-After` while the process has no usable configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -158,6 +166,11 @@
     tokio::pin!(connection);
     let mut closing = *shutdown_rx.borrow();
     if closing {
+        // A connection that is closed unread would leave its caller without an answer.
+        let served = timeout(FIRST_REQUEST_TIME, connection.as_mut()).await;
+        if served.is_ok() {
+            return;
+        }
         connection.as_mut().graceful_shutdown();
     }
     loop {
@@ -192,6 +205,9 @@
         return handle_job(node, &parts, &Name::from(job)).await;
     }
     if let Some(job) = path.strip_prefix(names.item_path) {
+        if !node.drain.takes(arrived, &path, arrived + JOB_CALL_TIME) {
+            return response::stopping();
+        }
         let item = query_param(&parts, names.item_param).unwrap_or_default();
         return jobs::read_item(node, &Name::from(job), &item).await;
     }
@@ -205,6 +221,14 @@
     let Some(id) = header_text(&parts.headers, &names.request_id).map(Name::from) else {
         return response::plain(StatusCode::BAD_REQUEST, "the request has no id\n");
     };
+    let time_limit = header_text(&parts.headers, &names.deadline_ms)
+        .and_then(|text| text.parse().ok())
+        .map_or(DEFAULT_TIMEOUT, Duration::from_millis);
+    let deadline = arrived + time_limit.min(route.timeout);
+    let trace = || Trace::new(node, &id, &route.name, config.generation.0, arrived);
+    if !node.drain.takes(node.now(), &route.name, deadline) {
+        return refuse_stopping(trace());
+    }
     let body = match Limited::new(body, config.limits.max_body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(err) if err.is::<http_body_util::LengthLimitError>() => {
@@ -215,17 +239,19 @@
             return response::plain(StatusCode::BAD_REQUEST, "the body is incomplete\n");
         }
     };
+    // The body may have taken long to arrive.
+    if !node.drain.takes(node.now(), &route.name, deadline) {
+        return refuse_stopping(trace());
+    }
     if let RouteKind::Batch(terms) = route.kind {
-        return jobs::submit(node, route, terms, &id, &body).await;
+        let response = jobs::submit(node, route, terms, &id, &body).await;
+        node.drain.record(node.now(), &route.name, node.now() - arrived);
+        return response;
     }
     let Some(service) = route.pick_service(rand::random()) else {
         return response::refused(STARTING_RETRY_AFTER);
     };
-    let timeout = header_text(&parts.headers, &names.deadline_ms)
-        .and_then(|text| text.parse().ok())
-        .map_or(DEFAULT_TIMEOUT, Duration::from_millis);
-    let deadline = arrived + timeout.min(route.timeout);
-    let trace = Trace::new(node, &id, &route.name, config.generation.0, arrived);
+    let trace = trace();
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -243,8 +269,24 @@
     online::serve(attempts).await
 }
 
+/// Returns the response to a request that may not end before this process stops.
+fn refuse_stopping(mut trace: Trace) -> GatewayResponse {
+    let response = response::stopping();
+    trace.on_status(response.status().as_u16());
+    trace.finish("stopping");
+    response
+}
+
 async fn handle_job(node: &Rc<Node>, parts: &Parts, job: &Name) -> GatewayResponse {
     let names = node.dialect.names();
+    let wait = header_text(&parts.headers, &names.wait_ms)
+        .and_then(|text| text.parse().ok())
+        .map_or(Duration::ZERO, Duration::from_millis)
+        .min(jobs::MAX_READ_WAIT);
+    let now = node.now();
+    if !node.drain.takes(now, parts.uri.path(), now + wait + JOB_CALL_TIME) {
+        return response::stopping();
+    }
     if parts.method == Method::DELETE {
         return jobs::cancel(node, job).await;
     }
@@ -253,9 +295,6 @@
     }
     let after =
         query_param(parts, names.after_param).and_then(|text| text.parse().ok()).unwrap_or(0);
-    let wait = header_text(&parts.headers, &names.wait_ms)
-        .and_then(|text| text.parse().ok())
-        .map_or(Duration::ZERO, Duration::from_millis);
     jobs::read(node, job, after, wait).await
 }
 
--- a/dogwoodtray_gateway/src/http/trace.rs
+++ b/dogwoodtray_gateway/src/http/trace.rs
@@ -107,6 +107,9 @@
             ("first_ms", &first),
             ("total_ms", &total),
         ];
+        if outcome == "answered" {
+            self.node.drain.record(now, &self.route, now - self.arrived);
+        }
         let code = match outcome {
             "answered" => &catalogue::ROUTED_ANSWERED,
             "caller gone" => &catalogue::CALLER_GONE,
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod contents;
 mod crashes;
 mod directory;
+mod drain;
 mod driver;
 mod endpoint_list;
 mod forward;
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -28,6 +28,7 @@
 use crate::calls::PendingCalls;
 use crate::crashes::Crashes;
 use crate::directory::Directory;
+use crate::drain::Drain;
 use crate::driver::Driver;
 use crate::forward::ForwardedPlace;
 use crate::model::Dialect;
@@ -87,6 +88,8 @@
     pub(crate) crashes: Crashes,
     /// Whether a graceful stop has started.
     pub(crate) draining: Cell<bool>,
+    /// Requests that a graceful stop still takes and waits for.
+    pub(crate) drain: Drain,
     /// Newest configuration, as it is relayed on links.
     pub(crate) relayed_config: RefCell<Option<messages::ConfigSet>>,
     pub(crate) config_fetch: Cell<ConfigFetch>,
@@ -124,6 +127,7 @@
             places: Places::new(incarnation),
             crashes: Crashes::new(),
             draining: Cell::new(false),
+            drain: Drain::default(),
             relayed_config: RefCell::new(None),
             config_fetch: Cell::default(),
             registered_nodes: RefCell::new(Vec::new()),
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -28,6 +28,9 @@
 /// Time before the kill at which a process stops waiting for open requests.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time in which the requests that are open at the end of a drain are answered.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Maximum time in which a stopping driver stores finished results.
 const MAX_HANDOVER_TIME: Duration = Duration::from_secs(2);
 
@@ -66,9 +69,11 @@
     }
 
     /// Stops gracefully: waits until the load balancer has removed this VM, then closes connections
-    /// as they become idle.
+    /// as they become idle. Requests that may not end in the rest of the grace period are refused.
     pub async fn drain(self) {
         let started_at = Instant::now();
+        let limit = self.node.cfg.grace.saturating_sub(KILL_MARGIN);
+        self.node.drain.begin(self.node.now(), BALANCER_REMOVAL_TIME, limit);
         self.node.draining.set(true);
         self.node.announce_leaving();
         self.node.events.emit(
@@ -76,12 +81,11 @@
             None,
             &[("open", &self.caller_server.open_connections())],
         );
-        sleep(BALANCER_REMOVAL_TIME).await;
+        sleep(BALANCER_REMOVAL_TIME.min(limit)).await;
         self.caller_server.begin_shutdown();
-        let limit = self.node.cfg.grace.saturating_sub(KILL_MARGIN);
-        while self.caller_server.open_connections() > 0 && started_at.elapsed() < limit {
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
+        self.wait_for_connections(started_at + limit).await;
+        self.node.drain.end();
+        self.wait_for_connections(Instant::now() + FINAL_ANSWER_TIME).await;
         self.node.events.emit(
             &catalogue::DRAIN_FINISHED,
             None,
@@ -90,6 +94,15 @@
     }
 }
 
+impl Gateway {
+    /// Waits until no connection of a caller is open, or the time has come.
+    async fn wait_for_connections(&self, until: Instant) {
+        while self.caller_server.open_connections() > 0 && Instant::now() < until {
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
+}
+
 /// Driver process, which runs batch jobs and assigns places at endpoints. Runs within a `LocalSet`.
 #[derive(Debug)]
 pub struct JobDriver {
--- a/dogwoodtray_http/src/caller_stream.rs
+++ b/dogwoodtray_http/src/caller_stream.rs
@@ -1,5 +1,6 @@
 //! Connections of callers whose answers may end with the connection.
 
+use std::future::Future;
 use std::io;
 use std::io::IoSlice;
 use std::pin::Pin;
@@ -17,6 +18,15 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tokio::time::sleep;
+
+/// Time that a connection stays open for reading after its last answer. The kernel resets a connection
+/// that is closed with unread bytes, such as a further request, which may cut the answer.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
+/// Number of bytes that are discarded at a time.
+const DISCARD_BYTES: usize = 4_096;
 
 /// Connection of a caller.
 ///
@@ -28,6 +38,8 @@
     stream: TcpStream,
     is_reset_wanted: Arc<AtomicBool>,
     is_reset_set: bool,
+    /// End of the time for reading after the last answer.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 /// Handle by which the requests of a connection are made known to its [`CallerStream`].
@@ -49,7 +61,7 @@
     pub fn new(stream: TcpStream) -> (Self, RequestVersions) {
         let is_reset_wanted = Arc::new(AtomicBool::new(false));
         let versions = RequestVersions { is_reset_wanted: Arc::clone(&is_reset_wanted) };
-        (Self { stream, is_reset_wanted, is_reset_set: false }, versions)
+        (Self { stream, is_reset_wanted, is_reset_set: false, linger: None }, versions)
     }
 
     /// Sets whether closing the connection resets it.
@@ -105,7 +117,25 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-        Poll::Ready(self.set_reset(false))
+        let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            this.set_reset(false)?;
+            this.linger = Some(Box::pin(sleep(LINGER_TIME)));
+        }
+        let mut discarded = [0; DISCARD_BYTES];
+        loop {
+            let mut buf = ReadBuf::new(&mut discarded);
+            match Pin::new(&mut this.stream).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {}
+                // The caller has closed its side or is gone.
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+                Poll::Pending => break,
+            }
+        }
+        match &mut this.linger {
+            Some(linger) => linger.as_mut().poll(cx).map(Ok),
+            None => Poll::Ready(Ok(())),
+        }
     }
 }
--- a/dogwoodtray_http/tests/connections.rs
+++ b/dogwoodtray_http/tests/connections.rs
@@ -102,3 +102,22 @@
     caller.read_to_end(&mut received).await.unwrap();
     assert_eq!(received, b"onetwo");
 }
+
+/// Guards against an answer that is cut by a reset because the caller has sent a further request.
+#[tokio::test]
+async fn a_request_that_is_not_read_does_not_reset_the_answer_before_it() {
+    let (mut stream, _, mut caller) = connected().await;
+    caller.write_all(b"first second").await.unwrap();
+    let mut first = [0; 5];
+    stream.read_exact(&mut first).await.unwrap();
+    let answer = vec![b'a'; 1 << 20];
+    let expected = answer.len();
+    let server = tokio::spawn(async move {
+        stream.write_all(&answer).await.unwrap();
+        stream.shutdown().await.unwrap();
+    });
+    let mut received = Vec::new();
+    caller.read_to_end(&mut received).await.unwrap();
+    assert_eq!(received.len(), expected);
+    server.await.unwrap();
+}
--- /dev/null
+++ b/dogwoodtray_policy/src/draining.rs
@@ -0,0 +1,87 @@
+//! Decisions of a process that is about to stop.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+
+/// Time after which the slowest request of a route is forgotten, at the earliest; twice as long at
+/// the latest.
+const RETENTION: Duration = Duration::from_secs(30);
+
+/// Time that a planned stop leaves for requests.
+///
+/// A request is taken if it ends in that time, whatever happens to it. While the load balancer still
+/// sends new connections to this VM, a caller that is refused may come back here, so a request is also
+/// taken if others on its route have not needed longer.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use dogwoodtray_coord::Timestamp;
+/// use dogwoodtray_policy::DrainWindow;
+///
+/// let seconds = Duration::from_secs;
+/// let start = Timestamp::ZERO;
+/// let window = DrainWindow::new(start, seconds(2), seconds(7));
+/// assert!(window.takes(start + seconds(1), start + seconds(7), None));
+/// assert!(window.takes(start + seconds(1), start + seconds(9), Some(seconds(3))));
+/// assert!(!window.takes(start + seconds(3), start + seconds(9), Some(seconds(3))));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainWindow {
+    in_rotation_until: Timestamp,
+    ends_at: Timestamp,
+}
+
+impl DrainWindow {
+    /// Creates the window of a stop that begins now and ends after `length`. The load balancer sends
+    /// new connections for `rotation` more.
+    #[must_use]
+    pub fn new(now: Timestamp, rotation: Duration, length: Duration) -> Self {
+        Self { in_rotation_until: now + rotation, ends_at: now + length }
+    }
+
+    /// Returns `true` if a request is taken that runs until `deadline` at the latest. `slowest` is the
+    /// time that the slowest recent request of its route took, if there was one.
+    #[must_use]
+    pub fn takes(&self, now: Timestamp, deadline: Timestamp, slowest: Option<Duration>) -> bool {
+        if deadline <= self.ends_at {
+            return true;
+        }
+        now < self.in_rotation_until && slowest.is_some_and(|time| now + time <= self.ends_at)
+    }
+}
+
+/// Durations of the slowest recent request of each route.
+#[derive(Debug, Default)]
+pub struct SlowestRequests {
+    current: HashMap<Name, Duration>,
+    previous: HashMap<Name, Duration>,
+    current_since: Timestamp,
+}
+
+impl SlowestRequests {
+    /// Records a request that was answered.
+    pub fn record(&mut self, now: Timestamp, route: &Name, duration: Duration) {
+        if now - self.current_since >= RETENTION {
+            self.previous = std::mem::take(&mut self.current);
+            self.current_since = now;
+        }
+        match self.current.get_mut(route) {
+            Some(slowest) => *slowest = duration.max(*slowest),
+            None => {
+                self.current.insert(Name::clone(route), duration);
+            }
+        }
+    }
+
+    /// Returns the time that the slowest recent request of a route took.
+    #[must_use]
+    pub fn slowest(&self, route: &str) -> Option<Duration> {
+        self.current.get(route).max(self.previous.get(route)).copied()
+    }
+}
--- a/dogwoodtray_policy/src/lib.rs
+++ b/dogwoodtray_policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod baseline;
 mod batch;
+mod draining;
 mod placement;
 mod routing;
 mod types;
@@ -26,6 +27,8 @@
 pub use crate::baseline::route_policy;
 pub use crate::batch::BatchOrder;
 pub use crate::batch::JobKey;
+pub use crate::draining::DrainWindow;
+pub use crate::draining::SlowestRequests;
 pub use crate::placement::Dispatcher;
 pub use crate::placement::DispatcherConfig;
 pub use crate::placement::EndpointPlaces;
