Apply the decision about a planned stop in the entry

An entry took every request until the end of its drain and cut what was still open then without an answer. It refuses with 503 (not run) what may not end in time, by the same decision as the gateway, and callers that still wait when the drain times out learn that the process stops.

a_draining_entry_takes_what_ends_in_time_and_answers_the_rest failed before.

--- a/dogwoodtray_cli/src/local/fleet.rs
+++ b/dogwoodtray_cli/src/local/fleet.rs
@@ -72,6 +72,8 @@
     pub max_places: u32,
     /// Whether slow requests are hedged with a second attempt.
     pub hedging: bool,
+    /// Maximum time that a draining entry waits for open requests.
+    pub entry_drain_timeout: Duration,
     /// Settings of the engines, except for models and seeds, which the fleet sets.
     pub engine: EngineConfig,
 }
@@ -86,6 +88,7 @@
             admission: Name::from("adaptive"),
             max_places: 32,
             hedging: true,
+            entry_drain_timeout: Duration::from_secs(30),
             engine: EngineConfig::default(),
         }
     }
@@ -170,6 +173,7 @@
         );
         settings.routing = Name::clone(&cfg.routing);
         settings.hedging = cfg.hedging;
+        settings.drain_timeout = cfg.entry_drain_timeout;
         let entry = Entry::bind(settings).await?;
         let addr = entry.peer_addr().to_string();
         self.platform.set_vm(Vm::live(node, VmRole::Entry, addr, data_centre));
--- a/dogwoodtray_cli/tests/broken_answers.rs
+++ b/dogwoodtray_cli/tests/broken_answers.rs
@@ -22,12 +22,21 @@
 
 /// Starts a stream of this number of tokens, and returns the connection once a token has arrived.
 async fn begin(entry: SocketAddr, version: &str, tokens: u32) -> (TcpStream, Vec<u8>) {
+    begin_with_deadline(entry, version, tokens, 2_000).await
+}
+
+async fn begin_with_deadline(
+    entry: SocketAddr,
+    version: &str,
+    tokens: u32,
+    deadline_ms: u64,
+) -> (TcpStream, Vec<u8>) {
     let body = format!(
         r#"{{"model":"standin","stream":true,"max_tokens":{tokens},
         "messages":[{{"role":"user","content":"slip 7"}}]}}"#
     );
     let request = format!(
-        "POST /v1/chat/completions {version}\r\nhost: entry\r\nx-deadline-ms: 2000\r\n\
+        "POST /v1/chat/completions {version}\r\nhost: entry\r\nx-deadline-ms: {deadline_ms}\r\n\
          content-length: {}\r\n\r\n{body}",
         body.len()
     );
@@ -90,3 +99,48 @@
         }
     }
 }
+
+/// Sends a request and returns its whole answer.
+async fn post(entry: SocketAddr, deadline_ms: u64) -> String {
+    let body = r#"{"model":"standin","max_tokens":2,"messages":[{"role":"user","content":"a"}]}"#;
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.0\r\nhost: entry\r\nx-deadline-ms: {deadline_ms}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(entry).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut text = String::new();
+    timeout(WAIT_TIMEOUT, stream.read_to_string(&mut text)).await.unwrap().unwrap();
+    text
+}
+
+/// Guards against a request that is taken late in a drain and cut at its end, and against one that is
+/// open at its end and gets no answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_entry_takes_what_ends_in_time_and_answers_the_rest() {
+    let cfg = FleetConfig {
+        entries: 1,
+        endpoints: 1,
+        entry_drain_timeout: Duration::from_secs(5),
+        ..FleetConfig::default()
+    };
+    let fleet = Fleet::start(&cfg).await.unwrap();
+    let entry = fleet.caller_addrs()[0];
+    let (mut stream, mut received) = begin(entry, "HTTP/1.1", 100_000).await;
+    // The fleet is left idle but for one stream, which the drain waits for.
+    let (mut held, mut held_text) = begin_with_deadline(entry, "HTTP/1.1", 100_000, 60_000).await;
+    fleet.entries[0].drain();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let late = post(entry, 4_000).await;
+    assert!(late.starts_with("HTTP/1.0 503") && late.contains("not_run"), "{late}");
+    assert!(late.contains("retry-after: 0\r\n"), "{late}");
+    let short = post(entry, 1_000).await;
+    assert!(short.starts_with("HTTP/1.0 200"), "{short}");
+    for (stream, received) in [(&mut stream, &mut received), (&mut held, &mut held_text)] {
+        let _ = read_rest(stream, received).await;
+        let text = String::from_utf8_lossy(received);
+        assert!(text.contains(r#""error""#) && !text.ends_with("\r\n0\r\n\r\n"), "{text}");
+    }
+    timeout(WAIT_TIMEOUT, fleet.entries[0].finished()).await.unwrap();
+}
--- a/dogwoodtray_entry/src/http/chat.rs
+++ b/dogwoodtray_entry/src/http/chat.rs
@@ -24,6 +24,7 @@
 use super::request::next_request_no;
 use super::resolve::ResolvedRoute;
 use super::resolve::resolve;
+use super::stream::AnswerTimer;
 use super::stream::CallerGuard;
 use super::stream::ResponseBody;
 use super::stream::TokenStream;
@@ -71,15 +72,19 @@
         request_spec(&headers, &route, "POST", CHAT_PATH, sent_body, ContentHash::of(&body));
     spec.prefix = prompt_prefix_hash(&req.body);
     let id = Name::clone(&headers.request_id);
+    let timer = AnswerTimer::start(&shared, &spec)?;
     if !spec.idempotent {
         let answer = once::run(&shared, spec).await?;
+        timer.finish();
         return Ok(render_once(answer, req.stream, &id, &req.model));
     }
     let (parts, guard) = submit(&shared, spec)?;
     if req.stream {
-        return stream_answer(parts, guard, id).await;
+        return stream_answer(parts, guard, id, timer).await;
     }
-    collect_answer(parts, guard, &id, &req.model).await
+    let response = collect_answer(parts, guard, &id, &req.model).await?;
+    timer.finish();
+    Ok(response)
 }
 
 /// Handles a call of a plain service.
@@ -98,13 +103,16 @@
     let hash = ContentHash::of(&content);
     let mut spec = request_spec(&headers, &route, method, path, body, hash);
     spec.mode = DispatchMode::Whole;
+    let timer = AnswerTimer::start(&shared, &spec)?;
     if !spec.idempotent {
         let answer = once::run(&shared, spec).await?;
+        timer.finish();
         return Ok(bytes_response(answer.status, &answer.content_type, answer.body));
     }
     let (mut parts, _guard) = submit(&shared, spec)?;
     match parts.recv().await {
         Some(AnswerPart::Data { status, content_type, data }) => {
+            timer.finish();
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
             Ok(bytes_response(status, &content_type, data))
         }
@@ -225,12 +233,13 @@
     mut parts: UnboundedReceiver<AnswerPart>,
     guard: CallerGuard,
     id: Name,
+    timer: AnswerTimer,
 ) -> Result<Response<ResponseBody>, ApiError> {
     match parts.recv().await {
         Some(AnswerPart::Data { status, content_type, data })
             if is_stream_part(status, &content_type) =>
         {
-            let tokens = TokenStream::new(data, parts, id, guard);
+            let tokens = TokenStream::new(data, parts, id, guard, timer);
             let mut response = bytes_response(StatusCode::OK, EVENT_STREAM, Bytes::new());
             *response.body_mut() = ResponseBody::Tokens(tokens);
             Ok(response)
--- a/dogwoodtray_entry/src/http/error.rs
+++ b/dogwoodtray_entry/src/http/error.rs
@@ -61,6 +61,13 @@
         Self { retry_after, ..Self::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message) }
     }
 
+    /// Returns the error of a request that may not end before the process stops.
+    pub(crate) fn too_late() -> Self {
+        let message = "the process stops before the request may end; send it to another one";
+        let error = Self::not_run(StatusCode::SERVICE_UNAVAILABLE, "stopping", message);
+        Self { retry_after: Some(Duration::ZERO), ..error }
+    }
+
     pub(crate) fn not_run(
         status: StatusCode,
         code: &'static str,
--- a/dogwoodtray_entry/src/http/stream.rs
+++ b/dogwoodtray_entry/src/http/stream.rs
@@ -8,6 +8,8 @@
 use std::task::ready;
 
 use bytes::Bytes;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
 use http_body_util::Full;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -18,6 +20,7 @@
 use super::limits::Permit;
 use crate::online::RequestEnd;
 use crate::online::RequestNo;
+use crate::online::RequestSpec;
 use crate::shell::AnswerPart;
 use crate::shell::EntryState;
 use crate::shell::RouterInput;
@@ -61,6 +64,30 @@
     }
 }
 
+/// Measures how long a request takes, for the requests that a drain still takes.
+#[derive(Debug)]
+pub(crate) struct AnswerTimer {
+    shared: Arc<EntryState>,
+    route: Name,
+    start: Timestamp,
+}
+
+impl AnswerTimer {
+    /// Starts to measure a request. Returns an error if the process stops before it may end.
+    pub(crate) fn start(shared: &Arc<EntryState>, spec: &RequestSpec) -> Result<Self, ApiError> {
+        if !shared.drain.takes(&spec.model, spec.timeout) {
+            return Err(ApiError::too_late());
+        }
+        let start = shared.drain.now();
+        Ok(Self { shared: Arc::clone(shared), route: Name::clone(&spec.model), start })
+    }
+
+    /// Records that the request was answered.
+    pub(crate) fn finish(&self) {
+        self.shared.drain.record(&self.route, self.start);
+    }
+}
+
 quick_error! {
     /// Error that ends a response before it is complete. The connection to the caller is closed, so
     /// that the caller can detect the truncation.
@@ -101,6 +128,7 @@
     request_id: Arc<str>,
     stage: StreamStage,
     _guard: CallerGuard,
+    timer: AnswerTimer,
     permit: Option<Permit>,
 }
 
@@ -110,6 +138,7 @@
         parts: UnboundedReceiver<AnswerPart>,
         request_id: Arc<str>,
         guard: CallerGuard,
+        timer: AnswerTimer,
     ) -> Self {
         Self {
             first: Some(first),
@@ -117,6 +146,7 @@
             request_id,
             stage: StreamStage::Open,
             _guard: guard,
+            timer,
             permit: None,
         }
     }
@@ -139,6 +169,7 @@
             Some(AnswerPart::Data { data, .. }) => return Poll::Ready(Some(Ok(data))),
             Some(AnswerPart::End(RequestEnd::Answered { .. })) => {
                 self.stage = StreamStage::Complete;
+                self.timer.finish();
                 return Poll::Ready(None);
             }
             Some(AnswerPart::End(end)) => ApiError::from_request_end(&end),
--- a/dogwoodtray_entry/src/shell/mod.rs
+++ b/dogwoodtray_entry/src/shell/mod.rs
@@ -3,6 +3,7 @@
 mod chat_answer;
 mod config;
 mod convert;
+mod drain;
 mod entry;
 mod jobs;
 mod once;
--- a/dogwoodtray_entry/src/shell/router/drain.rs
+++ b/dogwoodtray_entry/src/shell/router/drain.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_runtime::Flow;
@@ -11,6 +12,9 @@
 use super::super::OnceInput;
 use super::service::RouterService;
 
+/// Time after the deadline of a drain in which the requests that are still open are answered.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// # Graceful shutdown
 impl RouterService {
     pub(super) fn start_drain(&mut self, now: Timestamp) {
@@ -19,13 +23,15 @@
         }
         self.shared.events.emit(&catalogue::DRAIN_STARTED, None, &[]);
         self.shared.leaving.store(true, Ordering::Relaxed);
-        self.drain_deadline = Some(now + self.shared.settings.drain_timeout);
+        let timeout = self.shared.settings.drain_timeout;
+        self.drain_deadline = Some(now + timeout);
+        self.shared.drain.begin(timeout);
         self.shared.send_to_jobs(JobsInput::Drain);
         self.shared.send_to_once(OnceInput::Drain);
         self.send_heartbeats(now);
     }
 
-    pub(super) fn check_drain(&self, now: Timestamp) -> Flow {
+    pub(super) fn check_drain(&mut self, now: Timestamp) -> Flow {
         if self.shared.finished.load(Ordering::Acquire) {
             return Flow::Stop;
         }
@@ -38,7 +44,7 @@
         let idle = answers == 0 && self.core.requests() == 0 && jobs_drained && once_drained;
         if idle {
             self.shared.events.emit(&catalogue::DRAIN_FINISHED, None, &[]);
-        } else if now >= deadline {
+        } else if now >= deadline + FINAL_ANSWER_TIME {
             let requests = self.core.requests();
             let fields: [(&str, &dyn Display); 4] = [
                 ("answers", &answers),
@@ -48,6 +54,10 @@
             ];
             self.shared.events.emit(&catalogue::DRAIN_TIMEOUT, None, &fields);
         } else {
+            if now >= deadline {
+                // Callers that still wait learn that the process stops.
+                self.callers.clear();
+            }
             return Flow::Continue;
         }
         self.shared.finished.store(true, Ordering::Release);
--- a/dogwoodtray_entry/src/shell/shared.rs
+++ b/dogwoodtray_entry/src/shell/shared.rs
@@ -22,6 +22,7 @@
 use super::OnceInput;
 use super::ROUTER;
 use super::RouterInput;
+use super::drain::EntryDrain;
 use crate::http::RateLimiter;
 
 /// Status of a peer as shown to operators.
@@ -45,6 +46,7 @@
     pub(crate) generation: AtomicU64,
     pub(crate) config_ready: AtomicBool,
     pub(crate) leaving: AtomicBool,
+    pub(crate) drain: EntryDrain,
     pub(crate) finished: AtomicBool,
     pub(crate) agents: AtomicU64,
     pub(crate) requests: AtomicU64,
@@ -76,6 +78,7 @@
             generation: AtomicU64::new(0),
             config_ready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            drain: EntryDrain::new(),
             finished: AtomicBool::new(false),
             agents: AtomicU64::new(0),
             requests: AtomicU64::new(0),
