Take jobs, and requests without evidence, in a planned stop

In rotation a request is refused only if others on its route were slow. A job needs 2 s, whatever the timeout of its route; one that is cut comes again and is accepted once.

--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -67,6 +67,10 @@
 /// times out after 1 s.
 const JOB_CALL_TIME: Duration = Duration::from_millis(1_300);
 
+/// Time that the submission of a job takes at most while the store replies. One that is cut comes
+/// again and is accepted once.
+const JOB_SUBMIT_TIME: Duration = Duration::from_secs(2);
+
 /// `Retry-After` while the process has no usable configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -225,8 +229,12 @@
         .and_then(|text| text.parse().ok())
         .map_or(DEFAULT_TIMEOUT, Duration::from_millis);
     let deadline = arrived + time_limit.min(route.timeout);
+    let ends_by = match route.kind {
+        RouteKind::Batch(_) => deadline.min(arrived + JOB_SUBMIT_TIME),
+        _ => deadline,
+    };
     let trace = || Trace::new(node, &id, &route.name, config.generation.0, arrived);
-    if !node.drain.takes(node.now(), &route.name, deadline) {
+    if !node.drain.takes(node.now(), &route.name, ends_by) {
         return refuse_stopping(trace());
     }
     let body = match Limited::new(body, config.limits.max_body_bytes).collect().await {
@@ -240,7 +248,7 @@
         }
     };
     // The body may have taken long to arrive.
-    if !node.drain.takes(node.now(), &route.name, deadline) {
+    if !node.drain.takes(node.now(), &route.name, ends_by) {
         return refuse_stopping(trace());
     }
     if let RouteKind::Batch(terms) = route.kind {
--- a/dogwoodtray_policy/src/draining.rs
+++ b/dogwoodtray_policy/src/draining.rs
@@ -14,7 +14,7 @@
 ///
 /// A request is taken if it ends in that time, whatever happens to it. While the load balancer still
 /// sends new connections to this VM, a caller that is refused may come back here, so a request is also
-/// taken if others on its route have not needed longer.
+/// taken unless others on its route have needed longer.
 ///
 /// # Examples
 ///
@@ -52,7 +52,7 @@
         if deadline <= self.ends_at {
             return true;
         }
-        now < self.in_rotation_until && slowest.is_some_and(|time| now + time <= self.ends_at)
+        now < self.in_rotation_until && slowest.is_none_or(|time| now + time <= self.ends_at)
     }
 }
 
