Bound the trials of a content by one budget

A content that crashes endpoints was tried again without end: by items every 12 s in the first minute, by requests with doubling delays.

Requests and items share a budget of three trials, which is renewed 16 min after the last one. Items are tried 12 s after the block, then after 18 s and 19 s, so that the first one clears an innocent content soon.

--- a/dogwoodtray_coord/src/crashes/block.rs
+++ b/dogwoodtray_coord/src/crashes/block.rs
@@ -10,8 +10,12 @@
 /// Delay of the first trial of a blocked content, and the unit of the later ones.
 const TRIAL_DELAY: Duration = Duration::from_secs(15);
 
-/// Maximum number of doublings of the delay between trials.
-const MAX_TRIAL_DOUBLINGS: u32 = 6;
+/// Number of trials of a content by requests and items together, after which it counts as guilty. Each
+/// that fails costs an endpoint.
+const TRIAL_BUDGET: u32 = 3;
+
+/// Time after the last trial of a budget until the next one begins, in case endpoints have been mended.
+const BUDGET_RENEWAL: Duration = Duration::from_secs(16 * 60);
 
 /// Delay of the first trial of a content that had sound runs before. It is either innocent or has
 /// begun to crash endpoints just now.
@@ -21,12 +25,11 @@
 /// those. At least one of them is innocent.
 const LONE_TRIAL_DELAY: Duration = Duration::from_secs(1);
 
-/// Delay of the first trials of a blocked content by items. These are owed until they are given up;
-/// one that is kept for a minute is tried four times.
-const ITEM_TRIAL_DELAY: Duration = Duration::from_secs(12);
-
-/// Number of trials after which the delay of those by items doubles each time as well.
-const REGULAR_ITEM_TRIALS: u32 = 4;
+/// Delays of the trials in a budget by items, which are owed until they are given up. As long as the
+/// budget lasts, one is tried at least every 20 s; the first one comes soon, as it clears an innocent
+/// content.
+const ITEM_TRIAL_DELAYS: [Duration; TRIAL_BUDGET as usize] =
+    [Duration::from_secs(12), Duration::from_secs(18), Duration::from_secs(19)];
 
 /// When a content crashes the endpoints that answer it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -93,7 +96,7 @@
             last_crash,
             trial_at,
             lone_trial_at,
-            item_trial_at: last_crash + ITEM_TRIAL_DELAY,
+            item_trial_at: last_crash + ITEM_TRIAL_DELAYS[0],
             trials: 0,
             rivals,
         }
@@ -120,10 +123,15 @@
     /// Records that a trial starts.
     pub(super) fn start_trial(&mut self, now: Timestamp) {
         self.trials += 1;
-        self.trial_at = now + TRIAL_DELAY * (1 << self.trials.min(MAX_TRIAL_DOUBLINGS));
+        let used = self.trials % TRIAL_BUDGET;
+        let (request_delay, item_delay) = if used == 0 {
+            (BUDGET_RENEWAL, BUDGET_RENEWAL)
+        } else {
+            (TRIAL_DELAY * (1 << used), ITEM_TRIAL_DELAYS[used as usize])
+        };
+        self.trial_at = now + request_delay;
         self.lone_trial_at = self.trial_at;
-        let doublings = self.trials.saturating_sub(REGULAR_ITEM_TRIALS).min(MAX_TRIAL_DOUBLINGS);
-        self.item_trial_at = now + ITEM_TRIAL_DELAY * (1 << doublings);
+        self.item_trial_at = now + item_delay;
     }
 
     /// Records a further crash.
