Let gateway and entry share the decision about a planned stop

Both kept the window of a stop and the slowest requests by themselves, with the same rule and the same constant, and calls for jobs passed their path as the name of a route to get no comparison. DrainAdmission in the policy crate holds both, and a call has no route. No behaviour changes; the tests of planned stops in policy, gateway and entry pass unchanged.

--- a/dogwoodtray_gateway/src/drain.rs
+++ b/dogwoodtray_gateway/src/drain.rs
@@ -1,29 +1,25 @@
 //! Requests during a graceful stop.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::future::Future;
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
-use dogwoodtray_policy::DrainWindow;
-use dogwoodtray_policy::SlowestRequests;
+use dogwoodtray_policy::DrainAdmission;
 use tokio::sync::watch;
 
-/// State of a graceful stop, and the durations of recent requests.
+/// Requests that are taken, and the end of a graceful stop.
 #[derive(Debug, Default)]
 pub(crate) struct Drain {
-    window: Cell<Option<DrainWindow>>,
-    slowest: RefCell<SlowestRequests>,
+    admission: RefCell<DrainAdmission>,
     has_ended: watch::Sender<bool>,
 }
 
 impl Drain {
-    /// Records that a stop has begun, which ends after `length`. The load balancer sends new
-    /// connections for `rotation` more.
-    pub(crate) fn begin(&self, now: Timestamp, rotation: Duration, length: Duration) {
-        self.window.set(Some(DrainWindow::new(now, rotation, length)));
+    /// Begins a stop that ends after `length`.
+    pub(crate) fn begin(&self, now: Timestamp, length: Duration) {
+        self.admission.borrow_mut().begin(now, length);
     }
 
     /// Ends the wait for requests that are still open.
@@ -33,13 +29,12 @@
 
     /// Records that a request was answered.
     pub(crate) fn record(&self, now: Timestamp, route: &Name, duration: Duration) {
-        self.slowest.borrow_mut().record(now, route, duration);
+        self.admission.borrow_mut().record(now, route, duration);
     }
 
     /// Returns `true` if a request is taken that runs until `deadline` at the latest.
-    pub(crate) fn takes(&self, now: Timestamp, route: &str, deadline: Timestamp) -> bool {
-        let Some(window) = self.window.get() else { return true };
-        window.takes(now, deadline, self.slowest.borrow().slowest(route))
+    pub(crate) fn takes(&self, now: Timestamp, route: Option<&str>, deadline: Timestamp) -> bool {
+        self.admission.borrow().takes(now, route, deadline)
     }
 
     /// Waits for an output. Returns `None` if the stop ends before.
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -209,7 +209,7 @@
         return handle_job(node, &parts, &Name::from(job)).await;
     }
     if let Some(job) = path.strip_prefix(names.item_path) {
-        if !node.drain.takes(arrived, &path, arrived + JOB_CALL_TIME) {
+        if !node.drain.takes(arrived, None, arrived + JOB_CALL_TIME) {
             return response::stopping();
         }
         let item = query_param(&parts, names.item_param).unwrap_or_default();
@@ -234,7 +234,7 @@
         _ => deadline,
     };
     let trace = || Trace::new(node, &id, &route.name, config.generation.0, arrived);
-    if !node.drain.takes(node.now(), &route.name, ends_by) {
+    if !node.drain.takes(node.now(), Some(&route.name), ends_by) {
         return refuse_stopping(trace());
     }
     let body = match Limited::new(body, config.limits.max_body_bytes).collect().await {
@@ -248,7 +248,7 @@
         }
     };
     // The body may have taken long to arrive.
-    if !node.drain.takes(node.now(), &route.name, ends_by) {
+    if !node.drain.takes(node.now(), Some(&route.name), ends_by) {
         return refuse_stopping(trace());
     }
     if let RouteKind::Batch(terms) = route.kind {
@@ -292,7 +292,7 @@
         .map_or(Duration::ZERO, Duration::from_millis)
         .min(jobs::MAX_READ_WAIT);
     let now = node.now();
-    if !node.drain.takes(now, parts.uri.path(), now + wait + JOB_CALL_TIME) {
+    if !node.drain.takes(now, None, now + wait + JOB_CALL_TIME) {
         return response::stopping();
     }
     if parts.method == Method::DELETE {
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dogwoodtray_platform::ObjectStore;
+use dogwoodtray_policy::BALANCER_REMOVAL_TIME;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_runtime::install_metrics;
 use tokio::task::spawn_local;
@@ -21,10 +22,6 @@
 use crate::node::NodeConfig;
 use crate::node::NodeRole;
 
-/// Time after the stop signal during which new connections still arrive. The load balancer checks
-/// readiness once a second and removes a VM after two failed checks.
-const BALANCER_REMOVAL_TIME: Duration = Duration::from_millis(2_500);
-
 /// Time before the kill at which a process stops waiting for open requests.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 
@@ -73,7 +70,7 @@
     pub async fn drain(self) {
         let started_at = Instant::now();
         let limit = self.node.cfg.grace.saturating_sub(KILL_MARGIN);
-        self.node.drain.begin(self.node.now(), BALANCER_REMOVAL_TIME, limit);
+        self.node.drain.begin(self.node.now(), limit);
         self.node.draining.set(true);
         self.node.announce_leaving();
         self.node.events.emit(
@@ -92,9 +89,7 @@
             &[("open", &self.caller_server.open_connections())],
         );
     }
-}
 
-impl Gateway {
     /// Waits until no connection of a caller is open, or the time has come.
     async fn wait_for_connections(&self, until: Instant) {
         while self.caller_server.open_connections() > 0 && Instant::now() < until {
--- a/dogwoodtray_policy/src/draining.rs
+++ b/dogwoodtray_policy/src/draining.rs
@@ -6,6 +6,10 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 
+/// Time after the stop signal during which new connections still arrive. Load balancers check readiness
+/// about once a second and remove a VM after two failed checks.
+pub const BALANCER_REMOVAL_TIME: Duration = Duration::from_millis(2_500);
+
 /// Time after which the slowest request of a route is forgotten, at the earliest; twice as long at
 /// the latest.
 const RETENTION: Duration = Duration::from_secs(30);
@@ -85,3 +89,30 @@
         self.current.get(route).max(self.previous.get(route)).copied()
     }
 }
+
+/// Requests that a process takes: all of them, until a planned stop begins.
+#[derive(Debug, Default)]
+pub struct DrainAdmission {
+    window: Option<DrainWindow>,
+    slowest: SlowestRequests,
+}
+
+impl DrainAdmission {
+    /// Begins a stop that ends after `length`.
+    pub fn begin(&mut self, now: Timestamp, length: Duration) {
+        self.window = Some(DrainWindow::new(now, BALANCER_REMOVAL_TIME, length));
+    }
+
+    /// Records that a request was answered.
+    pub fn record(&mut self, now: Timestamp, route: &Name, duration: Duration) {
+        self.slowest.record(now, route, duration);
+    }
+
+    /// Returns `true` if a request is taken that runs until `deadline` at the latest. `route` is that
+    /// whose recent requests it is compared with, if any.
+    #[must_use]
+    pub fn takes(&self, now: Timestamp, route: Option<&str>, deadline: Timestamp) -> bool {
+        let Some(window) = self.window else { return true };
+        window.takes(now, deadline, route.and_then(|route| self.slowest.slowest(route)))
+    }
+}
--- a/dogwoodtray_policy/src/lib.rs
+++ b/dogwoodtray_policy/src/lib.rs
@@ -27,6 +27,8 @@
 pub use crate::baseline::route_policy;
 pub use crate::batch::BatchOrder;
 pub use crate::batch::JobKey;
+pub use crate::draining::BALANCER_REMOVAL_TIME;
+pub use crate::draining::DrainAdmission;
 pub use crate::draining::DrainWindow;
 pub use crate::draining::SlowestRequests;
 pub use crate::placement::Dispatcher;
