--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -5,7 +5,6 @@
 //! change rarely are watched.
 
 use std::fmt::Display;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +17,7 @@
 use dogwoodtray_platform::Object;
 use dogwoodtray_platform::UpdateResult;
 use dogwoodtray_platform::WatchResult;
+use dogwoodtray_platform::listening_addr;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_wire::messages;
@@ -371,8 +371,7 @@
     let spec: NodeSpec = serde_json::from_str(object.spec.get())
         .inspect_err(|err| log::warn!("failed to decode process entry {}: {err}", object.name))
         .ok()?;
-    let is_usable = spec.address.parse().is_ok_and(|addr: SocketAddr| addr.port() != 0);
-    if !is_usable {
+    if listening_addr(&spec.address).is_none() {
         log::warn!("process entry {} has no usable address", object.name);
         return None;
     }
--- a/dogwoodtray_platform/src/http.rs
+++ b/dogwoodtray_platform/src/http.rs
@@ -1,6 +1,5 @@
 //! Store client over HTTP.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -29,6 +28,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use crate::addr::listening_addr;
 use crate::budget::BudgetConfig;
 use crate::budget::CallBudget;
 use crate::store::BoxFuture;
@@ -323,8 +323,7 @@
 /// Decodes an entry of the list of VMs, which may be of another writer.
 fn decode_vm(entry: &RawValue) -> Option<VmEntry> {
     let vm: VmEntry = serde_json::from_str(entry.get()).ok()?;
-    let addr: SocketAddr = vm.addr.parse().ok()?;
-    let is_usable = addr.port() != 0 && !addr.ip().is_unspecified() && !vm.name.is_empty();
+    let is_usable = listening_addr(&vm.addr).is_some() && !vm.name.is_empty();
     is_usable.then_some(vm)
 }
 
--- a/dogwoodtray_platform/src/lib.rs
+++ b/dogwoodtray_platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! a [`CallBudget`]. Results distinguish calls that were not sent from calls whose outcome is
 //! unknown: only the latter may have taken effect.
 
+mod addr;
 mod budget;
 mod http;
 mod memory;
@@ -11,6 +12,7 @@
 mod objects;
 mod store;
 
+pub use crate::addr::listening_addr;
 pub use crate::budget::BudgetConfig;
 pub use crate::budget::CallBudget;
 pub use crate::http::HttpStore;
