Remove what only one place used, and repeated set-up of tests

connect and the test for a stated length were public and used inside their module only. answer_ends and faulty_endpoints started the same site fourteen times; ScriptedFleet does.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -78,7 +78,7 @@
 /// An endpoint that does not frame its answers has no other way to say that nothing is left.
 const CONFIRMING_EMPTY_RUNS: u32 = 3;
 
-/// Time in which a trial has to get a place. The next trial of the same content is due 2 s later.
+/// Time in which a trial has to get a place. The next trial of the same content is due later than that.
 const TRIAL_PLACE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Maximum time until an item whose trial was given to another one checks its contents again.
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -9,8 +9,7 @@
 use std::time::Duration;
 
 use support::HOST;
-use support::Scripted;
-use support::Site;
+use support::ScriptedFleet;
 use support::head;
 use support::run_local;
 use support::stream;
@@ -47,10 +46,8 @@
 #[test]
 fn a_stream_that_ends_within_an_event_does_not_look_complete() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "engine", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.engines);
         for path in ["/stream/x", "/resume/x"] {
             for (index, part) in PARTS_OF_EVENTS.iter().enumerate() {
                 let framings = framed(&format!("id: 1\ndata: e1\n\n{part}"));
@@ -72,10 +69,8 @@
 #[test]
 fn a_stream_without_events_and_framing_does_not_look_complete() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "engine", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.engines);
         for path in ["/stream/x", "/resume/x"] {
             endpoints.set(&[&answer("", "")]);
             let response = site.post(path, "r1", "slip").await;
@@ -89,10 +84,8 @@
 #[test]
 fn events_of_a_plain_service_that_end_within_one_do_not_look_complete() {
     run_local(async {
-        let site = Site::new();
-        let ledgers = Scripted::start(&site, "ledger", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, ledgers) = (&fleet.site, &fleet.ledgers);
         let cut = answer("content-type: text/event-stream\r\n", "data: a\n\nda");
         ledgers.set(&[&cut]);
         assert!(!site.post("/once/x", "r1", "payout").await.complete);
@@ -109,16 +102,13 @@
 #[test]
 fn a_whole_answer_without_framing_reaches_its_caller() {
     run_local(async {
-        let site = Site::new();
-        let engines = Scripted::start(&site, "engine", &[""]).await;
-        let ledgers = Scripted::start(&site, "ledger", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, engines, ledgers) = (&fleet.site, &fleet.engines, &fleet.ledgers);
         for (endpoints, path, body) in [
-            (&engines, "/stream/x", "id: 1\ndata: e1\n\n"),
-            (&engines, "/resume/x", "id: 1\ndata: e1\n\n"),
-            (&ledgers, "/plain/x", "half"),
-            (&ledgers, "/once/x", "half"),
+            (engines, "/stream/x", "id: 1\ndata: e1\n\n"),
+            (engines, "/resume/x", "id: 1\ndata: e1\n\n"),
+            (ledgers, "/plain/x", "half"),
+            (ledgers, "/once/x", "half"),
         ] {
             endpoints.set(&[&answer("", body)]);
             let response = site.post(path, "r1", "slip").await;
@@ -133,10 +123,8 @@
 #[test]
 fn lines_may_end_with_each_of_the_standard_ends() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "engine", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.engines);
         for (number, end) in ["\r\n", "\r"].into_iter().enumerate() {
             let event = |id: u64| format!("id: {id}{end}data: e{id}{end}{end}");
             let whole = event(1) + &event(2);
@@ -162,16 +150,13 @@
 #[test]
 fn an_answer_without_framing_that_is_reset_does_not_look_complete() {
     run_local(async {
-        let site = Site::new();
-        let engines = Scripted::start(&site, "engine", &[""]).await;
-        let ledgers = Scripted::start(&site, "ledger", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, engines, ledgers) = (&fleet.site, &fleet.engines, &fleet.ledgers);
         for (endpoints, path, body) in [
-            (&engines, "/stream/x", "id: 1\ndata: e1\n\n"),
-            (&engines, "/resume/x", "id: 1\ndata: e1\n\n"),
-            (&ledgers, "/once/x", "half"),
-            (&ledgers, "/plain/x", "half"),
+            (engines, "/stream/x", "id: 1\ndata: e1\n\n"),
+            (engines, "/resume/x", "id: 1\ndata: e1\n\n"),
+            (ledgers, "/once/x", "half"),
+            (ledgers, "/plain/x", "half"),
         ] {
             endpoints.resets.set(true);
             endpoints.set(&[&answer("", body)]);
@@ -186,10 +171,8 @@
 #[test]
 fn an_item_whose_stream_ends_within_an_event_is_resumed() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "engine", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.engines);
         endpoints.set(&[
             &answer("", ""),
             &answer("", "id: 1\ndata: e1\n\nid: 2\ndata: e2\n"),
@@ -208,10 +191,8 @@
 #[test]
 fn an_item_of_which_nothing_is_left_completes_without_framing() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "engine", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.engines);
         endpoints.set(&[&stream(1..=2, false), &answer("", "")]);
         site.post("/job/x", "j1", &submission(&["a"])).await;
         wait_until("the item has run", || endpoints.received.get() >= 4).await;
@@ -245,10 +226,8 @@
 #[test]
 fn a_caller_of_http_1_0_can_tell_a_broken_answer_from_a_complete_one() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "engine", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.engines);
         for path in ["/stream/x", "/resume/x"] {
             endpoints.set(&[&stream(1..=2, true)]);
             let (text, ended) = post_http10(site.caller_addr, path).await;
--- a/dogwoodtray_gateway/tests/faulty_endpoints.rs
+++ b/dogwoodtray_gateway/tests/faulty_endpoints.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use support::Scripted;
-use support::Site;
+use support::ScriptedFleet;
 use support::error;
 use support::head;
 use support::run_local;
@@ -22,10 +21,8 @@
 #[test]
 fn a_refusal_of_another_request_does_not_count_as_not_run() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "ledger", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.ledgers);
         for status in [503, 429, 421, 400] {
             let other = format!(
                 "HTTP/1.1 {status} X\r\nattempt-id: r0\r\nnot-executed: 1\r\n\
@@ -46,10 +43,8 @@
 #[test]
 fn an_error_of_the_next_endpoint_does_not_reach_a_stream_that_has_begun() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "engine", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.engines);
         for status in [400, 404, 422, 429, 500, 503] {
             endpoints.set(&[&stream(1..=1, false), &error(status)]);
             let response = site.post("/resume/x", &format!("r{status}"), "slip").await;
@@ -66,10 +61,8 @@
 #[test]
 fn a_stream_that_is_not_continued_after_its_last_event_breaks_off() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "engine", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.engines);
         for (number, next) in [1..=3, 4..=5].into_iter().enumerate() {
             endpoints.set(&[&stream(1..=2, false), &stream(next.clone(), true)]);
             let response = site.post("/resume/x", &format!("r{number}"), "slip").await;
@@ -87,11 +80,8 @@
     let whole = head(200) + "content-length: 0\r\n";
     let lengths = [0, 5, 12, 17, 30, whole.len() - 20, whole.len() - 2, whole.len()];
     run_local(async {
-        let site = Site::new();
-        let _engines = Scripted::start(&site, "engine", &[""]).await;
-        let ledgers = Scripted::start(&site, "ledger", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, ledgers) = (&fleet.site, &fleet.ledgers);
         for length in lengths {
             let cut = whole[..length].to_owned();
             ledgers.set(&[&cut]);
@@ -113,10 +103,8 @@
 #[test]
 fn faulty_answers_leave_no_trace_in_the_output_of_an_item() {
     run_local(async {
-        let site = Site::new();
-        let endpoints = Scripted::start(&site, "engine", &[""]).await;
-        let _driver = site.start_driver("d1").await;
-        let _gateway = site.start_gateway().await;
+        let fleet = ScriptedFleet::start().await;
+        let (site, endpoints) = (&fleet.site, &fleet.engines);
         let refusal = "HTTP/1.1 503 X\r\nattempt-id: other\r\nnot-executed: 1\r\n\
                        content-length: 0\r\n\r\n";
         endpoints.set(&[
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -56,7 +56,7 @@
 pub(crate) use self::crashing::Counts;
 pub(crate) use self::crashing::start_crashing;
 pub(crate) use self::crashing::start_crashing_with;
-pub(crate) use self::scripted::Scripted;
+pub(crate) use self::scripted::ScriptedFleet;
 pub(crate) use self::scripted::error;
 pub(crate) use self::scripted::head;
 pub(crate) use self::scripted::stream;
--- a/dogwoodtray_gateway/tests/support/scripted.rs
+++ b/dogwoodtray_gateway/tests/support/scripted.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dogwoodtray_gateway::Gateway;
+use dogwoodtray_gateway::JobDriver;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -27,7 +29,7 @@
 }
 
 impl Scripted {
-    pub(crate) async fn start(site: &Site, service: &str, texts: &[&str]) -> Self {
+    async fn start(site: &Site, service: &str, texts: &[&str]) -> Self {
         let texts = texts.iter().map(|text| (*text).to_owned()).rev().collect();
         let this = Self {
             texts: Rc::new(RefCell::new(texts)),
@@ -69,6 +71,26 @@
     }
 }
 
+/// Site with a driver, a gateway, and scripted endpoints of both services.
+pub(crate) struct ScriptedFleet {
+    pub(crate) site: Site,
+    pub(crate) engines: Scripted,
+    pub(crate) ledgers: Scripted,
+    _driver: JobDriver,
+    _gateway: Gateway,
+}
+
+impl ScriptedFleet {
+    pub(crate) async fn start() -> Self {
+        let site = Site::new();
+        let engines = Scripted::start(&site, "engine", &[""]).await;
+        let ledgers = Scripted::start(&site, "ledger", &[""]).await;
+        let driver = site.start_driver("d1").await;
+        let gateway = site.start_gateway().await;
+        Self { site, engines, ledgers, _driver: driver, _gateway: gateway }
+    }
+}
+
 /// Answers a request, and returns the connection once the answer was received.
 async fn answer(
     mut stream: TcpStream,
--- a/dogwoodtray_http/src/end.rs
+++ b/dogwoodtray_http/src/end.rs
@@ -185,19 +185,13 @@
         self.tail.drain(..surplus);
     }
 
-    /// Returns `true` if all bytes of a stated length have been received.
-    #[must_use]
-    pub const fn has_stated_length(&self) -> bool {
-        matches!(self.framing, BodyFraming::Length(length) if self.received >= length)
-    }
-
     /// Decides whether the answer is complete if it ends here.
     ///
     /// # Errors
     ///
     /// Returns the reason why it is not.
     pub fn verify(&self) -> Result<(), Truncation> {
-        if matches!(self.framing, BodyFraming::Length(_)) && !self.has_stated_length() {
+        if matches!(self.framing, BodyFraming::Length(length) if self.received < length) {
             return Err(Truncation::MissingBytes);
         }
         if self.kind == BodyKind::Opaque {
--- a/dogwoodtray_http/src/exchange.rs
+++ b/dogwoodtray_http/src/exchange.rs
@@ -154,12 +154,7 @@
     connected.is_err_and(|err| err.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-/// Opens a connection to an endpoint.
-///
-/// # Errors
-///
-/// Returns an error if the connection is not established in time.
-pub async fn connect(addr: SocketAddr, connect_timeout: Duration) -> io::Result<TcpStream> {
+async fn connect(addr: SocketAddr, connect_timeout: Duration) -> io::Result<TcpStream> {
     let stream = timeout(connect_timeout, TcpStream::connect(addr))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
--- a/dogwoodtray_http/src/lib.rs
+++ b/dogwoodtray_http/src/lib.rs
@@ -25,6 +25,5 @@
 pub use crate::exchange::Exchange;
 pub use crate::exchange::SendConfig;
 pub use crate::exchange::SendError;
-pub use crate::exchange::connect;
 pub use crate::exchange::is_refused;
 pub use crate::exchange::send;
