Answer callers in the version of HTTP of their own connection

An endpoint that answers in HTTP/1.0, as answers with neither a length nor chunks often are, made the gateway's answer to a caller of HTTP/1.1 one of HTTP/1.0: without chunks, ended by a plain close. A break that the gateway noticed, or the kill of the gateway, looked like the end of the answer, on every kind of route.

Cause: the head of the endpoint's response is prepared for the caller, and its version was left as it came. hyper takes the framing from it.

Fix: `response_head`, through which every head passes, sets the version of the answer; hyper lowers it for callers of HTTP/1.0, whose connections are reset on a break. The entry builds its heads itself, and an agent passes on the status and content type only.

Test: a_broken_answer_of_http_1_0_does_not_look_complete failed before at the reset of /stream/x, and passes with the fix; answer_ends, 10 passed.

--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -7,6 +7,7 @@
 use http_body_util::Limited;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
 use hyper::header;
 use hyper::http::response::Parts;
 use tokio::time::sleep;
@@ -76,8 +77,10 @@
 
 /// Prepares the head of an endpoint's response for the caller. Replaces the statuses by which
 /// callers conclude that a request did not run: this endpoint may have run it. The length of a
-/// stream is left out, as one that breaks off may have it.
+/// stream is left out, as one that breaks off may have it. The version of HTTP is that of the caller's
+/// connection: in an older one of the endpoint, the answer would end with the connection.
 pub(crate) fn response_head(mut parts: Parts, body: BodyKind) -> Parts {
+    parts.version = Version::default();
     strip_hop_by_hop_headers(&mut parts.headers);
     if body != BodyKind::Opaque {
         parts.headers.remove(header::CONTENT_LENGTH);
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -146,6 +146,38 @@
     });
 }
 
+/// Guards against an answer whose end a caller of HTTP/1.1 takes from the connection because the
+/// endpoint answers in HTTP/1.0.
+#[test]
+fn a_broken_answer_of_http_1_0_does_not_look_complete() {
+    run_local(async {
+        let fleet = ScriptedFleet::start().await;
+        let (site, engines, ledgers) = (&fleet.site, &fleet.engines, &fleet.ledgers);
+        let old = |body: &str| answer("", body).replacen("HTTP/1.1", "HTTP/1.0", 1);
+        for (endpoints, path, body) in [
+            (engines, "/stream/x", "id: 1\ndata: e1\n\n"),
+            (engines, "/resume/x", "id: 1\ndata: e1\n\n"),
+            (ledgers, "/plain/x", "half"),
+            (ledgers, "/once/x", "half"),
+        ] {
+            endpoints.set(&[&old(body)]);
+            let response = site.post(path, "r1", "slip").await;
+            assert!(response.complete, "{path}");
+            assert_eq!(response.body, body, "{path}");
+            endpoints.resets.set(true);
+            let response = site.post(path, "r2", "slip").await;
+            assert!(!response.complete || response.status.is_server_error(), "{path}, reset");
+            endpoints.resets.set(false);
+            sleep(AVOIDANCE_TIME).await;
+        }
+        engines.set(&[&old("id: 1\ndata: e1\n\nid: 2\nda")]);
+        for path in ["/stream/x", "/resume/x"] {
+            assert!(!site.post(path, "r3", "slip").await.complete, "{path}, within an event");
+            sleep(AVOIDANCE_TIME).await;
+        }
+    });
+}
+
 /// Guards against an answer that looks complete because all its bytes were read before the reset.
 #[test]
 fn an_answer_without_framing_that_is_reset_does_not_look_complete() {
