--- a/dogwoodtray_cli/tests/chaos_support/relay.rs
+++ b/dogwoodtray_cli/tests/chaos_support/relay.rs
@@ -1,5 +1,6 @@
-//! TCP relays that close, delay or black-hole connections.
+//! TCP relays that reset, delay or black-hole connections.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -7,12 +8,13 @@
 
 use rand::Rng;
 use rand::rngs::StdRng;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -24,7 +26,7 @@
 pub(crate) enum Mode {
     /// Forwards all bytes.
     Open,
-    /// Closes the connection to both sides.
+    /// Resets the connection to both sides.
     Cut,
     /// Discards all bytes without closing the connection to either side.
     Silent,
@@ -98,32 +100,48 @@
             let mut open = connections.lock().unwrap();
             open.retain(|connection| connection.receiver_count() > 0);
             open.push(tx);
-            let (from_caller, to_caller) = caller.into_split();
-            let (from_server, to_server) = server.into_split();
-            tokio::spawn(forward(from_caller, to_server, rx.clone(), false));
-            tokio::spawn(forward(from_server, to_caller, rx, true));
+            tokio::spawn(relay(caller, server, rx));
         }
     }
 }
 
+/// Forwards the bytes of a connection in both directions, and resets both sides after a fault.
+async fn relay(mut caller: TcpStream, mut server: TcpStream, mode: watch::Receiver<Mode>) {
+    let forwarded = {
+        let (from_caller, to_caller) = caller.split();
+        let (from_server, to_server) = server.split();
+        tokio::try_join!(
+            forward(from_caller, to_server, mode.clone(), false),
+            forward(from_server, to_caller, mode, true)
+        )
+    };
+    if forwarded.is_err() {
+        for stream in [&caller, &server] {
+            let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+/// Forwards the bytes of one direction until its end.
 async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut mode: watch::Receiver<Mode>,
     from_server: bool,
-) {
+) -> io::Result<()> {
     let mut buf = [0; 16 * 1024];
     let mut is_mode_watched = true;
+    let mut has_discarded = false;
     loop {
         let read = tokio::select! {
             changed = mode.changed(), if is_mode_watched => {
                 is_mode_watched = changed.is_ok();
                 if *mode.borrow() == Mode::Cut {
-                    return;
+                    return Err(io::ErrorKind::ConnectionReset.into());
                 }
                 continue;
             }
-            read = from.read(&mut buf) => read.unwrap_or(0),
+            read = from.read(&mut buf) => read?,
         };
         let now = *mode.borrow();
         if let Mode::Slow(delay) = now {
@@ -134,10 +152,16 @@
                 // The other side is not notified that the connection has closed.
                 std::future::pending::<()>().await;
             }
+            has_discarded = true;
             continue;
         }
-        if read == 0 || to.write_all(&buf[..read]).await.is_err() {
-            return;
+        // TCP ends a connection rather than deliver bytes with a gap.
+        if has_discarded {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        if read == 0 {
+            return to.shutdown().await;
         }
+        to.write_all(&buf[..read]).await?;
     }
 }
--- a/dogwoodtray_cli/tests/soak_support/run.rs
+++ b/dogwoodtray_cli/tests/soak_support/run.rs
@@ -192,7 +192,12 @@
     sleep(2 * CHANGE_INTERVAL).await;
     let mut shutdowns = Vec::new();
     let gateway = rng.random_range(0..test_run.fleet.gateways().len());
-    shutdowns.push(shut_down(test_run, &test_run.fleet.gateways()[gateway], Some(gateway)).await);
+    let connections = load::open_connections(test_run, gateway).await;
+    let (shutdown, ()) = tokio::join!(
+        shut_down(test_run, &test_run.fleet.gateways()[gateway], Some(gateway)),
+        load::send_during_shutdown(test_run, gateway, connections)
+    );
+    shutdowns.push(shutdown);
     let driver = rng.random_range(0..test_run.fleet.drivers().len());
     shutdowns.push(shut_down(test_run, &test_run.fleet.drivers()[driver], None).await);
     if !test_run.fleet.is_ready_within(READY_TIMEOUT).await {
