Keep the counts of a blocked content from overflowing

Found by odd frames on the link of a driver: "attempt to add with overflow" in `Block::record_crash`, after a peer had reported a block with 2^32 - 1 crashes; its trials overflow in the same way. In a release build the count wraps to 0, and the budget of trials begins anew.

Change: both counts saturate.

Test: a_block_with_the_largest_numbers_is_tried_and_crashes_again failed before with the overflow, and passes; evidence_pool, 5 passed.

--- a/dogwoodtray_coord/src/crashes/block.rs
+++ b/dogwoodtray_coord/src/crashes/block.rs
@@ -122,7 +122,7 @@
 
     /// Records that a trial starts.
     pub(super) fn start_trial(&mut self, now: Timestamp) {
-        self.trials += 1;
+        self.trials = self.trials.saturating_add(1);
         let used = self.trials % TRIAL_BUDGET;
         let (request_delay, item_delay) = if used == 0 {
             (BUDGET_RENEWAL, BUDGET_RENEWAL)
@@ -136,7 +136,7 @@
 
     /// Records a further crash.
     pub(super) fn record_crash(&mut self, at: Timestamp) {
-        self.crashes += 1;
+        self.crashes = self.crashes.saturating_add(1);
         self.last_crash = self.last_crash.max(at);
     }
 
--- a/dogwoodtray_coord/tests/evidence_pool.rs
+++ b/dogwoodtray_coord/tests/evidence_pool.rs
@@ -243,3 +243,26 @@
     pool.record_sound_run(now, &request(GUILTY), now, true);
     assert!(!pool.is_suspect(GUILTY));
 }
+
+/// Guards against the block of a peer whose numbers overflow a count.
+#[test]
+fn a_block_with_the_largest_numbers_is_tried_and_crashes_again() {
+    let mut pool = EvidencePool::new(1);
+    let now = Timestamp::ZERO + Duration::from_secs(60);
+    for number in 0..4 {
+        let run = crash(GUILTY, number, now);
+        pool.record_crash(run.ended_at, run);
+    }
+    let later = now + Duration::from_secs(10);
+    pool.tick(later);
+    let mut block = pool.blocks().get(GUILTY).expect("a block").clone();
+    block.crashes = u32::MAX;
+    block.trials = u32::MAX;
+    pool.merge(later, [Evidence::Block(block)]);
+    let due = later + Duration::from_secs(3_600);
+    assert!(pool.start_trial(TrialSubject::Item, due, &[GUILTY]).is_ok());
+    let run = crash(GUILTY, 9, due);
+    pool.record_crash(run.ended_at, run);
+    pool.tick(due + ANALYSIS);
+    assert_eq!(pool.blocks().get(GUILTY).map(|block| block.trials), Some(u32::MAX));
+}
