--- a/dogwoodtray_gateway/tests/odd_frames.rs
+++ b/dogwoodtray_gateway/tests/odd_frames.rs
@@ -48,12 +48,8 @@
 
 /// Sends odd frames on a link.
 async fn send_odd_frames(stream: TcpStream, role: Role, seed: u64) {
-    let hello = Hello {
-        node: "d9".to_owned(),
-        incarnation: seed,
-        role: role.into(),
-        ..Hello::default()
-    };
+    let hello =
+        Hello { node: "d9".to_owned(), incarnation: seed, role: role.into(), ..Hello::default() };
     let (mut tx, mut rx) = Framed::new(stream, FrameCodec::new()).split();
     spawn_local(async move { while let Some(Ok(_)) = rx.next().await {} });
     if tx.send(Frame::from(hello)).await.is_err() {
