Answer jobs and at-most-once requests at the end of an entry's drain

Callers saw: a submission of a job, a read, or a request that must not run twice, which waits for the platform when the drain of an entry ends, gets no answer: the process stops with the connection open. Only requests that the router holds were answered before.

Cause: the router answers its own callers at the deadline of the drain; the services of jobs and of at-most-once records drop theirs only when they stop, after the process has announced that it has finished.

What has not been routed to the owner of its key is answered as not run; the rest as unknown, since the store may apply a write that it has not confirmed. A run that the store grants after that is not started.

--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -90,6 +90,8 @@
     LiveEntries(Vec<Name>),
     ResultsConsumed(ReplyToken),
     Drain,
+    /// End of a graceful shutdown, at which the requests that are still open are answered.
+    EndDrain,
 }
 
 /// Request of a caller about jobs.
@@ -177,6 +179,8 @@
                 self.handle_event(now, JobEvent::ResultsConsumed { token });
             }
             JobsInput::Drain => self.handle_event(now, JobEvent::Drain),
+            // Callers that still wait learn that the process stops.
+            JobsInput::EndDrain => self.callers.clear(),
         }
         self.report_backlog(now);
         Flow::Continue
--- a/dogwoodtray_entry/src/shell/once/message.rs
+++ b/dogwoodtray_entry/src/shell/once/message.rs
@@ -36,6 +36,8 @@
     ProbeReply { range: u32, epoch: Epoch, holds: bool },
     /// Start of a graceful shutdown.
     Drain,
+    /// End of a graceful shutdown, at which the requests that are still open are answered.
+    EndDrain,
 }
 
 /// Reply to a request.
--- a/dogwoodtray_entry/src/shell/once/service.rs
+++ b/dogwoodtray_entry/src/shell/once/service.rs
@@ -108,6 +108,7 @@
                 self.handle_range_event(now, range, OnceEvent::ProbeReply { epoch, holds });
             }
             OnceInput::Drain => self.draining = true,
+            OnceInput::EndDrain => self.answer_rest(),
         }
         self.route_to_owners(now);
         Flow::Continue
@@ -227,6 +228,17 @@
         }
     }
 
+    /// Answers all requests, since the process is about to stop.
+    fn answer_rest(&mut self) {
+        for request in std::mem::take(&mut self.unrouted) {
+            self.reply(request, OnceReply::NotRun { reason: "the process is about to stop" });
+        }
+        let open: Vec<RequestId> = self.pending.keys().copied().collect();
+        for request in open {
+            self.reply(request, OnceReply::Unknown);
+        }
+    }
+
     fn reply(&mut self, request: RequestId, reply: OnceReply) {
         let Some(pending) = self.pending.remove(&request) else { return };
         let id = &pending.spec.id;
@@ -278,7 +290,8 @@
                     let spec = &pending.spec;
                     run::start(&self.shared, &self.store.runtime, index, key, epoch, spec);
                 } else {
-                    debug_assert!(false, "each run belongs to a pending request");
+                    // The request was answered at the end of the shutdown.
+                    self.handle_range_event(now, index, OnceEvent::NotRun { key });
                 }
             }
             OnceAction::Attach { .. } => {}
--- a/dogwoodtray_entry/src/shell/router/drain.rs
+++ b/dogwoodtray_entry/src/shell/router/drain.rs
@@ -57,6 +57,8 @@
             if now >= deadline {
                 // Callers that still wait learn that the process stops.
                 self.callers.clear();
+                self.shared.send_to_jobs(JobsInput::EndDrain);
+                self.shared.send_to_once(OnceInput::EndDrain);
             }
             return Flow::Continue;
         }
