Replace the status 101 of an endpoint by 502

Callers saw, in a probe with scripted endpoints: an endpoint that answers 101 makes the gateway pass the 101 on, without the headers that name the protocol. The caller takes its connection for one of another protocol and the request for answered; what the endpoint sent is lost.

Cause: the head for the caller replaced only the statuses that mean "not run". No request asks for another protocol, since `Upgrade` is not forwarded, so 101 is a failure of the endpoint.

--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -76,7 +76,8 @@
 }
 
 /// Prepares the head of an endpoint's response for the caller. Replaces the statuses by which
-/// callers conclude that a request did not run: this endpoint may have run it. The length of a
+/// callers conclude that a request did not run, as this endpoint may have run it, and the one after
+/// which the connection carries another protocol. The length of a
 /// stream is left out, as one that breaks off may have it. The version of HTTP is that of the caller's
 /// connection: in an older one of the endpoint, the answer would end with the connection.
 pub(crate) fn response_head(mut parts: Parts, body: BodyKind) -> Parts {
@@ -85,12 +86,13 @@
     if body != BodyKind::Opaque {
         parts.headers.remove(header::CONTENT_LENGTH);
     }
-    let not_run_statuses = [
+    let replaced_statuses = [
+        StatusCode::SWITCHING_PROTOCOLS,
         StatusCode::REQUEST_TIMEOUT,
         StatusCode::TOO_MANY_REQUESTS,
         StatusCode::SERVICE_UNAVAILABLE,
     ];
-    if not_run_statuses.contains(&parts.status) {
+    if replaced_statuses.contains(&parts.status) {
         let mut replacement = Response::new(()).into_parts().0;
         replacement.status = StatusCode::BAD_GATEWAY;
         return replacement;
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use support::HOST;
 use support::ScriptedFleet;
 use support::head;
@@ -178,6 +179,28 @@
     });
 }
 
+/// Guards against an answer after which the caller takes its connection for one of another protocol.
+#[test]
+fn an_endpoint_that_switches_protocols_has_failed() {
+    run_local(async {
+        let fleet = ScriptedFleet::start().await;
+        let (site, engines, ledgers) = (&fleet.site, &fleet.engines, &fleet.ledgers);
+        let switch = head(101) + "connection: upgrade\r\nupgrade: other\r\n\r\nbytes";
+        for (endpoints, path) in [
+            (engines, "/stream/x"),
+            (engines, "/resume/x"),
+            (ledgers, "/plain/x"),
+            (ledgers, "/once/x"),
+        ] {
+            endpoints.set(&[&switch]);
+            let response = site.post(path, "r1", "slip").await;
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{path}");
+            assert_eq!(response.headers.get("server-stamp"), None, "{path}");
+            sleep(AVOIDANCE_TIME).await;
+        }
+    });
+}
+
 /// Guards against an answer that looks complete because all its bytes were read before the reset.
 #[test]
 fn an_answer_without_framing_that_is_reset_does_not_look_complete() {
