Test a kill of the gateway within an answer to HTTP/1.0

Until now the reset was tested by dropping the connection within a process. A gateway process is killed after the first event of a stream: the caller of HTTP/1.0 sees a reset. With `CallerStream` made not to ask for resets, the test fails, as the connection ends like a complete answer.

--- a/dogwoodtray_cli/tests/soak.rs
+++ b/dogwoodtray_cli/tests/soak.rs
@@ -9,6 +9,7 @@
 
 mod soak_support;
 
+use std::io::ErrorKind;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -23,8 +24,13 @@
 use soak_support::standin::caller;
 use soak_support::standin::endpoint::LONG;
 use soak_support::standin::endpoint::Run;
+use soak_support::standin::endpoint::SLOW;
 use soak_support::standin::endpoint::item_output;
+use soak_support::standin::site::HOST;
 use soak_support::standin::site::submission;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::runtime::Builder;
 
 /// Duration of the faults in each run of the tests.
@@ -142,6 +148,34 @@
     );
 }
 
+/// Guards against a stream that looks complete to a caller of HTTP/1.0 because its gateway was killed.
+#[test]
+fn a_killed_gateway_resets_its_callers_of_http_1_0() {
+    let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    runtime.block_on(async {
+        let fleet = Fleet::start(&new_dir("http-1-0")).await;
+        let gateway = &fleet.gateways()[0];
+        let mut stream = TcpStream::connect(gateway.callers).await.unwrap();
+        let request = format!(
+            "POST /stream/x HTTP/1.0\r\nhost: {HOST}\r\nattempt-id: {SLOW}\r\n\
+             deadline-ms: 5000\r\ncontent-length: 4\r\n\r\nslip"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut received = Vec::new();
+        while !received.ends_with(b"\n\n") {
+            assert!(stream.read_buf(&mut received).await.unwrap() > 0, "no event");
+        }
+        gateway.process.kill();
+        let ended = loop {
+            match stream.read_buf(&mut received).await {
+                Ok(read) if read > 0 => {}
+                ended => break ended,
+            }
+        };
+        assert_eq!(ended.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    });
+}
+
 /// Runs the seeds set in the environment, or nothing if none is set.
 #[test]
 fn soak_by_hand() {
