Test what was open of leaving endpoints over sockets

They are tests over sockets now and hold without a change of the code. With the check at the sending left out, the last one fails: the request reaches the leaving endpoint. A header on a liveness check only cannot occur, as the gateways and drivers make no liveness checks.

--- a/dogwoodtray_gateway/tests/leaving.rs
+++ b/dogwoodtray_gateway/tests/leaving.rs
@@ -7,14 +7,30 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dogwoodtray_coord::Name;
+use dogwoodtray_platform::ObjectStore;
+use dogwoodtray_wire::FrameCodec;
+use dogwoodtray_wire::messages::EndpointLeaving;
+use dogwoodtray_wire::messages::Heartbeat;
+use dogwoodtray_wire::messages::Hello;
+use dogwoodtray_wire::messages::PlaceGrant;
+use dogwoodtray_wire::messages::Role;
+use dogwoodtray_wire::messages::frame::Kind;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
 use hyper::StatusCode;
 use support::Behavior;
 use support::Endpoint;
+use support::ScriptedFleet;
 use support::Site;
+use support::head;
 use support::run_local;
 use support::submission;
 use support::wait_until;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio_util::codec::Framed;
 
 /// Requests that would reach each of two endpoints several times.
 const REQUESTS: usize = 12;
@@ -237,3 +253,117 @@
         assert_eq!(a.request_count(), 1, "it gets no more");
     });
 }
+
+/// Guards against an endpoint that gets no requests because the one before it at its address was
+/// leaving.
+#[test]
+fn another_service_at_the_address_of_an_endpoint_that_left_gets_requests() {
+    run_local(async {
+        let site = Site::new();
+        let a = site.add_endpoint("a", "ledger", 2).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        reach(&site, &a).await;
+        let _ = site.store.remove("servers", &Name::from("a")).await;
+        a.leaving.borrow_mut().clear();
+        *a.default_behavior.borrow_mut() = Behavior::Stream { to: 2, pause: Duration::ZERO };
+        let entry = a.entry("ready").replace(r#""service":"ledger""#, r#""service":"engine""#);
+        site.store.put("servers", "c", &entry);
+        let before = a.request_count();
+        for number in 0..40 {
+            let response = site.post("/stream/x", &format!("n{number}"), "slip").await;
+            if response.status == StatusCode::OK {
+                assert_eq!(a.request_count(), before + 1);
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the other service gets no requests");
+    });
+}
+
+/// Guards against endpoints that are given up because a second answer to a request, after its whole
+/// answer, bears the header.
+#[test]
+fn a_doubled_answer_that_says_leaving_is_ignored() {
+    run_local(async {
+        let fleet = ScriptedFleet::start().await;
+        let sound = head(200) + "content-length: 2\r\n\r\nok";
+        let leaving = head(200) + "server-leaving: 1\r\ncontent-length: 2\r\n\r\nok";
+        fleet.ledgers.set(&[&(sound + &leaving)]);
+        for number in 0..REQUESTS {
+            let response = fleet.site.post("/plain/x", &format!("r{number}"), "lookup").await;
+            assert_eq!((response.status, &*response.body), (StatusCode::OK, "ok"), "{number}");
+        }
+    });
+}
+
+/// Returns the next frame of a link that is neither a greeting nor a heartbeat.
+async fn next_kind(link: &mut Framed<TcpStream, FrameCodec>) -> Kind {
+    loop {
+        match link.next().await.unwrap().unwrap().kind.unwrap() {
+            Kind::Hello(_) | Kind::Heartbeat(_) => {}
+            kind => return kind,
+        }
+    }
+}
+
+/// Guards against a request at an endpoint for which a driver granted the place before it knew that
+/// the endpoint is leaving.
+#[test]
+fn a_grant_that_arrives_after_the_mark_is_returned() {
+    run_local(async {
+        let site = Site::new();
+        let a = site.add_endpoint("a", "ledger", 2).await;
+        let b = site.add_endpoint("b", "ledger", 2).await;
+        let driver = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = driver.local_addr().unwrap();
+        let entry = format!(r#"{{"role":"driver","address":"{addr}","incarnation":9}}"#);
+        site.store.put("nodes", "d1", &entry);
+        let serve = async {
+            let (stream, _) = driver.accept().await.unwrap();
+            let mut link = Framed::new(stream, FrameCodec::new());
+            let hello = Hello {
+                node: "d1".to_owned(),
+                incarnation: 9,
+                role: Role::Driver.into(),
+                ..Hello::default()
+            };
+            link.send(hello.into()).await.unwrap();
+            link.send(Heartbeat::default().into()).await.unwrap();
+            let ask = loop {
+                if let Kind::PlaceAsk(ask) = next_kind(&mut link).await {
+                    break ask.ask;
+                }
+            };
+            let leaving = EndpointLeaving {
+                endpoint: "a".to_owned(),
+                address: a.addr.to_string(),
+                started_unix_ms: a.born.get(),
+            };
+            link.send(leaving.into()).await.unwrap();
+            link.send(PlaceGrant { ask, endpoint: "a".to_owned() }.into()).await.unwrap();
+            let (mut is_returned, mut next_ask) = (false, None);
+            while !is_returned || next_ask.is_none() {
+                match next_kind(&mut link).await {
+                    Kind::PlaceReturn(returned) => is_returned |= returned.ask == ask,
+                    Kind::PlaceAsk(ask) => next_ask = Some(ask.ask),
+                    _ => {}
+                }
+            }
+            let ask = next_ask.unwrap();
+            link.send(PlaceGrant { ask, endpoint: "b".to_owned() }.into()).await.unwrap();
+            while link.next().await.is_some() {}
+        };
+        let call = async {
+            let _gateway = site.start_gateway().await;
+            let response = site.post("/plain/x", "r1", "lookup").await;
+            assert_eq!(response.status, StatusCode::OK);
+        };
+        tokio::select! {
+            () = serve => panic!("the link ended"),
+            () = call => {}
+        }
+        assert_eq!((a.request_count(), b.request_count()), (0, 1));
+    });
+}
