--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -1,6 +1,5 @@
 //! Runs one item until it has a result.
 
-use std::cell::RefCell;
 use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,52 +10,21 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::TrialSubject;
-use dogwoodtray_http::EventTooLarge;
-use dogwoodtray_http::Truncation;
 use dogwoodtray_policy::Class;
-use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_runtime::catalogue;
-use http_body_util::BodyExt;
-use hyper::Method;
-use hyper::StatusCode;
-use hyper::header;
-use hyper::header::HeaderMap;
-use hyper::header::HeaderName;
-use hyper::header::HeaderValue;
-use quick_error::quick_error;
-use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
-use tokio::time::timeout_at;
 
+use super::item_run::ITEM_IDLE_TIMEOUT;
+use super::item_run::PreparedItem;
+use super::item_run::RunOutcome;
+use super::item_run::run_once;
 use super::job::Job;
-use super::progress::Progress;
 use super::spec::StoredResult;
-use crate::contents::request_contents;
 use crate::model::JobItem;
-use crate::net::AnswerBody;
-use crate::net::AnswerError;
-use crate::net::AnswerKind;
-use crate::net::EventParser;
-use crate::net::SendError;
-use crate::net::send;
 use crate::node::Node;
 use crate::observed_run::ABORT_CHECK_DELAY;
-use crate::observed_run::ObservedRun;
-use crate::observed_run::RunKind;
 use crate::places::PlaceError;
 use crate::places::PlaceParams;
-use crate::places::PlacePermit;
-use crate::request::EndpointRequest;
-use crate::request::ResponseClass;
-use crate::request::classify_response;
-
-/// Time without an event after which an item is resumed at another endpoint. Events arrive every
-/// 30 ms, and the prefill of a resumed item, over its prompt and its output, takes at most 100 ms.
-const ITEM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Maximum size of the output of an item. Results are stored in objects of at most 1 MB.
-const MAX_OUTPUT_BYTES: usize = 512 * 1024;
 
 /// Initial limit on the wait for the response head of an item. A later head means that the item is
 /// queued in the endpoint behind other work, where it would delay online requests. The limit
@@ -88,39 +56,12 @@
 /// while a configuration is being replaced.
 const MISSING_ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Interval at which the output of an item is replicated to the backup driver. If this process
-/// crashes, each item loses at most the output of one interval. The output grows by about 2.5 KB
-/// per second.
-const REPLICATION_INTERVAL: Duration = Duration::from_millis(1_000);
-
 /// Interval at which a missing route is looked up again.
 const ROUTE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time that an item waits for a place before it requests one again.
 const PLACE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Outcome of one run of an item at an endpoint.
-enum RunOutcome {
-    /// The output is complete.
-    Completed,
-    /// The endpoint failed while it ran the item.
-    Failed,
-    /// The endpoint rejected the item as one that can never succeed.
-    Unprocessable,
-    /// The place was withdrawn for online work.
-    Preempted,
-    /// The place was withdrawn before any output of the run.
-    PreemptedAtStart,
-    /// The item was queued in the endpoint.
-    Queued,
-    /// The run was interrupted or did not start.
-    Interrupted,
-    /// The endpoint crashed, or broke off the exchange, before any output of the run.
-    BrokenOffAtStart,
-    /// The endpoint sent no event after those of earlier runs, and nothing proves that none is left.
-    Empty,
-}
-
 /// Runs an item, at one endpoint after another, until it has a result.
 pub(super) async fn run(node: Rc<Node>, job: Rc<Job>, item: Rc<JobItem>) -> StoredResult {
     let expires_at = node.now() + Duration::from_millis(job.spec.retention_ms);
@@ -312,240 +253,3 @@
     node.events.emit(&catalogue::ITEM_GIVEN_UP, Some(job.id()), &fields);
     StoredResult { item: Name::clone(&item.id), completed: false, output: String::new() }
 }
-
-/// Runs the item at one endpoint, starting after the output of earlier runs.
-async fn run_once(
-    node: &Rc<Node>,
-    job: &Job,
-    item: &JobItem,
-    prepared: &PreparedItem,
-    progress: &RefCell<Progress>,
-    mut permit: PlacePermit,
-    head_timeout: Duration,
-) -> RunOutcome {
-    let endpoint = Name::clone(&permit.endpoint);
-    let events_before = progress.borrow().event_count();
-    let preempted = || {
-        let has_output = progress.borrow().event_count() > events_before;
-        if has_output { RunOutcome::Preempted } else { RunOutcome::PreemptedAtStart }
-    };
-    let (run, place_outcome, reason) = tokio::select! {
-        biased;
-        () = permit.preempted() => (preempted(), PlaceOutcome::Withdrawn, String::new()),
-        ended = exchange(node, job, item, prepared, progress, &endpoint, head_timeout) => ended,
-    };
-    if matches!(run, RunOutcome::Queued) {
-        permit.report_slow();
-    }
-    permit.set_outcome(place_outcome);
-    let is_retried = matches!(
-        run,
-        RunOutcome::Failed
-            | RunOutcome::Interrupted
-            | RunOutcome::BrokenOffAtStart
-            | RunOutcome::Empty
-    );
-    if is_retried {
-        let events = progress.borrow().event_count();
-        let fields: [(&str, &dyn Display); 4] =
-            [("item", &item.id), ("endpoint", &endpoint), ("reason", &reason), ("events", &events)];
-        node.events.emit(&catalogue::ITEM_RETRIED, Some(job.id()), &fields);
-    }
-    run
-}
-
-/// Sends the item to the endpoint and reads the response. Returns the outcome of the run, the
-/// outcome of the place, and the reason of a failure.
-async fn exchange(
-    node: &Rc<Node>,
-    job: &Job,
-    item: &JobItem,
-    prepared: &PreparedItem,
-    progress: &RefCell<Progress>,
-    endpoint: &Name,
-    head_timeout: Duration,
-) -> (RunOutcome, PlaceOutcome, String) {
-    let interrupted = |place_outcome, reason: &dyn Display| {
-        (RunOutcome::Interrupted, place_outcome, reason.to_string())
-    };
-    let target = node.directory.borrow().endpoint(endpoint).cloned();
-    let Some(target) = target else {
-        node.on_unusable_grant(endpoint);
-        return interrupted(PlaceOutcome::Withdrawn, &"endpoint left");
-    };
-    let names = node.dialect.names();
-    let remaining = Duration::from_millis(job.spec.retention_ms);
-    let last_event = progress.borrow().last_event_id();
-    let Some(req) = prepared.request.request_for(names, &target.id, remaining, last_event) else {
-        return (RunOutcome::Unprocessable, PlaceOutcome::Withdrawn, "not a request".to_owned());
-    };
-    let contents = &prepared.contents;
-    let mut observed = ObservedRun::start(node, &item.id, contents, endpoint, RunKind::Item);
-    let exchange = match timeout(head_timeout, send(target.addr, req, AnswerKind::Stream)).await {
-        Ok(Ok(exchange)) => exchange,
-        Ok(Err(err)) => {
-            // After bytes that are no response, the driver closed the connection itself.
-            if matches!(&err, SendError::Lost(err) if !err.is_parse()) {
-                let outcome = broken_off(&mut observed, &err).await;
-                return (outcome, PlaceOutcome::Failed, err.to_string());
-            }
-            return interrupted(PlaceOutcome::Failed, &err);
-        }
-        Err(_) => return (RunOutcome::Queued, PlaceOutcome::Full, String::new()),
-    };
-    node.on_answer_head(&target, &exchange.parts, &item.id);
-    let status = exchange.parts.status;
-    match classify_response(names, &exchange.parts, &item.id) {
-        ResponseClass::NotRun if status == StatusCode::SERVICE_UNAVAILABLE => {
-            interrupted(PlaceOutcome::Full, &status)
-        }
-        ResponseClass::NotRun => interrupted(PlaceOutcome::Withdrawn, &status),
-        ResponseClass::Malformed => interrupted(PlaceOutcome::Errored, &"damaged answer"),
-        ResponseClass::Failure if status == StatusCode::INTERNAL_SERVER_ERROR => {
-            (RunOutcome::Failed, PlaceOutcome::Errored, status.to_string())
-        }
-        ResponseClass::Failure => interrupted(PlaceOutcome::Errored, &status),
-        ResponseClass::Answer if status.is_success() => {
-            let replicate = || replicate_output(node, job, item, &progress.borrow());
-            observed.on_head();
-            read_events(exchange.body, progress, &mut observed, replicate).await
-        }
-        ResponseClass::Answer if status == StatusCode::UNPROCESSABLE_ENTITY => {
-            (RunOutcome::Unprocessable, PlaceOutcome::Answered, status.to_string())
-        }
-        ResponseClass::Answer => interrupted(PlaceOutcome::Answered, &status),
-    }
-}
-
-/// Reports a run that its endpoint broke off, and returns its outcome.
-async fn broken_off(observed: &mut ObservedRun, reason: &dyn Display) -> RunOutcome {
-    observed.on_broken_off(reason);
-    observed.reported().await;
-    if observed.has_output() { RunOutcome::Interrupted } else { RunOutcome::BrokenOffAtStart }
-}
-
-/// Sends the output so far to the driver that would take over the job.
-fn replicate_output(node: &Node, job: &Job, item: &JobItem, progress: &Progress) {
-    if let Some(link) = node.peers.backup_for(node, job.id())
-        && let Some(message) = progress.to_message(job.id(), &item.id)
-    {
-        link.send(message);
-    }
-}
-
-/// Reads events until the stream ends, and replicates the output at intervals.
-async fn read_events(
-    mut body: AnswerBody,
-    progress: &RefCell<Progress>,
-    observed: &mut ObservedRun,
-    replicate_output: impl Fn(),
-) -> (RunOutcome, PlaceOutcome, String) {
-    let mut parser = EventParser::default();
-    let mut last_replicated = Instant::now();
-    // Bytes that complete no event are no progress.
-    let mut last_event_at = Instant::now();
-    loop {
-        let idle_until = last_event_at + ITEM_IDLE_TIMEOUT;
-        let (place_outcome, reason) = match timeout_at(idle_until, body.frame()).await {
-            Ok(None) => {
-                // Clears the parts that it shares with other requests.
-                observed.on_completed();
-                return (RunOutcome::Completed, PlaceOutcome::Answered, String::new());
-            }
-            Ok(Some(Err(err))) => {
-                let mut outcome = broken_off(observed, &err).await;
-                if matches!(err, AnswerError::Truncated(Truncation::NoEvents))
-                    && progress.borrow().event_count() > 0
-                {
-                    outcome = RunOutcome::Empty;
-                }
-                return (outcome, PlaceOutcome::Withdrawn, err.to_string());
-            }
-            Err(_) => (PlaceOutcome::Failed, "silence".to_owned()),
-            Ok(Some(Ok(frame))) => {
-                let Ok(data) = frame.into_data() else { continue };
-                parser.push(&data);
-                let appended = append_events(&mut parser, &mut progress.borrow_mut());
-                if let Ok(count) = appended {
-                    if count > 0 {
-                        last_event_at = Instant::now();
-                        observed.on_output();
-                    }
-                    if last_replicated.elapsed() >= REPLICATION_INTERVAL {
-                        last_replicated = Instant::now();
-                        replicate_output();
-                    }
-                    continue;
-                }
-                let error = appended.err().map(|error| error.to_string()).unwrap_or_default();
-                metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
-                progress.replace(Progress::default());
-                (PlaceOutcome::Errored, error)
-            }
-        };
-        return (RunOutcome::Interrupted, place_outcome, reason);
-    }
-}
-
-quick_error! {
-    /// Reason why the events of an endpoint cannot be used.
-    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-    enum EventError {
-        Missing {
-            display("events are missing")
-        }
-        TooLarge(err: EventTooLarge) {
-            display("{err}")
-            from()
-        }
-        OutputTooLarge {
-            display("the output exceeds {MAX_OUTPUT_BYTES} bytes")
-        }
-    }
-}
-
-/// Appends all complete events to the output and returns their number.
-fn append_events(parser: &mut EventParser, progress: &mut Progress) -> Result<usize, EventError> {
-    let mut count = 0;
-    while let Some(event) = parser.next_event()? {
-        if !progress.append(event.id(), event.data()) {
-            return Err(EventError::Missing);
-        }
-        count += 1;
-    }
-    if progress.output_bytes() > MAX_OUTPUT_BYTES {
-        return Err(EventError::OutputTooLarge);
-    }
-    Ok(count)
-}
-
-/// Item in the form in which it is sent to endpoints.
-struct PreparedItem {
-    request: EndpointRequest,
-    contents: Rc<Contents>,
-}
-
-impl PreparedItem {
-    /// Returns `None` if the item cannot be sent.
-    fn new(node: &Node, job: &Job, item: &JobItem) -> Option<Self> {
-        let request = build_endpoint_request(node, job, item)?;
-        let contents = Rc::new(request_contents(&*node.dialect, &request));
-        Some(Self { request, contents })
-    }
-}
-
-fn build_endpoint_request(node: &Node, job: &Job, item: &JobItem) -> Option<EndpointRequest> {
-    let mut headers = HeaderMap::new();
-    headers.insert(header::HOST, HeaderValue::from_str(&job.spec.host).ok()?);
-    for (name, value) in &item.headers {
-        headers.append(name.parse::<HeaderName>().ok()?, HeaderValue::from_str(value).ok()?);
-    }
-    let id = HeaderValue::from_str(&item.id).ok()?;
-    headers.insert(node.dialect.names().request_id.clone(), id);
-    Some(EndpointRequest {
-        method: Method::POST,
-        path_and_query: item.path.clone(),
-        headers,
-        body: item.body.clone(),
-    })
-}
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -9,6 +9,7 @@
 mod admissions;
 mod estimator;
 mod item;
+mod item_run;
 mod job;
 mod outputs;
 mod progress;
