--- a/dogwoodtray_agent/src/core/endpoint.rs
+++ b/dogwoodtray_agent/src/core/endpoint.rs
@@ -188,10 +188,8 @@
         self.set_endpoint_down(now, out);
     }
 
-    /// Ends the attempts as crashed under one new crash identifier and records them as evidence.
+    /// Ends the attempts as crashed and records them as evidence.
     fn end_as_crashed(&mut self, now: Timestamp, ids: &[AttemptId], out: &mut Vec<AgentAction>) {
-        self.crash_count += 1;
-        let crash_id = self.cfg.incarnation.0.wrapping_mul(31).wrapping_add(self.crash_count);
         for &id in ids {
             if let Some(attempt) = self.attempts.get(id) {
                 let run = CrashedRun {
@@ -205,7 +203,7 @@
                 self.pool.record_crash(now, run);
             }
             out.push(AgentAction::Abort { attempt: id });
-            self.end(now, id, AttemptOutcome::Crashed { crash_id }, out);
+            self.end(now, id, AttemptOutcome::Crashed, out);
         }
     }
 
--- a/dogwoodtray_agent/src/core/message.rs
+++ b/dogwoodtray_agent/src/core/message.rs
@@ -94,10 +94,7 @@
     /// The exchange with the endpoint failed, but the endpoint did not crash.
     Failed,
     /// The endpoint crashed while the attempt was running.
-    Crashed {
-        /// Identifier of the crash.
-        crash_id: u64,
-    },
+    Crashed,
     /// The entry cancelled the attempt.
     Cancelled,
     /// The attempt was preempted in favor of online work.
--- a/dogwoodtray_agent/src/core/state.rs
+++ b/dogwoodtray_agent/src/core/state.rs
@@ -43,7 +43,6 @@
     pub(super) leaving: bool,
     pub(super) endpoint_up: bool,
     pub(super) failed_checks: u32,
-    pub(super) crash_count: u64,
     pub(super) last_heartbeat: Option<Timestamp>,
     pub(super) admission_actions: Vec<AdmissionAction>,
 }
@@ -64,7 +63,6 @@
             leaving: false,
             endpoint_up: true,
             failed_checks: 0,
-            crash_count: 0,
             last_heartbeat: None,
             admission_actions: Vec::new(),
         }
--- a/dogwoodtray_agent/src/shell/convert.rs
+++ b/dogwoodtray_agent/src/shell/convert.rs
@@ -62,10 +62,7 @@
             Outcome::Answered
         }
         AttemptOutcome::Failed => Outcome::Failed,
-        AttemptOutcome::Crashed { crash_id } => {
-            done.death = crash_id;
-            Outcome::Crashed
-        }
+        AttemptOutcome::Crashed => Outcome::Crashed,
         AttemptOutcome::Cancelled => Outcome::Cancelled,
         AttemptOutcome::Preempted => Outcome::Preempted,
         AttemptOutcome::NotRun(reason) => {
--- a/dogwoodtray_agent/tests/breaks.rs
+++ b/dogwoodtray_agent/tests/breaks.rs
@@ -96,7 +96,7 @@
 }
 
 fn is_crashed(outcome: Option<AttemptOutcome>) -> bool {
-    matches!(outcome, Some(AttemptOutcome::Crashed { .. }))
+    matches!(outcome, Some(AttemptOutcome::Crashed))
 }
 
 /// Guards against a crash being reported as a failed exchange. The endpoint restarts before the
--- a/dogwoodtray_entry/src/online/blocks.rs
+++ b/dogwoodtray_entry/src/online/blocks.rs
@@ -83,7 +83,7 @@
     ) {
         let contents = attempt.spec.contents();
         match outcome {
-            AttemptOutcome::Crashed { .. } => {
+            AttemptOutcome::Crashed => {
                 let has_output = attempt.tokens > attempt.resume_from;
                 let run = CrashedRun {
                     contents,
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -301,12 +301,12 @@
     ) {
         // It is unknown whether the endpoint crashed together with its agent. The loss counts as a
         // crash, because a request that crashes endpoints would otherwise be treated as harmless.
-        let crash_id = self.endpoints.get_by_node(&peer.node).map(|known| known.incarnation.0);
+        let has_crashed = self.endpoints.get_by_node(&peer.node).is_some();
         match self.endpoints.link_up(self.router.as_mut(), link, peer) {
             AgentProcess::Known => self.reattach_all(link, &peer.node, actions),
             AgentProcess::New => {
                 for id in self.attempts_at(&peer.node) {
-                    self.end_lost_attempt(now, id, crash_id, actions);
+                    self.end_lost_attempt(now, id, has_crashed, actions);
                 }
             }
         }
--- a/dogwoodtray_entry/src/online/event.rs
+++ b/dogwoodtray_entry/src/online/event.rs
@@ -121,10 +121,7 @@
     /// The exchange with the endpoint failed.
     Failed,
     /// The endpoint crashed.
-    Crashed {
-        /// Id of the crash.
-        crash_id: u64,
-    },
+    Crashed,
     /// The entry cancelled the attempt.
     Cancelled,
     /// The attempt was preempted by online work.
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -176,17 +176,17 @@
         self.end_attempt(now, id, done, actions);
     }
 
-    /// Ends an attempt whose agent is disconnected or was replaced.
+    /// Ends an attempt whose agent is disconnected or was replaced. `has_crashed` states that its
+    /// endpoint counts as crashed.
     pub(super) fn end_lost_attempt(
         &mut self,
         now: Timestamp,
         id: AttemptId,
-        crash_id: Option<u64>,
+        has_crashed: bool,
         actions: &mut Vec<OnlineAction>,
     ) {
         let Some(attempt) = self.attempts.get(&id) else { return };
-        let outcome = crash_id
-            .map_or(AttemptOutcome::Unknown, |crash_id| AttemptOutcome::Crashed { crash_id });
+        let outcome = if has_crashed { AttemptOutcome::Crashed } else { AttemptOutcome::Unknown };
         let tokens = attempt.tokens;
         let done = AttemptDone { outcome, content_type: Name::from(""), total_bytes: 0, tokens };
         self.end_attempt(now, id, done, actions);
@@ -389,7 +389,7 @@
 
 const fn retry_reason(outcome: AttemptOutcome) -> &'static str {
     match outcome {
-        AttemptOutcome::Crashed { .. } => "endpoint died",
+        AttemptOutcome::Crashed => "endpoint died",
         AttemptOutcome::Failed => "exchange with the endpoint failed",
         AttemptOutcome::Preempted => "preempted",
         AttemptOutcome::Cancelled => "cancelled",
--- a/dogwoodtray_entry/src/online/tick.rs
+++ b/dogwoodtray_entry/src/online/tick.rs
@@ -22,22 +22,22 @@
     }
 
     fn end_detached_attempts(&mut self, now: Timestamp, actions: &mut Vec<OnlineAction>) {
-        let lost: Vec<(AttemptId, Option<u64>)> = self
+        let lost: Vec<(AttemptId, bool)> = self
             .attempts
             .values()
             .filter(|a| a.link.is_none() && now - a.detached_at >= self.detach_timeout(a))
-            .map(|a| (a.id, self.inferred_crash(a)))
+            .map(|a| (a.id, self.counts_as_crashed(a)))
             .collect();
-        for (id, crash_id) in lost {
-            self.end_lost_attempt(now, id, crash_id, actions);
+        for (id, has_crashed) in lost {
+            self.end_lost_attempt(now, id, has_crashed, actions);
         }
     }
 
-    /// Returns the id of the crash that is inferred if the agent of an attempt is still
-    /// disconnected, or `None` if the agent is connected or unknown.
-    fn inferred_crash(&self, attempt: &Attempt) -> Option<u64> {
-        let endpoint = self.endpoints.get_by_node(&attempt.node)?;
-        endpoint.link.is_none().then_some(endpoint.incarnation.0)
+    /// Returns `true` if the agent of an attempt is known and still disconnected, so that its endpoint
+    /// counts as crashed.
+    fn counts_as_crashed(&self, attempt: &Attempt) -> bool {
+        let endpoint = self.endpoints.get_by_node(&attempt.node);
+        endpoint.is_some_and(|endpoint| endpoint.link.is_none())
     }
 
     fn detach_timeout(&self, attempt: &Attempt) -> Duration {
--- a/dogwoodtray_entry/src/shell/convert.rs
+++ b/dogwoodtray_entry/src/shell/convert.rs
@@ -64,7 +64,7 @@
             AttemptOutcome::Answered { status: u16::try_from(message.status).unwrap_or(502) }
         }
         Outcome::Failed => AttemptOutcome::Failed,
-        Outcome::Crashed => AttemptOutcome::Crashed { crash_id: message.death },
+        Outcome::Crashed => AttemptOutcome::Crashed,
         Outcome::Cancelled => AttemptOutcome::Cancelled,
         Outcome::Preempted => AttemptOutcome::Preempted,
         Outcome::NotRun => AttemptOutcome::NotRun(not_run_reason(message.reason())),
--- a/dogwoodtray_entry/src/shell/jobs.rs
+++ b/dogwoodtray_entry/src/shell/jobs.rs
@@ -342,7 +342,7 @@
                 }
             }
             AttemptOutcome::Answered { status } => ItemAttemptEnd::Failed { status, body: answer },
-            AttemptOutcome::Crashed { .. } => ItemAttemptEnd::Crashed,
+            AttemptOutcome::Crashed => ItemAttemptEnd::Crashed,
             AttemptOutcome::Cancelled => ItemAttemptEnd::Cancelled,
             AttemptOutcome::Preempted => {
                 let partial = Bytes::from([partial, answer].concat());
--- a/dogwoodtray_entry/tests/core_support/mod.rs
+++ b/dogwoodtray_entry/tests/core_support/mod.rs
@@ -215,7 +215,7 @@
     }
 
     pub(crate) fn crash(&mut self, attempt: AttemptId) {
-        self.done(attempt, AttemptOutcome::Crashed { crash_id: attempt.counter });
+        self.done(attempt, AttemptOutcome::Crashed);
     }
 
     /// Ends what runs at an endpoint with its crash.
@@ -224,7 +224,7 @@
         let ended: Vec<AttemptId> =
             self.running.iter().filter(is_there).map(|running| running.attempt).collect();
         for attempt in ended {
-            self.done(attempt, AttemptOutcome::Crashed { crash_id: link.0 });
+            self.done(attempt, AttemptOutcome::Crashed);
         }
     }
 
--- a/dogwoodtray_entry/tests/online_support/simulation.rs
+++ b/dogwoodtray_entry/tests/online_support/simulation.rs
@@ -453,7 +453,7 @@
         let not_run = online::AttemptOutcome::NotRun(online::NotRunReason::Busy);
         match outcome {
             AgentAttemptOutcome::Answered { status } => online::AttemptOutcome::Answered { status },
-            AgentAttemptOutcome::Crashed { .. }
+            AgentAttemptOutcome::Crashed
             | AgentAttemptOutcome::Failed
             | AgentAttemptOutcome::Unknown
                 if self.reports_false_not_run =>
@@ -461,9 +461,7 @@
                 not_run
             }
             AgentAttemptOutcome::Failed => online::AttemptOutcome::Failed,
-            AgentAttemptOutcome::Crashed { crash_id } => {
-                online::AttemptOutcome::Crashed { crash_id }
-            }
+            AgentAttemptOutcome::Crashed => online::AttemptOutcome::Crashed,
             AgentAttemptOutcome::Cancelled => online::AttemptOutcome::Cancelled,
             AgentAttemptOutcome::Preempted => online::AttemptOutcome::Preempted,
             AgentAttemptOutcome::NotRun(_) => not_run,
