Log items that complete because their runs were empty

Nothing in the log told that from a stream that ended: DT3010 names the item, the endpoint and the number of events, for a report of a result that lacks its last events.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -132,6 +132,10 @@
         } else if matches!(outcome, RunOutcome::Empty) {
             empty_runs += 1;
             if empty_runs >= CONFIRMING_EMPTY_RUNS {
+                let events = progress.borrow().event_count();
+                let fields: [(&str, &dyn Display); 3] =
+                    [("item", &item.id), ("endpoint", &endpoint), ("events", &events)];
+                node.events.emit(&catalogue::ITEM_COMPLETED_BY_EMPTY_RUNS, Some(job.id()), &fields);
                 outcome = RunOutcome::Completed;
             }
         }
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -102,6 +102,8 @@
     ITEM_GIVEN_UP = 3008, Info, "item given up";
     /// An item is not run for now because of a blocked content.
     ITEM_HELD = 3009, Info, "item is held for a blocked content";
+    /// An item counts as complete because several runs in turn had no further event.
+    ITEM_COMPLETED_BY_EMPTY_RUNS = 3010, Info, "item is complete after empty runs";
 
     /// A key range was claimed.
     RANGE_CLAIMED = 3101, Info, "key range claimed";
