--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -30,6 +30,7 @@
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_runtime::crash_report;
 use dogwoodtray_runtime::crashed_run;
+use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -39,7 +40,6 @@
 use crate::node::Node;
 use crate::node::NodeRole;
 use crate::peers::DISPATCHER_KEY;
-use crate::places::millis;
 
 /// Number of drivers that are told what all processes are to know. The second one continues if the
 /// first is lost.
--- a/dogwoodtray_gateway/src/driver/admissions.rs
+++ b/dogwoodtray_gateway/src/driver/admissions.rs
@@ -22,6 +22,7 @@
 use dogwoodtray_platform::ConditionalResult;
 use dogwoodtray_platform::CreateResult;
 use dogwoodtray_platform::GetResult;
+use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::JobAdmitStatus;
 use tokio::sync::oneshot;
@@ -31,7 +32,6 @@
 use super::JOBS_KIND;
 use super::WATCHERS_KEY;
 use crate::node::Node;
-use crate::places::millis;
 
 /// Kind of the records of admitted jobs, named after their routes.
 const QUOTAS_KIND: &str = "batch-quotas";
--- a/dogwoodtray_gateway/src/endpoint_list.rs
+++ b/dogwoodtray_gateway/src/endpoint_list.rs
@@ -16,6 +16,7 @@
 use dogwoodtray_platform::Object;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::catalogue;
+use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use tokio::time::sleep;
 
@@ -26,7 +27,6 @@
 use crate::model::ListDigest;
 use crate::node::Node;
 use crate::node::NodeRole;
-use crate::places::millis;
 use crate::sync::Backoff;
 
 /// Interval between lists of the endpoints. A draining endpoint must receive no new requests 2 s
--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -8,6 +8,7 @@
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_runtime::LinkHandle;
+use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::JobAdmitStatus;
 use dogwoodtray_wire::messages::JobReadStatus;
@@ -21,7 +22,6 @@
 use crate::places::PlaceError;
 use crate::places::PlaceParams;
 use crate::places::PlacePermit;
-use crate::places::millis;
 use crate::places::outcome_from_wire;
 
 /// Time that a read may take in addition to its wait time.
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -9,6 +9,7 @@
 use dogwoodtray_platform::CreateResult;
 use dogwoodtray_runtime::Clock;
 use dogwoodtray_runtime::catalogue;
+use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::JobAdmitStatus;
 use dogwoodtray_wire::messages::JobReadStatus;
@@ -32,7 +33,6 @@
 use crate::model::ResultPage;
 use crate::model::Route;
 use crate::node::Node;
-use crate::places::millis;
 
 /// Maximum number of items of a job, as defined by the platform.
 const MAX_ITEMS: usize = 200;
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -19,6 +19,7 @@
 use dogwoodtray_policy::PlaceRequest;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::LinkId;
+use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
@@ -29,7 +30,6 @@
 use tokio::time::timeout;
 
 use super::wire::class_to_wire;
-use super::wire::millis;
 use super::wire::outcome_to_wire;
 use crate::node::Node;
 use crate::peers::DISPATCHER_KEY;
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -7,12 +7,12 @@
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceRequest;
 use dogwoodtray_runtime::LinkId;
+use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::frame::Kind;
 
 use super::acquire::PlaceEvent;
 use super::wire::class_from_wire;
-use super::wire::millis;
 use super::wire::outcome_from_wire;
 use crate::node::Node;
 
--- a/dogwoodtray_gateway/src/places/mod.rs
+++ b/dogwoodtray_gateway/src/places/mod.rs
@@ -9,5 +9,4 @@
 pub(crate) use self::acquire::PlaceParams;
 pub(crate) use self::acquire::PlacePermit;
 pub(crate) use self::acquire::Places;
-pub(crate) use self::wire::millis;
 pub(crate) use self::wire::outcome_from_wire;
--- a/dogwoodtray_gateway/src/places/wire.rs
+++ b/dogwoodtray_gateway/src/places/wire.rs
@@ -1,17 +1,10 @@
 //! Conversions between values and message fields for places.
 
-use std::time::Duration;
-
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::WorkClass;
 
-/// Converts a duration to whole milliseconds, up to `u32::MAX`.
-pub(crate) fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
 pub(super) const fn class_to_wire(class: Class) -> WorkClass {
     match class {
         Class::Online => WorkClass::Online,
--- a/dogwoodtray_http/src/end.rs
+++ b/dogwoodtray_http/src/end.rs
@@ -103,7 +103,7 @@
         }
         /// The stream ends within an event.
         PartialEvent {
-            display("part of an event")
+            display("partial event")
         }
         /// The stream has no events, and only the end of its connection says that it is complete.
         NoEvents {
--- a/dogwoodtray_runtime/src/convert.rs
+++ b/dogwoodtray_runtime/src/convert.rs
@@ -165,6 +165,7 @@
 }
 
 /// Converts a duration to whole milliseconds, up to `u32::MAX`.
-fn millis(duration: Duration) -> u32 {
+#[must_use]
+pub fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -20,6 +20,7 @@
 pub use crate::convert::crashed_run;
 pub use crate::convert::evidence_from_wire;
 pub use crate::convert::evidence_to_wire;
+pub use crate::convert::millis;
 pub use crate::events::EventCode;
 pub use crate::events::EventLog;
 pub use crate::events::EventRecord;
