--- a/dogwoodtray_entry/src/shell/once/service.rs
+++ b/dogwoodtray_entry/src/shell/once/service.rs
@@ -290,6 +290,7 @@
                     let spec = &pending.spec;
                     run::start(&self.shared, &self.store.runtime, index, key, epoch, spec);
                 } else {
+                    debug_assert!(self.draining, "each run belongs to a pending request");
                     // The request was answered at the end of the shutdown.
                     self.handle_range_event(now, index, OnceEvent::NotRun { key });
                 }
