Share the odd peer and the caller of HTTP/1.0 between tests

The two tests of odd frames each had their own link that sends frames and their own count of panics, and a caller of HTTP/1.0 stood in two tests of the entry. Both stand once now. Assertions, seeds, numbers of frames and time limits are as before.

--- a/dogwoodtray_cli/tests/broken_answers.rs
+++ b/dogwoodtray_cli/tests/broken_answers.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod http_1_0;
+
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,13 +11,14 @@
 use dogwoodtray_cli::local::Fleet;
 use dogwoodtray_cli::local::FleetConfig;
 use dogwoodtray_standin::PlatformFaults;
+use http_1_0::WAIT_TIMEOUT;
+use http_1_0::post;
+use http_1_0::post_chat;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
-
 async fn start_fleet() -> Fleet {
     let cfg = FleetConfig { entries: 1, endpoints: 1, ..FleetConfig::default() };
     Fleet::start(&cfg).await.unwrap()
@@ -101,26 +104,6 @@
     }
 }
 
-/// Sends a request and returns its whole answer.
-async fn post(entry: SocketAddr, deadline_ms: u64) -> String {
-    let body = r#"{"model":"standin","max_tokens":2,"messages":[{"role":"user","content":"a"}]}"#;
-    let headers = format!("x-deadline-ms: {deadline_ms}\r\n");
-    post_to(entry, "/v1/chat/completions", &headers, body).await
-}
-
-/// Sends a request with these headers and returns its whole answer.
-async fn post_to(entry: SocketAddr, path: &str, headers: &str, body: &str) -> String {
-    let request = format!(
-        "POST {path} HTTP/1.0\r\nhost: entry\r\n{headers}content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    let mut stream = TcpStream::connect(entry).await.unwrap();
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut text = String::new();
-    timeout(WAIT_TIMEOUT, stream.read_to_string(&mut text)).await.unwrap().unwrap();
-    text
-}
-
 /// Guards against a request that is taken late in a drain and cut at its end, and against one that is
 /// open at its end and gets no answer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -138,10 +121,10 @@
     let (mut held, mut held_text) = begin_with_deadline(entry, "HTTP/1.1", 100_000, 60_000).await;
     fleet.entries[0].drain();
     tokio::time::sleep(Duration::from_secs(3)).await;
-    let late = post(entry, 4_000).await;
+    let late = post_chat(entry, 4_000).await;
     assert!(late.starts_with("HTTP/1.0 503") && late.contains("not_run"), "{late}");
     assert!(late.contains("retry-after: 0\r\n"), "{late}");
-    let short = post(entry, 1_000).await;
+    let short = post_chat(entry, 1_000).await;
     assert!(short.starts_with("HTTP/1.0 200"), "{short}");
     for (stream, received) in [(&mut stream, &mut received), (&mut held, &mut held_text)] {
         let _ = read_rest(stream, received).await;
@@ -171,7 +154,7 @@
     let headers = "x-non-idempotent: true\r\nidempotency-key: k\r\nx-deadline-ms: 9000\r\n";
     let requests = [("/v1/batches", "", job), ("/v1/chat/completions", headers, once)];
     for (path, headers, body) in requests {
-        tokio::spawn(async move { post_to(entry, path, headers, &body).await });
+        tokio::spawn(async move { post(entry, path, headers, &body).await });
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
     fleet.entries[0].drain();
--- a/dogwoodtray_cli/tests/odd_frames.rs
+++ b/dogwoodtray_cli/tests/odd_frames.rs
@@ -7,10 +7,11 @@
 #[path = "../../dogwoodtray_wire/tests/odd_frames/mod.rs"]
 #[allow(dead_code, reason = "the tests of the decoder use the rest")]
 mod frames;
+#[allow(dead_code, reason = "the tests of broken answers use the rest")]
+mod http_1_0;
+#[path = "../../dogwoodtray_wire/tests/odd_frames/peer.rs"]
+mod peer;
 
-use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering::SeqCst;
 use std::time::Duration;
 
 use dogwoodtray_cli::local::Fleet;
@@ -18,22 +19,19 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_standin::Vm;
 use dogwoodtray_standin::VmRole;
-use dogwoodtray_wire::FrameCodec;
-use dogwoodtray_wire::messages::Frame;
 use dogwoodtray_wire::messages::Hello;
 use dogwoodtray_wire::messages::Role;
 use frames::odd_frame;
-use futures_util::SinkExt;
-use futures_util::StreamExt;
+use http_1_0::post_chat;
+use peer::count_panics;
+use peer::panics;
+use peer::send_frames;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
 
 /// Number of frames on each link.
 const FRAMES: usize = 400;
@@ -46,8 +44,6 @@
 const NAMES: [&str; 9] =
     ["", "agent-0", "agent-9", "entry-0", "standin", "POST", "/v1", "once/1", "127.0.0.1:9"];
 
-static PANICS: AtomicUsize = AtomicUsize::new(0);
-
 /// Sends odd frames on a link.
 async fn send_odd_frames(stream: TcpStream, role: Role, seed: u64) {
     let hello = Hello {
@@ -57,19 +53,9 @@
         models: vec!["other".to_owned()],
         ..Hello::default()
     };
-    let (mut tx, mut rx) = Framed::new(stream, FrameCodec::new()).split();
-    tokio::spawn(async move { while let Some(Ok(_)) = rx.next().await {} });
-    if tx.send(Frame::from(hello)).await.is_err() {
-        return;
-    }
     let mut rng = StdRng::seed_from_u64(seed);
-    for _ in 0..FRAMES {
-        // A frame may end the link.
-        if tx.send(odd_frame(&mut rng, &NAMES)).await.is_err() {
-            return;
-        }
-    }
-    sleep(Duration::from_millis(200)).await;
+    let frames = (0..FRAMES).map(|_| odd_frame(&mut rng, &NAMES));
+    send_frames(stream, hello, frames).await;
 }
 
 /// Sends odd frames to all processes that dial an agent.
@@ -80,29 +66,10 @@
     }
 }
 
-/// Sends a request and returns its answer.
-async fn post(entry: SocketAddr) -> String {
-    let body = r#"{"model":"standin","max_tokens":2,"messages":[{"role":"user","content":"a"}]}"#;
-    let request = format!(
-        "POST /v1/chat/completions HTTP/1.0\r\nhost: entry\r\nx-deadline-ms: 4000\r\n\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    let mut stream = TcpStream::connect(entry).await.unwrap();
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut text = String::new();
-    timeout(WAIT_TIMEOUT, stream.read_to_string(&mut text)).await.unwrap().unwrap();
-    text
-}
-
 /// Guards against frames that stop an entry or an agent, or one of its services.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn odd_frames_of_peers_stop_nothing() {
-    let print = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
-        PANICS.fetch_add(1, SeqCst);
-        print(info);
-    }));
+    count_panics();
     let cfg = FleetConfig { entries: 1, endpoints: 1, ..FleetConfig::default() };
     let fleet = Fleet::start(&cfg).await.unwrap();
     let mut seed = 0;
@@ -111,7 +78,7 @@
             seed += 1;
             let stream = TcpStream::connect(peer).await.unwrap();
             send_odd_frames(stream, role, seed).await;
-            assert_eq!(PANICS.load(SeqCst), 0, "link as {role:?}");
+            assert_eq!(panics(), 0, "link as {role:?}");
         }
     }
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -121,15 +88,16 @@
     fleet.platform.set_vm(vm);
     sleep(Duration::from_secs(5)).await;
     odd_agent.abort();
-    assert_eq!(PANICS.load(SeqCst), 0, "links to an agent");
+    assert_eq!(panics(), 0, "links to an agent");
     let mut answer = String::new();
     for _ in 0..MAX_ATTEMPTS {
-        answer = post(fleet.caller_addrs()[0]).await;
+        let call = post_chat(fleet.caller_addrs()[0], 4_000);
+        answer = timeout(WAIT_TIMEOUT, call).await.unwrap();
         if answer.starts_with("HTTP/1.0 200") {
             break;
         }
         sleep(Duration::from_millis(500)).await;
     }
     assert!(answer.starts_with("HTTP/1.0 200"), "{answer}");
-    assert_eq!(PANICS.load(SeqCst), 0, "after the odd frames");
+    assert_eq!(panics(), 0, "after the odd frames");
 }
--- a/dogwoodtray_gateway/tests/odd_frames.rs
+++ b/dogwoodtray_gateway/tests/odd_frames.rs
@@ -7,22 +7,21 @@
 #[path = "../../dogwoodtray_wire/tests/odd_frames/mod.rs"]
 #[allow(dead_code, reason = "the tests of the decoder use the rest")]
 mod odd_frames;
+#[path = "../../dogwoodtray_wire/tests/odd_frames/peer.rs"]
+mod peer;
 mod support;
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering::SeqCst;
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
 use dogwoodtray_platform::ObjectStore;
-use dogwoodtray_wire::FrameCodec;
-use dogwoodtray_wire::messages::Frame;
 use dogwoodtray_wire::messages::Hello;
 use dogwoodtray_wire::messages::Role;
-use futures_util::SinkExt;
-use futures_util::StreamExt;
 use odd_frames::odd_frame;
+use peer::count_panics;
+use peer::panics;
+use peer::send_frames;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::Value;
@@ -33,7 +32,6 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
-use tokio_util::codec::Framed;
 
 /// Number of frames on each link.
 const FRAMES: usize = 400;
@@ -44,25 +42,13 @@
 const NAMES: [&str; 12] =
     ["", "d1", "d9", "g1", "a", "b", "engine", "ledger", "stream", "job", "j1", "127.0.0.1:9"];
 
-static PANICS: AtomicUsize = AtomicUsize::new(0);
-
 /// Sends odd frames on a link.
 async fn send_odd_frames(stream: TcpStream, role: Role, seed: u64) {
     let hello =
         Hello { node: "d9".to_owned(), incarnation: seed, role: role.into(), ..Hello::default() };
-    let (mut tx, mut rx) = Framed::new(stream, FrameCodec::new()).split();
-    spawn_local(async move { while let Some(Ok(_)) = rx.next().await {} });
-    if tx.send(Frame::from(hello)).await.is_err() {
-        return;
-    }
     let mut rng = StdRng::seed_from_u64(seed);
-    for _ in 0..FRAMES {
-        // A frame may end the link.
-        if tx.send(odd_frame(&mut rng, &NAMES)).await.is_err() {
-            return;
-        }
-    }
-    sleep(Duration::from_millis(200)).await;
+    let frames = (0..FRAMES).map(|_| odd_frame(&mut rng, &NAMES));
+    send_frames(stream, hello, frames).await;
 }
 
 /// Sends odd frames to all processes that dial a driver.
@@ -91,11 +77,7 @@
 /// Guards against frames that stop a process, or the part of it that serves its links.
 #[test]
 fn odd_frames_of_peers_stop_nothing() {
-    let print = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
-        PANICS.fetch_add(1, SeqCst);
-        print(info);
-    }));
+    count_panics();
     run_local(async {
         let site = Site::new();
         let _a = site.add_endpoint("a", "engine", 4).await;
@@ -112,7 +94,7 @@
                 seed += 1;
                 let stream = TcpStream::connect(entry["address"].as_str().unwrap()).await.unwrap();
                 send_odd_frames(stream, role, seed).await;
-                assert_eq!(PANICS.load(SeqCst), 0, "link to {node} as {role:?}");
+                assert_eq!(panics(), 0, "link to {node} as {role:?}");
             }
         }
         assert_served(&site).await;
@@ -125,6 +107,6 @@
         odd_driver.abort();
         let _ = site.store.remove("nodes", &Name::from("d9")).await;
         site.post("/stream/x", "last", "slip").await;
-        assert_eq!(PANICS.load(SeqCst), 0, "links to a driver");
+        assert_eq!(panics(), 0, "links to a driver");
     });
 }
