--- a/review/harness/cluster.rs
+++ b/review/harness/cluster.rs
@@ -108,13 +108,7 @@
             .stdout(log.try_clone().expect("a log file"))
             .stderr(log)
             .spawn();
-        match child {
-            Ok(child) => self.child = Some(child),
-            Err(err) => {
-                eprintln!("cannot start {}: {err}", self.program);
-                process::exit(2);
-            }
-        }
+        self.child = Some(child.expect("the program of the deploy file is built"));
     }
 
     /// Sends a signal by its name.
@@ -143,7 +137,7 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
-    /// Waits until a gateway is ready. Ends the script if it does not get so.
+    /// Waits until a gateway is ready. Fails if it does not get so.
     pub fn wait_ready(&self) {
         let until = Instant::now() + Duration::from_secs(15);
         while Instant::now() < until {
@@ -154,8 +148,7 @@
             }
             thread::sleep(Duration::from_millis(50));
         }
-        eprintln!("{} does not get ready", self.name);
-        process::exit(2);
+        panic!("{} does not get ready", self.name);
     }
 }
 
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -14,6 +14,7 @@
 mod worker;
 
 use std::env;
+use std::panic;
 use std::process;
 
 /// Result of a case.
@@ -31,11 +32,13 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = format!("{folder}/record.txt");
-    let verdict = match case.as_str() {
+    // A panic unwinds, so that all processes that were started are ended.
+    let verdict = panic::catch_unwind(|| match case.as_str() {
         "moved-service" => moved_service::play(trouble, &record),
         "lost-end" => lost_end::play(trouble, &record),
         other => Verdict::NotRun(format!("no case {other}")),
-    };
+    });
+    let verdict = verdict.unwrap_or_else(|_| Verdict::NotRun("a step failed".to_owned()));
     let (code, text) = match verdict {
         Verdict::Held => (0, "the rule held".to_owned()),
         Verdict::Broken(text) => (1, format!("the rule was broken: {text}")),
