--- a/review/harness/lost_end.rs
+++ b/review/harness/lost_end.rs
@@ -8,6 +8,7 @@
 use crate::cluster::Folder;
 use crate::cluster::Process;
 use crate::cluster::free_addr;
+use crate::http::Message;
 use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::site;
@@ -30,7 +31,8 @@
     let (store, runs, folder) = (Store::default(), Runs::default(), Folder::create());
     store.put("config", "main", &site::config(3, "writer", &["writer"]));
     // An item takes 1.2 s.
-    let plan = |_: &str| Plan { events: 40, interval: Duration::from_millis(30) };
+    let plan =
+        |_: &Message| Plan { events: 40, interval: Duration::from_millis(30), crashes: false };
     let _worker = Worker::start("i-writer-1", "writer", 2, &store, &runs, plan);
     let mut drivers = Vec::new();
     let mut proxies = Vec::new();
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod blocked_lot;
+mod blocked_prompt;
 mod cluster;
 mod http;
 mod json;
@@ -9,6 +11,7 @@
 mod moved_service;
 mod proxy;
 mod record;
+mod replaced_store;
 mod site;
 mod store;
 mod worker;
@@ -35,6 +38,9 @@
     // A panic unwinds, so that all processes that were started are ended.
     let verdict = panic::catch_unwind(|| match case.as_str() {
         "moved-service" => moved_service::play(trouble, &record),
+        "blocked-lot" => blocked_lot::play(trouble, &record),
+        "blocked-prompt" => blocked_prompt::play(trouble, &record),
+        "replaced-store" => replaced_store::play(trouble, &record),
         "lost-end" => lost_end::play(trouble, &record),
         other => Verdict::NotRun(format!("no case {other}")),
     });
--- a/review/harness/moved_service.rs
+++ b/review/harness/moved_service.rs
@@ -9,6 +9,7 @@
 use crate::cluster::Folder;
 use crate::cluster::Process;
 use crate::cluster::free_addr;
+use crate::http::Message;
 use crate::record::Record;
 use crate::site;
 use crate::store::Store;
@@ -34,7 +35,8 @@
     let (store, runs, folder) = (Store::default(), Runs::default(), Folder::create());
     store.put("config", "main", &site::config(3, "blue", &["blue", "green"]));
     // An item takes 3 s, like the longer ones of the sites in force.
-    let plan = |_: &str| Plan { events: 100, interval: Duration::from_millis(30) };
+    let plan =
+        |_: &Message| Plan { events: 100, interval: Duration::from_millis(30), crashes: false };
     let blue = Worker::start("i-blue-1", "blue", 2, &store, &runs, plan);
     let green: Vec<Worker> = (1..=5)
         .map(|n| Worker::start(&format!("i-green-{n}"), "green", 8, &store, &runs, plan))
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -208,7 +208,8 @@
         }
     }
 
-    fn get(&self, kind: &str, name: &str) -> (u16, String) {
+    /// Returns an object as it is sent.
+    pub fn get(&self, kind: &str, name: &str) -> (u16, String) {
         let state = self.shared.0.lock().expect("state");
         match state.kinds.get(kind).and_then(|objects| objects.get(name)) {
             Some(object) => (200, object_json(name, object)),
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -21,6 +21,9 @@
 use crate::http::Message;
 use crate::store::Store;
 
+/// Time after which a worker that has crashed is back.
+const DOWN: Duration = Duration::from_secs(3);
+
 /// Interval of a worker's entries in the store.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -31,6 +34,8 @@
     pub events: u64,
     /// Time between two events.
     pub interval: Duration,
+    /// Whether the worker crashes as it begins to answer.
+    pub crashes: bool,
 }
 
 /// Run of a request at a worker.
@@ -55,14 +60,18 @@
     pub service: String,
     pub addr: SocketAddr,
     slots: usize,
-    born: u128,
+    /// Start of the worker in Unix milliseconds.
+    born: Arc<AtomicU64>,
+    /// Number of crashes so far.
+    crashes: Arc<AtomicU64>,
+    is_down: Arc<AtomicBool>,
     store: Store,
     runs: Runs,
     running: Arc<AtomicUsize>,
     sequence: Arc<AtomicU64>,
     draining: Arc<AtomicBool>,
     gone: Arc<AtomicBool>,
-    plan: Arc<dyn Fn(&str) -> Plan + Send + Sync>,
+    plan: Arc<dyn Fn(&Message) -> Plan + Send + Sync>,
 }
 
 /// Text of one event of a request's output.
@@ -76,23 +85,24 @@
 }
 
 impl Worker {
-    /// Starts a worker. `plan` tells how the request with an id runs.
+    /// Starts a worker. `plan` tells how a request runs.
     pub fn start(
         id: &str,
         service: &str,
         slots: usize,
         store: &Store,
         runs: &Runs,
-        plan: impl Fn(&str) -> Plan + Send + Sync + 'static,
+        plan: impl Fn(&Message) -> Plan + Send + Sync + 'static,
     ) -> Self {
         let listener = http::bind();
-        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let worker = Self {
             id: id.to_owned(),
             service: service.to_owned(),
             addr: listener.local_addr().expect("a bound address"),
             slots,
-            born: born.map_or(0, |time| time.as_millis()),
+            born: Arc::new(AtomicU64::new(unix_ms())),
+            crashes: Arc::default(),
+            is_down: Arc::default(),
             store: store.clone(),
             runs: Arc::clone(runs),
             running: Arc::default(),
@@ -111,7 +121,9 @@
                 if this.gone.load(Ordering::SeqCst) {
                     return;
                 }
-                this.report();
+                if !this.is_down.load(Ordering::SeqCst) {
+                    this.report();
+                }
             }
         });
         worker
@@ -123,7 +135,10 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
         let spec = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"cold-left-ms\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence},\"born\":{}}}",
-            self.service, self.addr, self.slots, self.born
+            self.service,
+            self.addr,
+            self.slots,
+            self.born.load(Ordering::SeqCst)
         );
         self.store.put("servers", &self.id, &spec);
     }
@@ -145,9 +160,19 @@
         self.running.load(Ordering::SeqCst)
     }
 
-    fn accept(&self, listener: TcpListener) {
+    fn accept(&self, mut listener: TcpListener) {
         listener.set_nonblocking(true).expect("a socket option");
         while !self.gone.load(Ordering::SeqCst) {
+            if self.is_down.load(Ordering::SeqCst) {
+                drop(listener);
+                thread::sleep(DOWN);
+                listener = TcpListener::bind(self.addr).expect("the worker's own address is free");
+                listener.set_nonblocking(true).expect("a socket option");
+                self.born.store(unix_ms(), Ordering::SeqCst);
+                self.is_down.store(false, Ordering::SeqCst);
+                self.report();
+                continue;
+            }
             match listener.accept() {
                 Ok((stream, _)) => {
                     let this = self.clone();
@@ -162,6 +187,12 @@
         }
     }
 
+    /// Ends all runs and refuses connections until the worker is back.
+    fn crash(&self) {
+        self.crashes.fetch_add(1, Ordering::SeqCst);
+        self.is_down.store(true, Ordering::SeqCst);
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let Ok(read) = stream.try_clone() else { return };
         let Ok(Some(req)) = http::read_message(&mut BufReader::new(read), false) else { return };
@@ -206,14 +237,25 @@
             });
             runs.len() - 1
         };
-        let outcome = if self.stream(stream, id, after).is_ok() { "complete" } else { "cut" };
+        let plan = (self.plan)(req);
+        let outcome = match self.stream(stream, id, after, plan) {
+            Ok(()) => "complete",
+            Err(err) if err.kind() == ErrorKind::Interrupted => "crashed",
+            Err(_) => "cut",
+        };
         let mut runs = self.runs.lock().expect("runs");
         runs[index].ended = Some(Instant::now());
         runs[index].outcome = outcome;
     }
 
-    fn stream(&self, stream: &mut TcpStream, id: &str, after: u64) -> std::io::Result<()> {
-        let plan = (self.plan)(id);
+    fn stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        after: u64,
+        plan: Plan,
+    ) -> std::io::Result<()> {
+        let life = self.crashes.load(Ordering::SeqCst);
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: {}.{id}\r\nWeight-Versions: 1\r\n{}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             self.id,
@@ -224,6 +266,12 @@
             if number == after + 1 {
                 stream.write_all(head.as_bytes())?;
             }
+            if plan.crashes {
+                self.crash();
+            }
+            if self.crashes.load(Ordering::SeqCst) != life {
+                return Err(ErrorKind::Interrupted.into());
+            }
             check_open(stream)?;
             let event = format!("id: {number}\ndata: {}\n\n", event_text(id, number));
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
@@ -246,3 +294,8 @@
         _ => Ok(()),
     }
 }
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    now.map_or(0, |time| time.as_millis() as u64)
+}
