--- a/review/harness/cluster.rs
+++ b/review/harness/cluster.rs
@@ -111,14 +111,6 @@
         self.child = Some(child.expect("the program of the deploy file is built"));
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ =
-                Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
-        }
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -127,11 +119,6 @@
         }
     }
 
-    /// Returns `true` if the process runs.
-    pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Returns what the process wrote so far.
     pub fn output(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -54,8 +53,6 @@
 pub struct Store {
     shared: Arc<(Mutex<State>, Condvar)>,
     calls: Arc<Mutex<Vec<Call>>>,
-    /// Delay of each answer in milliseconds.
-    delay_ms: Arc<Mutex<u64>>,
 }
 
 fn event_json(kind_name: &str, object: &Object, removed: bool) -> String {
@@ -119,8 +116,6 @@
                 from: from.to_owned(),
                 what: format!("{} {}", req.method(), req.line[1]),
             });
-            let delay = *self.delay_ms.lock().expect("delay");
-            thread::sleep(Duration::from_millis(delay));
             let (status, body) = self.answer(&req);
             if http::respond(&mut stream, status, "", &body).is_err() {
                 return;
@@ -287,9 +282,4 @@
     pub fn calls(&self) -> Vec<Call> {
         self.calls.lock().expect("calls").clone()
     }
-
-    /// Sets the delay of all answers.
-    pub fn set_delay(&self, delay: Duration) {
-        *self.delay_ms.lock().expect("delay") = delay.as_millis() as u64;
-    }
 }
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -79,11 +79,6 @@
     format!("{id}-{number}")
 }
 
-/// Whole output of a request, as a batch job lists it.
-pub fn output(id: &str, events: u64) -> String {
-    (1..=events).map(|number| event_text(id, number)).collect::<Vec<_>>().join("\n")
-}
-
 impl Worker {
     /// Starts a worker. `plan` tells how a request runs.
     pub fn start(
