End waits for a service that a request's route has left

Cause: the service of an item or online request was selected once, and the wait for a place of it depended on nothing but the place. A configuration that moved the route, or a list in which the service had no endpoint any more, reached the process and woke nobody. Online requests waited until their deadline in the same way, and a split route sent its share to a service without endpoints.

Change: a wait for a place compares its service with the configuration and the served services each time one of them changes, and ends when another service is selected (`while_selected`, DT2023). Selection prefers services with endpoints. A stream of which its caller has events leaves its service only if that has no endpoint left.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -25,6 +25,9 @@
 use crate::observed_run::ABORT_CHECK_DELAY;
 use crate::places::PlaceError;
 use crate::places::PlaceParams;
+use crate::routing::RouteKey;
+use crate::routing::RoutedService;
+use crate::routing::Selection;
 
 /// Initial limit on the wait for the response head of an item. A later head means that the item is
 /// queued in the endpoint behind other work, where it would delay online requests. The limit
@@ -71,6 +74,7 @@
     let mut empty_runs = 0;
     let mut head_timeout = INITIAL_HEAD_TIMEOUT;
     let mut excluded: Vec<Name> = Vec::new();
+    let route_key = RouteKey::new(&job.spec.host, &item.path);
     let Some(prepared) = PreparedItem::new(&node, &job, &item) else {
         return failed_result(&node, &job, &item, "impossible");
     };
@@ -79,7 +83,7 @@
         if node.now() >= expires_at {
             return failed_result(&node, &job, &item, "retention over");
         }
-        let Some(service) = resolve_service(&node, &job, &item).await else {
+        let Some(service) = resolve_service(&node, &route_key).await else {
             return failed_result(&node, &job, &item, "route gone");
         };
         let progress = job.outputs().longest(&item.id);
@@ -96,7 +100,7 @@
             (now + TRIAL_PLACE_TIMEOUT + remaining, TRIAL_PLACE_TIMEOUT)
         };
         let params = PlaceParams {
-            service,
+            service: Name::clone(&service.name),
             class: Class::Batch,
             start_by: due.saturating_sub(remaining),
             due,
@@ -105,13 +109,18 @@
             excluded: excluded.clone(),
             trial,
         };
-        let permit = match node.acquire_place(&params).await {
-            Ok(permit) => permit,
-            Err(PlaceError::Refused { retry_after }) => {
+        let place = node.acquire_place(&params);
+        let permit = match node.while_selected(&service, |_| true, place).await {
+            Ok(Ok(permit)) => permit,
+            Ok(Err(PlaceError::Refused { retry_after })) => {
                 sleep(retry_after.min(MAX_TRIAL_RETRY_DELAY)).await;
                 continue;
             }
-            Err(PlaceError::Expired) => continue,
+            Ok(Err(PlaceError::Expired)) => continue,
+            Err(next) => {
+                log_left_service(&node, &job, &item, &service, &next);
+                continue;
+            }
         };
         // A content may have been blocked while the item waited for its place.
         if params.trial.is_empty()
@@ -231,26 +240,34 @@
 
 /// Returns the service that the current configuration selects for the item. Waits while its route
 /// is missing, and returns `None` if that takes too long.
-async fn resolve_service(node: &Node, job: &Job, item: &JobItem) -> Option<Name> {
+async fn resolve_service(node: &Node, key: &RouteKey) -> Option<RoutedService> {
     let missing_since = node.now();
     loop {
-        let config = node.directory.borrow().config().cloned();
-        match config {
-            None => {}
-            Some(config) => {
-                let path = item.path.split('?').next().unwrap_or_default();
-                if let Some(route) = config.route(&job.spec.host, path) {
-                    return route.pick_service(rand::random()).cloned();
-                }
-                if node.now() - missing_since >= MISSING_ROUTE_TIMEOUT {
-                    return None;
-                }
+        match node.select_service(key) {
+            Selection::Service(name) => {
+                return Some(RoutedService { key: key.clone(), name });
+            }
+            Selection::NoRoute if node.now() - missing_since >= MISSING_ROUTE_TIMEOUT => {
+                return None;
             }
+            Selection::NoRoute | Selection::NoConfig => sleep(ROUTE_POLL_INTERVAL).await,
         }
-        sleep(ROUTE_POLL_INTERVAL).await;
     }
 }
 
+/// Logs that the item no longer waits for a place of this service.
+fn log_left_service(
+    node: &Node,
+    job: &Job,
+    item: &JobItem,
+    service: &RoutedService,
+    next: &Selection,
+) {
+    let fields: [(&str, &dyn Display); 3] =
+        [("item", &item.id), ("service", &service.name), ("next", next)];
+    node.events.emit(&catalogue::SERVICE_LEFT, Some(job.id()), &fields);
+}
+
 /// Logs that the item has failed permanently, and returns its result.
 fn failed_result(node: &Node, job: &Job, item: &JobItem, reason: &'static str) -> StoredResult {
     let fields: [(&str, &dyn Display); 2] = [("item", &item.id), ("reason", &reason)];
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts to run an online request at an endpoint.
 
+use std::fmt::Display;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
+use dogwoodtray_runtime::catalogue;
 use hyper::StatusCode;
 use tokio::time::timeout;
 
@@ -31,6 +33,8 @@
 use crate::request::EndpointRequest;
 use crate::request::ResponseClass;
 use crate::request::classify_response;
+use crate::routing::RoutedService;
+use crate::routing::Selection;
 
 /// Expected time from sending a request to its endpoint until the first byte of the response: the
 /// round trip, and the prefill of a stream or a typical call of a plain service.
@@ -74,7 +78,7 @@
 pub(crate) struct Attempts {
     pub(crate) node: Rc<Node>,
     pub(crate) route: Route,
-    pub(crate) service: Name,
+    service: RoutedService,
     pub(crate) id: Name,
     pub(crate) endpoint_request: EndpointRequest,
     contents: Rc<Contents>,
@@ -93,7 +97,7 @@
     pub(crate) fn new(
         node: Rc<Node>,
         route: Route,
-        service: Name,
+        service: RoutedService,
         id: Name,
         endpoint_request: EndpointRequest,
         times: (Timestamp, Timestamp),
@@ -142,7 +146,7 @@
         loop {
             let trial = self.check_contents()?;
             let is_trial = !trial.is_empty();
-            let permit = self.acquire_place(trial).await?;
+            let permit = self.acquire_place(trial, resume_after.is_some()).await?;
             if !is_trial {
                 // A content may have been blocked while the request waited.
                 self.check_contents()?;
@@ -257,26 +261,60 @@
         self.node.check_contents(&self.id, &self.contents).map_err(AttemptError::Blocked)
     }
 
-    /// Waits for a place at an endpoint.
-    async fn acquire_place(&self, trial: Vec<ContentHash>) -> Result<PlacePermit, AttemptError> {
+    /// Waits for a place at an endpoint, of another service if the route moves to one meanwhile. A
+    /// stream of which the caller has events leaves its service only if that has no endpoint left.
+    async fn acquire_place(
+        &mut self,
+        trial: Vec<ContentHash>,
+        has_output: bool,
+    ) -> Result<PlacePermit, AttemptError> {
+        loop {
+            let params = self.place_params(&trial);
+            let node = &self.node;
+            let may_leave = |next: &Selection| {
+                let is_stuck = !has_output || !node.routing.is_served(&self.service.name);
+                matches!(next, Selection::Service(_)) && is_stuck
+            };
+            let place = node.while_selected(&self.service, may_leave, node.acquire_place(&params));
+            let error = match node.drain.until_end(place).await {
+                Some(Ok(Ok(permit))) => return Ok(permit),
+                Some(Err(next)) => {
+                    self.on_service_left(next);
+                    continue;
+                }
+                Some(Ok(Err(error))) => error,
+                None => PlaceError::Expired,
+            };
+            return Err(AttemptError::NoPlace(match error {
+                PlaceError::Refused { retry_after } => retry_after,
+                PlaceError::Expired => EXPIRED_RETRY_AFTER,
+            }));
+        }
+    }
+
+    fn place_params(&self, trial: &[ContentHash]) -> PlaceParams {
         let now = self.node.now();
         let objective = self.arrived + self.route.latency_objective.saturating_sub(FIRST_BYTE_TIME);
         let is_retry = self.possible_runs + self.rejections > 0;
-        let params = PlaceParams {
-            service: Name::clone(&self.service),
+        PlaceParams {
+            service: Name::clone(&self.service.name),
             class: Class::Online,
             start_by: if is_retry { objective.max(now + RETRY_PLACE_TIMEOUT) } else { objective },
             due: self.deadline,
             expires_at: self.deadline,
             repeatable: self.route.kind.is_repeatable() && self.route.max_attempts > 1,
             excluded: self.excluded.clone(),
-            trial,
-        };
-        let place = self.node.drain.until_end(self.node.acquire_place(&params)).await;
-        place.unwrap_or(Err(PlaceError::Expired)).map_err(|error| match error {
-            PlaceError::Refused { retry_after } => AttemptError::NoPlace(retry_after),
-            PlaceError::Expired => AttemptError::NoPlace(EXPIRED_RETRY_AFTER),
-        })
+            trial: trial.to_vec(),
+        }
+    }
+
+    /// Follows the route of the request to another service.
+    fn on_service_left(&mut self, next: Selection) {
+        let fields: [(&str, &dyn Display); 2] = [("service", &self.service.name), ("next", &next)];
+        self.node.events.emit(&catalogue::SERVICE_LEFT, Some(&self.id), &fields);
+        if let Selection::Service(name) = next {
+            self.service.name = name;
+        }
     }
 
     /// Records that an endpoint did not run the request. Returns an error if it cannot be retried.
@@ -284,7 +322,7 @@
         &mut self,
         run: &mut Run,
         place_outcome: PlaceOutcome,
-        reason: &dyn std::fmt::Display,
+        reason: &dyn Display,
     ) -> Result<(), AttemptError> {
         self.rejections += 1;
         if place_outcome == PlaceOutcome::Full {
@@ -300,12 +338,7 @@
     }
 
     /// Records a failure of an endpoint and excludes it from the next attempts.
-    fn on_failed(
-        &mut self,
-        run: &mut Run,
-        place_outcome: PlaceOutcome,
-        reason: &dyn std::fmt::Display,
-    ) {
+    fn on_failed(&mut self, run: &mut Run, place_outcome: PlaceOutcome, reason: &dyn Display) {
         self.trace.log_retry(run.endpoint(), reason);
         run.set_outcome(place_outcome);
         if self.excluded.len() >= MAX_EXCLUDED {
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -45,6 +45,8 @@
 use crate::node::Node;
 use crate::request::EndpointRequest;
 use crate::request::strip_hop_by_hop_headers;
+use crate::routing::RouteKey;
+use crate::routing::RoutedService;
 
 /// Factor on the configured idle timeout after which a connection is closed. Callers keep
 /// connections idle for less than the configured timeout, and a change of it must not close
@@ -256,9 +258,10 @@
         node.drain.record(node.now(), &route.name, node.now() - arrived);
         return response;
     }
-    let Some(service) = route.pick_service(rand::random()) else {
+    let Some(name) = node.routing.select(route) else {
         return response::refused(STARTING_RETRY_AFTER);
     };
+    let service = RoutedService { key: RouteKey::new(host, &path), name };
     let trace = trace();
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
@@ -268,7 +271,7 @@
     let attempts = Attempts::new(
         Rc::clone(node),
         route.clone(),
-        Name::clone(service),
+        service,
         id,
         endpoint_request,
         (arrived, deadline),
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod places;
 mod process;
 mod request;
+mod routing;
 mod sync;
 
 pub use crate::directory::Applied;
--- a/dogwoodtray_gateway/src/model/route.rs
+++ b/dogwoodtray_gateway/src/model/route.rs
@@ -72,15 +72,25 @@
     /// Selects a service by weight. `point` is in `0.0..1.0`.
     #[must_use]
     pub fn pick_service(&self, point: f64) -> Option<&Name> {
-        let total: f64 = self.services.iter().map(|(_, weight)| f64::from(*weight)).sum();
+        self.pick_service_if(point, |_| true)
+            .or_else(|| self.services.last().map(|(service, _)| service))
+    }
+
+    /// Selects a service by weight among those that match. `point` is in `0.0..1.0`.
+    #[must_use]
+    pub fn pick_service_if(&self, point: f64, matches: impl Fn(&str) -> bool) -> Option<&Name> {
+        let candidates =
+            || self.services.iter().filter(|(name, weight)| *weight > 0 && matches(name));
+        let total: f64 = candidates().map(|(_, weight)| f64::from(*weight)).sum();
         let mut remaining = point * total;
-        for (service, weight) in &self.services {
+        for (service, weight) in candidates() {
             remaining -= f64::from(*weight);
             if remaining < 0.0 {
                 return Some(service);
             }
         }
-        self.services.last().map(|(service, _)| service)
+        // The sum may be rounded.
+        candidates().last().map(|(service, _)| service)
     }
 }
 
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -34,6 +34,7 @@
 use crate::model::Dialect;
 use crate::peers::Peers;
 use crate::places::Places;
+use crate::routing::Routing;
 use crate::sync::ConfigFetch;
 
 /// Role of a process.
@@ -85,6 +86,7 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) peers: Peers,
     pub(crate) places: Places,
+    pub(crate) routing: Routing,
     pub(crate) crashes: Crashes,
     /// Whether a graceful stop has started.
     pub(crate) draining: Cell<bool>,
@@ -125,6 +127,7 @@
             directory: RefCell::new(Directory::new()),
             peers: Peers::default(),
             places: Places::new(incarnation),
+            routing: Routing::new(),
             crashes: Crashes::new(),
             draining: Cell::new(false),
             drain: Drain::default(),
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -358,6 +358,7 @@
     /// Passes the current list of endpoints to the dispatcher.
     pub(crate) fn refresh_places(&self) {
         let list = self.directory.borrow().places();
+        self.routing.set_endpoints(&list);
         self.dispatch(|dispatcher, now, out| {
             dispatcher.set_endpoints(&list);
             dispatcher.tick(now, out);
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -278,6 +278,7 @@
         let fields: [(&str, &dyn Display); 3] =
             [("generation", &generation.0), ("routes", &routes), ("source", &source)];
         self.events.emit(&catalogue::CONFIG_APPLIED, None, &fields);
+        self.routing.on_config();
         let snapshot = spec.to_owned().into_bytes().into();
         let set = messages::ConfigSet { generation: generation.0, snapshot };
         self.relayed_config.replace(Some(set.clone()));
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -62,6 +62,7 @@
 pub(crate) use self::scripted::stream;
 pub(crate) use self::site::HOST;
 pub(crate) use self::site::config;
+pub(crate) use self::site::config_moving;
 pub(crate) use self::site::submission;
 
 /// Maximum wait for a condition, long enough for a busy machine.
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -82,6 +82,8 @@
 
     /// An endpoint said in an answer that it is leaving.
     ENDPOINT_LEAVING = 2022, Info, "endpoint is leaving";
+    /// A request or item no longer waits for a place of its service.
+    SERVICE_LEFT = 2023, Info, "waiting request left its service";
 
     /// A job was accepted.
     JOB_ACCEPTED = 3001, Info, "job accepted";
