Refuse queued online requests when their service has no endpoint left

Callers waited for a place until their time was up, although the last endpoint of the service had left; a request that arrived after that was refused at once.

Cause: the dispatcher looked at the number of endpoints only on arrival.

Change: it refuses queued online requests, with the same `Retry-After`, once the service has no endpoint. Batch items stay queued.

Result: `queued_online_requests_are_refused_when_the_last_endpoint_leaves` and `a_request_that_waits_for_a_service_without_endpoints_is_refused` failed before.

--- a/dogwoodtray_gateway/tests/moved_routes.rs
+++ b/dogwoodtray_gateway/tests/moved_routes.rs
@@ -131,6 +131,36 @@
     });
 }
 
+/// Guards against an online request that waits until its time is up for a place of a service whose last
+/// endpoint has left.
+#[test]
+fn a_request_that_waits_for_a_service_without_endpoints_is_refused() {
+    run_local(async {
+        let (site, endpoint, _running) = Site::with_processes("engine", 1).await;
+        // Short runs, after which the dispatcher expects a place soon and queues a request.
+        for number in 0..40 {
+            site.post("/stream/x", &format!("w{number}"), "slip").await;
+        }
+        *endpoint.default_behavior.borrow_mut() = BUSY;
+        let before = endpoint.request_count();
+        let first = site.post("/stream/x", "r1", "slip");
+        let second = async {
+            wait_until("the first request runs", || endpoint.request_count() > before).await;
+            let started = Instant::now();
+            let removed = async {
+                sleep(Duration::from_millis(100)).await;
+                site.store.put("servers", "e1", &endpoint.entry("draining"));
+            };
+            let (response, ()) = tokio::join!(site.post("/stream/x", "r2", "slip"), removed);
+            (response, started.elapsed())
+        };
+        let (_, (response, took)) = tokio::join!(first, second);
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(took > Duration::from_millis(100), "the request waits: {took:?}");
+        assert!(took < Duration::from_secs(2), "{took:?}");
+    });
+}
+
 /// Guards against requests that are refused on a split route because one of its services has no
 /// endpoints.
 #[test]
--- a/dogwoodtray_policy/src/placement/service/mod.rs
+++ b/dogwoodtray_policy/src/placement/service/mod.rs
@@ -319,6 +319,9 @@
         cfg: &DispatcherConfig,
         out: &mut Vec<PlaceAction>,
     ) {
+        if self.endpoints.is_empty() {
+            return self.refuse_online(cfg, out);
+        }
         self.assign_online(now, out, |request| request.start_by >= now);
         self.assign_online(now, out, |_| true);
         if self.online.is_empty() {
@@ -327,6 +330,16 @@
         self.preempt(now, out);
     }
 
+    /// Refuses all queued online requests, as an online request is refused on arrival while the
+    /// service has no endpoints. Batch items stay queued.
+    fn refuse_online(&mut self, cfg: &DispatcherConfig, out: &mut Vec<PlaceAction>) {
+        let refused = self.online.drain(..).map(|request| PlaceAction::Refuse {
+            id: request.id,
+            retry_after: cfg.max_retry_after,
+        });
+        out.extend(refused);
+    }
+
     fn assign_online(
         &mut self,
         now: Timestamp,
--- a/dogwoodtray_policy/tests/placement.rs
+++ b/dogwoodtray_policy/tests/placement.rs
@@ -289,3 +289,19 @@
     assert_eq!(fixture.advance(100), []);
     assert_eq!(fixture.advance(150), [grant(2, "a")]);
 }
+
+/// Guards against online requests that stay queued for a service whose last endpoint has left, until
+/// their time is up.
+#[test]
+fn queued_online_requests_are_refused_when_the_last_endpoint_leaves() {
+    let mut fixture = Fixture::with_endpoints(&[("a", 1)]);
+    assert_eq!(fixture.request_place(1, Class::Online), [grant(1, "a")]);
+    assert_eq!(fixture.request_place(2, Class::Online), [PlaceAction::Queued { id: id(2) }]);
+    assert_eq!(fixture.request_place(3, Class::Batch), [PlaceAction::Queued { id: id(3) }]);
+    fixture.dispatcher.set_endpoints(&[]);
+    let retry_after = DispatcherConfig::default().max_retry_after;
+    assert_eq!(fixture.advance(20), [PlaceAction::Refuse { id: id(2), retry_after }]);
+    // The batch item stays queued.
+    fixture.dispatcher.set_endpoints(&endpoint_places(&[("b", 1)]));
+    assert_eq!(fixture.advance(20), [grant(3, "b")]);
+}
