Tell which jobs are cancelled on each link that comes up

Cause: the driver of a job that does not watch the store learned of the end by one frame from its gateway and from each watcher, on the links that these had dialed. Where those links were silent, the frame was lost. A link that was dialed again did not bring it; only one that the driver had dialed itself did.

Change: the cancelled jobs that a process knows of are state of their own (`CancelledJobs`). Watchers, and the gateways that cancelled or relayed a job, send it on each link that comes up, in either direction.

--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -109,7 +109,7 @@
             }
             Kind::JobCancelled(cancelled) => {
                 if let Some(driver) = self.driver.get() {
-                    driver.cancel_job(self.now(), Name::from(cancelled.job));
+                    driver.cancel_job(self, Name::from(cancelled.job));
                 }
             }
             Kind::JobAdmit(admit) => {
--- a/dogwoodtray_gateway/src/driver/admissions.rs
+++ b/dogwoodtray_gateway/src/driver/admissions.rs
@@ -51,13 +51,14 @@
 
 /// Jobs of one route that this process knows of.
 struct RouteJobs<'a> {
+    node: &'a Node,
     driver: &'a Driver,
     route: &'a Name,
 }
 
 impl WorkView for RouteJobs<'_> {
     fn status(&self, work: &Name) -> WorkStatus {
-        if self.driver.is_cancelled(work) {
+        if self.node.cancelled_jobs.borrow().contains(work) {
             return WorkStatus::Ended;
         }
         match self.driver.jobs.borrow().get(work) {
@@ -102,7 +103,7 @@
         admit: &messages::JobAdmit,
     ) -> QuotaDecision {
         // Before the first listing, jobs that have ended would still count.
-        if self.cancelled.borrow().is_none() {
+        if !self.cancellations_listed.get() {
             return QuotaDecision::Unavailable;
         }
         let id = self.admissions.last_request.get() + 1;
@@ -136,7 +137,7 @@
     fn drive_quota(self: &Rc<Self>, node: &Rc<Node>, route: &Name, event: QuotaEvent) {
         let mut out = Vec::new();
         if let Some(entry) = self.admissions.quotas.borrow_mut().get_mut(route) {
-            let view = RouteJobs { driver: self, route };
+            let view = RouteJobs { node, driver: self, route };
             entry.quota.handle(node.now(), event, &view, &mut out);
         }
         for action in out {
@@ -165,7 +166,7 @@
                 spawn_local(async move {
                     match node.read(JOBS_KIND, &work).await {
                         GetResult::Found(object) => {
-                            driver.add_job(&object);
+                            driver.add_job(&node, &object);
                         }
                         GetResult::Missing => {
                             log::info!("job {work} was admitted but never stored");
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -77,9 +77,6 @@
 /// Time for which reads of an assigned job are retried; longer than outages of the store.
 const READ_RETRY_TIME: Duration = Duration::from_secs(60);
 
-/// Time for which a cancelled job is remembered; longer than jobs stay in the store.
-const CANCELLATION_TIME: Duration = Duration::from_secs(600);
-
 /// Interval at which a driver checks which jobs it owns.
 const OWNERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -87,10 +84,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Driver {
     jobs: RefCell<HashMap<Name, Rc<Job>>>,
-    /// Cancelled jobs, with the time at which this process learned of it; `None` until they have
-    /// been listed. Jobs and cancellations are separate watches, so a cancellation may arrive
-    /// before its job.
-    cancelled: RefCell<Option<HashMap<Name, Timestamp>>>,
+    /// Whether the cancelled jobs have been listed. Jobs and cancellations are separate watches, so a
+    /// cancellation may arrive before its job.
+    cancellations_listed: Cell<bool>,
     watcher: Watcher,
     /// Assigned jobs that are being read.
     loading: RefCell<HashSet<Name>>,
@@ -161,12 +157,12 @@
         match update {
             Update::All(objects) => {
                 for object in &objects {
-                    self.add_job(object);
+                    self.add_job(node, object);
                 }
                 self.check_ownership(node);
             }
             Update::One(Change::Put(object)) => {
-                if let Some(job) = self.add_job(&object) {
+                if let Some(job) = self.add_job(node, &object) {
                     self.check_job(node, &job, self.is_watcher(node));
                 }
             }
@@ -180,7 +176,7 @@
 
     /// Adds a job, or updates its status if it is already present. Returns `None` if its submission
     /// cannot be decoded.
-    fn add_job(&self, object: &Object) -> Option<Rc<Job>> {
+    fn add_job(&self, node: &Node, object: &Object) -> Option<Rc<Job>> {
         let mut jobs = self.jobs.borrow_mut();
         if let Some(job) = jobs.get(&object.name) {
             job.on_status(object.status.get());
@@ -195,7 +191,7 @@
         };
         let job = Rc::new(Job::new(Name::clone(&object.name), spec));
         job.on_status(object.status.get());
-        if self.is_cancelled(&object.name) {
+        if node.cancelled_jobs.borrow().contains(&object.name) {
             job.cancel();
         }
         for (item, progress) in self.early_outputs.take(&object.name) {
@@ -206,28 +202,26 @@
     }
 
     fn on_cancellations(&self, node: &Node, update: Update) {
-        self.cancelled.borrow_mut().get_or_insert_default();
+        self.cancellations_listed.set(true);
         match update {
             Update::All(objects) => {
-                for object in objects.into_iter().filter(|object| !self.is_cancelled(&object.name))
-                {
-                    self.relay_cancellation(node, &object.name);
-                    self.cancel_job(node.now(), object.name);
-                }
-            }
-            Update::One(Change::Put(object)) => {
-                // A gateway that told this process may have failed to tell others.
-                self.relay_cancellation(node, &object.name);
-                self.cancel_job(node.now(), object.name);
-            }
-            Update::One(Change::Removed(name)) => {
-                if let Some(cancelled) = self.cancelled.borrow_mut().as_mut() {
-                    cancelled.remove(&name);
+                for object in objects {
+                    if !node.cancelled_jobs.borrow().contains(&object.name) {
+                        self.on_cancellation(node, object.name);
+                    }
                 }
             }
+            Update::One(Change::Put(object)) => self.on_cancellation(node, object.name),
+            Update::One(Change::Removed(name)) => node.cancelled_jobs.borrow_mut().remove(&name),
         }
     }
 
+    /// Applies a cancellation in the store. The gateway that stored it may have failed to tell others.
+    fn on_cancellation(&self, node: &Node, id: Name) {
+        node.announce_cancellation(Name::clone(&id), &node.peers.driver_links());
+        self.cancel_job(node, id);
+    }
+
     /// Handles the message of a gateway that it accepted a job, or of a watcher that this process
     /// is to drive it.
     pub(crate) async fn on_accepted(self: &Rc<Self>, node: &Rc<Node>, id: &Name) {
@@ -252,7 +246,7 @@
         let give_up_at = node.now() + READ_RETRY_TIME;
         while node.now() < give_up_at {
             match node.read(JOBS_KIND, id).await {
-                GetResult::Found(object) => return self.add_job(&object),
+                GetResult::Found(object) => return self.add_job(node, &object),
                 GetResult::Missing => return None,
                 GetResult::Unavailable => sleep(READ_RETRY_DELAY).await,
             }
@@ -284,13 +278,6 @@
         self.jobs.borrow_mut().remove(id);
     }
 
-    /// Drops old cancellations.
-    fn forget_cancellations(&self, now: Timestamp) {
-        if let Some(cancelled) = self.cancelled.borrow_mut().as_mut() {
-            cancelled.retain(|_, at| now - *at < CANCELLATION_TIME);
-        }
-    }
-
     /// Sends the output of unfinished items to a driver that has just started and owns their jobs.
     pub(crate) fn send_outputs_to(&self, node: &Node, to: &Name, link: &LinkHandle) {
         for job in self.jobs.borrow().values() {
@@ -303,19 +290,12 @@
         }
     }
 
-    /// Cancels a job, on an update from the store or a message from a gateway. A cancellation that
-    /// arrives before the first listing need not be recorded, because that listing contains it.
-    pub(crate) fn cancel_job(&self, now: Timestamp, id: Name) {
+    /// Cancels a job, on an update from the store or a message from another process.
+    pub(crate) fn cancel_job(&self, node: &Node, id: Name) {
         if let Some(job) = self.jobs.borrow().get(&id) {
             job.cancel();
         }
-        if let Some(cancelled) = self.cancelled.borrow_mut().as_mut() {
-            cancelled.entry(id).or_insert(now);
-        }
-    }
-
-    fn is_cancelled(&self, job: &Name) -> bool {
-        self.cancelled.borrow().as_ref().is_some_and(|cancelled| cancelled.contains_key(job))
+        node.cancelled_jobs.borrow_mut().insert(node.now(), id);
     }
 
     /// Updates the ownership of all jobs, and starts to drive those that this process owns.
@@ -332,7 +312,7 @@
 
     /// Updates the ownership of a job, and starts to drive it if this process owns it.
     fn check_job(self: &Rc<Self>, node: &Rc<Node>, job: &Rc<Job>, is_watcher: bool) {
-        if self.cancelled.borrow().is_none() {
+        if !self.cancellations_listed.get() {
             return;
         }
         // Without the watch, the state of a job may be outdated until a watcher assigns it.
--- a/dogwoodtray_gateway/src/driver/reads.rs
+++ b/dogwoodtray_gateway/src/driver/reads.rs
@@ -113,7 +113,7 @@
         }
         match node.read(JOBS_KIND, id).await {
             GetResult::Found(object) => {
-                self.add_job(&object).map_or(Lookup::Unavailable, Lookup::Job)
+                self.add_job(node, &object).map_or(Lookup::Unavailable, Lookup::Job)
             }
             GetResult::Missing => Lookup::Missing,
             GetResult::Unavailable => Lookup::Unavailable,
--- a/dogwoodtray_gateway/src/driver/sweep.rs
+++ b/dogwoodtray_gateway/src/driver/sweep.rs
@@ -43,7 +43,7 @@
                     driver.forget_job(job.id());
                 }
             }
-            driver.forget_cancellations(node.now());
+            node.cancelled_jobs.borrow_mut().expire(node.now());
         }
     });
 }
--- a/dogwoodtray_gateway/src/driver/watchers.rs
+++ b/dogwoodtray_gateway/src/driver/watchers.rs
@@ -11,7 +11,6 @@
 
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
-use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::LinkId;
 use dogwoodtray_wire::messages;
 
@@ -61,21 +60,4 @@
             }
         }
     }
-
-    /// Tells all drivers that a job is cancelled.
-    pub(super) fn relay_cancellation(&self, node: &Node, id: &Name) {
-        for link in node.peers.driver_links() {
-            link.send(messages::JobCancelled { job: id.to_string() });
-        }
-    }
-
-    /// Tells a driver that has just connected which jobs are cancelled.
-    pub(crate) fn send_cancellations(&self, node: &Node, link: &LinkHandle) {
-        if !self.is_watcher(node) {
-            return;
-        }
-        for id in self.cancelled.borrow().iter().flat_map(|cancelled| cancelled.keys()) {
-            link.send(messages::JobCancelled { job: id.to_string() });
-        }
-    }
 }
--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -88,9 +88,8 @@
                 }
             }
             Kind::JobCancelled(cancelled) => {
-                for driver in self.peers.driver_links() {
-                    driver.send(cancelled.clone());
-                }
+                let drivers = self.peers.driver_links();
+                self.announce_cancellation(Name::from(cancelled.job), &drivers);
             }
             Kind::EndpointLeaving(leaving) => {
                 self.on_endpoint_leaving(&leaving, NodeRole::Gateway);
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -242,9 +242,7 @@
     };
     if matches!(created, CreateResult::Done | CreateResult::Exists) {
         // Any driver may drive the job, as drivers can differ from this process about its owner.
-        for link in node.peers.links() {
-            link.send(messages::JobCancelled { job: id.to_string() });
-        }
+        node.announce_cancellation(Name::clone(id), &node.peers.links());
     }
     let status = response.status().as_u16();
     node.events.emit(&catalogue::JOB_CANCELLED, Some(id), &[("status", &status)]);
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Dialect`] hides the names and encodings of the platform.
 
 mod calls;
+mod cancelled_jobs;
 mod contents;
 mod crashes;
 mod directory;
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -26,6 +26,7 @@
 use tokio::sync::Notify;
 
 use crate::calls::PendingCalls;
+use crate::cancelled_jobs::CancelledJobs;
 use crate::crashes::Crashes;
 use crate::directory::Directory;
 use crate::drain::Drain;
@@ -102,6 +103,8 @@
     /// Places that this process requests or holds for others.
     pub(crate) forwarded_places: RefCell<HashMap<PlaceId, ForwardedPlace>>,
     pub(crate) calls: PendingCalls,
+    /// Cancelled jobs; in a gateway, those that it cancelled or relayed itself.
+    pub(crate) cancelled_jobs: RefCell<CancelledJobs>,
     /// Batch job state; empty in a gateway.
     pub(crate) driver: OnceCell<Rc<Driver>>,
     /// Notified when listing the endpoints fails, and when a list is received again. Watches on
@@ -137,6 +140,7 @@
             ignored_entries: RefCell::new(HashSet::new()),
             forwarded_places: RefCell::new(HashMap::new()),
             calls: PendingCalls::default(),
+            cancelled_jobs: RefCell::default(),
             driver: OnceCell::new(),
             restart_store_calls: Notify::new(),
         })
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -223,6 +223,7 @@
             (LinkSource::Dialed(name, _), LinkEvent::Up { link, .. }) => {
                 // The driver may have restarted and lost its list.
                 self.send_blocks(&link);
+                self.send_cancellations(&link);
                 if let Some(driver) = self.peers.dialed.borrow_mut().get_mut(&name) {
                     driver.link = Some(link);
                     driver.last_frame_at = self.now();
@@ -261,7 +262,7 @@
                 }
                 if let Some(driver) = self.driver.get().filter(|_| hello.role() == Role::Driver) {
                     driver.send_outputs_to(self, &name, &link);
-                    driver.send_cancellations(self, &link);
+                    self.send_cancellations(&link);
                 }
                 let id = link.id();
                 let accepted =
@@ -319,7 +320,7 @@
             }
             Kind::JobCancelled(cancelled) => {
                 if let Some(driver) = self.driver.get() {
-                    driver.cancel_job(self.now(), Name::from(cancelled.job));
+                    driver.cancel_job(self, Name::from(cancelled.job));
                 }
             }
             Kind::BlockSet(set) => self.on_block_set(set, role),
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod crashing;
 mod scripted;
+mod silent_relay;
 #[path = "../../../platform/tests/standin/site.rs"]
 mod site;
 
@@ -60,6 +61,7 @@
 pub(crate) use self::scripted::error;
 pub(crate) use self::scripted::head;
 pub(crate) use self::scripted::stream;
+pub(crate) use self::silent_relay::SilentRelay;
 pub(crate) use self::site::HOST;
 pub(crate) use self::site::config;
 pub(crate) use self::site::config_moving;
--- a/dogwoodtray_gateway/tests/watchers.rs
+++ b/dogwoodtray_gateway/tests/watchers.rs
@@ -12,8 +12,10 @@
 use dogwoodtray_coord::choose_subset;
 use dogwoodtray_gateway::Gateway;
 use hyper::StatusCode;
+use serde_json::Value;
 use support::Behavior;
 use support::Endpoint;
+use support::SilentRelay;
 use support::Site;
 use support::run_local;
 use support::submission;
@@ -26,6 +28,9 @@
 /// Number of drivers that watch the jobs.
 const WATCHERS: usize = 3;
 
+/// Time after which no item of a cancelled job may begin, as defined by the platform.
+const CANCEL_TIME: Duration = Duration::from_secs(3);
+
 /// Driver on a thread of its own, which is killed when this value is dropped.
 struct KillableDriver {
     kill_tx: Option<oneshot::Sender<()>>,
@@ -105,6 +110,20 @@
         jobs.filter(|job| !watchers.contains(&owner(job))).take(count).collect()
     }
 
+    /// Puts a relay in front of a driver, through which all others reach it.
+    async fn relay_to(&self, driver: &str) -> SilentRelay {
+        let spec = self.site.store.spec("nodes", driver).unwrap();
+        let mut spec: Value = serde_json::from_str(&spec).unwrap();
+        let addr = spec["address"].as_str().unwrap().parse().unwrap();
+        let relay = SilentRelay::open(addr).await;
+        spec["address"] = relay.addr.to_string().into();
+        self.site.store.put("nodes", driver, &spec.to_string());
+        // The gateway and the other drivers.
+        let links = u32::try_from(self.drivers.len()).unwrap();
+        wait_until("all others use the relay", || relay.opened.get() == links).await;
+        relay
+    }
+
     /// Submits jobs of one item each, and waits until all items run.
     async fn submit(&self, jobs: &[String]) {
         let before = self.endpoint.request_count();
@@ -220,3 +239,33 @@
         fleet.wait_for_results(&jobs).await;
     });
 }
+
+/// Guards against a driver that goes on with a cancelled job because the links, on which it was told,
+/// were silent at that moment.
+#[test]
+fn a_driver_learns_of_a_cancellation_that_was_sent_on_silent_links() {
+    run_local(async {
+        let item = Behavior::Stream { to: 100, pause: Duration::from_millis(50) };
+        let fleet = Fleet::start(item).await;
+        let job = &fleet.jobs_of_others(1)[0];
+        let owner = choose_subset(job, &fleet.names(), 1).remove(0);
+        let relay = fleet.relay_to(&owner).await;
+        // Wait until the links through the relay are up, so that the job keeps its owner.
+        sleep(Duration::from_millis(500)).await;
+        let items: Vec<String> = (0..190).map(|number| format!("i{number}")).collect();
+        let items: Vec<&str> = items.iter().map(String::as_str).collect();
+        fleet.site.post("/job/x", job, &submission(&items)).await;
+        let endpoint = fleet.endpoint.clone();
+        wait_until("all places are in use", || endpoint.request_count() >= 64).await;
+        relay.silence();
+        sleep(Duration::from_millis(300)).await;
+        let cancelled = fleet.site.delete(&format!("/api/lots/{job}")).await;
+        assert_eq!(cancelled.status, StatusCode::OK);
+        // The links are closed after 2 s of silence, and opened again at once.
+        sleep(CANCEL_TIME).await;
+        let before = endpoint.request_count();
+        assert!(before < items.len(), "the job has items left");
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(endpoint.request_count(), before, "items of a cancelled job begin");
+    });
+}
