Request places again when their driver does not assign them any more

Callers waited until their time was up for a place at a driver that had lost the store and the other drivers, while another driver knew free endpoints.

Cause: a request was sent to the driver that assigned places at that moment. Once it was queued there, only the loss of its link ended the wait, not the heartbeats in which the driver says that it is stale or leaving. A request that a process queued itself, because no driver responded, stayed there too.

Change: with each heartbeat a process compares where its requests wait with the drivers that assign places now, and requests again what waits elsewhere (`reassign_place_requests`). A driver that only missed a reply keeps them.

--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -84,6 +84,7 @@
             loop {
                 seq += 1;
                 node.peers.broadcast_to_all(&node.heartbeat(seq).into());
+                node.reassign_place_requests();
                 sleep(HEARTBEAT_INTERVAL).await;
             }
         });
--- a/dogwoodtray_gateway/src/peers/view.rs
+++ b/dogwoodtray_gateway/src/peers/view.rs
@@ -92,11 +92,35 @@
     /// are none, returns the gateways that relay instead.
     pub(crate) fn ranked(&self, node: &Node, key: &str) -> Vec<Name> {
         let now = node.now();
+        self.ranked_if(node, key, |peer| peer.is_available(now))
+    }
+
+    /// Returns the processes at which a place request may wait: the one that assigns places, and those
+    /// that only miss a reply and precede it otherwise.
+    pub(crate) fn place_assigners(&self, node: &Node) -> Vec<Name> {
+        let now = node.now();
+        let first = self.ranked(node, DISPATCHER_KEY).into_iter().next();
+        let is_ready = |peer: &DialedPeer| peer.is_responsive(now) && !peer.leaving;
+        let mut ranked = self.ranked_if(node, DISPATCHER_KEY, is_ready);
+        let count = ranked.iter().position(|name| Some(name) == first.as_ref());
+        ranked.truncate(count.map_or(0, |index| index + 1));
+        if ranked.is_empty() {
+            ranked.push(Name::clone(&node.cfg.node));
+        }
+        ranked
+    }
+
+    fn ranked_if(
+        &self,
+        node: &Node,
+        key: &str,
+        accepts: impl Fn(&DialedPeer) -> bool + Copy,
+    ) -> Vec<Name> {
         let dialed = self.dialed.borrow();
         let of_role = |role: NodeRole, stale: bool| {
             dialed
                 .iter()
-                .filter(move |(_, peer)| peer.role == role && peer.is_available(now))
+                .filter(move |(_, peer)| peer.role == role && accepts(peer))
                 .filter(move |(_, peer)| peer.stale == stale)
                 .map(|(name, _)| Name::clone(name))
                 .collect::<Vec<_>>()
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -75,7 +75,8 @@
     Queued,
     Refuse(Duration),
     Preempt,
-    LinkLost,
+    /// The request has to be sent to another process, or again.
+    Reassigned,
 }
 
 /// State of a place that is held or requested.
@@ -85,6 +86,8 @@
     pub(super) service: Name,
     pub(super) class: Class,
     pub(super) endpoint: Option<Name>,
+    /// Process from which the place is requested.
+    requested_from: Name,
     /// Links to the drivers that were informed of the place or request.
     pub(super) informed_links: Vec<LinkHandle>,
 }
@@ -191,12 +194,14 @@
             service: Name::clone(&params.service),
             class: params.class,
             endpoint: None,
+            requested_from: Name::clone(&self.cfg.node),
             informed_links: Vec::new(),
         };
         places.records.borrow_mut().insert(number, record);
         let mut guard = WithdrawGuard { node: self, number, granted: false };
         loop {
             let driver = self.request_from_driver(number, params);
+            self.record_assigner(number, driver.as_ref().unwrap_or(&self.cfg.node));
             if driver.is_none() {
                 self.request_locally(number, params);
             }
@@ -239,7 +244,7 @@
                 }
                 // The driver has queued the request; a closed link reports its loss.
                 Ok(Some(PlaceEvent::Queued)) => unconfirmed = None,
-                Ok(Some(PlaceEvent::LinkLost)) => return Ok(None),
+                Ok(Some(PlaceEvent::Reassigned)) => return Ok(None),
                 Ok(Some(PlaceEvent::Preempt)) => {}
                 Ok(None) => return Err(PlaceError::Expired),
                 Err(_) => match &unconfirmed {
@@ -319,6 +324,27 @@
         self.dispatch(|dispatcher, now, out| dispatcher.request_place(now, request, out));
     }
 
+    fn record_assigner(&self, number: u64, name: &Name) {
+        if let Some(record) = self.places.records.borrow_mut().get_mut(&number) {
+            record.requested_from = Name::clone(name);
+        }
+    }
+
+    /// Sends the waiting place requests again whose process does not assign places any more. It may
+    /// not know of endpoints and places that others do.
+    pub(crate) fn reassign_place_requests(&self) {
+        let records = self.places.records.borrow();
+        let mut waiting = records.values().filter(|record| record.endpoint.is_none()).peekable();
+        if waiting.peek().is_none() {
+            return;
+        }
+        let assigners = self.peers.place_assigners(self);
+        for record in waiting.filter(|record| !assigners.contains(&record.requested_from)) {
+            // The task may already have dropped its receiver.
+            let _ = record.tx.send(PlaceEvent::Reassigned);
+        }
+    }
+
     fn withdraw(&self, number: u64) {
         let informed = {
             let mut records = self.places.records.borrow_mut();
@@ -421,7 +447,7 @@
             PlaceEvent::Refuse(retry_after) => link
                 .send(messages::PlaceRefused { ask: number, retry_after_ms: millis(retry_after) }),
             PlaceEvent::Preempt => link.send(messages::PlacePreempt { ask: number }),
-            PlaceEvent::LinkLost => true,
+            PlaceEvent::Reassigned => true,
         };
     }
 
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -62,7 +62,7 @@
             record.informed_links.retain(|informed| informed.id() != link);
             if is_waiting {
                 // The task may already have dropped its receiver.
-                let _ = record.tx.send(PlaceEvent::LinkLost);
+                let _ = record.tx.send(PlaceEvent::Reassigned);
             }
         }
     }
