Report tokens of unfinished items again on a new link

Callers were refused with 429 on a route with a limit of waiting tokens, although items had ended and made room, until the whole job had ended.

Cause: a driver recorded a report as sent to the admitting driver, by name. One that was lost with a silent link was not sent again.

Change: the record names the link of the report.

--- a/dogwoodtray_gateway/src/driver/admissions.rs
+++ b/dogwoodtray_gateway/src/driver/admissions.rs
@@ -184,7 +184,7 @@
 /// # Reports
 impl Driver {
     /// Reports the tokens of unfinished items of driven jobs to the driver that admits jobs. A report
-    /// contains only what has changed since the last one to the same driver.
+    /// contains only what has changed since the last one on the same link.
     pub(super) fn report_held_tokens(&self, node: &Node) {
         let first = node.peers.ranked(node, WATCHERS_KEY).into_iter().next();
         let Some(owner) = first.filter(|owner| *owner != node.cfg.node) else { return };
@@ -192,7 +192,7 @@
         let mut report = messages::TokensHeld::default();
         for job in self.jobs.borrow().values().filter(|job| job.spec.limited && job.is_driving()) {
             let tokens = job.open_tokens();
-            if job.take_unreported(&owner, tokens) {
+            if job.take_unreported(link.id(), tokens) {
                 report.jobs.push(messages::HeldTokens { job: job.id().to_string(), tokens });
             }
         }
--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -14,6 +14,7 @@
 use dogwoodtray_platform::GetResult;
 use dogwoodtray_runtime::Clock;
 use dogwoodtray_runtime::LinkHandle;
+use dogwoodtray_runtime::LinkId;
 use dogwoodtray_runtime::catalogue;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -83,8 +84,8 @@
     completed: RefCell<HashSet<Name>>,
     /// Upper bound of the tokens of unfinished items, as reported by other drivers.
     max_open_tokens: Cell<u64>,
-    /// Driver to which the tokens of unfinished items were reported last, and their number.
-    reported_tokens: RefCell<Option<(Name, u64)>>,
+    /// Link on which the tokens of unfinished items were reported last, and their number.
+    reported_tokens: Cell<Option<(LinkId, u64)>>,
     /// Notified when the results or the state change.
     changed: Notify,
 }
@@ -96,7 +97,7 @@
             id,
             completed: RefCell::new(HashSet::new()),
             max_open_tokens: Cell::new(spec.tokens),
-            reported_tokens: RefCell::new(None),
+            reported_tokens: Cell::new(None),
             spec,
             items: OnceCell::new(),
             results: RefCell::new(Vec::new()),
@@ -265,15 +266,10 @@
         self.max_open_tokens.set(self.max_open_tokens.get().min(tokens));
     }
 
-    /// Returns `true` if this number of tokens has not been reported to `owner` yet, and records it
-    /// as reported.
-    pub(super) fn take_unreported(&self, owner: &Name, tokens: u64) -> bool {
-        let mut reported = self.reported_tokens.borrow_mut();
-        let is_reported = reported.as_ref().is_some_and(|(to, n)| to == owner && *n == tokens);
-        if !is_reported {
-            *reported = Some((Name::clone(owner), tokens));
-        }
-        !is_reported
+    /// Returns `true` if this number of tokens has not been reported on this link yet, and records it
+    /// as reported. A report on an earlier link may be lost.
+    pub(super) fn take_unreported(&self, link: LinkId, tokens: u64) -> bool {
+        self.reported_tokens.replace(Some((link, tokens))) != Some((link, tokens))
     }
 }
 
--- a/dogwoodtray_gateway/tests/admissions.rs
+++ b/dogwoodtray_gateway/tests/admissions.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::choose_subset;
 use hyper::StatusCode;
 use hyper::header;
 use support::Behavior;
@@ -218,3 +220,32 @@
         assert_eq!(response.status, StatusCode::TOO_MANY_REQUESTS);
     });
 }
+
+/// Guards against tokens of finished items that count until the end of their job, because the report
+/// of their driver was lost with a silent link.
+#[test]
+fn a_report_of_tokens_that_was_lost_with_its_link_is_repeated() {
+    run_local(async {
+        let (site, endpoint) = limited_site().await;
+        let names = [Name::from("d1"), Name::from("d2")];
+        let admitting = choose_subset("jobs", &names, 1).remove(0);
+        let _drivers = (site.start_driver("d1").await, site.start_driver("d2").await);
+        let _gateway = site.start_gateway().await;
+        let relay = site.relay_to(&admitting, 2).await;
+        sleep(Duration::from_millis(500)).await;
+        let is_driven_elsewhere = |job: &String| choose_subset(job, &names, 1)[0] != admitting;
+        let job = (0..).map(|number| format!("j{number}")).find(is_driven_elsewhere).unwrap();
+        endpoint.enqueue(Behavior::Stream { to: 100, pause: Duration::from_millis(20) });
+        assert_eq!(submit(&site, &job, &["a", "b", "c"]).await, StatusCode::ACCEPTED);
+        wait_until("the items run", || endpoint.request_count() == 3).await;
+        // The item ends before the other driver notices the silence.
+        sleep(Duration::from_millis(1_600)).await;
+        relay.silence();
+        let is_done = || !*endpoint.requests.borrow()[0].in_progress.borrow();
+        wait_until("an item is done", is_done).await;
+        wait_until("the links are opened again", || relay.opened.get() == 4).await;
+        // Until they are up, the other driver admits jobs.
+        sleep(Duration::from_secs(1)).await;
+        submit_until_accepted(&site, "next", &["d"]).await;
+    });
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -40,6 +40,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
@@ -379,6 +380,18 @@
         JobDriver::bind(cfg, Arc::new(SiteDialect::new()), store).await.unwrap()
     }
 
+    /// Puts a relay in front of a process, and waits until it has this number of connections.
+    pub(crate) async fn relay_to(&self, node: &str, connections: u32) -> SilentRelay {
+        let spec = self.store.spec("nodes", node).unwrap();
+        let mut spec: Value = serde_json::from_str(&spec).unwrap();
+        let addr = spec["address"].as_str().unwrap().parse().unwrap();
+        let relay = SilentRelay::open(addr).await;
+        spec["address"] = relay.addr.to_string().into();
+        self.store.put("nodes", node, &spec.to_string());
+        wait_until("all others use the relay", || relay.opened.get() == connections).await;
+        relay
+    }
+
     /// Starts a gateway and waits until it is ready.
     pub(crate) async fn start_gateway(&self) -> Gateway {
         start_gateway("g1", self.caller_addr, self.admin_addr, self.store.clone()).await
--- a/dogwoodtray_gateway/tests/watchers.rs
+++ b/dogwoodtray_gateway/tests/watchers.rs
@@ -12,7 +12,6 @@
 use dogwoodtray_coord::choose_subset;
 use dogwoodtray_gateway::Gateway;
 use hyper::StatusCode;
-use serde_json::Value;
 use support::Behavior;
 use support::Endpoint;
 use support::SilentRelay;
@@ -112,16 +111,9 @@
 
     /// Puts a relay in front of a driver, through which all others reach it.
     async fn relay_to(&self, driver: &str) -> SilentRelay {
-        let spec = self.site.store.spec("nodes", driver).unwrap();
-        let mut spec: Value = serde_json::from_str(&spec).unwrap();
-        let addr = spec["address"].as_str().unwrap().parse().unwrap();
-        let relay = SilentRelay::open(addr).await;
-        spec["address"] = relay.addr.to_string().into();
-        self.site.store.put("nodes", driver, &spec.to_string());
         // The gateway and the other drivers.
         let links = u32::try_from(self.drivers.len()).unwrap();
-        wait_until("all others use the relay", || relay.opened.get() == links).await;
-        relay
+        self.site.relay_to(driver, links).await
     }
 
     /// Submits jobs of one item each, and waits until all items run.
