Do not give items up by a configuration older than that of their job

Callers of a route that was just added could see items given up as without a route, by a driver that was suspended before it had the new configuration.

Cause: an item whose route is missing for 4 s is given up, whatever the age of the configuration that lacks it.

Change: the submission holds the generation by which it was accepted, and the time counts from a configuration of at least that generation.

Result: an_item_waits_for_the_configuration_by_which_its_job_was_accepted failed before.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -83,7 +83,7 @@
         if node.now() >= expires_at {
             return failed_result(&node, &job, &item, "retention over");
         }
-        let Some(service) = resolve_service(&node, &route_key).await else {
+        let Some(service) = resolve_service(&node, &job, &route_key).await else {
             return failed_result(&node, &job, &item, "route gone");
         };
         let progress = job.outputs().longest(&item.id);
@@ -239,10 +239,14 @@
 }
 
 /// Returns the service that the current configuration selects for the item. Waits while its route
-/// is missing, and returns `None` if that takes too long.
-async fn resolve_service(node: &Node, key: &RouteKey) -> Option<RoutedService> {
-    let missing_since = node.now();
+/// is missing, and returns `None` if that takes too long. A configuration that is older than that by
+/// which the job was accepted proves nothing.
+async fn resolve_service(node: &Node, job: &Job, key: &RouteKey) -> Option<RoutedService> {
+    let mut missing_since = node.now();
     loop {
+        if node.directory.borrow().generation() < job.spec.generation {
+            missing_since = node.now();
+        }
         match node.select_service(key) {
             Selection::Service(name) => {
                 return Some(RoutedService { key: key.clone(), name });
--- a/dogwoodtray_gateway/src/driver/spec.rs
+++ b/dogwoodtray_gateway/src/driver/spec.rs
@@ -3,6 +3,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use dogwoodtray_coord::Generation;
 use dogwoodtray_coord::Name;
 use serde::Deserialize;
 use serde::Serialize;
@@ -22,6 +23,9 @@
     pub(crate) route: Name,
     /// Host of the route.
     pub(crate) host: Name,
+    /// Generation of the configuration by which the job was accepted.
+    #[serde(default)]
+    pub(crate) generation: Generation,
     /// Wall-clock time of the acceptance, in milliseconds since the Unix epoch.
     pub(crate) accepted_unix_ms: u64,
     /// Time after acceptance in which all results are due, in milliseconds.
@@ -87,6 +91,7 @@
     pub(crate) fn new(
         route: &Route,
         terms: BatchTerms,
+        generation: Generation,
         accepted_unix_ms: u64,
         items: Vec<JobItem>,
     ) -> Self {
@@ -95,6 +100,7 @@
         Self {
             route: Name::clone(&route.name),
             host: Name::clone(&route.host),
+            generation,
             accepted_unix_ms,
             target_ms: millis(terms.completion_target),
             retention_ms: millis(terms.retention),
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -217,7 +217,8 @@
     id: &Name,
     items: Vec<JobItem>,
 ) -> CreateResult {
-    let (spec, parts) = JobSpec::new(route, terms, Clock::unix_ms(), items).encode();
+    let generation = node.directory.borrow().generation();
+    let (spec, parts) = JobSpec::new(route, terms, generation, Clock::unix_ms(), items).encode();
     for (index, part) in (0..).zip(parts) {
         let name = JobSpec::part_name(id, index);
         match node.create(PARTS_KIND, &name, part).await {
--- a/dogwoodtray_gateway/tests/moved_routes.rs
+++ b/dogwoodtray_gateway/tests/moved_routes.rs
@@ -6,10 +6,13 @@
 
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use hyper::StatusCode;
 use support::Behavior;
 use support::Endpoint;
+use support::HOST;
 use support::Site;
 use support::config_moving;
 use support::run_local;
@@ -117,6 +120,30 @@
     });
 }
 
+/// Guards against items that are given up as without a route by a driver whose configuration is older
+/// than that by which their job was accepted.
+#[test]
+fn an_item_waits_for_the_configuration_by_which_its_job_was_accepted() {
+    run_local(async {
+        let (site, endpoint, _running) = Site::with_processes("engine", 1).await;
+        let item = r#"{"id":"a","path":"/late/a","headers":[],"body":"aGk=","tokens":9}"#;
+        let job = format!(
+            r#"{{"route":"late","host":"{HOST}","accepted_unix_ms":{},"target_ms":18000,
+            "retention_ms":60000,"max_attempts":2,"total":1,"parts":0,"generation":5,
+            "items":[{item}]}}"#,
+            SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+        );
+        site.store.put("batch-jobs", "j1", &job);
+        // Longer than the time for which a route may be missing.
+        sleep(Duration::from_secs(5)).await;
+        let page = site.get("/api/lots/j1?after=0").await;
+        assert!(!page.body.contains("dead_letter"), "{}", page.body);
+        let renamed = config_moving(5, &[]).replace(r#""/job/""#, r#""/late/""#);
+        site.store.put("config", "main", &renamed);
+        wait_until("the item runs", || endpoint.request_count() == 1).await;
+    });
+}
+
 /// Guards against an online request that waits, until its time is up, for a place of the service that
 /// its route had.
 #[test]
