Limit the bytes that a process buffers over all its requests

Callers would lose the requests of a whole gateway: with endpoints that send without end, or large bodies that arrive together, it uses more memory than its VM has and is killed.

Cause: each request had its limit, their sum had none. 110 buffered answers of 1 MiB reach the memory of the smallest VMs; events were queued for callers that do not read in up to 64 groups of 64 KiB each; a submission of 4 MB costs some 16 MB.

Change: bodies, buffered answers, incomplete events, queued events and the output of items lease their bytes from one `ByteBudget`, a quarter of the memory (`--memory-mb`). At the limit, answers are forwarded, queues wait, runs move and new bodies get 503. Heads of endpoints are limited to 16 KiB, as the HTTP library buffers as much for each connection.

--- a/dogwoodtray_cli/src/daemon/gateway.rs
+++ b/dogwoodtray_cli/src/daemon/gateway.rs
@@ -60,9 +60,16 @@
         admin: settings.admin,
         grace: settings.grace,
         results_kept: settings.results_kept,
+        buffer_bytes: buffer_bytes(settings.memory_mb),
     }
 }
 
+/// Returns the limit of the buffers of all requests, a quarter of the memory. The rest is for copies
+/// of their content, for the buffers of connections, and for the state of the process.
+fn buffer_bytes(memory_mb: u32) -> usize {
+    usize::try_from(memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20) / 4
+}
+
 /// Runs a daemon on a single thread. The VM has a fraction of a core, so a second thread would only
 /// add wake-ups.
 fn run(daemon: impl Future<Output = Result<(), Box<dyn Error>>>) -> Exit {
--- a/dogwoodtray_cli/src/settings/gateway.rs
+++ b/dogwoodtray_cli/src/settings/gateway.rs
@@ -21,6 +21,7 @@
     &setting::PLATFORM,
     &setting::GRACE_S,
     &setting::RESULTS_KEPT_S,
+    &setting::MEMORY_MB,
 ];
 
 const DRIVER_SETTINGS: &[&Setting] = &[
@@ -31,6 +32,7 @@
     &setting::PLATFORM,
     &setting::GRACE_S,
     &setting::RESULTS_KEPT_S,
+    &setting::MEMORY_MB,
 ];
 
 /// Settings that gateways and drivers share.
@@ -50,6 +52,8 @@
     pub grace: Duration,
     /// Time after the submission of a job during which its results can be read.
     pub results_kept: Duration,
+    /// Memory of the process in MiB.
+    pub memory_mb: u32,
 }
 
 /// Settings of a gateway.
@@ -81,6 +85,7 @@
             platform: values.remote_addr(&setting::PLATFORM),
             grace: Duration::from_secs(values.number(&setting::GRACE_S, 1..=600)),
             results_kept: Duration::from_secs(results_kept),
+            memory_mb: values.number(&setting::MEMORY_MB, 32..=1_048_576),
         }
     }
 }
--- a/dogwoodtray_cli/src/settings/setting.rs
+++ b/dogwoodtray_cli/src/settings/setting.rs
@@ -52,6 +52,8 @@
         "Time between the request to stop and the kill", "8";
     RESULTS_KEPT_S: "results-kept-s", "RESULTS_KEPT_S", "SECONDS",
         "Time after submission for which the results of a job stay readable", "120";
+    MEMORY_MB: "memory-mb", "MEMORY_MB", "MIB",
+        "Memory of the process, a quarter of which it uses for buffers of requests", "128";
     ROUTE_POLICY: "route-policy", "ROUTE_POLICY", "NAME",
         "Routing: adaptive, round-robin or least-outstanding", "adaptive";
     ORG_REQUESTS_PER_S: "org-requests-per-s", "ORG_REQUESTS_PER_S", "COUNT",
--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -125,7 +125,7 @@
             }
             Kind::ItemProgress(progress) => {
                 if let Some(driver) = self.driver.get() {
-                    driver.on_item_progress(self.now(), progress);
+                    driver.on_item_progress(self, progress);
                 }
             }
             Kind::CrashReport(report) => self.on_crash_report(report),
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -8,6 +8,7 @@
 use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::Name;
 use dogwoodtray_http::EventTooLarge;
+use dogwoodtray_http::OutOfBytes;
 use dogwoodtray_http::Truncation;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_runtime::catalogue;
@@ -272,7 +273,7 @@
                 }
                 let error = appended.err().map(|error| error.to_string()).unwrap_or_default();
                 metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
-                progress.replace(Progress::default());
+                progress.borrow_mut().clear();
                 (PlaceOutcome::Errored, error)
             }
         };
@@ -294,6 +295,10 @@
         OutputTooLarge {
             display("the output exceeds {MAX_OUTPUT_BYTES} bytes")
         }
+        NoBuffer(err: OutOfBytes) {
+            display("{err}")
+            from()
+        }
     }
 }
 
@@ -309,5 +314,6 @@
     if progress.output_bytes() > MAX_OUTPUT_BYTES {
         return Err(EventError::OutputTooLarge);
     }
+    progress.reserve(parser.buffered())?;
     Ok(count)
 }
--- a/dogwoodtray_gateway/src/driver/job.rs
+++ b/dogwoodtray_gateway/src/driver/job.rs
@@ -10,6 +10,7 @@
 
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_http::ByteBudget;
 use dogwoodtray_platform::CreateResult;
 use dogwoodtray_platform::GetResult;
 use dogwoodtray_runtime::Clock;
@@ -92,7 +93,7 @@
 
 /// # State
 impl Job {
-    pub(crate) fn new(id: Name, spec: JobSpec) -> Self {
+    pub(crate) fn new(id: Name, spec: JobSpec, buffers: ByteBudget) -> Self {
         Self {
             id,
             completed: RefCell::new(HashSet::new()),
@@ -103,7 +104,7 @@
             results: RefCell::new(Vec::new()),
             items_with_result: RefCell::new(HashSet::new()),
             next_segment: Cell::new(0),
-            outputs: Outputs::default(),
+            outputs: Outputs::new(buffers),
             cancelled: Cell::new(false),
             finished: Cell::new(false),
             owned: Cell::new(false),
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -27,7 +27,6 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
-use dogwoodtray_coord::Timestamp;
 use dogwoodtray_platform::Change;
 use dogwoodtray_platform::GetResult;
 use dogwoodtray_platform::Object;
@@ -189,7 +188,7 @@
                 return None;
             }
         };
-        let job = Rc::new(Job::new(Name::clone(&object.name), spec));
+        let job = Rc::new(Job::new(Name::clone(&object.name), spec, node.buffers.clone()));
         job.on_status(object.status.get());
         if node.cancelled_jobs.borrow().contains(&object.name) {
             job.cancel();
@@ -262,10 +261,12 @@
         Some((encode(&job.spec), encode(&job.status())))
     }
 
-    /// Stores the output of an item that another driver runs.
-    pub(crate) fn on_item_progress(&self, now: Timestamp, progress: messages::ItemProgress) {
+    /// Stores the output of an item that another driver runs, if there is a buffer for it.
+    pub(crate) fn on_item_progress(&self, node: &Node, progress: messages::ItemProgress) {
+        let now = node.now();
         let item = Name::from(progress.item);
-        let output = Progress::new(progress.data, progress.last_event);
+        let output = Progress::received(&node.buffers, progress.data, progress.last_event);
+        let Ok(output) = output else { return };
         if let Some(job) = self.jobs.borrow().get(&*progress.job) {
             return job.set_replica(item, output);
         }
--- a/dogwoodtray_gateway/src/driver/outputs.rs
+++ b/dogwoodtray_gateway/src/driver/outputs.rs
@@ -7,6 +7,7 @@
 
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_http::ByteBudget;
 use dogwoodtray_wire::messages;
 
 use super::progress::Progress;
@@ -16,32 +17,48 @@
 const EARLY_OUTPUT_TIME: Duration = Duration::from_secs(30);
 
 /// Output of unfinished items, by item id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Outputs {
     items: RefCell<HashMap<Name, ItemOutput>>,
+    buffers: ByteBudget,
 }
 
 /// Output of one item, up to two versions of it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ItemOutput {
     /// Output of the runs in this process.
     local: Rc<RefCell<Progress>>,
     /// Output received from another driver.
-    replica: Progress,
+    replica: Option<Progress>,
+}
+
+impl ItemOutput {
+    fn new(buffers: &ByteBudget) -> Self {
+        Self { local: Rc::new(RefCell::new(Progress::new(buffers))), replica: None }
+    }
 }
 
 impl Outputs {
+    /// Creates the output of a job without items. All output counts towards `buffers`.
+    pub(super) fn new(buffers: ByteBudget) -> Self {
+        Self { items: RefCell::default(), buffers }
+    }
+
     /// Stores the output received from another driver.
     pub(super) fn set_replica(&self, item: Name, progress: Progress) {
-        self.items.borrow_mut().entry(item).or_default().replica = progress;
+        let mut items = self.items.borrow_mut();
+        items.entry(item).or_insert_with(|| ItemOutput::new(&self.buffers)).replica =
+            Some(progress);
     }
 
     /// Returns the longest known output of an item, with which its next run starts.
     pub(super) fn longest(&self, item: &Name) -> Rc<RefCell<Progress>> {
         let mut items = self.items.borrow_mut();
-        let output = items.entry(Name::clone(item)).or_default();
-        let replica = std::mem::take(&mut output.replica);
-        if replica.last_event_id() > output.local.borrow().last_event_id() {
+        let output =
+            items.entry(Name::clone(item)).or_insert_with(|| ItemOutput::new(&self.buffers));
+        if let Some(replica) = output.replica.take()
+            && replica.last_event_id() > output.local.borrow().last_event_id()
+        {
             output.local.replace(replica);
         }
         Rc::clone(&output.local)
@@ -50,8 +67,8 @@
     /// Discards the output of an item that must restart from its beginning.
     pub(super) fn reset(&self, item: &Name) {
         if let Some(output) = self.items.borrow_mut().get_mut(item) {
-            output.replica = Progress::default();
-            output.local.replace(Progress::default());
+            output.replica = None;
+            output.local.borrow_mut().clear();
         }
     }
 
@@ -70,12 +87,9 @@
         let items = self.items.borrow();
         let message = |(item, output): (&Name, &ItemOutput)| {
             let local = output.local.borrow();
-            let local_is_longer = local.last_event_id() >= output.replica.last_event_id();
-            if local_is_longer {
-                local.to_message(job, item)
-            } else {
-                output.replica.to_message(job, item)
-            }
+            let replica = output.replica.as_ref();
+            let longer = replica.filter(|replica| replica.last_event_id() > local.last_event_id());
+            longer.unwrap_or(&local).to_message(job, item)
         };
         items.iter().filter_map(message).collect()
     }
--- a/dogwoodtray_gateway/src/driver/progress.rs
+++ b/dogwoodtray_gateway/src/driver/progress.rs
@@ -1,21 +1,52 @@
 //! Output of an unfinished item.
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_http::ByteBudget;
+use dogwoodtray_http::ByteLease;
+use dogwoodtray_http::OutOfBytes;
 use dogwoodtray_wire::messages;
 
 /// Output of an item so far, as the data of its events.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Progress {
     data: Vec<String>,
     /// Size of `data`.
     bytes: usize,
     last_event_id: Option<u64>,
+    lease: ByteLease,
 }
 
 impl Progress {
-    pub(super) fn new(data: Vec<String>, last_event_id: u64) -> Self {
+    /// Creates an empty output.
+    pub(super) fn new(buffers: &ByteBudget) -> Self {
+        Self { data: Vec::new(), bytes: 0, last_event_id: None, lease: buffers.lease() }
+    }
+
+    /// Creates the output that another driver sent. Returns an error if there is no buffer for it.
+    pub(super) fn received(
+        buffers: &ByteBudget,
+        data: Vec<String>,
+        last_event_id: u64,
+    ) -> Result<Self, OutOfBytes> {
         let bytes = data.iter().map(String::len).sum();
-        Self { data, bytes, last_event_id: Some(last_event_id) }
+        let last_event_id = Some(last_event_id);
+        let mut progress = Self { data, bytes, last_event_id, lease: buffers.lease() };
+        progress.reserve(0)?;
+        Ok(progress)
+    }
+
+    /// Discards all events.
+    pub(super) fn clear(&mut self) {
+        self.data.clear();
+        self.bytes = 0;
+        self.last_event_id = None;
+        // A lease that shrinks does not fail.
+        let _ = self.lease.resize(0);
+    }
+
+    /// Reserves the bytes of the output, and those of an incomplete event after it.
+    pub(super) fn reserve(&mut self, incomplete: usize) -> Result<(), OutOfBytes> {
+        self.lease.resize(self.bytes + incomplete)
     }
 
     /// Returns the id of the last event.
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -9,6 +9,7 @@
 use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_http::ByteLease;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_runtime::catalogue;
@@ -85,6 +86,7 @@
     pub(crate) arrived: Timestamp,
     pub(crate) deadline: Timestamp,
     pub(crate) trace: Trace,
+    _lease: ByteLease,
     excluded: Vec<Name>,
     /// Number of attempts that may have run the request.
     possible_runs: u32,
@@ -93,13 +95,14 @@
 }
 
 impl Attempts {
-    /// Creates the state of a request without attempts. `times` holds its arrival and its deadline.
+    /// Creates the state of a request without attempts. The lease covers its body, and `times` holds its
+    /// arrival and its deadline.
     pub(crate) fn new(
         node: Rc<Node>,
         route: Route,
         service: RoutedService,
         id: Name,
-        endpoint_request: EndpointRequest,
+        (endpoint_request, lease): (EndpointRequest, ByteLease),
         times: (Timestamp, Timestamp),
         trace: Trace,
     ) -> Self {
@@ -115,6 +118,7 @@
             arrived,
             deadline,
             trace,
+            _lease: lease,
             excluded: Vec::new(),
             possible_runs: 0,
             rejections: 0,
--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -1,16 +1,19 @@
 //! Bodies of responses to callers.
 
+use std::collections::VecDeque;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
+use dogwoodtray_http::ByteLease;
 use dogwoodtray_policy::PlaceOutcome;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use quick_error::quick_error;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::mpsc::Receiver;
 use tokio::time::Sleep;
 
@@ -46,21 +49,62 @@
 pub(crate) enum ResponseBody {
     /// Complete body; `None` if it is empty or has been sent.
     Full(Option<Bytes>),
+    /// Complete body of an endpoint's response.
+    Buffered(BufferedFrames),
     /// Body of an endpoint's response, forwarded as it arrives.
     Proxied(Box<ProxiedBody>),
     /// Events of a stream, forwarded one by one.
-    Events(Receiver<Result<Bytes, BodyError>>),
+    Events(Receiver<Result<QueuedEvents, BodyError>>),
 }
 
 impl ResponseBody {
     pub(crate) fn full(bytes: Bytes) -> Self {
         Self::Full((!bytes.is_empty()).then_some(bytes))
     }
+
+    pub(crate) fn buffered(frames: Vec<Bytes>, lease: ByteLease) -> Self {
+        Self::Buffered(BufferedFrames::new(frames, lease))
+    }
+}
+
+/// Events that wait for their caller, with their share of the buffers.
+#[derive(Debug)]
+pub(crate) struct QueuedEvents {
+    pub(crate) data: Bytes,
+    /// Share of the queue of the stream, which is returned when the events are sent.
+    pub(crate) _permit: OwnedSemaphorePermit,
+    /// Share of the buffers of all requests.
+    pub(crate) _lease: ByteLease,
+}
+
+/// Data that has been received and is not sent yet, with its share of the buffers of all requests.
+#[derive(Debug)]
+pub(crate) struct BufferedFrames {
+    frames: VecDeque<Bytes>,
+    bytes: usize,
+    lease: ByteLease,
+}
+
+impl BufferedFrames {
+    pub(crate) fn new(frames: Vec<Bytes>, lease: ByteLease) -> Self {
+        let bytes = frames.iter().map(Bytes::len).sum();
+        Self { frames: frames.into_iter().filter(|data| !data.is_empty()).collect(), bytes, lease }
+    }
+
+    fn pop(&mut self) -> Option<Bytes> {
+        let data = self.frames.pop_front()?;
+        self.bytes -= data.len();
+        // A lease that shrinks does not fail.
+        let _ = self.lease.resize(self.bytes.min(self.lease.bytes()));
+        Some(data)
+    }
 }
 
 /// Body that is forwarded, with the state that is released when it ends.
 #[derive(Debug)]
 pub(crate) struct ProxiedBody {
+    /// Start of the body, which is sent before the rest of it.
+    pub(crate) buffered: BufferedFrames,
     pub(crate) body: AnswerBody,
     /// Outcome of the place if the body is complete.
     pub(crate) complete_outcome: PlaceOutcome,
@@ -77,7 +121,19 @@
         self.trace.finish(outcome);
     }
 
+    /// Returns the length of the rest, if the endpoint stated one.
+    fn size_hint(&self) -> SizeHint {
+        let rest = self.body.size_hint();
+        rest.exact().map_or_else(SizeHint::default, |rest| {
+            SizeHint::with_exact(rest + self.buffered.bytes as u64)
+        })
+    }
+
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(data) = self.buffered.pop() {
+            self.trace.on_data();
+            return Poll::Ready(Some(Ok(Frame::data(data))));
+        }
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.trace.on_data();
@@ -119,14 +175,18 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Buffered(frames) => Poll::Ready(frames.pop().map(|data| Ok(Frame::data(data)))),
             Self::Proxied(proxied) => proxied.poll(cx),
-            Self::Events(rx) => rx.poll_recv(cx).map(|event| event.map(|e| e.map(Frame::data))),
+            Self::Events(rx) => {
+                rx.poll_recv(cx).map(|queued| Some(queued?.map(|events| Frame::data(events.data))))
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(bytes) => bytes.is_none(),
+            Self::Buffered(frames) => frames.frames.is_empty(),
             // The outcome is recorded when the end of the body is polled.
             Self::Proxied(_) | Self::Events(_) => false,
         }
@@ -137,7 +197,8 @@
             Self::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Proxied(proxied) => proxied.body.size_hint(),
+            Self::Buffered(frames) => SizeHint::with_exact(frames.bytes as u64),
+            Self::Proxied(proxied) => proxied.size_hint(),
             Self::Events(_) => SizeHint::default(),
         }
     }
--- a/dogwoodtray_gateway/src/http/mod.rs
+++ b/dogwoodtray_gateway/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod jobs;
 mod online;
+mod request_body;
 mod response;
 mod run;
 mod server;
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dogwoodtray_http::ByteLease;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Version;
@@ -15,6 +15,7 @@
 
 use super::attempt::AttemptError;
 use super::attempt::Attempts;
+use super::body::BufferedFrames;
 use super::body::ProxiedBody;
 use super::body::ResponseBody;
 use super::response::GatewayResponse;
@@ -33,6 +34,14 @@
 /// services respond within 500 ms unless they are faulty.
 const IDEMPOTENT_HEAD_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Outcome of buffering a response.
+enum Buffered {
+    /// The response is complete.
+    Whole(GatewayResponse),
+    /// The response is too large for the buffers of all requests.
+    Partly { frames: Vec<Bytes>, lease: ByteLease, exchange: Exchange, run: Run },
+}
+
 /// Serves an online request.
 pub(crate) async fn serve(attempts: Attempts) -> GatewayResponse {
     match attempts.route.kind {
@@ -57,8 +66,15 @@
 }
 
 /// Forwards the response of an endpoint as it arrives.
-pub(crate) fn proxy_response(
+pub(crate) fn proxy_response(attempts: Attempts, exchange: Exchange, run: Run) -> GatewayResponse {
+    let lease = attempts.node.buffers.lease();
+    forward_response(attempts, (Vec::new(), lease), exchange, run)
+}
+
+/// Forwards the response of an endpoint, of which some frames have been buffered.
+fn forward_response(
     mut attempts: Attempts,
+    (frames, lease): (Vec<Bytes>, ByteLease),
     exchange: Exchange,
     run: Run,
 ) -> GatewayResponse {
@@ -66,6 +82,7 @@
     let parts = response_head(exchange.parts, exchange.body.kind());
     attempts.trace.on_status(parts.status.as_u16());
     let proxied = ProxiedBody {
+        buffered: BufferedFrames::new(frames, lease),
         complete_outcome,
         body: exchange.body,
         deadline: Box::pin(sleep(attempts.remaining())),
@@ -119,7 +136,10 @@
                     AttemptError::OutcomeUnknown
                 } else {
                     match buffer_response(&mut attempts, exchange, run).await {
-                        Ok(response) => return response,
+                        Ok(Buffered::Whole(response)) => return response,
+                        Ok(Buffered::Partly { frames, lease, exchange, run }) => {
+                            return forward_response(attempts, (frames, lease), exchange, run);
+                        }
                         Err(error) => error,
                     }
                 }
@@ -134,30 +154,45 @@
     }
 }
 
-/// Buffers a complete response, so that the request can be retried if the response is interrupted.
+/// Buffers a complete response, so that the request can be retried if the response is interrupted or too
+/// large. It is forwarded as it arrives if the buffers of all requests have reached their limit.
 async fn buffer_response(
     attempts: &mut Attempts,
-    exchange: Exchange,
+    mut exchange: Exchange,
     mut run: Run,
-) -> Result<GatewayResponse, AttemptError> {
-    let kind = exchange.body.kind();
-    let body = Limited::new(exchange.body, MAX_BUFFERED_BYTES);
-    let collect = timeout(attempts.remaining(), body.collect());
-    let bytes: Bytes = match attempts.node.drain.until_end(collect).await {
-        Some(Ok(Ok(body))) => body.to_bytes(),
-        Some(Ok(Err(err))) => {
-            run.on_broken_off(&err);
-            run.reported().await;
-            attempts.trace.log_retry(run.endpoint(), &err);
+) -> Result<Buffered, AttemptError> {
+    let mut lease = attempts.node.buffers.lease();
+    let mut frames = Vec::new();
+    loop {
+        let frame = timeout(attempts.remaining(), exchange.body.frame());
+        let data = match attempts.node.drain.until_end(frame).await {
+            Some(Ok(Some(Ok(frame)))) => frame.into_data().unwrap_or_default(),
+            Some(Ok(None)) => break,
+            Some(Ok(Some(Err(err)))) => {
+                run.on_broken_off(&err);
+                run.reported().await;
+                attempts.trace.log_retry(run.endpoint(), &err);
+                return Err(AttemptError::OutcomeUnknown);
+            }
+            Some(Err(_)) | None => return Err(AttemptError::DeadlineExceeded),
+        };
+        let bytes = lease.bytes() + data.len();
+        if bytes > MAX_BUFFERED_BYTES {
+            attempts.trace.log_retry(run.endpoint(), &"answer too large");
             return Err(AttemptError::OutcomeUnknown);
         }
-        Some(Err(_)) | None => return Err(AttemptError::DeadlineExceeded),
-    };
+        frames.push(data);
+        if lease.resize(bytes).is_err() {
+            return Ok(Buffered::Partly { frames, lease, exchange, run });
+        }
+    }
     run.on_completed();
     run.set_outcome(place_outcome(exchange.parts.status));
+    let kind = exchange.body.kind();
     let parts = response_head(exchange.parts, kind);
     attempts.trace.on_status(parts.status.as_u16());
     attempts.trace.on_data();
     attempts.trace.finish("answered");
-    Ok(Response::from_parts(parts, ResponseBody::full(bytes)))
+    let body = ResponseBody::buffered(frames, lease);
+    Ok(Buffered::Whole(Response::from_parts(parts, body)))
 }
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -12,8 +12,6 @@
 use dogwoodtray_http::CallerStream;
 use dogwoodtray_http::FlushBeforeError;
 use dogwoodtray_runtime::MetricsHandle;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
@@ -38,6 +36,7 @@
 use super::body::ResponseBody;
 use super::jobs;
 use super::online;
+use super::request_body::read_body;
 use super::response;
 use super::response::GatewayResponse;
 use super::trace::Trace;
@@ -73,6 +72,13 @@
 /// again and is accepted once.
 const JOB_SUBMIT_TIME: Duration = Duration::from_secs(2);
 
+/// Copies of the body of a request that exist at the same time: while it is read, and to be sent again.
+const REQUEST_COPIES: usize = 2;
+
+/// Copies of a submission that exist at the same time: its body, the items, the encoded objects, and what
+/// is sent to the store.
+const SUBMISSION_COPIES: usize = 5;
+
 /// `Retry-After` while the process has no usable configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -239,14 +245,16 @@
     if !node.drain.takes(node.now(), Some(&route.name), ends_by) {
         return refuse_stopping(trace());
     }
-    let body = match Limited::new(body, config.limits.max_body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
-            return response::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
-        }
+    let copies = match route.kind {
+        RouteKind::Batch(_) => SUBMISSION_COPIES,
+        _ => REQUEST_COPIES,
+    };
+    let mut lease = node.buffers.lease();
+    let body = match read_body(body, config.limits.max_body_bytes, copies, &mut lease).await {
+        Ok(body) => body,
         Err(err) => {
-            log::debug!("cannot read the body of request {id}: {err}");
-            return response::plain(StatusCode::BAD_REQUEST, "the body is incomplete\n");
+            log::info!("body of request {id} not read: {err}");
+            return err.into_response();
         }
     };
     // The body may have taken long to arrive.
@@ -255,6 +263,7 @@
     }
     if let RouteKind::Batch(terms) = route.kind {
         let response = jobs::submit(node, route, terms, &id, &body).await;
+        drop(lease);
         node.drain.record(node.now(), &route.name, node.now() - arrived);
         return response;
     }
@@ -273,7 +282,7 @@
         route.clone(),
         service,
         id,
-        endpoint_request,
+        (endpoint_request, lease),
         (arrived, deadline),
         trace,
     );
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -1,12 +1,16 @@
 //! Streams that can be resumed at another endpoint within one response.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use dogwoodtray_http::ByteBudget;
 use dogwoodtray_policy::PlaceOutcome;
 use http_body_util::BodyExt;
 use hyper::Response;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::Receiver;
 use tokio::sync::mpsc::Sender;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -15,6 +19,7 @@
 use super::attempt::AttemptError;
 use super::attempt::Attempts;
 use super::body::BodyError;
+use super::body::QueuedEvents;
 use super::body::ResponseBody;
 use super::online::proxy_response;
 use super::online::response_head;
@@ -33,8 +38,11 @@
 /// abandon a stream after such a gap at the earliest.
 const LAST_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Capacity of the channel to the caller, in groups of events.
-const EVENT_CHANNEL_CAPACITY: usize = 64;
+/// Capacity of the queue to the caller, in groups of events.
+const QUEUE_CAPACITY: usize = 64;
+
+/// Capacity of the queue to the caller in bytes. A larger group of events waits until it is empty.
+const MAX_QUEUED_BYTES: u32 = 128 * 1024;
 
 /// Outcome of the exchange with one endpoint.
 enum ExchangeOutcome {
@@ -72,16 +80,52 @@
     if attempts.is_last() { LAST_IDLE_TIMEOUT } else { STREAM_IDLE_TIMEOUT }
 }
 
+/// Queue of events that wait for their caller.
+#[derive(Debug)]
+struct EventQueue {
+    tx: Sender<Result<QueuedEvents, BodyError>>,
+    /// Bytes that may be queued.
+    capacity: Arc<Semaphore>,
+    buffers: ByteBudget,
+}
+
+impl EventQueue {
+    fn open(buffers: ByteBudget) -> (Self, Receiver<Result<QueuedEvents, BodyError>>) {
+        let (tx, rx) = mpsc::channel(QUEUE_CAPACITY);
+        let capacity = Arc::new(Semaphore::new(MAX_QUEUED_BYTES as usize));
+        (Self { tx, capacity, buffers }, rx)
+    }
+
+    /// Queues events. Waits while the queue is full, or while there is anything in it if the buffers of
+    /// all requests have reached their limit. Returns `false` if the caller has disconnected.
+    async fn push(&self, data: Bytes) -> bool {
+        let bytes = u32::try_from(data.len()).unwrap_or(u32::MAX).min(MAX_QUEUED_BYTES);
+        let mut lease = self.buffers.lease();
+        let is_leased = lease.resize(data.len()).is_ok();
+        let wanted = if is_leased { bytes } else { MAX_QUEUED_BYTES };
+        let permit = Arc::clone(&self.capacity).acquire_many_owned(wanted).await;
+        // Not reached: the semaphore is never closed.
+        let Ok(permit) = permit else { return false };
+        self.tx.send(Ok(QueuedEvents { data, _permit: permit, _lease: lease })).await.is_ok()
+    }
+
+    /// Ends the stream as broken off.
+    async fn fail(&self, err: BodyError) {
+        // The send fails only if the caller has disconnected.
+        let _ = self.tx.send(Err(err)).await;
+    }
+}
+
 /// Starts the task that forwards the events, and returns the response with its channel.
 fn start_stream(mut attempts: Attempts, exchange: Exchange, run: Run) -> GatewayResponse {
-    let (tx, rx) = mpsc::channel(EVENT_CHANNEL_CAPACITY);
+    let (queue, rx) = EventQueue::open(attempts.node.buffers.clone());
     let parts = response_head(exchange.parts, exchange.body.kind());
     attempts.trace.on_status(parts.status.as_u16());
     let body = exchange.body;
     spawn_local(async move {
         tokio::select! {
-            () = run_stream(&mut attempts, body, run, &tx) => {}
-            () = tx.closed() => attempts.trace.finish("caller gone"),
+            () = run_stream(&mut attempts, body, run, &queue) => {}
+            () = queue.tx.closed() => attempts.trace.finish("caller gone"),
         }
     });
     Response::from_parts(parts, ResponseBody::Events(rx))
@@ -92,14 +136,14 @@
     attempts: &mut Attempts,
     mut body: AnswerBody,
     mut run: Run,
-    tx: &Sender<Result<Bytes, BodyError>>,
+    queue: &EventQueue,
 ) {
     let mut last_event_id = None;
     let mut idle_timeout = STREAM_IDLE_TIMEOUT;
     loop {
         // A slow but sound stream is not cut if it cannot be resumed.
         let limit = if attempts.may_retry() { idle_timeout } else { LAST_IDLE_TIMEOUT };
-        match forward_events(attempts, &mut run, body, &mut last_event_id, limit, tx).await {
+        match forward_events(attempts, &mut run, body, &mut last_event_id, limit, queue).await {
             ExchangeOutcome::Completed => {
                 run.on_completed();
                 run.set_outcome(PlaceOutcome::Answered);
@@ -117,9 +161,7 @@
             Some(resumed) => (body, run) = resumed,
             None => {
                 attempts.trace.finish("not resumed");
-                // The send fails only if the caller has disconnected.
-                let _ = tx.send(Err(BodyError::ResumeFailed)).await;
-                return;
+                return queue.fail(BodyError::ResumeFailed).await;
             }
         }
     }
@@ -150,9 +192,10 @@
     mut body: AnswerBody,
     last_event_id: &mut Option<u64>,
     idle_timeout: Duration,
-    tx: &Sender<Result<Bytes, BodyError>>,
+    queue: &EventQueue,
 ) -> ExchangeOutcome {
     let mut parser = EventParser::default();
+    let mut lease = attempts.node.buffers.lease();
     let mut last_event_at = Instant::now();
     let resumed_after = *last_event_id;
     loop {
@@ -192,10 +235,14 @@
             *last_event_id = event.id().or(*last_event_id);
             events.extend_from_slice(&event.raw);
         }
+        // The rest of the buffer is an incomplete event.
+        if lease.resize(parser.buffered()).is_err() {
+            return ExchangeOutcome::Interrupted("no buffer for an event");
+        }
         if !events.is_empty() {
             run.on_output();
         }
-        if !events.is_empty() && tx.send(Ok(events.freeze())).await.is_err() {
+        if !events.is_empty() && !queue.push(events.freeze()).await {
             return ExchangeOutcome::CallerDisconnected;
         }
         if !is_in_order {
--- a/dogwoodtray_gateway/src/net/events.rs
+++ b/dogwoodtray_gateway/src/net/events.rs
@@ -73,6 +73,12 @@
         self.splitter.push(bytes);
     }
 
+    /// Returns the number of buffered bytes.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.splitter.buffered()
+    }
+
     /// Returns the next complete event.
     ///
     /// # Errors
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -16,6 +16,7 @@
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_http::ByteBudget;
 use dogwoodtray_platform::ObjectStore;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_runtime::Clock;
@@ -73,6 +74,8 @@
     pub grace: Duration,
     /// Time after submission during which the results of a job can be read.
     pub results_kept: Duration,
+    /// Limit of the bytes that the process buffers for all its requests.
+    pub buffer_bytes: usize,
 }
 
 /// State shared by all tasks of a process.
@@ -82,6 +85,8 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) clock: Clock,
+    /// Bytes that are buffered for all requests.
+    pub(crate) buffers: ByteBudget,
     pub(crate) incarnation: Incarnation,
     pub(crate) events: EventLog,
     pub(crate) directory: RefCell<Directory>,
@@ -120,8 +125,10 @@
     ) -> Rc<Self> {
         let incarnation = Incarnation(rand::random());
         let events = EventLog::open(Name::clone(&cfg.node), incarnation);
+        let buffers = ByteBudget::new(cfg.buffer_bytes);
         Rc::new(Self {
             cfg,
+            buffers,
             dialect,
             store,
             clock: Clock::start(),
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -316,7 +316,7 @@
             Kind::ConfigSet(set) => self.on_relayed_config(&set),
             Kind::ItemProgress(progress) => {
                 if let Some(driver) = self.driver.get() {
-                    driver.on_item_progress(self.now(), progress);
+                    driver.on_item_progress(self, progress);
                 }
             }
             Kind::JobCancelled(cancelled) => {
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -550,5 +550,6 @@
         admin: free_addr(),
         grace: Duration::from_secs(8),
         results_kept: Duration::from_secs(120),
+        buffer_bytes: 32 << 20,
     }
 }
--- a/dogwoodtray_http/src/event_splitter.rs
+++ b/dogwoodtray_http/src/event_splitter.rs
@@ -54,6 +54,12 @@
         self.buf.extend_from_slice(bytes);
     }
 
+    /// Returns the number of buffered bytes.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns the next complete event with its separator, or `None` until more bytes arrive.
     ///
     /// # Errors
--- a/dogwoodtray_http/src/exchange.rs
+++ b/dogwoodtray_http/src/exchange.rs
@@ -38,7 +38,7 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum size of the head of a response, including informational ones before it.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 
 type Connection = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
 
--- a/dogwoodtray_http/src/lib.rs
+++ b/dogwoodtray_http/src/lib.rs
@@ -4,12 +4,16 @@
 //! endpoint, so that its reader gets an error where the answer was broken off.
 
 mod break_off;
+mod byte_budget;
 mod caller_stream;
 mod end;
 mod event_splitter;
 mod exchange;
 
 pub use crate::break_off::FlushBeforeError;
+pub use crate::byte_budget::ByteBudget;
+pub use crate::byte_budget::ByteLease;
+pub use crate::byte_budget::OutOfBytes;
 pub use crate::caller_stream::CallerStream;
 pub use crate::caller_stream::RequestVersions;
 pub use crate::end::AnswerKind;
