Limit the size of an answer of the store

A store, or what answers at its address, that sends a body without end filled the memory of every process that called it, until the call timed out.

Cause: the clients of the store collected bodies of any length.

Change: 8 MiB at most; a longer answer counts as lost.

Result: answers_of_the_store_without_end_stay_within_the_memory failed before.

--- a/dogwoodtray_cli/tests/memory.rs
+++ b/dogwoodtray_cli/tests/memory.rs
@@ -357,3 +357,27 @@
         fleet.assert_within_memory();
     });
 }
+
+/// Guards against answers of the store without end that fill the memory.
+#[test]
+fn answers_of_the_store_without_end_stay_within_the_memory() {
+    run(async {
+        let dir = test_dir("store");
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store = listener.local_addr().unwrap();
+        let sent = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&sent);
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                tokio::spawn(send_flood(stream, Flood::Body, Arc::clone(&counted)));
+            }
+        });
+        let program = (env!("CARGO_BIN_EXE_dogwoodtray-driver"), DRIVER_MIB);
+        let driver = start_process("driver-0", program, &[], store, &dir);
+        sleep(FLOOD_TIME).await;
+        assert!(sent.load(Relaxed) > 0);
+        let peak = peak_mib(&driver);
+        assert!(peak < DRIVER_MIB, "{peak} MiB");
+    });
+}
--- a/dogwoodtray_platform/src/http.rs
+++ b/dogwoodtray_platform/src/http.rs
@@ -18,6 +18,7 @@
 use dogwoodtray_coord::Version;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
@@ -42,6 +43,9 @@
 /// Time beyond the wait time of a watch after which the watch fails.
 const WATCH_GRACE: Duration = Duration::from_secs(2);
 
+/// Maximum size of an answer. An object has 1 MB at most, and the list of VMs far less than this limit.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
 /// Settings of [`HttpStore`].
 #[derive(Clone, Debug)]
 pub struct HttpStoreConfig {
@@ -301,7 +305,7 @@
             };
             let status = response.status();
             let version = parse_etag(response.headers());
-            match response.into_body().collect().await {
+            match Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await {
                 Ok(body) => CallOutcome::Response { status, version, body: body.to_bytes() },
                 Err(_) => CallOutcome::Lost,
             }
