Limit the answers that an agent keeps

An engine that sends tokens without end filled the memory of its agent, and of the entry, until the deadline of the request; batch items have none.

Cause: the agent keeps an answer until the entry has confirmed its end, and neither one answer nor their sum had a limit.

Change: 4 MiB for an answer, 64 MiB for all of an agent. What exceeds them is aborted as failed. The entry gets no more than that of each attempt.

--- a/dogwoodtray_agent/src/core/attempt.rs
+++ b/dogwoodtray_agent/src/core/attempt.rs
@@ -10,6 +10,8 @@
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_http::ByteBudget;
+use dogwoodtray_http::ByteLease;
 use dogwoodtray_policy::WorkId;
 
 use super::AttemptOutcome;
@@ -19,6 +21,12 @@
 /// Maximum number of entry incarnations for which the highest rejected counter is kept.
 const MAX_REJECTED_INCARNATIONS: usize = 4096;
 
+/// Maximum size of an answer. The agent keeps it until the entry has confirmed its end.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Maximum size of the answers of all attempts.
+const MAX_BUFFERED_BYTES: usize = 64 << 20;
+
 /// Stage of an attempt at the agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -47,6 +55,8 @@
     pub(super) status: u16,
     pub(super) content_type: Name,
     pub(super) response_body: BytesMut,
+    /// Share of the buffers of all attempts.
+    pub(super) lease: ByteLease,
     pub(super) tokens: u32,
     /// Whether data that arrived while the attempt was being aborted has been dropped.
     pub(super) has_dropped_data: bool,
@@ -61,7 +71,13 @@
 }
 
 impl Attempt {
-    pub(super) fn new(work_id: WorkId, peer: EntryLinkId, work: Work, now: Timestamp) -> Self {
+    pub(super) fn new(
+        work_id: WorkId,
+        peer: EntryLinkId,
+        work: Work,
+        now: Timestamp,
+        lease: ByteLease,
+    ) -> Self {
         Self {
             work_id,
             tokens: work.resume_from,
@@ -71,6 +87,7 @@
             status: 0,
             content_type: Name::from(""),
             response_body: BytesMut::new(),
+            lease,
             has_dropped_data: false,
             idle_since: now,
             progress_at: now,
@@ -86,6 +103,16 @@
         )
     }
 
+    /// Appends data of the answer. Returns `false` if it exceeds a limit.
+    pub(super) fn append(&mut self, data: &[u8]) -> bool {
+        let bytes = self.response_body.len() + data.len();
+        if bytes > MAX_ANSWER_BYTES || self.lease.resize(bytes).is_err() {
+            return false;
+        }
+        self.response_body.extend_from_slice(data);
+        true
+    }
+
     pub(super) fn response_body_from(&self, offset: u64) -> Bytes {
         let start = usize::try_from(offset).unwrap_or(usize::MAX).min(self.response_body.len());
         Bytes::copy_from_slice(&self.response_body[start..])
@@ -93,8 +120,10 @@
 }
 
 /// Attempts that the agent tracks, and counters of the attempts that it rejects.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Attempts {
+    /// Bytes of the answers of all attempts.
+    buffers: ByteBudget,
     by_id: BTreeMap<AttemptId, Attempt>,
     id_by_work: HashMap<WorkId, AttemptId>,
     /// Highest counter of an attempt that was removed or reported as not received, by entry
@@ -103,13 +132,25 @@
     last_work_id: u64,
 }
 
+impl Default for Attempts {
+    fn default() -> Self {
+        Self {
+            buffers: ByteBudget::new(MAX_BUFFERED_BYTES),
+            by_id: BTreeMap::new(),
+            id_by_work: HashMap::new(),
+            rejected_up_to: BTreeMap::new(),
+            last_work_id: 0,
+        }
+    }
+}
+
 impl Attempts {
     pub(super) fn insert(&mut self, peer: EntryLinkId, work: Work, now: Timestamp) -> WorkId {
         self.last_work_id += 1;
         let work_id = WorkId(self.last_work_id);
         let attempt = work.attempt;
         self.id_by_work.insert(work_id, attempt);
-        self.by_id.insert(attempt, Attempt::new(work_id, peer, work, now));
+        self.by_id.insert(attempt, Attempt::new(work_id, peer, work, now, self.buffers.lease()));
         work_id
     }
 
--- a/dogwoodtray_agent/src/core/endpoint.rs
+++ b/dogwoodtray_agent/src/core/endpoint.rs
@@ -104,7 +104,10 @@
         let work_id = attempt.work_id;
         let is_first_token = attempt.tokens == attempt.work.resume_from && tokens > 0;
         let offset = attempt.response_body.len() as u64;
-        attempt.response_body.extend_from_slice(&data);
+        if !attempt.append(&data) {
+            attempt.has_dropped_data = true;
+            return self.abort(id, AttemptOutcome::Failed, out);
+        }
         attempt.tokens += tokens;
         attempt.progress_at = now;
         let total_tokens = attempt.tokens;
