Confirm the end of an answer that nothing in it proves

Cause: the end of the connection was taken for the end of the answer. The bytes cannot tell, but the address can: nothing listens there any more, while the endpoint is listed as ready.

Change: `EndpointBody` ends without an error only if the endpoint is still there, or said or is listed that it leaves. It opens one connection, at the end of answers without length and chunks only. A refused one ends the answer as truncated, so that each path resumes, retries or breaks off. Three empty runs complete an item only if their endpoints are still there.

--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -28,9 +28,9 @@
 use super::progress::Progress;
 use crate::contents::request_contents;
 use crate::model::JobItem;
-use crate::net::AnswerBody;
 use crate::net::AnswerError;
 use crate::net::AnswerKind;
+use crate::net::EndpointBody;
 use crate::net::EventParser;
 use crate::net::SendError;
 use crate::net::send;
@@ -175,7 +175,7 @@
     };
     let contents = &prepared.contents;
     let mut observed = ObservedRun::start(node, &item.id, contents, endpoint, RunKind::Item);
-    let exchange = match timeout(head_timeout, send(target.addr, req, AnswerKind::Stream)).await {
+    let exchange = match timeout(head_timeout, send(node, &target, req, AnswerKind::Stream)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(err)) => {
             // After bytes that are no response, the driver closed the connection itself.
@@ -229,7 +229,7 @@
 
 /// Reads events until the stream ends, and replicates the output at intervals.
 async fn read_events(
-    mut body: AnswerBody,
+    mut body: EndpointBody,
     progress: &RefCell<Progress>,
     observed: &mut ObservedRun,
     replicate_output: impl Fn(),
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -173,7 +173,7 @@
             self.trace.on_sent(&endpoint.id);
             let limit = head_timeout.map_or(remaining, |head_timeout| head_timeout.min(remaining));
             let kind = if self.is_stream() { AnswerKind::Stream } else { AnswerKind::Plain };
-            let head = self.report_slow_head(run.permit(), send(endpoint.addr, req, kind));
+            let head = self.report_slow_head(run.permit(), send(&self.node, &endpoint, req, kind));
             let sent = self.node.drain.until_end(timeout(limit, head)).await;
             let Some(sent) = sent else {
                 self.possible_runs += 1;
--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -19,8 +19,8 @@
 
 use super::run::Run;
 use super::trace::Trace;
-use crate::net::AnswerBody;
 use crate::net::AnswerError;
+use crate::net::EndpointBody;
 
 quick_error! {
     /// Error that ends a response before it is complete. The connection to the caller is closed, so
@@ -105,7 +105,7 @@
 pub(crate) struct ProxiedBody {
     /// Start of the body, which is sent before the rest of it.
     pub(crate) buffered: BufferedFrames,
-    pub(crate) body: AnswerBody,
+    pub(crate) body: EndpointBody,
     /// Outcome of the place if the body is complete.
     pub(crate) complete_outcome: PlaceOutcome,
     pub(crate) deadline: Pin<Box<Sleep>>,
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -39,7 +39,15 @@
     /// The response is complete.
     Whole(GatewayResponse),
     /// The response is too large for the buffers of all requests.
-    Partly { frames: Vec<Bytes>, lease: ByteLease, exchange: Exchange, run: Run },
+    Partly(Box<PartlyBuffered>),
+}
+
+/// Response that is forwarded after some frames of it have been buffered.
+struct PartlyBuffered {
+    frames: Vec<Bytes>,
+    lease: ByteLease,
+    exchange: Exchange,
+    run: Run,
 }
 
 /// Serves an online request.
@@ -68,16 +76,12 @@
 /// Forwards the response of an endpoint as it arrives.
 pub(crate) fn proxy_response(attempts: Attempts, exchange: Exchange, run: Run) -> GatewayResponse {
     let lease = attempts.node.buffers.lease();
-    forward_response(attempts, (Vec::new(), lease), exchange, run)
+    forward_response(attempts, PartlyBuffered { frames: Vec::new(), lease, exchange, run })
 }
 
 /// Forwards the response of an endpoint, of which some frames have been buffered.
-fn forward_response(
-    mut attempts: Attempts,
-    (frames, lease): (Vec<Bytes>, ByteLease),
-    exchange: Exchange,
-    run: Run,
-) -> GatewayResponse {
+fn forward_response(mut attempts: Attempts, response: PartlyBuffered) -> GatewayResponse {
+    let PartlyBuffered { frames, lease, exchange, run } = response;
     let complete_outcome = place_outcome(exchange.parts.status);
     let parts = response_head(exchange.parts, exchange.body.kind());
     attempts.trace.on_status(parts.status.as_u16());
@@ -137,9 +141,7 @@
                 } else {
                     match buffer_response(&mut attempts, exchange, run).await {
                         Ok(Buffered::Whole(response)) => return response,
-                        Ok(Buffered::Partly { frames, lease, exchange, run }) => {
-                            return forward_response(attempts, (frames, lease), exchange, run);
-                        }
+                        Ok(Buffered::Partly(partly)) => return forward_response(attempts, *partly),
                         Err(error) => error,
                     }
                 }
@@ -183,7 +185,8 @@
         }
         frames.push(data);
         if lease.resize(bytes).is_err() {
-            return Ok(Buffered::Partly { frames, lease, exchange, run });
+            let partly = PartlyBuffered { frames, lease, exchange, run };
+            return Ok(Buffered::Partly(Box::new(partly)));
         }
     }
     run.on_completed();
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -25,7 +25,7 @@
 use super::online::response_head;
 use super::response::GatewayResponse;
 use super::run::Run;
-use crate::net::AnswerBody;
+use crate::net::EndpointBody;
 use crate::net::EventParser;
 use crate::net::Exchange;
 
@@ -134,7 +134,7 @@
 /// Forwards the events of a stream until it is complete, across several endpoints if necessary.
 async fn run_stream(
     attempts: &mut Attempts,
-    mut body: AnswerBody,
+    mut body: EndpointBody,
     mut run: Run,
     queue: &EventQueue,
 ) {
@@ -168,7 +168,10 @@
 }
 
 /// Resumes a stream after its last forwarded event. Returns `None` if no endpoint could resume it.
-async fn resume(attempts: &mut Attempts, last_event_id: Option<u64>) -> Option<(AnswerBody, Run)> {
+async fn resume(
+    attempts: &mut Attempts,
+    last_event_id: Option<u64>,
+) -> Option<(EndpointBody, Run)> {
     while attempts.may_retry() {
         match attempts.execute(last_event_id, Some(head_timeout(attempts))).await {
             Ok((exchange, run)) if exchange.parts.status.is_success() => {
@@ -189,7 +192,7 @@
 async fn forward_events(
     attempts: &mut Attempts,
     run: &mut Run,
-    mut body: AnswerBody,
+    mut body: EndpointBody,
     last_event_id: &mut Option<u64>,
     idle_timeout: Duration,
     queue: &EventQueue,
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -7,10 +7,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
+use dogwoodtray_gateway::Gateway;
+use dogwoodtray_gateway::JobDriver;
 use hyper::StatusCode;
+use support::DyingEndpoint;
 use support::HOST;
 use support::ScriptedFleet;
+use support::Site;
 use support::head;
 use support::run_local;
 use support::stream;
@@ -295,3 +300,93 @@
         }
     });
 }
+
+/// Site with a driver and a gateway, and an endpoint that ends in the middle of its first answer.
+async fn start_dying(service: &str, text: &str) -> (Site, DyingEndpoint, (JobDriver, Gateway)) {
+    let site = Site::new();
+    let dying = DyingEndpoint::start(&site, "e1", service, text.to_owned()).await;
+    let driver = site.start_driver("d1").await;
+    let gateway = site.start_gateway().await;
+    (site, dying, (driver, gateway))
+}
+
+/// Guards against a stream without length and chunks that looks complete, because the process of its
+/// endpoint ended between two events and closed its connections.
+#[test]
+fn a_stream_whose_endpoint_ends_between_events_does_not_look_complete() {
+    run_local(async {
+        for path in ["/stream/x", "/resume/x"] {
+            let text = answer("", "id: 1\ndata: e1\n\n");
+            let (site, dying, _running) = start_dying("engine", &text).await;
+            let response = site.post(path, "r1", "slip").await;
+            assert!(dying.has_ended.get());
+            assert!(!response.complete, "{path}: {response:?}");
+            assert_eq!(response.body, "id: 1\ndata: e1\n\n", "{path}");
+        }
+    });
+}
+
+/// Guards against a resumable stream that ends after a part of its events, although another endpoint
+/// could go on.
+#[test]
+fn a_stream_whose_endpoint_ends_between_events_goes_on_elsewhere() {
+    run_local(async {
+        let text = answer("", "id: 1\ndata: e1\n\n");
+        let (site, dying, _running) = start_dying("engine", &text).await;
+        let other = site.add_endpoint("e2", "engine", 8).await;
+        for number in 0..20 {
+            let response = site.post("/resume/x", &format!("r{number}"), "slip").await;
+            assert!(response.complete);
+            assert_eq!(response.body.matches("data: ").count(), 3, "{response:?}");
+        }
+        wait_until("the endpoint has answered", || dying.has_ended.get()).await;
+        assert!(other.requests.borrow().iter().any(|req| req.last_event_id == Some(1)));
+    });
+}
+
+/// Guards against a part of a whole answer that looks complete, because its endpoint ended.
+#[test]
+fn an_answer_whose_endpoint_ends_does_not_look_complete() {
+    run_local(async {
+        for path in ["/once/x", "/plain/x"] {
+            let (site, dying, _running) = start_dying("ledger", &answer("", "a part")).await;
+            let response = site.post(path, "r1", "slip").await;
+            assert!(dying.has_ended.get());
+            let looks_whole = response.complete && response.status == StatusCode::OK;
+            assert!(!looks_whole, "{path}: {response:?}");
+        }
+    });
+}
+
+/// Guards against a result of an item that lacks events because its endpoint ended between two of them.
+#[test]
+fn an_item_whose_endpoint_ends_between_events_goes_on_elsewhere() {
+    run_local(async {
+        let text = answer("", "id: 1\ndata: e1\n\n");
+        let (site, dying, _running) = start_dying("engine", &text).await;
+        site.post("/job/x", "j1", &submission(&["a"])).await;
+        wait_until("the endpoint has answered", || dying.has_ended.get()).await;
+        let _other = site.add_endpoint("e2", "engine", 8).await;
+        let mut body = String::new();
+        while !body.contains("completed") {
+            body = site.get("/api/lots/j1?after=0").await.body;
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert!(body.contains(r"e1\ne2\ne3"), "{body}");
+    });
+}
+
+/// Guards against a sound stream without length and chunks that is broken off, or held back, because its
+/// endpoint stops as planned after it.
+#[test]
+fn a_stream_is_complete_if_its_endpoint_stops_as_planned() {
+    run_local(async {
+        let text = head(200) + "server-leaving: 1\r\n\r\nid: 1\ndata: e1\n\n";
+        let (site, dying, _running) = start_dying("engine", &text).await;
+        let started = Instant::now();
+        let response = site.post("/stream/x", "r1", "slip").await;
+        assert!(dying.has_ended.get());
+        assert!(response.complete, "{response:?}");
+        assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
+    });
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 #[path = "../../../platform/tests/standin/body.rs"]
 mod body;
 mod crashing;
+mod dying;
 mod scripted;
 mod silent_relay;
 #[path = "../../../platform/tests/standin/site.rs"]
@@ -58,6 +59,7 @@
 pub(crate) use self::crashing::Counts;
 pub(crate) use self::crashing::start_crashing;
 pub(crate) use self::crashing::start_crashing_with;
+pub(crate) use self::dying::DyingEndpoint;
 pub(crate) use self::scripted::ScriptedFleet;
 pub(crate) use self::scripted::error;
 pub(crate) use self::scripted::head;
--- a/dogwoodtray_http/src/end.rs
+++ b/dogwoodtray_http/src/end.rs
@@ -109,6 +109,10 @@
         NoEvents {
             display("no events")
         }
+        /// Only the end of the connection says that the answer is complete, and the endpoint is gone.
+        EndpointGone {
+            display("endpoint gone")
+        }
         /// The stream ends without the event that announces its end.
         NoFinalEvent {
             display("no final event")
@@ -123,6 +127,7 @@
             Self::MissingBytes => "missing bytes",
             Self::PartialEvent => "partial event",
             Self::NoEvents => "no events",
+            Self::EndpointGone => "endpoint gone",
             Self::NoFinalEvent => "no final event",
         }
     }
@@ -131,7 +136,8 @@
 /// Decides whether an answer is complete once its connection or its framing says that it has ended.
 ///
 /// An answer without length and chunks whose connection is closed without an error between two events,
-/// or anywhere in an opaque body, counts as complete: nothing in it tells such a break from its end.
+/// or anywhere in an opaque body, counts as complete: nothing in it tells such a break from its end. Its
+/// reader may know more, such as that the endpoint is gone.
 ///
 /// # Examples
 ///
