End a forwarded stream by a value of its own

A stream whose task ended without its last word, such as by a panic, looked complete to its caller: the body took the closed channel for the end.

Change: the queue between task and body (`EventQueue`, with its limits in bytes) ends as complete only if its sender says so. A dropped sender is a broken stream.

Result: a_stream_whose_sender_is_dropped_is_not_complete.

--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -8,13 +8,13 @@
 
 use bytes::Bytes;
 use dogwoodtray_http::ByteLease;
+use dogwoodtray_http::Incomplete;
+use dogwoodtray_http::QueuedEvents;
 use dogwoodtray_policy::PlaceOutcome;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use quick_error::quick_error;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::mpsc::Receiver;
 use tokio::time::Sleep;
 
 use super::run::Run;
@@ -37,9 +37,10 @@
         DeadlineExceeded {
             display("the deadline of the request passed")
         }
-        /// No endpoint could resume the stream.
-        ResumeFailed {
-            display("the stream could not be resumed")
+        /// No endpoint could resume the stream, or its task ended before the stream did.
+        Incomplete(err: Incomplete) {
+            display("{err}")
+            from()
         }
     }
 }
@@ -54,7 +55,7 @@
     /// Body of an endpoint's response, forwarded as it arrives.
     Proxied(Box<ProxiedBody>),
     /// Events of a stream, forwarded one by one.
-    Events(Receiver<Result<QueuedEvents, BodyError>>),
+    Events(QueuedEvents),
 }
 
 impl ResponseBody {
@@ -67,16 +68,6 @@
     }
 }
 
-/// Events that wait for their caller, with their share of the buffers.
-#[derive(Debug)]
-pub(crate) struct QueuedEvents {
-    pub(crate) data: Bytes,
-    /// Share of the queue of the stream, which is returned when the events are sent.
-    pub(crate) _permit: OwnedSemaphorePermit,
-    /// Share of the buffers of all requests.
-    pub(crate) _lease: ByteLease,
-}
-
 /// Data that has been received and is not sent yet, with its share of the buffers of all requests.
 #[derive(Debug)]
 pub(crate) struct BufferedFrames {
@@ -177,8 +168,8 @@
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Buffered(frames) => Poll::Ready(frames.pop().map(|data| Ok(Frame::data(data)))),
             Self::Proxied(proxied) => proxied.poll(cx),
-            Self::Events(rx) => {
-                rx.poll_recv(cx).map(|queued| Some(queued?.map(|events| Frame::data(events.data))))
+            Self::Events(events) => {
+                events.poll_next(cx).map(|next| Some(next?.map(Frame::data).map_err(Into::into)))
             }
         }
     }
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -1,25 +1,17 @@
 //! Streams that can be resumed at another endpoint within one response.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use dogwoodtray_http::ByteBudget;
+use dogwoodtray_http::EventQueue;
 use dogwoodtray_policy::PlaceOutcome;
 use http_body_util::BodyExt;
 use hyper::Response;
-use tokio::sync::Semaphore;
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::Receiver;
-use tokio::sync::mpsc::Sender;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
 use super::attempt::AttemptError;
 use super::attempt::Attempts;
-use super::body::BodyError;
-use super::body::QueuedEvents;
 use super::body::ResponseBody;
 use super::online::proxy_response;
 use super::online::response_head;
@@ -38,12 +30,6 @@
 /// abandon a stream after such a gap at the earliest.
 const LAST_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Capacity of the queue to the caller, in groups of events.
-const QUEUE_CAPACITY: usize = 64;
-
-/// Capacity of the queue to the caller in bytes. A larger group of events waits until it is empty.
-const MAX_QUEUED_BYTES: u32 = 128 * 1024;
-
 /// Outcome of the exchange with one endpoint.
 enum ExchangeOutcome {
     /// The stream is complete.
@@ -80,42 +66,6 @@
     if attempts.is_last() { LAST_IDLE_TIMEOUT } else { STREAM_IDLE_TIMEOUT }
 }
 
-/// Queue of events that wait for their caller.
-#[derive(Debug)]
-struct EventQueue {
-    tx: Sender<Result<QueuedEvents, BodyError>>,
-    /// Bytes that may be queued.
-    capacity: Arc<Semaphore>,
-    buffers: ByteBudget,
-}
-
-impl EventQueue {
-    fn open(buffers: ByteBudget) -> (Self, Receiver<Result<QueuedEvents, BodyError>>) {
-        let (tx, rx) = mpsc::channel(QUEUE_CAPACITY);
-        let capacity = Arc::new(Semaphore::new(MAX_QUEUED_BYTES as usize));
-        (Self { tx, capacity, buffers }, rx)
-    }
-
-    /// Queues events. Waits while the queue is full, or while there is anything in it if the buffers of
-    /// all requests have reached their limit. Returns `false` if the caller has disconnected.
-    async fn push(&self, data: Bytes) -> bool {
-        let bytes = u32::try_from(data.len()).unwrap_or(u32::MAX).min(MAX_QUEUED_BYTES);
-        let mut lease = self.buffers.lease();
-        let is_leased = lease.resize(data.len()).is_ok();
-        let wanted = if is_leased { bytes } else { MAX_QUEUED_BYTES };
-        let permit = Arc::clone(&self.capacity).acquire_many_owned(wanted).await;
-        // Not reached: the semaphore is never closed.
-        let Ok(permit) = permit else { return false };
-        self.tx.send(Ok(QueuedEvents { data, _permit: permit, _lease: lease })).await.is_ok()
-    }
-
-    /// Ends the stream as broken off.
-    async fn fail(&self, err: BodyError) {
-        // The send fails only if the caller has disconnected.
-        let _ = self.tx.send(Err(err)).await;
-    }
-}
-
 /// Starts the task that forwards the events, and returns the response with its channel.
 fn start_stream(mut attempts: Attempts, exchange: Exchange, run: Run) -> GatewayResponse {
     let (queue, rx) = EventQueue::open(attempts.node.buffers.clone());
@@ -123,21 +73,26 @@
     attempts.trace.on_status(parts.status.as_u16());
     let body = exchange.body;
     spawn_local(async move {
-        tokio::select! {
-            () = run_stream(&mut attempts, body, run, &queue) => {}
-            () = queue.tx.closed() => attempts.trace.finish("caller gone"),
-        }
+        let is_complete = tokio::select! {
+            is_complete = run_stream(&mut attempts, body, run, &queue) => is_complete,
+            () = queue.closed() => {
+                attempts.trace.finish("caller gone");
+                false
+            }
+        };
+        if is_complete { queue.complete().await } else { queue.break_off().await }
     });
     Response::from_parts(parts, ResponseBody::Events(rx))
 }
 
-/// Forwards the events of a stream until it is complete, across several endpoints if necessary.
+/// Forwards the events of a stream until it is complete, across several endpoints if necessary. Returns
+/// whether it is complete.
 async fn run_stream(
     attempts: &mut Attempts,
     mut body: EndpointBody,
     mut run: Run,
     queue: &EventQueue,
-) {
+) -> bool {
     let mut last_event_id = None;
     let mut idle_timeout = STREAM_IDLE_TIMEOUT;
     loop {
@@ -147,9 +102,13 @@
             ExchangeOutcome::Completed => {
                 run.on_completed();
                 run.set_outcome(PlaceOutcome::Answered);
-                return attempts.trace.finish("answered");
+                attempts.trace.finish("answered");
+                return true;
+            }
+            ExchangeOutcome::CallerDisconnected => {
+                attempts.trace.finish("caller gone");
+                return false;
             }
-            ExchangeOutcome::CallerDisconnected => return attempts.trace.finish("caller gone"),
             ExchangeOutcome::Interrupted(reason) => {
                 attempts.trace.log_retry(run.endpoint(), &reason);
             }
@@ -161,7 +120,7 @@
             Some(resumed) => (body, run) = resumed,
             None => {
                 attempts.trace.finish("not resumed");
-                return queue.fail(BodyError::ResumeFailed).await;
+                return false;
             }
         }
     }
--- a/dogwoodtray_http/src/lib.rs
+++ b/dogwoodtray_http/src/lib.rs
@@ -7,6 +7,7 @@
 mod byte_budget;
 mod caller_stream;
 mod end;
+mod event_queue;
 mod event_splitter;
 mod exchange;
 
@@ -21,6 +22,9 @@
 pub use crate::end::BodyKind;
 pub use crate::end::EndCheck;
 pub use crate::end::Truncation;
+pub use crate::event_queue::EventQueue;
+pub use crate::event_queue::Incomplete;
+pub use crate::event_queue::QueuedEvents;
 pub use crate::event_splitter::EventSplitter;
 pub use crate::event_splitter::EventTooLarge;
 pub use crate::event_splitter::MAX_EVENT_BYTES;
