Resume a stream from which an endpoint left out an event

Callers of a stream that may be resumed got it without an event that its endpoint left out in the middle of a run, framed as complete.

Cause: within a run any greater id was taken for the next one. Only the first event of a resumed run had to continue without a gap.

Change: each event has to follow without a gap, as for items.

Result: a_stream_that_leaves_out_an_event_goes_on_elsewhere failed before.

--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -159,7 +159,6 @@
     let mut parser = EventParser::default();
     let mut lease = attempts.node.buffers.lease();
     let mut last_event_at = Instant::now();
-    let resumed_after = *last_event_id;
     loop {
         // Bytes that complete no event are no progress.
         let limit = attempts.remaining().min(idle_timeout.saturating_sub(last_event_at.elapsed()));
@@ -188,7 +187,7 @@
                 }
             };
             last_event_at = Instant::now();
-            if !follows(event.id(), *last_event_id, resumed_after) {
+            if !follows(event.id(), *last_event_id) {
                 log::warn!("endpoint sent events of request {} out of order", attempts.id);
                 metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
                 is_in_order = false;
@@ -213,9 +212,9 @@
     }
 }
 
-/// Returns `true` if an event may follow the last one. The first one of a resumed run continues
-/// exactly after the last event of the run before.
-fn follows(id: Option<u64>, last: Option<u64>, resumed_after: Option<u64>) -> bool {
+/// Returns `true` if an event is the next one after the last. Endpoints number the events of a request
+/// without gaps, so that any of them can go on after each.
+fn follows(id: Option<u64>, last: Option<u64>) -> bool {
     let (Some(id), Some(last)) = (id, last) else { return true };
-    if resumed_after == Some(last) { last.checked_add(1) == Some(id) } else { id > last }
+    last.checked_add(1) == Some(id)
 }
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -390,3 +390,18 @@
         assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
     });
 }
+
+/// Guards against a stream that lacks an event which its endpoint left out in the middle of a run.
+#[test]
+fn a_stream_that_leaves_out_an_event_goes_on_elsewhere() {
+    run_local(async {
+        let fleet = ScriptedFleet::start().await;
+        let gap = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 4\ndata: e4\n\n";
+        let chunks = format!("{:x}\r\n{gap}\r\n0\r\n\r\n", gap.len());
+        let with_gap = answer("transfer-encoding: chunked\r\n", &chunks);
+        fleet.engines.set(&[&with_gap, &stream(3..=4, true)]);
+        let response = fleet.site.post("/resume/x", "r1", "slip").await;
+        let whole: String = (1..=4).map(|id| format!("id: {id}\ndata: e{id}\n\n")).collect();
+        assert_eq!((response.complete, response.body), (true, whole));
+    });
+}
