--- a/dogwoodtray_gateway/tests/endless.rs
+++ b/dogwoodtray_gateway/tests/endless.rs
@@ -53,6 +53,12 @@
     Trickle,
     /// Bytes after a complete response.
     Excess,
+    /// Digits of the size of a chunk, after a first event.
+    ChunkSize,
+    /// Extension of a chunk, after a first event.
+    ChunkExtension,
+    /// Trailers after a first event.
+    Trailers,
 }
 
 /// Endpoint that sends bytes without end.
@@ -126,6 +132,21 @@
             first.extend(chunk("id: 1\ndata: e1\n\nid: 2\ndata: "));
             (first, chunk("a"))
         }
+        Noise::ChunkSize | Noise::ChunkExtension | Noise::Trailers => {
+            let mut first = head(&id).into_bytes();
+            first.extend(chunk("id: 1\ndata: e1\n\n"));
+            match noise {
+                Noise::ChunkSize => (first, b"0".repeat(4_000)),
+                Noise::ChunkExtension => {
+                    first.extend_from_slice(b"5;");
+                    (first, filler.into_bytes())
+                }
+                _ => {
+                    first.extend_from_slice(b"0\r\n");
+                    (first, format!("x-filler: {filler}\r\n").into_bytes())
+                }
+            }
+        }
         Noise::Excess => {
             let mut first = head(&id).into_bytes();
             first.extend(chunk("id: 1\ndata: e1\n\n"));
@@ -164,11 +185,19 @@
     assert!(endpoint.sent.get() <= MAX_SENT_BYTES, "{} bytes sent", endpoint.sent.get());
 }
 
-/// Guards against heads, informational responses and events without end that fill the memory or
-/// keep the request from another endpoint.
+/// Guards against heads, informational responses, events, framing and trailers without end that fill the
+/// memory or keep the request from another endpoint.
 #[test]
 fn a_stream_moves_away_from_bytes_without_end() {
-    for noise in [Noise::Headers, Noise::Informational, Noise::Event] {
+    let kinds = [
+        Noise::Headers,
+        Noise::Informational,
+        Noise::Event,
+        Noise::ChunkSize,
+        Noise::ChunkExtension,
+        Noise::Trailers,
+    ];
+    for noise in kinds {
         run_local(async {
             let (site, _endpoint, _running) = Site::with_processes("engine", 2).await;
             let noisy = RawEndpoint::start(&site, "e2", noise).await;
