Do not blame an endpoint for a lack of buffers of the driver

An item that found no buffer for its output was counted as an answer with errors, which ejects sound endpoints for online requests as well.

Change: its place counts as withdrawn, and no violation is counted. Read, not played: no test exhausts the buffers of a driver beside online requests.

--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -260,8 +260,8 @@
                 let Ok(data) = frame.into_data() else { continue };
                 parser.push(&data);
                 let appended = append_events(&mut parser, &mut progress.borrow_mut());
-                if let Ok(count) = appended {
-                    if count > 0 {
+                if let Ok(count) = &appended {
+                    if *count > 0 {
                         last_event_at = Instant::now();
                         observed.on_output();
                     }
@@ -271,10 +271,17 @@
                     }
                     continue;
                 }
-                let error = appended.err().map(|error| error.to_string()).unwrap_or_default();
-                metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
                 progress.borrow_mut().clear();
-                (PlaceOutcome::Errored, error)
+                let Err(error) = appended else { continue };
+                // The endpoint is not to blame for a lack of buffers.
+                let place_outcome = match error {
+                    EventError::NoBuffer(_) => PlaceOutcome::Withdrawn,
+                    EventError::Missing | EventError::TooLarge(_) | EventError::OutputTooLarge => {
+                        metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
+                        PlaceOutcome::Errored
+                    }
+                };
+                (place_outcome, error.to_string())
             }
         };
         return (RunOutcome::Interrupted, place_outcome, reason);
