Forward events before a stream is broken off for lack of buffers

A stream that was broken off because there was no buffer for an incomplete event lost the whole events that arrived with it, and was resumed after them.

Change: the events are queued first.

Result: streams_lose_no_event_while_the_buffers_are_exhausted failed before.

--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -196,16 +196,16 @@
             *last_event_id = event.id().or(*last_event_id);
             events.extend_from_slice(&event.raw);
         }
-        // The rest of the buffer is an incomplete event.
-        if lease.resize(parser.buffered()).is_err() {
-            return ExchangeOutcome::Interrupted("no buffer for an event");
-        }
         if !events.is_empty() {
             run.on_output();
         }
         if !events.is_empty() && !queue.push(events.freeze()).await {
             return ExchangeOutcome::CallerDisconnected;
         }
+        // The rest of the buffer is an incomplete event.
+        if lease.resize(parser.buffered()).is_err() {
+            return ExchangeOutcome::Interrupted("no buffer for an event");
+        }
         if !is_in_order {
             return ExchangeOutcome::Interrupted("events out of order");
         }
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -23,7 +23,9 @@
 use support::wait_until;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// Time after which both endpoints are used again after a failure.
@@ -405,3 +407,83 @@
         assert_eq!((response.complete, response.body), (true, whole));
     });
 }
+
+/// Guards against events that are lost when a stream is broken off for lack of buffers, together with an
+/// incomplete one that arrived with them.
+#[test]
+fn streams_lose_no_event_while_the_buffers_are_exhausted() {
+    run_local(async {
+        let site = Site::new();
+        let whole: String = (1..=4).map(|id| format!("id: {id}\ndata: e{id}\n\n")).collect();
+        let pieces = [
+            "id: 1\ndata: e1\n\nid: 2\nda",
+            "ta: e2\n\nid: 3\ndata: e3\n\nid: 4",
+            "\ndata: e4\n\n",
+        ];
+        for id in ["e1", "e2"] {
+            start_in_pieces(&site, id, &pieces).await;
+        }
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway_with_buffers(1).await;
+        let mut complete = 0;
+        for round in 0..5 {
+            let ids: Vec<String> = (0..6).map(|number| format!("r{round}{number}")).collect();
+            // A body would find no buffer.
+            let requests = ids.iter().map(|id| site.post("/resume/x", id, ""));
+            for response in futures_util::future::join_all(requests).await {
+                if response.status != StatusCode::OK {
+                    continue;
+                }
+                // The first event arrives with a part of the next one.
+                assert!(response.body.starts_with("id: 1\n"), "{response:?}");
+                assert!(whole.starts_with(&response.body), "{response:?}");
+                assert_eq!(response.complete, response.body == whole, "{response:?}");
+                complete += usize::from(response.complete);
+            }
+        }
+        assert!(complete > 0);
+    });
+}
+
+/// Starts an endpoint that answers each request with a stream in pieces, some time apart.
+async fn start_in_pieces(site: &Site, id: &str, pieces: &[&'static str]) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let pieces = pieces.to_vec();
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let pieces = pieces.clone();
+            spawn_local(async move {
+                let mut request = vec![0; 4_096];
+                let count = stream.read(&mut request).await.unwrap_or(0);
+                let text = String::from_utf8_lossy(&request[..count]).to_lowercase();
+                let header = |name: &str| text.lines().find_map(|line| line.strip_prefix(name));
+                let Some(id) = header("attempt-id: ") else { return };
+                let after: usize =
+                    header("last-event-id: ").and_then(|id| id.parse().ok()).unwrap_or(0);
+                let head = head(200).replace("{id}", id) + "transfer-encoding: chunked\r\n\r\n";
+                let _ = stream.write_all(head.as_bytes()).await;
+                let text = pieces.concat();
+                let next = format!("id: {}", after + 1);
+                let mut skipped = text.find(&next).unwrap_or(text.len());
+                for piece in pieces {
+                    let cut = skipped.min(piece.len());
+                    skipped -= cut;
+                    let piece = &piece[cut..];
+                    if !piece.is_empty() {
+                        let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
+                        let _ = stream.write_all(chunk.as_bytes()).await;
+                        sleep(Duration::from_millis(30)).await;
+                    }
+                }
+                let _ = stream.write_all(b"0\r\n\r\n").await;
+            });
+        }
+    });
+    let entry = format!(
+        r#"{{"service":"engine","address":"{addr}","zone":"z1","version":"v1","slots":8,
+        "state":"ready","cold-left-ms":0,"sequence":1}}"#
+    );
+    site.store.put("servers", id, &entry);
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -399,6 +399,13 @@
         start_gateway("g1", self.caller_addr, self.admin_addr, self.store.clone()).await
     }
 
+    /// Starts a gateway that may buffer this number of bytes.
+    pub(crate) async fn start_gateway_with_buffers(&self, bytes: usize) -> Gateway {
+        let mut cfg = node_config("g1", NodeRole::Gateway);
+        cfg.buffer_bytes = bytes;
+        start_configured_gateway(cfg, self.caller_addr, self.admin_addr, self.store.clone()).await
+    }
+
     /// Starts a further gateway. Returns the address at which it serves callers.
     pub(crate) async fn start_other_gateway(&self, node: &str) -> (SocketAddr, Gateway) {
         let (caller_addr, admin_addr) = (free_addr(), free_addr());
@@ -497,6 +504,15 @@
     store: MemoryObjects,
 ) -> Gateway {
     let cfg = node_config(node, NodeRole::Gateway);
+    start_configured_gateway(cfg, caller_addr, admin_addr, store).await
+}
+
+async fn start_configured_gateway(
+    cfg: NodeConfig,
+    caller_addr: SocketAddr,
+    admin_addr: SocketAddr,
+    store: MemoryObjects,
+) -> Gateway {
     let dialect = Arc::new(SiteDialect::new());
     let gateway =
         Gateway::bind(cfg, caller_addr, admin_addr, dialect, Arc::new(store)).await.unwrap();
