--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -253,7 +253,7 @@
     let body = match read_body(body, config.limits.max_body_bytes, copies, &mut lease).await {
         Ok(body) => body,
         Err(err) => {
-            log::info!("body of request {id} not read: {err}");
+            log::debug!("body of request {id} not read: {err}");
             return err.into_response();
         }
     };
