Keep the trial of a blocked part without its rivals

Cause: a trial counted for each blocked content it had, and took away the trial of each without the others, though it can clear none of them.

Change: a trial of several contents that were blocked on the same evidence leaves each its trial alone. After the budget, that one counts as a whole budget.

--- a/dogwoodtray_coord/src/crashes/block.rs
+++ b/dogwoodtray_coord/src/crashes/block.rs
@@ -120,9 +120,13 @@
         }
     }
 
-    /// Records that a trial starts.
-    pub(super) fn start_trial(&mut self, now: Timestamp) {
-        self.trials = self.trials.saturating_add(1);
+    /// Records that a trial starts. `is_alone` states that it has no other blocked content. A trial
+    /// together with contents that were blocked on the same evidence clears none of them, so it leaves
+    /// the trial without those.
+    pub(super) fn start_trial(&mut self, now: Timestamp, is_alone: bool) {
+        // A trial alone that comes after the budget does not begin the next one.
+        let is_extra = self.trials > 0 && self.trials % TRIAL_BUDGET == 0 && now < self.trial_at;
+        self.trials = self.trials.saturating_add(if is_extra { TRIAL_BUDGET } else { 1 });
         let used = self.trials % TRIAL_BUDGET;
         let (request_delay, item_delay) = if used == 0 {
             (BUDGET_RENEWAL, BUDGET_RENEWAL)
@@ -130,7 +134,9 @@
             (TRIAL_DELAY * (1 << used), ITEM_TRIAL_DELAYS[used as usize])
         };
         self.trial_at = now + request_delay;
-        self.lone_trial_at = self.trial_at;
+        if is_alone || self.rivals.is_empty() {
+            self.lone_trial_at = self.trial_at;
+        }
         self.item_trial_at = now + item_delay;
     }
 
--- a/dogwoodtray_coord/src/crashes/blocklist.rs
+++ b/dogwoodtray_coord/src/crashes/blocklist.rs
@@ -120,7 +120,7 @@
         let mut changed = Vec::new();
         for content in contents {
             if let Some(block) = self.blocks.get_mut(content) {
-                block.start_trial(now);
+                block.start_trial(now, is_alone);
                 changed.push(block.clone());
             }
         }
--- a/dogwoodtray_coord/tests/crashes.rs
+++ b/dogwoodtray_coord/tests/crashes.rs
@@ -299,6 +299,36 @@
     assert!(matches!(verdict, ContentVerdict::Blocked { .. }), "requests share the budget");
 }
 
+/// Guards against an innocent part that is never tried by itself, because the trials of the part that it
+/// was blocked with use up its own.
+#[test]
+fn trials_of_several_parts_leave_each_its_trial_alone() {
+    let mut analyzer = CrashAnalyzer::new(CrashConfig::default());
+    let runs = (0..2).map(|n| run(10 + n, &[7, 8], "e1", 1_000 + n * 3_000, RunStage::Starting));
+    assert_eq!(blocked(&mut analyzer, runs.collect()), [7, 8]);
+    let both = contents(30, &[7, 8]);
+    let mut trials = Vec::new();
+    for second in 4..120 {
+        let now = at(second * 1_000);
+        if let ContentVerdict::Trial(trial) =
+            analyzer.blocks().check(TrialSubject::Item, now, &both)
+            && analyzer.blocks_mut().start_trial(TrialSubject::Item, now, &trial).is_ok()
+        {
+            trials.push(second);
+        }
+    }
+    assert_eq!(trials, [16, 34, 53], "trials of both use up their budget");
+    for (subject, request) in [(TrialSubject::Item, 31), (TrialSubject::Request, 32)] {
+        let verdict = analyzer.blocks().check(subject, at(120_000), &contents(request, &[8]));
+        assert_eq!(verdict, ContentVerdict::Trial(vec![ContentHash(8)]), "{subject:?}");
+    }
+    let started =
+        analyzer.blocks_mut().start_trial(TrialSubject::Item, at(120_000), &[ContentHash(8)]);
+    assert!(started.is_ok());
+    let verdict = analyzer.blocks().check(TrialSubject::Item, at(180_000), &contents(33, &[8]));
+    assert!(matches!(verdict, ContentVerdict::Blocked { .. }), "only one trial alone");
+}
+
 /// Guards against an item that is held because endpoints crashed by chance while they ran it, and
 /// against one that crashes them after output and is never held.
 #[test]
