--- a/dogwoodtray_coord/src/crashes/block.rs
+++ b/dogwoodtray_coord/src/crashes/block.rs
@@ -125,7 +125,8 @@
     /// the trial without those.
     pub(super) fn start_trial(&mut self, now: Timestamp, is_alone: bool) {
         // A trial alone that comes after the budget does not begin the next one.
-        let is_extra = self.trials > 0 && self.trials % TRIAL_BUDGET == 0 && now < self.trial_at;
+        let is_extra =
+            self.trials > 0 && self.trials.is_multiple_of(TRIAL_BUDGET) && now < self.trial_at;
         self.trials = self.trials.saturating_add(if is_extra { TRIAL_BUDGET } else { 1 });
         let used = self.trials % TRIAL_BUDGET;
         let (request_delay, item_delay) = if used == 0 {
