Derive from its link where a place request waits

The record named the process of each request beside the links that it had informed, the last of which says the same. No change of behaviour; the tests of outdated_driver, moved_routes and relays pass.

--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -86,8 +86,6 @@
     pub(super) service: Name,
     pub(super) class: Class,
     pub(super) endpoint: Option<Name>,
-    /// Process from which the place is requested.
-    requested_from: Name,
     /// Links to the drivers that were informed of the place or request.
     pub(super) informed_links: Vec<LinkHandle>,
 }
@@ -194,14 +192,12 @@
             service: Name::clone(&params.service),
             class: params.class,
             endpoint: None,
-            requested_from: Name::clone(&self.cfg.node),
             informed_links: Vec::new(),
         };
         places.records.borrow_mut().insert(number, record);
         let mut guard = WithdrawGuard { node: self, number, granted: false };
         loop {
             let driver = self.request_from_driver(number, params);
-            self.record_assigner(number, driver.as_ref().unwrap_or(&self.cfg.node));
             if driver.is_none() {
                 self.request_locally(number, params);
             }
@@ -324,12 +320,6 @@
         self.dispatch(|dispatcher, now, out| dispatcher.request_place(now, request, out));
     }
 
-    fn record_assigner(&self, number: u64, name: &Name) {
-        if let Some(record) = self.places.records.borrow_mut().get_mut(&number) {
-            record.requested_from = Name::clone(name);
-        }
-    }
-
     /// Sends the waiting place requests again whose process does not assign places any more. It may
     /// not know of endpoints and places that others do.
     pub(crate) fn reassign_place_requests(&self) {
@@ -338,8 +328,12 @@
         if waiting.peek().is_none() {
             return;
         }
-        let assigners = self.peers.place_assigners(self);
-        for record in waiting.filter(|record| !assigners.contains(&record.requested_from)) {
+        // A request that waits in this process has no link.
+        let link_of = |name: &Name| self.peers.link_to(name).map(|link| link.id());
+        let assigners: Vec<Option<LinkId>> =
+            self.peers.place_assigners(self).iter().map(link_of).collect();
+        let requested_on = |record: &PlaceRecord| record.informed_links.last().map(LinkHandle::id);
+        for record in waiting.filter(|record| !assigners.contains(&requested_on(record))) {
             // The task may already have dropped its receiver.
             let _ = record.tx.send(PlaceEvent::Reassigned);
         }
