Keep buffered data and its lease in one place

An answer that is buffered was a list of frames, a lease and their sum, which three functions passed on side by side. BufferedFrames now collects them, and a lease that only shrinks has a call that cannot fail.

--- a/dogwoodtray_gateway/src/driver/progress.rs
+++ b/dogwoodtray_gateway/src/driver/progress.rs
@@ -40,8 +40,7 @@
         self.data.clear();
         self.bytes = 0;
         self.last_event_id = None;
-        // A lease that shrinks does not fail.
-        let _ = self.lease.resize(0);
+        self.lease.shrink_to(0);
     }
 
     /// Reserves the bytes of the output, and those of an incomplete event after it.
--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use dogwoodtray_http::ByteLease;
 use dogwoodtray_http::Incomplete;
+use dogwoodtray_http::OutOfBytes;
 use dogwoodtray_http::QueuedEvents;
 use dogwoodtray_policy::PlaceOutcome;
 use hyper::body::Body;
@@ -62,10 +63,6 @@
     pub(crate) fn full(bytes: Bytes) -> Self {
         Self::Full((!bytes.is_empty()).then_some(bytes))
     }
-
-    pub(crate) fn buffered(frames: Vec<Bytes>, lease: ByteLease) -> Self {
-        Self::Buffered(BufferedFrames::new(frames, lease))
-    }
 }
 
 /// Data that has been received and is not sent yet, with its share of the buffers of all requests.
@@ -77,16 +74,28 @@
 }
 
 impl BufferedFrames {
-    pub(crate) fn new(frames: Vec<Bytes>, lease: ByteLease) -> Self {
-        let bytes = frames.iter().map(Bytes::len).sum();
-        Self { frames: frames.into_iter().filter(|data| !data.is_empty()).collect(), bytes, lease }
+    pub(crate) const fn new(lease: ByteLease) -> Self {
+        Self { frames: VecDeque::new(), bytes: 0, lease }
+    }
+
+    /// Returns the size of the data.
+    pub(crate) const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Appends data. Returns an error if it exceeds the buffers of all requests.
+    pub(crate) fn push(&mut self, data: Bytes) -> Result<(), OutOfBytes> {
+        self.bytes += data.len();
+        if !data.is_empty() {
+            self.frames.push_back(data);
+        }
+        self.lease.resize(self.bytes)
     }
 
     fn pop(&mut self) -> Option<Bytes> {
         let data = self.frames.pop_front()?;
         self.bytes -= data.len();
-        // A lease that shrinks does not fail.
-        let _ = self.lease.resize(self.bytes.min(self.lease.bytes()));
+        self.lease.shrink_to(self.bytes);
         Some(data)
     }
 }
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use dogwoodtray_http::ByteLease;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::StatusCode;
@@ -42,10 +40,9 @@
     Partly(Box<PartlyBuffered>),
 }
 
-/// Response that is forwarded after some frames of it have been buffered.
+/// Response that is forwarded after some of it has been buffered.
 struct PartlyBuffered {
-    frames: Vec<Bytes>,
-    lease: ByteLease,
+    buffered: BufferedFrames,
     exchange: Exchange,
     run: Run,
 }
@@ -75,18 +72,18 @@
 
 /// Forwards the response of an endpoint as it arrives.
 pub(crate) fn proxy_response(attempts: Attempts, exchange: Exchange, run: Run) -> GatewayResponse {
-    let lease = attempts.node.buffers.lease();
-    forward_response(attempts, PartlyBuffered { frames: Vec::new(), lease, exchange, run })
+    let buffered = BufferedFrames::new(attempts.node.buffers.lease());
+    forward_response(attempts, PartlyBuffered { buffered, exchange, run })
 }
 
-/// Forwards the response of an endpoint, of which some frames have been buffered.
+/// Forwards the response of an endpoint, of which some may have been buffered.
 fn forward_response(mut attempts: Attempts, response: PartlyBuffered) -> GatewayResponse {
-    let PartlyBuffered { frames, lease, exchange, run } = response;
+    let PartlyBuffered { buffered, exchange, run } = response;
     let complete_outcome = place_outcome(exchange.parts.status);
     let parts = response_head(exchange.parts, exchange.body.kind());
     attempts.trace.on_status(parts.status.as_u16());
     let proxied = ProxiedBody {
-        buffered: BufferedFrames::new(frames, lease),
+        buffered,
         complete_outcome,
         body: exchange.body,
         deadline: Box::pin(sleep(attempts.remaining())),
@@ -163,8 +160,7 @@
     mut exchange: Exchange,
     mut run: Run,
 ) -> Result<Buffered, AttemptError> {
-    let mut lease = attempts.node.buffers.lease();
-    let mut frames = Vec::new();
+    let mut buffered = BufferedFrames::new(attempts.node.buffers.lease());
     loop {
         let frame = timeout(attempts.remaining(), exchange.body.frame());
         let data = match attempts.node.drain.until_end(frame).await {
@@ -178,14 +174,12 @@
             }
             Some(Err(_)) | None => return Err(AttemptError::DeadlineExceeded),
         };
-        let bytes = lease.bytes() + data.len();
-        if bytes > MAX_BUFFERED_BYTES {
+        if buffered.bytes() + data.len() > MAX_BUFFERED_BYTES {
             attempts.trace.log_retry(run.endpoint(), &"answer too large");
             return Err(AttemptError::OutcomeUnknown);
         }
-        frames.push(data);
-        if lease.resize(bytes).is_err() {
-            let partly = PartlyBuffered { frames, lease, exchange, run };
+        if buffered.push(data).is_err() {
+            let partly = PartlyBuffered { buffered, exchange, run };
             return Ok(Buffered::Partly(Box::new(partly)));
         }
     }
@@ -196,6 +190,5 @@
     attempts.trace.on_status(parts.status.as_u16());
     attempts.trace.on_data();
     attempts.trace.finish("answered");
-    let body = ResponseBody::buffered(frames, lease);
-    Ok(Buffered::Whole(Response::from_parts(parts, body)))
+    Ok(Buffered::Whole(Response::from_parts(parts, ResponseBody::Buffered(buffered))))
 }
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -263,7 +263,6 @@
     }
     if let RouteKind::Batch(terms) = route.kind {
         let response = jobs::submit(node, route, terms, &id, &body).await;
-        drop(lease);
         node.drain.record(node.now(), &route.name, node.now() - arrived);
         return response;
     }
--- a/dogwoodtray_http/src/byte_budget.rs
+++ b/dogwoodtray_http/src/byte_budget.rs
@@ -91,6 +91,11 @@
         Ok(())
     }
 
+    /// Returns what exceeds this number of bytes.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        self.set(bytes.min(self.bytes));
+    }
+
     fn set(&mut self, bytes: usize) {
         if bytes > self.bytes {
             self.budget.used.fetch_add(bytes - self.bytes, Relaxed);
