Read the events of an item in one match

The error of a run was taken apart in a second step, with a branch that no value reaches. No change of behaviour; the tests of items in jobs, endless and answer_ends pass.

--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -260,28 +260,28 @@
                 let Ok(data) = frame.into_data() else { continue };
                 parser.push(&data);
                 let appended = append_events(&mut parser, &mut progress.borrow_mut());
-                if let Ok(count) = &appended {
-                    if *count > 0 {
-                        last_event_at = Instant::now();
-                        observed.on_output();
+                match appended {
+                    Ok(count) => {
+                        if count > 0 {
+                            last_event_at = Instant::now();
+                            observed.on_output();
+                        }
+                        if last_replicated.elapsed() >= REPLICATION_INTERVAL {
+                            last_replicated = Instant::now();
+                            replicate_output();
+                        }
+                        continue;
                     }
-                    if last_replicated.elapsed() >= REPLICATION_INTERVAL {
-                        last_replicated = Instant::now();
-                        replicate_output();
+                    Err(error) => {
+                        progress.borrow_mut().clear();
+                        if error.is_violation() {
+                            metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
+                            (PlaceOutcome::Errored, error.to_string())
+                        } else {
+                            (PlaceOutcome::Withdrawn, error.to_string())
+                        }
                     }
-                    continue;
                 }
-                progress.borrow_mut().clear();
-                let Err(error) = appended else { continue };
-                // The endpoint is not to blame for a lack of buffers.
-                let place_outcome = match error {
-                    EventError::NoBuffer(_) => PlaceOutcome::Withdrawn,
-                    EventError::Missing | EventError::TooLarge(_) | EventError::OutputTooLarge => {
-                        metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
-                        PlaceOutcome::Errored
-                    }
-                };
-                (place_outcome, error.to_string())
             }
         };
         return (RunOutcome::Interrupted, place_outcome, reason);
@@ -309,6 +309,13 @@
     }
 }
 
+impl EventError {
+    /// Returns `true` if the endpoint is to blame.
+    const fn is_violation(self) -> bool {
+        !matches!(self, Self::NoBuffer(_))
+    }
+}
+
 /// Appends all complete events to the output and returns their number.
 fn append_events(parser: &mut EventParser, progress: &mut Progress) -> Result<usize, EventError> {
     let mut count = 0;
