--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -17,6 +17,8 @@
 use support::ScriptedFleet;
 use support::Site;
 use support::head;
+use support::header;
+use support::read_request;
 use support::run_local;
 use support::stream;
 use support::submission;
@@ -455,14 +457,10 @@
             let (mut stream, _) = listener.accept().await.unwrap();
             let pieces = pieces.clone();
             spawn_local(async move {
-                let mut request = vec![0; 4_096];
-                let count = stream.read(&mut request).await.unwrap_or(0);
-                let text = String::from_utf8_lossy(&request[..count]).to_lowercase();
-                let header = |name: &str| text.lines().find_map(|line| line.strip_prefix(name));
-                let Some(id) = header("attempt-id: ") else { return };
-                let after: usize =
-                    header("last-event-id: ").and_then(|id| id.parse().ok()).unwrap_or(0);
-                let head = head(200).replace("{id}", id) + "transfer-encoding: chunked\r\n\r\n";
+                let Some(request) = read_request(&mut stream).await else { return };
+                let after: usize = header(&request, "last-event-id").parse().unwrap_or(0);
+                let head = head(200).replace("{id}", header(&request, "attempt-id"))
+                    + "transfer-encoding: chunked\r\n\r\n";
                 let _ = stream.write_all(head.as_bytes()).await;
                 let text = pieces.concat();
                 let next = format!("id: {}", after + 1);
@@ -481,9 +479,5 @@
             });
         }
     });
-    let entry = format!(
-        r#"{{"service":"engine","address":"{addr}","zone":"z1","version":"v1","slots":8,
-        "state":"ready","cold-left-ms":0,"sequence":1}}"#
-    );
-    site.store.put("servers", id, &entry);
+    site.register_raw(id, "engine", addr);
 }
--- a/dogwoodtray_gateway/tests/endless.rs
+++ b/dogwoodtray_gateway/tests/endless.rs
@@ -14,10 +14,11 @@
 use support::Behavior;
 use support::Site;
 use support::TestResponse;
+use support::header;
+use support::read_request;
 use support::run_local;
 use support::submission;
 use support::wait_until;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -92,30 +93,14 @@
                 });
             }
         });
-        let entry = format!(
-            r#"{{"service":"engine","address":"{addr}","zone":"z1","version":"v1","slots":8,
-            "state":"ready","cold-left-ms":0,"sequence":1}}"#
-        );
-        site.store.put("servers", id, &entry);
+        site.register_raw(id, "engine", addr);
         endpoint
     }
 }
 
-/// Reads a request and returns its id.
-async fn read_id(stream: &mut TcpStream) -> Option<String> {
-    let mut request = Vec::new();
-    while !request.windows(4).any(|window| window == b"\r\n\r\n") {
-        let mut buf = [0; 1024];
-        let count = stream.read(&mut buf).await.ok().filter(|count| *count > 0)?;
-        request.extend_from_slice(&buf[..count]);
-    }
-    let text = String::from_utf8_lossy(&request).into_owned();
-    let id = text.lines().find_map(|line| line.strip_prefix("attempt-id: "))?;
-    Some(id.trim().to_owned())
-}
-
 async fn send_noise(mut stream: TcpStream, noise: Noise, sent: &Cell<usize>) {
-    let Some(id) = read_id(&mut stream).await else { return };
+    let Some(request) = read_request(&mut stream).await else { return };
+    let id = header(&request, "attempt-id");
     let filler = "a".repeat(4_000);
     let (first, repeated) = match noise {
         Noise::Headers => {
@@ -123,17 +108,17 @@
         }
         Noise::Informational => (Vec::new(), b"HTTP/1.1 103 Early Hints\r\n\r\n".to_vec()),
         Noise::Event => {
-            let mut first = head(&id).into_bytes();
+            let mut first = head(id).into_bytes();
             first.extend(chunk("id: 1\ndata: "));
             (first, chunk(&filler))
         }
         Noise::Trickle => {
-            let mut first = head(&id).into_bytes();
+            let mut first = head(id).into_bytes();
             first.extend(chunk("id: 1\ndata: e1\n\nid: 2\ndata: "));
             (first, chunk("a"))
         }
         Noise::ChunkSize | Noise::ChunkExtension | Noise::Trailers => {
-            let mut first = head(&id).into_bytes();
+            let mut first = head(id).into_bytes();
             first.extend(chunk("id: 1\ndata: e1\n\n"));
             match noise {
                 Noise::ChunkSize => (first, b"0".repeat(4_000)),
@@ -148,7 +133,7 @@
             }
         }
         Noise::Excess => {
-            let mut first = head(&id).into_bytes();
+            let mut first = head(id).into_bytes();
             first.extend(chunk("id: 1\ndata: e1\n\n"));
             first.extend_from_slice(b"0\r\n\r\n");
             (first, filler.into_bytes())
--- a/dogwoodtray_gateway/tests/moved_routes.rs
+++ b/dogwoodtray_gateway/tests/moved_routes.rs
@@ -10,6 +10,7 @@
 use std::time::UNIX_EPOCH;
 
 use hyper::StatusCode;
+use support::BUSY;
 use support::Behavior;
 use support::Endpoint;
 use support::HOST;
@@ -24,9 +25,6 @@
 /// place, and above the interval of all periodic checks.
 const CHANGE_TIME: Duration = Duration::from_secs(5);
 
-/// Behavior of an endpoint that is busy for the whole test.
-const BUSY: Behavior = Behavior::Stream { to: 10_000, pause: Duration::from_millis(20) };
-
 /// Occupies the only place of an endpoint with an item, and queues two further items.
 async fn queue_items(site: &Site, endpoint: &Endpoint) {
     *endpoint.default_behavior.borrow_mut() = BUSY;
@@ -154,13 +152,7 @@
         let new = site.add_endpoint("e2", "other", 4).await;
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
-        // Short runs, after which the dispatcher expects a place soon and queues a request.
-        let quick = Behavior::Stream { to: 2, pause: Duration::ZERO };
-        for number in 0..40 {
-            old.enqueue(quick.clone());
-            site.post("/resume/x", &format!("w{number}"), "slip").await;
-        }
-        *old.default_behavior.borrow_mut() = BUSY;
+        site.make_busy("/resume/x", &old).await;
         let before = old.request_count();
         let first = site.post("/resume/x", "r1", "slip");
         let second = async {
@@ -187,11 +179,7 @@
 fn a_request_that_waits_for_a_service_without_endpoints_is_refused() {
     run_local(async {
         let (site, endpoint, _running) = Site::with_processes("engine", 1).await;
-        // Short runs, after which the dispatcher expects a place soon and queues a request.
-        for number in 0..40 {
-            site.post("/stream/x", &format!("w{number}"), "slip").await;
-        }
-        *endpoint.default_behavior.borrow_mut() = BUSY;
+        site.make_busy("/stream/x", &endpoint).await;
         let before = endpoint.request_count();
         let first = site.post("/stream/x", "r1", "slip");
         let second = async {
--- a/dogwoodtray_gateway/tests/outdated_driver.rs
+++ b/dogwoodtray_gateway/tests/outdated_driver.rs
@@ -10,8 +10,6 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::choose_subset;
 use hyper::StatusCode;
-use support::Behavior;
-use support::Endpoint;
 use support::Site;
 use support::config_moving;
 use support::run_local;
@@ -21,16 +19,6 @@
 /// Time until a driver that cannot list the endpoints says so in its heartbeats, and requests move.
 const OUTDATED_TIME: Duration = Duration::from_secs(3);
 
-/// Short runs, after which the dispatcher expects a place soon and queues a request.
-async fn shorten_expected_wait(site: &Site, endpoint: &Endpoint) {
-    *endpoint.default_behavior.borrow_mut() = Behavior::Stream { to: 2, pause: Duration::ZERO };
-    for number in 0..40 {
-        site.post("/stream/x", &format!("w{number}"), "slip").await;
-    }
-    *endpoint.default_behavior.borrow_mut() =
-        Behavior::Stream { to: 10_000, pause: Duration::from_millis(20) };
-}
-
 /// Guards against a request that waits, until its time is up, at a driver that cannot learn of new
 /// endpoints any more, while another driver grants places there.
 #[test]
@@ -49,7 +37,7 @@
         let _second = site.start_driver_on(second, second_store).await;
         let _gateway = site.start_gateway().await;
         sleep(Duration::from_secs(1)).await;
-        shorten_expected_wait(&site, &old).await;
+        site.make_busy("/stream/x", &old).await;
         let before = old.request_count();
         let running = site.post("/stream/x", "r1", "slip");
         let waiting = async {
--- a/dogwoodtray_gateway/tests/support/crashing.rs
+++ b/dogwoodtray_gateway/tests/support/crashing.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use dogwoodtray_platform::MemoryObjects;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
@@ -15,6 +14,10 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::raw_entry;
+use super::raw_request::header;
+use super::raw_request::read_request;
+
 /// Text in the head or body of a request that crashes an endpoint.
 pub(crate) const DEADLY: &str = "lethal";
 
@@ -99,11 +102,7 @@
         let addr = listener.local_addr().unwrap();
         let process = Process { addr, counts: Rc::clone(&counts), down, is_crashed: Rc::default() };
         spawn_local(process.run(listener));
-        let entry = format!(
-            r#"{{"service":"engine","address":"{addr}","zone":"z1","version":"v1","slots":{slots},
-            "state":"ready","cold-left-ms":0,"sequence":1}}"#
-        );
-        store.put("servers", &format!("c{number}"), &entry);
+        store.put("servers", &format!("c{number}"), &raw_entry("engine", addr, slots));
     }
     counts
 }
@@ -142,13 +141,7 @@
     }
 
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
-        let mut text = Vec::new();
-        while !is_complete(&text) {
-            if stream.read_buf(&mut text).await? == 0 {
-                return Ok(());
-            }
-        }
-        let text = String::from_utf8_lossy(&text).to_lowercase();
+        let Some(text) = read_request(&mut stream).await else { return Ok(()) };
         self.counts.received.set(self.counts.received.get() + 1);
         let is_deadly = text.contains(DEADLY) && !self.counts.is_healed.get();
         if text.contains(DEADLY) {
@@ -176,15 +169,3 @@
         Ok(())
     }
 }
-
-/// Returns `true` if a request has been received in full.
-fn is_complete(received: &[u8]) -> bool {
-    let text = String::from_utf8_lossy(received).to_lowercase();
-    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
-    body.len() >= header(head, "content-length").parse().unwrap_or(0)
-}
-
-fn header<'a>(text: &'a str, name: &str) -> &'a str {
-    let prefix = format!("{name}: ");
-    text.lines().find_map(|line| line.strip_prefix(&*prefix)).unwrap_or_default().trim()
-}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod crashing;
 mod dying;
+mod raw_request;
 mod scripted;
 mod silent_relay;
 #[path = "../../../platform/tests/standin/site.rs"]
@@ -60,6 +61,8 @@
 pub(crate) use self::crashing::start_crashing;
 pub(crate) use self::crashing::start_crashing_with;
 pub(crate) use self::dying::DyingEndpoint;
+pub(crate) use self::raw_request::header;
+pub(crate) use self::raw_request::read_request;
 pub(crate) use self::scripted::ScriptedFleet;
 pub(crate) use self::scripted::error;
 pub(crate) use self::scripted::head;
@@ -75,6 +78,15 @@
 
 const POLL: Duration = Duration::from_millis(5);
 
+/// Behavior of an endpoint that is busy for a whole test.
+pub(crate) const BUSY: Behavior = Behavior::Stream { to: 10_000, pause: Duration::from_millis(20) };
+
+/// Places of an endpoint that writes the bytes of its answers itself.
+const RAW_SLOTS: u32 = 8;
+
+/// Number of short requests after which a dispatcher expects that places become free soon.
+const SHORT_REQUESTS: u32 = 40;
+
 /// Runs a test on a single-threaded runtime, like the processes.
 pub(crate) fn run_local(test: impl Future<Output = ()>) {
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
@@ -371,6 +383,22 @@
         self.store.put("servers", endpoint.id, &endpoint.entry("ready"));
     }
 
+    /// Registers an endpoint that writes the bytes of its answers itself.
+    pub(crate) fn register_raw(&self, id: &str, service: &str, addr: SocketAddr) {
+        self.store.put("servers", id, &raw_entry(service, addr, RAW_SLOTS));
+    }
+
+    /// Sends short requests to the only endpoint of a route, and makes it busy after them. The dispatcher
+    /// then expects a place soon, and queues a request that finds none.
+    pub(crate) async fn make_busy(&self, path: &str, endpoint: &Endpoint) {
+        let short = Behavior::Stream { to: 2, pause: Duration::ZERO };
+        *endpoint.default_behavior.borrow_mut() = short;
+        for number in 0..SHORT_REQUESTS {
+            self.post(path, &format!("w{number}"), "slip").await;
+        }
+        *endpoint.default_behavior.borrow_mut() = BUSY;
+    }
+
     pub(crate) async fn start_driver(&self, node: &str) -> JobDriver {
         self.start_driver_on(node, self.store.clone()).await
     }
@@ -488,6 +516,14 @@
     }
 }
 
+/// Returns the entry of an endpoint in the store.
+fn raw_entry(service: &str, addr: SocketAddr, slots: u32) -> String {
+    format!(
+        r#"{{"service":"{service}","address":"{addr}","zone":"z1","version":"v1","slots":{slots},
+        "state":"ready","cold-left-ms":0,"sequence":1}}"#
+    )
+}
+
 /// Gateway that can reach other gateways only.
 pub(crate) struct IsolatedGateway {
     pub(crate) caller_addr: SocketAddr,
--- a/dogwoodtray_gateway/tests/support/scripted.rs
+++ b/dogwoodtray_gateway/tests/support/scripted.rs
@@ -8,7 +8,6 @@
 use dogwoodtray_gateway::Gateway;
 use dogwoodtray_gateway::JobDriver;
 use socket2::SockRef;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -16,6 +15,8 @@
 use tokio::time::sleep;
 
 use super::Site;
+use super::raw_request::header;
+use super::raw_request::read_request;
 
 /// Endpoints of one service that answer with given bytes, one text for each request in the order of
 /// arrival, and close the connection after it. `{id}` stands for the id of the request. The last
@@ -55,11 +56,7 @@
                     });
                 }
             });
-            let entry = format!(
-                r#"{{"service":"{service}","address":"{addr}","zone":"z1","version":"v1","slots":8,
-                "state":"ready","cold-left-ms":0,"sequence":1}}"#
-            );
-            site.store.put("servers", &format!("{service}{number}"), &entry);
+            site.register_raw(&format!("{service}{number}"), service, addr);
         }
         this
     }
@@ -97,33 +94,19 @@
     texts: Rc<RefCell<Vec<String>>>,
     received: Rc<Cell<usize>>,
 ) -> TcpStream {
-    let mut request = Vec::new();
-    while !is_complete(&request) {
-        if stream.read_buf(&mut request).await.unwrap_or(0) == 0 {
-            return stream;
-        }
-    }
+    let Some(request) = read_request(&mut stream).await else { return stream };
     received.set(received.get() + 1);
     let text = {
         let mut texts = texts.borrow_mut();
         if texts.len() > 1 { texts.pop() } else { texts.last().cloned() }
     };
-    let head = String::from_utf8_lossy(&request).to_lowercase();
-    let id = head.lines().find_map(|line| line.strip_prefix("attempt-id: ")).unwrap_or_default();
-    let text = text.unwrap_or_default().replace("{id}", id);
+    let text = text.unwrap_or_default().replace("{id}", header(&request, "attempt-id"));
     // The gateway may have closed the connection.
     let _ = stream.write_all(text.as_bytes()).await;
     sleep(Duration::from_millis(20)).await;
     stream
 }
 
-fn is_complete(request: &[u8]) -> bool {
-    let text = String::from_utf8_lossy(request).to_lowercase();
-    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-    body.len() >= length.and_then(|length| length.parse().ok()).unwrap_or(0)
-}
-
 /// Returns a head with a status, up to the empty line.
 pub(crate) fn head(status: u16) -> String {
     format!("HTTP/1.1 {status} X\r\nattempt-id: {{id}}\r\nserver-stamp: s1\r\n")
