Log how each trial of blocked contents ends

DT2024 now tells, at the process of its request or item, how far it got, whether an endpoint may have run it, and what it told. Entries log the outcome of its attempt. The counter is dogwoodtray_ended_trials_total.

No change of decisions.

--- a/dogwoodtray_entry/src/online/event.rs
+++ b/dogwoodtray_entry/src/online/event.rs
@@ -132,6 +132,22 @@
     Unknown,
 }
 
+impl AttemptOutcome {
+    /// Returns a short text for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::Failed => "failed",
+            Self::Crashed => "crashed",
+            Self::Cancelled => "cancelled",
+            Self::Preempted => "preempted",
+            Self::NotRun(_) => "not run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Outcome of an attempt, with the size of its answer.
 #[derive(Clone, Debug)]
 pub struct AttemptDone {
@@ -357,6 +373,13 @@
         /// Request id.
         id: Name,
     },
+    /// A trial of blocked contents ended.
+    TrialEnded {
+        /// Id of the request or item.
+        id: Name,
+        /// How its attempt ended.
+        outcome: AttemptOutcome,
+    },
     /// A second attempt of a slow request was started.
     Hedged {
         /// Request id.
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -210,6 +210,10 @@
             self.router.record_suspect_finished(attempt.endpoint);
         }
         self.record_evidence(now, &attempt, done.outcome);
+        if attempt.is_trial {
+            let id = Name::clone(&attempt.spec.id);
+            actions.push(OnlineAction::TrialEnded { id, outcome: done.outcome });
+        }
         match attempt.owner {
             Owner::Job => self.end_batch_attempt(id, attempt, done, actions),
             Owner::Request(request_no) => {
--- a/dogwoodtray_entry/src/shell/router/actions.rs
+++ b/dogwoodtray_entry/src/shell/router/actions.rs
@@ -16,6 +16,7 @@
 use super::super::shared::PeerStatus;
 use super::service::AnswerPart;
 use super::service::RouterService;
+use crate::online::AttemptOutcome;
 use crate::online::BatchEnd;
 use crate::online::LinkNo;
 use crate::online::OnlineAction;
@@ -84,6 +85,12 @@
             OnlineAction::Tried { id } => {
                 self.shared.events.emit(&catalogue::CONTENT_TRIED, Some(&id), &[]);
             }
+            OnlineAction::TrialEnded { id, outcome } => {
+                let (end, told) = (outcome.as_str(), told_by_trial(outcome));
+                metrics::counter!("dogwoodtray_ended_trials_total", "told" => told).increment(1);
+                let fields: [(&str, &dyn Display); 2] = [("end", &end), ("told", &told)];
+                self.shared.events.emit(&catalogue::TRIAL_ENDED, Some(&id), &fields);
+            }
             OnlineAction::Hedged { id } => {
                 metrics::counter!("dogwoodtray_hedges_total").increment(1);
                 self.shared.events.emit(&catalogue::REQUEST_HEDGED, Some(&id), &[]);
@@ -153,3 +160,12 @@
         MemberState::Dead => "dead",
     }
 }
+
+/// Returns what a trial that ended like this says about its contents.
+const fn told_by_trial(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Crashed => "crash",
+        AttemptOutcome::Answered { .. } => "sound",
+        _ => "nothing",
+    }
+}
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -28,6 +28,8 @@
 use crate::routing::RouteKey;
 use crate::routing::RoutedService;
 use crate::routing::Selection;
+use crate::trial::Trial;
+use crate::trial::TrialProgress;
 
 /// Initial limit on the wait for the response head of an item. A later head means that the item is
 /// queued in the endpoint behind other work, where it would delay online requests. The limit
@@ -79,7 +81,9 @@
         return failed_result(&node, &job, &item, "impossible");
     };
     loop {
-        let trial = hold(&node, &job, &item, &prepared.contents, expires_at).await;
+        let blocked = hold(&node, &job, &item, &prepared.contents, expires_at).await;
+        let mut trial =
+            (!blocked.is_empty()).then(|| Trial::open(&node, &item.id, blocked.clone()));
         if node.now() >= expires_at {
             return failed_result(&node, &job, &item, "retention over");
         }
@@ -94,7 +98,7 @@
             .map(|driver| driver.estimator.remaining(item.tokens, progress.borrow().event_count()));
         let remaining = remaining.unwrap_or_default();
         // An item that has been held is late and would wait behind all others.
-        let (due, place_timeout) = if trial.is_empty() {
+        let (due, place_timeout) = if blocked.is_empty() {
             (due, PLACE_TIMEOUT)
         } else {
             (now + TRIAL_PLACE_TIMEOUT + remaining, TRIAL_PLACE_TIMEOUT)
@@ -107,12 +111,20 @@
             expires_at: (now + place_timeout).min(expires_at),
             repeatable: true,
             excluded: excluded.clone(),
-            trial,
+            trial: blocked,
         };
         let place = node.acquire_place(&params);
-        let permit = match node.while_selected(&service, |_| true, place).await {
+        let place = node.while_selected(&service, |_| true, place).await;
+        if let (Some(trial), Ok(Err(error))) = (&mut trial, &place) {
+            trial.set_progress(match error {
+                PlaceError::Refused { .. } => TrialProgress::Refused,
+                PlaceError::Expired => TrialProgress::NoPlace,
+            });
+        }
+        let permit = match place {
             Ok(Ok(permit)) => permit,
             Ok(Err(PlaceError::Refused { retry_after })) => {
+                drop(trial);
                 sleep(retry_after.min(MAX_TRIAL_RETRY_DELAY)).await;
                 continue;
             }
@@ -135,7 +147,7 @@
         let last_event_before = progress.borrow().last_event_id();
         let (started_at, events_before) = (node.now(), progress.borrow().event_count());
         let mut outcome =
-            run_once(&node, &job, &item, &prepared, &progress, permit, head_timeout).await;
+            run_once(&node, &job, &item, &prepared, &progress, (permit, trial), head_timeout).await;
         if progress.borrow().event_count() > events_before {
             empty_runs = 0;
         } else if matches!(outcome, RunOutcome::Empty) {
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -41,6 +41,8 @@
 use crate::request::EndpointRequest;
 use crate::request::ResponseClass;
 use crate::request::classify_response;
+use crate::trial::Trial;
+use crate::trial::TrialProgress;
 
 /// Time without an event after which an item is resumed at another endpoint. Events arrive every
 /// 30 ms, and the prefill of a resumed item, over its prompt and its output, takes at most 100 ms.
@@ -114,7 +116,7 @@
     item: &JobItem,
     prepared: &PreparedItem,
     progress: &RefCell<Progress>,
-    mut permit: PlacePermit,
+    (mut permit, trial): (PlacePermit, Option<Trial>),
     head_timeout: Duration,
 ) -> RunOutcome {
     let endpoint = Name::clone(&permit.endpoint);
@@ -126,7 +128,7 @@
     let (run, place_outcome, reason) = tokio::select! {
         biased;
         () = permit.preempted() => (preempted(), PlaceOutcome::Withdrawn, String::new()),
-        ended = exchange(node, job, item, prepared, progress, &endpoint, head_timeout) => ended,
+        ended = exchange(node, job, item, prepared, progress, (&endpoint, trial), head_timeout) => ended,
     };
     if matches!(run, RunOutcome::Queued) {
         permit.report_slow();
@@ -156,7 +158,7 @@
     item: &JobItem,
     prepared: &PreparedItem,
     progress: &RefCell<Progress>,
-    endpoint: &Name,
+    (endpoint, trial): (&Name, Option<Trial>),
     head_timeout: Duration,
 ) -> (RunOutcome, PlaceOutcome, String) {
     let interrupted = |place_outcome, reason: &dyn Display| {
@@ -174,7 +176,7 @@
         return (RunOutcome::Unprocessable, PlaceOutcome::Withdrawn, "not a request".to_owned());
     };
     let contents = &prepared.contents;
-    let mut observed = ObservedRun::start(node, &item.id, contents, endpoint, RunKind::Item);
+    let mut observed = ObservedRun::start(node, &item.id, contents, endpoint, RunKind::Item, trial);
     let exchange = match timeout(head_timeout, send(node, &target, req, AnswerKind::Stream)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(err)) => {
@@ -183,13 +185,22 @@
                 let outcome = broken_off(&mut observed, &err).await;
                 return (outcome, PlaceOutcome::Failed, err.to_string());
             }
+            if matches!(err, SendError::NotSent(_)) {
+                observed.on_not_run(TrialProgress::Unreachable);
+            }
             return interrupted(PlaceOutcome::Failed, &err);
         }
         Err(_) => return (RunOutcome::Queued, PlaceOutcome::Full, String::new()),
     };
     node.on_answer_head(&target, &exchange.parts, &item.id);
     let status = exchange.parts.status;
-    match classify_response(names, &exchange.parts, &item.id) {
+    let class = classify_response(names, &exchange.parts, &item.id);
+    match class {
+        ResponseClass::NotRun => observed.on_not_run(TrialProgress::NotRun),
+        ResponseClass::Answer if status.is_success() => {}
+        _ => observed.on_failure(),
+    }
+    match class {
         ResponseClass::NotRun if status == StatusCode::SERVICE_UNAVAILABLE => {
             interrupted(PlaceOutcome::Full, &status)
         }
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -36,6 +36,8 @@
 use crate::request::classify_response;
 use crate::routing::RoutedService;
 use crate::routing::Selection;
+use crate::trial::Trial;
+use crate::trial::TrialProgress;
 
 /// Expected time from sending a request to its endpoint until the first byte of the response: the
 /// round trip, and the prefill of a stream or a typical call of a plain service.
@@ -148,20 +150,22 @@
         head_timeout: Option<Duration>,
     ) -> Result<(Exchange, Run), AttemptError> {
         loop {
-            let trial = self.check_contents()?;
-            let is_trial = !trial.is_empty();
-            let permit = self.acquire_place(trial, resume_after.is_some()).await?;
-            if !is_trial {
+            let blocked = self.check_contents()?;
+            let mut trial =
+                (!blocked.is_empty()).then(|| Trial::open(&self.node, &self.id, blocked));
+            let permit = self.acquire_place(trial.as_mut(), resume_after.is_some()).await?;
+            if trial.is_none() {
                 // A content may have been blocked while the request waited.
                 self.check_contents()?;
             }
             let endpoint = self.node.directory.borrow().endpoint(&permit.endpoint).cloned();
             let mut run =
-                Run::start(&self.node, &self.id, &self.contents, permit, self.is_stream());
+                Run::start(&self.node, &self.id, &self.contents, permit, self.is_stream(), trial);
             let remaining = self.remaining();
             let names = self.node.dialect.names();
             let Some(endpoint) = endpoint else {
                 self.node.on_unusable_grant(run.endpoint());
+                run.on_not_run(TrialProgress::Unreachable);
                 self.on_rejected(&mut run, PlaceOutcome::Withdrawn, &"endpoint left")?;
                 continue;
             };
@@ -190,6 +194,7 @@
                         run.on_head();
                         self.trace.on_head(exchange.body.framing());
                         if class == ResponseClass::Failure {
+                            run.on_failure();
                             run.set_outcome(PlaceOutcome::Errored);
                         }
                         return Ok((exchange, run));
@@ -198,6 +203,7 @@
                         let is_full = exchange.parts.status == StatusCode::SERVICE_UNAVAILABLE;
                         let place_outcome =
                             if is_full { PlaceOutcome::Full } else { PlaceOutcome::Withdrawn };
+                        run.on_not_run(TrialProgress::NotRun);
                         self.on_rejected(&mut run, place_outcome, &exchange.parts.status)?;
                     }
                     ResponseClass::Malformed => {
@@ -207,6 +213,7 @@
                     }
                 },
                 Ok(Err(SendError::NotSent(err))) => {
+                    run.on_not_run(TrialProgress::Unreachable);
                     self.on_rejected(&mut run, PlaceOutcome::Failed, &err)?;
                 }
                 Ok(Err(SendError::Lost(err))) => {
@@ -269,11 +276,12 @@
     /// stream of which the caller has events leaves its service only if that has no endpoint left.
     async fn acquire_place(
         &mut self,
-        trial: Vec<ContentHash>,
+        mut trial: Option<&mut Trial>,
         has_output: bool,
     ) -> Result<PlacePermit, AttemptError> {
         loop {
-            let params = self.place_params(&trial);
+            let blocked = trial.as_deref().map(Trial::contents).unwrap_or_default();
+            let params = self.place_params(blocked);
             let node = &self.node;
             let may_leave = |next: &Selection| {
                 let is_stuck = !has_output || !node.routing.is_served(&self.service.name);
@@ -289,10 +297,14 @@
                 Some(Ok(Err(error))) => error,
                 None => PlaceError::Expired,
             };
-            return Err(AttemptError::NoPlace(match error {
-                PlaceError::Refused { retry_after } => retry_after,
-                PlaceError::Expired => EXPIRED_RETRY_AFTER,
-            }));
+            let (retry_after, progress) = match error {
+                PlaceError::Refused { retry_after } => (retry_after, TrialProgress::Refused),
+                PlaceError::Expired => (EXPIRED_RETRY_AFTER, TrialProgress::NoPlace),
+            };
+            if let Some(trial) = &mut trial {
+                trial.set_progress(progress);
+            }
+            return Err(AttemptError::NoPlace(retry_after));
         }
     }
 
--- a/dogwoodtray_gateway/src/http/run.rs
+++ b/dogwoodtray_gateway/src/http/run.rs
@@ -11,6 +11,8 @@
 use crate::observed_run::ObservedRun;
 use crate::observed_run::RunKind;
 use crate::places::PlacePermit;
+use crate::trial::Trial;
+use crate::trial::TrialProgress;
 
 /// Run of a request at an endpoint. Holds the place there, which is released when it is dropped.
 #[derive(Debug)]
@@ -27,9 +29,10 @@
         contents: &Rc<Contents>,
         permit: PlacePermit,
         is_stream: bool,
+        trial: Option<Trial>,
     ) -> Self {
         let kind = if is_stream { RunKind::Stream } else { RunKind::Plain };
-        let observed = ObservedRun::start(node, request, contents, &permit.endpoint, kind);
+        let observed = ObservedRun::start(node, request, contents, &permit.endpoint, kind, trial);
         Self { permit, observed }
     }
 
@@ -48,6 +51,16 @@
         self.permit.set_outcome(outcome);
     }
 
+    /// Records that the endpoint did not run the request.
+    pub(crate) const fn on_not_run(&mut self, progress: TrialProgress) {
+        self.observed.on_not_run(progress);
+    }
+
+    /// Records that the head of an answer arrived by which the endpoint failed.
+    pub(crate) const fn on_failure(&mut self) {
+        self.observed.on_failure();
+    }
+
     /// Records that the head of the response arrived.
     pub(crate) const fn on_head(&mut self) {
         self.observed.on_head();
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod request;
 mod routing;
 mod sync;
+mod trial;
 
 pub use crate::directory::Applied;
 pub use crate::directory::Directory;
--- a/dogwoodtray_gateway/src/observed_run.rs
+++ b/dogwoodtray_gateway/src/observed_run.rs
@@ -19,6 +19,8 @@
 use crate::model::Endpoint;
 use crate::net::is_refused;
 use crate::node::Node;
+use crate::trial::Trial;
+use crate::trial::TrialProgress;
 
 /// Time that a retry waits until the crash of an endpoint is confirmed and reported. A refused
 /// connection takes one round trip.
@@ -73,6 +75,8 @@
     progress: Progress,
     /// Whether the exchange ended by itself.
     has_ended: bool,
+    /// Trial that the run is, if its contents are blocked.
+    trial: Option<Trial>,
     /// Task that confirms and reports a crash of the endpoint.
     confirmation: Option<JoinHandle<()>>,
 }
@@ -85,7 +89,11 @@
         contents: &Rc<Contents>,
         endpoint: &Name,
         kind: RunKind,
+        mut trial: Option<Trial>,
     ) -> Self {
+        if let Some(trial) = &mut trial {
+            trial.set_progress(TrialProgress::Sent);
+        }
         Self {
             node: Rc::clone(node),
             id: Name::clone(id),
@@ -95,19 +103,39 @@
             sent_at: node.now(),
             progress: Progress::Sent,
             has_ended: false,
+            trial,
             confirmation: None,
         }
     }
 
+    /// Records that the endpoint did not run the request.
+    pub(crate) const fn on_not_run(&mut self, progress: TrialProgress) {
+        self.set_trial_progress(progress);
+    }
+
+    /// Records that the head of an answer arrived by which the endpoint failed.
+    pub(crate) const fn on_failure(&mut self) {
+        self.progress = Progress::Begun;
+        self.set_trial_progress(TrialProgress::Failure);
+    }
+
     /// Records that the head of the response arrived.
     pub(crate) const fn on_head(&mut self) {
         self.progress = Progress::Begun;
+        self.set_trial_progress(TrialProgress::Head);
+    }
+
+    const fn set_trial_progress(&mut self, progress: TrialProgress) {
+        if let Some(trial) = &mut self.trial {
+            trial.set_progress(progress);
+        }
     }
 
     /// Records that a part of the output arrived.
     pub(crate) fn on_output(&mut self) {
         if self.progress != Progress::Output {
             self.progress = Progress::Output;
+            self.set_trial_progress(TrialProgress::Output);
             self.node.record_sound_run(&self.contents, self.sent_at, false);
         }
     }
@@ -120,6 +148,7 @@
     /// Records that the response is complete.
     pub(crate) fn on_completed(&mut self) {
         self.has_ended = true;
+        self.set_trial_progress(TrialProgress::Completed);
         self.node.record_sound_run(&self.contents, self.sent_at, true);
     }
 
@@ -141,6 +170,7 @@
         metrics::counter!("dogwoodtray_broken_runs_total", "stage" => self.progress.as_str())
             .increment(1);
         self.has_ended = true;
+        self.set_trial_progress(TrialProgress::BrokenOff);
         self.confirmation = self.confirm_crash(Duration::ZERO);
     }
 
@@ -156,7 +186,7 @@
     /// Starts a task that reports a crash if the endpoint is gone unexpectedly after a delay: it is
     /// still listed as ready, and its address refuses connections. One that was cut off, reset a
     /// connection or was stopped as planned does not.
-    fn confirm_crash(&self, delay: Duration) -> Option<JoinHandle<()>> {
+    fn confirm_crash(&mut self, delay: Duration) -> Option<JoinHandle<()>> {
         let endpoint = self.node.directory.borrow().endpoint(&self.endpoint).cloned()?;
         let run = CrashedRun {
             contents: Contents::clone(&self.contents),
@@ -167,9 +197,11 @@
             sound: Vec::new(),
         };
         let (node, id) = (Rc::clone(&self.node), Name::clone(&self.id));
+        // The trial ends once it is known whether the endpoint crashed.
+        let trial = self.trial.take();
         Some(spawn_local(async move {
             sleep(delay).await;
-            confirm_crash(node, id, endpoint, run).await;
+            confirm_crash(node, id, endpoint, run, trial).await;
         }))
     }
 
@@ -191,10 +223,19 @@
     }
 }
 
-async fn confirm_crash(node: Rc<Node>, id: Name, endpoint: Rc<Endpoint>, run: CrashedRun) {
+async fn confirm_crash(
+    node: Rc<Node>,
+    id: Name,
+    endpoint: Rc<Endpoint>,
+    run: CrashedRun,
+    trial: Option<Trial>,
+) {
     if !is_refused(endpoint.addr).await {
         return;
     }
+    if let Some(mut trial) = trial {
+        trial.set_progress(TrialProgress::Crashed);
+    }
     let at_start = run.stage == RunStage::Starting;
     let fields: [(&str, &dyn Display); 3] =
         [("endpoint", &endpoint.id), ("at_start", &at_start), ("content", &run.contents.request)];
--- /dev/null
+++ b/dogwoodtray_gateway/src/trial.rs
@@ -0,0 +1,128 @@
+//! Trials of blocked contents, as seen by the request or item that runs as one.
+
+use std::fmt::Display;
+use std::rc::Rc;
+
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+use dogwoodtray_runtime::catalogue;
+
+use crate::contents::content_list;
+use crate::node::Node;
+
+/// How far a trial got, or how it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TrialProgress {
+    /// It has not been sent. Its caller may have left, or its route moved.
+    Open,
+    /// The process that assigns places refused it.
+    Refused,
+    /// No place was free in time.
+    NoPlace,
+    /// No connection to the endpoint could be opened.
+    Unreachable,
+    /// The endpoint answered that it did not run the request.
+    NotRun,
+    /// It was sent, and no answer arrived.
+    Sent,
+    /// The head of an answer arrived, and no output.
+    Head,
+    /// The endpoint answered with an error.
+    Failure,
+    /// The endpoint broke off the exchange and was not found to have crashed.
+    BrokenOff,
+    /// The endpoint crashed.
+    Crashed,
+    /// Output arrived.
+    Output,
+    /// The answer was complete.
+    Completed,
+}
+
+impl TrialProgress {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Refused => "refused",
+            Self::NoPlace => "no place",
+            Self::Unreachable => "unreachable",
+            Self::NotRun => "not run",
+            Self::Sent => "sent",
+            Self::Head => "head",
+            Self::Failure => "failure",
+            Self::BrokenOff => "broken off",
+            Self::Crashed => "crashed",
+            Self::Output => "output",
+            Self::Completed => "completed",
+        }
+    }
+
+    /// Returns `true` if the endpoint may have begun to run the request.
+    const fn may_have_run(self) -> bool {
+        !matches!(
+            self,
+            Self::Open | Self::Refused | Self::NoPlace | Self::Unreachable | Self::NotRun
+        )
+    }
+
+    /// Returns what a trial that ends like this says about its contents.
+    const fn told(self) -> &'static str {
+        match self {
+            Self::Crashed => "crash",
+            Self::Output | Self::Completed => "sound",
+            _ => "nothing",
+        }
+    }
+}
+
+/// Trial of blocked contents. Its end is logged when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Trial {
+    node: Rc<Node>,
+    /// Id of the request or the item.
+    id: Name,
+    contents: Vec<ContentHash>,
+    opened_at: Timestamp,
+    progress: TrialProgress,
+}
+
+impl Trial {
+    /// Opens a trial of these contents by a request or an item.
+    pub(crate) fn open(node: &Rc<Node>, id: &Name, contents: Vec<ContentHash>) -> Self {
+        Self {
+            node: Rc::clone(node),
+            id: Name::clone(id),
+            contents,
+            opened_at: node.now(),
+            progress: TrialProgress::Open,
+        }
+    }
+
+    /// Returns the blocked contents.
+    pub(crate) fn contents(&self) -> &[ContentHash] {
+        &self.contents
+    }
+
+    /// Records how far the trial got.
+    pub(crate) const fn set_progress(&mut self, progress: TrialProgress) {
+        self.progress = progress;
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let contents = content_list(&self.contents);
+        let open_ms = (self.node.now() - self.opened_at).as_millis();
+        let fields: [(&str, &dyn Display); 5] = [
+            ("contents", &contents),
+            ("open_ms", &open_ms),
+            ("end", &self.progress.as_str()),
+            ("may_have_run", &self.progress.may_have_run()),
+            ("told", &self.progress.told()),
+        ];
+        self.node.events.emit(&catalogue::TRIAL_ENDED, Some(&self.id), &fields);
+        metrics::counter!("dogwoodtray_ended_trials_total", "told" => self.progress.told())
+            .increment(1);
+    }
+}
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -84,6 +84,8 @@
     ENDPOINT_LEAVING = 2022, Info, "endpoint is leaving";
     /// A request or item no longer waits for a place of its service.
     SERVICE_LEFT = 2023, Info, "waiting request left its service";
+    /// A trial of blocked contents ended.
+    TRIAL_ENDED = 2024, Info, "trial of blocked contents ended";
 
     /// A job was accepted.
     JOB_ACCEPTED = 3001, Info, "job accepted";
