--- a/dogwoodtray_agent/src/core/events.rs
+++ b/dogwoodtray_agent/src/core/events.rs
@@ -143,7 +143,7 @@
     }
 
     fn is_blocked(&self, now: Timestamp, work: &Work) -> bool {
-        let verdict = self.pool.check(TrialSubject::Request, now, &work.contents());
+        let verdict = self.pool.check(TrialSubject::Request, now, &work.contents(), None);
         verdict != ContentVerdict::Allowed
     }
 
--- a/dogwoodtray_coord/src/crashes/block.rs
+++ b/dogwoodtray_coord/src/crashes/block.rs
@@ -4,19 +4,17 @@
 
 use super::SoundRun;
 use super::TIME_MARGIN;
+use super::Trial;
+use super::TrialId;
+use super::TrialLog;
+use super::trial::BUDGET_RENEWAL;
+use super::trial::TRIAL_BUDGET;
 use crate::ContentHash;
 use crate::Timestamp;
 
 /// Delay of the first trial of a blocked content, and the unit of the later ones.
 const TRIAL_DELAY: Duration = Duration::from_secs(15);
 
-/// Number of trials of a content by requests and items together, after which it counts as guilty. Each
-/// that fails costs an endpoint.
-const TRIAL_BUDGET: u32 = 3;
-
-/// Time after the last trial of a budget until the next one begins, in case endpoints have been mended.
-const BUDGET_RENEWAL: Duration = Duration::from_secs(16 * 60);
-
 /// Delay of the first trial of a content that had sound runs before. It is either innocent or has
 /// begun to crash endpoints just now.
 const SOUND_TRIAL_DELAY: Duration = Duration::from_secs(2);
@@ -28,7 +26,7 @@
 /// Delays of the trials in a budget by items, which are owed until they are given up. As long as the
 /// budget lasts, one is tried at least every 20 s; the first one comes soon, as it clears an innocent
 /// content.
-const ITEM_TRIAL_DELAYS: [Duration; TRIAL_BUDGET as usize] =
+const ITEM_TRIAL_DELAYS: [Duration; TRIAL_BUDGET] =
     [Duration::from_secs(12), Duration::from_secs(18), Duration::from_secs(19)];
 
 /// When a content crashes the endpoints that answer it.
@@ -62,14 +60,14 @@
     pub first_crash: Timestamp,
     /// Time of the last of these crashes.
     pub last_crash: Timestamp,
-    /// Time from which one request with the content may run as a trial.
+    /// Time of the first trial by a request with the content.
     pub trial_at: Timestamp,
-    /// Time from which a request without another blocked content may run as a trial.
+    /// Time of the first trial by a request without another blocked content.
     pub lone_trial_at: Timestamp,
-    /// Time from which one item with the content may run as a trial.
+    /// Time of the first trial by an item with the content.
     pub item_trial_at: Timestamp,
-    /// Number of trials so far.
-    pub trials: u32,
+    /// Trials, on which the time of the next one depends.
+    pub trials: TrialLog,
     /// Contents that were blocked on the same evidence and have not been cleared.
     pub rivals: Vec<ContentHash>,
 }
@@ -97,7 +95,7 @@
             trial_at,
             lone_trial_at,
             item_trial_at: last_crash + ITEM_TRIAL_DELAYS[0],
-            trials: 0,
+            trials: TrialLog::default(),
             rivals,
         }
     }
@@ -111,34 +109,49 @@
     }
 
     /// Returns the time from which a request or item with this content may run as a trial. `is_alone`
-    /// states that it has no other blocked content.
-    pub(super) fn trial_due(&self, subject: TrialSubject, is_alone: bool) -> Timestamp {
-        let due = if is_alone { self.lone_trial_at.min(self.trial_at) } else { self.trial_at };
-        match subject {
-            TrialSubject::Request => due,
-            TrialSubject::Item => due.min(self.item_trial_at),
+    /// states that it has no other blocked content, and `id` names a trial that it may hold already.
+    pub(super) fn trial_due(
+        &self,
+        subject: TrialSubject,
+        now: Timestamp,
+        is_alone: bool,
+        id: Option<TrialId>,
+    ) -> Timestamp {
+        if id.is_some_and(|id| self.trials.is_held(id, now)) {
+            return now;
         }
+        self.scheduled(subject, now, is_alone).max(self.trials.free_at(now))
     }
 
-    /// Records that a trial starts. `is_alone` states that it has no other blocked content. A trial
-    /// together with contents that were blocked on the same evidence clears none of them, so it leaves
-    /// the trial without those.
-    pub(super) fn start_trial(&mut self, now: Timestamp, is_alone: bool) {
-        // A trial alone that comes after the budget does not begin the next one.
-        let is_extra =
-            self.trials > 0 && self.trials.is_multiple_of(TRIAL_BUDGET) && now < self.trial_at;
-        self.trials = self.trials.saturating_add(if is_extra { TRIAL_BUDGET } else { 1 });
-        let used = self.trials % TRIAL_BUDGET;
-        let (request_delay, item_delay) = if used == 0 {
-            (BUDGET_RENEWAL, BUDGET_RENEWAL)
-        } else {
-            (TRIAL_DELAY * (1 << used), ITEM_TRIAL_DELAYS[used as usize])
+    /// Returns the time of the next trial by what the last ones told. A trial together with contents that
+    /// were blocked on the same evidence clears none of them, so it leaves the trial without those.
+    fn scheduled(&self, subject: TrialSubject, now: Timestamp, is_alone: bool) -> Timestamp {
+        let spent = || self.trials.spent(now);
+        let count = spent().count();
+        let has_failed = |trial: &&Trial| trial.started_at <= self.last_crash;
+        if is_alone && !self.rivals.is_empty() {
+            let mut alone = spent().filter(|trial| trial.is_alone).peekable();
+            let is_open = count < TRIAL_BUDGET || alone.peek().is_none();
+            if is_open && !alone.any(|trial| has_failed(&trial)) {
+                return self.lone_trial_at.min(self.trial_at);
+            }
+        }
+        let first = match subject {
+            TrialSubject::Request => self.trial_at,
+            TrialSubject::Item => self.trial_at.min(self.item_trial_at),
         };
-        self.trial_at = now + request_delay;
-        if is_alone || self.rivals.is_empty() {
-            self.lone_trial_at = self.trial_at;
+        if count >= TRIAL_BUDGET {
+            let last = spent().map(|trial| trial.started_at).max().unwrap_or_default();
+            return last + BUDGET_RENEWAL;
+        }
+        let Some(failed) = spent().filter(has_failed).map(|trial| trial.started_at).max() else {
+            return first;
+        };
+        let request_due = failed + TRIAL_DELAY * (1 << count);
+        match subject {
+            TrialSubject::Request => request_due,
+            TrialSubject::Item => request_due.min(failed + ITEM_TRIAL_DELAYS[count]),
         }
-        self.item_trial_at = now + item_delay;
     }
 
     /// Records a further crash.
@@ -152,9 +165,6 @@
     pub(super) fn remove_rival(&mut self, content: ContentHash) -> bool {
         let before = self.rivals.len();
         self.rivals.retain(|rival| *rival != content);
-        if before != self.rivals.len() && self.rivals.is_empty() {
-            self.lone_trial_at = self.trial_at;
-        }
         before != self.rivals.len()
     }
 
@@ -168,7 +178,7 @@
         self.trial_at = self.trial_at.max(other.trial_at);
         self.lone_trial_at = self.lone_trial_at.max(other.lone_trial_at);
         self.item_trial_at = self.item_trial_at.max(other.item_trial_at);
-        self.trials = self.trials.max(other.trials);
+        self.trials.merge(&other.trials);
         self.rivals.retain(|rival| other.rivals.contains(rival));
         *self != before
     }
--- a/dogwoodtray_coord/src/crashes/blocklist.rs
+++ b/dogwoodtray_coord/src/crashes/blocklist.rs
@@ -6,6 +6,9 @@
 use super::Block;
 use super::Contents;
 use super::SoundRun;
+use super::TRIAL_PAUSE;
+use super::TrialEnd;
+use super::TrialId;
 use super::TrialSubject;
 use crate::ContentHash;
 use crate::Timestamp;
@@ -76,55 +79,112 @@
         self.blocks.get(&content)
     }
 
-    /// Returns how a request or item with these contents is to be treated.
+    /// Returns how a request or item with these contents is to be treated. `id` names a trial that it
+    /// may hold already.
     #[must_use]
     pub fn check(
         &self,
         subject: TrialSubject,
         now: Timestamp,
         contents: &Contents,
+        id: Option<TrialId>,
     ) -> ContentVerdict {
         if self.blocks.is_empty() {
             return ContentVerdict::Allowed;
         }
         let blocks = || contents.iter().filter_map(|content| self.blocks.get(&content));
         let is_alone = blocks().count() == 1;
-        let Some(last) = blocks().max_by_key(|block| block.trial_due(subject, is_alone)) else {
+        let due = |block: &Block| block.trial_due(subject, now, is_alone, id);
+        let Some((due, last)) =
+            blocks().map(|block| (due(block), block)).max_by_key(|(due, _)| *due)
+        else {
             return ContentVerdict::Allowed;
         };
-        let due = last.trial_due(subject, is_alone);
         if now >= due {
             return ContentVerdict::Trial(blocks().map(|block| block.content).collect());
         }
         ContentVerdict::Blocked { content: last.content, retry_after: due - now }
     }
 
-    /// Starts a trial of the contents by a request or item, unless another one has taken it. Returns
-    /// the changed blocks.
+    /// Checks whether a trial of the contents may start, or go on if it is held already.
     ///
     /// # Errors
     ///
     /// Returns the time until the next trial if none is due.
-    pub fn start_trial(
-        &mut self,
+    pub fn check_trial(
+        &self,
         subject: TrialSubject,
         now: Timestamp,
         contents: &[ContentHash],
-    ) -> Result<Vec<Block>, Duration> {
+        id: TrialId,
+    ) -> Result<(), Duration> {
         let is_alone = contents.len() == 1;
         let blocks = || contents.iter().filter_map(|content| self.blocks.get(content));
-        let due = blocks().map(|block| block.trial_due(subject, is_alone)).max();
+        if blocks().any(|block| block.trials.has_ended(id)) {
+            return Err(TRIAL_PAUSE);
+        }
+        let due = blocks().map(|block| block.trial_due(subject, now, is_alone, Some(id))).max();
         if let Some(due) = due.filter(|due| *due > now) {
             return Err(due - now);
         }
+        Ok(())
+    }
+
+    /// Starts a trial of the contents by a request or item that was granted a place, unless another one
+    /// has taken it. Returns the changed blocks.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the next trial if none is due.
+    pub fn start_trial(
+        &mut self,
+        subject: TrialSubject,
+        now: Timestamp,
+        contents: &[ContentHash],
+        id: TrialId,
+    ) -> Result<Vec<Block>, Duration> {
+        self.check_trial(subject, now, contents, id)?;
+        let is_alone = contents.len() == 1;
+        Ok(self.change_trials(contents, |block| block.trials.start(id, now, is_alone)))
+    }
+
+    /// Extends the lease of a trial that started at `started_at`. Returns the changed blocks.
+    pub fn renew_trial(
+        &mut self,
+        now: Timestamp,
+        contents: &[ContentHash],
+        id: TrialId,
+        started_at: Timestamp,
+    ) -> Vec<Block> {
+        let is_alone = contents.len() == 1;
+        self.change_trials(contents, |block| block.trials.renew(id, now, started_at, is_alone))
+    }
+
+    /// Ends a trial. Returns the changed blocks.
+    pub fn end_trial(
+        &mut self,
+        now: Timestamp,
+        contents: &[ContentHash],
+        end: TrialEnd,
+    ) -> Vec<Block> {
+        let is_alone = contents.len() == 1;
+        self.change_trials(contents, |block| block.trials.end(now, end, is_alone))
+    }
+
+    fn change_trials(
+        &mut self,
+        contents: &[ContentHash],
+        mut change: impl FnMut(&mut Block) -> bool,
+    ) -> Vec<Block> {
         let mut changed = Vec::new();
         for content in contents {
-            if let Some(block) = self.blocks.get_mut(content) {
-                block.start_trial(now, is_alone);
+            if let Some(block) = self.blocks.get_mut(content)
+                && change(block)
+            {
                 changed.push(block.clone());
             }
         }
-        Ok(changed)
+        changed
     }
 
     /// Returns the time at which the content of a block was found innocent, if the block is based on
--- a/dogwoodtray_coord/src/crashes/mod.rs
+++ b/dogwoodtray_coord/src/crashes/mod.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod run;
 mod sound;
+mod trial;
 
 pub use self::analyzer::CrashAnalyzer;
 pub use self::analyzer::CrashConfig;
@@ -30,6 +31,14 @@
 pub use self::run::RunStage;
 pub use self::run::SoundRun;
 pub use self::sound::SoundRuns;
+pub use self::trial::TRIAL_LEASE;
+pub use self::trial::TRIAL_PAUSE;
+pub use self::trial::TRIAL_RENEWAL_INTERVAL;
+pub use self::trial::Trial;
+pub use self::trial::TrialEnd;
+pub use self::trial::TrialId;
+pub use self::trial::TrialLog;
+pub use self::trial::TrialStage;
 
 /// Time for which evidence about crashes is kept by default.
 pub const EVIDENCE_RETENTION: Duration = Duration::from_secs(600);
--- a/dogwoodtray_coord/src/crashes/pool.rs
+++ b/dogwoodtray_coord/src/crashes/pool.rs
@@ -11,6 +11,8 @@
 use super::CrashedRun;
 use super::SoundRun;
 use super::SoundRuns;
+use super::TrialEnd;
+use super::TrialId;
 use super::TrialSubject;
 use crate::ContentHash;
 use crate::Timestamp;
@@ -165,15 +167,17 @@
         self.analyzer.blocks()
     }
 
-    /// Returns how a request or item with these contents is to be treated.
+    /// Returns how a request or item with these contents is to be treated. `id` names a trial that it
+    /// may hold already.
     #[must_use]
     pub fn check(
         &self,
         subject: TrialSubject,
         now: Timestamp,
         contents: &Contents,
+        id: Option<TrialId>,
     ) -> ContentVerdict {
-        self.blocks().check(subject, now.saturating_sub(self.trial_delay), contents)
+        self.blocks().check(subject, now.saturating_sub(self.trial_delay), contents, id)
     }
 
     /// Starts a trial of blocked contents, unless another request or item has taken it.
@@ -186,12 +190,31 @@
         subject: TrialSubject,
         now: Timestamp,
         contents: &[ContentHash],
+        id: TrialId,
     ) -> Result<(), Duration> {
-        let changed = self.analyzer.blocks_mut().start_trial(subject, now, contents)?;
+        let changed = self.analyzer.blocks_mut().start_trial(subject, now, contents, id)?;
         self.news.extend(changed.into_iter().map(Evidence::Block));
         Ok(())
     }
 
+    /// Extends the lease of a trial that started at `started_at`.
+    pub fn renew_trial(
+        &mut self,
+        now: Timestamp,
+        contents: &[ContentHash],
+        id: TrialId,
+        started_at: Timestamp,
+    ) {
+        let changed = self.analyzer.blocks_mut().renew_trial(now, contents, id, started_at);
+        self.news.extend(changed.into_iter().map(Evidence::Block));
+    }
+
+    /// Ends a trial.
+    pub fn end_trial(&mut self, now: Timestamp, contents: &[ContentHash], end: TrialEnd) {
+        let changed = self.analyzer.blocks_mut().end_trial(now, contents, end);
+        self.news.extend(changed.into_iter().map(Evidence::Block));
+    }
+
     /// Returns `true` if a whole request was present at several crashes and the last of them has not
     /// been analyzed.
     #[must_use]
@@ -247,7 +270,7 @@
     }
 
     /// Merges the block of a peer. The times of a block shift with each transfer, so only a new block
-    /// and a new trial are passed on.
+    /// and a trial that is new or got further are passed on.
     fn merge_block(&mut self, now: Timestamp, block: Block) {
         let content = block.content;
         if let Some(at) = self.blocks().voided_at(&block) {
@@ -256,9 +279,9 @@
         if !self.blocks().has_room_for(&block, MAX_SHIFT) {
             return;
         }
-        let known_trials = self.blocks().get(content).map(|known| known.trials);
+        let known = self.blocks().get(content).map(|known| known.trials.clone());
         self.analyzer.blocks_mut().merge(block.clone());
-        if known_trials.is_none_or(|trials| trials < block.trials) {
+        if known.is_none_or(|mut known| known.merge(&block.trials)) {
             self.news.push(Evidence::Block(block.clone()));
         }
         self.refute_by_known_runs(now, &block);
--- a/dogwoodtray_coord/tests/crash_support/mod.rs
+++ b/dogwoodtray_coord/tests/crash_support/mod.rs
@@ -11,11 +11,13 @@
 use dogwoodtray_coord::CrashAnalyzer;
 use dogwoodtray_coord::CrashConfig;
 use dogwoodtray_coord::CrashedRun;
+use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::RunStage;
 use dogwoodtray_coord::SoundRun;
 use dogwoodtray_coord::SoundRuns;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::TrialId;
 use dogwoodtray_coord::TrialSubject;
 use rand::Rng;
 use rand::SeedableRng;
@@ -239,11 +241,12 @@
                 contents.iter().any(|content| counts.get(&content).is_some_and(|n| n >= limit))
             }
             Finder::Analyzer(analyzer) => {
-                match analyzer.blocks().check(TrialSubject::Request, self.now, contents) {
+                let id = TrialId { holder: Incarnation(1), number: contents.request.0 };
+                match analyzer.blocks().check(TrialSubject::Request, self.now, contents, None) {
                     ContentVerdict::Allowed => false,
                     ContentVerdict::Trial(trial) => analyzer
                         .blocks_mut()
-                        .start_trial(TrialSubject::Request, self.now, &trial)
+                        .start_trial(TrialSubject::Request, self.now, &trial, id)
                         .is_err(),
                     ContentVerdict::Blocked { .. } => true,
                 }
--- a/dogwoodtray_coord/tests/crashes.rs
+++ b/dogwoodtray_coord/tests/crashes.rs
@@ -19,10 +19,16 @@
 use dogwoodtray_coord::CrashConfig;
 use dogwoodtray_coord::CrashPattern;
 use dogwoodtray_coord::CrashedRun;
+use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::RunStage;
 use dogwoodtray_coord::SoundRun;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Trial;
+use dogwoodtray_coord::TrialEnd;
+use dogwoodtray_coord::TrialId;
+use dogwoodtray_coord::TrialLog;
+use dogwoodtray_coord::TrialStage;
 use dogwoodtray_coord::TrialSubject;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -245,12 +251,39 @@
         trial_at: at(19_000),
         lone_trial_at: at(5_000),
         item_trial_at: at(19_000),
-        trials: 0,
+        trials: TrialLog::default(),
         rivals: vec![ContentHash(7)],
     };
     assert!(!analyzer.blocks_mut().merge(stale), "a cleared block must not return");
 }
 
+fn trial_id(number: u64) -> TrialId {
+    TrialId { holder: Incarnation(1), number }
+}
+
+/// Starts a trial of the request or item if one is due, and lets it crash its endpoint. Returns `true`
+/// if it started.
+fn fails_as_trial(
+    analyzer: &mut CrashAnalyzer,
+    subject: TrialSubject,
+    ms: u64,
+    contents: &Contents,
+) -> bool {
+    let verdict = analyzer.blocks().check(subject, at(ms), contents, None);
+    let ContentVerdict::Trial(tried) = verdict else { return false };
+    let id = trial_id(ms);
+    if analyzer.blocks_mut().start_trial(subject, at(ms), &tried, id).is_err() {
+        return false;
+    }
+    let request = contents.request.0;
+    let parts: Vec<u64> = contents.parts.iter().map(|part| part.0).collect();
+    let crashed = run(request, &parts, &format!("t{ms}"), ms + 50, RunStage::Starting);
+    analyzer.record_crash(at(ms + 50), crashed);
+    let end = TrialEnd { id, started_at: at(ms), may_have_run: true };
+    analyzer.blocks_mut().end_trial(at(ms + 50), &tried, end);
+    true
+}
+
 /// Guards against trials that many processes start at once or that follow each other closely, and
 /// against more of them than a content has in its budget.
 #[test]
@@ -262,11 +295,7 @@
     let mut trials = Vec::new();
     for second in 4..1_200 {
         for _ in 0..3 {
-            let now = at(second * 1_000);
-            if let ContentVerdict::Trial(trial) =
-                analyzer.blocks().check(TrialSubject::Request, now, &request)
-                && analyzer.blocks_mut().start_trial(TrialSubject::Request, now, &trial).is_ok()
-            {
+            if fails_as_trial(&mut analyzer, TrialSubject::Request, second * 1_000, &request) {
                 trials.push(second);
             }
         }
@@ -284,18 +313,15 @@
     let mut trials = Vec::new();
     for second in 4..240 {
         for item in 0..3 {
-            let (now, item) = (at(second * 1_000), contents(30 + item, &[7]));
-            let verdict = analyzer.blocks().check(TrialSubject::Item, now, &item);
-            if let ContentVerdict::Trial(trial) = verdict
-                && analyzer.blocks_mut().start_trial(TrialSubject::Item, now, &trial).is_ok()
-            {
+            let item = contents(30 + item, &[7]);
+            if fails_as_trial(&mut analyzer, TrialSubject::Item, second * 1_000, &item) {
                 trials.push(second);
             }
         }
     }
     assert_eq!(trials, [16, 34, 53]);
     let request = contents(40, &[7]);
-    let verdict = analyzer.blocks().check(TrialSubject::Request, at(240_000), &request);
+    let verdict = analyzer.blocks().check(TrialSubject::Request, at(240_000), &request, None);
     assert!(matches!(verdict, ContentVerdict::Blocked { .. }), "requests share the budget");
 }
 
@@ -309,23 +335,18 @@
     let both = contents(30, &[7, 8]);
     let mut trials = Vec::new();
     for second in 4..120 {
-        let now = at(second * 1_000);
-        if let ContentVerdict::Trial(trial) =
-            analyzer.blocks().check(TrialSubject::Item, now, &both)
-            && analyzer.blocks_mut().start_trial(TrialSubject::Item, now, &trial).is_ok()
-        {
+        if fails_as_trial(&mut analyzer, TrialSubject::Item, second * 1_000, &both) {
             trials.push(second);
         }
     }
     assert_eq!(trials, [16, 34, 53], "trials of both use up their budget");
     for (subject, request) in [(TrialSubject::Item, 31), (TrialSubject::Request, 32)] {
-        let verdict = analyzer.blocks().check(subject, at(120_000), &contents(request, &[8]));
+        let verdict = analyzer.blocks().check(subject, at(120_000), &contents(request, &[8]), None);
         assert_eq!(verdict, ContentVerdict::Trial(vec![ContentHash(8)]), "{subject:?}");
     }
-    let started =
-        analyzer.blocks_mut().start_trial(TrialSubject::Item, at(120_000), &[ContentHash(8)]);
-    assert!(started.is_ok());
-    let verdict = analyzer.blocks().check(TrialSubject::Item, at(180_000), &contents(33, &[8]));
+    let alone = contents(33, &[8]);
+    assert!(fails_as_trial(&mut analyzer, TrialSubject::Item, 120_000, &alone));
+    let verdict = analyzer.blocks().check(TrialSubject::Item, at(180_000), &alone, None);
     assert!(matches!(verdict, ContentVerdict::Blocked { .. }), "only one trial alone");
 }
 
@@ -352,6 +373,21 @@
     }
 }
 
+fn trial(number: u64, turn: u32, stage: u8, until: u16) -> Trial {
+    Trial {
+        id: trial_id(number),
+        stage: match stage % 3 {
+            0 => TrialStage::Granted,
+            1 => TrialStage::NotRun,
+            _ => TrialStage::Ran,
+        },
+        turn,
+        until: at(u64::from(until)),
+        started_at: at(u64::from(until) / 2),
+        is_alone: stage.is_multiple_of(2),
+    }
+}
+
 /// Guards against blocks that depend on the order in which processes exchange them.
 #[test]
 fn merged_blocks_do_not_depend_on_the_order() {
@@ -371,7 +407,13 @@
                 trial_at: at(u64::from(*length) * 2),
                 lone_trial_at: at(u64::from(*length)),
                 item_trial_at: at(u64::from(*first) + u64::from(*trials)),
-                trials: u32::from(*trials),
+                trials: TrialLog::new(
+                    u32::from(trials % 2),
+                    (0..trials % 5).map(|number| {
+                        let turn = u32::from(trials / 8) + u32::from(number / 2);
+                        trial(u64::from(number), turn, trials.rotate_left(number.into()), *first)
+                    }),
+                ),
                 rivals: (0..u64::from(content % 4)).map(ContentHash).collect(),
             })
             .collect();
@@ -407,7 +449,7 @@
                 trial_at: at(0),
                 lone_trial_at: at(0),
                 item_trial_at: at(0),
-                trials: 0,
+                trials: TrialLog::default(),
                 rivals: Vec::new(),
             };
             list.merge(block);
--- a/dogwoodtray_coord/tests/evidence_pool.rs
+++ b/dogwoodtray_coord/tests/evidence_pool.rs
@@ -10,9 +10,14 @@
 use dogwoodtray_coord::EVIDENCE_RETENTION;
 use dogwoodtray_coord::Evidence;
 use dogwoodtray_coord::EvidencePool;
+use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::RunStage;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Trial;
+use dogwoodtray_coord::TrialId;
+use dogwoodtray_coord::TrialLog;
+use dogwoodtray_coord::TrialStage;
 use dogwoodtray_coord::TrialSubject;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -65,6 +70,12 @@
             block.trial_at = block.trial_at + TRANSFER;
             block.lone_trial_at = block.lone_trial_at + TRANSFER;
             block.item_trial_at = block.item_trial_at + TRANSFER;
+            let trials = block.trials.iter().map(|trial| Trial {
+                until: trial.until + TRANSFER,
+                started_at: trial.started_at + TRANSFER,
+                ..*trial
+            });
+            block.trials = TrialLog::new(block.trials.budget(), trials);
         }
         Evidence::Cleared { at, .. } => *at = *at + TRANSFER,
     }
@@ -132,9 +143,10 @@
                 }
                 2 => pool.record_sound_run(now, &request(content), sent_at, argument % 2 == 0),
                 _ => {
-                    let verdict = pool.check(TrialSubject::Request, now, &request(content));
+                    let verdict = pool.check(TrialSubject::Request, now, &request(content), None);
                     if let ContentVerdict::Trial(contents) = verdict {
-                        let started = pool.start_trial(TrialSubject::Request, now, &contents);
+                        let id = TrialId { holder: Incarnation(1), number: now.0 };
+                        let started = pool.start_trial(TrialSubject::Request, now, &contents, id);
                         assert_eq!(started, Ok(()), "a trial that is due does not start");
                     }
                 }
@@ -257,12 +269,18 @@
     pool.tick(later);
     let mut block = pool.blocks().get(GUILTY).expect("a block").clone();
     block.crashes = u32::MAX;
-    block.trials = u32::MAX;
+    let id = TrialId { holder: Incarnation(u64::MAX), number: u64::MAX };
+    let (until, started_at) = (later, later);
+    let trial =
+        Trial { id, stage: TrialStage::Ran, turn: u32::MAX, until, started_at, is_alone: true };
+    block.trials = TrialLog::new(u32::MAX, [trial]);
     pool.merge(later, [Evidence::Block(block)]);
     let due = later + Duration::from_secs(3_600);
-    assert!(pool.start_trial(TrialSubject::Item, due, &[GUILTY]).is_ok());
+    let next = TrialId { holder: Incarnation(1), number: 1 };
+    assert!(pool.start_trial(TrialSubject::Item, due, &[GUILTY], next).is_ok());
     let run = crash(GUILTY, 9, due);
     pool.record_crash(run.ended_at, run);
     pool.tick(due + ANALYSIS);
-    assert_eq!(pool.blocks().get(GUILTY).map(|block| block.trials), Some(u32::MAX));
+    let block = pool.blocks().get(GUILTY).expect("a block");
+    assert_eq!((block.trials.budget(), block.trials.iter().count()), (u32::MAX, 2));
 }
--- a/dogwoodtray_entry/src/online/attempt.rs
+++ b/dogwoodtray_entry/src/online/attempt.rs
@@ -15,6 +15,7 @@
 use super::LinkNo;
 use super::RequestNo;
 use super::RequestSpec;
+use super::blocks::Trial;
 use super::event::AttemptOutcome;
 
 /// Proof that a request was not run. Can be created only in this module.
@@ -108,7 +109,7 @@
     pub(super) answer: BytesMut,
     /// Whether its request was present at a crash and has not been answered since, or is a trial.
     pub(super) suspect: bool,
-    /// Whether it runs to find out whether its blocked contents still crash endpoints.
-    pub(super) is_trial: bool,
+    /// Trial that it is, if it runs to find out whether its blocked contents still crash endpoints.
+    pub(super) trial: Option<Trial>,
     pub(super) cancelled: bool,
 }
--- a/dogwoodtray_entry/src/online/blocks.rs
+++ b/dogwoodtray_entry/src/online/blocks.rs
@@ -10,7 +10,10 @@
 use dogwoodtray_coord::EvidencePool;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::RunStage;
+use dogwoodtray_coord::TRIAL_RENEWAL_INTERVAL;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::TrialEnd;
+use dogwoodtray_coord::TrialId;
 use dogwoodtray_coord::TrialSubject;
 
 use super::OnlineCore;
@@ -27,11 +30,11 @@
 const MAX_TRIAL_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Treatment of a request or item by its contents.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Admission {
     Allowed,
-    /// It runs to find out whether its blocked contents still crash endpoints.
-    Trial,
+    /// It may run to find out whether its blocked contents still crash endpoints.
+    Trial(Vec<ContentHash>),
     /// A request waits, because a trial or the analysis of a crash is due soon.
     Undecided,
     Blocked {
@@ -42,17 +45,26 @@
     },
 }
 
+/// Trial of blocked contents by a request or item of this process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Trial {
+    pub(super) id: TrialId,
+    pub(super) contents: Vec<ContentHash>,
+    pub(super) started_at: Timestamp,
+}
+
 impl OnlineCore {
-    /// Returns how a request or item is to be treated that is about to run. Starts a trial of its
-    /// blocked contents if one is due.
+    /// Returns how a request or item is to be treated that is about to run. `held` is the trial that it
+    /// holds from an attempt that did not run.
     pub(super) fn admit(
-        &mut self,
+        &self,
         now: Timestamp,
         subject: TrialSubject,
         spec: &RequestSpec,
+        held: Option<&Trial>,
     ) -> Admission {
         let is_request = subject == TrialSubject::Request;
-        match self.pool.check(subject, now, &spec.contents()) {
+        match self.pool.check(subject, now, &spec.contents(), held.map(|trial| trial.id)) {
             ContentVerdict::Allowed if is_request && self.pool.is_undecided(spec.content) => {
                 Admission::Undecided
             }
@@ -65,12 +77,65 @@
             ContentVerdict::Blocked { content, retry_after } => {
                 Admission::Blocked { content, retry_after }
             }
-            ContentVerdict::Trial(contents) => {
-                match self.pool.start_trial(subject, now, &contents) {
-                    Ok(()) => Admission::Trial,
-                    Err(retry_after) => Admission::Blocked { content: contents[0], retry_after },
-                }
+            ContentVerdict::Trial(contents) => Admission::Trial(contents),
+        }
+    }
+
+    /// Starts a trial of blocked contents by a request or item that is about to be sent, or goes on with
+    /// the one that it holds. Returns `None` if none is due any more.
+    pub(super) fn start_trial(
+        &mut self,
+        now: Timestamp,
+        subject: TrialSubject,
+        contents: Vec<ContentHash>,
+        held: Option<Trial>,
+    ) -> Option<Trial> {
+        let held = held.filter(|trial| trial.contents == contents);
+        let trial = held.unwrap_or_else(|| {
+            self.last_trial += 1;
+            let id = TrialId { holder: self.cfg.incarnation, number: self.last_trial };
+            Trial { id, contents, started_at: now }
+        });
+        self.pool.start_trial(subject, now, &trial.contents, trial.id).ok()?;
+        Some(trial)
+    }
+
+    /// Ends a trial.
+    pub(super) fn end_trial(&mut self, now: Timestamp, trial: &Trial, may_have_run: bool) {
+        let end = TrialEnd { id: trial.id, started_at: trial.started_at, may_have_run };
+        self.pool.end_trial(now, &trial.contents, end);
+    }
+
+    /// Ends the trial of an attempt that ended, or keeps it for the next attempt of its request if this
+    /// one did not run.
+    pub(super) fn on_trial_attempt_ended(
+        &mut self,
+        now: Timestamp,
+        owner: Owner,
+        trial: Trial,
+        outcome: AttemptOutcome,
+    ) {
+        let may_have_run = !matches!(outcome, AttemptOutcome::NotRun(_));
+        match owner {
+            Owner::Request(request_no)
+                if !may_have_run && self.requests.contains_key(&request_no) =>
+            {
+                self.keep_trial(request_no, Some(trial));
             }
+            _ => self.end_trial(now, &trial, may_have_run),
+        }
+    }
+
+    /// Extends the leases of the trials of this process.
+    pub(super) fn renew_trials(&mut self, now: Timestamp) {
+        if now < self.renew_trials_at {
+            return;
+        }
+        self.renew_trials_at = now + TRIAL_RENEWAL_INTERVAL;
+        let of_attempts = self.attempts.values().filter_map(|attempt| attempt.trial.as_ref());
+        let of_requests = self.requests.values().filter_map(|request| request.trial.as_ref());
+        for trial in of_attempts.chain(of_requests) {
+            self.pool.renew_trial(now, &trial.contents, trial.id, trial.started_at);
         }
     }
 
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -108,6 +108,10 @@
     /// Requests without a first token, in order of arrival.
     pub(super) unanswered: BTreeSet<RequestNo>,
     pub(super) next_attempt: u64,
+    /// Number of the last trial of blocked contents.
+    pub(super) last_trial: u64,
+    /// Time at which the leases of trials are extended next.
+    pub(super) renew_trials_at: Timestamp,
 }
 
 /// # Construction and state
@@ -131,6 +135,8 @@
             waiting: BTreeSet::new(),
             unanswered: BTreeSet::new(),
             next_attempt: 0,
+            last_trial: 0,
+            renew_trials_at: Timestamp::ZERO,
             cfg,
         }
     }
@@ -262,14 +268,21 @@
         let (node, endpoint) = (Name::clone(node), endpoint.key);
         // An item that must not run twice ends with its first crash.
         let admission = if spec.idempotent {
-            self.admit(now, TrialSubject::Item, &spec)
+            self.admit(now, TrialSubject::Item, &spec, None)
         } else {
             Admission::Allowed
         };
-        if matches!(admission, Admission::Blocked { .. }) {
+        let trial = match admission {
+            Admission::Allowed | Admission::Undecided => Ok(None),
+            Admission::Blocked { .. } => Err(()),
+            Admission::Trial(contents) => {
+                self.start_trial(now, TrialSubject::Item, contents, None).map(Some).ok_or(())
+            }
+        };
+        let Ok(trial) = trial else {
             let end = not_run(NotRunReason::Blocked);
             return actions.push(OnlineAction::BatchEnded { attempt: id, end });
-        }
+        };
         let attempt = Attempt {
             id,
             owner: Owner::Job,
@@ -286,7 +299,7 @@
             answer: BytesMut::new(),
             // Items are held by the evidence of several crashes, not after the first one.
             suspect: false,
-            is_trial: admission == Admission::Trial,
+            trial,
             cancelled: false,
         };
         self.dispatch(now, attempt, spec.timeout, actions);
--- a/dogwoodtray_entry/src/online/placement.rs
+++ b/dogwoodtray_entry/src/online/placement.rs
@@ -20,6 +20,7 @@
 use super::attempt::Owner;
 use super::blocks::Admission;
 use super::blocks::CONTENT_BLOCKED;
+use super::blocks::Trial;
 use super::request::Stage;
 
 /// Delay before the next placement of a request that found no free place.
@@ -33,39 +34,59 @@
         request_no: RequestNo,
         actions: &mut Vec<OnlineAction>,
     ) {
-        let Some(request) = self.requests.get(&request_no) else { return };
+        let Some(request) = self.requests.get_mut(&request_no) else { return };
         let spec = Arc::clone(&request.spec);
-        let mut is_trial = request.is_trial;
-        if !is_trial {
-            match self.admit(now, TrialSubject::Request, &spec) {
-                Admission::Allowed => {}
-                Admission::Undecided => return self.wait_for_place(now, request_no),
-                Admission::Blocked { content, retry_after } => {
-                    let id = Name::clone(&spec.id);
-                    actions.push(OnlineAction::Blocked { id, content, retry_after });
-                    let end =
-                        self.end_without_answer(request_no, CONTENT_BLOCKED, Some(retry_after));
-                    return self.finish(now, request_no, end, actions);
-                }
-                Admission::Trial => {
-                    is_trial = true;
-                    actions.push(OnlineAction::Tried { id: Name::clone(&spec.id) });
-                    self.set_trial(request_no, true);
-                }
+        let held = request.trial.take();
+        let admission = self.admit(now, TrialSubject::Request, &spec, held.as_ref());
+        let held = match admission {
+            Admission::Trial(_) => held,
+            _ => {
+                held.inspect(|trial| self.end_trial(now, trial, false));
+                None
             }
-        }
+        };
+        let tried = match admission {
+            Admission::Allowed => None,
+            Admission::Trial(contents) => Some(contents),
+            Admission::Undecided => return self.wait_for_place(now, request_no),
+            Admission::Blocked { content, retry_after } => {
+                let id = Name::clone(&spec.id);
+                actions.push(OnlineAction::Blocked { id, content, retry_after });
+                let end = self.end_without_answer(request_no, CONTENT_BLOCKED, Some(retry_after));
+                return self.finish(now, request_no, end, actions);
+            }
+        };
+        let is_trial = tried.is_some();
         let suspect = is_trial || self.pool.is_suspect(spec.content);
         let Some(key) = self.pick_for_next_attempt(now, request_no, is_trial, suspect) else {
+            self.keep_trial(request_no, held);
             return self.wait_for_place(now, request_no);
         };
+        let mut trial = None;
+        if let Some(contents) = tried {
+            let is_new = held.is_none();
+            trial = self.start_trial(now, TrialSubject::Request, contents, held);
+            if trial.is_none() {
+                return self.wait_for_place(now, request_no);
+            }
+            if is_new {
+                actions.push(OnlineAction::Tried { id: Name::clone(&spec.id) });
+            }
+        }
         self.waiting.remove(&request_no);
-        self.set_trial(request_no, false);
-        self.start_attempt(now, request_no, key, is_trial, actions);
+        self.start_attempt(now, request_no, key, trial, actions);
         if !suspect {
             self.probe_slow_endpoint(now, request_no, key, actions);
         }
     }
 
+    /// Keeps a trial for the next attempt of a request.
+    pub(super) fn keep_trial(&mut self, request_no: RequestNo, trial: Option<Trial>) {
+        if let Some(request) = self.requests.get_mut(&request_no) {
+            request.trial = trial;
+        }
+    }
+
     /// Picks an endpoint, if possible one where no earlier attempt failed. A trial runs only where no
     /// suspect runs, other suspects prefer such endpoints.
     fn pick_for_next_attempt(
@@ -86,12 +107,6 @@
         key
     }
 
-    fn set_trial(&mut self, request_no: RequestNo, is_trial: bool) {
-        if let Some(request) = self.requests.get_mut(&request_no) {
-            request.is_trial = is_trial;
-        }
-    }
-
     pub(super) fn pick_endpoint(
         &mut self,
         now: Timestamp,
@@ -135,7 +150,7 @@
         now: Timestamp,
         request_no: RequestNo,
         key: EndpointKey,
-        is_trial: bool,
+        trial: Option<Trial>,
         actions: &mut Vec<OnlineAction>,
     ) {
         let Some((node, endpoint)) = self.endpoints.get_by_key(key) else { return };
@@ -165,8 +180,8 @@
             tokens: request.delivered,
             resume_from: request.delivered,
             answer: BytesMut::new(),
-            suspect: is_trial || self.pool.is_suspect(request.spec.content),
-            is_trial,
+            suspect: trial.is_some() || self.pool.is_suspect(request.spec.content),
+            trial,
             cancelled: false,
         };
         let time_left = request.deadline - now;
@@ -192,7 +207,7 @@
                 spec: Arc::clone(&attempt.spec),
                 time_left,
                 resume_from: attempt.resume_from,
-                is_trial: attempt.is_trial,
+                is_trial: attempt.trial.is_some(),
             });
         }
         self.attempts.insert(attempt.id, attempt);
@@ -251,13 +266,16 @@
 
     pub(super) fn remove_request(
         &mut self,
-        _now: Timestamp,
+        now: Timestamp,
         request_no: RequestNo,
         actions: &mut Vec<OnlineAction>,
     ) {
         self.waiting.remove(&request_no);
         self.unanswered.remove(&request_no);
         let Some(request) = self.requests.remove(&request_no) else { return };
+        if let Some(trial) = &request.trial {
+            self.end_trial(now, trial, false);
+        }
         for id in request.in_flight {
             self.cancel_attempt(id, actions);
         }
--- a/dogwoodtray_entry/src/online/request.rs
+++ b/dogwoodtray_entry/src/online/request.rs
@@ -9,6 +9,7 @@
 use super::RequestSpec;
 use super::attempt::Queued;
 use super::attempt::Sent;
+use super::blocks::Trial;
 
 /// Stage of a request.
 #[derive(Debug)]
@@ -40,8 +41,8 @@
     pub(super) hedged: bool,
     /// Whether its stream was moved away from a slow endpoint.
     pub(super) moved: bool,
-    /// Whether its next attempt is a trial of its blocked contents.
-    pub(super) is_trial: bool,
+    /// Trial that it holds from an attempt that did not run.
+    pub(super) trial: Option<Trial>,
 }
 
 impl Request {
@@ -60,7 +61,7 @@
             retry_at: now,
             hedged: false,
             moved: false,
-            is_trial: false,
+            trial: None,
         }
     }
 
--- a/dogwoodtray_entry/src/online/slow_endpoints.rs
+++ b/dogwoodtray_entry/src/online/slow_endpoints.rs
@@ -56,7 +56,7 @@
             resume_from: 0,
             answer: BytesMut::new(),
             suspect: false,
-            is_trial: false,
+            trial: None,
             cancelled: false,
         };
         if let Some(request) = self.requests.get_mut(&request_no)
@@ -88,7 +88,7 @@
         if !self.move_budget.try_consume_budget() {
             return;
         }
-        self.start_attempt(now, request_no, target, false, actions);
+        self.start_attempt(now, request_no, target, None, actions);
         if let Some(request) = self.requests.get_mut(&request_no) {
             request.moved = true;
             request.winner = request.in_flight.last().copied();
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -199,7 +199,7 @@
         done: AttemptDone,
         actions: &mut Vec<OnlineAction>,
     ) {
-        let Some(attempt) = self.attempts.remove(&id) else { return };
+        let Some(mut attempt) = self.attempts.remove(&id) else { return };
         let ok = matches!(
             done.outcome,
             AttemptOutcome::Answered { status } if status < MIN_SERVER_ERROR_STATUS
@@ -210,9 +210,10 @@
             self.router.record_suspect_finished(attempt.endpoint);
         }
         self.record_evidence(now, &attempt, done.outcome);
-        if attempt.is_trial {
+        if let Some(trial) = attempt.trial.take() {
             let id = Name::clone(&attempt.spec.id);
             actions.push(OnlineAction::TrialEnded { id, outcome: done.outcome });
+            self.on_trial_attempt_ended(now, attempt.owner, trial, done.outcome);
         }
         match attempt.owner {
             Owner::Job => self.end_batch_attempt(id, attempt, done, actions),
@@ -341,7 +342,6 @@
         }
         let Some(request) = self.requests.get_mut(&request_no) else { return };
         request.exclude = vec![attempt.endpoint];
-        request.is_trial = attempt.is_trial;
         request.refusals += 1;
         if request.refusals == 1 {
             return self.place(now, request_no, actions);
--- a/dogwoodtray_entry/src/online/tick.rs
+++ b/dogwoodtray_entry/src/online/tick.rs
@@ -14,6 +14,7 @@
     pub(super) fn on_tick(&mut self, now: Timestamp, actions: &mut Vec<OnlineAction>) {
         self.end_detached_attempts(now, actions);
         self.pool.tick(now);
+        self.renew_trials(now);
         self.place_due_requests(now, actions);
         self.expire_requests(now, actions);
         if self.cfg.hedging {
@@ -134,6 +135,6 @@
             request.hedged = true;
             actions.push(OnlineAction::Hedged { id: request.spec.id.clone() });
         }
-        self.start_attempt(now, request_no, key, false, actions);
+        self.start_attempt(now, request_no, key, None, actions);
     }
 }
--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -130,6 +130,7 @@
             }
             Kind::CrashReport(report) => self.on_crash_report(report),
             Kind::SoundRunReport(report) => self.on_sound_run_report(&report),
+            Kind::TrialReport(report) => self.on_trial_report(&report),
             Kind::EndpointLeaving(leaving) => {
                 self.on_endpoint_leaving(&leaving, NodeRole::Gateway);
             }
--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -6,6 +6,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,8 +23,9 @@
 use dogwoodtray_coord::SoundRun;
 use dogwoodtray_coord::SoundRuns;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::TrialId;
 use dogwoodtray_coord::TrialSubject;
-use dogwoodtray_policy::Class;
+use dogwoodtray_policy::PlaceId;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::block_from_wire;
 use dogwoodtray_runtime::block_to_wire;
@@ -40,6 +42,7 @@
 use crate::node::Node;
 use crate::node::NodeRole;
 use crate::peers::DISPATCHER_KEY;
+use crate::trial::TrialKey;
 
 /// Number of drivers that are told what all processes are to know. The second one continues if the
 /// first is lost.
@@ -51,12 +54,16 @@
 /// What a process knows of crashes and of sound runs.
 #[derive(Debug)]
 pub(crate) struct Crashes {
-    analyzer: RefCell<CrashAnalyzer>,
+    pub(crate) analyzer: RefCell<CrashAnalyzer>,
     sound_runs: RefCell<SoundRuns>,
     /// Whether a task waits for the next analysis.
     is_tick_scheduled: Cell<bool>,
     /// Notified when a content is cleared.
     cleared: Notify,
+    /// Number of the last trial of this process.
+    pub(crate) last_trial: Cell<u64>,
+    /// Trials whose requests for places are pending at this process.
+    pub(crate) requested_trials: RefCell<HashMap<PlaceId, (TrialSubject, TrialKey)>>,
 }
 
 impl Crashes {
@@ -66,6 +73,8 @@
             sound_runs: RefCell::default(),
             is_tick_scheduled: Cell::new(false),
             cleared: Notify::new(),
+            last_trial: Cell::new(0),
+            requested_trials: RefCell::default(),
         }
     }
 }
@@ -73,13 +82,15 @@
 /// # Requests
 impl Node {
     /// Returns the blocked contents of a request if it may run as a trial of them, none if it has none,
-    /// or the time until the next trial if it must not run.
+    /// or the time until the next trial if it must not run. `trial` names the one that it holds.
     pub(crate) fn check_contents(
         &self,
         request: &Name,
         contents: &Contents,
+        trial: Option<TrialId>,
     ) -> Result<Vec<ContentHash>, Duration> {
-        let (content, retry_after) = match self.content_verdict(TrialSubject::Request, contents) {
+        let verdict = self.content_verdict(TrialSubject::Request, contents, trial);
+        let (content, retry_after) = match verdict {
             ContentVerdict::Allowed => return Ok(Vec::new()),
             ContentVerdict::Trial(contents) => return Ok(contents),
             ContentVerdict::Blocked { content, retry_after } => (content, retry_after),
@@ -93,13 +104,23 @@
         Err(retry_after)
     }
 
-    /// Returns how a request or item with these contents is to be treated.
+    /// Returns how a request or item with these contents is to be treated. `trial` names the one that
+    /// it holds.
     pub(crate) fn content_verdict(
         &self,
         subject: TrialSubject,
         contents: &Contents,
+        trial: Option<TrialId>,
     ) -> ContentVerdict {
-        self.crashes.analyzer.borrow().blocks().check(subject, self.now(), contents)
+        self.crashes.analyzer.borrow().blocks().check(subject, self.now(), contents, trial)
+    }
+
+    /// Returns `true` if a content is blocked that is not a part of the trial that is held.
+    pub(crate) fn is_newly_blocked(&self, contents: &Contents, trial: Option<&TrialKey>) -> bool {
+        let tried = trial.map(|trial| &*trial.contents).unwrap_or_default();
+        let analyzer = self.crashes.analyzer.borrow();
+        let is_blocked = |content: &ContentHash| analyzer.blocks().get(*content).is_some();
+        contents.iter().any(|content| is_blocked(&content) && !tried.contains(&content))
     }
 
     /// Returns the number of crashes that are attributed to a blocked content.
@@ -111,36 +132,6 @@
     pub(crate) async fn content_cleared(&self) {
         self.crashes.cleared.notified().await;
     }
-
-    /// Starts a trial of blocked contents, unless another request or item has taken it.
-    pub(crate) fn start_trial(
-        &self,
-        class: Class,
-        contents: &[ContentHash],
-    ) -> Result<(), Duration> {
-        if contents.is_empty() {
-            return Ok(());
-        }
-        let now = self.now();
-        let subject = match class {
-            Class::Online => TrialSubject::Request,
-            Class::Batch => TrialSubject::Item,
-        };
-        let changed = {
-            let mut analyzer = self.crashes.analyzer.borrow_mut();
-            analyzer.blocks_mut().start_trial(subject, now, contents)?
-        };
-        for block in &changed {
-            let fields: [(&str, &dyn Display); 3] = [
-                ("content", &block.content),
-                ("crashes", &block.crashes),
-                ("trials", &block.trials),
-            ];
-            self.events.emit(&catalogue::CONTENT_TRIED, None, &fields);
-        }
-        self.broadcast_blocks(&changed);
-        Ok(())
-    }
 }
 
 /// # Evidence
@@ -164,10 +155,11 @@
         let endpoint = Name::clone(&run.endpoint);
         let changed = self.crashes.analyzer.borrow_mut().record_crash(self.now(), run);
         for block in &changed {
+            let trials = block.trials.iter().count();
             let fields: [(&str, &dyn Display); 4] = [
                 ("content", &block.content),
                 ("crashes", &block.crashes),
-                ("trials", &block.trials),
+                ("trials", &trials),
                 ("endpoint", &endpoint),
             ];
             self.events.emit(&catalogue::BLOCKED_CONTENT_CRASHED, None, &fields);
@@ -339,7 +331,7 @@
         }
     }
 
-    fn broadcast_blocks(&self, blocks: &[Block]) {
+    pub(crate) fn broadcast_blocks(&self, blocks: &[Block]) {
         self.count_blocks();
         if self.cfg.role == NodeRole::Driver && !blocks.is_empty() {
             self.peers.broadcast_to_accepted(self.block_set(blocks));
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -82,8 +82,7 @@
     };
     loop {
         let blocked = hold(&node, &job, &item, &prepared.contents, expires_at).await;
-        let mut trial =
-            (!blocked.is_empty()).then(|| Trial::open(&node, &item.id, blocked.clone()));
+        let mut trial = (!blocked.is_empty()).then(|| Trial::open(&node, &item.id, blocked));
         if node.now() >= expires_at {
             return failed_result(&node, &job, &item, "retention over");
         }
@@ -98,7 +97,7 @@
             .map(|driver| driver.estimator.remaining(item.tokens, progress.borrow().event_count()));
         let remaining = remaining.unwrap_or_default();
         // An item that has been held is late and would wait behind all others.
-        let (due, place_timeout) = if blocked.is_empty() {
+        let (due, place_timeout) = if trial.is_none() {
             (due, PLACE_TIMEOUT)
         } else {
             (now + TRIAL_PLACE_TIMEOUT + remaining, TRIAL_PLACE_TIMEOUT)
@@ -111,7 +110,7 @@
             expires_at: (now + place_timeout).min(expires_at),
             repeatable: true,
             excluded: excluded.clone(),
-            trial: blocked,
+            trial: trial.as_ref().map(|trial| trial.key().clone()),
         };
         let place = node.acquire_place(&params);
         let place = node.while_selected(&service, |_| true, place).await;
@@ -134,11 +133,9 @@
                 continue;
             }
         };
+        trial.iter_mut().for_each(Trial::on_granted);
         // A content may have been blocked while the item waited for its place.
-        if params.trial.is_empty()
-            && node.content_verdict(TrialSubject::Item, &prepared.contents)
-                != ContentVerdict::Allowed
-        {
+        if node.is_newly_blocked(&prepared.contents, trial.as_ref().map(Trial::key)) {
             continue;
         }
         let endpoint = Name::clone(&permit.endpoint);
@@ -221,7 +218,8 @@
 ) -> Vec<ContentHash> {
     let mut is_logged = false;
     loop {
-        let (content, retry_after) = match node.content_verdict(TrialSubject::Item, contents) {
+        let (content, retry_after) = match node.content_verdict(TrialSubject::Item, contents, None)
+        {
             ContentVerdict::Allowed => return Vec::new(),
             ContentVerdict::Trial(contents) => return contents,
             ContentVerdict::Blocked { content, retry_after } => (content, retry_after),
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -186,7 +186,7 @@
                 return (outcome, PlaceOutcome::Failed, err.to_string());
             }
             if matches!(err, SendError::NotSent(_)) {
-                observed.on_not_run(TrialProgress::Unreachable);
+                drop(observed.on_not_run(TrialProgress::Unreachable));
             }
             return interrupted(PlaceOutcome::Failed, &err);
         }
@@ -196,7 +196,7 @@
     let status = exchange.parts.status;
     let class = classify_response(names, &exchange.parts, &item.id);
     match class {
-        ResponseClass::NotRun => observed.on_not_run(TrialProgress::NotRun),
+        ResponseClass::NotRun => drop(observed.on_not_run(TrialProgress::NotRun)),
         ResponseClass::Answer if status.is_success() => {}
         _ => observed.on_failure(),
     }
--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Name;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceId;
@@ -23,6 +22,7 @@
 use crate::places::PlaceParams;
 use crate::places::PlacePermit;
 use crate::places::outcome_from_wire;
+use crate::places::trial_from_wire;
 
 /// Time that a read may take in addition to its wait time.
 const READ_MARGIN: Duration = Duration::from_millis(300);
@@ -96,6 +96,7 @@
             }
             Kind::CrashReport(report) => self.forward_report(&report.into()),
             Kind::SoundRunReport(report) => self.forward_report(&report.into()),
+            Kind::TrialReport(report) => self.forward_report(&report.into()),
             kind => return Some(kind),
         }
         None
@@ -118,7 +119,7 @@
             expires_at: due,
             repeatable: request.repeatable,
             excluded: request.excluded.iter().map(|name| Name::from(name.as_str())).collect(),
-            trial: request.trial.iter().copied().map(ContentHash).collect(),
+            trial: trial_from_wire(request),
         };
         link.send(messages::PlaceQueued { ask: request.ask });
         let (node, link) = (Rc::clone(self), link.clone());
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
@@ -90,6 +89,8 @@
     pub(crate) trace: Trace,
     _lease: ByteLease,
     excluded: Vec<Name>,
+    /// Trial of blocked contents that the next attempt is.
+    trial: Option<Trial>,
     /// Number of attempts that may have run the request.
     possible_runs: u32,
     /// Number of attempts that did not run the request.
@@ -122,6 +123,7 @@
             trace,
             _lease: lease,
             excluded: Vec::new(),
+            trial: None,
             possible_runs: 0,
             rejections: 0,
         }
@@ -150,14 +152,14 @@
         head_timeout: Option<Duration>,
     ) -> Result<(Exchange, Run), AttemptError> {
         loop {
-            let blocked = self.check_contents()?;
-            let mut trial =
-                (!blocked.is_empty()).then(|| Trial::open(&self.node, &self.id, blocked));
-            let permit = self.acquire_place(trial.as_mut(), resume_after.is_some()).await?;
-            if trial.is_none() {
-                // A content may have been blocked while the request waited.
-                self.check_contents()?;
+            self.update_trial()?;
+            let permit = self.acquire_place(resume_after.is_some()).await?;
+            // A content may have been blocked while the request waited.
+            let key = self.trial.as_ref().map(Trial::key);
+            if self.node.is_newly_blocked(&self.contents, key) {
+                continue;
             }
+            let trial = self.trial.take();
             let endpoint = self.node.directory.borrow().endpoint(&permit.endpoint).cloned();
             let mut run =
                 Run::start(&self.node, &self.id, &self.contents, permit, self.is_stream(), trial);
@@ -165,7 +167,7 @@
             let names = self.node.dialect.names();
             let Some(endpoint) = endpoint else {
                 self.node.on_unusable_grant(run.endpoint());
-                run.on_not_run(TrialProgress::Unreachable);
+                self.trial = run.on_not_run(TrialProgress::Unreachable);
                 self.on_rejected(&mut run, PlaceOutcome::Withdrawn, &"endpoint left")?;
                 continue;
             };
@@ -203,7 +205,7 @@
                         let is_full = exchange.parts.status == StatusCode::SERVICE_UNAVAILABLE;
                         let place_outcome =
                             if is_full { PlaceOutcome::Full } else { PlaceOutcome::Withdrawn };
-                        run.on_not_run(TrialProgress::NotRun);
+                        self.trial = run.on_not_run(TrialProgress::NotRun);
                         self.on_rejected(&mut run, place_outcome, &exchange.parts.status)?;
                     }
                     ResponseClass::Malformed => {
@@ -213,7 +215,7 @@
                     }
                 },
                 Ok(Err(SendError::NotSent(err))) => {
-                    run.on_not_run(TrialProgress::Unreachable);
+                    self.trial = run.on_not_run(TrialProgress::Unreachable);
                     self.on_rejected(&mut run, PlaceOutcome::Failed, &err)?;
                 }
                 Ok(Err(SendError::Lost(err))) => {
@@ -266,22 +268,27 @@
         matches!(self.route.kind, RouteKind::Streaming { .. })
     }
 
-    /// Returns the blocked contents if the request may run as a trial of them, none if it has none,
-    /// or an error if it must not run.
-    fn check_contents(&self) -> Result<Vec<ContentHash>, AttemptError> {
-        self.node.check_contents(&self.id, &self.contents).map_err(AttemptError::Blocked)
+    /// Opens a trial if the request has blocked contents and may run as one, or keeps the one that it
+    /// holds. Returns an error if it must not run.
+    fn update_trial(&mut self) -> Result<(), AttemptError> {
+        let held = self.trial.take();
+        let id = held.as_ref().map(|trial| trial.key().id);
+        let blocked = self
+            .node
+            .check_contents(&self.id, &self.contents, id)
+            .map_err(AttemptError::Blocked)?;
+        self.trial = held.filter(|trial| *trial.key().contents == *blocked);
+        if self.trial.is_none() && !blocked.is_empty() {
+            self.trial = Some(Trial::open(&self.node, &self.id, blocked));
+        }
+        Ok(())
     }
 
     /// Waits for a place at an endpoint, of another service if the route moves to one meanwhile. A
     /// stream of which the caller has events leaves its service only if that has no endpoint left.
-    async fn acquire_place(
-        &mut self,
-        mut trial: Option<&mut Trial>,
-        has_output: bool,
-    ) -> Result<PlacePermit, AttemptError> {
+    async fn acquire_place(&mut self, has_output: bool) -> Result<PlacePermit, AttemptError> {
         loop {
-            let blocked = trial.as_deref().map(Trial::contents).unwrap_or_default();
-            let params = self.place_params(blocked);
+            let params = self.place_params();
             let node = &self.node;
             let may_leave = |next: &Selection| {
                 let is_stuck = !has_output || !node.routing.is_served(&self.service.name);
@@ -289,7 +296,10 @@
             };
             let place = node.while_selected(&self.service, may_leave, node.acquire_place(&params));
             let error = match node.drain.until_end(place).await {
-                Some(Ok(Ok(permit))) => return Ok(permit),
+                Some(Ok(Ok(permit))) => {
+                    self.trial.iter_mut().for_each(Trial::on_granted);
+                    return Ok(permit);
+                }
                 Some(Err(next)) => {
                     self.on_service_left(next);
                     continue;
@@ -301,14 +311,14 @@
                 PlaceError::Refused { retry_after } => (retry_after, TrialProgress::Refused),
                 PlaceError::Expired => (EXPIRED_RETRY_AFTER, TrialProgress::NoPlace),
             };
-            if let Some(trial) = &mut trial {
+            if let Some(trial) = &mut self.trial {
                 trial.set_progress(progress);
             }
             return Err(AttemptError::NoPlace(retry_after));
         }
     }
 
-    fn place_params(&self, trial: &[ContentHash]) -> PlaceParams {
+    fn place_params(&self) -> PlaceParams {
         let now = self.node.now();
         let objective = self.arrived + self.route.latency_objective.saturating_sub(FIRST_BYTE_TIME);
         let is_retry = self.possible_runs + self.rejections > 0;
@@ -320,7 +330,7 @@
             expires_at: self.deadline,
             repeatable: self.route.kind.is_repeatable() && self.route.max_attempts > 1,
             excluded: self.excluded.clone(),
-            trial: trial.to_vec(),
+            trial: self.trial.as_ref().map(|trial| trial.key().clone()),
         }
     }
 
--- a/dogwoodtray_gateway/src/http/run.rs
+++ b/dogwoodtray_gateway/src/http/run.rs
@@ -51,9 +51,9 @@
         self.permit.set_outcome(outcome);
     }
 
-    /// Records that the endpoint did not run the request.
-    pub(crate) const fn on_not_run(&mut self, progress: TrialProgress) {
-        self.observed.on_not_run(progress);
+    /// Records that the endpoint did not run the request. Returns the trial, which another run may use.
+    pub(crate) const fn on_not_run(&mut self, progress: TrialProgress) -> Option<Trial> {
+        self.observed.on_not_run(progress)
     }
 
     /// Records that the head of an answer arrived by which the endpoint failed.
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod routing;
 mod sync;
 mod trial;
+mod trial_log;
 
 pub use crate::directory::Applied;
 pub use crate::directory::Directory;
--- a/dogwoodtray_gateway/src/observed_run.rs
+++ b/dogwoodtray_gateway/src/observed_run.rs
@@ -108,9 +108,10 @@
         }
     }
 
-    /// Records that the endpoint did not run the request.
-    pub(crate) const fn on_not_run(&mut self, progress: TrialProgress) {
+    /// Records that the endpoint did not run the request. Returns the trial, which another run may use.
+    pub(crate) const fn on_not_run(&mut self, progress: TrialProgress) -> Option<Trial> {
         self.set_trial_progress(progress);
+        self.trial.take()
     }
 
     /// Records that the head of an answer arrived by which the endpoint failed.
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
@@ -33,6 +32,7 @@
 use super::wire::outcome_to_wire;
 use crate::node::Node;
 use crate::peers::DISPATCHER_KEY;
+use crate::trial::TrialKey;
 
 /// Time in which a driver must respond to a place request. A round trip takes 1 ms and processing
 /// far less; the rest allows for a driver that is waiting for CPU time.
@@ -55,8 +55,8 @@
     /// Whether the request may be sent again after an endpoint has failed it.
     pub(crate) repeatable: bool,
     pub(crate) excluded: Vec<Name>,
-    /// Blocked contents of the request, if it runs as a trial of them.
-    pub(crate) trial: Vec<ContentHash>,
+    /// Trial of blocked contents, if the request runs as one.
+    pub(crate) trial: Option<TrialKey>,
 }
 
 /// Reason why no place was assigned.
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Returns the incarnation of this process.
+    pub(crate) const fn holder(&self) -> u64 {
+        self.holder
+    }
+
     pub(super) const fn id(&self, number: u64) -> PlaceId {
         PlaceId { holder: self.holder, number }
     }
@@ -264,6 +269,7 @@
         let link = self.peers.link_to(&name)?;
         self.send_held_places(&name, &link);
         let now = self.now();
+        let trial = params.trial.as_ref();
         let message = messages::PlaceAsk {
             ask: number,
             service: params.service.to_string(),
@@ -272,7 +278,11 @@
             due_within_ms: millis(params.due - now),
             repeatable: params.repeatable,
             excluded: params.excluded.iter().map(ToString::to_string).collect(),
-            trial: params.trial.iter().map(|content| content.0).collect(),
+            trial: trial
+                .map(|trial| trial.contents.iter().map(|content| content.0).collect())
+                .unwrap_or_default(),
+            trial_holder: trial.map_or(0, |trial| trial.id.holder.0),
+            trial_number: trial.map_or(0, |trial| trial.id.number),
         };
         if !link.send(message) {
             return None;
@@ -305,11 +315,12 @@
     }
 
     fn request_locally(&self, number: u64, params: &PlaceParams) {
-        if let Err(retry_after) = self.start_trial(params.class, &params.trial) {
+        let id = self.places.id(number);
+        if let Err(retry_after) = self.request_trial(id, params.class, params.trial.as_ref()) {
             return self.deliver(number, PlaceEvent::Refuse(retry_after));
         }
         let request = PlaceRequest {
-            id: self.places.id(number),
+            id,
             service: Name::clone(&params.service),
             class: params.class,
             start_by: params.start_by,
@@ -359,6 +370,7 @@
             link.send(messages::PlaceReturn { ask: number, outcome: wire_outcome });
         }
         let id = self.places.id(number);
+        self.on_place_released(id);
         self.dispatch(|dispatcher, now, out| {
             dispatcher.release_place(now, id, outcome, out);
         });
@@ -421,7 +433,15 @@
 
     fn perform(&self, action: PlaceAction) {
         let (id, event) = match action {
-            PlaceAction::Grant { id, endpoint } => (id, PlaceEvent::Grant(endpoint)),
+            PlaceAction::Grant { id, endpoint } => match self.start_trial(id) {
+                Ok(()) => (id, PlaceEvent::Grant(endpoint)),
+                Err(retry_after) => {
+                    self.dispatch(|dispatcher, now, out| {
+                        dispatcher.release_place(now, id, PlaceOutcome::Withdrawn, out);
+                    });
+                    (id, PlaceEvent::Refuse(retry_after))
+                }
+            },
             PlaceAction::Queued { id } => (id, PlaceEvent::Queued),
             PlaceAction::Refuse { id, retry_after } => (id, PlaceEvent::Refuse(retry_after)),
             PlaceAction::Preempt { id } => (id, PlaceEvent::Preempt),
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Name;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceRequest;
@@ -14,6 +13,7 @@
 use super::acquire::PlaceEvent;
 use super::wire::class_from_wire;
 use super::wire::outcome_from_wire;
+use super::wire::trial_from_wire;
 use crate::node::Node;
 
 /// # Links
@@ -72,19 +72,18 @@
         match kind {
             Kind::PlaceAsk(request) => {
                 let now = self.now();
-                let trial: Vec<ContentHash> =
-                    request.trial.iter().copied().map(ContentHash).collect();
+                let id = PlaceId { holder: incarnation, number: request.ask };
                 let class = class_from_wire(request.class());
-                if let Err(retry_after) = self.start_trial(class, &trial) {
-                    let ask = request.ask;
+                let trial = trial_from_wire(&request);
+                if let Err(retry_after) = self.request_trial(id, class, trial.as_ref()) {
                     let retry_after_ms = millis(retry_after);
                     if let Some(link) = self.peers.link_of_incarnation(incarnation) {
-                        link.send(messages::PlaceRefused { ask, retry_after_ms });
+                        link.send(messages::PlaceRefused { ask: request.ask, retry_after_ms });
                     }
                     return None;
                 }
                 let request = PlaceRequest {
-                    id: PlaceId { holder: incarnation, number: request.ask },
+                    id,
                     service: Name::from(request.service.as_str()),
                     class,
                     start_by: now + Duration::from_millis(request.start_within_ms.into()),
@@ -101,6 +100,7 @@
             Kind::PlaceReturn(place) => {
                 let id = PlaceId { holder: incarnation, number: place.ask };
                 let outcome = outcome_from_wire(place.outcome());
+                self.on_place_released(id);
                 self.dispatch(|dispatcher, now, out| {
                     dispatcher.release_place(now, id, outcome, out);
                 });
@@ -125,6 +125,7 @@
     }
 
     pub(crate) fn remove_places_of(&self, incarnation: u64) {
+        self.on_places_removed(incarnation);
         self.dispatch(|dispatcher, now, out| dispatcher.remove_holder(now, incarnation, out));
     }
 }
--- a/dogwoodtray_gateway/src/places/mod.rs
+++ b/dogwoodtray_gateway/src/places/mod.rs
@@ -10,3 +10,4 @@
 pub(crate) use self::acquire::PlacePermit;
 pub(crate) use self::acquire::Places;
 pub(crate) use self::wire::outcome_from_wire;
+pub(crate) use self::wire::trial_from_wire;
--- a/dogwoodtray_gateway/src/places/wire.rs
+++ b/dogwoodtray_gateway/src/places/wire.rs
@@ -1,10 +1,15 @@
 //! Conversions between values and message fields for places.
 
+use dogwoodtray_coord::ContentHash;
+use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::TrialId;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::WorkClass;
 
+use crate::trial::TrialKey;
+
 pub(super) const fn class_to_wire(class: Class) -> WorkClass {
     match class {
         Class::Online => WorkClass::Online,
@@ -40,3 +45,11 @@
         }
     }
 }
+
+/// Returns the trial that a place is requested for.
+pub(crate) fn trial_from_wire(request: &messages::PlaceAsk) -> Option<TrialKey> {
+    let holder = Incarnation(request.trial_holder);
+    let id = TrialId { holder, number: request.trial_number };
+    let contents = request.trial.iter().copied().map(ContentHash).collect();
+    (!request.trial.is_empty()).then_some(TrialKey { id, contents })
+}
--- a/dogwoodtray_gateway/src/trial.rs
+++ b/dogwoodtray_gateway/src/trial.rs
@@ -5,8 +5,14 @@
 
 use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::TRIAL_RENEWAL_INTERVAL;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::TrialId;
+use dogwoodtray_coord::TrialStage;
 use dogwoodtray_runtime::catalogue;
+use tokio::task::AbortHandle;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use crate::contents::content_list;
 use crate::node::Node;
@@ -76,32 +82,61 @@
     }
 }
 
-/// Trial of blocked contents. Its end is logged when it is dropped.
+/// Name and contents of a trial, as the process that assigns places is to know it.
+#[derive(Clone, Debug)]
+pub(crate) struct TrialKey {
+    pub(crate) id: TrialId,
+    pub(crate) contents: Rc<[ContentHash]>,
+}
+
+/// Task that renews the lease of a trial, aborted when it is dropped.
+#[derive(Debug)]
+struct Renewal(AbortHandle);
+
+impl Drop for Renewal {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Trial of blocked contents, held by the request or item that runs as one.
+///
+/// Its lease is renewed from the first place that it is granted until it is dropped. Its end is then
+/// logged and reported.
 #[derive(Debug)]
 pub(crate) struct Trial {
     node: Rc<Node>,
     /// Id of the request or the item.
     id: Name,
-    contents: Vec<ContentHash>,
+    key: TrialKey,
     opened_at: Timestamp,
     progress: TrialProgress,
+    renewal: Option<Renewal>,
 }
 
 impl Trial {
-    /// Opens a trial of these contents by a request or an item.
+    /// Opens a trial of these contents by a request or an item. It starts when it is granted a place.
     pub(crate) fn open(node: &Rc<Node>, id: &Name, contents: Vec<ContentHash>) -> Self {
+        let key = TrialKey { id: node.next_trial(), contents: contents.into() };
         Self {
             node: Rc::clone(node),
             id: Name::clone(id),
-            contents,
+            key,
             opened_at: node.now(),
             progress: TrialProgress::Open,
+            renewal: None,
         }
     }
 
-    /// Returns the blocked contents.
-    pub(crate) fn contents(&self) -> &[ContentHash] {
-        &self.contents
+    /// Records that a place was granted, so that the trial has started.
+    pub(crate) fn on_granted(&mut self) {
+        self.renewal
+            .get_or_insert_with(|| spawn_renewal(&self.node, self.key.clone(), self.opened_at));
+    }
+
+    /// Returns its name and contents.
+    pub(crate) const fn key(&self) -> &TrialKey {
+        &self.key
     }
 
     /// Records how far the trial got.
@@ -110,19 +145,33 @@
     }
 }
 
+fn spawn_renewal(node: &Rc<Node>, key: TrialKey, opened_at: Timestamp) -> Renewal {
+    let node = Rc::clone(node);
+    let task = spawn_local(async move {
+        loop {
+            sleep(TRIAL_RENEWAL_INTERVAL).await;
+            node.report_trial(&key, opened_at, None);
+        }
+    });
+    Renewal(task.abort_handle())
+}
+
 impl Drop for Trial {
     fn drop(&mut self) {
-        let contents = content_list(&self.contents);
+        let contents = content_list(&self.key.contents);
         let open_ms = (self.node.now() - self.opened_at).as_millis();
+        let may_have_run = self.progress.may_have_run();
         let fields: [(&str, &dyn Display); 5] = [
             ("contents", &contents),
             ("open_ms", &open_ms),
             ("end", &self.progress.as_str()),
-            ("may_have_run", &self.progress.may_have_run()),
+            ("may_have_run", &may_have_run),
             ("told", &self.progress.told()),
         ];
         self.node.events.emit(&catalogue::TRIAL_ENDED, Some(&self.id), &fields);
         metrics::counter!("dogwoodtray_ended_trials_total", "told" => self.progress.told())
             .increment(1);
+        let stage = if may_have_run { TrialStage::Ran } else { TrialStage::NotRun };
+        self.node.report_trial(&self.key, self.opened_at, Some(stage));
     }
 }
--- a/dogwoodtray_gateway/tests/support/crashing.rs
+++ b/dogwoodtray_gateway/tests/support/crashing.rs
@@ -30,6 +30,23 @@
 /// Pause before each event of a response.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Answer to a request without the deadly text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Answer {
+    /// All events.
+    Usual,
+    /// This status, and that the request was not run.
+    NotRun(u16),
+    /// Status 500.
+    Failure,
+    /// The head, and no event.
+    Head,
+    /// Nothing.
+    Silence,
+    /// The head, after which the connection is closed.
+    BrokenOff,
+}
+
 /// Counts of requests over all endpoints of a group, and how these behave.
 #[derive(Debug)]
 pub(crate) struct Counts {
@@ -46,6 +63,10 @@
     pub(crate) is_healed: Cell<bool>,
     /// Time from the head of a response to the crash, also if its caller disconnects.
     pub(crate) crash_delay: Cell<Duration>,
+    /// Time for which endpoints are down after a crash, if it is longer than that of their start.
+    pub(crate) down_for: Cell<Duration>,
+    /// Answer to requests without the deadly text.
+    pub(crate) answer: Cell<Answer>,
     /// Number of times that all endpoints were killed.
     kills: Cell<u32>,
 }
@@ -60,6 +81,8 @@
             events: Cell::new(3),
             is_healed: Cell::default(),
             crash_delay: Cell::new(CRASH_DELAY),
+            down_for: Cell::default(),
+            answer: Cell::new(Answer::Usual),
             kills: Cell::default(),
         }
     }
@@ -127,7 +150,7 @@
             drop(listener);
             drop(connections);
             self.counts.crashes.set(self.counts.crashes.get() + 1);
-            sleep(self.down).await;
+            sleep(self.down.max(self.counts.down_for.get())).await;
             self.is_crashed.set(false);
             listener = self.rebind();
         }
@@ -152,7 +175,25 @@
             "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-stamp: s1\r\n\
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
         );
+        let status = match self.counts.answer.get() {
+            Answer::NotRun(status) => Some((status, "not-executed: 1\r\n")),
+            Answer::Failure => Some((500, "")),
+            Answer::Silence if !is_deadly => return std::future::pending().await,
+            _ => None,
+        };
+        if let Some((status, not_run)) = status.filter(|_| !is_deadly) {
+            let answer = format!(
+                "HTTP/1.1 {status} X\r\nattempt-id: {id}\r\nserver-stamp: s1\r\n{not_run}\
+                 content-length: 0\r\n\r\n"
+            );
+            return stream.write_all(answer.as_bytes()).await;
+        }
         stream.write_all(head.as_bytes()).await?;
+        match self.counts.answer.get() {
+            Answer::Head if !is_deadly => return std::future::pending().await,
+            Answer::BrokenOff if !is_deadly => return Ok(()),
+            _ => {}
+        }
         if is_deadly {
             sleep(self.counts.crash_delay.get()).await;
             self.is_crashed.set(true);
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -57,6 +57,7 @@
 use self::body::events;
 use self::body::frame;
 use self::body::whole;
+pub(crate) use self::crashing::Answer;
 pub(crate) use self::crashing::Counts;
 pub(crate) use self::crashing::start_crashing;
 pub(crate) use self::crashing::start_crashing_with;
--- a/dogwoodtray_runtime/src/convert.rs
+++ b/dogwoodtray_runtime/src/convert.rs
@@ -15,6 +15,10 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::RunStage;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::Trial;
+use dogwoodtray_coord::TrialId;
+use dogwoodtray_coord::TrialLog;
+use dogwoodtray_coord::TrialStage;
 use dogwoodtray_wire::messages;
 
 /// Maximum number of pieces of evidence in one frame; about 20 KB.
@@ -121,6 +125,45 @@
     }
 }
 
+fn trial_to_wire(now: Timestamp, trial: &Trial) -> messages::TrialRecord {
+    messages::TrialRecord {
+        holder: trial.id.holder.0,
+        number: trial.id.number,
+        stage: trial_stage_to_wire(trial.stage).into(),
+        turn: trial.turn,
+        alone: trial.is_alone,
+        started_ago_ms: millis(now - trial.started_at),
+        until_in_ms: millis(trial.until - now),
+    }
+}
+
+fn trial_from_wire(now: Timestamp, record: &messages::TrialRecord) -> Trial {
+    Trial {
+        id: TrialId { holder: Incarnation(record.holder), number: record.number },
+        stage: match record.stage() {
+            messages::TrialStage::Unspecified | messages::TrialStage::Granted => {
+                TrialStage::Granted
+            }
+            messages::TrialStage::NotRun => TrialStage::NotRun,
+            messages::TrialStage::Ran => TrialStage::Ran,
+        },
+        turn: record.turn,
+        until: now + Duration::from_millis(record.until_in_ms.into()),
+        started_at: time_ago(now, record.started_ago_ms),
+        is_alone: record.alone,
+    }
+}
+
+/// Converts the stage of a trial to its wire value.
+#[must_use]
+pub const fn trial_stage_to_wire(stage: TrialStage) -> messages::TrialStage {
+    match stage {
+        TrialStage::Granted => messages::TrialStage::Granted,
+        TrialStage::NotRun => messages::TrialStage::NotRun,
+        TrialStage::Ran => messages::TrialStage::Ran,
+    }
+}
+
 /// Converts a block to its wire message. `now` is the current time of this process.
 #[must_use]
 pub fn block_to_wire(now: Timestamp, block: &Block) -> messages::BlockedContent {
@@ -133,7 +176,8 @@
         trial_in_ms: millis(block.trial_at - now),
         lone_trial_in_ms: millis(block.lone_trial_at - now),
         item_trial_in_ms: millis(block.item_trial_at - now),
-        trials: block.trials,
+        trial_log: block.trials.iter().map(|trial| trial_to_wire(now, trial)).collect(),
+        trial_budget: block.trials.budget(),
         rivals: block.rivals.iter().map(|rival| rival.0).collect(),
     }
 }
@@ -151,7 +195,10 @@
         trial_at: later(blocked.trial_in_ms),
         lone_trial_at: later(blocked.lone_trial_in_ms),
         item_trial_at: later(blocked.item_trial_in_ms),
-        trials: blocked.trials,
+        trials: TrialLog::new(
+            blocked.trial_budget,
+            blocked.trial_log.iter().map(|record| trial_from_wire(now, record)),
+        ),
         rivals: blocked.rivals.iter().copied().map(ContentHash).collect(),
     }
 }
@@ -160,7 +207,9 @@
     Duration::from_millis(ago_ms.into()) <= now - Timestamp::ZERO
 }
 
-fn time_ago(now: Timestamp, ms: u32) -> Timestamp {
+/// Returns the time that was `ms` milliseconds before now.
+#[must_use]
+pub fn time_ago(now: Timestamp, ms: u32) -> Timestamp {
     now.saturating_sub(Duration::from_millis(ms.into()))
 }
 
--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -21,6 +21,8 @@
 pub use crate::convert::evidence_from_wire;
 pub use crate::convert::evidence_to_wire;
 pub use crate::convert::millis;
+pub use crate::convert::time_ago;
+pub use crate::convert::trial_stage_to_wire;
 pub use crate::events::EventCode;
 pub use crate::events::EventLog;
 pub use crate::events::EventRecord;
--- a/dogwoodtray_wire/src/convert.rs
+++ b/dogwoodtray_wire/src/convert.rs
@@ -61,4 +61,5 @@
     StoreObject,
     StoreRead,
     TokensHeld,
+    TrialReport,
 );
