--- a/dogwoodtray_entry/tests/core_support/mod.rs
+++ b/dogwoodtray_entry/tests/core_support/mod.rs
@@ -110,15 +110,8 @@
             ended: Vec::new(),
             delivered: Vec::new(),
         };
-        for number in 1..=ENDPOINTS {
-            let peer = PeerInfo {
-                node: Name::from(format!("agent-{number}")),
-                incarnation: Incarnation(number),
-                data_centre: Name::from("dc"),
-                models: vec![Name::from("m")],
-            };
-            let link = LinkNo(number);
-            entry.handle(OnlineEvent::LinkUp { link, peer });
+        entry.set_links(true);
+        for link in (1..=ENDPOINTS).map(LinkNo) {
             let (free_online, free_batch, queued_online, leaving) = (64, 64, 0, false);
             entry.handle(OnlineEvent::Report {
                 link,
@@ -131,6 +124,24 @@
         entry
     }
 
+    /// Connects or disconnects all agents.
+    pub(crate) fn set_links(&mut self, are_up: bool) {
+        for number in 1..=ENDPOINTS {
+            let link = LinkNo(number);
+            let peer = PeerInfo {
+                node: Name::from(format!("agent-{number}")),
+                incarnation: Incarnation(number),
+                data_centre: Name::from("dc"),
+                models: vec![Name::from("m")],
+            };
+            self.handle(if are_up {
+                OnlineEvent::LinkUp { link, peer }
+            } else {
+                OnlineEvent::LinkDown { link }
+            });
+        }
+    }
+
     pub(crate) fn handle(&mut self, event: OnlineEvent) {
         let mut actions = Vec::new();
         self.core.handle(self.now, event, &mut actions);
