Return retries to the budget that were never sent

If it then found no endpoint or no agent forwarded it, and its caller left or its time ran out, it stayed spent, so the requests after an outage of all agents were refused with "no retry is left" though none had been retried.

A retry that was not sent is now returned when its request ends. The test fails before (100 unsent retries, then a request that is not retried) and passes.

--- a/dogwoodtray_coord/src/retry.rs
+++ b/dogwoodtray_coord/src/retry.rs
@@ -66,6 +66,11 @@
         true
     }
 
+    /// Returns a retry to the budget that was consumed and not sent.
+    pub fn give_back(&mut self) {
+        self.add_tokens(MICRO_TOKENS_PER_TOKEN);
+    }
+
     fn refill(&mut self, now: Timestamp) {
         let elapsed_us = now.as_micros().saturating_sub(self.refilled_at.as_micros());
         self.refilled_at = self.refilled_at.max(now);
--- a/dogwoodtray_entry/src/online/placement.rs
+++ b/dogwoodtray_entry/src/online/placement.rs
@@ -166,6 +166,7 @@
             None => None,
         };
         request.in_flight.push(id);
+        request.has_unsent_retry = false;
         let attempt = Attempt {
             id,
             owner: Owner::Request(request_no),
@@ -273,6 +274,9 @@
         self.waiting.remove(&request_no);
         self.unanswered.remove(&request_no);
         let Some(request) = self.requests.remove(&request_no) else { return };
+        if request.has_unsent_retry {
+            self.retry_budget.give_back();
+        }
         if let Some(trial) = &request.trial {
             self.end_trial(now, trial, false);
         }
--- a/dogwoodtray_entry/src/online/request.rs
+++ b/dogwoodtray_entry/src/online/request.rs
@@ -32,6 +32,8 @@
     pub(super) delivered: u32,
     /// Number of failed attempts that were retried.
     pub(super) failures: u32,
+    /// Whether a retry was taken from the budget that has not been sent.
+    pub(super) has_unsent_retry: bool,
     /// Number of attempts that agents did not forward.
     pub(super) refusals: u32,
     /// Endpoints that refused the request or failed, to be avoided at the next placement.
@@ -56,6 +58,7 @@
             winner: None,
             delivered: 0,
             failures: 0,
+            has_unsent_retry: false,
             refusals: 0,
             exclude: Vec::new(),
             retry_at: now,
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -342,6 +342,7 @@
         }
         let Some(request) = self.requests.get_mut(&request_no) else { return };
         request.exclude = vec![attempt.endpoint];
+        request.has_unsent_retry = request.failures > 0;
         request.refusals += 1;
         if request.refusals == 1 {
             return self.place(now, request_no, actions);
@@ -373,6 +374,7 @@
         }
         if let Some(request) = self.requests.get_mut(&request_no) {
             request.failures += 1;
+            request.has_unsent_retry = true;
             request.exclude = vec![attempt.endpoint];
             let id = Name::clone(&request.spec.id);
             actions.push(OnlineAction::Retried { id, reason: retry_reason(outcome) });
--- /dev/null
+++ b/dogwoodtray_entry/tests/unsent_attempts.rs
@@ -0,0 +1,48 @@
+//! Permissions that were given for attempts which were never sent, in virtual time.
+
+mod core_support;
+
+use std::time::Duration;
+
+use dogwoodtray_entry::online::AttemptOutcome;
+use dogwoodtray_entry::online::NotRunReason;
+use dogwoodtray_entry::online::OnlineEvent;
+
+use crate::core_support::Entry;
+use crate::core_support::online;
+
+/// Time in which the retry budget fills up.
+const FILL: Duration = Duration::from_secs(11);
+
+/// Number of retries in the full budget.
+const RETRIES: u64 = 100;
+
+/// Guards against requests that are not retried because retries of others, which found no endpoint or
+/// were not forwarded, used up the budget.
+#[test]
+fn retries_that_are_not_sent_leave_the_budget_to_others() {
+    for is_forwarded in [false, true] {
+        let mut entry = Entry::new();
+        entry.run(FILL);
+        for number in 0..RETRIES {
+            let request = entry.submit_online(&online(1 + number, 0));
+            let attempt = entry.running.last().expect("the request runs").attempt;
+            if !is_forwarded {
+                entry.set_links(false);
+            }
+            entry.done(attempt, AttemptOutcome::Failed);
+            if is_forwarded {
+                let retry = entry.running.last().expect("it is retried").attempt;
+                entry.set_links(false);
+                entry.done(retry, AttemptOutcome::NotRun(NotRunReason::Busy));
+            }
+            entry.handle(OnlineEvent::CallerDisconnected { request });
+            entry.set_links(true);
+        }
+        entry.submit_online(&online(1 + RETRIES, 0));
+        let attempt = entry.running.last().expect("the request runs").attempt;
+        entry.done(attempt, AttemptOutcome::Failed);
+        let is_retried = entry.running.iter().any(|running| running.attempt != attempt);
+        assert!(is_retried, "forwarded to an agent: {is_forwarded}: {:?}", entry.ended);
+    }
+}
