--- a/dogwoodtray_coord/src/crashes/block.rs
+++ b/dogwoodtray_coord/src/crashes/block.rs
@@ -128,7 +128,7 @@
     fn scheduled(&self, subject: TrialSubject, now: Timestamp, is_alone: bool) -> Timestamp {
         let spent = || self.trials.spent(now);
         let count = spent().count();
-        let has_failed = |trial: &&Trial| trial.started_at <= self.last_crash;
+        let has_failed = |trial: &&Trial| trial.requested_at <= self.last_crash;
         if is_alone && !self.rivals.is_empty() {
             let mut alone = spent().filter(|trial| trial.is_alone).peekable();
             let is_open = count < TRIAL_BUDGET || alone.peek().is_none();
@@ -141,10 +141,10 @@
             TrialSubject::Item => self.trial_at.min(self.item_trial_at),
         };
         if count >= TRIAL_BUDGET {
-            let last = spent().map(|trial| trial.started_at).max().unwrap_or_default();
+            let last = spent().map(|trial| trial.requested_at).max().unwrap_or_default();
             return last + BUDGET_RENEWAL;
         }
-        let Some(failed) = spent().filter(has_failed).map(|trial| trial.started_at).max() else {
+        let Some(failed) = spent().filter(has_failed).map(|trial| trial.requested_at).max() else {
             return first;
         };
         let request_due = failed + TRIAL_DELAY * (1 << count);
--- a/dogwoodtray_coord/src/crashes/blocklist.rs
+++ b/dogwoodtray_coord/src/crashes/blocklist.rs
@@ -130,8 +130,8 @@
         Ok(())
     }
 
-    /// Starts a trial of the contents by a request or item that was granted a place, unless another one
-    /// has taken it. Returns the changed blocks.
+    /// Starts a trial of the contents by a request or item that was granted a place, which it requested
+    /// at `requested_at`, unless another one has taken it. Returns the changed blocks.
     ///
     /// # Errors
     ///
@@ -142,22 +142,24 @@
         now: Timestamp,
         contents: &[ContentHash],
         id: TrialId,
+        requested_at: Timestamp,
     ) -> Result<Vec<Block>, Duration> {
         self.check_trial(subject, now, contents, id)?;
         let is_alone = contents.len() == 1;
-        Ok(self.change_trials(contents, |block| block.trials.start(id, now, is_alone)))
+        Ok(self
+            .change_trials(contents, |block| block.trials.start(id, now, requested_at, is_alone)))
     }
 
-    /// Extends the lease of a trial that started at `started_at`. Returns the changed blocks.
+    /// Extends the lease of a trial whose place was requested at `requested_at`. Returns the changed blocks.
     pub fn renew_trial(
         &mut self,
         now: Timestamp,
         contents: &[ContentHash],
         id: TrialId,
-        started_at: Timestamp,
+        requested_at: Timestamp,
     ) -> Vec<Block> {
         let is_alone = contents.len() == 1;
-        self.change_trials(contents, |block| block.trials.renew(id, now, started_at, is_alone))
+        self.change_trials(contents, |block| block.trials.renew(id, now, requested_at, is_alone))
     }
 
     /// Ends a trial. Returns the changed blocks.
--- a/dogwoodtray_coord/src/crashes/pool.rs
+++ b/dogwoodtray_coord/src/crashes/pool.rs
@@ -192,20 +192,20 @@
         contents: &[ContentHash],
         id: TrialId,
     ) -> Result<(), Duration> {
-        let changed = self.analyzer.blocks_mut().start_trial(subject, now, contents, id)?;
+        let changed = self.analyzer.blocks_mut().start_trial(subject, now, contents, id, now)?;
         self.news.extend(changed.into_iter().map(Evidence::Block));
         Ok(())
     }
 
-    /// Extends the lease of a trial that started at `started_at`.
+    /// Extends the lease of a trial that started at `requested_at`.
     pub fn renew_trial(
         &mut self,
         now: Timestamp,
         contents: &[ContentHash],
         id: TrialId,
-        started_at: Timestamp,
+        requested_at: Timestamp,
     ) {
-        let changed = self.analyzer.blocks_mut().renew_trial(now, contents, id, started_at);
+        let changed = self.analyzer.blocks_mut().renew_trial(now, contents, id, requested_at);
         self.news.extend(changed.into_iter().map(Evidence::Block));
     }
 
--- a/dogwoodtray_coord/src/crashes/trial.rs
+++ b/dogwoodtray_coord/src/crashes/trial.rs
@@ -56,8 +56,8 @@
     pub turn: u32,
     /// End of the lease, or of the pause after the trial.
     pub until: Timestamp,
-    /// Time at which it started.
-    pub started_at: Timestamp,
+    /// Time at which its place was requested, from which the delay of the next trial counts.
+    pub requested_at: Timestamp,
     /// Whether the request or item had no other blocked content.
     pub is_alone: bool,
 }
@@ -81,8 +81,8 @@
 pub struct TrialEnd {
     /// Name of the trial.
     pub id: TrialId,
-    /// Time at which it started.
-    pub started_at: Timestamp,
+    /// Time at which its place was requested.
+    pub requested_at: Timestamp,
     /// Whether an endpoint may have run it.
     pub may_have_run: bool,
 }
@@ -148,7 +148,13 @@
 
     /// Records that a trial starts, or that its holder was granted a further place.
     /// Returns `true` if it starts.
-    pub(super) fn start(&mut self, id: TrialId, now: Timestamp, is_alone: bool) -> bool {
+    pub(super) fn start(
+        &mut self,
+        id: TrialId,
+        now: Timestamp,
+        requested_at: Timestamp,
+        is_alone: bool,
+    ) -> bool {
         let until = now + TRIAL_LEASE;
         if let Some(trial) = self.get_mut(id) {
             debug_assert!(trial.stage == TrialStage::Granted, "the trial has ended");
@@ -158,7 +164,7 @@
         self.begin_turn(now);
         let turn = self.last_turn().saturating_add(1);
         let stage = TrialStage::Granted;
-        self.insert(Trial { id, stage, turn, until, started_at: now, is_alone });
+        self.insert(Trial { id, stage, turn, until, requested_at, is_alone });
         self.prune();
         true
     }
@@ -170,7 +176,7 @@
                 trial.stage = TrialStage::Ran;
             }
         }
-        let last = self.spent(now).map(|trial| trial.started_at).max();
+        let last = self.spent(now).map(|trial| trial.requested_at).max();
         if self.spent(now).count() >= TRIAL_BUDGET
             && last.is_some_and(|at| now >= at + BUDGET_RENEWAL)
         {
@@ -185,7 +191,7 @@
         &mut self,
         id: TrialId,
         now: Timestamp,
-        started_at: Timestamp,
+        requested_at: Timestamp,
         is_alone: bool,
     ) -> bool {
         let until = now + TRIAL_LEASE;
@@ -197,7 +203,7 @@
             return is_open;
         }
         let (stage, turn) = (TrialStage::Granted, self.last_turn());
-        self.insert(Trial { id, stage, turn, until, started_at, is_alone });
+        self.insert(Trial { id, stage, turn, until, requested_at, is_alone });
         self.prune();
         true
     }
@@ -211,10 +217,10 @@
             return false;
         }
         let turn = known.map_or_else(|| self.last_turn(), |trial| trial.turn);
-        let started_at = known.map_or(end.started_at, |trial| trial.started_at);
+        let requested_at = known.map_or(end.requested_at, |trial| trial.requested_at);
         let is_new = known.is_none_or(|trial| trial.stage < stage);
         if is_new {
-            self.insert(Trial { id: end.id, stage, turn, until, started_at, is_alone });
+            self.insert(Trial { id: end.id, stage, turn, until, requested_at, is_alone });
             self.prune();
         }
         is_new
--- a/dogwoodtray_coord/tests/crash_support/mod.rs
+++ b/dogwoodtray_coord/tests/crash_support/mod.rs
@@ -246,7 +246,7 @@
                     ContentVerdict::Allowed => false,
                     ContentVerdict::Trial(trial) => analyzer
                         .blocks_mut()
-                        .start_trial(TrialSubject::Request, self.now, &trial, id)
+                        .start_trial(TrialSubject::Request, self.now, &trial, id, self.now)
                         .is_err(),
                     ContentVerdict::Blocked { .. } => true,
                 }
--- a/dogwoodtray_coord/tests/crashes.rs
+++ b/dogwoodtray_coord/tests/crashes.rs
@@ -272,14 +272,14 @@
     let verdict = analyzer.blocks().check(subject, at(ms), contents, None);
     let ContentVerdict::Trial(tried) = verdict else { return false };
     let id = trial_id(ms);
-    if analyzer.blocks_mut().start_trial(subject, at(ms), &tried, id).is_err() {
+    if analyzer.blocks_mut().start_trial(subject, at(ms), &tried, id, at(ms)).is_err() {
         return false;
     }
     let request = contents.request.0;
     let parts: Vec<u64> = contents.parts.iter().map(|part| part.0).collect();
     let crashed = run(request, &parts, &format!("t{ms}"), ms + 50, RunStage::Starting);
     analyzer.record_crash(at(ms + 50), crashed);
-    let end = TrialEnd { id, started_at: at(ms), may_have_run: true };
+    let end = TrialEnd { id, requested_at: at(ms), may_have_run: true };
     analyzer.blocks_mut().end_trial(at(ms + 50), &tried, end);
     true
 }
@@ -383,7 +383,7 @@
         },
         turn,
         until: at(u64::from(until)),
-        started_at: at(u64::from(until) / 2),
+        requested_at: at(u64::from(until) / 2),
         is_alone: stage.is_multiple_of(2),
     }
 }
--- a/dogwoodtray_coord/tests/evidence_pool.rs
+++ b/dogwoodtray_coord/tests/evidence_pool.rs
@@ -72,7 +72,7 @@
             block.item_trial_at = block.item_trial_at + TRANSFER;
             let trials = block.trials.iter().map(|trial| Trial {
                 until: trial.until + TRANSFER,
-                started_at: trial.started_at + TRANSFER,
+                requested_at: trial.requested_at + TRANSFER,
                 ..*trial
             });
             block.trials = TrialLog::new(block.trials.budget(), trials);
@@ -270,9 +270,9 @@
     let mut block = pool.blocks().get(GUILTY).expect("a block").clone();
     block.crashes = u32::MAX;
     let id = TrialId { holder: Incarnation(u64::MAX), number: u64::MAX };
-    let (until, started_at) = (later, later);
+    let (until, requested_at) = (later, later);
     let trial =
-        Trial { id, stage: TrialStage::Ran, turn: u32::MAX, until, started_at, is_alone: true };
+        Trial { id, stage: TrialStage::Ran, turn: u32::MAX, until, requested_at, is_alone: true };
     block.trials = TrialLog::new(u32::MAX, [trial]);
     pool.merge(later, [Evidence::Block(block)]);
     let due = later + Duration::from_secs(3_600);
--- a/dogwoodtray_coord/tests/model_trials.rs
+++ b/dogwoodtray_coord/tests/model_trials.rs
@@ -149,7 +149,7 @@
         for process in self.assigners() {
             let mut next = self.clone();
             let started = change(&mut next.blocks[process], |list| {
-                list.start_trial(TrialSubject::Request, self.now, &[CONTENT], id(number))
+                list.start_trial(TrialSubject::Request, self.now, &[CONTENT], id(number), self.now)
             });
             if started.is_ok() {
                 next.trials.insert(number, Truth::Out);
@@ -168,7 +168,7 @@
             return next;
         }
         for process in self.live() {
-            let end = TrialEnd { id: id(number), started_at: self.now, may_have_run };
+            let end = TrialEnd { id: id(number), requested_at: self.now, may_have_run };
             change(&mut next.blocks[process], |list| list.end_trial(self.now, &[CONTENT], end));
             next.broadcast(process);
         }
--- a/dogwoodtray_entry/src/online/blocks.rs
+++ b/dogwoodtray_entry/src/online/blocks.rs
@@ -102,7 +102,7 @@
 
     /// Ends a trial.
     pub(super) fn end_trial(&mut self, now: Timestamp, trial: &Trial, may_have_run: bool) {
-        let end = TrialEnd { id: trial.id, started_at: trial.started_at, may_have_run };
+        let end = TrialEnd { id: trial.id, requested_at: trial.started_at, may_have_run };
         self.pool.end_trial(now, &trial.contents, end);
     }
 
--- a/dogwoodtray_gateway/src/crashes.rs
+++ b/dogwoodtray_gateway/src/crashes.rs
@@ -43,6 +43,7 @@
 use crate::node::NodeRole;
 use crate::peers::DISPATCHER_KEY;
 use crate::trial::TrialKey;
+use crate::trial_log::TrialRequest;
 
 /// Number of drivers that are told what all processes are to know. The second one continues if the
 /// first is lost.
@@ -63,7 +64,7 @@
     /// Number of the last trial of this process.
     pub(crate) last_trial: Cell<u64>,
     /// Trials whose requests for places are pending at this process.
-    pub(crate) requested_trials: RefCell<HashMap<PlaceId, (TrialSubject, TrialKey)>>,
+    pub(crate) requested_trials: RefCell<HashMap<PlaceId, TrialRequest>>,
 }
 
 impl Crashes {
--- a/dogwoodtray_gateway/src/trial_log.rs
+++ b/dogwoodtray_gateway/src/trial_log.rs
@@ -26,6 +26,14 @@
 use crate::peers::DISPATCHER_KEY;
 use crate::trial::TrialKey;
 
+/// Trial whose request for a place is pending.
+#[derive(Clone, Debug)]
+pub(crate) struct TrialRequest {
+    subject: TrialSubject,
+    key: TrialKey,
+    requested_at: Timestamp,
+}
+
 /// # Start
 impl Node {
     /// Returns the name of the next trial of this process.
@@ -47,10 +55,13 @@
         if !self.may_start_trials() {
             return Err(TRIAL_PAUSE);
         }
-        let subject = trial_subject(class);
+        let (subject, now) = (trial_subject(class), self.now());
         let analyzer = self.crashes.analyzer.borrow();
-        analyzer.blocks().check_trial(subject, self.now(), &trial.contents, trial.id)?;
-        self.crashes.requested_trials.borrow_mut().insert(place, (subject, trial.clone()));
+        analyzer.blocks().check_trial(subject, now, &trial.contents, trial.id)?;
+        self.crashes
+            .requested_trials
+            .borrow_mut()
+            .insert(place, TrialRequest { subject, key: trial.clone(), requested_at: now });
         Ok(())
     }
 
@@ -58,11 +69,11 @@
     /// until the next one if another request or item has taken it meanwhile.
     pub(crate) fn start_trial(&self, place: PlaceId) -> Result<(), Duration> {
         let requested = self.crashes.requested_trials.borrow_mut().remove(&place);
-        let Some((subject, trial)) = requested else { return Ok(()) };
+        let Some(TrialRequest { subject, key, requested_at }) = requested else { return Ok(()) };
         let changed = {
             let mut analyzer = self.crashes.analyzer.borrow_mut();
             let blocks = analyzer.blocks_mut();
-            blocks.start_trial(subject, self.now(), &trial.contents, trial.id)?
+            blocks.start_trial(subject, self.now(), &key.contents, key.id, requested_at)?
         };
         for block in &changed {
             let trials = block.trials.iter().count();
@@ -99,14 +110,14 @@
     pub(crate) fn report_trial(
         &self,
         trial: &TrialKey,
-        started_at: Timestamp,
+        requested_at: Timestamp,
         end: Option<TrialStage>,
     ) {
         let report = messages::TrialReport {
             holder: trial.id.holder.0,
             number: trial.id.number,
             contents: trial.contents.iter().map(|content| content.0).collect(),
-            started_ago_ms: millis(self.now() - started_at),
+            requested_ago_ms: millis(self.now() - requested_at),
             end: end.map_or_else(Default::default, trial_stage_to_wire).into(),
         };
         if self.send_to_first_drivers(&report.clone().into()) {
@@ -118,7 +129,7 @@
     pub(crate) fn on_trial_report(&self, report: &messages::TrialReport) {
         let now = self.now();
         let id = TrialId { holder: Incarnation(report.holder), number: report.number };
-        let started_at = time_ago(now, report.started_ago_ms);
+        let requested_at = time_ago(now, report.requested_ago_ms);
         let contents: Vec<ContentHash> = report.contents.iter().copied().map(ContentHash).collect();
         let may_have_run = match report.end() {
             messages::TrialStage::NotRun => false,
@@ -126,10 +137,10 @@
             // It goes on.
             _ => {
                 return self
-                    .change_trial(|blocks| blocks.renew_trial(now, &contents, id, started_at));
+                    .change_trial(|blocks| blocks.renew_trial(now, &contents, id, requested_at));
             }
         };
-        let end = TrialEnd { id, started_at, may_have_run };
+        let end = TrialEnd { id, requested_at, may_have_run };
         self.change_trial(|blocks| blocks.end_trial(now, &contents, end));
     }
 
--- a/dogwoodtray_runtime/src/convert.rs
+++ b/dogwoodtray_runtime/src/convert.rs
@@ -132,7 +132,7 @@
         stage: trial_stage_to_wire(trial.stage).into(),
         turn: trial.turn,
         alone: trial.is_alone,
-        started_ago_ms: millis(now - trial.started_at),
+        requested_ago_ms: millis(now - trial.requested_at),
         until_in_ms: millis(trial.until - now),
     }
 }
@@ -149,7 +149,7 @@
         },
         turn: record.turn,
         until: now + Duration::from_millis(record.until_in_ms.into()),
-        started_at: time_ago(now, record.started_ago_ms),
+        requested_at: time_ago(now, record.requested_ago_ms),
         is_alone: record.alone,
     }
 }
