Let the next run of an item use the trial that was not run

An item whose trial was refused by an endpoint (421 after its address moved, or 503) ended the trial, so it and all others waited for the pause of 1 s, and the next one began behind other items again. The trial now stays with the item for its next run, as with a request. It is given up if the item gets no place within 1 s, or has to wait for another reason, as no other trial starts meanwhile.

The test fails before: the next run waited for 1 s.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -8,6 +8,7 @@
 use dogwoodtray_coord::ContentVerdict;
 use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::TRIAL_PAUSE;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_policy::Class;
@@ -76,13 +77,23 @@
     let mut empty_runs = 0;
     let mut head_timeout = INITIAL_HEAD_TIMEOUT;
     let mut excluded: Vec<Name> = Vec::new();
+    // Trial that the next run is.
+    let mut trial: Option<Trial> = None;
     let route_key = RouteKey::new(&job.spec.host, &item.path);
     let Some(prepared) = PreparedItem::new(&node, &job, &item) else {
         return failed_result(&node, &job, &item, "impossible");
     };
     loop {
-        let blocked = hold(&node, &job, &item, &prepared.contents, expires_at).await;
-        let mut trial = (!blocked.is_empty()).then(|| Trial::open(&node, &item.id, blocked));
+        let id = trial.as_ref().map(|trial| trial.key().id);
+        let verdict = node.content_verdict(TrialSubject::Item, &prepared.contents, id);
+        let blocked = if let ContentVerdict::Trial(contents) = verdict {
+            contents
+        } else {
+            // Others may run as trials while this item waits.
+            trial = None;
+            hold(&node, &job, &item, &prepared.contents, expires_at).await
+        };
+        trial = Trial::keep_or_open(trial, &node, &item.id, blocked);
         if node.now() >= expires_at {
             return failed_result(&node, &job, &item, "retention over");
         }
@@ -97,10 +108,11 @@
             .map(|driver| driver.estimator.remaining(item.tokens, progress.borrow().event_count()));
         let remaining = remaining.unwrap_or_default();
         // An item that has been held is late and would wait behind all others.
-        let (due, place_timeout) = if trial.is_none() {
-            (due, PLACE_TIMEOUT)
-        } else {
-            (now + TRIAL_PLACE_TIMEOUT + remaining, TRIAL_PLACE_TIMEOUT)
+        let (due, place_timeout) = match &trial {
+            None => (due, PLACE_TIMEOUT),
+            // No other trial starts while this one is out.
+            Some(trial) if trial.is_out() => (now + TRIAL_PAUSE + remaining, TRIAL_PAUSE),
+            Some(_) => (now + TRIAL_PLACE_TIMEOUT + remaining, TRIAL_PLACE_TIMEOUT),
         };
         let params = PlaceParams {
             service: Name::clone(&service.name),
@@ -123,12 +135,16 @@
         let permit = match place {
             Ok(Ok(permit)) => permit,
             Ok(Err(PlaceError::Refused { retry_after })) => {
-                drop(trial);
+                trial = None;
                 sleep(retry_after.min(MAX_TRIAL_RETRY_DELAY)).await;
                 continue;
             }
-            Ok(Err(PlaceError::Expired)) => continue,
+            Ok(Err(PlaceError::Expired)) => {
+                trial = None;
+                continue;
+            }
             Err(next) => {
+                trial = None;
                 log_left_service(&node, &job, &item, &service, &next);
                 continue;
             }
@@ -136,6 +152,7 @@
         trial.iter_mut().for_each(Trial::on_granted);
         // A content may have been blocked while the item waited for its place.
         if node.is_newly_blocked(&prepared.contents, trial.as_ref().map(Trial::key)) {
+            trial = None;
             continue;
         }
         let endpoint = Name::clone(&permit.endpoint);
@@ -144,7 +161,8 @@
         let last_event_before = progress.borrow().last_event_id();
         let (started_at, events_before) = (node.now(), progress.borrow().event_count());
         let mut outcome =
-            run_once(&node, &job, &item, &prepared, &progress, (permit, trial), head_timeout).await;
+            run_once(&node, &job, &item, &prepared, &progress, (permit, &mut trial), head_timeout)
+                .await;
         if progress.borrow().event_count() > events_before {
             empty_runs = 0;
         } else if matches!(outcome, RunOutcome::Empty) {
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -109,14 +109,15 @@
     })
 }
 
-/// Runs the item at one endpoint, starting after the output of earlier runs.
+/// Runs the item at one endpoint, starting after the output of earlier runs. A trial is left to the next
+/// run if the endpoint did not run it.
 pub(super) async fn run_once(
     node: &Rc<Node>,
     job: &Job,
     item: &JobItem,
     prepared: &PreparedItem,
     progress: &RefCell<Progress>,
-    (mut permit, trial): (PlacePermit, Option<Trial>),
+    (mut permit, trial): (PlacePermit, &mut Option<Trial>),
     head_timeout: Duration,
 ) -> RunOutcome {
     let endpoint = Name::clone(&permit.endpoint);
@@ -158,7 +159,7 @@
     item: &JobItem,
     prepared: &PreparedItem,
     progress: &RefCell<Progress>,
-    (endpoint, trial): (&Name, Option<Trial>),
+    (endpoint, trial): (&Name, &mut Option<Trial>),
     head_timeout: Duration,
 ) -> (RunOutcome, PlaceOutcome, String) {
     let interrupted = |place_outcome, reason: &dyn Display| {
@@ -176,7 +177,8 @@
         return (RunOutcome::Unprocessable, PlaceOutcome::Withdrawn, "not a request".to_owned());
     };
     let contents = &prepared.contents;
-    let mut observed = ObservedRun::start(node, &item.id, contents, endpoint, RunKind::Item, trial);
+    let mut observed =
+        ObservedRun::start(node, &item.id, contents, endpoint, RunKind::Item, trial.take());
     let exchange = match timeout(head_timeout, send(node, &target, req, AnswerKind::Stream)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(err)) => {
@@ -186,7 +188,7 @@
                 return (outcome, PlaceOutcome::Failed, err.to_string());
             }
             if matches!(err, SendError::NotSent(_)) {
-                drop(observed.on_not_run(TrialProgress::Unreachable));
+                *trial = observed.on_not_run(TrialProgress::Unreachable);
             }
             return interrupted(PlaceOutcome::Failed, &err);
         }
@@ -196,7 +198,7 @@
     let status = exchange.parts.status;
     let class = classify_response(names, &exchange.parts, &item.id);
     match class {
-        ResponseClass::NotRun => drop(observed.on_not_run(TrialProgress::NotRun)),
+        ResponseClass::NotRun => *trial = observed.on_not_run(TrialProgress::NotRun),
         ResponseClass::Answer if status.is_success() => {}
         _ => observed.on_failure(),
     }
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -277,10 +277,7 @@
             .node
             .check_contents(&self.id, &self.contents, id)
             .map_err(AttemptError::Blocked)?;
-        self.trial = held.filter(|trial| *trial.key().contents == *blocked);
-        if self.trial.is_none() && !blocked.is_empty() {
-            self.trial = Some(Trial::open(&self.node, &self.id, blocked));
-        }
+        self.trial = Trial::keep_or_open(held, &self.node, &self.id, blocked);
         Ok(())
     }
 
--- a/dogwoodtray_gateway/src/trial.rs
+++ b/dogwoodtray_gateway/src/trial.rs
@@ -116,7 +116,7 @@
 
 impl Trial {
     /// Opens a trial of these contents by a request or an item. It starts when it is granted a place.
-    pub(crate) fn open(node: &Rc<Node>, id: &Name, contents: Vec<ContentHash>) -> Self {
+    fn open(node: &Rc<Node>, id: &Name, contents: Vec<ContentHash>) -> Self {
         let key = TrialKey { id: node.next_trial(), contents: contents.into() };
         Self {
             node: Rc::clone(node),
@@ -134,11 +134,31 @@
             .get_or_insert_with(|| spawn_renewal(&self.node, self.key.clone(), self.opened_at));
     }
 
+    /// Returns the trial that is held if it is one of these contents. Otherwise opens another one, unless
+    /// there are none.
+    pub(crate) fn keep_or_open(
+        held: Option<Self>,
+        node: &Rc<Node>,
+        id: &Name,
+        contents: Vec<ContentHash>,
+    ) -> Option<Self> {
+        let held = held.filter(|trial| *trial.key.contents == *contents);
+        if held.is_some() || contents.is_empty() {
+            return held;
+        }
+        Some(Self::open(node, id, contents))
+    }
+
     /// Returns its name and contents.
     pub(crate) const fn key(&self) -> &TrialKey {
         &self.key
     }
 
+    /// Returns `true` if a place was granted, so that the trial has started.
+    pub(crate) const fn is_out(&self) -> bool {
+        self.renewal.is_some()
+    }
+
     /// Records how far the trial got.
     pub(crate) const fn set_progress(&mut self, progress: TrialProgress) {
         self.progress = progress;
--- a/dogwoodtray_gateway/tests/trials.rs
+++ b/dogwoodtray_gateway/tests/trials.rs
@@ -332,7 +332,8 @@
     });
 }
 
-/// Guards against items that wait long because the trial of one reached no endpoint.
+/// Guards against a trial of an item that its own next run may not use, and against items that wait long
+/// because the trial of one reached no endpoint.
 #[test]
 fn a_trial_of_an_item_that_reaches_no_endpoint_delays_the_next_by_a_pause() {
     run_local(async {
@@ -347,6 +348,10 @@
         let status = fleet.site.post("/job/x", "j1", &job).await.status;
         assert_eq!(status, StatusCode::ACCEPTED);
         wait_until("the item is tried", || fleet.counts.received.get() > before).await;
+        let tried_at = Instant::now();
+        wait_until("its next run is sent", || fleet.counts.received.get() > before + 1).await;
+        let waited = tried_at.elapsed();
+        assert!(waited < Duration::from_millis(900), "its next run waited {waited:?}");
         fleet.counts.answer.set(Answer::Usual);
         let (sound, healed_at) = (fleet.counts.sound.get(), Instant::now());
         wait_until("the item is complete", || fleet.counts.sound.get() > sound).await;
