Let an item that was tried leave the next trial to others

All items with a blocked part wait for the same moment, and the ones at the driver that grants places, in the order of their arrival, take each trial. An item that crashes endpoints could so use up the budget while a sound one beside it was never tried and lay until its retention was over. An item that was tried now waits 300 ms longer, so that one that was not goes first.

The test fails before (the sound item is not run within 23 s of the second trial) and passes: its trial clears the part, and the other is not tried again.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -58,6 +58,9 @@
 /// Maximum time until an item whose trial was given to another one checks its contents again.
 const MAX_TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Time for which an item that was tried leaves the next trial to others.
+const GIVE_WAY_DELAY: Duration = Duration::from_millis(300);
+
 /// Time for which a route may be missing before its items fail. The route may be absent briefly
 /// while a configuration is being replaced.
 const MISSING_ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -79,6 +82,7 @@
     let mut excluded: Vec<Name> = Vec::new();
     // Trial that the next run is.
     let mut trial: Option<Trial> = None;
+    let mut was_tried = false;
     let route_key = RouteKey::new(&job.spec.host, &item.path);
     let Some(prepared) = PreparedItem::new(&node, &job, &item) else {
         return failed_result(&node, &job, &item, "impossible");
@@ -86,12 +90,13 @@
     loop {
         let id = trial.as_ref().map(|trial| trial.key().id);
         let verdict = node.content_verdict(TrialSubject::Item, &prepared.contents, id);
-        let blocked = if let ContentVerdict::Trial(contents) = verdict {
-            contents
-        } else {
-            // Others may run as trials while this item waits.
-            trial = None;
-            hold(&node, &job, &item, &prepared.contents, expires_at).await
+        let blocked = match verdict {
+            ContentVerdict::Trial(contents) if id.is_some() => contents,
+            _ => {
+                // Others may run as trials while this item waits.
+                trial = None;
+                hold(&node, &job, &item, &prepared.contents, expires_at, was_tried).await
+            }
         };
         trial = Trial::keep_or_open(trial, &node, &item.id, blocked);
         if node.now() >= expires_at {
@@ -160,9 +165,11 @@
         let progress = job.outputs().longest(&item.id);
         let last_event_before = progress.borrow().last_event_id();
         let (started_at, events_before) = (node.now(), progress.borrow().event_count());
+        let is_trial = trial.is_some();
         let mut outcome =
             run_once(&node, &job, &item, &prepared, &progress, (permit, &mut trial), head_timeout)
                 .await;
+        was_tried |= is_trial && trial.is_none();
         if progress.borrow().event_count() > events_before {
             empty_runs = 0;
         } else if matches!(outcome, RunOutcome::Empty) {
@@ -226,19 +233,27 @@
 }
 
 /// Waits while contents of the item are blocked because they crash endpoints. Returns those that its
-/// next run is to try, if any. Also returns when the retention of the item is over.
+/// next run is to try, if any. Also returns when the retention of the item is over. If the item was tried
+/// before, others that were not may go first: one of them may be sound and clear the content.
 async fn hold(
     node: &Node,
     job: &Job,
     item: &JobItem,
     contents: &Contents,
     expires_at: Timestamp,
+    was_tried: bool,
 ) -> Vec<ContentHash> {
     let mut is_logged = false;
+    let mut gives_way = was_tried;
     loop {
         let (content, retry_after) = match node.content_verdict(TrialSubject::Item, contents, None)
         {
             ContentVerdict::Allowed => return Vec::new(),
+            ContentVerdict::Trial(_) if gives_way => {
+                gives_way = false;
+                sleep(GIVE_WAY_DELAY).await;
+                continue;
+            }
             ContentVerdict::Trial(contents) => return contents,
             ContentVerdict::Blocked { content, retry_after } => (content, retry_after),
         };
--- a/dogwoodtray_gateway/tests/trials.rs
+++ b/dogwoodtray_gateway/tests/trials.rs
@@ -359,3 +359,28 @@
         assert!(waited <= NEXT_TRIAL, "it waited {waited:?}");
     });
 }
+
+/// Guards against a sound item that is never tried, because one that crashes endpoints takes each trial
+/// of the part that they share.
+#[test]
+fn an_item_that_was_tried_leaves_the_next_trial_to_others() {
+    run_local(async {
+        let fleet = Fleet::blocked().await;
+        let item = |id: &str, text: &str| {
+            let body = STANDARD.encode(text);
+            format!(
+                r#"{{"id":"{id}","path":"/job/{id}","body":"{body}","tokens":9,
+                "headers":{{"Model":"m","Prompt-Prefix":"a1:9,{id}:9"}}}}"#
+            )
+        };
+        let (before, sound) = (fleet.counts.deadly.get(), fleet.counts.sound.get());
+        let job = format!(r#"{{"items":[{}]}}"#, item("i1", "lethal i1"));
+        assert_eq!(fleet.site.post("/job/x", "j1", &job).await.status, StatusCode::ACCEPTED);
+        wait_until("the first item is tried", || fleet.counts.deadly.get() > before).await;
+        let job = format!(r#"{{"items":[{}]}}"#, item("i2", "sound"));
+        assert_eq!(fleet.site.post("/job/x", "j2", &job).await.status, StatusCode::ACCEPTED);
+        sleep(Duration::from_secs(3)).await;
+        wait_until("the other item is complete", || fleet.counts.sound.get() > sound).await;
+        assert_eq!(fleet.counts.deadly.get(), before + 1, "the first item was tried again");
+    });
+}
