Try an item before it is given up, as long as the budget allows

An item with a blocked content waited for the delay after a trial that failed, also if its retention ended before that, and was given up untried although the budget of the content was not used up.

The test lets items that are given up soon crash their endpoints: three trials, one after the other.

--- a/dogwoodtray_coord/src/crashes/block.rs
+++ b/dogwoodtray_coord/src/crashes/block.rs
@@ -45,6 +45,8 @@
     Request,
     /// Item of a job, which is owed until it is given up.
     Item,
+    /// Item that is given up soon. It need not wait for the delay after a trial that failed.
+    ExpiringItem,
 }
 
 /// Block of a content that crashes endpoints.
@@ -139,6 +141,7 @@
         let first = match subject {
             TrialSubject::Request => self.trial_at,
             TrialSubject::Item => self.trial_at.min(self.item_trial_at),
+            TrialSubject::ExpiringItem => self.last_crash,
         };
         if count >= TRIAL_BUDGET {
             let last = spent().map(|trial| trial.requested_at).max().unwrap_or_default();
@@ -151,6 +154,7 @@
         match subject {
             TrialSubject::Request => request_due,
             TrialSubject::Item => request_due.min(failed + ITEM_TRIAL_DELAYS[count]),
+            TrialSubject::ExpiringItem => first,
         }
     }
 
--- a/dogwoodtray_coord/tests/crashes.rs
+++ b/dogwoodtray_coord/tests/crashes.rs
@@ -325,6 +325,23 @@
     assert!(matches!(verdict, ContentVerdict::Blocked { .. }), "requests share the budget");
 }
 
+/// Guards against an item that is given up untried though the budget allows a trial, and against more
+/// trials than the budget because items are given up soon.
+#[test]
+fn an_item_that_is_given_up_soon_is_tried_before_the_delay_and_within_the_budget() {
+    let mut analyzer = CrashAnalyzer::new(CrashConfig::default());
+    let runs = (0..2).map(|n| run(10 + n, &[7], "e1", 1_000 + n * 3_000, RunStage::Starting));
+    blocked(&mut analyzer, runs.collect());
+    let mut trials = Vec::new();
+    for second in 5..60 {
+        let item = contents(30 + second, &[7]);
+        if fails_as_trial(&mut analyzer, TrialSubject::ExpiringItem, second * 1_000, &item) {
+            trials.push(second);
+        }
+    }
+    assert_eq!(trials, [5, 7, 9], "one trial and its pause after the other");
+}
+
 /// Guards against an innocent part that is never tried by itself, because the trials of the part that it
 /// was blocked with use up its own.
 #[test]
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -89,7 +89,8 @@
     };
     loop {
         let id = trial.as_ref().map(|trial| trial.key().id);
-        let verdict = node.content_verdict(TrialSubject::Item, &prepared.contents, id);
+        let subject = trial_subject(&node, expires_at);
+        let verdict = node.content_verdict(subject, &prepared.contents, id);
         let blocked = match verdict {
             ContentVerdict::Trial(contents) if id.is_some() => contents,
             _ => {
@@ -98,7 +99,8 @@
                 hold(&node, &job, &item, &prepared.contents, expires_at, was_tried).await
             }
         };
-        trial = Trial::keep_or_open(trial, &node, &item.id, blocked);
+        let subject = trial_subject(&node, expires_at);
+        trial = Trial::keep_or_open(trial, &node, &item.id, subject, blocked);
         if node.now() >= expires_at {
             return failed_result(&node, &job, &item, "retention over");
         }
@@ -246,17 +248,17 @@
     let mut is_logged = false;
     let mut gives_way = was_tried;
     loop {
-        let (content, retry_after) = match node.content_verdict(TrialSubject::Item, contents, None)
-        {
-            ContentVerdict::Allowed => return Vec::new(),
-            ContentVerdict::Trial(_) if gives_way => {
-                gives_way = false;
-                sleep(GIVE_WAY_DELAY).await;
-                continue;
-            }
-            ContentVerdict::Trial(contents) => return contents,
-            ContentVerdict::Blocked { content, retry_after } => (content, retry_after),
-        };
+        let (content, retry_after) =
+            match node.content_verdict(trial_subject(node, expires_at), contents, None) {
+                ContentVerdict::Allowed => return Vec::new(),
+                ContentVerdict::Trial(_) if gives_way => {
+                    gives_way = false;
+                    sleep(GIVE_WAY_DELAY).await;
+                    continue;
+                }
+                ContentVerdict::Trial(contents) => return contents,
+                ContentVerdict::Blocked { content, retry_after } => (content, retry_after),
+            };
         let left = expires_at - node.now();
         if left.is_zero() {
             return Vec::new();
@@ -274,13 +276,25 @@
             node.events.emit(&catalogue::ITEM_HELD, Some(job.id()), &fields);
             metrics::counter!("dogwoodtray_held_items_total").increment(1);
         }
+        // Before it is given up, the next trial may be due sooner.
+        let until_expiring = left.saturating_sub(TRIAL_PLACE_TIMEOUT);
+        let wait = if until_expiring.is_zero() { left } else { until_expiring };
         tokio::select! {
-            () = sleep(retry_after.min(left)) => {}
+            () = sleep(retry_after.min(wait)) => {}
             () = node.content_cleared() => {}
         }
     }
 }
 
+/// Returns how the item is tried: one that is given up soon need not wait as long as others.
+fn trial_subject(node: &Node, expires_at: Timestamp) -> TrialSubject {
+    if expires_at - node.now() <= TRIAL_PLACE_TIMEOUT {
+        TrialSubject::ExpiringItem
+    } else {
+        TrialSubject::Item
+    }
+}
+
 /// Returns the service that the current configuration selects for the item. Waits while its route
 /// is missing, and returns `None` if that takes too long. A configuration that is older than that by
 /// which the job was accepted proves nothing.
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -8,6 +8,7 @@
 use dogwoodtray_coord::Contents;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_http::ByteLease;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
@@ -277,7 +278,8 @@
             .node
             .check_contents(&self.id, &self.contents, id)
             .map_err(AttemptError::Blocked)?;
-        self.trial = Trial::keep_or_open(held, &self.node, &self.id, blocked);
+        let subject = TrialSubject::Request;
+        self.trial = Trial::keep_or_open(held, &self.node, &self.id, subject, blocked);
         Ok(())
     }
 
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -9,6 +9,7 @@
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
+use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::Dispatcher;
 use dogwoodtray_policy::DispatcherConfig;
@@ -283,6 +284,7 @@
                 .unwrap_or_default(),
             trial_holder: trial.map_or(0, |trial| trial.id.holder.0),
             trial_number: trial.map_or(0, |trial| trial.id.number),
+            trial_expiring: trial.is_some_and(|trial| trial.subject == TrialSubject::ExpiringItem),
         };
         if !link.send(message) {
             return None;
@@ -316,7 +318,7 @@
 
     fn request_locally(&self, number: u64, params: &PlaceParams) {
         let id = self.places.id(number);
-        if let Err(retry_after) = self.request_trial(id, params.class, params.trial.as_ref()) {
+        if let Err(retry_after) = self.request_trial(id, params.trial.as_ref()) {
             return self.deliver(number, PlaceEvent::Refuse(retry_after));
         }
         let request = PlaceRequest {
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -75,7 +75,7 @@
                 let id = PlaceId { holder: incarnation, number: request.ask };
                 let class = class_from_wire(request.class());
                 let trial = trial_from_wire(&request);
-                if let Err(retry_after) = self.request_trial(id, class, trial.as_ref()) {
+                if let Err(retry_after) = self.request_trial(id, trial.as_ref()) {
                     let retry_after_ms = millis(retry_after);
                     if let Some(link) = self.peers.link_of_incarnation(incarnation) {
                         link.send(messages::PlaceRefused { ask: request.ask, retry_after_ms });
--- a/dogwoodtray_gateway/src/places/wire.rs
+++ b/dogwoodtray_gateway/src/places/wire.rs
@@ -3,6 +3,7 @@
 use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::TrialId;
+use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_wire::messages;
@@ -50,6 +51,11 @@
 pub(crate) fn trial_from_wire(request: &messages::PlaceAsk) -> Option<TrialKey> {
     let holder = Incarnation(request.trial_holder);
     let id = TrialId { holder, number: request.trial_number };
+    let subject = match (class_from_wire(request.class()), request.trial_expiring) {
+        (Class::Online, _) => TrialSubject::Request,
+        (Class::Batch, false) => TrialSubject::Item,
+        (Class::Batch, true) => TrialSubject::ExpiringItem,
+    };
     let contents = request.trial.iter().copied().map(ContentHash).collect();
-    (!request.trial.is_empty()).then_some(TrialKey { id, contents })
+    (!request.trial.is_empty()).then_some(TrialKey { id, subject, contents })
 }
--- a/dogwoodtray_gateway/src/trial.rs
+++ b/dogwoodtray_gateway/src/trial.rs
@@ -9,6 +9,7 @@
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::TrialId;
 use dogwoodtray_coord::TrialStage;
+use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_runtime::catalogue;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
@@ -86,6 +87,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TrialKey {
     pub(crate) id: TrialId,
+    pub(crate) subject: TrialSubject,
     pub(crate) contents: Rc<[ContentHash]>,
 }
 
@@ -116,8 +118,8 @@
 
 impl Trial {
     /// Opens a trial of these contents by a request or an item. It starts when it is granted a place.
-    fn open(node: &Rc<Node>, id: &Name, contents: Vec<ContentHash>) -> Self {
-        let key = TrialKey { id: node.next_trial(), contents: contents.into() };
+    fn open(node: &Rc<Node>, id: &Name, subject: TrialSubject, contents: Vec<ContentHash>) -> Self {
+        let key = TrialKey { id: node.next_trial(), subject, contents: contents.into() };
         Self {
             node: Rc::clone(node),
             id: Name::clone(id),
@@ -140,13 +142,14 @@
         held: Option<Self>,
         node: &Rc<Node>,
         id: &Name,
+        subject: TrialSubject,
         contents: Vec<ContentHash>,
     ) -> Option<Self> {
         let held = held.filter(|trial| *trial.key.contents == *contents);
         if held.is_some() || contents.is_empty() {
             return held;
         }
-        Some(Self::open(node, id, contents))
+        Some(Self::open(node, id, subject, contents))
     }
 
     /// Returns its name and contents.
--- a/dogwoodtray_gateway/src/trial_log.rs
+++ b/dogwoodtray_gateway/src/trial_log.rs
@@ -12,8 +12,6 @@
 use dogwoodtray_coord::TrialEnd;
 use dogwoodtray_coord::TrialId;
 use dogwoodtray_coord::TrialStage;
-use dogwoodtray_coord::TrialSubject;
-use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_runtime::millis;
@@ -29,7 +27,6 @@
 /// Trial whose request for a place is pending.
 #[derive(Clone, Debug)]
 pub(crate) struct TrialRequest {
-    subject: TrialSubject,
     key: TrialKey,
     requested_at: Timestamp,
 }
@@ -48,20 +45,19 @@
     pub(crate) fn request_trial(
         &self,
         place: PlaceId,
-        class: Class,
         trial: Option<&TrialKey>,
     ) -> Result<(), Duration> {
         let Some(trial) = trial else { return Ok(()) };
         if !self.may_start_trials() {
             return Err(TRIAL_PAUSE);
         }
-        let (subject, now) = (trial_subject(class), self.now());
+        let now = self.now();
         let analyzer = self.crashes.analyzer.borrow();
-        analyzer.blocks().check_trial(subject, now, &trial.contents, trial.id)?;
+        analyzer.blocks().check_trial(trial.subject, now, &trial.contents, trial.id)?;
         self.crashes
             .requested_trials
             .borrow_mut()
-            .insert(place, TrialRequest { subject, key: trial.clone(), requested_at: now });
+            .insert(place, TrialRequest { key: trial.clone(), requested_at: now });
         Ok(())
     }
 
@@ -69,11 +65,11 @@
     /// until the next one if another request or item has taken it meanwhile.
     pub(crate) fn start_trial(&self, place: PlaceId) -> Result<(), Duration> {
         let requested = self.crashes.requested_trials.borrow_mut().remove(&place);
-        let Some(TrialRequest { subject, key, requested_at }) = requested else { return Ok(()) };
+        let Some(TrialRequest { key, requested_at }) = requested else { return Ok(()) };
         let changed = {
             let mut analyzer = self.crashes.analyzer.borrow_mut();
             let blocks = analyzer.blocks_mut();
-            blocks.start_trial(subject, self.now(), &key.contents, key.id, requested_at)?
+            blocks.start_trial(key.subject, self.now(), &key.contents, key.id, requested_at)?
         };
         for block in &changed {
             let trials = block.trials.iter().count();
@@ -149,10 +145,3 @@
         self.broadcast_blocks(&changed);
     }
 }
-
-const fn trial_subject(class: Class) -> TrialSubject {
-    match class {
-        Class::Online => TrialSubject::Request,
-        Class::Batch => TrialSubject::Item,
-    }
-}
