Do not take an error answer for a proof that a content is innocent

A complete answer cleared a blocked content whatever its status. An endpoint that fails answers 500 before it begins on the content, so a deadly part was cleared by a trial there, and requests with it crashed further endpoints until it was found again. An error answer now tells nothing: the trial counts, as the request may have run, and the next one follows after the pause.

--- a/dogwoodtray_agent/src/core/endpoint.rs
+++ b/dogwoodtray_agent/src/core/endpoint.rs
@@ -22,6 +22,9 @@
 use super::reply;
 use super::state::AgentCore;
 
+/// Lowest HTTP status code of a server error.
+const MIN_SERVER_ERROR_STATUS: u16 = 500;
+
 /// Number of consecutive failed health checks after which the endpoint is considered down.
 const MAX_FAILED_CHECKS: u32 = 3;
 
@@ -59,7 +62,10 @@
                 }
                 let status = attempt.status;
                 let (contents, sent_at) = (attempt.work.contents(), attempt.forwarded_at);
-                self.pool.record_sound_run(now, &contents, sent_at, true);
+                // A failure may have come before the endpoint began on the content.
+                if status < MIN_SERVER_ERROR_STATUS {
+                    self.pool.record_sound_run(now, &contents, sent_at, true);
+                }
                 self.end(now, id, AttemptOutcome::Answered { status }, out);
             }
             EndpointEvent::Truncated => {
--- a/dogwoodtray_entry/src/online/blocks.rs
+++ b/dogwoodtray_entry/src/online/blocks.rs
@@ -160,7 +160,8 @@
                 };
                 self.pool.record_crash(now, run);
             }
-            AttemptOutcome::Answered { .. } => {
+            // A failure may have come before the endpoint began on the content.
+            _ if outcome.is_sound() => {
                 self.pool.record_sound_run(now, &contents, attempt.sent_at, true);
             }
             _ => {}
--- a/dogwoodtray_entry/src/online/event.rs
+++ b/dogwoodtray_entry/src/online/event.rs
@@ -132,7 +132,16 @@
     Unknown,
 }
 
+/// Lowest HTTP status code of a server error.
+const MIN_SERVER_ERROR_STATUS: u16 = 500;
+
 impl AttemptOutcome {
+    /// Returns `true` if the endpoint answered and did not fail.
+    #[must_use]
+    pub const fn is_sound(self) -> bool {
+        matches!(self, Self::Answered { status } if status < MIN_SERVER_ERROR_STATUS)
+    }
+
     /// Returns a short text for logs.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -27,9 +27,6 @@
 /// Maximum number of doublings, for a pause of 160 ms.
 const MAX_PAUSE_DOUBLINGS: u32 = 5;
 
-/// Lowest HTTP status code of a server error.
-const MIN_SERVER_ERROR_STATUS: u16 = 500;
-
 const STATUS_OK: u16 = 200;
 
 /// Content type of a stream of tokens.
@@ -200,10 +197,7 @@
         actions: &mut Vec<OnlineAction>,
     ) {
         let Some(mut attempt) = self.attempts.remove(&id) else { return };
-        let ok = matches!(
-            done.outcome,
-            AttemptOutcome::Answered { status } if status < MIN_SERVER_ERROR_STATUS
-        );
+        let ok = done.outcome.is_sound();
         let class = Self::class_of(&attempt);
         self.router.record_finished(now, attempt.endpoint, class, attempt.spec.cost, ok);
         if attempt.suspect {
@@ -287,7 +281,7 @@
         if has_begun && !is_stream_part(status, content_type) {
             return self.retry_failed(now, request_no, attempt, AttemptOutcome::Failed, actions);
         }
-        if status >= MIN_SERVER_ERROR_STATUS
+        if !(AttemptOutcome::Answered { status }).is_sound()
             && attempt.spec.idempotent
             && queued
             && attempt.tokens == 0
--- a/dogwoodtray_entry/src/shell/router/actions.rs
+++ b/dogwoodtray_entry/src/shell/router/actions.rs
@@ -165,7 +165,7 @@
 const fn told_by_trial(outcome: AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::Crashed => "crash",
-        AttemptOutcome::Answered { .. } => "sound",
+        _ if outcome.is_sound() => "sound",
         _ => "nothing",
     }
 }
--- a/dogwoodtray_entry/tests/trials.rs
+++ b/dogwoodtray_entry/tests/trials.rs
@@ -105,6 +105,7 @@
         AttemptOutcome::Cancelled,
         AttemptOutcome::Preempted,
         AttemptOutcome::Unknown,
+        AttemptOutcome::Answered { status: 500 },
     ];
     for outcome in outcomes {
         let mut entry = blocked();
@@ -135,7 +136,9 @@
 /// after a crash.
 #[test]
 fn trials_that_may_have_run_count_against_the_budget() {
-    for (outcome, expected) in [(AttemptOutcome::Failed, BUDGET), (AttemptOutcome::Crashed, 1)] {
+    let error = AttemptOutcome::Answered { status: 500 };
+    let ends = [(AttemptOutcome::Failed, BUDGET), (error, BUDGET), (AttemptOutcome::Crashed, 1)];
+    for (outcome, expected) in ends {
         let mut entry = blocked();
         let mut trials = 0;
         for _ in 0..200 {
--- a/dogwoodtray_gateway/src/observed_run.rs
+++ b/dogwoodtray_gateway/src/observed_run.rs
@@ -73,6 +73,8 @@
     kind: RunKind,
     sent_at: Timestamp,
     progress: Progress,
+    /// Whether the endpoint answered that it failed, which may have been before it began on the content.
+    has_failed: bool,
     /// Whether the exchange ended by itself.
     has_ended: bool,
     /// Trial that the run is, if its contents are blocked.
@@ -102,6 +104,7 @@
             kind,
             sent_at: node.now(),
             progress: Progress::Sent,
+            has_failed: false,
             has_ended: false,
             trial,
             confirmation: None,
@@ -117,6 +120,7 @@
     /// Records that the head of an answer arrived by which the endpoint failed.
     pub(crate) const fn on_failure(&mut self) {
         self.progress = Progress::Begun;
+        self.has_failed = true;
         self.set_trial_progress(TrialProgress::Failure);
     }
 
@@ -134,7 +138,7 @@
 
     /// Records that a part of the output arrived.
     pub(crate) fn on_output(&mut self) {
-        if self.progress != Progress::Output {
+        if self.progress != Progress::Output && !self.has_failed {
             self.progress = Progress::Output;
             self.set_trial_progress(TrialProgress::Output);
             self.node.record_sound_run(&self.contents, self.sent_at, false);
@@ -149,6 +153,9 @@
     /// Records that the response is complete.
     pub(crate) fn on_completed(&mut self) {
         self.has_ended = true;
+        if self.has_failed {
+            return;
+        }
         self.set_trial_progress(TrialProgress::Completed);
         self.node.record_sound_run(&self.contents, self.sent_at, true);
     }
--- a/dogwoodtray_gateway/tests/support/crashing.rs
+++ b/dogwoodtray_gateway/tests/support/crashing.rs
@@ -184,7 +184,7 @@
         if let Some((status, not_run)) = status.filter(|_| !is_deadly) {
             let answer = format!(
                 "HTTP/1.1 {status} X\r\nattempt-id: {id}\r\nserver-stamp: s1\r\n{not_run}\
-                 content-length: 0\r\n\r\n"
+                 content-length: 6\r\n\r\nbroken"
             );
             return stream.write_all(answer.as_bytes()).await;
         }
