Return hedges to the budget that were not run

If the agent did not forward it, the budget stayed spent and the request was not hedged any more. It is now returned, and the request may be hedged again, up to three times.

Gateways and drivers do not hedge.

--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -300,6 +300,7 @@
             // Items are held by the evidence of several crashes, not after the first one.
             suspect: false,
             trial,
+            is_hedge: false,
             cancelled: false,
         };
         self.dispatch(now, attempt, spec.timeout, actions);
--- a/dogwoodtray_entry/src/online/placement.rs
+++ b/dogwoodtray_entry/src/online/placement.rs
@@ -183,6 +183,7 @@
             answer: BytesMut::new(),
             suspect: trial.is_some() || self.pool.is_suspect(request.spec.content),
             trial,
+            is_hedge: false,
             cancelled: false,
         };
         let time_left = request.deadline - now;
--- a/dogwoodtray_entry/src/online/request.rs
+++ b/dogwoodtray_entry/src/online/request.rs
@@ -41,6 +41,8 @@
     /// Time at which a waiting request is placed again.
     pub(super) retry_at: Timestamp,
     pub(super) hedged: bool,
+    /// Number of hedges that were not run.
+    pub(super) unsent_hedges: u32,
     /// Whether its stream was moved away from a slow endpoint.
     pub(super) moved: bool,
     /// Trial that it holds from an attempt that did not run.
@@ -63,6 +65,7 @@
             exclude: Vec::new(),
             retry_at: now,
             hedged: false,
+            unsent_hedges: 0,
             moved: false,
             trial: None,
         }
--- a/dogwoodtray_entry/src/online/slow_endpoints.rs
+++ b/dogwoodtray_entry/src/online/slow_endpoints.rs
@@ -57,6 +57,7 @@
             answer: BytesMut::new(),
             suspect: false,
             trial: None,
+            is_hedge: false,
             cancelled: false,
         };
         if let Some(request) = self.requests.get_mut(&request_no)
--- a/dogwoodtray_entry/src/online/tick.rs
+++ b/dogwoodtray_entry/src/online/tick.rs
@@ -10,6 +10,9 @@
 use super::RequestNo;
 use super::attempt::Attempt;
 
+/// Number of hedges that agents did not run, after which a request is not hedged any more.
+const MAX_UNSENT_HEDGES: u32 = 3;
+
 impl OnlineCore {
     pub(super) fn on_tick(&mut self, now: Timestamp, actions: &mut Vec<OnlineAction>) {
         self.end_detached_attempts(now, actions);
@@ -136,5 +139,19 @@
             actions.push(OnlineAction::Hedged { id: request.spec.id.clone() });
         }
         self.start_attempt(now, request_no, key, None, actions);
+        let last = self.requests.get(&request_no).and_then(|request| request.in_flight.last());
+        if let Some(attempt) = last.and_then(|id| self.attempts.get_mut(id)) {
+            attempt.is_hedge = true;
+        }
+    }
+
+    /// Returns a hedge that no endpoint ran to the budget. Its request may be hedged again, unless this
+    /// has failed several times.
+    pub(super) fn return_hedge(&mut self, request_no: RequestNo) {
+        self.hedge_policy.give_back();
+        if let Some(request) = self.requests.get_mut(&request_no) {
+            request.unsent_hedges += 1;
+            request.hedged = request.unsent_hedges >= MAX_UNSENT_HEDGES;
+        }
     }
 }
--- a/dogwoodtray_entry/tests/unsent_attempts.rs
+++ b/dogwoodtray_entry/tests/unsent_attempts.rs
@@ -9,6 +9,7 @@
 use dogwoodtray_entry::online::OnlineEvent;
 
 use crate::core_support::Entry;
+use crate::core_support::STEP;
 use crate::core_support::online;
 
 /// Time in which the retry budget fills up.
@@ -46,3 +47,28 @@
         assert!(is_retried, "forwarded to an agent: {is_forwarded}: {:?}", entry.ended);
     }
 }
+
+/// Guards against slow requests that get no second attempt, because agents did not run those of others.
+#[test]
+fn hedges_that_are_not_run_leave_the_budget_to_others() {
+    const SAMPLES: u64 = 200;
+    const SLOW_REQUESTS: u64 = 20;
+    let mut entry = Entry::new();
+    for number in 0..SAMPLES {
+        entry.submit_online(&online(1 + number, 0));
+        let attempt = entry.running.last().expect("the request runs").attempt;
+        entry.complete(attempt);
+    }
+    for number in 0..SLOW_REQUESTS {
+        let request = entry.submit_online(&online(1_000 + number, 0));
+        let first = entry.running.last().expect("the request runs").attempt;
+        entry.run(STEP * 5);
+        let hedge = entry.running.last().expect("it runs").attempt;
+        assert_ne!(hedge, first, "slow request {number} is not hedged");
+        entry.done(hedge, AttemptOutcome::NotRun(NotRunReason::Busy));
+        entry.handle(OnlineEvent::CallerDisconnected { request });
+        for running in entry.running.clone() {
+            entry.done(running.attempt, AttemptOutcome::Cancelled);
+        }
+    }
+}
--- a/dogwoodtray_policy/src/routing/hedge.rs
+++ b/dogwoodtray_policy/src/routing/hedge.rs
@@ -113,6 +113,11 @@
         self.available_hedges -= 1.0;
         true
     }
+
+    /// Returns a hedge to the budget that was consumed and not run.
+    pub fn give_back(&mut self) {
+        self.available_hedges = (self.available_hedges + 1.0).min(self.cfg.max_saved_hedges);
+    }
 }
 
 /// Histogram of durations in buckets of exponentially increasing width.
