--- a/dogwoodtray_policy/tests/placement.rs
+++ b/dogwoodtray_policy/tests/placement.rs
@@ -305,3 +305,38 @@
     fixture.dispatcher.set_endpoints(&endpoint_places(&[("b", 1)]));
     assert_eq!(fixture.advance(20), [grant(3, "b")]);
 }
+
+/// Guards against an ejected endpoint that is not tried again, because its single request was withdrawn
+/// or its holder was lost.
+#[test]
+fn the_trial_of_a_failed_endpoint_is_free_again_however_it_ends() {
+    for is_holder_lost in [false, true] {
+        let mut fixture = Fixture::with_endpoints(&[("a", 4)]);
+        assert_eq!(fixture.request_place(1, Class::Online), [grant(1, "a")]);
+        fixture.release(1, PlaceOutcome::Failed);
+        fixture.advance(500);
+        assert_eq!(fixture.request_place(2, Class::Online), [grant(2, "a")]);
+        let queued = PlaceAction::Queued { id: id(3) };
+        assert_eq!(fixture.request_place(3, Class::Batch), [queued], "one request at a time");
+        let granted = if is_holder_lost {
+            let (mut out, other) = (Vec::new(), PlaceId { holder: 2, number: 1 });
+            let request = PlaceRequest {
+                id: other,
+                service: Name::from("s"),
+                class: Class::Batch,
+                start_by: fixture.now,
+                due: fixture.now + OBJECTIVE,
+                repeatable: true,
+                excluded: Vec::new(),
+            };
+            fixture.dispatcher.request_place(fixture.now, request, &mut out);
+            out.clear();
+            fixture.dispatcher.remove_holder(fixture.now, 1, &mut out);
+            assert_eq!(out, [PlaceAction::Grant { id: other, endpoint: Name::from("a") }]);
+            continue;
+        } else {
+            fixture.release(2, PlaceOutcome::Withdrawn)
+        };
+        assert_eq!(granted, [grant(3, "a")]);
+    }
+}
