--- a/dogwoodtray_coord/src/crashes/analyzer.rs
+++ b/dogwoodtray_coord/src/crashes/analyzer.rs
@@ -130,7 +130,7 @@
 /// let next = Contents { request: ContentHash(102), parts: vec![part] };
 /// let now = Timestamp::ZERO + Duration::from_secs(2);
 /// analyzer.tick(now);
-/// let verdict = analyzer.blocks().check(TrialSubject::Request, now, &next);
+/// let verdict = analyzer.blocks().check(TrialSubject::Request, now, &next, None);
 /// assert!(matches!(verdict, ContentVerdict::Blocked { .. }));
 /// ```
 #[derive(Clone, Debug)]
