Return the id of an attempt from the function that starts it

Two callers looked it up afterwards as the last one in flight: the move of a stream, and since the hedge, which then marked the attempt with a flag that every constructor had to set. The request now holds the id of its hedge; whether it may be hedged again follows from that and the count of unsent ones.

--- a/dogwoodtray_entry/src/online/attempt.rs
+++ b/dogwoodtray_entry/src/online/attempt.rs
@@ -111,7 +111,5 @@
     pub(super) suspect: bool,
     /// Trial that it is, if it runs to find out whether its blocked contents still crash endpoints.
     pub(super) trial: Option<Trial>,
-    /// Whether it is the second attempt of a slow request.
-    pub(super) is_hedge: bool,
     pub(super) cancelled: bool,
 }
--- a/dogwoodtray_entry/src/online/core.rs
+++ b/dogwoodtray_entry/src/online/core.rs
@@ -300,7 +300,6 @@
             // Items are held by the evidence of several crashes, not after the first one.
             suspect: false,
             trial,
-            is_hedge: false,
             cancelled: false,
         };
         self.dispatch(now, attempt, spec.timeout, actions);
--- a/dogwoodtray_entry/src/online/placement.rs
+++ b/dogwoodtray_entry/src/online/placement.rs
@@ -144,7 +144,8 @@
         }
     }
 
-    /// Starts an attempt of a request at an endpoint. Other attempts may already be in flight.
+    /// Starts an attempt of a request at an endpoint, and returns its id. Other attempts may already be in
+    /// flight.
     pub(super) fn start_attempt(
         &mut self,
         now: Timestamp,
@@ -152,11 +153,11 @@
         key: EndpointKey,
         trial: Option<Trial>,
         actions: &mut Vec<OnlineAction>,
-    ) {
-        let Some((node, endpoint)) = self.endpoints.get_by_key(key) else { return };
+    ) -> Option<AttemptId> {
+        let (node, endpoint) = self.endpoints.get_by_key(key)?;
         let (node, link) = (node.clone(), endpoint.link);
         let id = self.next_attempt_id();
-        let Some(request) = self.requests.get_mut(&request_no) else { return };
+        let request = self.requests.get_mut(&request_no)?;
         request.stage = match request.stage.take() {
             Some(Stage::Queued(queued)) => Some(Stage::Sent(queued.send())),
             Some(Stage::Sent(mut sent)) => {
@@ -183,11 +184,11 @@
             answer: BytesMut::new(),
             suspect: trial.is_some() || self.pool.is_suspect(request.spec.content),
             trial,
-            is_hedge: false,
             cancelled: false,
         };
         let time_left = request.deadline - now;
         self.dispatch(now, attempt, time_left, actions);
+        Some(id)
     }
 
     pub(super) fn dispatch(
--- a/dogwoodtray_entry/src/online/request.rs
+++ b/dogwoodtray_entry/src/online/request.rs
@@ -40,7 +40,8 @@
     pub(super) exclude: Vec<EndpointKey>,
     /// Time at which a waiting request is placed again.
     pub(super) retry_at: Timestamp,
-    pub(super) hedged: bool,
+    /// Second attempt that was started because the first one was slow.
+    pub(super) hedge: Option<AttemptId>,
     /// Number of hedges that were not run.
     pub(super) unsent_hedges: u32,
     /// Whether its stream was moved away from a slow endpoint.
@@ -64,7 +65,7 @@
             refusals: 0,
             exclude: Vec::new(),
             retry_at: now,
-            hedged: false,
+            hedge: None,
             unsent_hedges: 0,
             moved: false,
             trial: None,
--- a/dogwoodtray_entry/src/online/slow_endpoints.rs
+++ b/dogwoodtray_entry/src/online/slow_endpoints.rs
@@ -57,7 +57,6 @@
             answer: BytesMut::new(),
             suspect: false,
             trial: None,
-            is_hedge: false,
             cancelled: false,
         };
         if let Some(request) = self.requests.get_mut(&request_no)
@@ -89,10 +88,10 @@
         if !self.move_budget.try_consume_budget() {
             return;
         }
-        self.start_attempt(now, request_no, target, None, actions);
+        let moved = self.start_attempt(now, request_no, target, None, actions);
         if let Some(request) = self.requests.get_mut(&request_no) {
             request.moved = true;
-            request.winner = request.in_flight.last().copied();
+            request.winner = moved;
             actions.push(OnlineAction::StreamMoved { id: request.spec.id.clone() });
         }
         self.cancel_attempt(id, actions);
--- a/dogwoodtray_entry/src/online/stream.rs
+++ b/dogwoodtray_entry/src/online/stream.rs
@@ -212,7 +212,8 @@
         match attempt.owner {
             Owner::Job => self.end_batch_attempt(id, attempt, done, actions),
             Owner::Request(request_no) => {
-                if attempt.is_hedge && matches!(done.outcome, AttemptOutcome::NotRun(_)) {
+                let hedge = self.requests.get(&request_no).and_then(|request| request.hedge);
+                if hedge == Some(id) && matches!(done.outcome, AttemptOutcome::NotRun(_)) {
                     self.return_hedge(request_no);
                 }
                 self.end_online_attempt(now, request_no, &attempt, &done, actions);
--- a/dogwoodtray_entry/src/online/tick.rs
+++ b/dogwoodtray_entry/src/online/tick.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::AttemptId;
+use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 
 use super::OnlineAction;
@@ -106,7 +107,8 @@
 
     fn should_hedge(&self, now: Timestamp, request_no: RequestNo) -> bool {
         let Some(request) = self.requests.get(&request_no) else { return false };
-        if request.hedged || !request.spec.idempotent || request.is_queued() {
+        let is_hedged = request.hedge.is_some() || request.unsent_hedges >= MAX_UNSENT_HEDGES;
+        if is_hedged || !request.spec.idempotent || request.is_queued() {
             return false;
         }
         let Some(delay) = self.hedge_policy.hedge_delay(&request.spec.model) else {
@@ -130,18 +132,15 @@
             return;
         }
         let excluded = in_flight.map(|attempt| attempt.endpoint).collect();
+        let id = Name::clone(&request.spec.id);
         let Some(key) = self.pick_endpoint(now, request_no, excluded, false) else { return };
         if !self.hedge_policy.try_consume_budget() {
             return;
         }
+        actions.push(OnlineAction::Hedged { id });
+        let hedge = self.start_attempt(now, request_no, key, None, actions);
         if let Some(request) = self.requests.get_mut(&request_no) {
-            request.hedged = true;
-            actions.push(OnlineAction::Hedged { id: request.spec.id.clone() });
-        }
-        self.start_attempt(now, request_no, key, None, actions);
-        let last = self.requests.get(&request_no).and_then(|request| request.in_flight.last());
-        if let Some(attempt) = last.and_then(|id| self.attempts.get_mut(id)) {
-            attempt.is_hedge = true;
+            request.hedge = hedge;
         }
     }
 
@@ -151,7 +150,7 @@
         self.hedge_policy.give_back();
         if let Some(request) = self.requests.get_mut(&request_no) {
             request.unsent_hedges += 1;
-            request.hedged = request.unsent_hedges >= MAX_UNSENT_HEDGES;
+            request.hedge = None;
         }
     }
 }
