Extend the lease of a trial in one place

TrialLog::start extended the lease of a known trial in its own copy of what renew does, and three functions of Blocklist each worked out whether a trial is of one content.

--- a/dogwoodtray_coord/src/crashes/blocklist.rs
+++ b/dogwoodtray_coord/src/crashes/blocklist.rs
@@ -9,6 +9,7 @@
 use super::TRIAL_PAUSE;
 use super::TrialEnd;
 use super::TrialId;
+use super::TrialLog;
 use super::TrialSubject;
 use crate::ContentHash;
 use crate::Timestamp;
@@ -145,9 +146,9 @@
         requested_at: Timestamp,
     ) -> Result<Vec<Block>, Duration> {
         self.check_trial(subject, now, contents, id)?;
-        let is_alone = contents.len() == 1;
-        Ok(self
-            .change_trials(contents, |block| block.trials.start(id, now, requested_at, is_alone)))
+        Ok(self.change_trials(contents, |trials, is_alone| {
+            trials.start(id, now, requested_at, is_alone)
+        }))
     }
 
     /// Extends the lease of a trial whose place was requested at `requested_at`. Returns the changed blocks.
@@ -158,8 +159,9 @@
         id: TrialId,
         requested_at: Timestamp,
     ) -> Vec<Block> {
-        let is_alone = contents.len() == 1;
-        self.change_trials(contents, |block| block.trials.renew(id, now, requested_at, is_alone))
+        self.change_trials(contents, |trials, is_alone| {
+            trials.renew(id, now, requested_at, is_alone)
+        })
     }
 
     /// Ends a trial. Returns the changed blocks.
@@ -169,19 +171,21 @@
         contents: &[ContentHash],
         end: TrialEnd,
     ) -> Vec<Block> {
-        let is_alone = contents.len() == 1;
-        self.change_trials(contents, |block| block.trials.end(now, end, is_alone))
+        self.change_trials(contents, |trials, is_alone| trials.end(now, end, is_alone))
     }
 
+    /// Changes the trials of each content, which are told whether it is the only one, and returns the
+    /// blocks that have changed.
     fn change_trials(
         &mut self,
         contents: &[ContentHash],
-        mut change: impl FnMut(&mut Block) -> bool,
+        change: impl Fn(&mut TrialLog, bool) -> bool,
     ) -> Vec<Block> {
+        let is_alone = contents.len() == 1;
         let mut changed = Vec::new();
         for content in contents {
             if let Some(block) = self.blocks.get_mut(content)
-                && change(block)
+                && change(&mut block.trials, is_alone)
             {
                 changed.push(block.clone());
             }
--- a/dogwoodtray_coord/src/crashes/trial.rs
+++ b/dogwoodtray_coord/src/crashes/trial.rs
@@ -155,15 +155,14 @@
         requested_at: Timestamp,
         is_alone: bool,
     ) -> bool {
-        let until = now + TRIAL_LEASE;
-        if let Some(trial) = self.get_mut(id) {
-            debug_assert!(trial.stage == TrialStage::Granted, "the trial has ended");
-            trial.until = trial.until.max(until);
+        if self.get(id).is_some() {
+            debug_assert!(!self.has_ended(id), "the trial has ended");
+            self.renew(id, now, requested_at, is_alone);
             return false;
         }
         self.begin_turn(now);
+        let (stage, until) = (TrialStage::Granted, now + TRIAL_LEASE);
         let turn = self.last_turn().saturating_add(1);
-        let stage = TrialStage::Granted;
         self.insert(Trial { id, stage, turn, until, requested_at, is_alone });
         self.prune();
         true
