Abort the tasks of trials and forwarded places by one guard

The renewal of a trial had its own type that aborts a task when it is dropped, beside that of a forwarded place request. Both use TaskGuard. No change of behaviour: trials and relays pass.

--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -12,7 +12,6 @@
 use dogwoodtray_wire::messages::JobAdmitStatus;
 use dogwoodtray_wire::messages::JobReadStatus;
 use dogwoodtray_wire::messages::frame::Kind;
-use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 
 use crate::driver::WATCHERS_KEY;
@@ -23,6 +22,7 @@
 use crate::places::PlacePermit;
 use crate::places::outcome_from_wire;
 use crate::places::trial_from_wire;
+use crate::task::TaskGuard;
 
 /// Time that a read may take in addition to its wait time.
 const READ_MARGIN: Duration = Duration::from_millis(300);
@@ -34,23 +34,11 @@
 #[derive(Debug)]
 pub(crate) enum ForwardedPlace {
     /// The request is waiting for a place.
-    Pending(#[allow(dead_code, reason = "aborts its task when dropped")] PendingTask),
+    Pending(#[allow(dead_code, reason = "aborts its task when dropped")] TaskGuard),
     /// The place is held.
     Held(PlacePermit),
 }
 
-/// Task that waits for a place. Dropping the value aborts the task.
-#[derive(Debug)]
-pub(crate) struct PendingTask {
-    task: AbortHandle,
-}
-
-impl Drop for PendingTask {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 impl Node {
     /// Handles a frame from another gateway. Returns the frame if it is not one to forward.
     pub(crate) fn forward_frame(
@@ -142,7 +130,7 @@
         });
         self.forwarded_places
             .borrow_mut()
-            .insert(id, ForwardedPlace::Pending(PendingTask { task: task.abort_handle() }));
+            .insert(id, ForwardedPlace::Pending(TaskGuard::new(task.abort_handle())));
     }
 
     fn forward_job_read(self: &Rc<Self>, link: &LinkHandle, read: messages::JobRead) {
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod request;
 mod routing;
 mod sync;
+mod task;
 mod trial;
 mod trial_log;
 
--- a/dogwoodtray_gateway/src/trial.rs
+++ b/dogwoodtray_gateway/src/trial.rs
@@ -11,12 +11,12 @@
 use dogwoodtray_coord::TrialStage;
 use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_runtime::catalogue;
-use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::contents::content_list;
 use crate::node::Node;
+use crate::task::TaskGuard;
 
 /// How far a trial got, or how it ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,16 +91,6 @@
     pub(crate) contents: Rc<[ContentHash]>,
 }
 
-/// Task that renews the lease of a trial, aborted when it is dropped.
-#[derive(Debug)]
-struct Renewal(AbortHandle);
-
-impl Drop for Renewal {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// Trial of blocked contents, held by the request or item that runs as one.
 ///
 /// Its lease is renewed from the first place that it is granted until it is dropped. Its end is then
@@ -113,7 +103,8 @@
     key: TrialKey,
     opened_at: Timestamp,
     progress: TrialProgress,
-    renewal: Option<Renewal>,
+    /// Task that renews the lease.
+    renewal: Option<TaskGuard>,
 }
 
 impl Trial {
@@ -168,7 +159,7 @@
     }
 }
 
-fn spawn_renewal(node: &Rc<Node>, key: TrialKey, opened_at: Timestamp) -> Renewal {
+fn spawn_renewal(node: &Rc<Node>, key: TrialKey, opened_at: Timestamp) -> TaskGuard {
     let node = Rc::clone(node);
     let task = spawn_local(async move {
         loop {
@@ -176,7 +167,7 @@
             node.report_trial(&key, opened_at, None);
         }
     });
-    Renewal(task.abort_handle())
+    TaskGuard::new(task.abort_handle())
 }
 
 impl Drop for Trial {
