Convert the trial of a place request beside its inverse

Four fields of the frame were each taken out of the optional trial where the frame is sent; wire.rs has both directions now. A failed answer is recorded as that at once, not as a head before.

--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -194,11 +194,12 @@
                 Ok(Ok(exchange)) => match classify_response(names, &exchange.parts, &self.id) {
                     class @ (ResponseClass::Answer | ResponseClass::Failure) => {
                         self.possible_runs += 1;
-                        run.on_head();
                         self.trace.on_head(exchange.body.framing());
                         if class == ResponseClass::Failure {
                             run.on_failure();
                             run.set_outcome(PlaceOutcome::Errored);
+                        } else {
+                            run.on_head();
                         }
                         return Ok((exchange, run));
                     }
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -9,7 +9,6 @@
 use dogwoodtray_coord::Incarnation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
-use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::Dispatcher;
 use dogwoodtray_policy::DispatcherConfig;
@@ -31,6 +30,7 @@
 
 use super::wire::class_to_wire;
 use super::wire::outcome_to_wire;
+use super::wire::trial_to_wire;
 use crate::node::Node;
 use crate::peers::DISPATCHER_KEY;
 use crate::trial::TrialKey;
@@ -270,7 +270,6 @@
         let link = self.peers.link_to(&name)?;
         self.send_held_places(&name, &link);
         let now = self.now();
-        let trial = params.trial.as_ref();
         let message = messages::PlaceAsk {
             ask: number,
             service: params.service.to_string(),
@@ -279,12 +278,7 @@
             due_within_ms: millis(params.due - now),
             repeatable: params.repeatable,
             excluded: params.excluded.iter().map(ToString::to_string).collect(),
-            trial: trial
-                .map(|trial| trial.contents.iter().map(|content| content.0).collect())
-                .unwrap_or_default(),
-            trial_holder: trial.map_or(0, |trial| trial.id.holder.0),
-            trial_number: trial.map_or(0, |trial| trial.id.number),
-            trial_expiring: trial.is_some_and(|trial| trial.subject == TrialSubject::ExpiringItem),
+            ..params.trial.as_ref().map(trial_to_wire).unwrap_or_default()
         };
         if !link.send(message) {
             return None;
--- a/dogwoodtray_gateway/src/places/wire.rs
+++ b/dogwoodtray_gateway/src/places/wire.rs
@@ -47,6 +47,17 @@
     }
 }
 
+/// Returns a request for a place in which only the fields of its trial are set.
+pub(super) fn trial_to_wire(trial: &TrialKey) -> messages::PlaceAsk {
+    messages::PlaceAsk {
+        trial: trial.contents.iter().map(|content| content.0).collect(),
+        trial_holder: trial.id.holder.0,
+        trial_number: trial.id.number,
+        trial_expiring: trial.subject == TrialSubject::ExpiringItem,
+        ..messages::PlaceAsk::default()
+    }
+}
+
 /// Returns the trial that a place is requested for.
 pub(crate) fn trial_from_wire(request: &messages::PlaceAsk) -> Option<TrialKey> {
     let holder = Incarnation(request.trial_holder);
