Check the contents of an item once before each run

Since each run of an item looked its contents up twice, and four branches had to give the trial up by hand. Only a trial that the last run left is checked before hold() now, and a trial ends with the round of the loop that it belongs to. No change of behaviour: trials, item_crashes and jobs pass.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -80,27 +80,21 @@
     let mut empty_runs = 0;
     let mut head_timeout = INITIAL_HEAD_TIMEOUT;
     let mut excluded: Vec<Name> = Vec::new();
-    // Trial that the next run is.
-    let mut trial: Option<Trial> = None;
+    // Trial that the last run left to the next one.
+    let mut kept: Option<Trial> = None;
     let mut was_tried = false;
     let route_key = RouteKey::new(&job.spec.host, &item.path);
     let Some(prepared) = PreparedItem::new(&node, &job, &item) else {
         return failed_result(&node, &job, &item, "impossible");
     };
     loop {
-        let id = trial.as_ref().map(|trial| trial.key().id);
-        let subject = trial_subject(&node, expires_at);
-        let verdict = node.content_verdict(subject, &prepared.contents, id);
-        let blocked = match verdict {
-            ContentVerdict::Trial(contents) if id.is_some() => contents,
-            _ => {
-                // Others may run as trials while this item waits.
-                trial = None;
-                hold(&node, &job, &item, &prepared.contents, expires_at, was_tried).await
-            }
-        };
-        let subject = trial_subject(&node, expires_at);
-        trial = Trial::keep_or_open(trial, &node, &item.id, subject, blocked);
+        let mut trial =
+            kept.take().filter(|trial| may_go_on(&node, trial, &prepared.contents, expires_at));
+        if trial.is_none() {
+            let blocked = hold(&node, &job, &item, &prepared.contents, expires_at, was_tried).await;
+            let subject = trial_subject(&node, expires_at);
+            trial = Trial::keep_or_open(None, &node, &item.id, subject, blocked);
+        }
         if node.now() >= expires_at {
             return failed_result(&node, &job, &item, "retention over");
         }
@@ -142,16 +136,12 @@
         let permit = match place {
             Ok(Ok(permit)) => permit,
             Ok(Err(PlaceError::Refused { retry_after })) => {
-                trial = None;
+                drop(trial);
                 sleep(retry_after.min(MAX_TRIAL_RETRY_DELAY)).await;
                 continue;
             }
-            Ok(Err(PlaceError::Expired)) => {
-                trial = None;
-                continue;
-            }
+            Ok(Err(PlaceError::Expired)) => continue,
             Err(next) => {
-                trial = None;
                 log_left_service(&node, &job, &item, &service, &next);
                 continue;
             }
@@ -159,7 +149,6 @@
         trial.iter_mut().for_each(Trial::on_granted);
         // A content may have been blocked while the item waited for its place.
         if node.is_newly_blocked(&prepared.contents, trial.as_ref().map(Trial::key)) {
-            trial = None;
             continue;
         }
         let endpoint = Name::clone(&permit.endpoint);
@@ -171,7 +160,8 @@
         let mut outcome =
             run_once(&node, &job, &item, &prepared, &progress, (permit, &mut trial), head_timeout)
                 .await;
-        was_tried |= is_trial && trial.is_none();
+        kept = trial;
+        was_tried |= is_trial && kept.is_none();
         if progress.borrow().event_count() > events_before {
             empty_runs = 0;
         } else if matches!(outcome, RunOutcome::Empty) {
@@ -286,6 +276,14 @@
     }
 }
 
+/// Returns `true` if a trial that was not run is of all blocked contents of the item and may be sent
+/// again at once.
+fn may_go_on(node: &Node, trial: &Trial, contents: &Contents, expires_at: Timestamp) -> bool {
+    let id = Some(trial.key().id);
+    let verdict = node.content_verdict(trial_subject(node, expires_at), contents, id);
+    matches!(verdict, ContentVerdict::Trial(blocked) if *trial.key().contents == *blocked)
+}
+
 /// Returns how the item is tried: one that is given up soon need not wait as long as others.
 fn trial_subject(node: &Node, expires_at: Timestamp) -> TrialSubject {
     if expires_at - node.now() <= TRIAL_PLACE_TIMEOUT {
