--- a/dogwoodtray_gateway/tests/crashes.rs
+++ b/dogwoodtray_gateway/tests/crashes.rs
@@ -9,10 +9,10 @@
 
 use hyper::StatusCode;
 use support::Behavior;
-use support::Counts;
 use support::Endpoint;
 use support::Site;
 use support::TestResponse;
+use support::block_parts;
 use support::run_local;
 use support::start_crashing;
 use support::submission;
@@ -102,21 +102,6 @@
     });
 }
 
-/// Sends requests with the parts `a1` and `p1` that crash endpoints, until one is refused unsent.
-async fn block_parts(site: &Site, counts: &Counts) {
-    for number in 0..30 {
-        let before = counts.deadly.get();
-        let id = format!("b{number}");
-        let own = format!("a1:9,p1:9,f{number}:9");
-        site.post_prompt("/stream/x", &id, &own, &format!("lethal {number}")).await;
-        if counts.deadly.get() == before && counts.crashes.get() >= 2 {
-            return;
-        }
-        sleep(Duration::from_millis(20)).await;
-    }
-    panic!("the parts are not blocked");
-}
-
 /// Guards against a block that one process keeps to itself, or that is lost with the drivers.
 #[test]
 fn a_block_reaches_all_processes_and_outlives_the_drivers() {
--- a/dogwoodtray_gateway/tests/item_crashes.rs
+++ b/dogwoodtray_gateway/tests/item_crashes.rs
@@ -8,13 +8,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use hyper::StatusCode;
+use support::Item;
 use support::Site;
 use support::run_local;
 use support::start_crashing;
 use support::start_crashing_with;
+use support::submit_items;
 use support::wait_until;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -33,36 +32,6 @@
 /// Crashes by one item, and further times that it may reach an endpoint.
 const MAX_OF_ONE: u32 = 3 + 3;
 
-/// Item of a job.
-struct Item {
-    id: String,
-    /// Parts of its prompt.
-    parts: String,
-    body: String,
-}
-
-impl Item {
-    fn new(id: impl Into<String>, parts: impl Into<String>, body: impl Into<String>) -> Self {
-        Self { id: id.into(), parts: parts.into(), body: body.into() }
-    }
-}
-
-async fn submit(site: &Site, job: &str, items: &[Item]) {
-    let items: Vec<String> = items
-        .iter()
-        .map(|item| {
-            let body = STANDARD.encode(&item.body);
-            let (id, parts) = (&item.id, &item.parts);
-            format!(
-                r#"{{"id":"{id}","path":"/job/same","body":"{body}","tokens":9,
-                "headers":{{"Model":"m","Prompt-Prefix":"{parts}"}}}}"#
-            )
-        })
-        .collect();
-    let body = format!(r#"{{"items":[{}]}}"#, items.join(","));
-    assert_eq!(site.post("/job/x", job, &body).await.status, StatusCode::ACCEPTED);
-}
-
 /// Guards against items with one common part that crash one endpoint after the other, and against
 /// other items that wait because of them.
 #[test]
@@ -75,14 +44,14 @@
         let deadly: Vec<Item> = (0..6)
             .map(|n| Item::new(format!("d{n}"), format!("a1:9,lethal:9,f{n}:9"), format!("d{n}")))
             .collect();
-        submit(&site, "j1", &deadly).await;
+        submit_items(&site, "j1", &deadly).await;
         sleep(OBSERVED).await;
         let reached = counts.deadly.get();
         assert!(reached <= MAX_WITH_PART, "{reached} items reached endpoints");
         let sound: Vec<Item> = (0..4)
             .map(|n| Item::new(format!("s{n}"), format!("b1:9,s{n}:9"), format!("s{n}")))
             .collect();
-        submit(&site, "j2", &sound).await;
+        submit_items(&site, "j2", &sound).await;
         wait_until("the other items are complete", || counts.sound.get() == 4).await;
     });
 }
@@ -95,7 +64,7 @@
         let counts = start_crashing(&site.store, ENDPOINTS, DOWN).await;
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
-        submit(&site, "j1", &[Item::new("i1", "a1:9,b1:9", "lethal")]).await;
+        submit_items(&site, "j1", &[Item::new("i1", "a1:9,b1:9", "lethal")]).await;
         sleep(OBSERVED).await;
         let reached = counts.deadly.get();
         assert!(reached <= MAX_OF_ONE, "it reached endpoints {reached} times");
@@ -111,16 +80,16 @@
         let counts = start_crashing(&site.store, ENDPOINTS, DOWN).await;
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
-        submit(&site, "j1", &[Item::new("s1", "a1:9,s1:9", "sound")]).await;
+        submit_items(&site, "j1", &[Item::new("s1", "a1:9,s1:9", "sound")]).await;
         wait_until("an item with the first part is complete", || counts.sound.get() == 1).await;
         let deadly: Vec<Item> = (0..6)
             .map(|n| Item::new(format!("d{n}"), "a1:9,own:9", format!("lethal {n}")))
             .collect();
-        submit(&site, "j2", &deadly).await;
+        submit_items(&site, "j2", &deadly).await;
         sleep(OBSERVED).await;
         let reached = counts.deadly.get();
         assert!(reached <= MAX_WITH_PART, "{reached} items reached endpoints");
-        submit(&site, "j3", &[Item::new("s2", "a1:9,s2:9", "sound")]).await;
+        submit_items(&site, "j3", &[Item::new("s2", "a1:9,s2:9", "sound")]).await;
         wait_until("another item with the first part is complete", || counts.sound.get() == 2)
             .await;
     });
@@ -135,7 +104,7 @@
         counts.crash_delay.set(Duration::from_millis(100));
         let _driver = site.start_driver("d1").await;
         let _gateway = site.start_gateway().await;
-        submit(&site, "j1", &[Item::new("i1", "a1:9,i1:9", "lethal")]).await;
+        submit_items(&site, "j1", &[Item::new("i1", "a1:9,i1:9", "lethal")]).await;
         let started = Instant::now();
         let mut requests = JoinSet::new();
         let mut seen = 0;
@@ -168,7 +137,7 @@
         let deadly: Vec<Item> = (0..4)
             .map(|n| Item::new(format!("d{n}"), format!("a1:9,lethal:9,f{n}:9"), format!("d{n}")))
             .collect();
-        submit(&site, "j1", &deadly).await;
+        submit_items(&site, "j1", &deadly).await;
         sleep(OBSERVED).await;
         let reached = counts.deadly.get();
         assert!(reached <= MAX_WITH_PART, "{reached} items reached endpoints");
@@ -193,7 +162,7 @@
         let items: Vec<Item> = (0..12)
             .map(|n| Item::new(format!("i{n}"), format!("a1:9,i{n}:9"), format!("i{n}")))
             .collect();
-        submit(&site, "j1", &items).await;
+        submit_items(&site, "j1", &items).await;
         for wave in 1..=6 {
             let before = counts.received.get();
             wait_until("items run again", || counts.received.get() > before).await;
--- a/dogwoodtray_gateway/tests/support/crashing.rs
+++ b/dogwoodtray_gateway/tests/support/crashing.rs
@@ -5,7 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use dogwoodtray_platform::MemoryObjects;
+use hyper::StatusCode;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
@@ -14,6 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::Site;
 use super::raw_entry;
 use super::raw_request::header;
 use super::raw_request::read_request;
@@ -210,3 +214,53 @@
         Ok(())
     }
 }
+
+/// Sends requests with the parts `a1` and `p1` that crash endpoints, until one is refused unsent.
+pub(crate) async fn block_parts(site: &Site, counts: &Counts) {
+    for number in 0..30 {
+        let before = counts.deadly.get();
+        let id = format!("b{number}");
+        let own = format!("a1:9,p1:9,f{number}:9");
+        site.post_prompt("/stream/x", &id, &own, &format!("{DEADLY} {number}")).await;
+        if counts.deadly.get() == before && counts.crashes.get() >= 2 {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the parts are not blocked");
+}
+
+/// Item of a job.
+pub(crate) struct Item {
+    id: String,
+    /// Parts of its prompt.
+    parts: String,
+    body: String,
+}
+
+impl Item {
+    pub(crate) fn new(
+        id: impl Into<String>,
+        parts: impl Into<String>,
+        body: impl Into<String>,
+    ) -> Self {
+        Self { id: id.into(), parts: parts.into(), body: body.into() }
+    }
+}
+
+/// Submits a job of these items.
+pub(crate) async fn submit_items(site: &Site, job: &str, items: &[Item]) {
+    let items: Vec<String> = items
+        .iter()
+        .map(|item| {
+            let body = STANDARD.encode(&item.body);
+            let (id, parts) = (&item.id, &item.parts);
+            format!(
+                r#"{{"id":"{id}","path":"/job/same","body":"{body}","tokens":9,
+                "headers":{{"Model":"m","Prompt-Prefix":"{parts}"}}}}"#
+            )
+        })
+        .collect();
+    let body = format!(r#"{{"items":[{}]}}"#, items.join(","));
+    assert_eq!(site.post("/job/x", job, &body).await.status, StatusCode::ACCEPTED);
+}
--- a/dogwoodtray_gateway/tests/trials.rs
+++ b/dogwoodtray_gateway/tests/trials.rs
@@ -12,17 +12,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::choose_subset;
 use dogwoodtray_gateway::Gateway;
 use dogwoodtray_gateway::JobDriver;
 use hyper::StatusCode;
 use support::Answer;
 use support::Counts;
+use support::Item;
 use support::Site;
+use support::TestResponse;
+use support::block_parts;
 use support::run_local;
 use support::start_crashing;
+use support::submit_items;
 use support::wait_until;
+use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -49,40 +54,43 @@
 struct Fleet {
     site: Rc<Site>,
     counts: Rc<Counts>,
-    driver: JobDriver,
-    gateway: Gateway,
+    drivers: Vec<(Name, JobDriver)>,
+    _gateway: Gateway,
 }
 
 impl Fleet {
     /// Starts a fleet in which both parts are blocked, and waits until one may be tried.
     async fn blocked() -> Self {
         let this = Self::start().await;
-        this.block_parts().await;
-        sleep(FIRST_TRIAL).await;
+        this.block().await;
         this
     }
 
+    /// Blocks both parts, and waits until one may be tried.
+    async fn block(&self) {
+        block_parts(&self.site, &self.counts).await;
+        sleep(FIRST_TRIAL).await;
+    }
+
+    /// Starts a trial through a gateway, to which no endpoint answers, and waits until it is out.
+    async fn start_silent_trial(&self, to: SocketAddr) -> JoinHandle<TestResponse> {
+        self.counts.answer.set(Answer::Silence);
+        let before = self.counts.received.get();
+        let site = Rc::clone(&self.site);
+        let trial = spawn_local(async move {
+            site.post_prompt_to(to, "/stream/x", "t1", "a1:9,t1:9", "sound").await
+        });
+        wait_until("the trial is out", || self.counts.received.get() > before).await;
+        trial
+    }
+
     async fn start() -> Self {
         let site = Rc::new(Site::new());
         let counts = start_crashing(&site.store, ENDPOINTS, DOWN).await;
-        let driver = site.start_driver("d1").await;
+        let drivers = vec![(Name::from("d1"), site.start_driver("d1").await)];
         let gateway = site.start_gateway().await;
         sleep(Duration::from_millis(300)).await;
-        Self { site, counts, driver, gateway }
-    }
-
-    async fn block_parts(&self) {
-        for number in 0..30 {
-            let before = self.counts.deadly.get();
-            let id = format!("b{number}");
-            let prompt = format!("a1:9,p1:9,f{number}:9");
-            self.site.post_prompt("/stream/x", &id, &prompt, &format!("lethal {number}")).await;
-            if self.counts.deadly.get() == before && self.counts.crashes.get() >= 2 {
-                return;
-            }
-            sleep(Duration::from_millis(20)).await;
-        }
-        panic!("the parts are not blocked");
+        Self { site, counts, drivers, _gateway: gateway }
     }
 
     /// Sends a sound request with the part `a1`. Returns its status, or 502 if its answer is not complete.
@@ -248,15 +256,9 @@
         let fleet = Fleet::start().await;
         let (other_addr, _other) = fleet.site.start_other_gateway("g3").await;
         sleep(Duration::from_millis(300)).await;
-        fleet.block_parts().await;
-        sleep(FIRST_TRIAL).await;
-        fleet.counts.answer.set(Answer::Silence);
+        fleet.block().await;
         let before = fleet.counts.received.get();
-        let trial = spawn_local({
-            let site = Rc::clone(&fleet.site);
-            async move { site.post_prompt("/stream/x", "t1", "a1:9,t1:9", "sound").await }
-        });
-        wait_until("the trial is out", || fleet.counts.received.get() > before).await;
+        let trial = fleet.start_silent_trial(fleet.site.caller_addr).await;
         for number in 0..20 {
             for to in [fleet.site.caller_addr, other_addr] {
                 let status = fleet.send_to(to, "/stream/x", &format!("o{number}")).await;
@@ -276,15 +278,8 @@
         let fleet = Fleet::start().await;
         let (other_addr, other) = fleet.site.start_other_gateway("g3").await;
         sleep(Duration::from_millis(300)).await;
-        fleet.block_parts().await;
-        sleep(FIRST_TRIAL).await;
-        fleet.counts.answer.set(Answer::Silence);
-        let before = fleet.counts.received.get();
-        let trial = spawn_local({
-            let site = Rc::clone(&fleet.site);
-            async move { site.post_prompt_to(other_addr, "/stream/x", "t1", "a1:9,t:9", "s").await }
-        });
-        wait_until("the trial is out", || fleet.counts.received.get() > before).await;
+        fleet.block().await;
+        let trial = fleet.start_silent_trial(other_addr).await;
         drop(other);
         trial.abort();
         fleet.counts.answer.set(Answer::Usual);
@@ -298,25 +293,14 @@
 fn a_trial_outlives_the_driver_that_granted_it() {
     run_local(async {
         let mut fleet = Fleet::start().await;
-        let second = fleet.site.start_driver("d2").await;
+        fleet.drivers.push((Name::from("d2"), fleet.site.start_driver("d2").await));
         sleep(Duration::from_secs(1)).await;
-        fleet.block_parts().await;
-        sleep(FIRST_TRIAL).await;
-        fleet.counts.answer.set(Answer::Silence);
+        fleet.block().await;
         let before = fleet.counts.received.get();
-        let trial = spawn_local({
-            let site = Rc::clone(&fleet.site);
-            async move { site.post_prompt("/stream/x", "t1", "a1:9,t:9", "sound").await }
-        });
-        wait_until("the trial is out", || fleet.counts.received.get() > before).await;
-        // One of them granted it.
-        let names = [String::from("d1"), String::from("d2")].map(dogwoodtray_coord::Name::from);
-        let first = dogwoodtray_coord::choose_subset("places", &names, 1).remove(0);
-        if &*first == "d1" {
-            fleet.driver = second;
-        } else {
-            drop(second);
-        }
+        let trial = fleet.start_silent_trial(fleet.site.caller_addr).await;
+        let names: Vec<Name> = fleet.drivers.iter().map(|(name, _)| Name::clone(name)).collect();
+        let granted_by = choose_subset("places", &names, 1).remove(0);
+        fleet.drivers.retain(|(name, _)| *name != granted_by);
         let started = Instant::now();
         while started.elapsed() < Duration::from_millis(2_500) {
             fleet.send("/stream/x", "o").await;
@@ -327,8 +311,6 @@
         fleet.counts.answer.set(Answer::Usual);
         let waited = fleet.served_after().await;
         assert!(waited <= NEXT_TRIAL, "it waited {waited:?}");
-        let _ = &fleet.gateway;
-        let _ = &fleet.driver;
     });
 }
 
@@ -339,14 +321,8 @@
     run_local(async {
         let fleet = Fleet::blocked().await;
         fleet.counts.answer.set(Answer::NotRun(503));
-        let body = STANDARD.encode("sound");
-        let job = format!(
-            r#"{{"items":[{{"id":"i1","path":"/job/i1","body":"{body}","tokens":9,
-            "headers":{{"Model":"m","Prompt-Prefix":"a1:9,i1:9"}}}}]}}"#
-        );
         let before = fleet.counts.received.get();
-        let status = fleet.site.post("/job/x", "j1", &job).await.status;
-        assert_eq!(status, StatusCode::ACCEPTED);
+        submit_items(&fleet.site, "j1", &[Item::new("i1", "a1:9,i1:9", "sound")]).await;
         wait_until("the item is tried", || fleet.counts.received.get() > before).await;
         let tried_at = Instant::now();
         wait_until("its next run is sent", || fleet.counts.received.get() > before + 1).await;
@@ -366,19 +342,10 @@
 fn an_item_that_was_tried_leaves_the_next_trial_to_others() {
     run_local(async {
         let fleet = Fleet::blocked().await;
-        let item = |id: &str, text: &str| {
-            let body = STANDARD.encode(text);
-            format!(
-                r#"{{"id":"{id}","path":"/job/{id}","body":"{body}","tokens":9,
-                "headers":{{"Model":"m","Prompt-Prefix":"a1:9,{id}:9"}}}}"#
-            )
-        };
         let (before, sound) = (fleet.counts.deadly.get(), fleet.counts.sound.get());
-        let job = format!(r#"{{"items":[{}]}}"#, item("i1", "lethal i1"));
-        assert_eq!(fleet.site.post("/job/x", "j1", &job).await.status, StatusCode::ACCEPTED);
+        submit_items(&fleet.site, "j1", &[Item::new("i1", "a1:9,i1:9", "lethal i1")]).await;
         wait_until("the first item is tried", || fleet.counts.deadly.get() > before).await;
-        let job = format!(r#"{{"items":[{}]}}"#, item("i2", "sound"));
-        assert_eq!(fleet.site.post("/job/x", "j2", &job).await.status, StatusCode::ACCEPTED);
+        submit_items(&fleet.site, "j2", &[Item::new("i2", "a1:9,i2:9", "sound")]).await;
         sleep(Duration::from_secs(3)).await;
         wait_until("the other item is complete", || fleet.counts.sound.get() > sound).await;
         assert_eq!(fleet.counts.deadly.get(), before + 1, "the first item was tried again");
