--- a/dogwoodtray_cli/src/daemon/gateway.rs
+++ b/dogwoodtray_cli/src/daemon/gateway.rs
@@ -61,6 +61,9 @@
         grace: settings.grace,
         results_kept: settings.results_kept,
         buffer_bytes: buffer_bytes(settings.memory_mb),
+        revocation: settings.revocation,
+        config_apply: settings.config_apply,
+        limit_tolerance: settings.limit_tolerance,
     }
 }
 
--- a/dogwoodtray_cli/src/settings/gateway.rs
+++ b/dogwoodtray_cli/src/settings/gateway.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bpaf::Args;
+use dogwoodtray_coord::LimitTolerance;
 use dogwoodtray_coord::Name;
 
 use super::error::SettingsFailure;
@@ -22,6 +23,12 @@
     &setting::GRACE_S,
     &setting::RESULTS_KEPT_S,
     &setting::MEMORY_MB,
+    &setting::REVOKE_MS,
+    &setting::STRICT_REVOKE,
+    &setting::CONFIG_APPLY_MS,
+    &setting::QUOTA_WINDOW_S,
+    &setting::QUOTA_OVERRUN,
+    &setting::QUOTA_SLACK,
 ];
 
 const DRIVER_SETTINGS: &[&Setting] = &[
@@ -33,10 +40,16 @@
     &setting::GRACE_S,
     &setting::RESULTS_KEPT_S,
     &setting::MEMORY_MB,
+    &setting::REVOKE_MS,
+    &setting::STRICT_REVOKE,
+    &setting::CONFIG_APPLY_MS,
+    &setting::QUOTA_WINDOW_S,
+    &setting::QUOTA_OVERRUN,
+    &setting::QUOTA_SLACK,
 ];
 
 /// Settings that gateways and drivers share.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct NodeSettings {
     /// Name of the node.
     pub node: Name,
@@ -54,10 +67,16 @@
     pub results_kept: Duration,
     /// Memory of the process in MiB.
     pub memory_mb: u32,
+    /// Time after a key is taken away after which it is refused, also at a VM that is cut off.
+    pub revocation: Option<Duration>,
+    /// Time within which a configuration is in force at connected processes.
+    pub config_apply: Duration,
+    /// By how much the limits of organisations may be exceeded.
+    pub limit_tolerance: LimitTolerance,
 }
 
 /// Settings of a gateway.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
     /// Settings that gateways share with drivers.
     pub node: NodeSettings,
@@ -68,7 +87,7 @@
 }
 
 /// Settings of a driver.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct DriverSettings {
     /// Settings that drivers share with gateways.
     pub node: NodeSettings,
@@ -86,10 +105,33 @@
             grace: Duration::from_secs(values.number(&setting::GRACE_S, 1..=600)),
             results_kept: Duration::from_secs(results_kept),
             memory_mb: values.number(&setting::MEMORY_MB, 32..=1_048_576),
+            revocation: strict_revocation(values),
+            config_apply: Duration::from_millis(
+                values.number(&setting::CONFIG_APPLY_MS, 1..=3_600_000),
+            ),
+            limit_tolerance: limit_tolerance(values),
         }
     }
 }
 
+fn strict_revocation(values: &mut Values) -> Option<Duration> {
+    let bound = values.optional_number(&setting::REVOKE_MS, 1..=86_400_000);
+    let is_strict = values.optional_boolean(&setting::STRICT_REVOKE);
+    bound.filter(|_| is_strict).map(Duration::from_millis)
+}
+
+fn limit_tolerance(values: &mut Values) -> LimitTolerance {
+    let default = LimitTolerance::default();
+    let window = values.optional_number(&setting::QUOTA_WINDOW_S, 0.001..=86_400.0);
+    let overrun = values.optional_number(&setting::QUOTA_OVERRUN, 0.0..=1_000.0);
+    let slack = values.optional_number(&setting::QUOTA_SLACK, 0.0..=1_000_000.0);
+    LimitTolerance {
+        window: window.map_or(default.window, Duration::from_secs_f64),
+        overrun: overrun.unwrap_or(default.overrun),
+        slack: slack.unwrap_or(default.slack),
+    }
+}
+
 impl GatewaySettings {
     /// Creates the settings from the arguments and environment variables of this process.
     ///
--- a/dogwoodtray_cli/src/settings/setting.rs
+++ b/dogwoodtray_cli/src/settings/setting.rs
@@ -54,6 +54,18 @@
         "Time after submission for which the results of a job stay readable", "120";
     MEMORY_MB: "memory-mb", "MEMORY_MB", "MIB",
         "Memory of the process, a quarter of which it uses for buffers of requests", "128";
+    REVOKE_MS: "revoke-ms", "REVOKE_MS", "MILLISECONDS",
+        "Time after a key is taken away after which it is refused; empty for none", "";
+    STRICT_REVOKE: "strict-revoke", "STRICT_REVOKE", "BOOL",
+        "Whether that time holds at a VM that is cut off; empty for false", "";
+    CONFIG_APPLY_MS: "config-apply-ms", "CONFIG_APPLY_MS", "MILLISECONDS",
+        "Time within which a configuration is in force at connected processes", "3000";
+    QUOTA_WINDOW_S: "quota-window-s", "QUOTA_WINDOW_S", "SECONDS",
+        "Window over which limits of organisations are checked; empty for 5 s", "";
+    QUOTA_OVERRUN: "quota-overrun", "QUOTA_OVERRUN", "SHARE",
+        "Share by which a limit may be exceeded; empty for 0.1", "";
+    QUOTA_SLACK: "quota-slack", "QUOTA_SLACK", "COUNT",
+        "Requests by which a limit may be exceeded in addition; empty for none", "";
     ROUTE_POLICY: "route-policy", "ROUTE_POLICY", "NAME",
         "Routing: adaptive, round-robin or least-outstanding", "adaptive";
     ORG_REQUESTS_PER_S: "org-requests-per-s", "ORG_REQUESTS_PER_S", "COUNT",
--- a/dogwoodtray_cli/src/settings/values.rs
+++ b/dogwoodtray_cli/src/settings/values.rs
@@ -108,6 +108,34 @@
         number.unwrap_or(*range.start())
     }
 
+    /// Parses a number that may be left empty.
+    pub(super) fn optional_number<T>(
+        &mut self,
+        setting: &Setting,
+        range: RangeInclusive<T>,
+    ) -> Option<T>
+    where
+        T: Copy + Display + FromStr + PartialOrd,
+    {
+        if self.is_empty(setting) {
+            return None;
+        }
+        let allowed = format!("a number from {} to {}, or empty", range.start(), range.end());
+        self.parse(setting, &allowed, |raw| raw.parse().ok().filter(|n| range.contains(n)))
+    }
+
+    /// Parses a truth value; an empty one is false.
+    pub(super) fn optional_boolean(&mut self, setting: &Setting) -> bool {
+        if self.is_empty(setting) {
+            return false;
+        }
+        self.parse(setting, "true, false or empty", |raw| raw.parse().ok()).unwrap_or_default()
+    }
+
+    fn is_empty(&self, setting: &Setting) -> bool {
+        self.raw.get(setting.flag).is_none_or(String::is_empty)
+    }
+
     pub(super) fn boolean(&mut self, setting: &Setting) -> bool {
         self.parse(setting, "true or false", |raw| raw.parse().ok()).unwrap_or_default()
     }
--- /dev/null
+++ b/dogwoodtray_coord/src/rate_limit/mod.rs
@@ -0,0 +1,5 @@
+//! Limits on the requests of organizations over all processes.
+
+mod tolerance;
+
+pub use self::tolerance::LimitTolerance;
--- a/dogwoodtray_gateway/benches/path.rs
+++ b/dogwoodtray_gateway/benches/path.rs
@@ -20,6 +20,7 @@
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::Dispatcher;
 use dogwoodtray_policy::DispatcherConfig;
+use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_policy::PlaceRequest;
@@ -78,6 +79,9 @@
             due: now + Duration::from_secs(5),
             repeatable: false,
             excluded: Vec::new(),
+            organization: None,
+            priority: 0,
+            cost: PlaceCost::default(),
         };
         dispatcher.request_place(now, request, &mut out);
         dispatcher.release_place(now, id, PlaceOutcome::Answered, &mut out);
@@ -124,6 +128,8 @@
         latency_objective: Duration::from_millis(300),
         max_attempts: 2,
         services: vec![(Name::from("s"), 1)],
+        anonymous: false,
+        priority: 0,
     };
     let routes = (0..count).map(route).collect();
     let config = SiteConfig::new(Generation(1), routes, Limits::default());
--- a/dogwoodtray_gateway/src/driver/admissions.rs
+++ b/dogwoodtray_gateway/src/driver/admissions.rs
@@ -30,6 +30,7 @@
 
 use super::Driver;
 use super::JOBS_KIND;
+use super::Job;
 use super::WATCHERS_KEY;
 use crate::node::Node;
 
@@ -70,7 +71,8 @@
 
     fn for_each_open(&self, f: &mut dyn FnMut(&Name, u64)) {
         let jobs = self.driver.jobs.borrow();
-        let open = jobs.values().filter(|job| job.spec.route == *self.route && !job.is_terminal());
+        let is_open = |job: &&Rc<Job>| !job.is_terminal() && job.spec.limit_name() == *self.route;
+        let open = jobs.values().filter(is_open);
         open.for_each(|job| f(job.id(), job.open_tokens()));
     }
 }
--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -124,18 +124,24 @@
             repeatable: true,
             excluded: excluded.clone(),
             trial: trial.as_ref().map(|trial| trial.key().clone()),
+            organization: job.spec.organization.clone(),
+            priority: job.spec.priority,
+            counted: true,
+            cost: prepared.cost,
         };
         let place = node.acquire_place(&params);
         let place = node.while_selected(&service, |_| true, place).await;
         if let (Some(trial), Ok(Err(error))) = (&mut trial, &place) {
             trial.set_progress(match error {
-                PlaceError::Refused { .. } => TrialProgress::Refused,
+                PlaceError::Refused { .. } | PlaceError::OverLimit { .. } => TrialProgress::Refused,
                 PlaceError::Expired => TrialProgress::NoPlace,
             });
         }
         let permit = match place {
             Ok(Ok(permit)) => permit,
-            Ok(Err(PlaceError::Refused { retry_after })) => {
+            Ok(Err(
+                PlaceError::Refused { retry_after } | PlaceError::OverLimit { retry_after },
+            )) => {
                 drop(trial);
                 sleep(retry_after.min(MAX_TRIAL_RETRY_DELAY)).await;
                 continue;
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -10,6 +10,7 @@
 use dogwoodtray_http::EventTooLarge;
 use dogwoodtray_http::OutOfBytes;
 use dogwoodtray_http::Truncation;
+use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_runtime::catalogue;
 use http_body_util::BodyExt;
@@ -26,6 +27,8 @@
 
 use super::job::Job;
 use super::progress::Progress;
+use crate::caller::set_organization;
+use crate::contents::place_cost;
 use crate::contents::request_contents;
 use crate::model::JobItem;
 use crate::net::AnswerError;
@@ -82,6 +85,7 @@
 pub(super) struct PreparedItem {
     request: EndpointRequest,
     pub(super) contents: Rc<Contents>,
+    pub(super) cost: PlaceCost,
 }
 
 impl PreparedItem {
@@ -89,7 +93,8 @@
     pub(super) fn new(node: &Node, job: &Job, item: &JobItem) -> Option<Self> {
         let request = build_endpoint_request(node, job, item)?;
         let contents = Rc::new(request_contents(&*node.dialect, &request));
-        Some(Self { request, contents })
+        let cost = place_cost(&*node.dialect, &job.spec.route, &request.headers);
+        Some(Self { request, contents, cost })
     }
 }
 
@@ -99,8 +104,12 @@
     for (name, value) in &item.headers {
         headers.append(name.parse::<HeaderName>().ok()?, HeaderValue::from_str(value).ok()?);
     }
+    let names = node.dialect.names();
+    if let Some(organization) = &job.spec.organization {
+        set_organization(&mut headers, &names.organization, Some(organization));
+    }
     let id = HeaderValue::from_str(&item.id).ok()?;
-    headers.insert(node.dialect.names().request_id.clone(), id);
+    headers.insert(names.request_id.clone(), id);
     Some(EndpointRequest {
         method: Method::POST,
         path_and_query: item.path.clone(),
--- a/dogwoodtray_gateway/src/driver/spec.rs
+++ b/dogwoodtray_gateway/src/driver/spec.rs
@@ -8,9 +8,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::caller::priority_of;
+use crate::caller::scoped_name;
 use crate::model::BatchTerms;
 use crate::model::JobItem;
 use crate::model::MAX_ITEM_TOKENS;
+use crate::model::Organization;
 use crate::model::Route;
 
 /// Maximum size of a submission that is stored as one object. The store limits values to 1 MB.
@@ -23,6 +26,12 @@
     pub(crate) route: Name,
     /// Host of the route.
     pub(crate) host: Name,
+    /// Organization that submitted the job, if the configuration named any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) organization: Option<Name>,
+    /// Rank of its items among those that wait; 0 is the highest.
+    #[serde(default)]
+    pub(crate) priority: u32,
     /// Generation of the configuration by which the job was accepted.
     #[serde(default)]
     pub(crate) generation: Generation,
@@ -90,6 +99,7 @@
 impl JobSpec {
     pub(crate) fn new(
         route: &Route,
+        organization: Option<&Organization>,
         terms: BatchTerms,
         generation: Generation,
         accepted_unix_ms: u64,
@@ -100,6 +110,8 @@
         Self {
             route: Name::clone(&route.name),
             host: Name::clone(&route.host),
+            organization: organization.map(|organization| Name::clone(&organization.name)),
+            priority: priority_of(route, organization),
             generation,
             accepted_unix_ms,
             target_ms: millis(terms.completion_target),
@@ -113,6 +125,12 @@
         }
     }
 
+    /// Returns the name of the limit on the tokens of its unfinished items, which each organization
+    /// has for itself.
+    pub(crate) fn limit_name(&self) -> Name {
+        scoped_name(self.organization.as_ref(), &self.route)
+    }
+
     /// Encodes the submission, and the separate objects for its items if it is large.
     pub(crate) fn encode(mut self) -> (String, Vec<String>) {
         let encoded = encode(&self);
--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -7,7 +7,6 @@
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_runtime::LinkHandle;
-use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::JobAdmitStatus;
 use dogwoodtray_wire::messages::JobReadStatus;
@@ -20,7 +19,10 @@
 use crate::places::PlaceError;
 use crate::places::PlaceParams;
 use crate::places::PlacePermit;
+use crate::places::cost_from_wire;
+use crate::places::organization_from_wire;
 use crate::places::outcome_from_wire;
+use crate::places::refusal;
 use crate::places::trial_from_wire;
 use crate::task::TaskGuard;
 
@@ -56,6 +58,7 @@
                 let forwarded = self.forwarded_places.borrow_mut().remove(&id);
                 if let Some(ForwardedPlace::Held(mut permit)) = forwarded {
                     permit.set_outcome(outcome_from_wire(place.outcome()));
+                    permit.set_may_have_run(!place.not_run);
                 }
             }
             Kind::PlaceSlow(slow) => {
@@ -108,6 +111,10 @@
             repeatable: request.repeatable,
             excluded: request.excluded.iter().map(|name| Name::from(name.as_str())).collect(),
             trial: trial_from_wire(request),
+            organization: organization_from_wire(request),
+            priority: request.priority,
+            counted: request.counted,
+            cost: cost_from_wire(request),
         };
         link.send(messages::PlaceQueued { ask: request.ask });
         let (node, link) = (Rc::clone(self), link.clone());
@@ -115,15 +122,19 @@
             let place = node.acquire_place(&params).await;
             let number = id.number;
             match place {
-                Ok(permit) => {
+                Ok(mut permit) => {
                     let endpoint = permit.endpoint.to_string();
+                    // If the other process is lost, its request may have run.
+                    permit.set_may_have_run(true);
                     link.send(messages::PlaceGrant { ask: number, endpoint });
                     // Drops the previous entry, which aborts this task; nothing is left to run.
                     node.forwarded_places.borrow_mut().insert(id, ForwardedPlace::Held(permit));
                 }
                 Err(PlaceError::Refused { retry_after }) => {
-                    let retry_after_ms = millis(retry_after);
-                    link.send(messages::PlaceRefused { ask: number, retry_after_ms });
+                    link.send(refusal(number, retry_after, false));
+                }
+                Err(PlaceError::OverLimit { retry_after }) => {
+                    link.send(refusal(number, retry_after, true));
                 }
                 Err(PlaceError::Expired) => {}
             }
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -3,6 +3,7 @@
 use std::fmt::Display;
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dogwoodtray_coord::Contents;
@@ -20,7 +21,10 @@
 use super::response::GatewayResponse;
 use super::run::Run;
 use super::trace::Trace;
+use crate::caller::priority_of;
+use crate::contents::place_cost;
 use crate::contents::request_contents;
+use crate::model::Organization;
 use crate::model::Route;
 use crate::model::RouteKind;
 use crate::net::AnswerKind;
@@ -66,6 +70,8 @@
 pub(crate) enum AttemptError {
     /// No endpoint had a place in time.
     NoPlace(Duration),
+    /// The limit of the organization is reached.
+    OverLimit(Duration),
     /// The exchange with the endpoint failed; the request may have run.
     OutcomeUnknown,
     /// The endpoint did not respond in time; the request may have run.
@@ -81,6 +87,7 @@
 pub(crate) struct Attempts {
     pub(crate) node: Rc<Node>,
     pub(crate) route: Route,
+    organization: Option<Arc<Organization>>,
     service: RoutedService,
     pub(crate) id: Name,
     pub(crate) endpoint_request: EndpointRequest,
@@ -103,7 +110,7 @@
     /// arrival and its deadline.
     pub(crate) fn new(
         node: Rc<Node>,
-        route: Route,
+        (route, organization): (Route, Option<Arc<Organization>>),
         service: RoutedService,
         id: Name,
         (endpoint_request, lease): (EndpointRequest, ByteLease),
@@ -115,6 +122,7 @@
         Self {
             node,
             route,
+            organization,
             service,
             id,
             endpoint_request,
@@ -307,14 +315,21 @@
                 Some(Ok(Err(error))) => error,
                 None => PlaceError::Expired,
             };
-            let (retry_after, progress) = match error {
-                PlaceError::Refused { retry_after } => (retry_after, TrialProgress::Refused),
-                PlaceError::Expired => (EXPIRED_RETRY_AFTER, TrialProgress::NoPlace),
+            let (error, progress) = match error {
+                PlaceError::Refused { retry_after } => {
+                    (AttemptError::NoPlace(retry_after), TrialProgress::Refused)
+                }
+                PlaceError::OverLimit { retry_after } => {
+                    (AttemptError::OverLimit(retry_after), TrialProgress::Refused)
+                }
+                PlaceError::Expired => {
+                    (AttemptError::NoPlace(EXPIRED_RETRY_AFTER), TrialProgress::NoPlace)
+                }
             };
             if let Some(trial) = &mut self.trial {
                 trial.set_progress(progress);
             }
-            return Err(AttemptError::NoPlace(retry_after));
+            return Err(error);
         }
     }
 
@@ -331,6 +346,11 @@
             repeatable: self.route.kind.is_repeatable() && self.route.max_attempts > 1,
             excluded: self.excluded.clone(),
             trial: self.trial.as_ref().map(|trial| trial.key().clone()),
+            organization: self.organization.as_ref().map(|org| Name::clone(&org.name)),
+            priority: priority_of(&self.route, self.organization.as_deref()),
+            // A place at which the request did not run gave its token back.
+            counted: self.possible_runs > 0,
+            cost: place_cost(&*self.node.dialect, &self.route.name, &self.endpoint_request.headers),
         }
     }
 
@@ -379,6 +399,9 @@
             AttemptError::NoPlace(retry_after) if self.possible_runs == 0 => {
                 (response::refused(retry_after), "refused")
             }
+            AttemptError::OverLimit(retry_after) if self.possible_runs == 0 => {
+                (response::over_rate(retry_after), "over limit")
+            }
             AttemptError::Blocked(retry_after) if self.possible_runs == 0 => {
                 (response::blocked(retry_after), "blocked")
             }
@@ -386,6 +409,7 @@
                 (response::plain(StatusCode::GATEWAY_TIMEOUT, "out of time\n"), "out of time")
             }
             AttemptError::NoPlace(_)
+            | AttemptError::OverLimit(_)
             | AttemptError::Blocked(_)
             | AttemptError::OutcomeUnknown
             | AttemptError::EndpointTimeout => {
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -30,6 +30,7 @@
 use crate::model::ItemResult;
 use crate::model::ItemState;
 use crate::model::JobItem;
+use crate::model::Organization;
 use crate::model::ResultPage;
 use crate::model::Route;
 use crate::node::Node;
@@ -74,7 +75,7 @@
 /// Accepts a job. It is accepted once its submission exists in the store.
 pub(crate) async fn submit(
     node: &Rc<Node>,
-    route: &Route,
+    (route, organization): (&Route, Option<&Organization>),
     terms: BatchTerms,
     id: &Name,
     body: &Bytes,
@@ -90,7 +91,7 @@
     let count = items.len();
     let tokens: u64 = items.iter().map(|item| item.tokens).sum();
     let bodies = bodies_hash(&items);
-    let submitted = admit_and_store(node, route, terms, id, items).await;
+    let submitted = admit_and_store(node, (route, organization), terms, id, items).await;
     let response = submission_response(&submitted);
     if matches!(submitted, Submitted::Stored(CreateResult::Done | CreateResult::Exists))
         && let Some(link) = node.peers.preferred_link(node, id)
@@ -153,17 +154,18 @@
 /// Stores a job, after its admission if the route limits the tokens of its unfinished items.
 async fn admit_and_store(
     node: &Rc<Node>,
-    route: &Route,
+    (route, organization): (&Route, Option<&Organization>),
     terms: BatchTerms,
     id: &Name,
     items: Vec<JobItem>,
 ) -> Submitted {
+    let spec = new_spec(node, route, organization, terms, items);
     if terms.max_waiting_tokens == 0 {
-        return Submitted::Stored(store_job(node, route, terms, id, items).await);
+        return Submitted::Stored(store_job(node, spec, id).await);
     }
     let started = node.now();
-    let tokens = items.iter().map(|item| item.tokens).sum();
-    let admitted = admit(node, route, terms.max_waiting_tokens, id, tokens).await;
+    let limit = (spec.limit_name(), terms.max_waiting_tokens);
+    let admitted = admit(node, limit, id, spec.tokens).await;
     let status =
         admitted.as_ref().map_or(JobAdmitStatus::Unavailable, messages::JobAdmitted::status);
     metrics::counter!("dogwoodtray_job_admissions_total", "decision" => decision_label(status))
@@ -173,7 +175,7 @@
         (JobAdmitStatus::Refused, Some(refusal)) => return Submitted::OverLimit(refusal),
         _ => return Submitted::Undecided,
     }
-    let stored = store_job(node, route, terms, id, items).await;
+    let stored = store_job(node, spec, id).await;
     if node.now() - started > MAX_ADMISSION_AGE {
         return Submitted::TooLate;
     }
@@ -188,17 +190,17 @@
     }
 }
 
-/// Asks the driver that admits the jobs of a route. Returns `None` if no driver replies.
+/// Asks the driver that admits the jobs of a route, by the name of their limit and the limit itself.
+/// Returns `None` if no driver replies.
 async fn admit(
     node: &Rc<Node>,
-    route: &Route,
-    limit: u64,
+    (limit_name, limit): (Name, u64),
     id: &Name,
     tokens: u64,
 ) -> Option<messages::JobAdmitted> {
     let reply = call_driver(node, WATCHERS_KEY, ADMISSION_TIMEOUT, |call| messages::JobAdmit {
         call,
-        route: route.name.to_string(),
+        route: limit_name.to_string(),
         job: id.to_string(),
         tokens,
         limit,
@@ -209,16 +211,20 @@
     }
 }
 
-/// Stores the objects of a job, its submission last.
-async fn store_job(
-    node: &Rc<Node>,
+fn new_spec(
+    node: &Node,
     route: &Route,
+    organization: Option<&Organization>,
     terms: BatchTerms,
-    id: &Name,
     items: Vec<JobItem>,
-) -> CreateResult {
+) -> JobSpec {
     let generation = node.directory.borrow().generation();
-    let (spec, parts) = JobSpec::new(route, terms, generation, Clock::unix_ms(), items).encode();
+    JobSpec::new(route, organization, terms, generation, Clock::unix_ms(), items)
+}
+
+/// Stores the objects of a job, its submission last.
+async fn store_job(node: &Rc<Node>, spec: JobSpec, id: &Name) -> CreateResult {
+    let (spec, parts) = spec.encode();
     for (index, part) in (0..).zip(parts) {
         let name = JobSpec::part_name(id, index);
         match node.create(PARTS_KIND, &name, part).await {
--- a/dogwoodtray_gateway/src/http/response.rs
+++ b/dogwoodtray_gateway/src/http/response.rs
@@ -45,6 +45,20 @@
     with_retry_after(plain(StatusCode::TOO_MANY_REQUESTS, text), retry_after)
 }
 
+/// Returns the response to a request beyond the limit of its organization.
+pub(crate) fn over_rate(retry_after: Duration) -> GatewayResponse {
+    let text = "the limit of the organization is reached; not run; try again later\n";
+    with_retry_after(plain(StatusCode::TOO_MANY_REQUESTS, text), retry_after)
+}
+
+/// Returns the response to a request whose key is missing, malformed or unknown.
+pub(crate) fn unauthorized() -> GatewayResponse {
+    let mut response = plain(StatusCode::UNAUTHORIZED, "a valid key is required\n");
+    let scheme = HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+    response
+}
+
 fn with_retry_after(mut response: GatewayResponse, retry_after: Duration) -> GatewayResponse {
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/dogwoodtray_gateway/src/http/run.rs
+++ b/dogwoodtray_gateway/src/http/run.rs
@@ -27,11 +27,12 @@
         node: &Rc<Node>,
         request: &Name,
         contents: &Rc<Contents>,
-        permit: PlacePermit,
+        mut permit: PlacePermit,
         is_stream: bool,
         trial: Option<Trial>,
     ) -> Self {
         let kind = if is_stream { RunKind::Stream } else { RunKind::Plain };
+        permit.set_may_have_run(true);
         let observed = ObservedRun::start(node, request, contents, &permit.endpoint, kind, trial);
         Self { permit, observed }
     }
@@ -53,6 +54,7 @@
 
     /// Records that the endpoint did not run the request. Returns the trial, which another run may use.
     pub(crate) const fn on_not_run(&mut self, progress: TrialProgress) -> Option<Trial> {
+        self.permit.set_may_have_run(false);
         self.observed.on_not_run(progress)
     }
 
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -2,16 +2,19 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fmt::Display;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
 use dogwoodtray_http::CallerStream;
 use dogwoodtray_http::FlushBeforeError;
 use dogwoodtray_runtime::MetricsHandle;
+use dogwoodtray_runtime::catalogue;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
@@ -40,7 +43,13 @@
 use super::response;
 use super::response::GatewayResponse;
 use super::trace::Trace;
+use crate::caller::organization_of;
+use crate::caller::scoped_name;
+use crate::caller::set_organization;
+use crate::model::Organization;
+use crate::model::Route;
 use crate::model::RouteKind;
+use crate::model::SiteConfig;
 use crate::node::Node;
 use crate::request::EndpointRequest;
 use crate::request::strip_hop_by_hop_headers;
@@ -214,14 +223,21 @@
     let names = node.dialect.names();
     let path = parts.uri.path().to_owned();
     if let Some(job) = path.strip_prefix(names.job_path) {
-        return handle_job(node, &parts, &Name::from(job)).await;
+        return match identify_job(node, &parts.headers, job) {
+            Ok(job) => handle_job(node, &parts, &job).await,
+            Err(response) => *response,
+        };
     }
     if let Some(job) = path.strip_prefix(names.item_path) {
+        let job = match identify_job(node, &parts.headers, job) {
+            Ok(job) => job,
+            Err(response) => return *response,
+        };
         if !node.drain.takes(arrived, None, arrived + JOB_CALL_TIME) {
             return response::stopping();
         }
         let item = query_param(&parts, names.item_param).unwrap_or_default();
-        return jobs::read_item(node, &Name::from(job), &item).await;
+        return jobs::read_item(node, &job, &item).await;
     }
     let Some(config) = node.directory.borrow().config().cloned() else {
         return response::refused(STARTING_RETRY_AFTER);
@@ -230,6 +246,10 @@
     let Some(route) = config.route(host, &path) else {
         return response::plain(StatusCode::NOT_FOUND, "no such route\n");
     };
+    let organization = match identify_caller(node, &config, Some(route), &parts.headers) {
+        Ok(organization) => organization,
+        Err(response) => return *response,
+    };
     let Some(id) = header_text(&parts.headers, &names.request_id).map(Name::from) else {
         return response::plain(StatusCode::BAD_REQUEST, "the request has no id\n");
     };
@@ -262,7 +282,9 @@
         return refuse_stopping(trace());
     }
     if let RouteKind::Batch(terms) = route.kind {
-        let response = jobs::submit(node, route, terms, &id, &body).await;
+        let job = scoped_name(organization.as_ref().map(|org| &org.name), &id);
+        let target = (route, organization.as_deref());
+        let response = jobs::submit(node, target, terms, &job, &body).await;
         node.drain.record(node.now(), &route.name, node.now() - arrived);
         return response;
     }
@@ -274,11 +296,15 @@
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
+    if !config.organizations().is_empty() {
+        let name = organization.as_ref().map(|org| &org.name);
+        set_organization(&mut headers, &names.organization, name);
+    }
     let path_and_query = parts.uri.path_and_query().map_or(path, ToString::to_string);
     let endpoint_request = EndpointRequest { method: parts.method, path_and_query, headers, body };
     let attempts = Attempts::new(
         Rc::clone(node),
-        route.clone(),
+        (route.clone(), organization),
         service,
         id,
         (endpoint_request, lease),
@@ -288,6 +314,44 @@
     online::serve(attempts).await
 }
 
+/// Returns the organization of a caller, or `None` if the request needs no key. Returns the response
+/// if the request is not accepted.
+fn identify_caller(
+    node: &Node,
+    config: &SiteConfig,
+    route: Option<&Route>,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Organization>>, Box<GatewayResponse>> {
+    if config.organizations().is_empty() || route.is_some_and(|route| route.anonymous) {
+        return Ok(None);
+    }
+    match organization_of(config, headers) {
+        Ok(organization) => Ok(Some(Arc::clone(organization))),
+        Err(err) => {
+            metrics::counter!("dogwoodtray_rejected_keys_total", "reason" => err.to_string())
+                .increment(1);
+            let generation = config.generation.0;
+            let fields: [(&str, &dyn Display); 2] = [("key", &err), ("generation", &generation)];
+            node.events.emit(&catalogue::KEY_REJECTED, None, &fields);
+            Err(Box::new(response::unauthorized()))
+        }
+    }
+}
+
+/// Returns the name under which a job of a caller is kept. Returns the response if the request is not
+/// accepted.
+fn identify_job(node: &Node, headers: &HeaderMap, job: &str) -> Result<Name, Box<GatewayResponse>> {
+    let Some(config) = node.directory.borrow().config().cloned() else {
+        return Err(Box::new(response::refused(STARTING_RETRY_AFTER)));
+    };
+    let host = header_text(headers, &header::HOST).unwrap_or_default();
+    if !headers.contains_key(header::AUTHORIZATION) && config.has_anonymous_jobs(host) {
+        return Ok(Name::from(job));
+    }
+    let organization = identify_caller(node, &config, None, headers)?;
+    Ok(scoped_name(organization.as_ref().map(|org| &org.name), job))
+}
+
 /// Returns the response to a request that may not end before this process stops.
 fn refuse_stopping(mut trace: Trace) -> GatewayResponse {
     let response = response::stopping();
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! endpoints to the requests of all processes and runs batch jobs in the remaining places. A
 //! [`Dialect`] hides the names and encodings of the platform.
 
+mod caller;
 mod calls;
 mod cancelled_jobs;
 mod contents;
@@ -43,11 +44,14 @@
 pub use crate::model::Limits;
 pub use crate::model::ListDigest;
 pub use crate::model::MAX_ITEM_TOKENS;
+pub use crate::model::Organization;
+pub use crate::model::Organizations;
 pub use crate::model::ProtocolNames;
 pub use crate::model::ResultPage;
 pub use crate::model::Route;
 pub use crate::model::RouteKind;
 pub use crate::model::SiteConfig;
+pub use crate::model::StatedSize;
 pub use crate::net::EventParser;
 pub use crate::net::StreamEvent;
 pub use crate::node::NodeConfig;
--- a/dogwoodtray_gateway/src/model/dialect.rs
+++ b/dogwoodtray_gateway/src/model/dialect.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use dogwoodtray_coord::Name;
+use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
 use quick_error::quick_error;
 
@@ -45,6 +46,8 @@
     pub last_event_id: HeaderName,
     /// Header with the parts of the prompt of a request.
     pub prompt_parts: HeaderName,
+    /// Header that tells an endpoint the organization of a request.
+    pub organization: HeaderName,
     /// Header with the maximum wait of a read for a result, in milliseconds.
     pub wait_ms: HeaderName,
     /// Path of the readiness check.
@@ -65,6 +68,17 @@
     pub retirements: &'static str,
 }
 
+/// Size of a request in tokens, as its caller states it; 0 where it states none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatedSize {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Output tokens that the caller expects.
+    pub expected_output_tokens: u32,
+    /// Maximum number of output tokens.
+    pub max_output_tokens: u32,
+}
+
 /// Conversion between the formats of the platform and the types of the gateway.
 pub trait Dialect: fmt::Debug + Send + Sync {
     /// Returns the names that the platform uses.
@@ -88,6 +102,9 @@
     /// header. A part that belongs to the request itself is left out.
     fn shared_parts<'a>(&self, prompt: &'a str) -> Vec<&'a str>;
 
+    /// Returns the size of a request that its headers state.
+    fn stated_size(&self, headers: &HeaderMap) -> StatedSize;
+
     /// Decodes the submission of a batch job.
     ///
     /// # Errors
--- /dev/null
+++ b/dogwoodtray_gateway/src/model/organization.rs
@@ -0,0 +1,92 @@
+//! Organizations of the configuration and their keys.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+
+use dogwoodtray_coord::Name;
+
+/// Organization whose callers may use the service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Organization {
+    /// Name, by which endpoints know it.
+    pub name: Name,
+    /// Rank of its requests, which goes before that of their route; 0 is the highest.
+    pub priority: Option<u32>,
+    /// Limit of its requests per second over all processes; 0 for no limit.
+    pub rate_per_s: f64,
+    /// Number of requests that may exceed the rate at once.
+    pub burst: f64,
+}
+
+impl Organization {
+    /// Returns `true` if its requests are limited.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.rate_per_s > 0.0
+    }
+}
+
+/// Organizations by key and by name.
+#[derive(Clone, Default, PartialEq)]
+pub struct Organizations {
+    by_name: HashMap<Name, Arc<Organization>>,
+    /// Keys are secrets, so they appear in no log and no debug output.
+    by_key: HashMap<Name, Arc<Organization>>,
+}
+
+impl Organizations {
+    /// Creates the table from organizations and their keys. A key that two organizations have is
+    /// left out, as it does not tell whose caller has it.
+    #[must_use]
+    pub fn new(list: Vec<(Organization, Vec<Name>)>) -> Self {
+        let mut table = Self::default();
+        let mut ambiguous = Vec::new();
+        for (organization, keys) in list {
+            let organization = Arc::new(organization);
+            for key in keys {
+                let before = table.by_key.insert(Name::clone(&key), Arc::clone(&organization));
+                if before.is_some_and(|other| other.name != organization.name) {
+                    ambiguous.push(key);
+                }
+            }
+            table.by_name.insert(Name::clone(&organization.name), organization);
+        }
+        for key in &ambiguous {
+            table.by_key.remove(key);
+        }
+        table
+    }
+
+    /// Returns `true` if the configuration names no organization, so that requests need no key.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// Returns the organization that has a key.
+    #[must_use]
+    pub fn by_key(&self, key: &str) -> Option<&Arc<Organization>> {
+        self.by_key.get(key)
+    }
+
+    /// Returns the organization with a name.
+    #[must_use]
+    pub fn by_name(&self, name: &str) -> Option<&Arc<Organization>> {
+        self.by_name.get(name)
+    }
+
+    /// Returns all organizations.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Organization>> {
+        self.by_name.values()
+    }
+}
+
+impl fmt::Debug for Organizations {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Organizations")
+            .field("organizations", &self.by_name.len())
+            .field("keys", &self.by_key.len())
+            .finish()
+    }
+}
--- a/dogwoodtray_gateway/src/model/route.rs
+++ b/dogwoodtray_gateway/src/model/route.rs
@@ -7,6 +7,8 @@
 use dogwoodtray_coord::Generation;
 use dogwoodtray_coord::Name;
 
+use super::Organizations;
+
 /// Terms under which a route accepts batch jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BatchTerms {
@@ -66,6 +68,10 @@
     pub max_attempts: u32,
     /// Services with their weights.
     pub services: Vec<(Name, u32)>,
+    /// Whether its requests need no key.
+    pub anonymous: bool,
+    /// Rank of its requests; 0 is the highest.
+    pub priority: u32,
 }
 
 impl Route {
@@ -119,12 +125,13 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct SiteConfig {
     /// Generation, which increases with each version.
     pub generation: Generation,
     /// Limits on connections and requests of callers.
     pub limits: Limits,
+    organizations: Organizations,
     routes: Vec<Route>,
     /// Indices of the routes of each host, longest prefix first. A configuration may contain
     /// thousands of routes, and every request needs a lookup.
@@ -142,7 +149,28 @@
         for indices in by_host.values_mut() {
             indices.sort_by_key(|index| Reverse(routes[*index].path_prefix.len()));
         }
-        Self { generation, limits, routes, by_host }
+        Self { generation, limits, organizations: Organizations::default(), routes, by_host }
+    }
+
+    /// Sets the organizations. Without any, requests need no key.
+    #[must_use]
+    pub fn with_organizations(mut self, organizations: Organizations) -> Self {
+        self.organizations = organizations;
+        self
+    }
+
+    /// Returns the organizations.
+    #[must_use]
+    pub const fn organizations(&self) -> &Organizations {
+        &self.organizations
+    }
+
+    /// Returns `true` if a batch route of this host needs no key, so that its jobs have no owner.
+    #[must_use]
+    pub fn has_anonymous_jobs(&self, host: &str) -> bool {
+        let indices = self.by_host.get(host).map_or(&[][..], Vec::as_slice);
+        let mut routes = indices.iter().map(|index| &self.routes[*index]);
+        routes.any(|route| route.anonymous && matches!(route.kind, RouteKind::Batch(_)))
     }
 
     /// Returns all routes.
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::LimitTolerance;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_http::ByteBudget;
@@ -76,6 +77,13 @@
     pub results_kept: Duration,
     /// Limit of the bytes that the process buffers for all its requests.
     pub buffer_bytes: usize,
+    /// Time after a key is taken away after which no process accepts it, even if it is cut off from
+    /// the others. `None` if keys are only taken away as configurations arrive.
+    pub revocation: Option<Duration>,
+    /// Time within which a configuration is in force at processes that reach the store or each other.
+    pub config_apply: Duration,
+    /// By how much the limits of organizations may be exceeded.
+    pub limit_tolerance: LimitTolerance,
 }
 
 /// State shared by all tasks of a process.
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -13,6 +13,7 @@
 use dogwoodtray_policy::Dispatcher;
 use dogwoodtray_policy::DispatcherConfig;
 use dogwoodtray_policy::PlaceAction;
+use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_policy::PlaceRequest;
@@ -30,6 +31,7 @@
 
 use super::wire::class_to_wire;
 use super::wire::outcome_to_wire;
+use super::wire::refusal;
 use super::wire::trial_to_wire;
 use crate::node::Node;
 use crate::peers::DISPATCHER_KEY;
@@ -58,6 +60,14 @@
     pub(crate) excluded: Vec<Name>,
     /// Trial of blocked contents, if the request runs as one.
     pub(crate) trial: Option<TrialKey>,
+    /// Organization of the caller, if the configuration names any.
+    pub(crate) organization: Option<Name>,
+    /// Rank of the request among those that wait; 0 is the highest.
+    pub(crate) priority: u32,
+    /// Whether the request spends no token of its organization's limit: it has spent one, or it is
+    /// an item of a job.
+    pub(crate) counted: bool,
+    pub(crate) cost: PlaceCost,
 }
 
 /// Reason why no place was assigned.
@@ -65,6 +75,8 @@
 pub(crate) enum PlaceError {
     /// The request would miss its objective.
     Refused { retry_after: Duration },
+    /// The limit of the organization is reached.
+    OverLimit { retry_after: Duration },
     /// No place became free in time.
     Expired,
 }
@@ -75,6 +87,7 @@
     Grant(Name),
     Queued,
     Refuse(Duration),
+    OverLimit(Duration),
     Preempt,
     /// The request has to be sent to another process, or again.
     Reassigned,
@@ -135,9 +148,17 @@
     pub(crate) endpoint: Name,
     rx: UnboundedReceiver<PlaceEvent>,
     outcome: PlaceOutcome,
+    /// Whether the endpoint may have run the request.
+    may_have_run: bool,
 }
 
 impl PlacePermit {
+    /// Records whether the endpoint may have run the request. Otherwise the token that the request
+    /// spent is given back.
+    pub(crate) const fn set_may_have_run(&mut self, may_have_run: bool) {
+        self.may_have_run = may_have_run;
+    }
+
     /// Sets the outcome that is reported when the place is released. Defaults to `Withdrawn`.
     pub(crate) const fn set_outcome(&mut self, outcome: PlaceOutcome) {
         self.outcome = outcome;
@@ -163,7 +184,7 @@
 
 impl Drop for PlacePermit {
     fn drop(&mut self) {
-        self.node.release_place(self.number, self.outcome);
+        self.node.release_place(self.number, self.outcome, !self.may_have_run);
     }
 }
 
@@ -177,7 +198,7 @@
 impl Drop for WithdrawGuard<'_> {
     fn drop(&mut self) {
         if !self.granted {
-            self.node.release_place(self.number, PlaceOutcome::Withdrawn);
+            self.node.release_place(self.number, PlaceOutcome::Withdrawn, true);
         }
     }
 }
@@ -217,6 +238,7 @@
                         endpoint,
                         rx,
                         outcome: PlaceOutcome::Withdrawn,
+                        may_have_run: false,
                     });
                 }
                 Ok(None) => self.withdraw(number),
@@ -244,6 +266,9 @@
                 Ok(Some(PlaceEvent::Refuse(retry_after))) => {
                     return Err(PlaceError::Refused { retry_after });
                 }
+                Ok(Some(PlaceEvent::OverLimit(retry_after))) => {
+                    return Err(PlaceError::OverLimit { retry_after });
+                }
                 // The driver has queued the request; a closed link reports its loss.
                 Ok(Some(PlaceEvent::Queued)) => unconfirmed = None,
                 Ok(Some(PlaceEvent::Reassigned)) => return Ok(None),
@@ -278,6 +303,14 @@
             due_within_ms: millis(params.due - now),
             repeatable: params.repeatable,
             excluded: params.excluded.iter().map(ToString::to_string).collect(),
+            organization: params.organization.as_ref().map(ToString::to_string).unwrap_or_default(),
+            priority: params.priority,
+            counted: params.counted,
+            prompt_tokens: params.cost.prompt_tokens,
+            expected_output_tokens: params.cost.expected_output_tokens,
+            max_output_tokens: params.cost.max_output_tokens,
+            route: params.cost.route,
+            prefix: params.cost.prefix,
             ..params.trial.as_ref().map(trial_to_wire).unwrap_or_default()
         };
         if !link.send(message) {
@@ -323,6 +356,9 @@
             due: params.due,
             repeatable: params.repeatable,
             excluded: params.excluded.clone(),
+            organization: params.organization.clone(),
+            priority: params.priority,
+            cost: params.cost,
         };
         self.dispatch(|dispatcher, now, out| dispatcher.request_place(now, request, out));
     }
@@ -351,19 +387,26 @@
             let mut records = self.places.records.borrow_mut();
             records.get_mut(&number).map(|record| std::mem::take(&mut record.informed_links))
         };
-        self.report_place_outcome(number, informed.unwrap_or_default(), PlaceOutcome::Withdrawn);
+        let informed = informed.unwrap_or_default();
+        self.report_place_outcome(number, informed, PlaceOutcome::Withdrawn, true);
     }
 
-    fn release_place(&self, number: u64, outcome: PlaceOutcome) {
+    fn release_place(&self, number: u64, outcome: PlaceOutcome, not_run: bool) {
         let Some(record) = self.places.records.borrow_mut().remove(&number) else { return };
-        self.report_place_outcome(number, record.informed_links, outcome);
+        self.report_place_outcome(number, record.informed_links, outcome, not_run);
     }
 
     /// Reports the outcome of a place or request to all drivers that were informed of it.
-    fn report_place_outcome(&self, number: u64, informed: Vec<LinkHandle>, outcome: PlaceOutcome) {
+    fn report_place_outcome(
+        &self,
+        number: u64,
+        informed: Vec<LinkHandle>,
+        outcome: PlaceOutcome,
+        not_run: bool,
+    ) {
         let wire_outcome = outcome_to_wire(outcome).into();
         for link in informed {
-            link.send(messages::PlaceReturn { ask: number, outcome: wire_outcome });
+            link.send(messages::PlaceReturn { ask: number, outcome: wire_outcome, not_run });
         }
         let id = self.places.id(number);
         self.on_place_released(id);
@@ -454,8 +497,8 @@
                 link.send(messages::PlaceGrant { ask: number, endpoint: endpoint.to_string() })
             }
             PlaceEvent::Queued => link.send(messages::PlaceQueued { ask: number }),
-            PlaceEvent::Refuse(retry_after) => link
-                .send(messages::PlaceRefused { ask: number, retry_after_ms: millis(retry_after) }),
+            PlaceEvent::Refuse(retry_after) => link.send(refusal(number, retry_after, false)),
+            PlaceEvent::OverLimit(retry_after) => link.send(refusal(number, retry_after, true)),
             PlaceEvent::Preempt => link.send(messages::PlacePreempt { ask: number }),
             PlaceEvent::Reassigned => true,
         };
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -6,13 +6,15 @@
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceRequest;
 use dogwoodtray_runtime::LinkId;
-use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::frame::Kind;
 
 use super::acquire::PlaceEvent;
 use super::wire::class_from_wire;
+use super::wire::cost_from_wire;
+use super::wire::organization_from_wire;
 use super::wire::outcome_from_wire;
+use super::wire::refusal;
 use super::wire::trial_from_wire;
 use crate::node::Node;
 
@@ -25,7 +27,12 @@
             Kind::PlaceQueued(queued) => self.deliver(queued.ask, PlaceEvent::Queued),
             Kind::PlaceRefused(refused) => {
                 let retry_after = Duration::from_millis(refused.retry_after_ms.into());
-                self.deliver(refused.ask, PlaceEvent::Refuse(retry_after));
+                let event = if refused.over_limit {
+                    PlaceEvent::OverLimit(retry_after)
+                } else {
+                    PlaceEvent::Refuse(retry_after)
+                };
+                self.deliver(refused.ask, event);
             }
             Kind::PlacePreempt(preempt) => self.deliver(preempt.ask, PlaceEvent::Preempt),
             kind => self.on_call_reply(kind),
@@ -76,12 +83,13 @@
                 let class = class_from_wire(request.class());
                 let trial = trial_from_wire(&request);
                 if let Err(retry_after) = self.request_trial(id, trial.as_ref()) {
-                    let retry_after_ms = millis(retry_after);
                     if let Some(link) = self.peers.link_of_incarnation(incarnation) {
-                        link.send(messages::PlaceRefused { ask: request.ask, retry_after_ms });
+                        link.send(refusal(request.ask, retry_after, false));
                     }
                     return None;
                 }
+                let (organization, cost) =
+                    (organization_from_wire(&request), cost_from_wire(&request));
                 let request = PlaceRequest {
                     id,
                     service: Name::from(request.service.as_str()),
@@ -94,6 +102,9 @@
                         .iter()
                         .map(|name| Name::from(name.as_str()))
                         .collect(),
+                    organization,
+                    priority: request.priority,
+                    cost,
                 };
                 self.dispatch(|dispatcher, now, out| dispatcher.request_place(now, request, out));
             }
--- a/dogwoodtray_gateway/src/places/mod.rs
+++ b/dogwoodtray_gateway/src/places/mod.rs
@@ -9,5 +9,8 @@
 pub(crate) use self::acquire::PlaceParams;
 pub(crate) use self::acquire::PlacePermit;
 pub(crate) use self::acquire::Places;
+pub(crate) use self::wire::cost_from_wire;
+pub(crate) use self::wire::organization_from_wire;
 pub(crate) use self::wire::outcome_from_wire;
+pub(crate) use self::wire::refusal;
 pub(crate) use self::wire::trial_from_wire;
--- a/dogwoodtray_gateway/src/places/wire.rs
+++ b/dogwoodtray_gateway/src/places/wire.rs
@@ -1,11 +1,16 @@
 //! Conversions between values and message fields for places.
 
+use std::time::Duration;
+
 use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::Name;
 use dogwoodtray_coord::TrialId;
 use dogwoodtray_coord::TrialSubject;
 use dogwoodtray_policy::Class;
+use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceOutcome;
+use dogwoodtray_runtime::millis;
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::WorkClass;
 
@@ -47,6 +52,25 @@
     }
 }
 
+pub(crate) fn refusal(ask: u64, retry_after: Duration, over_limit: bool) -> messages::PlaceRefused {
+    messages::PlaceRefused { ask, retry_after_ms: millis(retry_after), over_limit }
+}
+
+pub(crate) fn cost_from_wire(request: &messages::PlaceAsk) -> PlaceCost {
+    PlaceCost {
+        prompt_tokens: request.prompt_tokens,
+        expected_output_tokens: request.expected_output_tokens,
+        max_output_tokens: request.max_output_tokens,
+        route: request.route,
+        prefix: request.prefix,
+    }
+}
+
+/// Returns the organization of a request for a place.
+pub(crate) fn organization_from_wire(request: &messages::PlaceAsk) -> Option<Name> {
+    (!request.organization.is_empty()).then(|| Name::from(request.organization.as_str()))
+}
+
 /// Returns a request for a place in which only the fields of its trial are set.
 pub(super) fn trial_to_wire(trial: &TrialKey) -> messages::PlaceAsk {
     messages::PlaceAsk {
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -26,6 +26,7 @@
 
 use bytes::Bytes;
 use dogwoodtray_adapter::SiteDialect;
+use dogwoodtray_coord::LimitTolerance;
 use dogwoodtray_coord::Name;
 use dogwoodtray_gateway::Gateway;
 use dogwoodtray_gateway::JobDriver;
@@ -606,5 +607,8 @@
         grace: Duration::from_secs(8),
         results_kept: Duration::from_secs(120),
         buffer_bytes: 32 << 20,
+        revocation: None,
+        config_apply: Duration::from_secs(3),
+        limit_tolerance: LimitTolerance::default(),
     }
 }
--- a/dogwoodtray_policy/src/lib.rs
+++ b/dogwoodtray_policy/src/lib.rs
@@ -35,6 +35,7 @@
 pub use crate::placement::DispatcherConfig;
 pub use crate::placement::EndpointPlaces;
 pub use crate::placement::PlaceAction;
+pub use crate::placement::PlaceCost;
 pub use crate::placement::PlaceId;
 pub use crate::placement::PlaceOutcome;
 pub use crate::placement::PlaceRequest;
--- a/dogwoodtray_policy/src/placement/dispatcher.rs
+++ b/dogwoodtray_policy/src/placement/dispatcher.rs
@@ -33,6 +33,7 @@
 /// use dogwoodtray_policy::DispatcherConfig;
 /// use dogwoodtray_policy::EndpointPlaces;
 /// use dogwoodtray_policy::PlaceAction;
+/// use dogwoodtray_policy::PlaceCost;
 /// use dogwoodtray_policy::PlaceRequest;
 /// use dogwoodtray_policy::PlaceId;
 ///
@@ -44,9 +45,18 @@
 /// let now = Timestamp::ZERO;
 /// let id = PlaceId { holder: 1, number: 1 };
 /// let start_by = now + Duration::from_millis(200);
-/// let class = Class::Online;
-/// let request =
-///     PlaceRequest { id, service, class, start_by, due: start_by, repeatable: false, excluded: vec![] };
+/// let request = PlaceRequest {
+///     id,
+///     service,
+///     class: Class::Online,
+///     start_by,
+///     due: start_by,
+///     repeatable: false,
+///     excluded: vec![],
+///     organization: None,
+///     priority: 0,
+///     cost: PlaceCost::default(),
+/// };
 /// let mut out = Vec::new();
 /// dispatcher.request_place(now, request, &mut out);
 /// assert_eq!(out, [PlaceAction::Grant { id, endpoint: Name::from("e1") }]);
--- a/dogwoodtray_policy/src/placement/mod.rs
+++ b/dogwoodtray_policy/src/placement/mod.rs
@@ -15,6 +15,7 @@
 pub use self::dispatcher::Dispatcher;
 pub use self::types::EndpointPlaces;
 pub use self::types::PlaceAction;
+pub use self::types::PlaceCost;
 pub use self::types::PlaceId;
 pub use self::types::PlaceOutcome;
 pub use self::types::PlaceRequest;
--- a/dogwoodtray_policy/src/placement/types.rs
+++ b/dogwoodtray_policy/src/placement/types.rs
@@ -16,6 +16,23 @@
     pub number: u64,
 }
 
+/// What a request says about its cost before it runs.
+///
+/// A field that is 0 is unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlaceCost {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Output tokens that the caller expects.
+    pub expected_output_tokens: u32,
+    /// Maximum number of output tokens.
+    pub max_output_tokens: u32,
+    /// Hash of the route.
+    pub route: u32,
+    /// Hash of the last part of the prompt that other requests share.
+    pub prefix: u32,
+}
+
 /// A request for a place at an endpoint of a service.
 #[derive(Clone, Debug)]
 pub struct PlaceRequest {
@@ -34,6 +51,12 @@
     pub repeatable: bool,
     /// Endpoints at which the request has already failed.
     pub excluded: Vec<Name>,
+    /// Organization of the caller, if the configuration names any.
+    pub organization: Option<Name>,
+    /// Rank of the request among those that wait; 0 is the highest.
+    pub priority: u32,
+    /// What is known of the cost of the request.
+    pub cost: PlaceCost,
 }
 
 /// Outcome with which a place is released.
--- a/dogwoodtray_policy/tests/placement.rs
+++ b/dogwoodtray_policy/tests/placement.rs
@@ -9,6 +9,7 @@
 use dogwoodtray_policy::DispatcherConfig;
 use dogwoodtray_policy::EndpointPlaces;
 use dogwoodtray_policy::PlaceAction;
+use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_policy::PlaceRequest;
@@ -56,6 +57,9 @@
             due: self.now + Duration::from_secs(18),
             repeatable: false,
             excluded: excluded.iter().map(|name| Name::from(*name)).collect(),
+            organization: None,
+            priority: 0,
+            cost: PlaceCost::default(),
         };
         self.dispatcher.request_place(self.now, request, &mut out);
         out
@@ -162,6 +166,9 @@
             due: Timestamp::ZERO + Duration::from_secs(due_s),
             repeatable: false,
             excluded: Vec::new(),
+            organization: None,
+            priority: 0,
+            cost: PlaceCost::default(),
         };
         self.dispatcher.request_place(self.now, request, &mut out);
         out
@@ -328,6 +335,9 @@
                 due: fixture.now + OBJECTIVE,
                 repeatable: true,
                 excluded: Vec::new(),
+                organization: None,
+                priority: 0,
+                cost: PlaceCost::default(),
             };
             fixture.dispatcher.request_place(fixture.now, request, &mut out);
             out.clear();
--- a/dogwoodtray_policy/tests/placement_odd_numbers.rs
+++ b/dogwoodtray_policy/tests/placement_odd_numbers.rs
@@ -9,6 +9,7 @@
 use dogwoodtray_policy::DispatcherConfig;
 use dogwoodtray_policy::EndpointPlaces;
 use dogwoodtray_policy::PlaceAction;
+use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_policy::PlaceRequest;
@@ -49,6 +50,9 @@
         due,
         repeatable: true,
         excluded: Vec::new(),
+        organization: None,
+        priority: 0,
+        cost: PlaceCost::default(),
     }
 }
 
--- a/dogwoodtray_policy/tests/placement_outliers.rs
+++ b/dogwoodtray_policy/tests/placement_outliers.rs
@@ -10,6 +10,7 @@
 use dogwoodtray_policy::DispatcherConfig;
 use dogwoodtray_policy::EndpointPlaces;
 use dogwoodtray_policy::PlaceAction;
+use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_policy::PlaceRequest;
@@ -82,6 +83,9 @@
             due: self.now + Duration::from_secs(5),
             repeatable,
             excluded: Vec::new(),
+            organization: None,
+            priority: 0,
+            cost: PlaceCost::default(),
         };
         let mut out = Vec::new();
         self.dispatcher.request_place(self.now, request, &mut out);
--- a/dogwoodtray_policy/tests/placement_overload.rs
+++ b/dogwoodtray_policy/tests/placement_overload.rs
@@ -11,6 +11,7 @@
 use dogwoodtray_policy::DispatcherConfig;
 use dogwoodtray_policy::EndpointPlaces;
 use dogwoodtray_policy::PlaceAction;
+use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_policy::PlaceRequest;
@@ -104,6 +105,9 @@
             due: work.due,
             repeatable: false,
             excluded: Vec::new(),
+            organization: None,
+            priority: 0,
+            cost: PlaceCost::default(),
         };
         let mut out = Vec::new();
         self.dispatcher.request_place(self.now, request, &mut out);
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -86,6 +86,8 @@
     SERVICE_LEFT = 2023, Info, "waiting request left its service";
     /// A trial of blocked contents ended.
     TRIAL_ENDED = 2024, Info, "trial of blocked contents ended";
+    /// The key of a request is missing, malformed or unknown.
+    KEY_REJECTED = 2025, Debug, "key rejected";
 
     /// A job was accepted.
     JOB_ACCEPTED = 3001, Info, "job accepted";
