--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -35,6 +35,8 @@
 use dogwoodtray_platform::MemoryObjects;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -71,8 +73,10 @@
 pub(crate) use self::scripted::stream;
 pub(crate) use self::silent_relay::SilentRelay;
 pub(crate) use self::site::HOST;
+pub(crate) use self::site::TestOrganization;
 pub(crate) use self::site::config;
 pub(crate) use self::site::config_moving;
+pub(crate) use self::site::config_with_organizations;
 pub(crate) use self::site::submission;
 
 /// Maximum wait for a condition, long enough for a busy machine.
@@ -136,6 +140,7 @@
     pub(crate) last_event_id: Option<u64>,
     pub(crate) deadline_ms: Option<u64>,
     pub(crate) expected: String,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// Cleared once the response was sent in full or the caller disconnected.
     pub(crate) in_progress: Rc<RefCell<bool>>,
@@ -248,6 +253,7 @@
             last_event_id: number("last-event-id"),
             deadline_ms: number("deadline-ms"),
             expected,
+            headers: parts.headers.clone(),
             body,
             in_progress: Rc::clone(&in_progress),
         });
@@ -343,7 +349,7 @@
 #[derive(Debug)]
 pub(crate) struct TestResponse {
     pub(crate) status: StatusCode,
-    pub(crate) headers: hyper::HeaderMap,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: String,
     /// Whether the body ended without an error.
     pub(crate) complete: bool,
@@ -479,6 +485,32 @@
         exchange(to, req).await
     }
 
+    /// Sends a request with a key.
+    pub(crate) async fn post_keyed(&self, path: &str, id: &str, key: &str) -> TestResponse {
+        self.post_keyed_to(self.caller_addr, path, id, key, "slip").await
+    }
+
+    pub(crate) async fn post_keyed_to(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        id: &str,
+        key: &str,
+        body: &str,
+    ) -> TestResponse {
+        let req = keyed(Method::POST, path, key)
+            .header("attempt-id", id)
+            .header("deadline-ms", "4000")
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .unwrap();
+        exchange(to, req).await
+    }
+
+    /// Sends a request without a body and with a key, such as a read of a job.
+    pub(crate) async fn call_keyed(&self, method: Method, path: &str, key: &str) -> TestResponse {
+        exchange(self.caller_addr, keyed(method, path, key).body(Full::default()).unwrap()).await
+    }
+
     /// Sends a request with these parts in its prompt.
     pub(crate) async fn post_prompt(
         &self,
@@ -518,6 +550,15 @@
     }
 }
 
+fn keyed(method: Method, path: &str, key: &str) -> hyper::http::request::Builder {
+    let credentials = format!("Bearer {key}");
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("authorization", credentials)
+}
+
 /// Returns the entry of an endpoint in the store.
 fn raw_entry(service: &str, addr: SocketAddr, slots: u32) -> String {
     format!(
@@ -572,7 +613,7 @@
 pub(crate) async fn exchange(addr: SocketAddr, req: Request<Full<Bytes>>) -> TestResponse {
     let failed = || TestResponse {
         status: StatusCode::IM_A_TEAPOT,
-        headers: hyper::HeaderMap::new(),
+        headers: HeaderMap::new(),
         body: String::new(),
         complete: false,
     };
