Send a full list of endpoints only to a process that requests it

Cause: every driver sent its full list of endpoints on every new link, and everything as changes on its first list. After a restart of all processes, each of them received one list from each driver: 8 MB at 30 drivers and 3,001 endpoints, over links of 22 Mbit/s and more.

Change: a process says on a new link which list it has, by its digest. A process with another list requests it, at most once in 500 ms. Test support waits for the registration of a process before it puts a relay in front of it; one test failed there.

--- a/dogwoodtray_gateway/src/directory.rs
+++ b/dogwoodtray_gateway/src/directory.rs
@@ -140,6 +140,12 @@
         self.endpoints.values()
     }
 
+    /// Returns the digest of the known endpoints.
+    #[must_use]
+    pub fn digest(&self) -> ListDigest {
+        map_digest(&self.endpoints)
+    }
+
     /// Returns `true` if a list call has failed since the last successful one.
     #[must_use]
     pub const fn has_list_failed(&self) -> bool {
--- a/dogwoodtray_gateway/src/endpoint_list.rs
+++ b/dogwoodtray_gateway/src/endpoint_list.rs
@@ -2,8 +2,9 @@
 //!
 //! One driver lists the endpoints and relays the changes to all processes. A process lists them
 //! itself only when its relayed list is too old. The size of a full list grows with the number of
-//! endpoints, so it is sent only to a process that has just connected or whose list differs from
-//! the base of the changes.
+//! endpoints, so it is sent only on request: every process says on a new link which list it has, by
+//! its digest, and a process that has another one requests it from one of the others. After a
+//! restart of all processes, each of them then receives one full list and not one from each driver.
 
 use std::collections::HashSet;
 use std::fmt::Display;
@@ -39,6 +40,10 @@
 /// Interval at which a process checks the age of its list.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time after a request for a full list in which no other one is requested. A list of 3,000 endpoints
+/// takes a tenth of a second on a slow link.
+const LIST_FETCH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Maximum length of an error in the log; an entry may hold up to 1 MB.
 const MAX_ERROR_CHARS: usize = 200;
 
@@ -84,6 +89,11 @@
         let applied = self.directory.borrow_mut().set_endpoints(now, revision, list);
         self.on_endpoints_applied(applied, "store");
         let changes = self.directory.borrow_mut().take_changes();
+        if changes.base == ListDigest::default() {
+            // The first list is as large as all endpoints; the others may have it already.
+            self.peers.broadcast_to_accepted(self.list_announcement());
+            return;
+        }
         self.peers.broadcast_to_accepted(self.encode_changes(&changes));
     }
 
@@ -137,6 +147,19 @@
 
 /// # Relaying
 impl Node {
+    /// Says on a link which list this process has.
+    pub(crate) fn announce_endpoints(&self, link: &LinkHandle) {
+        if self.directory.borrow().is_listed() {
+            link.send(self.list_announcement());
+        }
+    }
+
+    /// Returns changes that contain none, by which the receiver learns whether it has the same list.
+    fn list_announcement(&self) -> messages::EndpointChanges {
+        let digest = self.directory.borrow().digest();
+        self.encode_changes(&EndpointChanges { base: digest, digest, ..Default::default() })
+    }
+
     /// Sends the full list on a link.
     pub(crate) fn send_endpoints(&self, link: &LinkHandle) {
         if self.directory.borrow().is_listed() {
@@ -175,6 +198,7 @@
         if age >= MAX_RELAY_AGE {
             return;
         }
+        self.endpoint_fetched_at.set(None);
         self.restart_watches_after_outage();
         let list = set.endpoints.iter().filter_map(decode).collect();
         let (at, revision) = (self.now().saturating_sub(age), Version(set.revision));
@@ -204,14 +228,24 @@
         let (at, revision) = (self.now().saturating_sub(age), Version(frame.revision));
         let applied = self.directory.borrow_mut().apply(at, revision, &changes);
         if applied == Applied::BaseMismatch {
-            metrics::counter!("dogwoodtray_endpoint_fetches_total").increment(1);
-            link.send(messages::EndpointFetch {});
-            return;
+            return self.fetch_endpoints(link);
         }
         self.on_endpoints_applied(applied, "relay");
         self.relay_driver_frame(frame, from);
     }
 
+    /// Requests the full list, unless one was requested shortly before.
+    fn fetch_endpoints(&self, link: &LinkHandle) {
+        let now = self.now();
+        let is_requested =
+            self.endpoint_fetched_at.get().is_some_and(|at| now - at < LIST_FETCH_INTERVAL);
+        if !is_requested {
+            self.endpoint_fetched_at.set(Some(now));
+            metrics::counter!("dogwoodtray_endpoint_fetches_total").increment(1);
+            link.send(messages::EndpointFetch {});
+        }
+    }
+
     /// Relays a frame from a driver to the gateways that dialed this one because they cannot reach
     /// a driver. Frames from a gateway are not relayed, as two gateways may have dialed each other.
     pub(crate) fn relay_driver_frame(&self, frame: impl Into<messages::Frame>, from: NodeRole) {
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -109,6 +109,8 @@
     /// Newest configuration, as it is relayed on links.
     pub(crate) relayed_config: RefCell<Option<messages::ConfigSet>>,
     pub(crate) config_fetch: Cell<ConfigFetch>,
+    /// Time of the last request for a full list of endpoints that has not been answered.
+    pub(crate) endpoint_fetched_at: Cell<Option<Timestamp>>,
     /// Processes that are registered in the store.
     pub(crate) registered_nodes: RefCell<Vec<RegisteredNode>>,
     /// Entries in the list of endpoints that name none.
@@ -151,6 +153,7 @@
             drain: Drain::default(),
             relayed_config: RefCell::new(None),
             config_fetch: Cell::default(),
+            endpoint_fetched_at: Cell::default(),
             registered_nodes: RefCell::new(Vec::new()),
             ignored_entries: RefCell::new(HashSet::new()),
             forwarded_places: RefCell::new(HashMap::new()),
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -255,7 +255,7 @@
                 self.remove_places_of(hello.incarnation);
                 // Informs the new peer at once whether this process is stale or leaving.
                 link.send(self.heartbeat(0));
-                self.send_endpoints(&link);
+                self.announce_endpoints(&link);
                 self.send_blocks(&link);
                 let name = Name::from(&*hello.node);
                 if let Some(peer) = self.peers.dialed.borrow().get(&name) {
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -423,6 +423,8 @@
 
     /// Puts a relay in front of a process, and waits until it has this number of connections.
     pub(crate) async fn relay_to(&self, node: &str, connections: u32) -> SilentRelay {
+        let known = || self.store.spec("nodes", node).is_some();
+        wait_until("the process is registered", known).await;
         let spec = self.store.spec("nodes", node).unwrap();
         let mut spec: Value = serde_json::from_str(&spec).unwrap();
         let addr = spec["address"].as_str().unwrap().parse().unwrap();
