Limit the requests of organizations at the driver that assigns places

A limit per process does not bound the requests of an organization over all VMs. The driver that assigns places now takes a token of a bucket for each request with an organization, counts it when the request is granted a place, and gets it back if the request did not run. The limiter of the entry uses the same bucket.

--- a/dogwoodtray_entry/src/http/limits.rs
+++ b/dogwoodtray_entry/src/http/limits.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::TokenBucket;
 use hyper::StatusCode;
 
 use super::error::ApiError;
@@ -41,7 +42,7 @@
 
 #[derive(Debug)]
 struct Usage {
-    tokens: f64,
+    tokens: TokenBucket,
     refilled_at: Instant,
     open: u32,
 }
@@ -70,20 +71,18 @@
             organizations.retain(|_, usage| usage.open > 0);
         }
         let usage = organizations.entry(Name::clone(organization)).or_insert(Usage {
-            tokens: rate,
+            tokens: TokenBucket::new(rate, rate, rate),
             refilled_at: now,
             open: 0,
         });
-        let refill = now.saturating_duration_since(usage.refilled_at).as_secs_f64() * rate;
-        usage.tokens = (usage.tokens + refill).min(rate);
+        usage.tokens.refill(now.saturating_duration_since(usage.refilled_at));
         usage.refilled_at = now;
         if usage.open >= self.limits.open_requests {
             return Err(rate_limited("too many open requests of this organization"));
         }
-        if usage.tokens < 1.0 {
+        if !usage.tokens.try_take() {
             return Err(rate_limited("too many requests a second of this organization"));
         }
-        usage.tokens -= 1.0;
         usage.open += 1;
         Ok(Permit { limiter: Arc::clone(self), organization: Name::clone(organization) })
     }
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -134,17 +134,19 @@
         let incarnation = Incarnation(rand::random());
         let events = EventLog::open(Name::clone(&cfg.node), incarnation);
         let buffers = ByteBudget::new(cfg.buffer_bytes);
+        let clock = Clock::start();
+        let places = Places::new(incarnation, cfg.limit_tolerance, clock.now());
         Rc::new(Self {
             cfg,
             buffers,
             dialect,
             store,
-            clock: Clock::start(),
+            clock,
             incarnation,
             events,
             directory: RefCell::new(Directory::new()),
             peers: Peers::default(),
-            places: Places::new(incarnation),
+            places,
             routing: Routing::new(),
             crashes: Crashes::new(),
             draining: Cell::new(false),
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -96,6 +96,11 @@
         self.peers.broadcast_to_all(&self.heartbeat(0).into());
     }
 
+    /// Tells all connected processes at once which driver this one requests places from.
+    pub(crate) fn announce_dispatcher(&self) {
+        self.peers.broadcast_to_all(&self.heartbeat(0).into());
+    }
+
     fn heartbeat(&self, seq: u64) -> Heartbeat {
         let generation = self.directory.borrow().generation().0;
         let dispatcher = self.dispatcher();
@@ -266,8 +271,13 @@
                     self.send_cancellations(&link);
                 }
                 let id = link.id();
-                let accepted =
-                    AcceptedPeer { link, incarnation: hello.incarnation, dispatcher: None };
+                let accepted = AcceptedPeer {
+                    link,
+                    name,
+                    is_gateway: hello.role() == Role::Gateway,
+                    incarnation: hello.incarnation,
+                    dispatcher: None,
+                };
                 self.peers.accepted.borrow_mut().insert(id, accepted);
             }
             (LinkSource::Accepted, LinkEvent::Down { link, .. }) => {
@@ -288,7 +298,12 @@
                 if let Kind::Heartbeat(heartbeat) = &kind {
                     let name = (!heartbeat.dispatcher.is_empty())
                         .then(|| Name::from(&*heartbeat.dispatcher));
+                    let is_other = name.as_ref() != from.dispatcher.as_ref().map(|(name, _)| name);
                     from.dispatcher = name.map(|name| (name, self.now()));
+                    drop(accepted);
+                    if is_other {
+                        self.update_limit_share();
+                    }
                     return;
                 }
                 let (incarnation, link) = (from.incarnation, from.link.clone());
--- a/dogwoodtray_gateway/src/peers/view.rs
+++ b/dogwoodtray_gateway/src/peers/view.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
+use dogwoodtray_coord::ServedBy;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::choose_subset;
+use dogwoodtray_coord::served_share;
 use dogwoodtray_runtime::DialHandle;
 use dogwoodtray_runtime::LinkEvent;
 use dogwoodtray_runtime::LinkHandle;
@@ -27,6 +29,10 @@
 /// margin.
 pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_250);
 
+/// Time without a frame after which a process may be served by another driver, or a driver may serve
+/// others. A heartbeat interval and a margin; two drivers may count the same gateways that long.
+const LIMIT_SILENCE: Duration = Duration::from_millis(600);
+
 /// Time for which a peer receives no requests after it failed to answer one.
 const SUSPECT_TIME: Duration = Duration::from_secs(1);
 
@@ -71,6 +77,8 @@
 #[derive(Debug)]
 pub(super) struct AcceptedPeer {
     pub(super) link: LinkHandle,
+    pub(super) name: Name,
+    pub(super) is_gateway: bool,
     pub(super) incarnation: u64,
     /// Driver from which the process requests places, and the time of the heartbeat that named it.
     pub(super) dispatcher: Option<(Name, Timestamp)>,
@@ -162,6 +170,51 @@
         unresponsive * 2 > total
     }
 
+    /// Records that a process requests a place from this driver. Returns `true` if it named another one
+    /// before, or none.
+    pub(crate) fn on_place_request(&self, node: &Node, incarnation: u64) -> bool {
+        let mut accepted = self.accepted.borrow_mut();
+        let mut is_new = false;
+        for peer in accepted.values_mut().filter(|peer| peer.incarnation == incarnation) {
+            is_new |= !peer.dispatcher.as_ref().is_some_and(|(name, _)| *name == node.cfg.node);
+            peer.dispatcher = Some((Name::clone(&node.cfg.node), node.now()));
+        }
+        is_new
+    }
+
+    /// Returns the share of the limits of organizations that this driver may use.
+    pub(crate) fn served_share(&self, node: &Node) -> f64 {
+        let now = node.now();
+        let registered = node.registered_nodes.borrow();
+        let dialed = self.dialed.borrow();
+        let hears_all_drivers = registered
+            .iter()
+            .filter(|other| other.role == NodeRole::Driver && other.name != node.cfg.node)
+            .filter_map(|other| dialed.get(&other.name))
+            .all(|peer| peer.link.is_some() && now - peer.last_frame_at < LIMIT_SILENCE);
+        let mut gateways: HashMap<&str, Option<(&Name, Timestamp)>> = registered
+            .iter()
+            .filter(|other| other.role == NodeRole::Gateway)
+            .map(|gateway| (&*gateway.name, None))
+            .collect();
+        let accepted = self.accepted.borrow();
+        for peer in accepted.values().filter(|peer| peer.is_gateway) {
+            let named = peer.dispatcher.as_ref().map(|(name, at)| (name, *at));
+            let known = gateways.entry(&peer.name).or_default();
+            // An older link of the same process may not be closed yet.
+            if named.map(|(_, at)| at) >= known.map(|(_, at)| at) {
+                *known = named;
+            }
+        }
+        let served_by = gateways.into_values().map(|named| match named {
+            Some((_, at)) if now - at >= LIMIT_SILENCE => ServedBy::Unknown,
+            Some((name, _)) if *name == node.cfg.node => ServedBy::This,
+            Some(_) => ServedBy::Other,
+            None => ServedBy::Unknown,
+        });
+        served_share(served_by, hears_all_drivers)
+    }
+
     /// Returns `true` if fewer than half of the other drivers are responsive. Unresponsive drivers
     /// that never connected, are leaving or count as removed are ignored.
     pub(super) fn is_isolated(&self, now: Timestamp) -> bool {
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dogwoodtray_coord::Incarnation;
+use dogwoodtray_coord::LimitTolerance;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_policy::Class;
@@ -29,6 +30,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::limits::OrganizationLimits;
+use super::limits::Spending;
 use super::wire::class_to_wire;
 use super::wire::outcome_to_wire;
 use super::wire::refusal;
@@ -116,10 +119,11 @@
     pub(super) synced_links: RefCell<HashMap<Name, LinkId>>,
     /// Notified when the dispatcher has waiting requests.
     pub(super) queue_filled: Notify,
+    pub(super) limits: OrganizationLimits,
 }
 
 impl Places {
-    pub(crate) fn new(incarnation: Incarnation) -> Self {
+    pub(crate) fn new(incarnation: Incarnation, tolerance: LimitTolerance, now: Timestamp) -> Self {
         Self {
             holder: incarnation.0,
             last_number: Cell::new(0),
@@ -127,6 +131,7 @@
             records: RefCell::new(HashMap::new()),
             synced_links: RefCell::new(HashMap::new()),
             queue_filled: Notify::new(),
+            limits: OrganizationLimits::new(tolerance, now),
         }
     }
 
@@ -293,6 +298,7 @@
             return None;
         }
         let link = self.peers.link_to(&name)?;
+        self.announce_new_driver(&name, params.organization.as_ref());
         self.send_held_places(&name, &link);
         let now = self.now();
         let message = messages::PlaceAsk {
@@ -345,7 +351,13 @@
 
     fn request_locally(&self, number: u64, params: &PlaceParams) {
         let id = self.places.id(number);
+        let organization = params.organization.as_ref();
+        let spending = Spending { id, organization, counted: params.counted };
+        if let Err(refusal) = self.spend_token(spending) {
+            return self.deliver(number, refusal);
+        }
         if let Err(retry_after) = self.request_trial(id, params.trial.as_ref()) {
+            self.end_spend(id, true);
             return self.deliver(number, PlaceEvent::Refuse(retry_after));
         }
         let request = PlaceRequest {
@@ -409,6 +421,7 @@
             link.send(messages::PlaceReturn { ask: number, outcome: wire_outcome, not_run });
         }
         let id = self.places.id(number);
+        self.end_spend(id, not_run);
         self.on_place_released(id);
         self.dispatch(|dispatcher, now, out| {
             dispatcher.release_place(now, id, outcome, out);
@@ -472,19 +485,27 @@
 
     fn perform(&self, action: PlaceAction) {
         let (id, event) = match action {
-            PlaceAction::Grant { id, endpoint } => match self.start_trial(id) {
+            PlaceAction::Grant { id, endpoint } => match self.start_granted(id) {
                 Ok(()) => (id, PlaceEvent::Grant(endpoint)),
-                Err(retry_after) => {
+                Err(refusal) => {
                     self.dispatch(|dispatcher, now, out| {
                         dispatcher.release_place(now, id, PlaceOutcome::Withdrawn, out);
                     });
-                    (id, PlaceEvent::Refuse(retry_after))
+                    (id, refusal)
                 }
             },
             PlaceAction::Queued { id } => (id, PlaceEvent::Queued),
-            PlaceAction::Refuse { id, retry_after } => (id, PlaceEvent::Refuse(retry_after)),
+            PlaceAction::Refuse { id, retry_after } => {
+                self.end_spend(id, true);
+                (id, PlaceEvent::Refuse(retry_after))
+            }
             PlaceAction::Preempt { id } => (id, PlaceEvent::Preempt),
         };
+        self.send_place_event(id, event);
+    }
+
+    /// Sends an event to the process that holds or requests a place.
+    pub(super) fn send_place_event(&self, id: PlaceId, event: PlaceEvent) {
         if id.holder == self.places.holder {
             self.deliver(id.number, event);
             return;
@@ -504,6 +525,15 @@
         };
     }
 
+    /// Checks whether a request that is granted a place may start.
+    fn start_granted(&self, id: PlaceId) -> Result<(), PlaceEvent> {
+        self.start_spend(id)?;
+        self.start_trial(id).map_err(|retry_after| {
+            self.end_spend(id, true);
+            PlaceEvent::Refuse(retry_after)
+        })
+    }
+
     pub(super) fn deliver(&self, number: u64, event: PlaceEvent) {
         let mut records = self.places.records.borrow_mut();
         let Some(record) = records.get_mut(&number) else { return };
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -10,11 +10,11 @@
 use dogwoodtray_wire::messages::frame::Kind;
 
 use super::acquire::PlaceEvent;
+use super::limits::Spending;
 use super::wire::class_from_wire;
 use super::wire::cost_from_wire;
 use super::wire::organization_from_wire;
 use super::wire::outcome_from_wire;
-use super::wire::refusal;
 use super::wire::trial_from_wire;
 use crate::node::Node;
 
@@ -82,14 +82,22 @@
                 let id = PlaceId { holder: incarnation, number: request.ask };
                 let class = class_from_wire(request.class());
                 let trial = trial_from_wire(&request);
+                let organization = organization_from_wire(&request);
+                if organization.is_some() && self.peers.on_place_request(self, incarnation) {
+                    self.update_limit_share();
+                }
+                let counted = request.counted;
+                let spending = Spending { id, organization: organization.as_ref(), counted };
+                if let Err(event) = self.spend_token(spending) {
+                    self.send_place_event(id, event);
+                    return None;
+                }
                 if let Err(retry_after) = self.request_trial(id, trial.as_ref()) {
-                    if let Some(link) = self.peers.link_of_incarnation(incarnation) {
-                        link.send(refusal(request.ask, retry_after, false));
-                    }
+                    self.end_spend(id, true);
+                    self.send_place_event(id, PlaceEvent::Refuse(retry_after));
                     return None;
                 }
-                let (organization, cost) =
-                    (organization_from_wire(&request), cost_from_wire(&request));
+                let cost = cost_from_wire(&request);
                 let request = PlaceRequest {
                     id,
                     service: Name::from(request.service.as_str()),
@@ -111,6 +119,7 @@
             Kind::PlaceReturn(place) => {
                 let id = PlaceId { holder: incarnation, number: place.ask };
                 let outcome = outcome_from_wire(place.outcome());
+                self.end_spend(id, place.not_run);
                 self.on_place_released(id);
                 self.dispatch(|dispatcher, now, out| {
                     dispatcher.release_place(now, id, outcome, out);
@@ -137,6 +146,7 @@
 
     pub(crate) fn remove_places_of(&self, incarnation: u64) {
         self.on_places_removed(incarnation);
+        self.remove_spends_of(incarnation);
         self.dispatch(|dispatcher, now, out| dispatcher.remove_holder(now, incarnation, out));
     }
 }
--- a/dogwoodtray_gateway/src/places/mod.rs
+++ b/dogwoodtray_gateway/src/places/mod.rs
@@ -2,6 +2,7 @@
 //! driver responds.
 
 mod acquire;
+mod limits;
 mod links;
 mod wire;
 
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -279,6 +279,7 @@
             [("generation", &generation.0), ("routes", &routes), ("source", &source)];
         self.events.emit(&catalogue::CONFIG_APPLIED, None, &fields);
         self.routing.on_config();
+        self.apply_limits();
         let snapshot = spec.to_owned().into_bytes().into();
         let set = messages::ConfigSet { generation: generation.0, snapshot };
         self.relayed_config.replace(Some(set.clone()));
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -88,6 +88,10 @@
     TRIAL_ENDED = 2024, Info, "trial of blocked contents ended";
     /// The key of a request is missing, malformed or unknown.
     KEY_REJECTED = 2025, Debug, "key rejected";
+    /// An organization reached its limit, and this process refuses its requests.
+    ORGANIZATION_LIMITED = 2026, Info, "limit of an organization reached";
+    /// No request of an organization has been refused for a while.
+    ORGANIZATION_UNLIMITED = 2027, Info, "organization is within its limit again";
 
     /// A job was accepted.
     JOB_ACCEPTED = 3001, Info, "job accepted";
