--- /dev/null
+++ b/dogwoodtray_policy/src/placement/returns.rs
@@ -0,0 +1,100 @@
+//! Times at which refused callers were told to return, and the room that is kept for them.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dogwoodtray_coord::Name;
+use dogwoodtray_coord::Timestamp;
+
+/// Time by which a caller may return early or late. It covers the rounding of `Retry-After` and the
+/// way through another gateway.
+const EARLY: Duration = Duration::from_millis(20);
+const LATE: Duration = Duration::from_millis(100);
+
+/// Weight of a new observation in the moving average of the share of callers that return.
+const RETURN_WEIGHT: f64 = 0.05;
+
+/// Number of callers for whom room is kept; bounds the memory.
+const MAX_PROMISES: usize = 4_096;
+
+/// A flow of requests: priority and organization.
+pub(super) type Flow = (u32, Option<Name>);
+
+/// Callers that were told to return.
+///
+/// A caller that returns sends a new request with a new id and cannot be recognized. Its turn
+/// therefore belongs to its organization: the next request of the organization at or after the
+/// stated time takes it.
+#[derive(Debug)]
+pub(super) struct Returns {
+    /// Ordered by time.
+    promises: VecDeque<(Timestamp, Flow)>,
+    /// Time at which the next refused caller of each flow is told to return.
+    next: HashMap<Flow, Timestamp>,
+    /// Moving average of the share of callers that return.
+    return_share: f64,
+}
+
+impl Default for Returns {
+    fn default() -> Self {
+        Self { promises: VecDeque::new(), next: HashMap::new(), return_share: 0.5 }
+    }
+}
+
+impl Returns {
+    /// Returns the time after which a refused caller is to return: `earliest`, or `interval` after
+    /// the previous caller of its flow. At `max`, no room is kept.
+    pub(super) fn promise(
+        &mut self,
+        now: Timestamp,
+        flow: Flow,
+        earliest: Duration,
+        interval: Duration,
+        max: Duration,
+    ) -> Duration {
+        self.expire(now);
+        let earliest = now + earliest;
+        let at = self.next.get(&flow).map_or(earliest, |next| earliest.max(*next));
+        if at - now > max {
+            return max;
+        }
+        self.next.insert(Flow::clone(&flow), at + interval);
+        if self.promises.len() < MAX_PROMISES {
+            let index = self.promises.partition_point(|(other, _)| *other <= at);
+            self.promises.insert(index, (at, flow));
+        }
+        at - now
+    }
+
+    /// Uses the first promise to the flow that is due. Returns `false` if there is none.
+    pub(super) fn claim(&mut self, now: Timestamp, flow: &Flow) -> bool {
+        self.expire(now);
+        let due = self.promises.iter().take_while(|(at, _)| *at <= now + EARLY);
+        let Some(index) = due.into_iter().position(|(_, other)| other == flow) else {
+            return false;
+        };
+        self.promises.remove(index);
+        self.return_share += RETURN_WEIGHT * (1.0 - self.return_share);
+        true
+    }
+
+    /// Returns the expected number of callers that return until a time and go ahead of a request
+    /// with this priority. Those of the same priority do so only if its flow has used its share.
+    pub(super) fn expected(&self, until: Timestamp, priority: u32, above_share: bool) -> f64 {
+        let due = self.promises.iter().take_while(|(at, _)| *at <= until);
+        let ahead = due.filter(|(_, (other, _))| {
+            *other < priority || *other == priority && above_share
+        });
+        ahead.count() as f64 * self.return_share
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        while self.promises.pop_front_if(|(at, _)| *at + LATE < now).is_some() {
+            self.return_share -= RETURN_WEIGHT * self.return_share;
+        }
+        if self.next.len() > MAX_PROMISES {
+            self.next.retain(|_, next| *next > now);
+        }
+    }
+}
