Share places and batch time among organizations

With first come, first served, a surge of one organization delays the requests of all others until they miss their objective. The online queue now orders by priority, then by start-time fair queueing among organizations, then by arrival. A request that cannot start in time any more because another flow went ahead is refused at once, and a refused caller is told to return after those of its organization that were refused before it. The plan of batch items leaves out items of the organization with the most work first.

--- a/dogwoodtray_policy/src/placement/batch_plan.rs
+++ b/dogwoodtray_policy/src/placement/batch_plan.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -33,6 +34,23 @@
     pub(super) left: Duration,
     pub(super) due: Timestamp,
     pub(super) is_running: bool,
+    pub(super) flow: ItemFlow,
+}
+
+/// Priority and organization of an item; the organization is numbered within one plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct ItemFlow {
+    pub(super) priority: u32,
+    pub(super) organization: usize,
+}
+
+/// Items of one flow that are in time, while the plan is made.
+#[derive(Debug, Default)]
+struct FlowWork {
+    work: Duration,
+    /// Queued items; the one with the most remaining work is left out first, and of several the most
+    /// urgent one, which leaves the others more time.
+    droppable: BinaryHeap<(Duration, Reverse<Timestamp>, ItemKey)>,
 }
 
 /// Order in which queued batch items get places.
@@ -40,7 +58,8 @@
 /// With more items than places, serving the item first that is the next to become late completes
 /// nearly all of them just after they are due. The plan therefore leaves items out until the rest
 /// fits: Moore and Hodgson's rule, which maximizes the number of items in time on one machine, with
-/// the average number of places as its speed. Items that are left out come last.
+/// the average number of places as its speed. Items that are left out come last. Of several flows,
+/// the one with the lowest priority and among these with the most work leaves out its items.
 #[derive(Debug, Default)]
 pub(super) struct BatchPlan {
     /// Queued items in the order in which they get places. It may contain items that are no longer
@@ -119,6 +138,7 @@
             let left = if is_selected { Duration::ZERO } else { item.left };
             (!is_selected, !is_selected && item.key.0 < now, left, item.key)
         });
+        share_rest(now, &mut items[selected.len()..]);
         self.selected = selected.len();
         self.order = items.into_iter().map(|item| item.key).collect();
     }
@@ -127,23 +147,49 @@
     fn select(&self, now: Timestamp, items: &[PlannedItem]) -> HashSet<ItemKey> {
         let mut selected = HashSet::new();
         let mut work = Duration::ZERO;
-        // The item with the most remaining work is left out first, and of several the most urgent
-        // one, which leaves the others more time.
-        let mut droppable = BinaryHeap::new();
+        let mut flows: HashMap<ItemFlow, FlowWork> = HashMap::new();
+        // Flows with items that can be left out, in the order in which they leave out one.
+        let mut order: BTreeSet<(u32, Duration, ItemFlow)> = BTreeSet::new();
         for item in items.iter().filter(|item| now + item.left <= item.due) {
             work = work.saturating_add(item.left);
+            let priority = item.flow.priority;
+            let flow = flows.entry(item.flow).or_default();
+            order.remove(&(priority, flow.work, item.flow));
+            flow.work = flow.work.saturating_add(item.left);
             if !item.is_running {
                 selected.insert(item.key);
-                droppable.push((item.left, Reverse(item.due), item.key));
+                flow.droppable.push((item.left, Reverse(item.due), item.key));
+            }
+            if !flow.droppable.is_empty() {
+                order.insert((priority, flow.work, item.flow));
             }
             let capacity = (item.due - now).as_secs_f64() * self.mean_places;
             let capacity = Duration::try_from_secs_f64(capacity).unwrap_or(Duration::MAX);
             while work > capacity {
-                let Some((left, _, key)) = droppable.pop() else { break };
+                let Some((priority, _, flow_key)) = order.pop_last() else { break };
+                let Some(flow) = flows.get_mut(&flow_key) else { break };
+                let Some((left, _, key)) = flow.droppable.pop() else { break };
                 work = work.saturating_sub(left);
+                flow.work = flow.work.saturating_sub(left);
                 selected.remove(&key);
+                if !flow.droppable.is_empty() {
+                    order.insert((priority, flow.work, flow_key));
+                }
             }
         }
         selected
     }
 }
+
+/// Orders the items that are left out, which are ordered by whether they are late and by their work:
+/// those that are not late first, by priority, and within one in turns by work among organizations.
+fn share_rest(now: Timestamp, items: &mut [PlannedItem]) {
+    let mut work_before: HashMap<(bool, ItemFlow), Duration> = HashMap::new();
+    items.sort_by_cached_key(|item| {
+        let is_late = item.key.0 < now;
+        let before = work_before.entry((is_late, item.flow)).or_default();
+        let turn = *before;
+        *before = before.saturating_add(item.left);
+        (is_late, item.flow.priority, turn)
+    });
+}
--- a/dogwoodtray_policy/src/placement/dispatcher.rs
+++ b/dogwoodtray_policy/src/placement/dispatcher.rs
@@ -11,6 +11,7 @@
 use super::PlaceId;
 use super::PlaceOutcome;
 use super::PlaceRequest;
+use super::served::worst_tenth;
 use super::service::ServicePlaces;
 use crate::Class;
 
@@ -105,10 +106,11 @@
         let cfg = self.cfg;
         self.service_by_id.insert(id, Name::clone(&service));
         self.service_places(&service).request_place(now, request, &cfg, out);
-        let refused =
-            |action: &PlaceAction| matches!(action, PlaceAction::Refuse { id: r, .. } if *r == id);
-        if out[before..].iter().any(refused) {
-            self.service_by_id.remove(&id);
+        // A queued request may be displaced by this one.
+        for action in &out[before..] {
+            if let PlaceAction::Refuse { id, .. } = action {
+                self.service_by_id.remove(id);
+            }
         }
     }
 
@@ -184,6 +186,13 @@
         })
     }
 
+    /// Returns the share of the online requests that got a place lately, of the organization that is
+    /// worse served than nine tenths of them. Returns `None` without organizations.
+    #[must_use]
+    pub fn worst_tenth_served(&self, now: Timestamp) -> Option<f64> {
+        worst_tenth(self.services.values().flat_map(|places| places.served_shares(now)).collect())
+    }
+
     fn service_places(&mut self, service: &Name) -> &mut ServicePlaces {
         if !self.services.contains_key(service) {
             self.services.insert(Name::clone(service), ServicePlaces::new(&self.cfg));
--- a/dogwoodtray_policy/src/placement/mod.rs
+++ b/dogwoodtray_policy/src/placement/mod.rs
@@ -8,6 +8,9 @@
 mod config;
 mod dispatcher;
 mod endpoint;
+mod queue;
+mod returns;
+mod served;
 mod service;
 mod types;
 
--- a/dogwoodtray_policy/src/placement/queue.rs
+++ b/dogwoodtray_policy/src/placement/queue.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::collections::vec_deque::Iter;
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
@@ -109,7 +110,7 @@
         &self.entries[index].request
     }
 
-    pub(super) fn iter(&self) -> impl DoubleEndedIterator<Item = &QueuedRequest> {
+    pub(super) fn iter(&self) -> Iter<'_, QueuedRequest> {
         self.entries.iter()
     }
 
@@ -150,17 +151,22 @@
         }
         let position = self.position(&request);
         self.arrivals += 1;
-        let level = self.levels.entry(position.priority).or_insert_with(|| Level {
-            observed_at: now,
-            ..Level::default()
-        });
+        let level = self
+            .levels
+            .entry(position.priority)
+            .or_insert_with(|| Level { observed_at: now, ..Level::default() });
         level.set_end(request.organization.as_ref(), end(position.start, work));
         let index = self.entries.partition_point(|entry| entry.position < position);
         self.entries.insert(index, QueuedRequest { request, position, queued_at: now, work });
     }
 
     /// Records a request that got a place on arrival.
-    pub(super) fn record_granted(&mut self, now: Timestamp, request: &PlaceRequest, work: Duration) {
+    pub(super) fn record_granted(
+        &mut self,
+        now: Timestamp,
+        request: &PlaceRequest,
+        work: Duration,
+    ) {
         let Position { priority, start, .. } = self.position(request);
         let level = self.levels.entry(priority).or_default();
         level.set_end(request.organization.as_ref(), end(start, work));
@@ -184,7 +190,8 @@
         let work = micros(removed.work);
         let mut moved = false;
         for entry in self.entries.iter_mut().skip(index) {
-            let is_later = entry.position.priority == priority && entry.request.organization == *flow;
+            let is_later =
+                entry.position.priority == priority && entry.request.organization == *flow;
             if is_later {
                 entry.position.start = entry.position.start.saturating_sub(work).max(start);
                 moved = true;
--- a/dogwoodtray_policy/src/placement/returns.rs
+++ b/dogwoodtray_policy/src/placement/returns.rs
@@ -83,9 +83,8 @@
     /// with this priority. Those of the same priority do so only if its flow has used its share.
     pub(super) fn expected(&self, until: Timestamp, priority: u32, above_share: bool) -> f64 {
         let due = self.promises.iter().take_while(|(at, _)| *at <= until);
-        let ahead = due.filter(|(_, (other, _))| {
-            *other < priority || *other == priority && above_share
-        });
+        let ahead =
+            due.filter(|(_, (other, _))| *other < priority || *other == priority && above_share);
         ahead.count() as f64 * self.return_share
     }
 
--- a/dogwoodtray_policy/src/placement/service/batch.rs
+++ b/dogwoodtray_policy/src/placement/service/batch.rs
@@ -1,5 +1,8 @@
 //! Grants and preemption of batch items.
 
+use std::collections::HashMap;
+
+use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 
 use super::ServicePlaces;
@@ -7,6 +10,7 @@
 use crate::placement::DispatcherConfig;
 use crate::placement::PlaceAction;
 use crate::placement::PlaceRequest;
+use crate::placement::batch_plan::ItemFlow;
 use crate::placement::batch_plan::PlannedItem;
 use crate::placement::endpoint::Endpoint;
 
@@ -56,17 +60,31 @@
         let running = || self.held.iter().filter(|(_, held)| held.class == Class::Batch);
         let places = running().filter(|(_, held)| held.endpoint.is_some()).count() + available;
         self.plan.observe_places(now, u32::try_from(places).unwrap_or(u32::MAX));
-        let running = running().filter_map(|(id, held)| {
-            let left = held.left(now)?;
-            Some(PlannedItem { key: (now, *id), left, due: held.due, is_running: true })
-        });
-        let queued = self.batch.iter().map(|(key, request)| PlannedItem {
+        let mut numbers: HashMap<Option<&Name>, usize> = HashMap::new();
+        let mut flow = |priority, organization| {
+            let next = numbers.len();
+            let organization = *numbers.entry(organization).or_insert(next);
+            ItemFlow { priority, organization }
+        };
+        let mut items = Vec::new();
+        for (id, held) in running() {
+            let Some(left) = held.left(now) else { continue };
+            let flow = flow(held.priority, held.organization.as_ref());
+            items.push(PlannedItem {
+                key: (now, *id),
+                left,
+                due: held.due,
+                is_running: true,
+                flow,
+            });
+        }
+        items.extend(self.batch.iter().map(|(key, request)| PlannedItem {
             key: *key,
-            left: request.due - request.start_by,
+            left: self.predicted_work(request),
             due: request.due,
             is_running: false,
-        });
-        let items = running.chain(queued).collect();
+            flow: flow(self.online.priority(request), request.organization.as_ref()),
+        }));
         self.plan.renew(now, items);
         self.preempt_items(now, self.plan.selected().saturating_sub(available), true, out);
     }
--- a/dogwoodtray_policy/src/placement/service/mod.rs
+++ b/dogwoodtray_policy/src/placement/service/mod.rs
@@ -1,10 +1,11 @@
 //! Places and queues of one service.
 
 mod batch;
+mod online;
+mod work;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
@@ -20,6 +21,9 @@
 use super::PlaceRequest;
 use super::batch_plan::BatchPlan;
 use super::endpoint::Endpoint;
+use super::queue::OnlineQueue;
+use super::returns::Returns;
+use super::served::ServedShares;
 use crate::Class;
 
 /// Weight of a new observation in the moving average of the time that a place is held.
@@ -39,6 +43,9 @@
     /// `None` if the endpoint has been removed or was never listed.
     endpoint: Option<EndpointKey>,
     class: Class,
+    /// `None` also if another dispatcher granted the place.
+    organization: Option<Name>,
+    priority: u32,
     granted_at: Timestamp,
     due: Timestamp,
     /// Run time that was expected when the place was granted; `None` if another dispatcher granted
@@ -66,8 +73,11 @@
     endpoints: SlotMap<EndpointKey, Endpoint>,
     by_name: HashMap<Name, EndpointKey>,
     held: HashMap<PlaceId, HeldRequest>,
-    /// Queued online requests in the order of arrival.
-    online: VecDeque<PlaceRequest>,
+    online: OnlineQueue,
+    /// Refused callers that were told to return.
+    returns: Returns,
+    /// Share of the online requests of each organization that got a place.
+    served: ServedShares,
     /// Queued batch items, ordered by their latest start.
     batch: BTreeMap<(Timestamp, PlaceId), PlaceRequest>,
     /// Order in which the queued batch items get places.
@@ -86,7 +96,9 @@
             endpoints: SlotMap::with_key(),
             by_name: HashMap::new(),
             held: HashMap::new(),
-            online: VecDeque::new(),
+            online: OnlineQueue::default(),
+            returns: Returns::default(),
+            served: ServedShares::default(),
             batch: BTreeMap::new(),
             plan: BatchPlan::default(),
             mean_hold_time: cfg.initial_hold_time,
@@ -111,6 +123,11 @@
         self.online.len()
     }
 
+    /// Returns the share of the online requests of each organization that got a place lately.
+    pub(super) fn served_shares(&self, now: Timestamp) -> impl Iterator<Item = f64> {
+        self.served.shares(now)
+    }
+
     pub(super) fn total_slots(&self) -> u32 {
         sum(self.endpoints.values().map(|endpoint| endpoint.slots))
     }
@@ -207,6 +224,7 @@
         out: &mut Vec<PlaceAction>,
     ) {
         let id = request.id;
+        self.online.observe(&request);
         if request.class == Class::Batch {
             self.plan.push((request.start_by, id));
             self.batch.insert((request.start_by, id), request);
@@ -217,22 +235,30 @@
             return;
         }
         if self.endpoints.is_empty() {
+            self.served.record(now, request.organization.as_ref(), false);
             out.push(PlaceAction::Refuse { id, retry_after: cfg.max_retry_after });
             return;
         }
         if self.online.is_empty()
             && let Some(endpoint) = self.pick_endpoint(now, &request)
         {
+            self.returns.claim(now, &(request.priority, request.organization.clone()));
+            self.online.record_granted(now, &request, self.predicted_work(&request));
+            self.served.record(now, request.organization.as_ref(), true);
             self.grant(now, &request, endpoint, out);
             return;
         }
+        if self.online.names_organizations() {
+            return self.request_shared_place(now, request, cfg, out);
+        }
         let wait = self.expected_wait(now);
         if now + wait > request.start_by {
             let retry_after = wait.clamp(cfg.min_retry_after, cfg.max_retry_after);
             out.push(PlaceAction::Refuse { id, retry_after });
             return;
         }
-        self.online.push_back(request);
+        let work = self.predicted_work(&request);
+        self.online.push(now, request, work);
         out.push(PlaceAction::Queued { id });
         self.preempt(now, out);
     }
@@ -254,6 +280,8 @@
         let held = HeldRequest {
             endpoint: key,
             class,
+            organization: None,
+            priority: 0,
             granted_at: now,
             due: now,
             run_time: None,
@@ -320,10 +348,9 @@
         out: &mut Vec<PlaceAction>,
     ) {
         if self.endpoints.is_empty() {
-            return self.refuse_online(cfg, out);
+            return self.refuse_online(now, cfg, out);
         }
-        self.assign_online(now, out, |request| request.start_by >= now);
-        self.assign_online(now, out, |_| true);
+        self.assign_all_online(now, out);
         if self.online.is_empty() {
             self.assign_batch(now, cfg, out);
         }
@@ -332,12 +359,23 @@
 
     /// Refuses all queued online requests, as an online request is refused on arrival while the
     /// service has no endpoints. Batch items stay queued.
-    fn refuse_online(&mut self, cfg: &DispatcherConfig, out: &mut Vec<PlaceAction>) {
-        let refused = self.online.drain(..).map(|request| PlaceAction::Refuse {
-            id: request.id,
-            retry_after: cfg.max_retry_after,
-        });
-        out.extend(refused);
+    fn refuse_online(
+        &mut self,
+        now: Timestamp,
+        cfg: &DispatcherConfig,
+        out: &mut Vec<PlaceAction>,
+    ) {
+        while let Some(entry) = self.online.withdraw(0) {
+            self.served.record(now, entry.request.organization.as_ref(), false);
+            let retry_after = cfg.max_retry_after;
+            out.push(PlaceAction::Refuse { id: entry.request.id, retry_after });
+        }
+    }
+
+    /// Assigns free places to online requests, first to those that can still meet their objective.
+    fn assign_all_online(&mut self, now: Timestamp, out: &mut Vec<PlaceAction>) {
+        self.assign_online(now, out, |request| request.start_by >= now);
+        self.assign_online(now, out, |_| true);
     }
 
     fn assign_online(
@@ -348,18 +386,19 @@
     ) {
         let mut index = 0;
         while index < self.online.len() {
-            if !eligible(&self.online[index]) {
+            if !eligible(self.online.get(index)) {
                 index += 1;
                 continue;
             }
-            let Some(endpoint) = self.pick_endpoint(now, &self.online[index]) else {
+            let Some(endpoint) = self.pick_endpoint(now, self.online.get(index)) else {
                 index += 1;
                 if self.free_places(now) == 0 {
                     return;
                 }
                 continue;
             };
-            if let Some(request) = self.online.remove(index) {
+            if let Some(request) = self.online.grant(now, index) {
+                self.served.record(now, request.organization.as_ref(), true);
                 self.grant(now, &request, endpoint, out);
             }
         }
@@ -369,16 +408,17 @@
     /// still meet their objective and this one, less the places that batch work can return, divided
     /// by the rate at which places become free.
     fn expected_wait(&self, now: Timestamp) -> Duration {
-        let ahead = self.online.iter().filter(|request| request.start_by >= now).count();
-        let batch = self
-            .held
-            .values()
-            .filter(|held| held.class == Class::Batch && held.endpoint.is_some())
-            .count();
-        let excess = (ahead + 1).saturating_sub(batch);
+        let ahead = self.online.iter().filter(|entry| entry.request.start_by >= now).count();
+        let excess = (ahead + 1).saturating_sub(self.batch_places());
         self.mean_hold_time.mul_f64(excess as f64 / f64::from(self.healthy_slots().max(1)))
     }
 
+    /// Returns the number of places that batch work can return.
+    fn batch_places(&self) -> usize {
+        let held = self.held.values();
+        held.filter(|held| held.class == Class::Batch && held.endpoint.is_some()).count()
+    }
+
     fn free_places(&self, now: Timestamp) -> u32 {
         sum(self.endpoints.values().map(|endpoint| endpoint.free_places(now)))
     }
@@ -421,6 +461,8 @@
         let held = HeldRequest {
             endpoint: Some(key),
             class: request.class,
+            organization: request.organization.clone(),
+            priority: self.online.priority(request),
             granted_at: now,
             due: request.due,
             run_time: Some(request.due - request.start_by),
--- a/dogwoodtray_policy/src/placement/service/online.rs
+++ b/dogwoodtray_policy/src/placement/service/online.rs
@@ -75,8 +75,11 @@
     ) {
         for _ in 0..MAX_DISPLACED {
             let mut ahead = self.online.iter().filter(|e| e.request.start_by >= now).count();
-            let arrived =
-                self.online.iter().find(|e| e.position == position).map(|e| &e.request.organization);
+            let arrived = self
+                .online
+                .iter()
+                .find(|e| e.position == position)
+                .map(|e| &e.request.organization);
             let mut victim = None;
             for (index, entry) in self.online.iter().enumerate().rev() {
                 if entry.position <= position {
@@ -118,8 +121,11 @@
         let priority = self.online.priority(request);
         let Room { interval, .. } = self.room();
         let work = self.predicted_work(request);
-        let interval =
-            self.online.flow_interval(now, priority, work, interval).unwrap_or(interval).max(interval);
+        let interval = self
+            .online
+            .flow_interval(now, priority, work, interval)
+            .unwrap_or(interval)
+            .max(interval);
         // A caller that returns has the same time to its objective as now.
         let earliest = wait.saturating_sub(request.start_by - now).max(cfg.min_retry_after);
         let flow = (priority, request.organization.clone());
