Predict the work of requests and place them by the speed of endpoints

Cause: places went to the endpoint with the largest share of free places, whatever its speed, and waits were predicted from one mean per service.

Change: a cost model per service learns the work of routes, the truth of stated lengths, organizations and prompt parts from answered requests; a speed model learns the lasting speed of each endpoint in comparison with its service. While speeds are usual, the choice of an endpoint is the same as before. Otherwise short work goes to the fastest endpoint, and long work to the slowest one at which it ends in time. Waits follow from the expected hold times of the runs in flight, the batch plan counts places by speed, and the item with the most time to spare is preempted first.

--- a/dogwoodtray_policy/src/placement/batch_plan.rs
+++ b/dogwoodtray_policy/src/placement/batch_plan.rs
@@ -31,6 +31,8 @@
     pub(super) key: ItemKey,
     /// Remaining run time.
     pub(super) left: Duration,
+    /// Remaining run time at an endpoint of usual speed.
+    pub(super) work: Duration,
     pub(super) due: Timestamp,
     pub(super) is_running: bool,
 }
@@ -94,9 +96,8 @@
         self.made_at.is_none_or(|at| now - at >= PLAN_INTERVAL.saturating_mul(factor))
     }
 
-    /// Records how many places batch work uses or could use.
-    pub(super) fn observe_places(&mut self, now: Timestamp, places: u32) {
-        let places = f64::from(places);
+    /// Records how many places batch work uses or could use, in places of usual speed.
+    pub(super) fn observe_places(&mut self, now: Timestamp, places: f64) {
         let Some(at) = self.observed_at.replace(now) else {
             self.mean_places = places;
             return;
@@ -131,7 +132,7 @@
         // one, which leaves the others more time.
         let mut droppable = BinaryHeap::new();
         for item in items.iter().filter(|item| now + item.left <= item.due) {
-            work = work.saturating_add(item.left);
+            work = work.saturating_add(item.work);
             if !item.is_running {
                 selected.insert(item.key);
                 droppable.push((item.left, Reverse(item.due), item.key));
--- a/dogwoodtray_policy/src/placement/config.rs
+++ b/dogwoodtray_policy/src/placement/config.rs
@@ -32,6 +32,9 @@
     pub min_retry_after: Duration,
     /// Upper bound of the `Retry-After` of a refusal.
     pub max_retry_after: Duration,
+    /// Whether endpoints are chosen by their speed, waits are predicted from the work in progress,
+    /// and the batch item with the most time to spare is preempted first.
+    pub cost_based: bool,
 }
 
 impl Default for DispatcherConfig {
@@ -50,6 +53,7 @@
             min_retry_after: Duration::from_millis(250),
             // Clients honor a `Retry-After` of at most a third of their remaining time, here 5 s.
             max_retry_after: Duration::from_millis(1_600),
+            cost_based: true,
         }
     }
 }
--- a/dogwoodtray_policy/src/placement/dispatcher.rs
+++ b/dogwoodtray_policy/src/placement/dispatcher.rs
@@ -7,13 +7,20 @@
 
 use super::DispatcherConfig;
 use super::EndpointPlaces;
+use super::LearnedService;
 use super::PlaceAction;
 use super::PlaceId;
 use super::PlaceOutcome;
 use super::PlaceRequest;
+use super::PlacementMetrics;
 use super::service::ServicePlaces;
 use crate::Class;
 
+/// Maximum number of services, routes and speeds that are passed on to other dispatchers; about 40 kB.
+const MAX_LEARNED_SERVICES: usize = 64;
+const MAX_LEARNED_ROUTES: usize = 256;
+const MAX_LEARNED_SPEEDS: usize = 1_024;
+
 /// Assigns the places of endpoints to requests.
 ///
 /// Online streams are short and their rate can jump within seconds; batch streams are long but can
@@ -156,6 +163,45 @@
         }
     }
 
+    /// Records that the events of a stream that holds a place come later than usual. Its endpoint is
+    /// used less for a moment, but is not excluded.
+    pub fn record_slow_stream(&mut self, now: Timestamp, id: PlaceId) {
+        let Some(service) = self.service_by_id.get(&id) else { return };
+        if let Some(places) = self.services.get_mut(service) {
+            places.record_slow_stream(now, id);
+        }
+    }
+
+    /// Returns what was learned about speeds and costs, bounded in size.
+    #[must_use]
+    pub fn learned(&self) -> Vec<LearnedService> {
+        let mut names: Vec<&Name> = self.services.keys().collect();
+        names.sort();
+        names.truncate(MAX_LEARNED_SERVICES);
+        let share = names.len().max(1);
+        let (routes, speeds) = (MAX_LEARNED_ROUTES / share, MAX_LEARNED_SPEEDS / share);
+        let learned = names.iter().map(|name| self.services[*name].learned(name, routes, speeds));
+        learned.filter(|service| !service.speeds.is_empty() || !service.routes.is_empty()).collect()
+    }
+
+    /// Takes over what the dispatcher that assigns places has learned.
+    pub fn apply_learned(&mut self, now: Timestamp, learned: &[LearnedService]) {
+        for service in learned {
+            // A service without endpoints has nothing to apply it to.
+            if let Some(places) = self.services.get_mut(&service.service) {
+                places.apply_learned(now, service);
+            }
+        }
+    }
+
+    /// Returns the metrics of predictions and speeds.
+    #[must_use]
+    pub fn metrics(&self, now: Timestamp) -> PlacementMetrics {
+        let mut metrics = PlacementMetrics::default();
+        self.services.values().for_each(|places| places.add_metrics(now, &mut metrics));
+        metrics
+    }
+
     /// Records that an endpoint was unreachable.
     pub fn on_failure(&mut self, now: Timestamp, service: &str, endpoint: &str) {
         if let Some(places) = self.services.get_mut(service) {
--- a/dogwoodtray_policy/src/placement/endpoint.rs
+++ b/dogwoodtray_policy/src/placement/endpoint.rs
@@ -7,6 +7,7 @@
 
 use super::DispatcherConfig;
 use super::PlaceOutcome;
+use super::speed::EndpointSpeed;
 
 /// Maximum number of doublings of the failure backoff; bounds the shift.
 const MAX_DOUBLINGS: u32 = 6;
@@ -32,6 +33,10 @@
     backoff_until: Timestamp,
     /// Moving average of the share of errors among the answers.
     error_share: f64,
+    pub(super) speed: EndpointSpeed,
+    /// Number of runs whose end is predicted, and the sum of these ends in seconds.
+    pub(super) predicted_runs: u32,
+    pub(super) predicted_ends: f64,
 }
 
 impl Endpoint {
@@ -43,6 +48,9 @@
             consecutive_failures: 0,
             backoff_until: Timestamp::ZERO,
             error_share: 0.0,
+            speed: EndpointSpeed::default(),
+            predicted_runs: 0,
+            predicted_ends: 0.0,
         }
     }
 
@@ -116,6 +124,7 @@
             PlaceOutcome::Errored => self.record_error(),
             PlaceOutcome::Full => self.back_off_until(now + cfg.full_backoff),
             PlaceOutcome::Failed => {
+                self.speed.doubt();
                 self.back_off(now, cfg.failure_backoff, cfg.max_failure_backoff);
             }
         }
--- a/dogwoodtray_policy/src/placement/mod.rs
+++ b/dogwoodtray_policy/src/placement/mod.rs
@@ -6,13 +6,23 @@
 
 mod batch_plan;
 mod config;
+mod cost;
 mod dispatcher;
 mod endpoint;
+mod gaps;
+mod learned;
 mod service;
+mod speed;
 mod types;
 
 pub use self::config::DispatcherConfig;
+pub use self::cost::LearnedRoute;
 pub use self::dispatcher::Dispatcher;
+pub use self::gaps::EventGaps;
+pub use self::gaps::UsualGap;
+pub use self::learned::LearnedService;
+pub use self::learned::LearnedSpeed;
+pub use self::learned::PlacementMetrics;
 pub use self::types::EndpointPlaces;
 pub use self::types::PlaceAction;
 pub use self::types::PlaceCost;
--- a/dogwoodtray_policy/src/placement/service/batch.rs
+++ b/dogwoodtray_policy/src/placement/service/batch.rs
@@ -2,6 +2,7 @@
 
 use dogwoodtray_coord::Timestamp;
 
+use super::HeldRequest;
 use super::ServicePlaces;
 use crate::Class;
 use crate::placement::DispatcherConfig;
@@ -54,15 +55,18 @@
             return;
         }
         let running = || self.held.iter().filter(|(_, held)| held.class == Class::Batch);
-        let places = running().filter(|(_, held)| held.endpoint.is_some()).count() + available;
-        self.plan.observe_places(now, u32::try_from(places).unwrap_or(u32::MAX));
+        let speeds = running().filter(|(_, held)| held.endpoint.is_some()).map(|(_, h)| h.speed());
+        let places = speeds.sum::<f64>() + available as f64 * self.mean_free_speed(now);
+        self.plan.observe_places(now, places);
         let running = running().filter_map(|(id, held)| {
             let left = held.left(now)?;
-            Some(PlannedItem { key: (now, *id), left, due: held.due, is_running: true })
+            let work = left.mul_f64(held.speed());
+            Some(PlannedItem { key: (now, *id), left, work, due: held.due, is_running: true })
         });
         let queued = self.batch.iter().map(|(key, request)| PlannedItem {
             key: *key,
             left: request.due - request.start_by,
+            work: request.due - request.start_by,
             due: request.due,
             is_running: false,
         });
@@ -77,7 +81,7 @@
     }
 
     /// Preempts batch items until `count` preemptions are in progress. Items that are late are
-    /// preempted first, then those with the latest due time, which leaves most time to resume them.
+    /// preempted first, then those with the most time to spare, which is left to resume them.
     fn preempt_items(
         &mut self,
         now: Timestamp,
@@ -85,6 +89,12 @@
         only_late: bool,
         out: &mut Vec<PlaceAction>,
     ) {
+        let by_cost = self.by_cost;
+        // Times to spare are compared in tenths of a second, which predictions do not exceed in precision.
+        let spare = |held: &HeldRequest| match held.left(now) {
+            Some(left) if by_cost => (held.due - now).saturating_sub(left).as_millis() / 100,
+            _ => 0,
+        };
         let preempting = self.held.values().filter(|held| held.preempting).count();
         for _ in preempting..count {
             let victim = self
@@ -98,7 +108,7 @@
                     })
                 })
                 .max_by_key(|(id, held)| {
-                    (held.is_late(now), held.due, now - held.granted_at, **id)
+                    (held.is_late(now), spare(held), held.due, now - held.granted_at, **id)
                 });
             let Some((id, held)) = victim else { return };
             held.preempting = true;
--- a/dogwoodtray_policy/src/placement/service/mod.rs
+++ b/dogwoodtray_policy/src/placement/service/mod.rs
@@ -1,6 +1,8 @@
 //! Places and queues of one service.
 
 mod batch;
+mod pick;
+mod work;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -12,6 +14,8 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use self::work::HoldEstimate;
+use self::work::PredictedRun;
 use super::DispatcherConfig;
 use super::EndpointPlaces;
 use super::PlaceAction;
@@ -19,7 +23,9 @@
 use super::PlaceOutcome;
 use super::PlaceRequest;
 use super::batch_plan::BatchPlan;
+use super::cost::CostModel;
 use super::endpoint::Endpoint;
+use super::speed::ServiceSpeed;
 use crate::Class;
 
 /// Weight of a new observation in the moving average of the time that a place is held.
@@ -46,6 +52,8 @@
     run_time: Option<Duration>,
     /// Whether a preemption was issued and the place has not been released yet.
     preempting: bool,
+    /// Prediction of the run; `None` if another dispatcher granted the place.
+    predicted: Option<PredictedRun>,
 }
 
 impl HeldRequest {
@@ -78,6 +86,18 @@
     error_share: f64,
     /// Counter of grants, from which ties between endpoints are broken.
     round_robin_start: usize,
+    costs: CostModel,
+    speed: ServiceSpeed,
+    /// Whether placement considers costs and speeds.
+    by_cost: bool,
+    /// Number of endpoints whose lasting speed is not the usual one.
+    uneven_endpoints: usize,
+    /// Time until which some endpoint is regarded as briefly slow.
+    slow_until: Timestamp,
+    /// Time at which the speeds of idle endpoints were last renewed.
+    speeds_renewed_at: Timestamp,
+    /// Last estimate of the time that online requests hold their places.
+    hold_estimate: HoldEstimate,
 }
 
 impl ServicePlaces {
@@ -92,6 +112,13 @@
             mean_hold_time: cfg.initial_hold_time,
             error_share: 0.0,
             round_robin_start: 0,
+            costs: CostModel::new(cfg.initial_hold_time),
+            speed: ServiceSpeed::default(),
+            by_cost: cfg.cost_based,
+            uneven_endpoints: 0,
+            slow_until: Timestamp::ZERO,
+            speeds_renewed_at: Timestamp::ZERO,
+            hold_estimate: HoldEstimate::default(),
         }
     }
 
@@ -149,6 +176,7 @@
             let key = self.endpoints.insert(endpoint);
             self.by_name.insert(Name::clone(&places.name), key);
         }
+        self.count_uneven_endpoints();
     }
 
     pub(super) fn record_internal_queue(
@@ -258,6 +286,7 @@
             due: now,
             run_time: None,
             preempting: false,
+            predicted: None,
         };
         self.held.insert(id, held);
     }
@@ -279,6 +308,7 @@
             if let Some(key) = held.endpoint {
                 self.record_answer(now, key, outcome, cfg);
             }
+            self.end_predicted_run(now, &held, outcome);
             if outcome == PlaceOutcome::Answered && held.class == Class::Online {
                 let observed = (now - held.granted_at).as_secs_f64();
                 let mean = self.mean_hold_time.as_secs_f64();
@@ -376,37 +406,13 @@
             .filter(|held| held.class == Class::Batch && held.endpoint.is_some())
             .count();
         let excess = (ahead + 1).saturating_sub(batch);
-        self.mean_hold_time.mul_f64(excess as f64 / f64::from(self.healthy_slots().max(1)))
+        self.expected_hold_time(now).mul_f64(excess as f64 / f64::from(self.healthy_slots().max(1)))
     }
 
     fn free_places(&self, now: Timestamp) -> u32 {
         sum(self.endpoints.values().map(|endpoint| endpoint.free_places(now)))
     }
 
-    /// Returns the endpoint with the largest share of free places; ties are broken round-robin.
-    /// Endpoints at which the request failed are skipped if the service has any other endpoint.
-    /// Requests that may be repeated are the trials of endpoints that have failed; others are sent
-    /// there only if no other endpoint has a free place.
-    fn pick_endpoint(&self, now: Timestamp, request: &PlaceRequest) -> Option<EndpointKey> {
-        let count = self.endpoints.len();
-        let start = self.round_robin_start % count.max(1);
-        let excluded = &request.excluded;
-        let has_alternative = self.endpoints.values().any(|e| !excluded.contains(&e.name));
-        let round_robin_rank = |index: usize| (index + count - start) % count.max(1);
-        self.endpoints
-            .iter()
-            .enumerate()
-            .filter(|(_, (_, e))| {
-                e.free_places(now) > 0 && !(has_alternative && excluded.contains(&e.name))
-            })
-            .max_by_key(|(index, (_, e))| {
-                let is_trial = request.repeatable && e.is_trial_due(now);
-                let share = u64::from(e.free_places(now)) * 1_000 / u64::from(e.slots.max(1));
-                (is_trial, e.is_healthy(), share, round_robin_rank(*index))
-            })
-            .map(|(_, (key, _))| key)
-    }
-
     fn grant(
         &mut self,
         now: Timestamp,
@@ -415,6 +421,8 @@
         out: &mut Vec<PlaceAction>,
     ) {
         self.round_robin_start = self.round_robin_start.wrapping_add(1);
+        self.renew_speeds(now);
+        let predicted = self.start_predicted_run(now, request, key);
         let endpoint = &mut self.endpoints[key];
         endpoint.in_use += 1;
         let name = Name::clone(&endpoint.name);
@@ -423,8 +431,9 @@
             class: request.class,
             granted_at: now,
             due: request.due,
-            run_time: Some(request.due - request.start_by),
+            run_time: Some(predicted.scaled(request.due - request.start_by)),
             preempting: false,
+            predicted: Some(predicted),
         };
         self.held.insert(request.id, held);
         out.push(PlaceAction::Grant { id: request.id, endpoint: name });
--- /dev/null
+++ b/dogwoodtray_policy/src/placement/service/pick.rs
@@ -0,0 +1,140 @@
+//! Choice of the endpoint for a request.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use dogwoodtray_coord::Timestamp;
+
+use super::EndpointKey;
+use super::ServicePlaces;
+use crate::Class;
+use crate::placement::PlaceRequest;
+use crate::placement::endpoint::Endpoint;
+use crate::placement::speed::MAX_SPEED;
+use crate::placement::speed::level_of;
+
+/// Share of the time until its due time in which long work must be expected to end at an endpoint. The
+/// rest covers wrong predictions, and for items a preemption.
+const ITEM_TIME_SHARE: f64 = 0.7;
+const LONG_REQUEST_TIME_SHARE: f64 = 0.5;
+
+/// Multiple of the mean work from which an online request is long.
+const LONG_WORK: f64 = 3.0;
+
+/// Step in which the remaining work of endpoints is compared, in seconds.
+const REMAINING_STEP: f64 = 0.1;
+
+/// How a request uses the speeds of the endpoints.
+#[derive(Clone, Copy, Debug)]
+enum SpeedUse {
+    /// The fastest endpoint is preferred.
+    Fastest,
+    /// The slowest endpoint is preferred whose level is at least this.
+    SlowestFrom(f32),
+}
+
+/// # Choice of endpoints
+impl ServicePlaces {
+    /// Returns the endpoint for a request. Endpoints at which the request failed are skipped if the
+    /// service has any other endpoint. Requests that may be repeated are the trials of endpoints that
+    /// have failed; others are sent there only if no other endpoint has a free place.
+    ///
+    /// While all endpoints have the usual speed, this is the one with the largest share of free
+    /// places, and ties are broken round-robin. Otherwise, short work goes to the endpoint where it is
+    /// expected to end first, and long work to the slowest one at which it ends in time.
+    pub(super) fn pick_endpoint(
+        &self,
+        now: Timestamp,
+        request: &PlaceRequest,
+    ) -> Option<EndpointKey> {
+        if self.is_uneven(now) {
+            return self.pick_by_speed(now, request);
+        }
+        self.pick_best(now, request, |_, _| ())
+    }
+
+    /// Returns `true` if the endpoints are known to differ in speed now.
+    fn is_uneven(&self, now: Timestamp) -> bool {
+        self.by_cost && (self.uneven_endpoints > 0 || now < self.slow_until)
+    }
+
+    fn pick_by_speed(&self, now: Timestamp, request: &PlaceRequest) -> Option<EndpointKey> {
+        let now_seconds = seconds(now);
+        let remaining = |e: &Endpoint| {
+            let left = e.predicted_ends - f64::from(e.predicted_runs) * now_seconds;
+            Reverse((left / REMAINING_STEP).max(0.0) as u32)
+        };
+        match self.speed_use(now, request) {
+            SpeedUse::Fastest => {
+                let occupancy = self.speed.occupancy_levels();
+                self.pick_best(now, request, |e, free| {
+                    let used = 1.0 - free as f32 / e.slots.max(1) as f32;
+                    let level = e.speed.current_level(now) - occupancy * used;
+                    (true, level.round() as i32, remaining(e))
+                })
+            }
+            SpeedUse::SlowestFrom(minimum) => self.pick_best(now, request, |e, _| {
+                let level = e.speed.lasting_level();
+                let is_in_time = level >= minimum && !e.speed.is_briefly_slow(now);
+                let level = level.round() as i32;
+                (is_in_time, if is_in_time { -level } else { level }, remaining(e))
+            }),
+        }
+    }
+
+    fn speed_use(&self, now: Timestamp, request: &PlaceRequest) -> SpeedUse {
+        let work = self.predicted_work(request).as_secs_f64();
+        let share = match request.class {
+            Class::Batch => ITEM_TIME_SHARE,
+            Class::Online if work >= LONG_WORK * self.costs.mean_work() => LONG_REQUEST_TIME_SHARE,
+            Class::Online => return SpeedUse::Fastest,
+        };
+        let left = (request.due - now).as_secs_f64() * share;
+        if left <= 0.0 || work > left * MAX_SPEED {
+            return SpeedUse::Fastest;
+        }
+        SpeedUse::SlowestFrom(level_of(work / left))
+    }
+
+    /// Returns the endpoint with a free place that has the greatest `rank`, and of several the one with
+    /// the largest share of free places; further ties are broken round-robin.
+    fn pick_best<R: Ord>(
+        &self,
+        now: Timestamp,
+        request: &PlaceRequest,
+        rank: impl Fn(&Endpoint, u32) -> R,
+    ) -> Option<EndpointKey> {
+        let count = self.endpoints.len();
+        let start = self.round_robin_start % count.max(1);
+        let excluded = &request.excluded;
+        let has_alternative = self.endpoints.values().any(|e| !excluded.contains(&e.name));
+        let round_robin_rank =
+            |index: usize| if index >= start { index - start } else { index + count - start };
+        self.endpoints
+            .iter()
+            .enumerate()
+            .filter_map(|(index, (key, e))| {
+                let free = e.free_places(now);
+                let is_open = free > 0 && !(has_alternative && excluded.contains(&e.name));
+                is_open.then_some((index, key, e, free))
+            })
+            .max_by_key(|(index, _, e, free)| {
+                let is_trial = request.repeatable && e.is_trial_due(now);
+                let share = u64::from(*free) * 1_000 / u64::from(e.slots.max(1));
+                (is_trial, e.is_healthy(), rank(e, *free), share, round_robin_rank(*index))
+            })
+            .map(|(_, key, _, _)| key)
+    }
+}
+
+pub(super) fn seconds(at: Timestamp) -> f64 {
+    (at - Timestamp::ZERO).as_secs_f64()
+}
+
+/// Returns a run time at an endpoint of this speed.
+pub(super) fn run_time_at(speed: f64, usual: Duration) -> Duration {
+    if speed == 1.0 {
+        return usual;
+    }
+    Duration::try_from_secs_f64(usual.as_secs_f64() / speed).unwrap_or(Duration::MAX)
+}
