Report late events of streams and share learned costs among drivers

Cause: a dispatcher learns of a slow endpoint only when a head is overdue, and the driver that takes over starts without the learned speeds and costs.

Change: gateways and drivers report a stream whose events come later than usual for its service (PlaceSlow with streaming): two gaps in a row of 1.9 times the usual one, or one of 4 times and at least 150 ms, at most every 200 ms for a place. The endpoint is used less for 300 to 450 ms after the last report and is never excluded. The driver that assigns places sends the route means and the speeds that differ from 1 to the other drivers once a second if they have changed (LearnedCosts, field 48); those that assign places themselves ignore it.

--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -123,6 +123,7 @@
                     driver.on_tokens_held(&report);
                 }
             }
+            Kind::LearnedCosts(learned) => self.on_learned_costs(&learned),
             Kind::ItemProgress(progress) => {
                 if let Some(driver) = self.driver.get() {
                     driver.on_item_progress(self, progress);
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -40,6 +40,7 @@
 use crate::node::Node;
 use crate::observed_run::ObservedRun;
 use crate::observed_run::RunKind;
+use crate::places::GapMonitor;
 use crate::places::PlacePermit;
 use crate::request::EndpointRequest;
 use crate::request::ResponseClass;
@@ -131,6 +132,7 @@
 ) -> RunOutcome {
     let endpoint = Name::clone(&permit.endpoint);
     let events_before = progress.borrow().event_count();
+    let mut gaps = permit.gap_monitor();
     let preempted = || {
         let has_output = progress.borrow().event_count() > events_before;
         if has_output { RunOutcome::Preempted } else { RunOutcome::PreemptedAtStart }
@@ -138,7 +140,7 @@
     let (run, place_outcome, reason) = tokio::select! {
         biased;
         () = permit.preempted() => (preempted(), PlaceOutcome::Withdrawn, String::new()),
-        ended = exchange(node, job, item, prepared, progress, (&endpoint, trial), head_timeout) => ended,
+        ended = exchange(node, job, item, prepared, progress, (&endpoint, trial, &mut gaps), head_timeout) => ended,
     };
     if matches!(run, RunOutcome::Queued) {
         permit.report_slow();
@@ -168,7 +170,7 @@
     item: &JobItem,
     prepared: &PreparedItem,
     progress: &RefCell<Progress>,
-    (endpoint, trial): (&Name, &mut Option<Trial>),
+    (endpoint, trial, gaps): (&Name, &mut Option<Trial>, &mut GapMonitor),
     head_timeout: Duration,
 ) -> (RunOutcome, PlaceOutcome, String) {
     let interrupted = |place_outcome, reason: &dyn Display| {
@@ -224,7 +226,7 @@
         ResponseClass::Answer if status.is_success() => {
             let replicate = || replicate_output(node, job, item, &progress.borrow());
             observed.on_head();
-            read_events(exchange.body, progress, &mut observed, replicate).await
+            read_events(exchange.body, progress, &mut observed, gaps, replicate).await
         }
         ResponseClass::Answer if status == StatusCode::UNPROCESSABLE_ENTITY => {
             (RunOutcome::Unprocessable, PlaceOutcome::Answered, status.to_string())
@@ -254,6 +256,7 @@
     mut body: EndpointBody,
     progress: &RefCell<Progress>,
     observed: &mut ObservedRun,
+    gaps: &mut GapMonitor,
     replicate_output: impl Fn(),
 ) -> (RunOutcome, PlaceOutcome, String) {
     let mut parser = EventParser::default();
@@ -262,7 +265,7 @@
     let mut last_event_at = Instant::now();
     loop {
         let idle_until = last_event_at + ITEM_IDLE_TIMEOUT;
-        let (place_outcome, reason) = match timeout_at(idle_until, body.frame()).await {
+        let (place_outcome, reason) = match gaps.watch(timeout_at(idle_until, body.frame())).await {
             Ok(None) => {
                 // Clears the parts that it shares with other requests.
                 observed.on_completed();
@@ -287,6 +290,7 @@
                         if count > 0 {
                             last_event_at = Instant::now();
                             observed.on_output();
+                            gaps.on_event();
                         }
                         if last_replicated.elapsed() >= REPLICATION_INTERVAL {
                             last_replicated = Instant::now();
--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -45,6 +45,7 @@
 pub(crate) use self::watchers::WATCHERS_KEY;
 use self::watchers::Watcher;
 use crate::node::Node;
+use crate::places::LEARNED_INTERVAL;
 use crate::sync::Update;
 use crate::sync::WatchConfig;
 
@@ -137,6 +138,13 @@
                 this.early_outputs.drop_old(task_node.now());
             }
         });
+        let task_node = Rc::clone(node);
+        spawn_local(async move {
+            loop {
+                sleep(LEARNED_INTERVAL).await;
+                task_node.share_learned_costs();
+            }
+        });
         retire::spawn(node, &driver);
         sweep::spawn(node, &driver);
         driver
--- a/dogwoodtray_gateway/src/forward.rs
+++ b/dogwoodtray_gateway/src/forward.rs
@@ -65,7 +65,11 @@
                 let id = PlaceId { holder: incarnation, number: slow.ask };
                 if let Some(ForwardedPlace::Held(permit)) = self.forwarded_places.borrow().get(&id)
                 {
-                    permit.report_slow();
+                    if slow.streaming {
+                        permit.report_slow_stream();
+                    } else {
+                        permit.report_slow();
+                    }
                 }
             }
             // Places that were acquired without a driver are not reported to drivers.
--- a/dogwoodtray_gateway/src/http/run.rs
+++ b/dogwoodtray_gateway/src/http/run.rs
@@ -10,6 +10,7 @@
 use crate::node::Node;
 use crate::observed_run::ObservedRun;
 use crate::observed_run::RunKind;
+use crate::places::GapMonitor;
 use crate::places::PlacePermit;
 use crate::trial::Trial;
 use crate::trial::TrialProgress;
@@ -47,6 +48,11 @@
         &mut self.permit
     }
 
+    /// Returns an observer of the gaps between the events of the answer.
+    pub(crate) fn gap_monitor(&self) -> GapMonitor {
+        self.permit.gap_monitor()
+    }
+
     /// Sets the outcome that is reported when the place is released.
     pub(crate) const fn set_outcome(&mut self, outcome: PlaceOutcome) {
         self.permit.set_outcome(outcome);
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -30,6 +30,9 @@
 /// abandon a stream after such a gap at the earliest.
 const LAST_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Wait for the caller after which the next event may have arrived long before it is read.
+const SLOW_READER: Duration = Duration::from_millis(5);
+
 /// Outcome of the exchange with one endpoint.
 enum ExchangeOutcome {
     /// The stream is complete.
@@ -159,10 +162,11 @@
     let mut parser = EventParser::default();
     let mut lease = attempts.node.buffers.lease();
     let mut last_event_at = Instant::now();
+    let mut gaps = run.gap_monitor();
     loop {
         // Bytes that complete no event are no progress.
         let limit = attempts.remaining().min(idle_timeout.saturating_sub(last_event_at.elapsed()));
-        let frame = match timeout(limit, body.frame()).await {
+        let frame = match gaps.watch(timeout(limit, body.frame())).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) => return ExchangeOutcome::Completed,
             Ok(Some(Err(err))) => {
@@ -198,9 +202,14 @@
         }
         if !events.is_empty() {
             run.on_output();
-        }
-        if !events.is_empty() && !queue.push(events.freeze()).await {
-            return ExchangeOutcome::CallerDisconnected;
+            gaps.on_event();
+            let pushed_at = Instant::now();
+            if !queue.push(events.freeze()).await {
+                return ExchangeOutcome::CallerDisconnected;
+            }
+            if pushed_at.elapsed() >= SLOW_READER {
+                gaps.on_pause();
+            }
         }
         // The rest of the buffer is an incomplete event.
         if lease.resize(parser.buffered()).is_err() {
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -17,6 +17,7 @@
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_policy::PlaceRequest;
+use dogwoodtray_policy::UsualGap;
 use dogwoodtray_runtime::LinkHandle;
 use dogwoodtray_runtime::LinkId;
 use dogwoodtray_runtime::millis;
@@ -29,6 +30,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::gap_monitor::GapMonitor;
 use super::wire::class_to_wire;
 use super::wire::outcome_to_wire;
 use super::wire::refusal;
@@ -116,6 +118,10 @@
     pub(super) synced_links: RefCell<HashMap<Name, LinkId>>,
     /// Notified when the dispatcher has waiting requests.
     pub(super) queue_filled: Notify,
+    /// Usual gaps between the events of the streams of each service.
+    pub(super) usual_gaps: RefCell<HashMap<Name, UsualGap>>,
+    /// What was sent last on each link to a driver about learned costs.
+    pub(super) learned_sent: RefCell<HashMap<LinkId, messages::LearnedCosts>>,
 }
 
 impl Places {
@@ -127,9 +133,16 @@
             records: RefCell::new(HashMap::new()),
             synced_links: RefCell::new(HashMap::new()),
             queue_filled: Notify::new(),
+            usual_gaps: RefCell::new(HashMap::new()),
+            learned_sent: RefCell::new(HashMap::new()),
         }
     }
 
+    /// Returns the usual gap between the events of the streams of a service.
+    pub(super) fn usual_gap(&self, service: &Name) -> UsualGap {
+        self.usual_gaps.borrow().get(service).copied().unwrap_or_default()
+    }
+
     /// Returns the incarnation of this process.
     pub(crate) const fn holder(&self) -> u64 {
         self.holder
@@ -145,6 +158,7 @@
 pub(crate) struct PlacePermit {
     node: Rc<Node>,
     number: u64,
+    service: Name,
     pub(crate) endpoint: Name,
     rx: UnboundedReceiver<PlaceEvent>,
     outcome: PlaceOutcome,
@@ -169,6 +183,16 @@
         self.node.report_slow_place(self.number);
     }
 
+    /// Reports that the events of the request are later than usual.
+    pub(crate) fn report_slow_stream(&self) {
+        self.node.report_slow_stream(self.number);
+    }
+
+    /// Returns an observer of the gaps between the events of the request.
+    pub(crate) fn gap_monitor(&self) -> GapMonitor {
+        GapMonitor::new(&self.node, self.number, &self.service)
+    }
+
     /// Waits until the place is preempted.
     pub(crate) async fn preempted(&mut self) {
         loop {
@@ -235,6 +259,7 @@
                     return Ok(PlacePermit {
                         node,
                         number,
+                        service: Name::clone(&params.service),
                         endpoint,
                         rx,
                         outcome: PlaceOutcome::Withdrawn,
@@ -416,16 +441,24 @@
     }
 
     fn report_slow_place(&self, number: u64) {
-        {
-            let records = self.places.records.borrow();
-            for link in records.get(&number).iter().flat_map(|record| &record.informed_links) {
-                link.send(messages::PlaceSlow { ask: number });
-            }
-        }
+        self.send_slow_report(number, false);
         let id = self.places.id(number);
         self.places.dispatcher.borrow_mut().record_internal_queue(self.now(), id);
     }
 
+    pub(super) fn report_slow_stream(&self, number: u64) {
+        self.send_slow_report(number, true);
+        let id = self.places.id(number);
+        self.places.dispatcher.borrow_mut().record_slow_stream(self.now(), id);
+    }
+
+    fn send_slow_report(&self, number: u64, streaming: bool) {
+        let records = self.places.records.borrow();
+        for link in records.get(&number).iter().flat_map(|record| &record.informed_links) {
+            link.send(messages::PlaceSlow { ask: number, streaming });
+        }
+    }
+
     /// Passes the current list of endpoints to the dispatcher.
     pub(crate) fn refresh_places(&self) {
         let list = self.directory.borrow().places();
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -118,7 +118,12 @@
             }
             Kind::PlaceSlow(slow) => {
                 let id = PlaceId { holder: incarnation, number: slow.ask };
-                self.places.dispatcher.borrow_mut().record_internal_queue(self.now(), id);
+                let mut dispatcher = self.places.dispatcher.borrow_mut();
+                if slow.streaming {
+                    dispatcher.record_slow_stream(self.now(), id);
+                } else {
+                    dispatcher.record_internal_queue(self.now(), id);
+                }
             }
             Kind::PlacesHeld(held) => {
                 let now = self.now();
--- a/dogwoodtray_gateway/src/places/mod.rs
+++ b/dogwoodtray_gateway/src/places/mod.rs
@@ -2,6 +2,8 @@
 //! driver responds.
 
 mod acquire;
+mod gap_monitor;
+mod learned;
 mod links;
 mod wire;
 
@@ -9,6 +11,8 @@
 pub(crate) use self::acquire::PlaceParams;
 pub(crate) use self::acquire::PlacePermit;
 pub(crate) use self::acquire::Places;
+pub(crate) use self::gap_monitor::GapMonitor;
+pub(crate) use self::learned::LEARNED_INTERVAL;
 pub(crate) use self::wire::cost_from_wire;
 pub(crate) use self::wire::organization_from_wire;
 pub(crate) use self::wire::outcome_from_wire;
--- a/dogwoodtray_policy/src/placement/gaps.rs
+++ b/dogwoodtray_policy/src/placement/gaps.rs
@@ -71,55 +71,51 @@
 /// use dogwoodtray_policy::UsualGap;
 ///
 /// let mut usual = UsualGap::default();
-/// let mut gaps = EventGaps::new(Timestamp::ZERO);
+/// let mut gaps = EventGaps::default();
 /// let at = |ms| Timestamp::ZERO + Duration::from_millis(ms);
 /// assert!(!gaps.on_event(at(40), &mut usual));
-/// let timer = gaps.next_check(&usual);
-/// assert!(gaps.on_timer(timer, &usual));
+/// let check = gaps.next_check(&usual).expect("an event came");
+/// assert!(gaps.on_timer(check, &usual));
 /// ```
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct EventGaps {
-    last_event_at: Timestamp,
+    last_event_at: Option<Timestamp>,
     last_gap: Duration,
     reported_at: Option<Timestamp>,
 }
 
 impl EventGaps {
-    /// Starts with the head of the answer, which counts as an event.
-    #[must_use]
-    pub const fn new(now: Timestamp) -> Self {
-        Self { last_event_at: now, last_gap: Duration::ZERO, reported_at: None }
-    }
-
     /// Records an event. Returns `true` if the stream is to be reported as slow.
     pub fn on_event(&mut self, now: Timestamp, usual: &mut UsualGap) -> bool {
-        let gap = now - self.last_event_at;
-        let pair = (gap + self.last_gap) / 2;
-        // Both are slow: after a single long gap, the next one may be usual.
-        let is_slow = pair >= usual.pair_limit() && gap.min(self.last_gap) * 4 >= pair * 3;
-        self.last_event_at = now;
-        self.last_gap = gap;
+        // The time before the first event includes the prompt.
+        let Some(last_event_at) = self.last_event_at.replace(now) else { return false };
+        let gap = now - last_event_at;
+        let last_gap = std::mem::replace(&mut self.last_gap, gap);
         usual.observe(gap);
+        // After a single long gap, as of a process without processor time, the next one is short.
+        let pair = (gap + last_gap) / 2;
+        let is_slow = pair >= usual.pair_limit() && gap.min(last_gap) * 4 >= pair * 3;
         is_slow && self.report(now)
     }
 
+    /// Records that the process did not read events for some time, as its caller did not.
+    pub const fn on_pause(&mut self) {
+        self.last_event_at = None;
+        self.last_gap = Duration::ZERO;
+    }
+
     /// Returns the time at which [`on_timer`](Self::on_timer) has to be called unless an event comes.
     #[must_use]
-    pub fn next_check(&self, usual: &UsualGap) -> Timestamp {
-        let due = self.last_event_at + usual.single_limit();
-        self.reported_at.map_or(due, |at| due.max(at + REPORT_INTERVAL))
+    pub fn next_check(&self, usual: &UsualGap) -> Option<Timestamp> {
+        let due = self.last_event_at? + usual.single_limit();
+        Some(self.reported_at.map_or(due, |at| due.max(at + REPORT_INTERVAL)))
     }
 
     /// Records that no event came until the time of the check. Returns `true` if the stream is to be
     /// reported as slow.
     pub fn on_timer(&mut self, now: Timestamp, usual: &UsualGap) -> bool {
-        let due = self.next_check(usual);
-        if now < due {
-            return false;
-        }
-        let is_late = now - due > MAX_TIMER_DELAY;
-        let is_reported = self.report(now);
-        is_reported && !is_late
+        let Some(due) = self.next_check(usual).filter(|due| now >= *due) else { return false };
+        self.report(now) && now - due <= MAX_TIMER_DELAY
     }
 
     fn report(&mut self, now: Timestamp) -> bool {
--- a/dogwoodtray_wire/src/convert.rs
+++ b/dogwoodtray_wire/src/convert.rs
@@ -43,6 +43,7 @@
     JobItemRead,
     JobPage,
     JobRead,
+    LearnedCosts,
     PlaceAsk,
     PlaceGrant,
     PlacePreempt,
