--- a/dogwoodtray_policy/src/placement/service/batch.rs
+++ b/dogwoodtray_policy/src/placement/service/batch.rs
@@ -5,6 +5,7 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 
+use super::HeldRequest;
 use super::ServicePlaces;
 use crate::Class;
 use crate::placement::DispatcherConfig;
@@ -58,8 +59,9 @@
             return;
         }
         let running = || self.held.iter().filter(|(_, held)| held.class == Class::Batch);
-        let places = running().filter(|(_, held)| held.endpoint.is_some()).count() + available;
-        self.plan.observe_places(now, u32::try_from(places).unwrap_or(u32::MAX));
+        let speeds = running().filter(|(_, held)| held.endpoint.is_some()).map(|(_, h)| h.speed());
+        let places = speeds.sum::<f64>() + available as f64 * self.mean_free_speed(now);
+        self.plan.observe_places(now, places);
         let mut numbers: HashMap<Option<&Name>, usize> = HashMap::new();
         let mut flow = |priority, organization| {
             let next = numbers.len();
@@ -73,6 +75,7 @@
             items.push(PlannedItem {
                 key: (now, *id),
                 left,
+                work: left.mul_f64(held.speed()),
                 due: held.due,
                 is_running: true,
                 flow,
@@ -80,7 +83,8 @@
         }
         items.extend(self.batch.iter().map(|(key, request)| PlannedItem {
             key: *key,
-            left: self.predicted_work(request),
+            left: request.due - request.start_by,
+            work: request.due - request.start_by,
             due: request.due,
             is_running: false,
             flow: flow(self.online.priority(request), request.organization.as_ref()),
@@ -95,7 +99,7 @@
     }
 
     /// Preempts batch items until `count` preemptions are in progress. Items that are late are
-    /// preempted first, then those with the latest due time, which leaves most time to resume them.
+    /// preempted first, then those with the most time to spare, which is left to resume them.
     fn preempt_items(
         &mut self,
         now: Timestamp,
@@ -103,6 +107,12 @@
         only_late: bool,
         out: &mut Vec<PlaceAction>,
     ) {
+        let by_cost = self.by_cost;
+        // Times to spare are compared in tenths of a second, which predictions do not exceed in precision.
+        let spare = |held: &HeldRequest| match held.left(now) {
+            Some(left) if by_cost => (held.due - now).saturating_sub(left).as_millis() / 100,
+            _ => 0,
+        };
         let preempting = self.held.values().filter(|held| held.preempting).count();
         for _ in preempting..count {
             let victim = self
@@ -116,7 +126,7 @@
                     })
                 })
                 .max_by_key(|(id, held)| {
-                    (held.is_late(now), held.due, now - held.granted_at, **id)
+                    (held.is_late(now), spare(held), held.due, now - held.granted_at, **id)
                 });
             let Some((id, held)) = victim else { return };
             held.preempting = true;
