--- a/dogwoodtray_coord/src/rate_limit/limits.rs
+++ b/dogwoodtray_coord/src/rate_limit/limits.rs
@@ -1,7 +1,6 @@
 //! Token buckets of all organizations at a process that assigns places.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -51,9 +50,9 @@
     /// Time that counts for refills.
     clock: Duration,
     advanced_at: Option<Timestamp>,
-    buckets: HashMap<Name, Bucket>,
+    buckets: BTreeMap<Name, Bucket>,
     /// Requests that have spent a token and wait, or may give it back.
-    spends: HashMap<SpendId, Spend>,
+    spends: BTreeMap<SpendId, Spend>,
     last_sequence: u64,
     unknown_count: usize,
 }
@@ -91,8 +90,8 @@
             share: 0.0,
             clock: Duration::ZERO,
             advanced_at: None,
-            buckets: HashMap::new(),
-            spends: HashMap::new(),
+            buckets: BTreeMap::new(),
+            spends: BTreeMap::new(),
             last_sequence: 0,
             unknown_count: 0,
         }
@@ -285,7 +284,7 @@
         &mut self,
         tolerance: &LimitTolerance,
         share: f64,
-        spends: &mut HashMap<SpendId, Spend>,
+        spends: &mut BTreeMap<SpendId, Spend>,
     ) {
         let capacity = (self.limit.burst * share).max(tolerance.start_level(self.limit)).max(1.0);
         self.tokens.set_limit(self.limit.rate_per_s * share, capacity);
@@ -293,7 +292,7 @@
     }
 
     /// Starts the bucket anew. Tokens that were taken before cannot be given back.
-    fn restart(&mut self, tolerance: &LimitTolerance, spends: &mut HashMap<SpendId, Spend>) {
+    fn restart(&mut self, tolerance: &LimitTolerance, spends: &mut BTreeMap<SpendId, Spend>) {
         for id in std::mem::take(&mut self.returnable).into_values() {
             forget(spends, id);
         }
@@ -308,7 +307,7 @@
         *last_sequence
     }
 
-    fn refill(&mut self, clock: Duration, spends: &mut HashMap<SpendId, Spend>) {
+    fn refill(&mut self, clock: Duration, spends: &mut BTreeMap<SpendId, Spend>) {
         self.tokens.refill(clock.saturating_sub(self.refilled_at));
         self.refilled_at = clock;
         self.forget_unreturnable(spends);
@@ -316,7 +315,7 @@
 
     /// Drops the oldest tokens that may be given back until they fit into the bucket together with
     /// those in it.
-    fn forget_unreturnable(&mut self, spends: &mut HashMap<SpendId, Spend>) {
+    fn forget_unreturnable(&mut self, spends: &mut BTreeMap<SpendId, Spend>) {
         #[allow(clippy::cast_precision_loss, reason = "at most the burst")]
         while self.tokens.level() + self.returnable.len() as f64 > self.tokens.capacity() + 1e-9 {
             let Some((_, id)) = self.returnable.pop_first() else { return };
@@ -359,7 +358,7 @@
 }
 
 /// Records that the token of a request can no longer be given back.
-fn forget(spends: &mut HashMap<SpendId, Spend>, id: SpendId) {
+fn forget(spends: &mut BTreeMap<SpendId, Spend>, id: SpendId) {
     match spends.get_mut(&id) {
         Some(spend) if spend.is_waiting => spend.sequence = None,
         _ => {
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -238,6 +238,7 @@
                     driver.suspect_until = Timestamp::ZERO;
                 }
                 self.events.emit(&catalogue::LINK_UP, None, &[("peer", &name)]);
+                self.announce_changed_driver();
             }
             (LinkSource::Dialed(name, _), LinkEvent::Down { link, reason }) => {
                 let now = self.now();
@@ -247,6 +248,7 @@
                     driver.link = None;
                     driver.disconnected_at = now;
                 }
+                self.announce_changed_driver();
                 self.on_place_link_lost(link);
                 let fields: [(&str, &dyn std::fmt::Display); 2] =
                     [("peer", &name), ("reason", &reason)];
@@ -322,6 +324,9 @@
                 peer.stale = heartbeat.stale;
             }
         }
+        if matches!(kind, Kind::Heartbeat(_)) {
+            self.announce_changed_driver();
+        }
         match kind {
             Kind::Heartbeat(heartbeat) => {
                 if let Some(link) = self.peers.link_to(name) {
--- a/dogwoodtray_gateway/src/places/acquire.rs
+++ b/dogwoodtray_gateway/src/places/acquire.rs
@@ -298,7 +298,9 @@
             return None;
         }
         let link = self.peers.link_to(&name)?;
-        self.announce_new_driver(&name, params.organization.as_ref());
+        if params.organization.is_some() {
+            self.announce_changed_driver();
+        }
         self.send_held_places(&name, &link);
         let now = self.now();
         let message = messages::PlaceAsk {
--- a/dogwoodtray_gateway/src/places/limits.rs
+++ b/dogwoodtray_gateway/src/places/limits.rs
@@ -75,7 +75,7 @@
     activated: Notify,
     /// Organizations that are limited now.
     limited: RefCell<HashMap<Name, Refusals>>,
-    /// Driver from which the last place was requested.
+    /// Driver from which this process requests places, as told to all drivers.
     last_driver: RefCell<Option<Name>>,
 }
 
@@ -111,14 +111,12 @@
         metrics::gauge!("dogwoodtray_limit_share").set(share);
     }
 
-    /// Records a driver that is asked for a place. Returns `true` if it is not the last one.
-    fn is_new_driver(&self, name: &Name) -> bool {
+    /// Records the driver that is to be asked for places. Returns `true` if it is not the last one.
+    fn is_new_driver(&self, name: Option<Name>) -> bool {
         let mut last = self.last_driver.borrow_mut();
-        if last.as_ref() == Some(name) {
-            return false;
-        }
-        *last = Some(Name::clone(name));
-        true
+        let is_new = *last != name;
+        *last = name;
+        is_new
     }
 
     fn on_refused(&self, now: Timestamp, organization: &Name, events: &EventLog) {
@@ -209,10 +207,14 @@
         }
     }
 
-    /// Tells the drivers before a request for a place if it is not sent to the same driver as the last
-    /// one. Both drivers compute their shares from this.
-    pub(super) fn announce_new_driver(&self, name: &Name, organization: Option<&Name>) {
-        if organization.is_some() && self.places.limits.is_new_driver(name) {
+    /// Tells all drivers at once if this gateway now requests places from another one than before. They
+    /// compute their shares from this.
+    pub(crate) fn announce_changed_driver(&self) {
+        let limits = &self.places.limits;
+        if self.cfg.role == NodeRole::Gateway
+            && limits.is_active.get()
+            && limits.is_new_driver(self.dispatcher())
+        {
             self.announce_dispatcher();
         }
     }
--- a/dogwoodtray_gateway/tests/watchers.rs
+++ b/dogwoodtray_gateway/tests/watchers.rs
@@ -5,7 +5,6 @@
 mod support;
 
 use std::collections::BTreeMap;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
@@ -14,12 +13,12 @@
 use hyper::StatusCode;
 use support::Behavior;
 use support::Endpoint;
+use support::KillableDriver;
 use support::SilentRelay;
 use support::Site;
 use support::run_local;
 use support::submission;
 use support::wait_until;
-use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 const DRIVERS: [&str; 8] = ["d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8"];
@@ -30,39 +29,6 @@
 /// Time after which no item of a cancelled job may begin, as defined by the platform.
 const CANCEL_TIME: Duration = Duration::from_secs(3);
 
-/// Driver on a thread of its own, which is killed when this value is dropped.
-struct KillableDriver {
-    kill_tx: Option<oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl KillableDriver {
-    fn start(site: &Site, name: &'static str) -> Self {
-        let (kill_tx, kill_rx) = oneshot::channel();
-        let store = site.store.clone();
-        let (caller_addr, admin_addr) = (site.caller_addr, site.admin_addr);
-        let thread = std::thread::spawn(move || {
-            run_local(async {
-                let site = Site { store, caller_addr, admin_addr };
-                let _driver = site.start_driver(name).await;
-                // All tasks of the driver end with this runtime.
-                let _ = kill_rx.await;
-            });
-        });
-        Self { kill_tx: Some(kill_tx), thread: Some(thread) }
-    }
-}
-
-impl Drop for KillableDriver {
-    fn drop(&mut self) {
-        drop(self.kill_tx.take());
-        if let Some(thread) = self.thread.take() {
-            // A failed driver fails the test by its missing work.
-            let _ = thread.join();
-        }
-    }
-}
-
 /// A site with more drivers than watchers.
 struct Fleet {
     site: Site,
