--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod crashing;
 mod dying;
+mod killable;
 mod raw_request;
 mod scripted;
 mod silent_relay;
@@ -68,6 +69,7 @@
 pub(crate) use self::crashing::start_crashing_with;
 pub(crate) use self::crashing::submit_items;
 pub(crate) use self::dying::DyingEndpoint;
+pub(crate) use self::killable::KillableDriver;
 pub(crate) use self::raw_request::header;
 pub(crate) use self::raw_request::read_request;
 pub(crate) use self::scripted::ScriptedFleet;
@@ -457,7 +459,7 @@
     /// Starts a gateway that can reach the gateway `g1`, but neither the driver `d1` nor the store.
     pub(crate) async fn start_isolated_gateway(&self) -> IsolatedGateway {
         let store = MemoryObjects::new();
-        store.put("config", "main", &config(1));
+        store.put("config", "main", &self.store.spec("config", "main").unwrap());
         let known = || self.store.spec("nodes", "g1").is_some();
         wait_until("the other gateway is registered", known).await;
         store.put("nodes", "g1", &self.store.spec("nodes", "g1").unwrap());
