--- a/dogwoodtray_gateway/src/places/mod.rs
+++ b/dogwoodtray_gateway/src/places/mod.rs
@@ -3,6 +3,7 @@
 
 mod acquire;
 mod links;
+mod metrics;
 mod wire;
 
 pub(crate) use self::acquire::PlaceError;
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -159,6 +159,7 @@
         }
     });
     node.spawn_place_ticks();
+    node.spawn_place_metrics();
     node.spawn_sync();
     node.events.emit(&catalogue::PROCESS_STARTED, None, &[("peer", &node.cfg.peer)]);
     Ok(node)
--- a/dogwoodtray_policy/src/placement/batch_plan.rs
+++ b/dogwoodtray_policy/src/placement/batch_plan.rs
@@ -131,21 +131,30 @@
         self.made_at = Some(now);
         self.recent.clear();
         items.sort_unstable_by_key(|item| (item.due, item.key));
-        let selected = self.select(now, &items);
+        let (selected, above_share) = self.select(now, &items);
         items.retain(|item| !item.is_running);
         items.sort_by_cached_key(|item| {
             let is_selected = selected.contains(&item.key);
             let left = if is_selected { Duration::ZERO } else { item.left };
-            (!is_selected, !is_selected && item.key.0 < now, left, item.key)
+            // The prediction that all selected items are in time may be slightly wrong; the flows
+            // that left out items then miss it, and not the others.
+            let goes_last = is_selected && above_share.contains(&item.flow);
+            (!is_selected, !is_selected && item.key.0 < now, goes_last, left, item.key)
         });
         share_rest(now, &mut items[selected.len()..]);
         self.selected = selected.len();
         self.order = items.into_iter().map(|item| item.key).collect();
     }
 
-    /// Returns the queued items that can be completed in time. `items` are ordered by due time.
-    fn select(&self, now: Timestamp, items: &[PlannedItem]) -> HashSet<ItemKey> {
+    /// Returns the queued items that can be completed in time, and the flows that left out items.
+    /// `items` are ordered by due time.
+    fn select(
+        &self,
+        now: Timestamp,
+        items: &[PlannedItem],
+    ) -> (HashSet<ItemKey>, HashSet<ItemFlow>) {
         let mut selected = HashSet::new();
+        let mut above_share = HashSet::new();
         let mut work = Duration::ZERO;
         let mut flows: HashMap<ItemFlow, FlowWork> = HashMap::new();
         // Flows with items that can be left out, in the order in which they leave out one.
@@ -172,12 +181,13 @@
                 work = work.saturating_sub(left);
                 flow.work = flow.work.saturating_sub(left);
                 selected.remove(&key);
+                above_share.insert(flow_key);
                 if !flow.droppable.is_empty() {
                     order.insert((priority, flow.work, flow_key));
                 }
             }
         }
-        selected
+        (selected, above_share)
     }
 }
 
--- a/dogwoodtray_policy/src/placement/queue.rs
+++ b/dogwoodtray_policy/src/placement/queue.rs
@@ -256,7 +256,7 @@
 impl Level {
     fn time_of(&self, now: Timestamp, distance: u64, interval: Duration) -> Option<Duration> {
         let elapsed = self.elapsed + (now - self.observed_at).as_secs_f64();
-        if elapsed < MIN_RATE_TIME.max(interval * MIN_RATE_GRANTS).as_secs_f64() {
+        if elapsed < MIN_RATE_TIME.max(interval.saturating_mul(MIN_RATE_GRANTS)).as_secs_f64() {
             return None;
         }
         let seconds = distance as f64 * elapsed / self.progress.max(1.0);
--- a/dogwoodtray_policy/src/placement/returns.rs
+++ b/dogwoodtray_policy/src/placement/returns.rs
@@ -79,13 +79,13 @@
         true
     }
 
-    /// Returns the expected number of callers that return until a time and go ahead of a request
-    /// with this priority. Those of the same priority do so only if its flow has used its share.
-    pub(super) fn expected(&self, until: Timestamp, priority: u32, above_share: bool) -> f64 {
-        let due = self.promises.iter().take_while(|(at, _)| *at <= until);
-        let ahead =
-            due.filter(|(_, (other, _))| *other < priority || *other == priority && above_share);
-        ahead.count() as f64 * self.return_share
+    /// Returns the expected numbers of callers that return until a time and go ahead of a request of
+    /// the flow: those with a higher priority, and those of the flow itself.
+    pub(super) fn expected(&self, until: Timestamp, flow: &Flow) -> (f64, f64) {
+        let due = || self.promises.iter().take_while(|(at, _)| *at <= until);
+        let higher = due().filter(|(_, (priority, _))| *priority < flow.0).count();
+        let own = due().filter(|(_, other)| other == flow).count();
+        (higher as f64 * self.return_share, own as f64 * self.return_share)
     }
 
     fn expire(&mut self, now: Timestamp) {
--- a/dogwoodtray_policy/src/placement/service/online.rs
+++ b/dogwoodtray_policy/src/placement/service/online.rs
@@ -45,9 +45,12 @@
         let ahead = self.online.ahead_of(now, position);
         let mut wait = self.predicted_wait(now, position, ahead as f64, room);
         if !self.returns.claim(now, &flow) {
-            let above_share = self.online.is_above_share(position);
-            let returning = self.returns.expected(now + wait, position.priority, above_share);
-            wait = self.predicted_wait(now, position, ahead as f64 + returning, room);
+            let (higher, own) = self.returns.expected(now + wait, &flow);
+            wait = self.predicted_wait(now, position, ahead as f64 + higher, room);
+            if own > 0.0 && self.online.is_above_share(position) {
+                let interval = self.flow_interval(now, &request, room);
+                wait = wait.saturating_add(interval.saturating_mul(own as u32));
+            }
         }
         if now + wait > request.start_by {
             return self.refuse_shared(now, &request, wait, cfg, out);
@@ -119,13 +122,7 @@
         out: &mut Vec<PlaceAction>,
     ) {
         let priority = self.online.priority(request);
-        let Room { interval, .. } = self.room();
-        let work = self.predicted_work(request);
-        let interval = self
-            .online
-            .flow_interval(now, priority, work, interval)
-            .unwrap_or(interval)
-            .max(interval);
+        let interval = self.flow_interval(now, request, self.room());
         // A caller that returns has the same time to its objective as now.
         let earliest = wait.saturating_sub(request.start_by - now).max(cfg.min_retry_after);
         let flow = (priority, request.organization.clone());
@@ -134,6 +131,15 @@
         out.push(PlaceAction::Refuse { id: request.id, retry_after });
     }
 
+    /// Returns the mean time between two grants to the flow of the request while it is above its
+    /// share.
+    fn flow_interval(&self, now: Timestamp, request: &PlaceRequest, room: Room) -> Duration {
+        let priority = self.online.priority(request);
+        let work = self.predicted_work(request);
+        let interval = self.online.flow_interval(now, priority, work, room.interval);
+        interval.unwrap_or_default().max(room.interval)
+    }
+
     fn room(&self) -> Room {
         let interval = self.mean_hold_time.div_f64(f64::from(self.healthy_slots().max(1)));
         Room { batch: self.batch_places(), interval }
