--- a/dogwoodtray_gateway/src/places/mod.rs
+++ b/dogwoodtray_gateway/src/places/mod.rs
@@ -6,6 +6,7 @@
 mod learned;
 mod limits;
 mod links;
+mod metrics;
 mod wire;
 
 pub(crate) use self::acquire::PlaceError;
