--- a/dogwoodtray_policy/src/placement/config.rs
+++ b/dogwoodtray_policy/src/placement/config.rs
@@ -32,8 +32,7 @@
     pub min_retry_after: Duration,
     /// Upper bound of the `Retry-After` of a refusal.
     pub max_retry_after: Duration,
-    /// Whether endpoints are chosen by their speed, waits are predicted from the work in progress,
-    /// and the batch item with the most time to spare is preempted first.
+    /// Whether endpoints are chosen by their speed, and waits are predicted from the work in progress.
     pub cost_based: bool,
 }
 
--- a/dogwoodtray_policy/src/placement/cost/mod.rs
+++ b/dogwoodtray_policy/src/placement/cost/mod.rs
@@ -40,6 +40,9 @@
 /// Number of observations from which predictions replace the mean of the service.
 const MIN_SAMPLES: u64 = 20;
 
+/// Samples of a route from which its requests tell about the speed of endpoints.
+const COMPARABLE_SAMPLES: f64 = 10.0;
+
 /// Weight of a new observation in the moving average of the prediction error.
 const ERROR_WEIGHT: f64 = 0.02;
 
@@ -168,6 +171,13 @@
         bounded(work)
     }
 
+    /// Returns `true` if there are enough samples of the route of a request to compare endpoints by it.
+    /// Before, a ratio of observed to predicted work says more about the route.
+    pub(super) fn knows_route(&self, features: &CostFeatures) -> bool {
+        let route = self.routes.get(&features.route_key());
+        route.is_some_and(|route| route.mean.samples() >= COMPARABLE_SAMPLES)
+    }
+
     /// Returns the mean work of the requests of the route, or for a batch item its corrected statement.
     fn route_mean(&self, features: &CostFeatures) -> f64 {
         let route = self.routes.get(&features.route_key()).map(|route| &route.mean);
--- a/dogwoodtray_policy/src/placement/service/batch.rs
+++ b/dogwoodtray_policy/src/placement/service/batch.rs
@@ -2,7 +2,6 @@
 
 use dogwoodtray_coord::Timestamp;
 
-use super::HeldRequest;
 use super::ServicePlaces;
 use crate::Class;
 use crate::placement::DispatcherConfig;
@@ -81,7 +80,9 @@
     }
 
     /// Preempts batch items until `count` preemptions are in progress. Items that are late are
-    /// preempted first, then those with the most time to spare, which is left to resume them.
+    /// preempted first, then those with the latest due time, which leaves most time to resume them.
+    /// Preempting the one with the most time to spare completes a fifth less in time in a burst: it
+    /// stops the items that are about to end.
     fn preempt_items(
         &mut self,
         now: Timestamp,
@@ -89,12 +90,6 @@
         only_late: bool,
         out: &mut Vec<PlaceAction>,
     ) {
-        let by_cost = self.by_cost;
-        // Times to spare are compared in tenths of a second, which predictions do not exceed in precision.
-        let spare = |held: &HeldRequest| match held.left(now) {
-            Some(left) if by_cost => (held.due - now).saturating_sub(left).as_millis() / 100,
-            _ => 0,
-        };
         let preempting = self.held.values().filter(|held| held.preempting).count();
         for _ in preempting..count {
             let victim = self
@@ -108,7 +103,7 @@
                     })
                 })
                 .max_by_key(|(id, held)| {
-                    (held.is_late(now), spare(held), held.due, now - held.granted_at, **id)
+                    (held.is_late(now), held.due, now - held.granted_at, **id)
                 });
             let Some((id, held)) = victim else { return };
             held.preempting = true;
--- a/dogwoodtray_policy/src/placement/service/pick.rs
+++ b/dogwoodtray_policy/src/placement/service/pick.rs
@@ -27,6 +27,8 @@
 /// How a request uses the speeds of the endpoints.
 #[derive(Clone, Copy, Debug)]
 enum SpeedUse {
+    /// All endpoints are equal.
+    Any,
     /// The fastest endpoint is preferred.
     Fastest,
     /// The slowest endpoint is preferred whose level is at least this.
@@ -65,6 +67,7 @@
             Reverse((left / REMAINING_STEP).max(0.0) as u32)
         };
         match self.speed_use(now, request) {
+            SpeedUse::Any => self.pick_best(now, request, |_, _| ()),
             SpeedUse::Fastest => {
                 let occupancy = self.speed.occupancy_levels();
                 self.pick_best(now, request, |e, free| {
@@ -85,6 +88,10 @@
     fn speed_use(&self, now: Timestamp, request: &PlaceRequest) -> SpeedUse {
         let work = self.predicted_work(request).as_secs_f64();
         let share = match request.class {
+            // With more items than places, all places are used whatever the order.
+            Class::Batch if self.batch.len() >= self.free_places(now) as usize => {
+                return SpeedUse::Any;
+            }
             Class::Batch => ITEM_TIME_SHARE,
             Class::Online if work >= LONG_WORK * self.costs.mean_work() => LONG_REQUEST_TIME_SHARE,
             Class::Online => return SpeedUse::Fastest,
--- a/dogwoodtray_policy/src/placement/service/work.rs
+++ b/dogwoodtray_policy/src/placement/service/work.rs
@@ -39,6 +39,8 @@
     /// Lasting speed of the endpoint, and the share of its places in use, when the place was granted.
     speed: f64,
     occupancy: f64,
+    /// Whether the run tells about the speed of the endpoint.
+    is_comparable: bool,
     /// Expected end in seconds.
     ends_at: f64,
 }
@@ -103,13 +105,14 @@
     ) -> PredictedRun {
         let features = CostFeatures::of(request);
         let work = self.costs.predict(&features);
+        let is_comparable = self.costs.knows_route(&features);
         let endpoint = &mut self.endpoints[key];
         let speed = if self.by_cost { endpoint.speed.lasting() } else { 1.0 };
         let occupancy = f64::from(endpoint.in_use + 1) / f64::from(endpoint.slots.max(1));
         let ends_at = seconds(now) + work / speed;
         endpoint.predicted_runs += 1;
         endpoint.predicted_ends += ends_at;
-        PredictedRun { features, work, speed, occupancy, ends_at }
+        PredictedRun { features, work, speed, occupancy, is_comparable, ends_at }
     }
 
     /// Records that a run released its place, and learns from it if it was answered.
@@ -131,7 +134,7 @@
                 // Differences of rounding do not add up.
                 endpoint.predicted_ends = 0.0;
             }
-            if is_evidence {
+            if is_evidence && predicted.is_comparable {
                 let was_uneven = endpoint.speed.is_uneven();
                 let ratio = observed.as_secs_f64() / predicted.work;
                 endpoint.speed.observe(now, ratio, predicted.occupancy, &mut self.speed);
