--- a/dogwoodtray_runtime/src/lib.rs
+++ b/dogwoodtray_runtime/src/lib.rs
@@ -42,6 +42,7 @@
 pub use crate::operator::OperatorPort;
 pub use crate::operator::OperatorService;
 pub use crate::operator::install_metrics;
+pub use crate::services::BootClock;
 pub use crate::services::Clock;
 pub use crate::services::Flow;
 pub use crate::services::Mailbox;
--- a/dogwoodtray_runtime/src/services/mod.rs
+++ b/dogwoodtray_runtime/src/services/mod.rs
@@ -1,9 +1,11 @@
 //! Services, their mailboxes and the registry by which they look each other up.
 
+mod boot_clock;
 mod clock;
 mod registry;
 mod service;
 
+pub use self::boot_clock::BootClock;
 pub use self::clock::Clock;
 pub use self::registry::ServiceRegistry;
 pub use self::service::Flow;
