Accept keys only while the configuration is proven to be the newest

A gateway that reached neither the store nor a driver accepted revoked keys until it was connected again.

The other processes ask it for its proof (ConfigCheck, ConfigProof), several drivers if the proof is late, and read the store only if no recent proof arrives. A request that needs a key is answered 503 with Retry-After without a sound proof, when its head arrives and again after its body.

--- a/dogwoodtray_gateway/src/calls.rs
+++ b/dogwoodtray_gateway/src/calls.rs
@@ -88,6 +88,7 @@
         let link = link.clone();
         match kind {
             Kind::ConfigFetch(_) => self.on_config_fetch(&link),
+            Kind::ConfigCheck(check) => self.config_age.on_check(&check, &link),
             Kind::EndpointFetch(_) => self.send_endpoints(&link),
             Kind::JobRead(read) => {
                 let Some(driver) = self.driver.get().map(Rc::clone) else { return };
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -246,10 +246,9 @@
     let Some(route) = config.route(host, &path) else {
         return response::plain(StatusCode::NOT_FOUND, "no such route\n");
     };
-    let organization = match identify_caller(node, &config, Some(route), &parts.headers) {
-        Ok(organization) => organization,
-        Err(response) => return *response,
-    };
+    if let Err(response) = identify_caller(node, &config, Some(route), &parts.headers) {
+        return *response;
+    }
     let Some(id) = header_text(&parts.headers, &names.request_id).map(Name::from) else {
         return response::plain(StatusCode::BAD_REQUEST, "the request has no id\n");
     };
@@ -281,6 +280,13 @@
     if !node.drain.takes(node.now(), Some(&route.name), ends_by) {
         return refuse_stopping(trace());
     }
+    // The configuration may have changed or become too old meanwhile.
+    let current = node.directory.borrow().config().map_or_else(|| Rc::clone(&config), Rc::clone);
+    let current_route = current.route(host, &path).unwrap_or(route);
+    let organization = match identify_caller(node, &current, Some(current_route), &parts.headers) {
+        Ok(organization) => organization,
+        Err(response) => return *response,
+    };
     if let RouteKind::Batch(terms) = route.kind {
         let job = scoped_name(organization.as_ref().map(|org| &org.name), &id);
         let target = (route, organization.as_deref());
@@ -296,7 +302,7 @@
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
-    if !config.organizations().is_empty() {
+    if !config.organizations().is_empty() || !current.organizations().is_empty() {
         let name = organization.as_ref().map(|org| &org.name);
         set_organization(&mut headers, &names.organization, name);
     }
@@ -315,7 +321,8 @@
 }
 
 /// Returns the organization of a caller, or `None` if the request needs no key. Returns the response
-/// if the request is not accepted.
+/// if the request is not accepted, which includes a configuration whose age is not proven to be
+/// within the bound.
 fn identify_caller(
     node: &Node,
     config: &SiteConfig,
@@ -325,6 +332,10 @@
     if config.organizations().is_empty() || route.is_some_and(|route| route.anonymous) {
         return Ok(None);
     }
+    // Also for an unknown key, as a newer configuration may name it.
+    if let Err(retry_after) = node.config_age.verify() {
+        return Err(Box::new(response::refused(retry_after)));
+    }
     match organization_of(config, headers) {
         Ok(organization) => Ok(Some(Arc::clone(organization))),
         Err(err) => {
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod calls;
 mod cancelled_jobs;
+mod config_age;
 mod contents;
 mod crashes;
 mod directory;
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -29,6 +29,7 @@
 
 use crate::calls::PendingCalls;
 use crate::cancelled_jobs::CancelledJobs;
+use crate::config_age::ProvenAge;
 use crate::crashes::Crashes;
 use crate::directory::Directory;
 use crate::drain::Drain;
@@ -109,6 +110,7 @@
     /// Newest configuration, as it is relayed on links.
     pub(crate) relayed_config: RefCell<Option<messages::ConfigSet>>,
     pub(crate) config_fetch: Cell<ConfigFetch>,
+    pub(crate) config_age: ProvenAge,
     /// Processes that are registered in the store.
     pub(crate) registered_nodes: RefCell<Vec<RegisteredNode>>,
     /// Entries in the list of endpoints that name none.
@@ -133,6 +135,7 @@
     ) -> Rc<Self> {
         let incarnation = Incarnation(rand::random());
         let events = EventLog::open(Name::clone(&cfg.node), incarnation);
+        let config_age = ProvenAge::new(cfg.revocation, incarnation.0);
         let buffers = ByteBudget::new(cfg.buffer_bytes);
         Rc::new(Self {
             cfg,
@@ -151,6 +154,7 @@
             drain: Drain::default(),
             relayed_config: RefCell::new(None),
             config_fetch: Cell::default(),
+            config_age,
             registered_nodes: RefCell::new(Vec::new()),
             ignored_entries: RefCell::new(HashSet::new()),
             forwarded_places: RefCell::new(HashMap::new()),
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -314,6 +314,9 @@
                 }
             }
             Kind::ConfigSet(set) => self.on_relayed_config(&set),
+            Kind::ConfigProof(proof) => {
+                self.on_config_proof(&proof, self.peers.link_to(name).as_ref());
+            }
             Kind::ItemProgress(progress) => {
                 if let Some(driver) = self.driver.get() {
                     driver.on_item_progress(self, progress);
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -160,6 +160,7 @@
     });
     node.spawn_place_ticks();
     node.spawn_sync();
+    node.spawn_config_age();
     node.events.emit(&catalogue::PROCESS_STARTED, None, &[("peer", &node.cfg.peer)]);
     Ok(node)
 }
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dogwoodtray_coord::Generation;
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::Version;
@@ -262,19 +263,23 @@
         }
     }
 
-    fn on_config(&self, spec: &str, source: &'static str) {
+    /// Puts a configuration in force if it is newer. Returns its generation, or `None` if it is
+    /// unreadable.
+    pub(crate) fn on_config(&self, spec: &str, source: &'static str) -> Option<Generation> {
         let config = match self.dialect.config(spec) {
             Ok(config) => config,
             Err(err) => {
                 let fields: [(&str, &dyn Display); 2] = [("source", &source), ("error", &err)];
-                return self.events.emit(&catalogue::CONFIG_REJECTED, None, &fields);
+                self.events.emit(&catalogue::CONFIG_REJECTED, None, &fields);
+                return None;
             }
         };
         let generation = config.generation;
         let routes = config.routes().len();
         if !self.directory.borrow_mut().set_config(config) {
-            return;
+            return Some(generation);
         }
+        self.config_age.on_config(generation);
         let fields: [(&str, &dyn Display); 3] =
             [("generation", &generation.0), ("routes", &routes), ("source", &source)];
         self.events.emit(&catalogue::CONFIG_APPLIED, None, &fields);
@@ -286,6 +291,7 @@
         if self.is_listing_driver() {
             self.peers.broadcast_to_accepted(set);
         }
+        Some(generation)
     }
 
     /// Handles the generation in a heartbeat. If the configuration here is older for a while, it is
@@ -314,7 +320,9 @@
             return;
         }
         match std::str::from_utf8(&set.snapshot) {
-            Ok(spec) => self.on_config(spec, "relay"),
+            Ok(spec) => {
+                self.on_config(spec, "relay");
+            }
             Err(err) => log::warn!("relayed configuration is not valid UTF-8: {err}"),
         }
     }
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -337,6 +337,8 @@
     pub(crate) store: MemoryObjects,
     pub(crate) caller_addr: SocketAddr,
     pub(crate) admin_addr: SocketAddr,
+    /// Bound on the age of the configuration at all processes that are started.
+    pub(crate) revocation: Option<Duration>,
 }
 
 /// Processes of a site, which stop when this value is dropped.
@@ -360,7 +362,7 @@
     pub(crate) fn new() -> Self {
         let store = MemoryObjects::new();
         store.put("config", "main", &config(1));
-        Self { store, caller_addr: free_addr(), admin_addr: free_addr() }
+        Self { store, caller_addr: free_addr(), admin_addr: free_addr(), revocation: None }
     }
 
     /// Creates a site and starts one endpoint, a driver and a gateway.
@@ -413,7 +415,8 @@
 
     /// Starts a driver with its own handle to the store.
     pub(crate) async fn start_driver_on(&self, node: &str, store: MemoryObjects) -> JobDriver {
-        let cfg = node_config(node, NodeRole::Driver);
+        let mut cfg = node_config(node, NodeRole::Driver);
+        cfg.revocation = self.revocation;
         let store = Arc::new(store);
         JobDriver::bind(cfg, Arc::new(SiteDialect::new()), store).await.unwrap()
     }
@@ -432,7 +435,14 @@
 
     /// Starts a gateway and waits until it is ready.
     pub(crate) async fn start_gateway(&self) -> Gateway {
-        start_gateway("g1", self.caller_addr, self.admin_addr, self.store.clone()).await
+        self.start_gateway_on(self.store.clone()).await
+    }
+
+    /// Starts a gateway with its own handle to the store, and waits until it is ready.
+    pub(crate) async fn start_gateway_on(&self, store: MemoryObjects) -> Gateway {
+        let mut cfg = node_config("g1", NodeRole::Gateway);
+        cfg.revocation = self.revocation;
+        start_configured_gateway(cfg, self.caller_addr, self.admin_addr, store).await
     }
 
     /// Starts a gateway that may buffer this number of bytes.
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -143,6 +143,10 @@
     ENDPOINTS_CHANGED = 5003, Info, "endpoints changed";
     /// An entry in the list of endpoints names no endpoint.
     ENTRY_IGNORED = 5004, Warn, "entry names no endpoint";
+    /// The proof that the configuration is the newest is too old; no keys are accepted.
+    CONFIG_UNPROVEN = 5005, Warn, "age of the configuration exceeds its bound";
+    /// The configuration is proven to be the newest; keys are accepted.
+    CONFIG_PROVEN = 5006, Info, "age of the configuration is within its bound";
     /// The platform is unreachable.
     PLATFORM_DOWN = 5101, Warn, "platform unavailable";
     /// The platform is reachable again.
