--- a/dogwoodtray_coord/src/config_age/tests.rs
+++ b/dogwoodtray_coord/src/config_age/tests.rs
@@ -5,6 +5,7 @@
 use super::ConfigAge;
 use super::ProofResult;
 use super::Proofs;
+use super::Unproven;
 use crate::Generation;
 use crate::Timestamp;
 
@@ -230,8 +231,8 @@
     let mut age = holding(3);
     let proofs = Proofs { reads_for_all: false, peers: 1 };
     assert!(age.due(at(0), proofs).read);
-    assert_eq!(age.verify(at(1)).unwrap_err().retry_after, ms(150));
+    assert_eq!(age.verify(at(1)), Err(Unproven { retry_after: ms(150) }));
     age.on_read(at(5), None);
-    let next = age.next_due_at(at(300), proofs).unwrap();
-    assert_eq!(age.verify(at(300)).unwrap_err().retry_after, (next - at(300)).max(ms(50)));
+    let next = age.next_due_at(at(300), proofs).map(|next| next.max(at(350)));
+    assert_eq!(age.verify(at(300)).err().map(|unproven| at(300) + unproven.retry_after), next);
 }
--- a/dogwoodtray_coord/tests/model_config_age.rs
+++ b/dogwoodtray_coord/tests/model_config_age.rs
@@ -74,7 +74,8 @@
         let held = [Generation(1); PROCESSES];
         let mut age = ConfigAge::new(BOUND, 0);
         age.on_config(Timestamp::ZERO, held[DRIVER]);
-        let mut ages = vec![Rc::new(age.clone()); PROCESSES];
+        let without_proof = Rc::new(age.clone());
+        let mut ages = vec![without_proof; PROCESSES];
         age.start_read(START);
         age.on_read(START, Some(held[DRIVER]));
         ages[DRIVER] = Rc::new(age);
--- a/dogwoodtray_gateway/src/config_age.rs
+++ b/dogwoodtray_gateway/src/config_age.rs
@@ -15,6 +15,7 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::ProofResult;
 use dogwoodtray_coord::Proofs;
+use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::Version;
 use dogwoodtray_platform::GetResult;
 use dogwoodtray_platform::Object;
@@ -54,6 +55,8 @@
     last_read: Cell<Option<(Version, Option<Generation>)>>,
     /// Whether keys were accepted when this was last logged.
     logged: Cell<Option<bool>>,
+    /// Time at which the first configuration with keys was in force.
+    needed_since: Cell<Option<Timestamp>>,
 }
 
 impl ProvenAge {
@@ -64,6 +67,7 @@
             config_changed: Notify::new(),
             last_read: Cell::new(None),
             logged: Cell::new(None),
+            needed_since: Cell::new(None),
         }
     }
 
@@ -149,11 +153,14 @@
         }
         let is_proven = state.is_proven(now);
         // A process that has just started is without a proof for a moment.
-        if self.logged.get() == Some(is_proven) || (age.is_none() && !is_proven) {
+        let since = self.needed_since.get().unwrap_or(now);
+        self.needed_since.set(Some(since));
+        let is_starting = age.is_none() && now - since <= state.timing().max_age;
+        if self.logged.get() == Some(is_proven) || is_starting {
             return;
         }
         self.logged.set(Some(is_proven));
-        let age_ms = age.unwrap_or_default().as_millis();
+        let age_ms = age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string());
         let fields: [(&str, &dyn Display); 2] =
             [("generation", &generation.0), ("age_ms", &age_ms)];
         let code = if is_proven { &catalogue::CONFIG_PROVEN } else { &catalogue::CONFIG_UNPROVEN };
--- a/dogwoodtray_gateway/tests/config_age.rs
+++ b/dogwoodtray_gateway/tests/config_age.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use dogwoodtray_gateway::Gateway;
@@ -67,9 +68,16 @@
 
     /// Sends requests with a key until one is answered with this status.
     async fn wait_for(&self, status: StatusCode, prefix: &str) {
+        self.wait_for_at(self.site.caller_addr, status, prefix).await;
+    }
+
+    /// Sends requests with a key to a gateway until one is answered with this status.
+    async fn wait_for_at(&self, to: SocketAddr, status: StatusCode, prefix: &str) {
         let waited = timeout(WAIT_TIMEOUT, async {
             for number in 0.. {
-                if self.status(&format!("{prefix}{number}"), KEY).await == status {
+                let id = format!("{prefix}{number}");
+                let response = self.site.post_keyed_to(to, "/stream/x", &id, KEY, "slip").await;
+                if response.status == status {
                     return;
                 }
                 sleep(Duration::from_millis(20)).await;
@@ -97,6 +105,22 @@
     });
 }
 
+/// Guards against a gateway that refuses keys because it reaches neither the store nor a driver,
+/// although another gateway passes on proofs; and against one that accepts revoked keys then.
+#[test]
+fn a_gateway_passes_proofs_on_to_one_that_reaches_no_driver() {
+    run_local(async {
+        let strict = StrictSite::start().await;
+        let isolated = strict.site.start_isolated_gateway().await;
+        // Proofs of its own store have ended after the bound.
+        sleep(BOUND + Duration::from_millis(500)).await;
+        strict.wait_for_at(isolated.caller_addr, StatusCode::OK, "s").await;
+        let other = TestOrganization::new("clinic", &["k-other"]);
+        strict.site.store.put("config", "main", &config_with_organizations(3, &[other]));
+        strict.wait_for_at(isolated.caller_addr, StatusCode::UNAUTHORIZED, "t").await;
+    });
+}
+
 /// Guards against keys accepted past the bound while no process reaches the store, against requests
 /// without a key that are refused then, and against a process that does not recover.
 #[test]
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -462,7 +462,7 @@
     /// Starts a gateway that can reach the gateway `g1`, but neither the driver `d1` nor the store.
     pub(crate) async fn start_isolated_gateway(&self) -> IsolatedGateway {
         let store = MemoryObjects::new();
-        store.put("config", "main", &config(1));
+        store.put("config", "main", &self.store.spec("config", "main").unwrap());
         let known = || self.store.spec("nodes", "g1").is_some();
         wait_until("the other gateway is registered", known).await;
         store.put("nodes", "g1", &self.store.spec("nodes", "g1").unwrap());
@@ -470,7 +470,9 @@
         let driver = format!(r#"{{"role":"driver","address":"{unused_addr}","incarnation":1}}"#);
         store.put("nodes", "d1", &driver);
         let (caller_addr, admin_addr) = (free_addr(), free_addr());
-        let gateway = start_gateway("g2", caller_addr, admin_addr, store.clone()).await;
+        let mut cfg = node_config("g2", NodeRole::Gateway);
+        cfg.revocation = self.revocation;
+        let gateway = start_configured_gateway(cfg, caller_addr, admin_addr, store.clone()).await;
         store.set_down(true);
         IsolatedGateway { caller_addr, store, _gateway: gateway }
     }
--- a/dogwoodtray_gateway/tests/watchers.rs
+++ b/dogwoodtray_gateway/tests/watchers.rs
@@ -43,7 +43,7 @@
         let (caller_addr, admin_addr) = (site.caller_addr, site.admin_addr);
         let thread = std::thread::spawn(move || {
             run_local(async {
-                let site = Site { store, caller_addr, admin_addr };
+                let site = Site { store, caller_addr, admin_addr, revocation: None };
                 let _driver = site.start_driver(name).await;
                 // All tasks of the driver end with this runtime.
                 let _ = kill_rx.await;
