--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -29,6 +29,7 @@
 
 use crate::calls::PendingCalls;
 use crate::cancelled_jobs::CancelledJobs;
+use crate::config_age::ProvenAge;
 use crate::crashes::Crashes;
 use crate::directory::Directory;
 use crate::drain::Drain;
@@ -111,6 +112,7 @@
     pub(crate) config_fetch: Cell<ConfigFetch>,
     /// Time of the last request for a full list of endpoints that has not been answered.
     pub(crate) endpoint_fetched_at: Cell<Option<Timestamp>>,
+    pub(crate) config_age: ProvenAge,
     /// Processes that are registered in the store.
     pub(crate) registered_nodes: RefCell<Vec<RegisteredNode>>,
     /// Entries in the list of endpoints that name none.
@@ -135,6 +137,7 @@
     ) -> Rc<Self> {
         let incarnation = Incarnation(rand::random());
         let events = EventLog::open(Name::clone(&cfg.node), incarnation);
+        let config_age = ProvenAge::new(cfg.revocation, incarnation.0);
         let buffers = ByteBudget::new(cfg.buffer_bytes);
         let clock = Clock::start();
         let places = Places::new(incarnation, cfg.limit_tolerance, clock.now());
@@ -156,6 +159,7 @@
             relayed_config: RefCell::new(None),
             config_fetch: Cell::default(),
             endpoint_fetched_at: Cell::default(),
+            config_age,
             registered_nodes: RefCell::new(Vec::new()),
             ignored_entries: RefCell::new(HashSet::new()),
             forwarded_places: RefCell::new(HashMap::new()),
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -162,6 +162,7 @@
     node.spawn_limit_share();
     node.spawn_place_metrics();
     node.spawn_sync();
+    node.spawn_config_age();
     node.events.emit(&catalogue::PROCESS_STARTED, None, &[("peer", &node.cfg.peer)]);
     Ok(node)
 }
