Refuse early ends of unread uploads and impossible statuses as answers

Cause: an answer without length and chunks counted as complete at the end of its connection, also if the endpoint closed its half before it had received the request. The kernel took megabytes of an upload that nobody read. The HTTP parser accepts the statuses 101 and 600 to 999 as final.

Change: the end of a connection completes an answer only if the connection had taken the whole request, of which the kernel holds at most 64 KB beyond the room at the endpoint. `send` refuses final statuses outside 200 to 599; the request counts as one that may have run. The agent now sends its requests by `dogwoodtray_http` as well.

--- a/dogwoodtray_agent/src/shell/endpoint.rs
+++ b/dogwoodtray_agent/src/shell/endpoint.rs
@@ -13,12 +13,15 @@
 use dogwoodtray_http::AnswerKind;
 use dogwoodtray_http::BodyFraming;
 use dogwoodtray_http::BodyKind;
-use dogwoodtray_http::Exchange;
+use dogwoodtray_http::SendConfig;
+use dogwoodtray_http::SendError;
+use dogwoodtray_http::send;
 use dogwoodtray_runtime::Mailbox;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
 use hyper::http::response::Parts;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -157,16 +160,21 @@
         let Some(req) = self.build_request(work) else {
             return EndpointEvent::ConnectFailed;
         };
-        let response = match self.client.request(req).await {
-            Ok(response) => response,
-            Err(err) if err.is_connect() => return EndpointEvent::ConnectFailed,
-            Err(_) => return EndpointEvent::ConnectionLost,
-        };
         let kind = match self.kind {
             EndpointKind::Engine => AnswerKind::Chat,
             EndpointKind::Service => AnswerKind::Plain,
         };
-        let answer = Exchange::new(response, kind);
+        let cfg =
+            SendConfig { kind, connect_timeout: HEALTH_TIMEOUT, max_head_bytes: MAX_HEAD_BYTES };
+        let answer = match send(self.addr, req, cfg).await {
+            Ok(answer) => answer,
+            Err(SendError::NotSent(_)) => return EndpointEvent::ConnectFailed,
+            Err(SendError::Lost(_)) => return EndpointEvent::ConnectionLost,
+            Err(err @ SendError::BadStatus(_)) => {
+                log::warn!("endpoint {} broke the protocol: {err}", self.addr);
+                return EndpointEvent::Truncated;
+            }
+        };
         let content_type = content_type(&answer.parts);
         let status = answer.parts.status.as_u16();
         self.send_event(EndpointEvent::ResponseHead { status, content_type });
@@ -210,10 +218,10 @@
     }
 
     fn build_request(&self, work: &Work) -> Option<Request<Full<Bytes>>> {
-        let uri = format!("http://{}{}", self.addr, work.path);
         let mut builder = Request::builder()
             .method(&*work.method)
-            .uri(uri)
+            .uri(&*work.path)
+            .header(HOST, self.addr.to_string())
             .header(CONTENT_TYPE, "application/json")
             .header("x-attempt", work.attempt.to_string())
             .header("x-request-id", &*work.request);
--- a/dogwoodtray_agent/tests/faulty_endpoint.rs
+++ b/dogwoodtray_agent/tests/faulty_endpoint.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+#[path = "../../platform/tests/standin/early_end.rs"]
+mod early_end;
+
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,6 +25,8 @@
 use dogwoodtray_wire::messages;
 use dogwoodtray_wire::messages::Outcome;
 use dogwoodtray_wire::messages::frame::Kind;
+use early_end::EarlyEnd;
+use early_end::serve_early;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -34,6 +39,9 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Size of an upload, near the limit of an entry.
+const UPLOAD_BYTES: usize = 1_000_000;
+
 const REFUSAL: &str = "HTTP/1.1 503 X\r\ncontent-length: 4\r\n\r\nbusy";
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
@@ -77,6 +85,10 @@
 
     /// Runs a request that must not run twice, and returns its end and its answer.
     async fn run(&mut self, counter: u64) -> (messages::Done, Vec<u8>) {
+        self.run_with(counter, Bytes::from_static(b"payout")).await
+    }
+
+    async fn run_with(&mut self, counter: u64, body: Bytes) -> (messages::Done, Vec<u8>) {
         self.link.send(messages::Dispatch {
             attempt: Some(messages::AttemptId { incarnation: 1, counter }),
             request_id: format!("r{counter}"),
@@ -84,7 +96,7 @@
             model: "ledger".to_owned(),
             method: "POST".to_owned(),
             path: "/payouts".to_owned(),
-            body: Bytes::from_static(b"payout"),
+            body,
             deadline_ms: 10_000,
             content: counter,
             ..messages::Dispatch::default()
@@ -271,3 +283,63 @@
         }
     }
 }
+
+/// Runs a request until the agent has checked that its endpoint is up and sends it there.
+async fn run_until_sent(link: &mut EntryLink, counter: &mut u64, body: &Bytes) -> messages::Done {
+    loop {
+        *counter += 1;
+        let (done, _) = link.run_with(*counter, body.clone()).await;
+        if done.outcome() != Outcome::NotRun {
+            return done;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a part of an answer that is reported as a whole one, because the endpoint sent it
+/// without length and chunks and ended the connection while the upload was written.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_part_of_an_answer_to_an_upload_is_not_reported_as_answered() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+    const EVENTS: &str = "content-type: text/event-stream\r\n\r\ndata: {\"content\":1}\n\n";
+    let upload = Bytes::from(vec![b'x'; UPLOAD_BYTES]);
+    let parts = [
+        (EndpointKind::Service, format!("{HEAD}\r\nhalf")),
+        (EndpointKind::Service, format!("{HEAD}{EVENTS}")),
+        (EndpointKind::Engine, format!("{HEAD}{EVENTS}")),
+        (EndpointKind::Engine, format!("{HEAD}\r\nhalf")),
+        (EndpointKind::Service, format!("{HEAD}content-length: 4\r\n")),
+        (
+            EndpointKind::Service,
+            format!("{HEAD}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\ntime: 1\r"),
+        ),
+    ];
+    for (kind, text) in parts {
+        for end in EarlyEnd::all() {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let addr = listener.local_addr().unwrap();
+            let endpoint = tokio::spawn(serve_early(listener, text.clone(), end));
+            let (_agent, mut link) = start_agent(addr, kind).await;
+            let done = run_until_sent(&mut link, &mut 0, &upload).await;
+            assert_ne!(done.outcome(), Outcome::Answered, "{kind:?}, {end:?}, {text:?}");
+            endpoint.abort();
+        }
+    }
+}
+
+/// Guards against an answer with a status that no answer may have.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_status_that_no_answer_may_have_is_not_reported_as_answered() {
+    let statuses = ["000", "001", "099", "100", "101", "600", "999", "20", "2000", "abc", ""];
+    let answers = statuses.map(|status| ANSWER.replacen("200 OK", status, 1));
+    for kind in [EndpointKind::Service, EndpointKind::Engine] {
+        let addr = start_scripted(answers.to_vec()).await;
+        let (_agent, mut link) = start_agent(addr, kind).await;
+        let mut counter = 0;
+        for status in statuses {
+            let body = Bytes::from_static(b"payout");
+            let done = run_until_sent(&mut link, &mut counter, &body).await;
+            assert_ne!(done.outcome(), Outcome::Answered, "{kind:?}, {status:?}: {done:?}");
+        }
+    }
+}
--- a/dogwoodtray_cli/tests/broken_answers.rs
+++ b/dogwoodtray_cli/tests/broken_answers.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+#[path = "../../platform/tests/standin/early_end.rs"]
+mod early_end;
 mod http_1_0;
 
 use std::io;
@@ -11,14 +13,20 @@
 use dogwoodtray_cli::local::Fleet;
 use dogwoodtray_cli::local::FleetConfig;
 use dogwoodtray_standin::PlatformFaults;
+use early_end::EarlyEnd;
+use early_end::serve_early;
 use http_1_0::WAIT_TIMEOUT;
 use http_1_0::post;
 use http_1_0::post_chat;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// Size of an upload, near the limit of an entry.
+const UPLOAD_BYTES: usize = 1_000_000;
+
 async fn start_fleet() -> Fleet {
     let cfg = FleetConfig { entries: 1, endpoints: 1, ..FleetConfig::default() };
     Fleet::start(&cfg).await.unwrap()
@@ -165,3 +173,69 @@
     let answered = answered.filter(|event| event.text == "request refused").count();
     assert_eq!(answered, 2, "{events:?}");
 }
+
+/// Sends an upload and returns the answer up to the end of the connection, and how it ended.
+async fn upload(entry: SocketAddr, version: &str, stream: bool) -> (String, io::Result<usize>) {
+    let content = "x".repeat(UPLOAD_BYTES);
+    let body = format!(
+        r#"{{"model":"standin","stream":{stream},"max_tokens":4,
+        "messages":[{{"role":"user","content":"{content}"}}]}}"#
+    );
+    let request = format!(
+        "POST /v1/chat/completions {version}\r\nhost: entry\r\nx-deadline-ms: 1500\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut connection = TcpStream::connect(entry).await.unwrap();
+    connection.write_all(request.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let ended = read_rest(&mut connection, &mut received).await;
+    (String::from_utf8_lossy(&received).into_owned(), ended)
+}
+
+/// Guards against a part of an answer that callers take for a complete one, because the engine sent it
+/// without length and chunks and ended the connection while the upload was written, and against a status
+/// that no answer may have.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn damaged_answers_of_an_engine_reach_no_caller_as_complete() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+    let part = format!("{HEAD}\r\n{{\"half\":1}}");
+    let events =
+        format!("{HEAD}content-type: text/event-stream\r\n\r\ndata: {{\"content\":1}}\n\n");
+    let with_status = |status| format!("HTTP/1.1 {status} X\r\ncontent-length: 4\r\n\r\nhalf");
+    let whole = EarlyEnd::Reset { after: Duration::from_millis(300), reads_on: true };
+    let mut cases = Vec::new();
+    for end in EarlyEnd::all() {
+        cases.extend([(part.clone(), end), (events.clone(), end)]);
+    }
+    cases.extend(["000", "101", "600"].map(|status| (with_status(status), whole)));
+    let cfg = FleetConfig { entries: 1, endpoints: 1, hedging: false, ..FleetConfig::default() };
+    for (text, end) in cases {
+        let fleet = Fleet::start(&cfg).await.unwrap();
+        let engine = fleet.engines[0].addr();
+        fleet.engines[0].shutdown();
+        let listener = loop {
+            match TcpListener::bind(engine).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        };
+        let endpoint = tokio::spawn(serve_early(listener, text.clone(), end));
+        for (version, stream) in
+            [("HTTP/1.1", false), ("HTTP/1.1", true), ("HTTP/1.0", false), ("HTTP/1.0", true)]
+        {
+            let (answer, ended) = upload(fleet.caller_addrs()[0], version, stream).await;
+            let case = format!("{version}, stream {stream}, {end:?}, {text:?}: {answer}");
+            let is_refused = answer.starts_with(&format!("{version} 5"));
+            let is_broken = answer.starts_with(&format!("{version} 200"))
+                && answer.contains(r#""error""#)
+                && if version == "HTTP/1.1" {
+                    !answer.ends_with("\r\n0\r\n\r\n")
+                } else {
+                    ended.is_err()
+                };
+            assert!(is_refused || is_broken, "{case}");
+        }
+        endpoint.abort();
+    }
+}
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -199,6 +199,10 @@
             if matches!(err, SendError::NotSent(_)) {
                 *trial = observed.on_not_run(TrialProgress::Unreachable);
             }
+            if matches!(err, SendError::BadStatus(_)) {
+                observed.on_failure();
+                return interrupted(PlaceOutcome::Errored, &err);
+            }
             return interrupted(PlaceOutcome::Failed, &err);
         }
         Err(_) => return (RunOutcome::Queued, PlaceOutcome::Full, String::new()),
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -240,6 +240,11 @@
                     self.on_failed(&mut run, PlaceOutcome::Failed, &err);
                     return Err(AttemptError::OutcomeUnknown);
                 }
+                Ok(Err(err @ SendError::BadStatus(_))) => {
+                    self.possible_runs += 1;
+                    self.on_failed(&mut run, PlaceOutcome::Errored, &err);
+                    return Err(AttemptError::OutcomeUnknown);
+                }
                 Err(_) => {
                     self.possible_runs += 1;
                     let deadline_passed = self.remaining().is_zero();
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -94,8 +94,7 @@
 }
 
 /// Prepares the head of an endpoint's response for the caller. Replaces the statuses by which
-/// callers conclude that a request did not run, as this endpoint may have run it, and the one after
-/// which the connection carries another protocol. The length of a stream is left out, as one that
+/// callers conclude that a request did not run, as this endpoint may have run it. The length of a stream is left out, as one that
 /// breaks off may have it. The version of HTTP is that of the caller's connection: in an older one of
 /// the endpoint, the answer would end with the connection.
 pub(crate) fn response_head(mut parts: Parts, body: BodyKind) -> Parts {
@@ -105,7 +104,6 @@
         parts.headers.remove(header::CONTENT_LENGTH);
     }
     let replaced_statuses = [
-        StatusCode::SWITCHING_PROTOCOLS,
         StatusCode::REQUEST_TIMEOUT,
         StatusCode::TOO_MANY_REQUESTS,
         StatusCode::SERVICE_UNAVAILABLE,
--- a/dogwoodtray_gateway/src/net/mod.rs
+++ b/dogwoodtray_gateway/src/net/mod.rs
@@ -27,6 +27,9 @@
 /// packet that is dropped because the accept queue is full is retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Maximum size of the head of a response, including informational ones before it.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
 /// Response of an endpoint.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -43,7 +46,7 @@
     req: Request<Full<Bytes>>,
     kind: AnswerKind,
 ) -> Result<Exchange, SendError> {
-    let cfg = SendConfig { kind, connect_timeout: CONNECT_TIMEOUT };
+    let cfg = SendConfig { kind, connect_timeout: CONNECT_TIMEOUT, max_head_bytes: MAX_HEAD_BYTES };
     let exchange = dogwoodtray_http::send(endpoint.addr, req, cfg).await?;
     let body = EndpointBody::new(exchange.body, Rc::clone(node), Rc::clone(endpoint));
     Ok(Exchange { parts: exchange.parts, body })
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -5,7 +5,6 @@
 mod support;
 
 use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,20 +12,18 @@
 use dogwoodtray_gateway::JobDriver;
 use hyper::StatusCode;
 use support::DyingEndpoint;
-use support::HOST;
 use support::ScriptedFleet;
 use support::Site;
 use support::head;
 use support::header;
+use support::post_http10;
 use support::read_request;
 use support::run_local;
 use support::stream;
 use support::submission;
 use support::wait_until;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -267,25 +264,6 @@
     });
 }
 
-/// Sends a request of HTTP/1.0. Returns the answer up to the end of the connection, and how it ended.
-async fn post_http10(to: SocketAddr, path: &str) -> (String, io::Result<usize>) {
-    let mut stream = TcpStream::connect(to).await.unwrap();
-    let request = format!(
-        "POST {path} HTTP/1.0\r\nhost: {HOST}\r\nattempt-id: r1\r\ndeadline-ms: 4000\r\n\
-         content-length: 4\r\n\r\nslip"
-    );
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut received = Vec::new();
-    let ended = loop {
-        match stream.read_buf(&mut received).await {
-            Ok(0) => break Ok(received.len()),
-            Ok(_) => {}
-            Err(err) => break Err(err),
-        }
-    };
-    (String::from_utf8(received).unwrap(), ended)
-}
-
 /// Guards against a broken answer that a caller of HTTP/1.0 takes for a complete one.
 #[test]
 fn a_caller_of_http_1_0_can_tell_a_broken_answer_from_a_complete_one() {
@@ -294,11 +272,11 @@
         let (site, endpoints) = (&fleet.site, &fleet.engines);
         for path in ["/stream/x", "/resume/x"] {
             endpoints.set(&[&stream(1..=2, true)]);
-            let (text, ended) = post_http10(site.caller_addr, path).await;
+            let (text, ended) = post_http10(site.caller_addr, path, "slip").await;
             assert!(text.ends_with("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"), "{path}: {text}");
             assert!(ended.is_ok(), "{path}: {ended:?}");
             endpoints.set(&[&stream(1..=1, false)]);
-            let (_, ended) = post_http10(site.caller_addr, path).await;
+            let (_, ended) = post_http10(site.caller_addr, path, "slip").await;
             assert_eq!(ended.unwrap_err().kind(), io::ErrorKind::ConnectionReset, "{path}");
             sleep(AVOIDANCE_TIME).await;
         }
--- a/dogwoodtray_gateway/tests/support/scripted.rs
+++ b/dogwoodtray_gateway/tests/support/scripted.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,46 +15,39 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::EarlyEnd;
 use super::Site;
 use super::raw_request::header;
-use super::raw_request::read_request;
+use super::raw_request::read_head;
+use super::raw_request::read_rest;
 
 /// Endpoints of one service that answer with given bytes, one text for each request in the order of
 /// arrival, and close the connection after it. `{id}` stands for the id of the request. The last
 /// text is repeated.
+#[derive(Clone, Default)]
 pub(crate) struct Scripted {
     texts: Rc<RefCell<Vec<String>>>,
     /// Number of received requests.
     pub(crate) received: Rc<Cell<usize>>,
     /// Whether connections are reset instead of closed after the text.
     pub(crate) resets: Rc<Cell<bool>>,
+    /// Ends of the next answers, for each of which `None` stands for an answer to the whole request.
+    early_ends: Rc<RefCell<VecDeque<Option<EarlyEnd>>>>,
 }
 
 impl Scripted {
     async fn start(site: &Site, service: &str, texts: &[&str]) -> Self {
-        let texts = texts.iter().map(|text| (*text).to_owned()).rev().collect();
-        let this = Self {
-            texts: Rc::new(RefCell::new(texts)),
-            received: Rc::default(),
-            resets: Rc::default(),
-        };
+        let this = Self::default();
+        this.set(texts);
         for number in 0..2 {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let addr = listener.local_addr().unwrap();
-            let (texts, received, resets) =
-                (Rc::clone(&this.texts), Rc::clone(&this.received), Rc::clone(&this.resets));
+            let script = this.clone();
             spawn_local(async move {
                 loop {
                     let (stream, _) = listener.accept().await.unwrap();
-                    let (texts, received) = (Rc::clone(&texts), Rc::clone(&received));
-                    let resets = Rc::clone(&resets);
-                    spawn_local(async move {
-                        let stream = answer(stream, texts, received).await;
-                        if resets.get() {
-                            let linger = Some(Duration::ZERO);
-                            SockRef::from(&stream).set_linger(linger).unwrap();
-                        }
-                    });
+                    let script = script.clone();
+                    spawn_local(async move { script.answer(stream).await });
                 }
             });
             site.register_raw(&format!("{service}{number}"), service, addr);
@@ -65,6 +59,40 @@
     pub(crate) fn set(&self, texts: &[&str]) {
         *self.texts.borrow_mut() = texts.iter().map(|text| (*text).to_owned()).rev().collect();
         self.received.set(0);
+        self.early_ends.borrow_mut().clear();
+    }
+
+    /// Sets how the answers to the next requests end.
+    pub(crate) fn end_early(&self, ends: impl IntoIterator<Item = Option<EarlyEnd>>) {
+        *self.early_ends.borrow_mut() = ends.into_iter().collect();
+    }
+
+    /// Answers a request, and closes or resets the connection once the answer was received.
+    async fn answer(&self, mut stream: TcpStream) {
+        let Some(received) = read_head(&mut stream).await else { return };
+        let early_end = self.early_ends.borrow_mut().pop_front().flatten();
+        let request = match early_end {
+            Some(_) => String::from_utf8_lossy(&received).to_lowercase(),
+            None => match read_rest(&mut stream, received).await {
+                Some(request) => request,
+                None => return,
+            },
+        };
+        self.received.set(self.received.get() + 1);
+        let text = {
+            let mut texts = self.texts.borrow_mut();
+            if texts.len() > 1 { texts.pop() } else { texts.last().cloned() }
+        };
+        let text = text.unwrap_or_default().replace("{id}", header(&request, "attempt-id"));
+        // The gateway may have closed the connection.
+        let _ = stream.write_all(text.as_bytes()).await;
+        if let Some(end) = early_end {
+            return end.play(stream).await;
+        }
+        sleep(Duration::from_millis(20)).await;
+        if self.resets.get() {
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
     }
 }
 
@@ -88,25 +116,6 @@
     }
 }
 
-/// Answers a request, and returns the connection once the answer was received.
-async fn answer(
-    mut stream: TcpStream,
-    texts: Rc<RefCell<Vec<String>>>,
-    received: Rc<Cell<usize>>,
-) -> TcpStream {
-    let Some(request) = read_request(&mut stream).await else { return stream };
-    received.set(received.get() + 1);
-    let text = {
-        let mut texts = texts.borrow_mut();
-        if texts.len() > 1 { texts.pop() } else { texts.last().cloned() }
-    };
-    let text = text.unwrap_or_default().replace("{id}", header(&request, "attempt-id"));
-    // The gateway may have closed the connection.
-    let _ = stream.write_all(text.as_bytes()).await;
-    sleep(Duration::from_millis(20)).await;
-    stream
-}
-
 /// Returns a head with a status, up to the empty line.
 pub(crate) fn head(status: u16) -> String {
     format!("HTTP/1.1 {status} X\r\nattempt-id: {{id}}\r\nserver-stamp: s1\r\n")
--- a/dogwoodtray_http/src/end.rs
+++ b/dogwoodtray_http/src/end.rs
@@ -113,6 +113,11 @@
         EndpointGone {
             display("endpoint gone")
         }
+        /// Only the end of the connection says that the answer is complete, and the endpoint ended it
+        /// before it had received the request.
+        UnreadRequest {
+            display("unread request")
+        }
         /// The stream ends without the event that announces its end.
         NoFinalEvent {
             display("no final event")
@@ -128,6 +133,7 @@
             Self::PartialEvent => "partial event",
             Self::NoEvents => "no events",
             Self::EndpointGone => "endpoint gone",
+            Self::UnreadRequest => "unread request",
             Self::NoFinalEvent => "no final event",
         }
     }
@@ -137,7 +143,7 @@
 ///
 /// An answer without length and chunks whose connection is closed without an error between two events,
 /// or anywhere in an opaque body, counts as complete: nothing in it tells such a break from its end. Its
-/// reader may know more, such as that the endpoint is gone.
+/// reader may know more, such as that the endpoint is gone or has not received the request.
 ///
 /// # Examples
 ///
--- a/dogwoodtray_http/src/exchange.rs
+++ b/dogwoodtray_http/src/exchange.rs
@@ -7,6 +7,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
@@ -15,7 +16,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -33,14 +34,21 @@
 use crate::end::BodyKind;
 use crate::end::EndCheck;
 use crate::end::Truncation;
+use crate::request_stream::RequestProgress;
+use crate::request_stream::RequestStream;
 
 /// Time after which the kernel closes a connection whose peer does not acknowledge data.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum size of the head of a response, including informational ones before it.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Bytes that the kernel takes for a connection beyond those that the endpoint has room for. A larger
+/// buffer would take a whole upload of which the endpoint reads nothing, so that its end could not be
+/// told from that of a request that was received.
+const UNSENT_BYTES: u32 = 64 * 1024;
 
-type Connection = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+/// Statuses that the final answer to a request may have.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+type Connection = http1::Connection<TokioIo<RequestStream>, Full<Bytes>>;
 
 quick_error! {
     /// Error of an exchange without a response.
@@ -56,6 +64,10 @@
             display("lost: {err}")
             source(err)
         }
+        /// The response has a status that no final answer may have; the request may have run.
+        BadStatus(status: StatusCode) {
+            display("answered with status {}", status.as_str())
+        }
     }
 }
 
@@ -85,6 +97,8 @@
     pub kind: AnswerKind,
     /// Time in which the connection has to be established.
     pub connect_timeout: Duration,
+    /// Maximum size of the head of the response, including informational ones before it.
+    pub max_head_bytes: usize,
 }
 
 /// Response of an endpoint.
@@ -96,17 +110,6 @@
     pub body: AnswerBody,
 }
 
-impl Exchange {
-    /// Wraps a response to a request for this kind of answer, whose connection is polled elsewhere.
-    #[must_use]
-    pub fn new(response: Response<Incoming>, kind: AnswerKind) -> Self {
-        let (parts, incoming) = response.into_parts();
-        let framing = BodyFraming::new(&parts.headers, incoming.size_hint().exact());
-        let check = EndCheck::new(framing, BodyKind::new(kind, &parts));
-        Self { parts, body: AnswerBody { connection: None, incoming, check } }
-    }
-}
-
 /// Body of a response. It ends without an error only if the response is complete.
 #[derive(Debug)]
 pub struct AnswerBody {
@@ -114,21 +117,24 @@
     connection: Option<Pin<Box<Connection>>>,
     incoming: Incoming,
     check: EndCheck,
+    request: RequestProgress,
 }
 
 /// Sends a request on a new connection and waits for the head of the response.
 ///
 /// # Errors
 ///
-/// Returns an error if no connection can be established or it fails before the head of the response.
+/// Returns an error if no connection can be established, if it fails before the head of the response, or
+/// if no final answer may have the status of the response.
 pub async fn send(
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
     cfg: SendConfig,
 ) -> Result<Exchange, SendError> {
     let stream = connect(addr, cfg.connect_timeout).await.map_err(SendError::NotSent)?;
+    let (stream, request) = RequestStream::new(stream, req.body().size_hint().lower());
     let handshake =
-        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+        http1::Builder::new().max_buf_size(cfg.max_head_bytes).handshake(TokioIo::new(stream));
     let (mut sender, connection) = handshake.await.map_err(SendError::Lost)?;
     let mut connection = Box::pin(connection);
     let mut is_open = true;
@@ -142,9 +148,15 @@
             _ = &mut connection, if is_open => is_open = false,
         }
     };
-    let mut exchange = Exchange::new(response, cfg.kind);
-    exchange.body.connection = is_open.then_some(connection);
-    Ok(exchange)
+    let (parts, incoming) = response.into_parts();
+    if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
+        metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
+        return Err(SendError::BadStatus(parts.status));
+    }
+    let framing = BodyFraming::new(&parts.headers, incoming.size_hint().exact());
+    let check = EndCheck::new(framing, BodyKind::new(cfg.kind, &parts));
+    let connection = is_open.then_some(connection);
+    Ok(Exchange { parts, body: AnswerBody { connection, incoming, check, request } })
 }
 
 /// Returns `true` if nothing listens at the address any more. An endpoint that only reset a connection
@@ -159,7 +171,9 @@
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_notsent_lowat(UNSENT_BYTES)?;
     Ok(stream)
 }
 
@@ -182,13 +196,24 @@
         self.check.kind()
     }
 
+    /// Decides whether the answer is complete if it ends here.
+    fn verify(&self) -> Result<(), Truncation> {
+        self.check.verify()?;
+        let is_end_shown =
+            self.framing() != BodyFraming::Connection || self.kind() == BodyKind::AnnouncedEvents;
+        if is_end_shown || self.request.is_written() {
+            return Ok(());
+        }
+        Err(Truncation::UnreadRequest)
+    }
+
     /// Checks a frame of the body, or its end.
     fn check(
         &mut self,
         frame: Option<Result<Frame<Bytes>, hyper::Error>>,
     ) -> Option<Result<Frame<Bytes>, AnswerError>> {
         let Some(frame) = frame else {
-            let truncation = self.check.verify().err()?;
+            let truncation = self.verify().err()?;
             let reason = truncation.label();
             metrics::counter!("dogwoodtray_truncated_answers_total", "reason" => reason)
                 .increment(1);
@@ -224,7 +249,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream() && self.check.verify().is_ok()
+        self.incoming.is_end_stream() && self.verify().is_ok()
     }
 
     /// Returns no length for a stream: one that has its stated length may still end within an event.
--- a/dogwoodtray_http/src/lib.rs
+++ b/dogwoodtray_http/src/lib.rs
@@ -10,6 +10,7 @@
 mod event_queue;
 mod event_splitter;
 mod exchange;
+mod request_stream;
 
 pub use crate::break_off::FlushBeforeError;
 pub use crate::byte_budget::ByteBudget;
