--- a/dogwoodtray_coord/src/config_age/pacing.rs
+++ b/dogwoodtray_coord/src/config_age/pacing.rs
@@ -29,7 +29,7 @@
 const DOUBLINGS_WHILE_PROVEN: u32 = 1;
 
 /// Number of times that the interval doubles after that. An outage of the store then costs a call
-/// every 2.8 s from each process, and relayed proofs end it sooner than that.
+/// about every 2.8 s from each process, and relayed proofs end it sooner than that.
 const DOUBLINGS_WHILE_UNPROVEN: u32 = 2;
 
 /// Intervals and ages, all of which follow from the bound.
--- a/dogwoodtray_runtime/src/services/boot_clock.rs
+++ b/dogwoodtray_runtime/src/services/boot_clock.rs
@@ -45,8 +45,8 @@
         assert!(first > Timestamp::ZERO);
     }
 
-    /// Guards against the use of a clock that stops during a suspension: the time since boot is that
-    /// of the kernel, which counts suspensions.
+    /// Guards against the use of the wall clock, which jumps, or of a clock that stops during a
+    /// suspension: the time is the kernel's time since boot, which counts suspensions.
     #[test]
     fn it_is_the_uptime_of_the_machine() {
         let Ok(text) = std::fs::read_to_string("/proc/uptime") else { return };
