Bound the interval of promised returns, and box the flow of held items

A flow that gets no place has an interval without bound, and its next promise would lie so far ahead that all its callers were told the longest time for good.

A queued request that is withdrawn after its objective counts as not served in the metric.

--- a/dogwoodtray_policy/src/placement/returns.rs
+++ b/dogwoodtray_policy/src/placement/returns.rs
@@ -59,7 +59,8 @@
         if at - now > max {
             return max;
         }
-        self.next.insert(Flow::clone(&flow), at + interval);
+        // A flow that gets nothing has no bound of its interval; it must not block later promises.
+        self.next.insert(Flow::clone(&flow), at + interval.min(max));
         if self.promises.len() < MAX_PROMISES {
             let index = self.promises.partition_point(|(other, _)| *other <= at);
             self.promises.insert(index, (at, flow));
@@ -97,3 +98,26 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use dogwoodtray_coord::Timestamp;
+
+    use super::Returns;
+
+    /// Guards against a flow that gets no place for a while, so that its interval is unbounded, and
+    /// whose callers are then told the longest time for good.
+    #[test]
+    fn an_unbounded_interval_does_not_block_later_promises() {
+        let (min, max) = (Duration::from_millis(250), Duration::from_millis(1_600));
+        let mut returns = Returns::default();
+        let flow = (1, None);
+        let first = returns.promise(Timestamp::ZERO, flow.clone(), min, Duration::MAX, max);
+        assert_eq!(first, min);
+        assert_eq!(returns.promise(Timestamp::ZERO, flow.clone(), min, min, max), max);
+        let later = Timestamp::ZERO + max * 2;
+        assert_eq!(returns.promise(later, flow, min, min, max), min);
+    }
+}
--- a/dogwoodtray_policy/src/placement/service/batch.rs
+++ b/dogwoodtray_policy/src/placement/service/batch.rs
@@ -69,7 +69,11 @@
         let mut items = Vec::new();
         for (id, held) in running() {
             let Some(left) = held.left(now) else { continue };
-            let flow = flow(held.priority, held.organization.as_ref());
+            let held_flow = held.flow.as_deref();
+            let flow = flow(
+                held_flow.map_or(0, |(priority, _)| *priority),
+                held_flow.and_then(|(_, organization)| organization.as_ref()),
+            );
             items.push(PlannedItem {
                 key: (now, *id),
                 left,
--- a/dogwoodtray_policy/src/placement/service/mod.rs
+++ b/dogwoodtray_policy/src/placement/service/mod.rs
@@ -22,6 +22,7 @@
 use super::batch_plan::BatchPlan;
 use super::endpoint::Endpoint;
 use super::queue::OnlineQueue;
+use super::returns::Flow;
 use super::returns::Returns;
 use super::served::ServedShares;
 use crate::Class;
@@ -43,9 +44,9 @@
     /// `None` if the endpoint has been removed or was never listed.
     endpoint: Option<EndpointKey>,
     class: Class,
-    /// `None` also if another dispatcher granted the place.
-    organization: Option<Name>,
-    priority: u32,
+    /// Priority and organization of a batch item, if the configuration names organizations. It is
+    /// boxed because all held requests are visited in each decision.
+    flow: Option<Box<Flow>>,
     granted_at: Timestamp,
     due: Timestamp,
     /// Run time that was expected when the place was granted; `None` if another dispatcher granted
@@ -280,8 +281,7 @@
         let held = HeldRequest {
             endpoint: key,
             class,
-            organization: None,
-            priority: 0,
+            flow: None,
             granted_at: now,
             due: now,
             run_time: None,
@@ -317,6 +317,10 @@
             return true;
         }
         let queued = self.online.len() + self.batch.len();
+        let late = self.online.iter().find(|e| e.request.id == id && e.request.start_by < now);
+        if let Some(entry) = late {
+            self.served.record(now, entry.request.organization.as_ref(), false);
+        }
         self.online.retain(|request| request.id != id);
         self.batch.retain(|(_, other), _| *other != id);
         queued != self.online.len() + self.batch.len()
@@ -455,14 +459,15 @@
         out: &mut Vec<PlaceAction>,
     ) {
         self.round_robin_start = self.round_robin_start.wrapping_add(1);
+        let has_flow = request.class == Class::Batch && self.online.names_organizations();
+        let flow = has_flow.then(|| Box::new((request.priority, request.organization.clone())));
         let endpoint = &mut self.endpoints[key];
         endpoint.in_use += 1;
         let name = Name::clone(&endpoint.name);
         let held = HeldRequest {
             endpoint: Some(key),
             class: request.class,
-            organization: request.organization.clone(),
-            priority: self.online.priority(request),
+            flow,
             granted_at: now,
             due: request.due,
             run_time: Some(request.due - request.start_by),
--- a/dogwoodtray_policy/tests/placement_fairness.rs
+++ b/dogwoodtray_policy/tests/placement_fairness.rs
@@ -43,7 +43,7 @@
 
 /// Time within which a request has to start, and time after which its caller gives up.
 const OBJECTIVE: Duration = Duration::from_millis(240);
-const PATIENCE: Duration = Duration::from_secs(5);
+const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Worth of a late answer; a timely one is worth 1.
 const LATE_WORTH: f64 = 0.5;
@@ -128,7 +128,7 @@
                     service: Name::from("s"),
                     class: Class::Online,
                     start_by: now + OBJECTIVE,
-                    due: now + PATIENCE,
+                    due: now + CALLER_TIMEOUT,
                     repeatable: false,
                     excluded: Vec::new(),
                     organization: with_organizations
@@ -251,7 +251,7 @@
         let out = match event {
             Event::Arrived(number) => {
                 let arrival = &arrivals[attempts[&number].request];
-                events.push(Reverse((arrival.at + PATIENCE, Event::GaveUp(number))));
+                events.push(Reverse((arrival.at + CALLER_TIMEOUT, Event::GaveUp(number))));
                 order.request(now, place(number), arrival.organization)
             }
             Event::Ended(number) => order.release(now, place(number), PlaceOutcome::Answered),
@@ -288,7 +288,7 @@
                     let attempt = *attempt;
                     played.refusals += 1;
                     played.late_refusals += u32::from((now - attempt.at) * 4 > OBJECTIVE);
-                    let left = arrivals[attempt.request].at + PATIENCE - now;
+                    let left = arrivals[attempt.request].at + CALLER_TIMEOUT - now;
                     if !attempt.is_second && retry_after <= left / 3 {
                         let at = now + retry_after;
                         let second = Attempt { at, is_second: true, ended: false, ..attempt };
--- a/dogwoodtray_policy/tests/placement_shares.rs
+++ b/dogwoodtray_policy/tests/placement_shares.rs
@@ -24,7 +24,7 @@
 const OBJECTIVE: Duration = Duration::from_millis(250);
 
 /// Dispatcher in virtual time with 4 endpoints, and what it decided.
-struct World {
+struct Simulation {
     dispatcher: Dispatcher,
     now: Timestamp,
     last_number: u64,
@@ -35,11 +35,11 @@
     /// Granted and refused requests of each organization.
     counts: HashMap<usize, (usize, usize)>,
     rng: StdRng,
-    /// Refusals, by whether they took place on arrival.
+    /// Number of refusals of queued requests.
     displaced: usize,
 }
 
-impl World {
+impl Simulation {
     fn new(seed: u64) -> Self {
         let mut dispatcher = Dispatcher::new(DispatcherConfig::default());
         let endpoint = |index| EndpointPlaces {
@@ -149,21 +149,21 @@
 }
 
 /// Guards against places that stay free while requests wait, a lower priority that goes first, and
-/// refusals that come too late or name a time out of bounds; the world checks each decision.
+/// refusals that come too late or name a time out of bounds; the simulation checks each decision.
 #[test]
 fn places_are_used_in_the_order_of_priorities() {
     let mut displaced = 0;
     for seed in 0..6 {
-        let mut world = World::new(seed);
+        let mut simulation = Simulation::new(seed);
         for step in 0..4_000 {
             let rate = if (step / 400) % 2 == 0 { 0.2 } else { 0.9 };
-            if world.rng.random_bool(rate) {
-                let organization = world.rng.random_range(0..8_usize);
-                world.request(Class::Online, organization, organization as u32 % 3);
+            if simulation.rng.random_bool(rate) {
+                let organization = simulation.rng.random_range(0..8_usize);
+                simulation.request(Class::Online, organization, organization as u32 % 3);
             }
-            world.step();
+            simulation.step();
         }
-        displaced += world.displaced;
+        displaced += simulation.displaced;
     }
     assert!(displaced > 100, "{displaced} displaced");
 }
@@ -174,32 +174,32 @@
 #[test]
 fn organizations_below_their_share_are_not_refused() {
     for seed in 0..6 {
-        let mut world = World::new(seed);
+        let mut simulation = Simulation::new(seed);
         let mut small_asked = 0;
         for step in 0..6_000 {
             // 16 places serve 0.4 requests per step. Organizations 1 to 3 ask for more than a fifth
             // of it, organization 0 for four times of all of it, and the small ones for 2%.
             for _ in 0..2 {
-                if world.rng.random_bool(0.8) {
-                    world.request(Class::Online, 0, 0);
+                if simulation.rng.random_bool(0.8) {
+                    simulation.request(Class::Online, 0, 0);
                 }
             }
             for organization in 1..4 {
-                if world.rng.random_bool(0.2) {
-                    world.request(Class::Online, organization, 0);
+                if simulation.rng.random_bool(0.2) {
+                    simulation.request(Class::Online, organization, 0);
                 }
             }
             let small = 4 + step % 4;
-            if world.rng.random_bool(0.008 * 4.0) {
+            if simulation.rng.random_bool(0.008 * 4.0) {
                 small_asked += 1;
-                let others_queued = world.queued.values().any(|(other, _, _)| *other < 4);
-                let refused = world.request(Class::Online, small, 0);
+                let others_queued = simulation.queued.values().any(|(other, _, _)| *other < 4);
+                let refused = simulation.request(Class::Online, small, 0);
                 assert!(!(refused && others_queued), "a small organization was refused");
             }
-            world.step();
+            simulation.step();
         }
         assert!(small_asked > 100);
-        let granted: Vec<usize> = (0..4).map(|index| world.counts(index).0).collect();
+        let granted: Vec<usize> = (0..4).map(|index| simulation.counts(index).0).collect();
         let mean = granted.iter().sum::<usize>() / 4;
         for count in &granted {
             assert!(count * 4 >= mean * 3 && count * 3 <= mean * 4, "{granted:?}");
@@ -211,18 +211,18 @@
 /// than all places can serve gets its share, and the other keeps its own.
 #[test]
 fn an_idle_organization_gains_no_credit() {
-    let mut world = World::new(1);
+    let mut simulation = Simulation::new(1);
     for step in 0..4_000 {
         if step == 2_000 {
-            world.counts.clear();
+            simulation.counts.clear();
         }
         if step >= 2_000 {
-            world.request(Class::Online, 1, 0);
+            simulation.request(Class::Online, 1, 0);
         }
-        world.request(Class::Online, 0, 0);
-        world.step();
+        simulation.request(Class::Online, 0, 0);
+        simulation.step();
     }
-    let (first, second) = (world.counts(0).0, world.counts(1).0);
+    let (first, second) = (simulation.counts(0).0, simulation.counts(1).0);
     assert!(first.abs_diff(second) * 10 <= first.max(second), "{first} and {second}");
 }
 
@@ -230,15 +230,15 @@
 /// after the other get successive times.
 #[test]
 fn refused_callers_get_successive_times() {
-    let mut world = World::new(1);
+    let mut simulation = Simulation::new(1);
     let mut times = Vec::new();
     for number in 1..=200 {
         let request = PlaceRequest {
             id: PlaceId { holder: 1, number },
             service: Name::from("s"),
             class: Class::Online,
-            start_by: world.now + OBJECTIVE,
-            due: world.now + OBJECTIVE * 20,
+            start_by: simulation.now + OBJECTIVE,
+            due: simulation.now + OBJECTIVE * 20,
             repeatable: false,
             excluded: Vec::new(),
             organization: Some(Name::from("o")),
@@ -246,7 +246,7 @@
             cost: PlaceCost::default(),
         };
         let mut out = Vec::new();
-        world.dispatcher.request_place(world.now, request, &mut out);
+        simulation.dispatcher.request_place(simulation.now, request, &mut out);
         times.extend(out.iter().filter_map(|action| match action {
             PlaceAction::Refuse { retry_after, .. } => Some(*retry_after),
             _ => None,
@@ -261,10 +261,34 @@
     assert!(times.is_sorted());
 }
 
+/// Guards against a metric that hides the worst-served organization behind the others, or that exists
+/// without organizations.
+#[test]
+fn the_worst_served_tenth_is_reported() {
+    let mut simulation = Simulation::new(1);
+    assert_eq!(simulation.dispatcher.worst_tenth_served(simulation.now), None);
+    for step in 0..1_000 {
+        // Organization 0 asks for ten times its share, and the nine others for less than theirs.
+        for _ in 0..2 {
+            simulation.request(Class::Online, 0, 0);
+        }
+        if step % 4 == 0 {
+            simulation.request(Class::Online, 1 + step / 4 % 9, 0);
+        }
+        simulation.step();
+    }
+    let (granted, refused) = simulation.counts(0);
+    let expected = granted as f64 / (granted + refused) as f64;
+    let reported = simulation.dispatcher.worst_tenth_served(simulation.now).unwrap_or(1.0);
+    assert!(expected < 0.3 && (reported - expected).abs() < 0.05, "{reported}, {expected}");
+    let later = simulation.now + Duration::from_secs(300);
+    assert_eq!(simulation.dispatcher.worst_tenth_served(later), None);
+}
+
 /// Guards against a burst of jobs of one organization that makes the items of another late.
 #[test]
 fn a_burst_of_jobs_leaves_the_items_of_others_in_time() {
-    let mut world = World::new(1);
+    let mut simulation = Simulation::new(1);
     // Items take 1 s and are due 4 s after their submission: 16 places complete 64 of them.
     let mut ends: BTreeMap<(Timestamp, u64), ()> = BTreeMap::new();
     let mut submitted: HashMap<u64, (usize, Timestamp)> = HashMap::new();
@@ -274,44 +298,54 @@
         let burst = if step < 100 { 4 } else { 0 };
         let small = usize::from(step < 800 && step % 80 == 0);
         for organization in std::iter::repeat_n(0, burst).chain(std::iter::repeat_n(1, small)) {
-            world.last_number += 1;
-            let number = world.last_number;
-            submitted.insert(number, (organization, world.now));
+            simulation.last_number += 1;
+            let number = simulation.last_number;
+            submitted.insert(number, (organization, simulation.now));
             let request = PlaceRequest {
                 id: PlaceId { holder: 1, number },
                 service: Name::from("s"),
                 class: Class::Batch,
-                start_by: world.now + Duration::from_secs(3),
-                due: world.now + Duration::from_secs(4),
+                start_by: simulation.now + Duration::from_secs(3),
+                due: simulation.now + Duration::from_secs(4),
                 repeatable: true,
                 excluded: Vec::new(),
                 organization: Some(Name::from(format!("o{organization}"))),
                 priority: 0,
                 cost: PlaceCost::default(),
             };
-            world.dispatcher.request_place(world.now, request, &mut out);
+            simulation.dispatcher.request_place(simulation.now, request, &mut out);
         }
-        world.now = world.now + STEP;
+        simulation.now = simulation.now + STEP;
         while let Some((at, number)) = ends.first_key_value().map(|(key, ())| *key) {
-            if at > world.now {
+            if at > simulation.now {
                 break;
             }
             ends.remove(&(at, number));
             let (organization, since) = submitted[&number];
             in_time[organization] += usize::from(at <= since + Duration::from_secs(4));
             let id = PlaceId { holder: 1, number };
-            world.dispatcher.release_place(world.now, id, PlaceOutcome::Answered, &mut out);
+            simulation.dispatcher.release_place(
+                simulation.now,
+                id,
+                PlaceOutcome::Answered,
+                &mut out,
+            );
         }
-        world.dispatcher.tick(world.now, &mut out);
+        simulation.dispatcher.tick(simulation.now, &mut out);
         for action in out {
             match action {
                 PlaceAction::Grant { id, .. } => {
-                    ends.insert((world.now + Duration::from_secs(1), id.number), ());
+                    ends.insert((simulation.now + Duration::from_secs(1), id.number), ());
                 }
                 PlaceAction::Preempt { id } => {
                     ends.retain(|(_, number), ()| *number != id.number);
                     let outcome = PlaceOutcome::Withdrawn;
-                    world.dispatcher.release_place(world.now, id, outcome, &mut Vec::new());
+                    simulation.dispatcher.release_place(
+                        simulation.now,
+                        id,
+                        outcome,
+                        &mut Vec::new(),
+                    );
                 }
                 _ => {}
             }
