--- a/dogwoodtray_policy/tests/placement_odd_numbers.rs
+++ b/dogwoodtray_policy/tests/placement_odd_numbers.rs
@@ -71,7 +71,12 @@
             match kind % 4 {
                 0 | 1 => {
                     let class = if kind % 4 == 0 { Class::Online } else { Class::Batch };
-                    let request = request(number as u64, class, after(first), after(second));
+                    let mut request =
+                        request(number as u64, class, after(first), after(second));
+                    let organization = kind / 4 % 4;
+                    request.organization =
+                        (organization > 0).then(|| Name::from(format!("o{organization}")));
+                    request.priority = u32::from(kind / 16 % 2) * u32::MAX;
                     dispatcher.request_place(now, request, &mut out);
                 }
                 2 if !granted.is_empty() => {
