--- a/dogwoodtray_gateway/benches/path.rs
+++ b/dogwoodtray_gateway/benches/path.rs
@@ -20,6 +20,8 @@
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::Dispatcher;
 use dogwoodtray_policy::DispatcherConfig;
+use dogwoodtray_policy::LearnedService;
+use dogwoodtray_policy::LearnedSpeed;
 use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceId;
 use dogwoodtray_policy::PlaceOutcome;
@@ -61,10 +63,27 @@
 /// Requests, grants and returns a place at an endpoint.
 #[divan::bench(args = [47, 3_000])]
 fn place(bencher: Bencher<'_, '_>, count: usize) {
+    place_at(bencher, count, &[]);
+}
+
+/// As `place`, with a third of the endpoints slower than usual.
+#[divan::bench(args = [47, 3_000])]
+fn place_uneven(bencher: Bencher<'_, '_>, count: usize) {
+    let speeds = (0..count / 3).map(|index| LearnedSpeed {
+        endpoint: Name::from(format!("endpoint-{index}")),
+        speed: 0.6,
+    });
+    let speeds = speeds.collect();
+    let service = LearnedService { service: Name::from("s"), speeds, routes: Vec::new() };
+    place_at(bencher, count, &[service]);
+}
+
+fn place_at(bencher: Bencher<'_, '_>, count: usize, learned: &[LearnedService]) {
     let mut directory = Directory::new();
     directory.set_endpoints(Timestamp::ZERO, Version(1), endpoints(count));
     let mut dispatcher = Dispatcher::new(DispatcherConfig::default());
     dispatcher.set_endpoints(&directory.places());
+    dispatcher.apply_learned(Timestamp::ZERO, learned);
     let service = Name::from("s");
     let (mut out, mut number, mut now) = (Vec::new(), 0, Timestamp::ZERO);
     bencher.bench_local(|| {
