Report slow streams that are forwarded whole, and test the exchange

Change: the body of a forwarded stream observes the gaps between its data, except while its caller does not read.

--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -274,7 +274,7 @@
         }
     }
 
-    const fn is_stream(&self) -> bool {
+    pub(super) const fn is_stream(&self) -> bool {
         matches!(self.route.kind, RouteKind::Streaming { .. })
     }
 
--- a/dogwoodtray_gateway/src/http/body.rs
+++ b/dogwoodtray_gateway/src/http/body.rs
@@ -22,6 +22,7 @@
 use super::trace::Trace;
 use crate::net::AnswerError;
 use crate::net::EndpointBody;
+use crate::places::GapMonitor;
 
 quick_error! {
     /// Error that ends a response before it is complete. The connection to the caller is closed, so
@@ -110,6 +111,10 @@
     pub(crate) complete_outcome: PlaceOutcome,
     pub(crate) deadline: Pin<Box<Sleep>>,
     pub(crate) run: Option<Run>,
+    /// Observer of the gaps between the events of a stream.
+    pub(crate) gaps: Option<GapMonitor>,
+    /// Whether the caller waits for data.
+    pub(crate) is_waiting: bool,
     pub(crate) trace: Trace,
 }
 
@@ -118,9 +123,20 @@
         if let Some(mut run) = self.run.take() {
             run.set_outcome(place_outcome);
         }
+        self.gaps = None;
         self.trace.finish(outcome);
     }
 
+    /// Records that data arrived. Data for which nobody waited may have arrived long before.
+    fn on_data(&mut self) {
+        let was_waiting = std::mem::take(&mut self.is_waiting);
+        match &mut self.gaps {
+            Some(gaps) if was_waiting => gaps.on_event(),
+            Some(gaps) => gaps.on_pause(),
+            None => {}
+        }
+    }
+
     /// Returns the length of the rest, if the endpoint stated one.
     fn size_hint(&self) -> SizeHint {
         let rest = self.body.size_hint();
@@ -137,6 +153,7 @@
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.trace.on_data();
+                self.on_data();
                 if let Some(run) = &mut self.run {
                     run.on_output();
                 }
@@ -160,7 +177,13 @@
                 self.finish(PlaceOutcome::Withdrawn, "out of time");
                 Poll::Ready(Some(Err(BodyError::DeadlineExceeded)))
             }
-            Poll::Pending => Poll::Pending,
+            Poll::Pending => {
+                self.is_waiting = true;
+                if let Some(gaps) = &mut self.gaps {
+                    gaps.poll_check(cx);
+                }
+                Poll::Pending
+            }
         }
     }
 }
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -87,6 +87,8 @@
         complete_outcome,
         body: exchange.body,
         deadline: Box::pin(sleep(attempts.remaining())),
+        gaps: attempts.is_stream().then(|| run.gap_monitor()),
+        is_waiting: false,
         run: Some(run),
         trace: attempts.trace,
     };
--- a/dogwoodtray_gateway/src/places/gap_monitor.rs
+++ b/dogwoodtray_gateway/src/places/gap_monitor.rs
@@ -1,12 +1,17 @@
 //! Reports of streams whose events are later than usual.
 
 use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Context;
 use std::time::Duration;
 
 use dogwoodtray_coord::Name;
 use dogwoodtray_policy::EventGaps;
 use tokio::pin;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::node::Node;
@@ -22,12 +27,14 @@
     number: u64,
     service: Name,
     gaps: EventGaps,
+    /// Timer of `poll_check`.
+    check: Option<Pin<Box<Sleep>>>,
 }
 
 impl GapMonitor {
     pub(super) fn new(node: &Rc<Node>, number: u64, service: &Name) -> Self {
         let (node, service) = (Rc::clone(node), Name::clone(service));
-        Self { node, number, service, gaps: EventGaps::default() }
+        Self { node, number, service, gaps: EventGaps::default(), check: None }
     }
 
     /// Records that an event arrived.
@@ -61,6 +68,24 @@
         }
     }
 
+    /// Reports the stream if its next event is overdue, and wakes the task when it will be.
+    pub(crate) fn poll_check(&mut self, cx: &mut Context<'_>) {
+        loop {
+            let usual = self.node.places.usual_gap(&self.service);
+            let Some(at) = self.gaps.next_check(&usual) else { return };
+            if self.node.now() >= at {
+                self.on_timer();
+                continue;
+            }
+            let check_at = Instant::now() + self.time_to_check();
+            let check = self.check.get_or_insert_with(|| Box::pin(sleep_until(check_at)));
+            check.as_mut().reset(check_at);
+            if check.as_mut().poll(cx).is_pending() {
+                return;
+            }
+        }
+    }
+
     fn time_to_check(&self) -> Duration {
         let usual = self.node.places.usual_gap(&self.service);
         let check = self.gaps.next_check(&usual);
--- a/dogwoodtray_gateway/src/places/learned.rs
+++ b/dogwoodtray_gateway/src/places/learned.rs
@@ -20,6 +20,11 @@
         self.peers.ranked(self, DISPATCHER_KEY).into_iter().next() == Some(self.cfg.node.clone())
     }
 
+    /// Returns what the dispatcher of this process knows.
+    pub(crate) fn learned_costs(&self) -> Vec<LearnedService> {
+        self.places.dispatcher.borrow().learned()
+    }
+
     /// Passes on what this process has learned if it assigns places, to each driver that has not
     /// received the same on its link.
     pub(crate) fn share_learned_costs(&self) {
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -8,6 +8,7 @@
 
 use dogwoodtray_platform::ObjectStore;
 use dogwoodtray_policy::BALANCER_REMOVAL_TIME;
+use dogwoodtray_policy::LearnedService;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_runtime::install_metrics;
 use tokio::task::spawn_local;
@@ -130,6 +131,12 @@
         self.driver.drives(job)
     }
 
+    /// Returns what this process knows of the costs of requests and the speeds of endpoints.
+    #[must_use]
+    pub fn learned_costs(&self) -> Vec<LearnedService> {
+        self.node.learned_costs()
+    }
+
     /// Stops gracefully: stores finished results and hands the jobs over to other drivers.
     pub async fn drain(self) {
         let started_at = Instant::now();
