--- a/dogwoodtray_gateway/tests/config_relay.rs
+++ b/dogwoodtray_gateway/tests/config_relay.rs
@@ -53,6 +53,8 @@
         }
         let _gateway = site.start_gateway().await;
         wait_until("the links are up", || sent_bytes() > 0).await;
+        // Drivers that do not know each other yet all relay; they do after two heartbeats.
+        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
         let text = large_config(2);
         let before = sent_bytes();
         site.store.put("config", "main", &text);
