Answer 503 where the limit is unknown, and bound the cost of share changes

A driver that does not know an organization answered 429 although it does not know whether the limit is reached; it now answers 503 like a gateway without a driver. Each gateway that changes its driver updated all buckets; with more than 1,000 of them, the change now waits for the interval of 50 ms.

--- a/dogwoodtray_coord/src/rate_limit/limits.rs
+++ b/dogwoodtray_coord/src/rate_limit/limits.rs
@@ -345,7 +345,7 @@
         if self.tokens.level() >= kept + 1.0 && self.tokens.try_take() {
             return Ok(());
         }
-        let Some(wait) = self.tokens.time_to(kept + 1.0) else { return Err(longest) };
+        let Some(wait) = self.tokens.time_to(kept + 1.0) else { return Err(MAX_SLOT_AHEAD) };
         let slot = now + wait + SLOT_MARGIN;
         if wait <= MAX_SLOT_AHEAD {
             self.slots.push_back(slot);
--- a/dogwoodtray_gateway/src/peers/links.rs
+++ b/dogwoodtray_gateway/src/peers/links.rs
@@ -304,7 +304,7 @@
                     from.dispatcher = name.map(|name| (name, self.now()));
                     drop(accepted);
                     if is_other {
-                        self.update_limit_share();
+                        self.on_gateway_changed();
                     }
                     return;
                 }
--- a/dogwoodtray_gateway/src/places/limits.rs
+++ b/dogwoodtray_gateway/src/places/limits.rs
@@ -34,9 +34,14 @@
 /// may count the same gateways.
 const SHARE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// `Retry-After` of a request that is refused because this gateway reaches no driver. Another
-/// gateway may reach one.
-const NO_DRIVER_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Number of limited organizations up to which a change of the share is applied at once. Each change
+/// updates all buckets, and all gateways change at a takeover. Waiting for the interval refuses 8% of
+/// the requests of a second at 190 requests per second below the limit, instead of 1%.
+const MAX_IMMEDIATE_BUCKETS: usize = 1_000;
+
+/// `Retry-After` of a request that is refused because this process does not know whether the limit
+/// is reached: a gateway that reaches no driver, or a driver that does not know the organization.
+const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Time without a refusal after which an organization is no longer limited.
 const QUIET_TIME: Duration = Duration::from_secs(2);
@@ -162,6 +167,11 @@
     metrics::gauge!("dogwoodtray_limited_organizations").set(count as f64);
 }
 
+fn undecided() -> PlaceEvent {
+    metrics::counter!("dogwoodtray_undecided_limits_total").increment(1);
+    PlaceEvent::Refuse(UNDECIDED_RETRY_AFTER)
+}
+
 fn limit_of(organization: &Organization) -> RateLimit {
     RateLimit { rate_per_s: organization.rate_per_s, burst: organization.burst }
 }
@@ -199,8 +209,20 @@
         });
     }
 
+    /// Computes the share of the limits after a gateway has changed the driver that it asks. With many
+    /// organizations, the next interval does it unless this driver begins to assign places.
+    pub(crate) fn on_gateway_changed(&self) {
+        let is_due = {
+            let limits = self.places.limits.limits.borrow();
+            limits.share() <= 0.0 || limits.bucket_count() <= MAX_IMMEDIATE_BUCKETS
+        };
+        if is_due {
+            self.update_limit_share();
+        }
+    }
+
     /// Computes the share of the limits that this driver may use.
-    pub(crate) fn update_limit_share(&self) {
+    fn update_limit_share(&self) {
         if self.cfg.role == NodeRole::Driver && self.places.limits.is_active.get() {
             let share = self.peers.served_share(self);
             self.places.limits.set_share(self.now(), share);
@@ -240,6 +262,9 @@
         let accepted =
             self.places.limits.limits.borrow_mut().accept(now, spend_id(spending.id), organization);
         accepted.map_err(|retry_after| {
+            if configured.is_none() {
+                return undecided();
+            }
             self.places.limits.on_refused(now, organization, &self.events);
             PlaceEvent::OverLimit(retry_after)
         })
@@ -262,8 +287,7 @@
         if local.try_take(now, organization, limit, &self.cfg.node, &gateways) {
             return Ok(());
         }
-        metrics::counter!("dogwoodtray_limited_without_driver_total").increment(1);
-        Err(PlaceEvent::Refuse(NO_DRIVER_RETRY_AFTER))
+        Err(undecided())
     }
 
     /// Counts the token of a request that is granted a place.
--- a/dogwoodtray_gateway/src/places/links.rs
+++ b/dogwoodtray_gateway/src/places/links.rs
@@ -84,7 +84,7 @@
                 let trial = trial_from_wire(&request);
                 let organization = organization_from_wire(&request);
                 if organization.is_some() && self.peers.on_place_request(self, incarnation) {
-                    self.update_limit_share();
+                    self.on_gateway_changed();
                 }
                 let counted = request.counted;
                 let spending = Spending { id, organization: organization.as_ref(), counted };
