Reset connections whose callers take nothing of an answer for 3 s

Cause: the deadline of a request is checked when the next part of its answer is wanted. A caller that stops reading wants none, so its run held its place at an endpoint without end, with and without organizations.

Change: a write that stays pending for 3 s fails and resets the connection, which ends the run. It is shared by gateways and entries.

--- a/dogwoodtray_http/src/caller_stream.rs
+++ b/dogwoodtray_http/src/caller_stream.rs
@@ -28,11 +28,17 @@
 /// Number of bytes that are discarded at a time.
 const DISCARD_BYTES: usize = 4_096;
 
+/// Time after which a connection is reset if its caller takes nothing of an answer. Until then, the
+/// answer holds its place at an endpoint.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Connection of a caller.
 ///
 /// An answer to a request of HTTP/1.0 may end with the connection. While one is incomplete, closing the
 /// connection resets it, also if the process is killed, so that the caller can tell a break from the
 /// end. The HTTP server shuts a connection down after a complete answer only.
+///
+/// Writing fails, and the connection is reset, once the caller has taken nothing for some seconds.
 #[derive(Debug)]
 pub struct CallerStream {
     stream: TcpStream,
@@ -40,6 +46,8 @@
     is_reset_set: bool,
     /// End of the time for reading after the last answer.
     linger: Option<Pin<Box<Sleep>>>,
+    /// End of the time in which the caller has to take some of its answer, if it takes nothing.
+    unread: Option<Pin<Box<Sleep>>>,
 }
 
 /// Handle by which the requests of a connection are made known to its [`CallerStream`].
@@ -61,7 +69,10 @@
     pub fn new(stream: TcpStream) -> (Self, RequestVersions) {
         let is_reset_wanted = Arc::new(AtomicBool::new(false));
         let versions = RequestVersions { is_reset_wanted: Arc::clone(&is_reset_wanted) };
-        (Self { stream, is_reset_wanted, is_reset_set: false, linger: None }, versions)
+        (
+            Self { stream, is_reset_wanted, is_reset_set: false, linger: None, unread: None },
+            versions,
+        )
     }
 
     /// Sets whether closing the connection resets it.
@@ -77,6 +88,23 @@
         let reset = self.is_reset_wanted.load(Ordering::Relaxed);
         self.set_reset(reset)
     }
+
+    /// Turns a write into an error if the caller has taken nothing for too long.
+    fn after_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.unread = None;
+            return written;
+        }
+        let unread = self.unread.get_or_insert_with(|| Box::pin(sleep(UNREAD_TIMEOUT)));
+        ready!(unread.as_mut().poll(cx));
+        metrics::counter!("dogwoodtray_unread_answers_total").increment(1);
+        self.set_reset(true)?;
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -96,7 +124,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.before_write()?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.after_write(cx, written)
     }
 
     fn poll_write_vectored(
@@ -105,7 +134,8 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.before_write()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.after_write(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
