Give each organization a part of the buffers, and uploads a deadline

Cause: the buffers of all requests share one limit, and a stated body counts from its start. One organization that uploads slowly could use all of it, and an upload that stopped held its part until its caller disconnected.

In all deployments, a body that has not arrived by the deadline of its request is answered 408.

--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -10,6 +10,7 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 use dogwoodtray_coord::TrialSubject;
+use dogwoodtray_http::ByteBudget;
 use dogwoodtray_http::ByteLease;
 use dogwoodtray_policy::Class;
 use dogwoodtray_policy::PlaceOutcome;
@@ -95,6 +96,8 @@
     pub(crate) arrived: Timestamp,
     pub(crate) deadline: Timestamp,
     pub(crate) trace: Trace,
+    /// Buffers of the requests of its organization.
+    pub(crate) buffers: ByteBudget,
     _lease: ByteLease,
     excluded: Vec<Name>,
     /// Trial of blocked contents that the next attempt is.
@@ -106,14 +109,15 @@
 }
 
 impl Attempts {
-    /// Creates the state of a request without attempts. The lease covers its body, and `times` holds its
+    /// Creates the state of a request without attempts. The lease covers its body, the buffers are for
+    /// its answer, and `times` holds its
     /// arrival and its deadline.
     pub(crate) fn new(
         node: Rc<Node>,
         (route, organization): (Route, Option<Arc<Organization>>),
         service: RoutedService,
         id: Name,
-        (endpoint_request, lease): (EndpointRequest, ByteLease),
+        (endpoint_request, buffers, lease): (EndpointRequest, ByteBudget, ByteLease),
         times: (Timestamp, Timestamp),
         trace: Trace,
     ) -> Self {
@@ -130,6 +134,7 @@
             arrived,
             deadline,
             trace,
+            buffers,
             _lease: lease,
             excluded: Vec::new(),
             trial: None,
--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -72,7 +72,7 @@
 
 /// Forwards the response of an endpoint as it arrives.
 pub(crate) fn proxy_response(attempts: Attempts, exchange: Exchange, run: Run) -> GatewayResponse {
-    let buffered = BufferedFrames::new(attempts.node.buffers.lease());
+    let buffered = BufferedFrames::new(attempts.buffers.lease());
     forward_response(attempts, PartlyBuffered { buffered, exchange, run })
 }
 
@@ -158,7 +158,7 @@
     mut exchange: Exchange,
     mut run: Run,
 ) -> Result<Buffered, AttemptError> {
-    let mut buffered = BufferedFrames::new(attempts.node.buffers.lease());
+    let mut buffered = BufferedFrames::new(attempts.buffers.lease());
     loop {
         let frame = timeout(attempts.remaining(), exchange.body.frame());
         let data = match attempts.node.drain.until_end(frame).await {
--- a/dogwoodtray_gateway/src/http/request_body.rs
+++ b/dogwoodtray_gateway/src/http/request_body.rs
@@ -31,6 +31,10 @@
             display("{err}")
             from()
         }
+        /// It had not arrived by the deadline of the request.
+        TooLate {
+            display("the body did not arrive by the deadline")
+        }
         /// The caller did not send all of it.
         Incomplete(err: hyper::Error) {
             display("the body is incomplete: {err}")
@@ -47,6 +51,9 @@
                 response::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
             }
             Self::NoBuffer(_) => response::refused(NO_BUFFER_RETRY_AFTER),
+            Self::TooLate => {
+                response::plain(StatusCode::REQUEST_TIMEOUT, "not run; the body took too long\n")
+            }
             Self::Incomplete(_) => {
                 response::plain(StatusCode::BAD_REQUEST, "the body is incomplete\n")
             }
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -39,6 +39,7 @@
 use super::body::ResponseBody;
 use super::jobs;
 use super::online;
+use super::request_body::RequestBodyError;
 use super::request_body::read_body;
 use super::response;
 use super::response::GatewayResponse;
@@ -269,8 +270,11 @@
         RouteKind::Batch(_) => SUBMISSION_COPIES,
         _ => REQUEST_COPIES,
     };
-    let mut lease = node.buffers.lease();
-    let body = match read_body(body, config.limits.max_body_bytes, copies, &mut lease).await {
+    let buffers = node.buffers_of(&config, organization.as_deref());
+    let mut lease = buffers.lease();
+    let body = read_body(body, config.limits.max_body_bytes, copies, &mut lease);
+    let body = timeout(deadline - node.now(), body).await;
+    let body = match body.unwrap_or(Err(RequestBodyError::TooLate)) {
         Ok(body) => body,
         Err(err) => {
             log::debug!("body of request {id} not read: {err}");
@@ -307,7 +311,7 @@
         (route.clone(), organization),
         service,
         id,
-        (endpoint_request, lease),
+        (endpoint_request, buffers, lease),
         (arrived, deadline),
         trace,
     );
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -68,7 +68,7 @@
 
 /// Starts the task that forwards the events, and returns the response with its channel.
 fn start_stream(mut attempts: Attempts, exchange: Exchange, run: Run) -> GatewayResponse {
-    let (queue, rx) = EventQueue::open(attempts.node.buffers.clone());
+    let (queue, rx) = EventQueue::open(attempts.buffers.clone());
     let parts = response_head(exchange.parts, exchange.body.kind());
     attempts.trace.on_status(parts.status.as_u16());
     let body = exchange.body;
@@ -157,7 +157,7 @@
     queue: &EventQueue,
 ) -> ExchangeOutcome {
     let mut parser = EventParser::default();
-    let mut lease = attempts.node.buffers.lease();
+    let mut lease = attempts.buffers.lease();
     let mut last_event_at = Instant::now();
     loop {
         // Bytes that complete no event are no progress.
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! endpoints to the requests of all processes and runs batch jobs in the remaining places. A
 //! [`Dialect`] hides the names and encodings of the platform.
 
+mod buffer_parts;
 mod caller;
 mod calls;
 mod cancelled_jobs;
--- a/dogwoodtray_gateway/src/model/organization.rs
+++ b/dogwoodtray_gateway/src/model/organization.rs
@@ -58,6 +58,12 @@
         table
     }
 
+    /// Returns the number of organizations.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
     /// Returns `true` if the configuration names no organization, so that requests need no key.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -27,6 +27,7 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
+use crate::buffer_parts::BufferParts;
 use crate::calls::PendingCalls;
 use crate::cancelled_jobs::CancelledJobs;
 use crate::crashes::Crashes;
@@ -95,6 +96,8 @@
     pub(crate) clock: Clock,
     /// Bytes that are buffered for all requests.
     pub(crate) buffers: ByteBudget,
+    /// Parts of `buffers` that the organizations of callers have.
+    pub(crate) buffer_parts: BufferParts,
     pub(crate) incarnation: Incarnation,
     pub(crate) events: EventLog,
     pub(crate) directory: RefCell<Directory>,
@@ -137,6 +140,7 @@
         Rc::new(Self {
             cfg,
             buffers,
+            buffer_parts: BufferParts::default(),
             dialect,
             store,
             clock: Clock::start(),
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -85,7 +85,7 @@
 pub(crate) use self::site::submission;
 
 /// Maximum wait for a condition, long enough for a busy machine.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
 const POLL: Duration = Duration::from_millis(5);
 
--- a/dogwoodtray_gateway/tests/support/scripted.rs
+++ b/dogwoodtray_gateway/tests/support/scripted.rs
@@ -36,7 +36,7 @@
 }
 
 impl Scripted {
-    async fn start(site: &Site, service: &str, texts: &[&str]) -> Self {
+    pub(crate) async fn start(site: &Site, service: &str, texts: &[&str]) -> Self {
         let this = Self::default();
         this.set(texts);
         for number in 0..2 {
--- a/dogwoodtray_http/src/byte_budget.rs
+++ b/dogwoodtray_http/src/byte_budget.rs
@@ -14,6 +14,10 @@
         Exhausted {
             display("the buffers of all requests have reached their limit")
         }
+        /// The buffers of the requests that share a part of the limit have reached that part.
+        PartExhausted {
+            display("the buffers of these requests have reached their part of the limit")
+        }
     }
 }
 
@@ -34,17 +38,73 @@
 /// drop(first);
 /// second.resize(60).unwrap();
 /// ```
+///
+/// Requests that must not use all of it share a part:
+///
+/// ```
+/// use dogwoodtray_http::ByteBudget;
+///
+/// let budget = ByteBudget::new(100);
+/// let part = budget.part(25);
+/// let (mut first, mut second, mut other) = (part.lease(), part.lease(), budget.lease());
+/// first.resize(20).unwrap();
+/// assert!(second.resize(20).is_err());
+/// other.resize(80).unwrap();
+/// ```
 #[derive(Clone, Debug)]
 pub struct ByteBudget {
     limit: usize,
     used: Arc<AtomicUsize>,
+    /// Budget that this is a part of.
+    whole: Option<Arc<Self>>,
 }
 
 impl ByteBudget {
     /// Creates a limit in bytes.
     #[must_use]
     pub fn new(limit: usize) -> Self {
-        Self { limit, used: Arc::default() }
+        Self { limit, used: Arc::default(), whole: None }
+    }
+
+    /// Creates a limit for some of the requests, whose bytes count towards this one as well.
+    #[must_use]
+    pub fn part(&self, limit: usize) -> Self {
+        Self { limit, used: Arc::default(), whole: Some(Arc::new(self.clone())) }
+    }
+
+    /// Returns the limit in bytes.
+    #[must_use]
+    pub const fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Returns an error if a lease of `from` bytes may not grow to `to` bytes.
+    fn check(&self, from: usize, to: usize) -> Result<(), OutOfBytes> {
+        if let Some(whole) = &self.whole {
+            whole.check(from, to)?;
+        }
+        let used_by_others = self.used().saturating_sub(from);
+        if used_by_others == 0 || used_by_others.saturating_add(to) <= self.limit {
+            return Ok(());
+        }
+        if self.whole.is_none() {
+            metrics::counter!("dogwoodtray_exhausted_buffers_total").increment(1);
+            return Err(OutOfBytes::Exhausted);
+        }
+        metrics::counter!("dogwoodtray_exhausted_buffer_parts_total").increment(1);
+        Err(OutOfBytes::PartExhausted)
+    }
+
+    /// Replaces `from` used bytes by `to` bytes.
+    fn replace(&self, from: usize, to: usize) {
+        if to > from {
+            self.used.fetch_add(to - from, Relaxed);
+        } else {
+            self.used.fetch_sub(from - to, Relaxed);
+        }
+        if let Some(whole) = &self.whole {
+            whole.replace(from, to);
+        }
     }
 
     /// Returns the number of bytes that are buffered now.
@@ -78,14 +138,11 @@
     ///
     /// # Errors
     ///
-    /// Returns an error, and leaves the size as it is, if the leases together would exceed the limit. A
-    /// lease that is the only one may exceed it, so that a single large request is not refused for ever.
+    /// Returns an error, and leaves the size as it is, if the leases together would exceed the limit, or
+    /// the part that they share. A lease that is the only one may exceed it, so that a single large request is not refused for ever.
     pub fn resize(&mut self, bytes: usize) -> Result<(), OutOfBytes> {
-        let used_by_others = self.budget.used().saturating_sub(self.bytes);
-        let exceeds = used_by_others.saturating_add(bytes) > self.budget.limit;
-        if bytes > self.bytes && exceeds && used_by_others > 0 {
-            metrics::counter!("dogwoodtray_exhausted_buffers_total").increment(1);
-            return Err(OutOfBytes::Exhausted);
+        if bytes > self.bytes {
+            self.budget.check(self.bytes, bytes)?;
         }
         self.set(bytes);
         Ok(())
@@ -97,11 +154,7 @@
     }
 
     fn set(&mut self, bytes: usize) {
-        if bytes > self.bytes {
-            self.budget.used.fetch_add(bytes - self.bytes, Relaxed);
-        } else {
-            self.budget.used.fetch_sub(self.bytes - bytes, Relaxed);
-        }
+        self.budget.replace(self.bytes, bytes);
         self.bytes = bytes;
     }
 }
