--- a/dogwoodtray_http/tests/connections.rs
+++ b/dogwoodtray_http/tests/connections.rs
@@ -23,8 +23,11 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
-const CONFIG: SendConfig =
-    SendConfig { kind: AnswerKind::Plain, connect_timeout: Duration::from_secs(5) };
+const CONFIG: SendConfig = SendConfig {
+    kind: AnswerKind::Plain,
+    connect_timeout: Duration::from_secs(5),
+    max_head_bytes: 16 * 1024,
+};
 
 /// Size of a request that does not fit into the buffers of the sockets.
 const LONG_REQUEST_BYTES: usize = 64 << 20;
