Refuse uploads at an entry that have not arrived by their deadline

Cause: an entry read the body of a request without a time limit, so an upload that stopped held its permit until its caller disconnected.

Change: the body has to arrive by the deadline of the request, or within the default timeout; otherwise the answer is 408 with `not_run`.

The new test was not run without the change.

--- a/dogwoodtray_cli/tests/broken_answers.rs
+++ b/dogwoodtray_cli/tests/broken_answers.rs
@@ -239,3 +239,17 @@
         endpoint.abort();
     }
 }
+
+/// Guards against a permit that is held without end by an upload that does not go on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upload_that_stops_is_refused_at_its_deadline() {
+    let fleet = start_fleet().await;
+    let mut connection = TcpStream::connect(fleet.caller_addrs()[0]).await.unwrap();
+    let request = "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\nx-deadline-ms: 500\r\n\
+                   connection: close\r\ncontent-length: 1000\r\n\r\n{";
+    connection.write_all(request.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let _ = read_rest(&mut connection, &mut received).await;
+    let answer = String::from_utf8_lossy(&received);
+    assert!(answer.starts_with("HTTP/1.1 408") && answer.contains("not_run"), "{answer}");
+}
--- a/dogwoodtray_entry/src/http/request.rs
+++ b/dogwoodtray_entry/src/http/request.rs
@@ -12,6 +12,7 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use super::error::ApiError;
 use crate::online::RequestNo;
@@ -91,9 +92,20 @@
     RequestNo(shared.next_request_no.fetch_add(1, Ordering::Relaxed) + 1)
 }
 
-/// Reads a body of at most `limit` bytes.
-pub(crate) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ApiError> {
-    match Limited::new(body, limit).collect().await {
+/// Reads a body of at most `limit` bytes, which has to arrive within a time.
+pub(crate) async fn read_body(
+    body: Incoming,
+    limit: usize,
+    time_limit: Duration,
+) -> Result<Bytes, ApiError> {
+    let Ok(body) = timeout(time_limit, Limited::new(body, limit).collect()).await else {
+        return Err(ApiError::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_too_late",
+            "the body did not arrive by the deadline",
+        ));
+    };
+    match body {
         Ok(body) => Ok(body.to_bytes()),
         Err(err) if err.is::<LengthLimitError>() => Err(ApiError::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
--- a/dogwoodtray_entry/src/http/server.rs
+++ b/dogwoodtray_entry/src/http/server.rs
@@ -127,6 +127,7 @@
 ) -> Result<Response<ResponseBody>, ApiError> {
     let path = req.uri().path().to_owned();
     let method = req.method().clone();
+    let time_limit = headers.deadline.unwrap_or(shared.settings.default_timeout);
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (&method, segments.as_slice()) {
         (&Method::GET, ["healthz"]) => Ok(plain_response(StatusCode::OK, "ok\n")),
@@ -140,7 +141,8 @@
         (&Method::POST, ["v1", "chat", "completions"]) => {
             check_accepting(shared)?;
             let permit = acquire_permit(shared, &headers)?;
-            let body = read_body(req.into_body(), shared.settings.max_body_bytes).await?;
+            let body =
+                read_body(req.into_body(), shared.settings.max_body_bytes, time_limit).await?;
             let mut response = chat::chat(Arc::clone(shared), headers, body).await?;
             if let ResponseBody::Tokens(stream) = response.body_mut() {
                 stream.hold_permit(permit);
@@ -150,7 +152,8 @@
         (&Method::POST, ["v1", "batches"]) => {
             check_accepting(shared)?;
             let _permit = acquire_permit(shared, &headers)?;
-            let body = read_body(req.into_body(), shared.settings.max_job_bytes).await?;
+            let body =
+                read_body(req.into_body(), shared.settings.max_job_bytes, time_limit).await?;
             batches::create(Arc::clone(shared), headers, body).await
         }
         (&Method::GET, ["v1", "batches", job]) => {
@@ -167,7 +170,8 @@
             let _permit = acquire_permit(shared, &headers)?;
             let name = (*name).to_owned();
             let endpoint_path = service_path(req.uri(), &name);
-            let body = read_body(req.into_body(), shared.settings.max_body_bytes).await?;
+            let body =
+                read_body(req.into_body(), shared.settings.max_body_bytes, time_limit).await?;
             let shared = Arc::clone(shared);
             chat::service(shared, headers, method.as_str(), &name, &endpoint_path, body).await
         }
