--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -247,9 +247,10 @@
     let Some(route) = config.route(host, &path) else {
         return response::plain(StatusCode::NOT_FOUND, "no such route\n");
     };
-    if let Err(response) = identify_caller(node, &config, Some(route), &parts.headers) {
-        return *response;
-    }
+    let uploader = match identify_caller(node, &config, Some(route), &parts.headers) {
+        Ok(uploader) => uploader,
+        Err(response) => return *response,
+    };
     let Some(id) = header_text(&parts.headers, &names.request_id).map(Name::from) else {
         return response::plain(StatusCode::BAD_REQUEST, "the request has no id\n");
     };
@@ -269,7 +270,7 @@
         RouteKind::Batch(_) => SUBMISSION_COPIES,
         _ => REQUEST_COPIES,
     };
-    let buffers = node.buffers_of(&config, organization.as_deref());
+    let buffers = node.buffers_of(&config, uploader.as_deref());
     let mut lease = buffers.lease();
     let body = read_body(body, config.limits.max_body_bytes, copies, &mut lease);
     let body = timeout(deadline - node.now(), body).await;
