--- a/dogwoodtray_policy/src/placement/service/batch.rs
+++ b/dogwoodtray_policy/src/placement/service/batch.rs
@@ -81,8 +81,8 @@
 
     /// Preempts batch items until `count` preemptions are in progress. Items that are late are
     /// preempted first, then those with the latest due time, which leaves most time to resume them.
-    /// Preempting the one with the most time to spare completes a fifth less in time in a burst: it
-    /// stops the items that are about to end.
+    /// Preempting the one with the most time to spare completes fewer in time in a burst, as it stops
+    /// items that are about to end.
     fn preempt_items(
         &mut self,
         now: Timestamp,
