--- a/dogwoodtray_gateway/benches/path.rs
+++ b/dogwoodtray_gateway/benches/path.rs
@@ -14,6 +14,8 @@
 use dogwoodtray_gateway::EndpointState;
 use dogwoodtray_gateway::EventParser;
 use dogwoodtray_gateway::Limits;
+use dogwoodtray_gateway::Organization;
+use dogwoodtray_gateway::Organizations;
 use dogwoodtray_gateway::Route;
 use dogwoodtray_gateway::RouteKind;
 use dogwoodtray_gateway::SiteConfig;
@@ -156,3 +158,20 @@
     let (host, path) = (format!("h{}.example", last % HOSTS), format!("/p{last}/x/y"));
     bencher.bench_local(|| black_box(config.route(black_box(&host), black_box(&path))));
 }
+
+/// Finds the organization of a key among those of today and of the target size.
+#[divan::bench(args = [81, 5_700])]
+fn key(bencher: Bencher<'_, '_>, count: usize) {
+    let organization = |index: usize| {
+        let name = Name::from(format!("organization-{index}"));
+        let keys = (0..2).map(|key| Name::from(format!("key-{index}-{key}-of-32-bytes"))).collect();
+        (Organization { name, priority: None, rate_per_s: 10.0, burst: 10.0 }, keys)
+    };
+    let organizations = Organizations::new((0..count).map(organization).collect());
+    let mut index = 0;
+    let keys: Vec<String> = (0..count).map(|index| format!("key-{index}-1-of-32-bytes")).collect();
+    bencher.bench_local(|| {
+        index = (index + 7) % count;
+        organizations.by_key(black_box(&keys[index])).is_some()
+    });
+}
--- a/dogwoodtray_gateway/src/model/organization.rs
+++ b/dogwoodtray_gateway/src/model/organization.rs
@@ -96,3 +96,40 @@
             .finish()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use dogwoodtray_coord::Name;
+
+    use super::Organization;
+    use super::Organizations;
+
+    fn table(list: &[(&str, &[&str])]) -> Organizations {
+        let organization = |name: &str| Organization {
+            name: Name::from(name),
+            priority: None,
+            rate_per_s: 0.0,
+            burst: 0.0,
+        };
+        let list = list.iter().map(|(name, keys)| {
+            (organization(name), keys.iter().map(|key| Name::from(*key)).collect())
+        });
+        Organizations::new(list.collect())
+    }
+
+    /// Guards against a key that gives its holder the rights of another organization.
+    #[test]
+    fn a_key_of_two_organizations_belongs_to_none() {
+        let table = table(&[("clinic", &["k1", "shared"]), ("ward", &["shared", "k2"])]);
+        assert!(table.by_key("shared").is_none());
+        assert_eq!(table.by_key("k1").map(|found| &*found.name), Some("clinic"));
+        assert_eq!(table.by_key("k2").map(|found| &*found.name), Some("ward"));
+    }
+
+    /// Guards against keys in logs of a configuration.
+    #[test]
+    fn debug_output_names_no_key() {
+        let text = format!("{:?}", table(&[("clinic", &["secret"])]));
+        assert!(!text.contains("secret"), "{text}");
+    }
+}
