--- a/dogwoodtray_gateway/src/http/online.rs
+++ b/dogwoodtray_gateway/src/http/online.rs
@@ -96,9 +96,9 @@
 }
 
 /// Prepares the head of an endpoint's response for the caller. Replaces the statuses by which
-/// callers conclude that a request did not run, as this endpoint may have run it. The length of a stream is left out, as one that
-/// breaks off may have it. The version of HTTP is that of the caller's connection: in an older one of
-/// the endpoint, the answer would end with the connection.
+/// callers conclude that a request did not run, as this endpoint may have run it. The length of a
+/// stream is left out, as one that breaks off may have it. The version of HTTP is that of the caller's
+/// connection: in an older one of the endpoint, the answer would end with the connection.
 pub(crate) fn response_head(mut parts: Parts, body: BodyKind) -> Parts {
     parts.version = Version::default();
     strip_hop_by_hop_headers(&mut parts.headers);
