Do not widen the burst of organizations

Cause: the wider burst uses half of the overrun that the proof of the bound needs for partitions: it covered two drivers that count the same gateways for 0.54 s, and only 0.26 s with the wider burst, while a partition is noticed after 0.55 s.

--- a/dogwoodtray_coord/src/rate_limit/tolerance.rs
+++ b/dogwoodtray_coord/src/rate_limit/tolerance.rs
@@ -13,16 +13,6 @@
 /// drivers count the same gateways.
 const LOCAL_OVERRUN_PART: f64 = 0.1;
 
-/// Parts of the tolerance that widen the burst of every organization.
-const BURST_OVERRUN_PART: f64 = 0.5;
-const BURST_SLACK_PART: f64 = 0.25;
-
-/// Parts of the tolerance that remain for takeovers, disagreement and gateways without a driver. They
-/// are less than the rest, because they also apply to what the burst was widened by.
-const REMAINING_OVERRUN_PART: f64 = 0.4;
-const REMAINING_SLACK_PART: f64 = 0.73;
-const MAX_REMAINING_OVERRUN: f64 = 0.2;
-
 /// By how much the requests that run may exceed the limit of their organization.
 ///
 /// In any window, at most (rate x window + burst) x (1 + overrun) + slack requests run.
@@ -43,41 +33,6 @@
         self.regular(limit) * (1.0 + self.overrun) + self.slack
     }
 
-    /// Returns a limit with a wider burst, which uses a part of the tolerance. The arrivals of an
-    /// organization are uneven: without it, many that fit into the window would be refused because
-    /// they come at the same time.
-    #[must_use]
-    pub fn widened(&self, limit: RateLimit) -> RateLimit {
-        let overrun = self.regular(limit) * self.overrun * BURST_OVERRUN_PART;
-        RateLimit { burst: limit.burst + overrun + self.slack * BURST_SLACK_PART, ..limit }
-    }
-
-    /// Returns what remains of the tolerance for limits that are widened.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::Duration;
-    ///
-    /// use dogwoodtray_coord::LimitTolerance;
-    /// use dogwoodtray_coord::RateLimit;
-    ///
-    /// let tolerance = LimitTolerance { window: Duration::from_secs(5), overrun: 0.1, slack: 20.0 };
-    /// let limit = RateLimit { rate_per_s: 190.0, burst: 190.0 };
-    /// let widened = tolerance.widened(limit);
-    /// assert!(widened.burst > limit.burst);
-    /// assert!(tolerance.remaining().bound(widened) <= tolerance.bound(limit));
-    /// ```
-    #[must_use]
-    pub fn remaining(&self) -> Self {
-        Self {
-            window: self.window,
-            // With a larger overrun, the product of both parts would exceed the whole.
-            overrun: self.overrun.min(MAX_REMAINING_OVERRUN) * REMAINING_OVERRUN_PART,
-            slack: self.slack * REMAINING_SLACK_PART,
-        }
-    }
-
     /// Returns the number of tokens with which a process that begins to assign places starts a
     /// bucket.
     #[must_use]
--- a/dogwoodtray_coord/tests/rate_limit.rs
+++ b/dogwoodtray_coord/tests/rate_limit.rs
@@ -482,16 +482,3 @@
         .count();
     assert!((accepted as f64) < TOLERANCE.slack / 2.0);
 }
-
-quickcheck::quickcheck! {
-    /// Guards against a wider burst that, with what remains of the tolerance, exceeds the bound.
-    fn a_widened_limit_keeps_the_bound(rate: u16, burst: u16, overrun: u8, slack: u8) -> bool {
-        let tolerance = LimitTolerance {
-            window: Duration::from_secs(5),
-            overrun: f64::from(overrun) / 100.0,
-            slack: f64::from(slack),
-        };
-        let limit = RateLimit { rate_per_s: f64::from(rate), burst: f64::from(burst) };
-        tolerance.remaining().bound(tolerance.widened(limit)) <= tolerance.bound(limit) + 1e-9
-    }
-}
--- a/dogwoodtray_gateway/src/places/limits.rs
+++ b/dogwoodtray_gateway/src/places/limits.rs
@@ -73,7 +73,6 @@
 /// Limits of all organizations, as known to this process.
 #[derive(Debug)]
 pub(crate) struct OrganizationLimits {
-    tolerance: LimitTolerance,
     limits: RefCell<RateLimits>,
     local: RefCell<LocalLimits>,
     /// Whether the configuration limits an organization.
@@ -88,9 +87,8 @@
 impl OrganizationLimits {
     pub(crate) fn new(tolerance: LimitTolerance, now: Timestamp) -> Self {
         Self {
-            tolerance,
-            limits: RefCell::new(RateLimits::new(tolerance.remaining())),
-            local: RefCell::new(LocalLimits::new(tolerance.remaining(), now)),
+            limits: RefCell::new(RateLimits::new(tolerance)),
+            local: RefCell::new(LocalLimits::new(tolerance, now)),
             is_active: Cell::new(false),
             activated: Notify::new(),
             limited: RefCell::default(),
@@ -102,7 +100,7 @@
     fn set_organizations(&self, now: Timestamp, organizations: &Organizations) {
         let limited = organizations.iter().filter(|organization| organization.is_limited());
         let list: Vec<(Name, RateLimit)> = limited
-            .map(|organization| (Name::clone(&organization.name), self.limit_of(organization)))
+            .map(|organization| (Name::clone(&organization.name), limit_of(organization)))
             .collect();
         let was_active = self.is_active.replace(!list.is_empty());
         if was_active || !list.is_empty() {
@@ -113,12 +111,6 @@
         }
     }
 
-    /// Returns the limit that this process enforces for an organization.
-    fn limit_of(&self, organization: &Organization) -> RateLimit {
-        let (rate_per_s, burst) = (organization.rate_per_s, organization.burst);
-        self.tolerance.widened(RateLimit { rate_per_s, burst })
-    }
-
     fn set_share(&self, now: Timestamp, share: f64) {
         self.limits.borrow_mut().set_share(now, share);
         metrics::gauge!("dogwoodtray_limit_share").set(share);
@@ -180,6 +172,10 @@
     PlaceEvent::Refuse(UNDECIDED_RETRY_AFTER)
 }
 
+fn limit_of(organization: &Organization) -> RateLimit {
+    RateLimit { rate_per_s: organization.rate_per_s, burst: organization.burst }
+}
+
 const fn spend_id(id: PlaceId) -> SpendId {
     SpendId { holder: id.holder, number: id.number }
 }
@@ -260,8 +256,7 @@
         }
         let now = self.now();
         if self.cfg.role == NodeRole::Gateway {
-            let limits = &self.places.limits;
-            let limit = configured.as_deref().map(|organization| limits.limit_of(organization));
+            let limit = configured.as_deref().map(limit_of);
             return self.spend_local_token(now, organization, limit.unwrap_or_default());
         }
         let accepted =
