Ask in one place whether a driver assigns places, and size a request once

Cause: the exchange of learned costs had its own copy of the question that is_listing_driver answers, and the stated size of a request was read from its headers again for each of its attempts.

Change: the copy is gone, and the size is read when the request arrives. Behaviour is the same: a process that ranks first is never a relay, and the headers of a request do not change.

--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -13,6 +13,7 @@
 use dogwoodtray_http::ByteBudget;
 use dogwoodtray_http::ByteLease;
 use dogwoodtray_policy::Class;
+use dogwoodtray_policy::PlaceCost;
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_runtime::catalogue;
 use hyper::StatusCode;
@@ -93,6 +94,7 @@
     pub(crate) id: Name,
     pub(crate) endpoint_request: EndpointRequest,
     contents: Rc<Contents>,
+    cost: PlaceCost,
     pub(crate) arrived: Timestamp,
     pub(crate) deadline: Timestamp,
     pub(crate) trace: Trace,
@@ -110,8 +112,7 @@
 
 impl Attempts {
     /// Creates the state of a request without attempts. The lease covers its body, the buffers are for
-    /// its answer, and `times` holds its
-    /// arrival and its deadline.
+    /// its answer, and `times` holds its arrival and its deadline.
     pub(crate) fn new(
         node: Rc<Node>,
         (route, organization): (Route, Option<Arc<Organization>>),
@@ -123,6 +124,7 @@
     ) -> Self {
         let (arrived, deadline) = times;
         let contents = Rc::new(request_contents(&*node.dialect, &endpoint_request));
+        let cost = place_cost(&*node.dialect, &route.name, &endpoint_request.headers);
         Self {
             node,
             route,
@@ -131,6 +133,7 @@
             id,
             endpoint_request,
             contents,
+            cost,
             arrived,
             deadline,
             trace,
@@ -360,7 +363,7 @@
             priority: priority_of(&self.route, self.organization.as_deref()),
             // A place at which the request did not run gave its token back.
             counted: self.possible_runs > 0,
-            cost: place_cost(&*self.node.dialect, &self.route.name, &self.endpoint_request.headers),
+            cost: self.cost,
         }
     }
 
--- a/dogwoodtray_gateway/src/places/learned.rs
+++ b/dogwoodtray_gateway/src/places/learned.rs
@@ -9,17 +9,12 @@
 use dogwoodtray_wire::messages;
 
 use crate::node::Node;
-use crate::peers::DISPATCHER_KEY;
 
 /// Interval at which the driver that assigns places passes on what it has learned.
 pub(crate) const LEARNED_INTERVAL: Duration = Duration::from_secs(1);
 
 /// # Learned costs
 impl Node {
-    fn assigns_places(&self) -> bool {
-        self.peers.ranked(self, DISPATCHER_KEY).into_iter().next() == Some(self.cfg.node.clone())
-    }
-
     /// Returns what the dispatcher of this process knows.
     pub(crate) fn learned_costs(&self) -> Vec<LearnedService> {
         self.places.dispatcher.borrow().learned()
@@ -35,7 +30,7 @@
         metrics::gauge!("dogwoodtray_prediction_error").set(placement.prediction_error);
         metrics::gauge!("dogwoodtray_slow_endpoints").set(placement.slow_endpoints as f64);
         let mut sent = self.places.learned_sent.borrow_mut();
-        if !self.assigns_places() {
+        if !self.is_listing_driver() {
             sent.clear();
             return;
         }
@@ -54,7 +49,7 @@
     /// Takes over what the driver that assigns places has learned.
     pub(crate) fn on_learned_costs(&self, message: &messages::LearnedCosts) {
         // Two drivers that both assign places keep what each has learned itself.
-        if !self.assigns_places() {
+        if !self.is_listing_driver() {
             let learned = learned_from_wire(message);
             self.places.dispatcher.borrow_mut().apply_learned(self.now(), &learned);
         }
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -166,7 +166,8 @@
         if is_relayed { LONG_WATCH_WAIT } else { CONFIG_WATCH_WAIT }
     }
 
-    /// Returns `true` if this is the driver that lists the endpoints for all processes.
+    /// Returns `true` if this is the driver that assigns places, and lists the endpoints, for all
+    /// processes.
     pub(crate) fn is_listing_driver(&self) -> bool {
         self.dispatcher().as_ref() == Some(&self.cfg.node)
     }
