Do not blame a request for an endpoint that cannot be addressed

Cause: `request_for` returned one `None` for "this endpoint has an id that cannot stand in a header" and "this request has a path that cannot be sent", and all callers took it for the second. The place ended as withdrawn, which is no failure of the endpoint, so it was free again at once and drew the next request. The decoder of entries checked the fields and not the name.

Evidence: DT3008 "impossible" for items that no endpoint received, and the place of the odd entry granted again within the same millisecond.

The path of a request is parsed when it is prepared, so building a request can fail only because of the endpoint; the request then goes elsewhere and the place ends as failed, by which the driver that granted it avoids the endpoint. This holds also if an older driver still grants such places.

--- a/dogwoodtray_gateway/src/contents.rs
+++ b/dogwoodtray_gateway/src/contents.rs
@@ -20,7 +20,7 @@
     let whole = [
         ContentHash::of(host),
         ContentHash::of(req.method.as_str().as_bytes()),
-        ContentHash::of(req.path_and_query.as_bytes()),
+        ContentHash::of(req.path_and_query.as_str().as_bytes()),
         ContentHash::of(&req.body),
     ];
     Contents {
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -113,7 +113,7 @@
     headers.insert(names.request_id.clone(), id);
     Some(EndpointRequest {
         method: Method::POST,
-        path_and_query: item.path.clone(),
+        path_and_query: item.path.parse().ok()?,
         headers,
         body: item.body.clone(),
     })
@@ -184,8 +184,9 @@
     let names = node.dialect.names();
     let remaining = Duration::from_millis(job.spec.retention_ms);
     let last_event = progress.borrow().last_event_id();
-    let Some(req) = prepared.request.request_for(names, &target.id, remaining, last_event) else {
-        return (RunOutcome::Unprocessable, PlaceOutcome::Withdrawn, "not a request".to_owned());
+    let req = match prepared.request.request_for(names, &target.id, remaining, last_event) {
+        Ok(req) => req,
+        Err(err) => return interrupted(PlaceOutcome::Failed, &err),
     };
     let contents = &prepared.contents;
     let mut observed =
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -188,10 +188,15 @@
                 self.on_rejected(&mut run, PlaceOutcome::Withdrawn, &"endpoint left")?;
                 continue;
             };
-            let Some(req) =
-                self.endpoint_request.request_for(names, &endpoint.id, remaining, resume_after)
-            else {
-                return Err(AttemptError::OutcomeUnknown);
+            let req =
+                self.endpoint_request.request_for(names, &endpoint.id, remaining, resume_after);
+            let req = match req {
+                Ok(req) => req,
+                Err(err) => {
+                    self.trial = run.on_not_run(TrialProgress::Unreachable);
+                    self.on_rejected(&mut run, PlaceOutcome::Failed, &err)?;
+                    continue;
+                }
             };
             self.trace.on_sent(&endpoint.id);
             let limit = head_timeout.map_or(remaining, |head_timeout| head_timeout.min(remaining));
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -311,7 +311,9 @@
         let name = organization.as_ref().map(|org| &org.name);
         set_organization(&mut headers, &names.organization, name);
     }
-    let path_and_query = parts.uri.path_and_query().map_or(path, ToString::to_string);
+    let Some(path_and_query) = parts.uri.path_and_query().cloned() else {
+        return response::plain(StatusCode::BAD_REQUEST, "the request has no path\n");
+    };
     let endpoint_request = EndpointRequest { method: parts.method, path_and_query, headers, body };
     let attempts = Attempts::new(
         Rc::clone(node),
--- a/dogwoodtray_gateway/src/model/endpoint.rs
+++ b/dogwoodtray_gateway/src/model/endpoint.rs
@@ -1,6 +1,10 @@
 //! Endpoints and their states.
 
 use dogwoodtray_coord::Name;
+use hyper::header::HeaderValue;
+
+/// Maximum length of the id of an endpoint. Servers limit the size of a request head.
+const MAX_ID_BYTES: usize = 1_024;
 
 /// State of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,3 +34,23 @@
     /// again under the same id and address.
     pub started_unix_ms: u64,
 }
+
+impl Endpoint {
+    /// Returns the header value that names the endpoint with this id to the receiver of a request.
+    /// Returns `None` if the id cannot be sent, or would arrive changed.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dogwoodtray_gateway::Endpoint;
+    ///
+    /// assert!(Endpoint::id_header("i-7f3a91c2").is_some());
+    /// assert!(Endpoint::id_header("i-7f3a91c2\n").is_none());
+    /// ```
+    #[must_use]
+    pub fn id_header(id: &str) -> Option<HeaderValue> {
+        // A receiver strips white space around a value.
+        let is_kept = !id.is_empty() && id.trim() == id && id.len() <= MAX_ID_BYTES;
+        is_kept.then(|| HeaderValue::from_str(id).ok()).flatten()
+    }
+}
--- a/dogwoodtray_gateway/src/request.rs
+++ b/dogwoodtray_gateway/src/request.rs
@@ -15,7 +15,10 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
+use hyper::http::uri::PathAndQuery;
+use quick_error::quick_error;
 
+use crate::model::Endpoint;
 use crate::model::ProtocolNames;
 
 /// Hop-by-hop headers, which apply to a single connection.
@@ -31,39 +34,52 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+quick_error! {
+    /// Reason why no request can be addressed to an endpoint.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    #[allow(unreachable_pub, reason = "quick_error! accepts `pub` only")]
+    pub enum AddressError {
+        UnsendableId {
+            display("the id of the endpoint cannot be sent")
+        }
+    }
+}
+
 /// Request to an endpoint that is not yet selected.
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointRequest {
     pub(crate) method: Method,
-    pub(crate) path_and_query: String,
+    pub(crate) path_and_query: PathAndQuery,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
 impl EndpointRequest {
-    /// Builds the HTTP request for one endpoint. Returns `None` if its id is not a valid header
-    /// value or the path is not a valid URI.
+    /// Builds the HTTP request for one endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no request can be addressed to the endpoint. Others may run this one.
     pub(crate) fn request_for(
         &self,
         names: &ProtocolNames,
         endpoint: &Name,
         remaining: Duration,
         resume_after: Option<u64>,
-    ) -> Option<Request<Full<Bytes>>> {
+    ) -> Result<Request<Full<Bytes>>, AddressError> {
         let mut headers = self.headers.clone();
         let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
         headers.insert(names.deadline_ms.clone(), HeaderValue::from(remaining_ms));
-        let id = HeaderValue::from_str(endpoint).ok()?;
+        let id = Endpoint::id_header(endpoint).ok_or(AddressError::UnsendableId)?;
         headers.insert(names.expected_endpoint.clone(), id);
         if let Some(last) = resume_after {
             headers.insert(names.last_event_id.clone(), HeaderValue::from(last));
         }
-        let uri: Uri = self.path_and_query.parse().ok()?;
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
-        *req.uri_mut() = uri;
+        *req.uri_mut() = Uri::from(self.path_and_query.clone());
         *req.headers_mut() = headers;
-        Some(req)
+        Ok(req)
     }
 }
 
--- a/dogwoodtray_gateway/tests/odd_entries.rs
+++ b/dogwoodtray_gateway/tests/odd_entries.rs
@@ -4,15 +4,32 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use dogwoodtray_adapter::SiteDialect;
+use dogwoodtray_coord::Name;
+use dogwoodtray_gateway::DecodeError;
+use dogwoodtray_gateway::Dialect;
+use dogwoodtray_gateway::Endpoint;
+use dogwoodtray_gateway::JobDriver;
+use dogwoodtray_gateway::JobItem;
+use dogwoodtray_gateway::NodeRole;
+use dogwoodtray_gateway::ProtocolNames;
+use dogwoodtray_gateway::ResultPage;
+use dogwoodtray_gateway::SiteConfig;
+use dogwoodtray_gateway::StatedSize;
+use hyper::HeaderMap;
 use hyper::StatusCode;
 use support::Site;
+use support::WAIT_TIMEOUT;
 use support::free_addr;
+use support::node_config;
 use support::run_local;
 use support::submission;
 use support::wait_until;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Number of requests that have to be served after each entry.
 const REQUESTS: usize = 12;
@@ -117,3 +134,119 @@
         }
     });
 }
+
+/// Names that cannot be sent, or not unchanged, in a header.
+const UNSENDABLE_NAMES: [&str; 5] = ["e\u{7f}", "e\n2", "e\u{0}", " e2", "e2\t"];
+
+/// Guards against items that are given up, and requests that are answered 502, because the name of an
+/// entry cannot stand in a header: the requests were sent nowhere.
+#[test]
+fn an_entry_whose_name_cannot_be_sent_harms_no_request() {
+    run_local(async {
+        let (site, endpoint, _processes) = Site::with_processes("engine", 8).await;
+        let ledger = site.add_endpoint("p1", "ledger", 8).await;
+        for name in UNSENDABLE_NAMES {
+            site.store.put("servers", name, &entry(&[]));
+            // Sound but for its name, as if an endpoint had two entries.
+            site.store.put("servers", &format!("{name}3{name}"), &endpoint.entry("ready"));
+            site.store.put("servers", &format!("{name}4{name}"), &ledger.entry("ready"));
+        }
+        sleep(LIST_TIME).await;
+        assert_all_served(&site).await;
+        for endpoint in [&endpoint, &ledger] {
+            let requests = endpoint.requests.borrow();
+            assert!(requests.iter().all(|req| req.expected == endpoint.id), "{requests:?}");
+        }
+    });
+}
+
+/// Sends requests to all kinds of routes and items, and checks that all are served.
+async fn assert_all_served(site: &Site) {
+    for path in ["/stream/x", "/resume/x", "/plain/x", "/once/x"] {
+        for request in 0..REQUESTS {
+            let response = site.post(path, &format!("r{request}"), "slip").await;
+            assert_eq!(response.status, StatusCode::OK, "{path}: request {request}");
+        }
+    }
+    let items: Vec<String> = (0..REQUESTS).map(|number| format!("i{number}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(site.post("/job/x", "j", &submission(&items)).await.status, StatusCode::ACCEPTED);
+    let listed = async {
+        loop {
+            let page = site.get("/api/lots/j?after=0").await.body;
+            if page.matches("\"state\"").count() == REQUESTS {
+                break page;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let page = timeout(WAIT_TIMEOUT, listed).await.unwrap();
+    assert_eq!(page.matches("completed").count(), REQUESTS, "{page}");
+}
+
+/// Dialect of an older process, which takes an entry with any name for an endpoint.
+#[derive(Debug)]
+struct LenientDialect(SiteDialect);
+
+impl Dialect for LenientDialect {
+    fn endpoint(&self, id: &Name, spec: &str) -> Result<Endpoint, DecodeError> {
+        let endpoint = self.0.endpoint(&Name::from("sound"), spec)?;
+        Ok(Endpoint { id: Name::clone(id), ..endpoint })
+    }
+
+    fn names(&self) -> &ProtocolNames {
+        self.0.names()
+    }
+
+    fn config(&self, spec: &str) -> Result<SiteConfig, DecodeError> {
+        self.0.config(spec)
+    }
+
+    fn shared_parts<'a>(&self, prompt: &'a str) -> Vec<&'a str> {
+        self.0.shared_parts(prompt)
+    }
+
+    fn stated_size(&self, headers: &HeaderMap) -> StatedSize {
+        self.0.stated_size(headers)
+    }
+
+    fn submission(&self, body: &[u8]) -> Result<Vec<JobItem>, DecodeError> {
+        self.0.submission(body)
+    }
+
+    fn page(&self, page: &ResultPage) -> String {
+        self.0.page(page)
+    }
+
+    fn is_retired(&self, status: &str) -> bool {
+        self.0.is_retired(status)
+    }
+
+    fn retirement_status(&self, done: bool) -> String {
+        self.0.retirement_status(done)
+    }
+}
+
+/// Guards against a place that is offered again and again though no request can be addressed to its
+/// endpoint, and against requests and items that are blamed for it: an older process still grants it.
+#[test]
+fn a_place_at_an_endpoint_that_cannot_be_addressed_is_left_for_another() {
+    run_local(async {
+        let site = Site::new();
+        let dialect = Arc::new(LenientDialect(SiteDialect::new()));
+        let cfg = node_config("d1", NodeRole::Driver);
+        let store = Arc::new(site.store.clone());
+        let _driver = JobDriver::bind(cfg, dialect, store).await.unwrap();
+        let _gateway = site.start_gateway().await;
+        let _engine = site.add_endpoint("e1", "engine", 8).await;
+        let _ledger = site.add_endpoint("p1", "ledger", 8).await;
+        for service in ["engine", "ledger"] {
+            for name in ["e\u{7f}", "e\n2", "e\u{0}"] {
+                let spec = entry(&[("service", &format!("{service:?}")), ("slots", "64")]);
+                site.store.put("servers", &format!("{name}-{service}"), &spec);
+            }
+        }
+        sleep(LIST_TIME).await;
+        assert_all_served(&site).await;
+    });
+}
