Run nothing of an organization whose name cannot be sent

What callers saw: none reported. With an organization whose name holds the byte 7F, its requests and items ran at endpoints without any organization, so the endpoint took them for requests of nobody (UNASKED).

Change: the header of an organization is made before its request is taken. If there is none, the request or submission is refused with 503, since it has not run and a new configuration may mend it; DT5007 names the organization once for a configuration, `dogwoodtray_unsendable_organizations_total` counts.

The test `an_organization_whose_name_cannot_be_sent_runs_nothing` failed before: 200, and the endpoint received the request without a name.

--- a/dogwoodtray_gateway/src/caller.rs
+++ b/dogwoodtray_gateway/src/caller.rs
@@ -62,14 +62,13 @@
 /// endpoint receives. Without an organization, the endpoint receives neither.
 pub(crate) fn set_organization(
     headers: &mut HeaderMap,
-    name_header: &HeaderName,
-    organization: Option<&Name>,
+    header_name: &HeaderName,
+    organization: Option<HeaderValue>,
 ) {
     headers.remove(header::AUTHORIZATION);
-    headers.remove(name_header);
-    let value = organization.map(|name| HeaderValue::from_str(name));
-    if let Some(Ok(value)) = value {
-        headers.insert(name_header.clone(), value);
+    headers.remove(header_name);
+    if let Some(organization) = organization {
+        headers.insert(header_name.clone(), organization);
     }
 }
 
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -31,6 +31,7 @@
 use crate::contents::place_cost;
 use crate::contents::request_contents;
 use crate::model::JobItem;
+use crate::model::Organization;
 use crate::net::AnswerError;
 use crate::net::AnswerKind;
 use crate::net::EndpointBody;
@@ -107,7 +108,8 @@
     }
     let names = node.dialect.names();
     if let Some(organization) = &job.spec.organization {
-        set_organization(&mut headers, &names.organization, Some(organization));
+        let value = Organization::name_header(organization)?;
+        set_organization(&mut headers, &names.organization, Some(value));
     }
     let id = HeaderValue::from_str(&item.id).ok()?;
     headers.insert(names.request_id.clone(), id);
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -92,6 +92,9 @@
 /// `Retry-After` while the process has no usable configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` of an organization whose name cannot be sent. A new configuration may mend it.
+const UNSENDABLE_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// HTTP server for callers.
 #[derive(Debug)]
 pub(crate) struct CallerServer {
@@ -251,6 +254,9 @@
         Ok(uploader) => uploader,
         Err(response) => return *response,
     };
+    if let Err(response) = organization_header(uploader.as_deref()) {
+        return *response;
+    }
     let Some(id) = header_text(&parts.headers, &names.request_id).map(Name::from) else {
         return response::plain(StatusCode::BAD_REQUEST, "the request has no id\n");
     };
@@ -292,6 +298,10 @@
         Ok(organization) => organization,
         Err(response) => return *response,
     };
+    let organization_header = match organization_header(organization.as_deref()) {
+        Ok(header) => header,
+        Err(response) => return *response,
+    };
     if let RouteKind::Batch(terms) = route.kind {
         let job = scoped_name(organization.as_ref().map(|org| &org.name), &id);
         let target = (route, organization.as_deref());
@@ -308,8 +318,7 @@
     strip_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     if !config.organizations().is_empty() || !current.organizations().is_empty() {
-        let name = organization.as_ref().map(|org| &org.name);
-        set_organization(&mut headers, &names.organization, name);
+        set_organization(&mut headers, &names.organization, organization_header);
     }
     let Some(path_and_query) = parts.uri.path_and_query().cloned() else {
         return response::plain(StatusCode::BAD_REQUEST, "the request has no path\n");
@@ -356,6 +365,19 @@
     }
 }
 
+/// Returns the header that tells an endpoint the organization of a caller. Returns the response if its
+/// name cannot be sent, as the request must not run without it.
+fn organization_header(
+    organization: Option<&Organization>,
+) -> Result<Option<HeaderValue>, Box<GatewayResponse>> {
+    let Some(organization) = organization else { return Ok(None) };
+    if let Some(header) = Organization::name_header(&organization.name) {
+        return Ok(Some(header));
+    }
+    metrics::counter!("dogwoodtray_unsendable_organizations_total").increment(1);
+    Err(Box::new(response::refused(UNSENDABLE_RETRY_AFTER)))
+}
+
 /// Returns the name under which a job of a caller is kept. Returns the response if the request is not
 /// accepted.
 fn identify_job(node: &Node, headers: &HeaderMap, job: &str) -> Result<Name, Box<GatewayResponse>> {
--- a/dogwoodtray_gateway/src/model/endpoint.rs
+++ b/dogwoodtray_gateway/src/model/endpoint.rs
@@ -3,8 +3,7 @@
 use dogwoodtray_coord::Name;
 use hyper::header::HeaderValue;
 
-/// Maximum length of the id of an endpoint. Servers limit the size of a request head.
-const MAX_ID_BYTES: usize = 1_024;
+use super::header_text::name_header;
 
 /// State of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,8 +48,6 @@
     /// ```
     #[must_use]
     pub fn id_header(id: &str) -> Option<HeaderValue> {
-        // A receiver strips white space around a value.
-        let is_kept = !id.is_empty() && id.trim() == id && id.len() <= MAX_ID_BYTES;
-        is_kept.then(|| HeaderValue::from_str(id).ok()).flatten()
+        name_header(id)
     }
 }
--- a/dogwoodtray_gateway/src/model/mod.rs
+++ b/dogwoodtray_gateway/src/model/mod.rs
@@ -3,6 +3,7 @@
 mod dialect;
 mod endpoint;
 mod endpoint_changes;
+mod header_text;
 mod job;
 mod organization;
 mod route;
--- a/dogwoodtray_gateway/src/model/organization.rs
+++ b/dogwoodtray_gateway/src/model/organization.rs
@@ -5,6 +5,9 @@
 use std::sync::Arc;
 
 use dogwoodtray_coord::Name;
+use hyper::header::HeaderValue;
+
+use super::header_text::name_header;
 
 /// Organization whose callers may use the service.
 #[derive(Clone, Debug, PartialEq)]
@@ -20,6 +23,13 @@
 }
 
 impl Organization {
+    /// Returns the header value that tells an endpoint the organization with this name. Returns
+    /// `None` if the name cannot be sent, or would arrive changed. No request of it may run then.
+    #[must_use]
+    pub fn name_header(name: &str) -> Option<HeaderValue> {
+        name_header(name)
+    }
+
     /// Returns `true` if its requests are limited.
     #[must_use]
     pub fn is_limited(&self) -> bool {
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -28,6 +28,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::model::Organization;
 use crate::node::Node;
 use crate::node::NodeRole;
 use crate::node::RegisteredNode;
@@ -68,6 +69,9 @@
 /// count as well, and several hundred such processes would make most of them.
 const MAX_RELAYED_BACKOFF: Duration = Duration::from_secs(4);
 
+/// Maximum number of organizations of one configuration that are logged.
+const MAX_LOGGED_ORGANIZATIONS: usize = 20;
+
 /// Specification of the store entry of a process.
 #[derive(Debug, Serialize, Deserialize)]
 struct NodeSpec {
@@ -284,6 +288,7 @@
         let fields: [(&str, &dyn Display); 3] =
             [("generation", &generation.0), ("routes", &routes), ("source", &source)];
         self.events.emit(&catalogue::CONFIG_APPLIED, None, &fields);
+        self.report_unsendable_organizations();
         self.routing.on_config();
         self.apply_limits();
         let snapshot = spec.to_owned().into_bytes().into();
@@ -296,6 +301,17 @@
         Some(generation)
     }
 
+    /// Logs organizations whose requests cannot run because no endpoint can be told their name.
+    fn report_unsendable_organizations(&self) {
+        let Some(config) = self.directory.borrow().config().cloned() else { return };
+        let is_unsendable = |name: &&Name| Organization::name_header(name).is_none();
+        let names = config.organizations().iter().map(|organization| &organization.name);
+        for name in names.filter(is_unsendable).take(MAX_LOGGED_ORGANIZATIONS) {
+            let name = name.escape_debug();
+            self.events.emit(&catalogue::ORGANIZATION_UNSENDABLE, None, &[("organization", &name)]);
+        }
+    }
+
     /// Handles the generation in a heartbeat. If the configuration here is older for a while, it is
     /// requested on the link of the heartbeat.
     pub(crate) fn on_peer_generation(&self, generation: u64, link: &LinkHandle) {
--- a/dogwoodtray_gateway/tests/organizations.rs
+++ b/dogwoodtray_gateway/tests/organizations.rs
@@ -34,8 +34,12 @@
 
 impl KeyedSite {
     async fn start() -> Self {
+        Self::start_with(&[CLINIC, WARD]).await
+    }
+
+    async fn start_with(organizations: &[TestOrganization]) -> Self {
         let site = Site::new();
-        site.store.put("config", "main", &config_with_organizations(2, &[CLINIC, WARD]));
+        site.store.put("config", "main", &config_with_organizations(2, organizations));
         let engine = site.add_endpoint("e1", "engine", 4).await;
         let ledger = site.add_endpoint("p1", "ledger", 4).await;
         let driver = site.start_driver("d1").await;
@@ -189,3 +193,23 @@
         assert_eq!(ledger.requests.borrow()[0].headers["authorization"], "Bearer k1");
     });
 }
+
+/// Guards against a request or an item that runs without the name of its organization, because that
+/// name cannot stand in a header. Neither runs, and other organizations are served.
+#[test]
+fn an_organization_whose_name_cannot_be_sent_runs_nothing() {
+    const ODD: TestOrganization = TestOrganization::new("odd\u{7f}", &["k-odd"]);
+    run_local(async {
+        let keyed = KeyedSite::start_with(&[CLINIC, ODD]).await;
+        for path in ["/stream/x", "/once/x"] {
+            assert_eq!(keyed.status(path, "r1", "k-odd").await, 503, "{path}");
+        }
+        assert_eq!(keyed.submit("j1", "k-odd", &["i1"]).await, 503);
+        assert_eq!(keyed.status("/plain/x", "r2", "k-odd").await, 200);
+        assert_eq!(keyed.status("/stream/x", "r3", "k-clinic").await, 200);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let engine_requests = keyed.engine.requests.borrow();
+        assert_eq!(engine_requests.len(), 1);
+        assert_eq!(engine_requests[0].headers["tenant"], "clinic");
+    });
+}
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -151,6 +151,8 @@
     CONFIG_UNPROVEN = 5005, Warn, "age of the configuration exceeds its bound";
     /// The configuration is proven to be the newest; keys are accepted.
     CONFIG_PROVEN = 5006, Info, "age of the configuration is within its bound";
+    /// The name of an organization cannot be sent to endpoints, so none of its requests runs.
+    ORGANIZATION_UNSENDABLE = 5007, Warn, "name of an organization cannot be sent";
     /// The platform is unreachable.
     PLATFORM_DOWN = 5101, Warn, "platform unavailable";
     /// The platform is reachable again.
