Treat the headers of an item like those of a request

On a route that needs no key, an item's own headers `Tenant` and `Authorization` reached the endpoint (UNASKED for a caller that means harm), and on any route its `Host`, `Connection`, `Transfer-Encoding` and `Content-Length`, which frame its body in another way.

Cause: a request of a caller loses these headers where it is taken; the request of an item was built apart, and removed them only for a job of an organization.

Change: `EndpointRequest::for_item` builds the request of an item and removes hop-by-hop headers, the length, the host, and, if the configuration names organizations, credentials and the name of an organization.

The test `headers_of_an_item_claim_nothing_that_those_of_a_request_may_not` failed before: the endpoint received `tenant: ward`, `authorization`, two hosts and `transfer-encoding: chunked`.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -84,8 +84,9 @@
     let mut kept: Option<Trial> = None;
     let mut was_tried = false;
     let route_key = RouteKey::new(&job.spec.host, &item.path);
-    let Some(prepared) = PreparedItem::new(&node, &job, &item) else {
-        return failed_result(&node, &job, &item, "impossible");
+    let prepared = match PreparedItem::new(&node, &job, &item) {
+        Ok(prepared) => prepared,
+        Err(err) => return failed_result(&node, &job, &item, &err),
     };
     loop {
         let mut trial =
@@ -96,10 +97,10 @@
             trial = Trial::keep_or_open(None, &node, &item.id, subject, blocked);
         }
         if node.now() >= expires_at {
-            return failed_result(&node, &job, &item, "retention over");
+            return failed_result(&node, &job, &item, &"retention over");
         }
         let Some(service) = resolve_service(&node, &job, &route_key).await else {
-            return failed_result(&node, &job, &item, "route gone");
+            return failed_result(&node, &job, &item, &"route gone");
         };
         let progress = job.outputs().longest(&item.id);
         let now = node.now();
@@ -197,12 +198,12 @@
                     output: progress.borrow().output(),
                 };
             }
-            RunOutcome::Unprocessable => return failed_result(&node, &job, &item, "impossible"),
+            RunOutcome::Unprocessable => return failed_result(&node, &job, &item, &"impossible"),
             RunOutcome::Failed => {
                 failures += 1;
                 job.outputs().reset(&item.id);
                 if failures >= job.spec.max_attempts {
-                    return failed_result(&node, &job, &item, "too many failures");
+                    return failed_result(&node, &job, &item, &"too many failures");
                 }
                 sleep(INITIAL_BACKOFF).await;
             }
@@ -334,8 +335,8 @@
 }
 
 /// Logs that the item has failed permanently, and returns its result.
-fn failed_result(node: &Node, job: &Job, item: &JobItem, reason: &'static str) -> StoredResult {
-    let fields: [(&str, &dyn Display); 2] = [("item", &item.id), ("reason", &reason)];
+fn failed_result(node: &Node, job: &Job, item: &JobItem, reason: &dyn Display) -> StoredResult {
+    let fields: [(&str, &dyn Display); 2] = [("item", &item.id), ("reason", reason)];
     node.events.emit(&catalogue::ITEM_GIVEN_UP, Some(job.id()), &fields);
     StoredResult { item: Name::clone(&item.id), completed: false, output: String::new() }
 }
--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -14,12 +14,7 @@
 use dogwoodtray_policy::PlaceOutcome;
 use dogwoodtray_runtime::catalogue;
 use http_body_util::BodyExt;
-use hyper::Method;
 use hyper::StatusCode;
-use hyper::header;
-use hyper::header::HeaderMap;
-use hyper::header::HeaderName;
-use hyper::header::HeaderValue;
 use quick_error::quick_error;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -27,11 +22,11 @@
 
 use super::job::Job;
 use super::progress::Progress;
-use crate::caller::set_organization;
 use crate::contents::place_cost;
 use crate::contents::request_contents;
+use crate::item_request::ItemError;
+use crate::item_request::ItemSender;
 use crate::model::JobItem;
-use crate::model::Organization;
 use crate::net::AnswerError;
 use crate::net::AnswerKind;
 use crate::net::EndpointBody;
@@ -91,34 +86,25 @@
 }
 
 impl PreparedItem {
-    /// Returns `None` if the item cannot be sent.
-    pub(super) fn new(node: &Node, job: &Job, item: &JobItem) -> Option<Self> {
-        let request = build_endpoint_request(node, job, item)?;
+    /// Prepares the request of an item.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the item can be sent to no endpoint.
+    pub(super) fn new(node: &Node, job: &Job, item: &JobItem) -> Result<Self, ItemError> {
+        let config = node.directory.borrow().config().cloned();
+        let is_keyed = config.is_some_and(|config| !config.organizations().is_empty());
+        let sender = match &job.spec.organization {
+            Some(organization) => ItemSender::Organization(organization),
+            None if is_keyed => ItemSender::Nobody,
+            None => ItemSender::Unkeyed,
+        };
+        let names = node.dialect.names();
+        let request = EndpointRequest::for_item(names, &job.spec.host, sender, item)?;
         let contents = Rc::new(request_contents(&*node.dialect, &request));
         let cost = place_cost(&*node.dialect, &job.spec.route, &request.headers);
-        Some(Self { request, contents, cost })
-    }
-}
-
-fn build_endpoint_request(node: &Node, job: &Job, item: &JobItem) -> Option<EndpointRequest> {
-    let mut headers = HeaderMap::new();
-    headers.insert(header::HOST, HeaderValue::from_str(&job.spec.host).ok()?);
-    for (name, value) in &item.headers {
-        headers.append(name.parse::<HeaderName>().ok()?, HeaderValue::from_str(value).ok()?);
-    }
-    let names = node.dialect.names();
-    if let Some(organization) = &job.spec.organization {
-        let value = Organization::name_header(organization)?;
-        set_organization(&mut headers, &names.organization, Some(value));
+        Ok(Self { request, contents, cost })
     }
-    let id = HeaderValue::from_str(&item.id).ok()?;
-    headers.insert(names.request_id.clone(), id);
-    Some(EndpointRequest {
-        method: Method::POST,
-        path_and_query: item.path.parse().ok()?,
-        headers,
-        body: item.body.clone(),
-    })
 }
 
 /// Runs the item at one endpoint, starting after the output of earlier runs. A trial is left to the next
--- a/dogwoodtray_gateway/src/model/mod.rs
+++ b/dogwoodtray_gateway/src/model/mod.rs
@@ -16,6 +16,7 @@
 pub use self::endpoint::EndpointState;
 pub use self::endpoint_changes::EndpointChanges;
 pub use self::endpoint_changes::ListDigest;
+pub(crate) use self::header_text::name_header;
 pub use self::job::ItemResult;
 pub use self::job::ItemState;
 pub use self::job::JobItem;
--- a/dogwoodtray_gateway/tests/organizations.rs
+++ b/dogwoodtray_gateway/tests/organizations.rs
@@ -14,6 +14,7 @@
 use support::Endpoint;
 use support::Site;
 use support::TestOrganization;
+use support::WAIT_TIMEOUT;
 use support::config;
 use support::config_with_organizations;
 use support::run_local;
@@ -213,3 +214,37 @@
         assert_eq!(engine_requests[0].headers["tenant"], "clinic");
     });
 }
+
+/// Guards against headers of an item that claim an organization, carry credentials, frame the body of
+/// the request in another way, or name another host. Those of a request are treated alike.
+#[test]
+fn headers_of_an_item_claim_nothing_that_those_of_a_request_may_not() {
+    const HEADERS: &str = r#""Tenant":"ward","Authorization":"Bearer k-ward","Content-Length":"1",
+        "Transfer-Encoding":"chunked","Connection":"x-hop","X-Hop":"1","Host":"other.example",
+        "Expect-Instance":"other","Deadline-Ms":"1","Attempt-Id":"other","Model":"m""#;
+    run_local(async {
+        let keyed = KeyedSite::start().await;
+        let open = config_with_organizations(3, &[CLINIC, WARD]);
+        let open = open.replace(r#""name":"job","#, r#""name":"job","anonymous":true,"#);
+        keyed.site.store.put("config", "main", &open);
+        let body = submission(&["i1"]).replace(r#""Model":"m""#, HEADERS);
+        let submitted = async {
+            let mut number = 0;
+            while keyed.site.post("/job/x", &format!("j{number}"), &body).await.status != 202 {
+                number += 1;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(WAIT_TIMEOUT, submitted).await.unwrap();
+        wait_until("the item runs", || keyed.engine.request_count() > 0).await;
+        let requests = keyed.engine.requests.borrow();
+        let headers = &requests[0].headers;
+        for name in ["tenant", "authorization", "transfer-encoding", "connection", "x-hop"] {
+            assert!(!headers.contains_key(name), "{name}: {headers:?}");
+        }
+        assert_eq!(headers.get_all("host").iter().collect::<Vec<_>>(), [support::HOST]);
+        assert_eq!((&*requests[0].id, &*requests[0].expected), ("i1", "e1"));
+        assert_eq!(requests[0].body, "hi");
+        assert_eq!(headers["model"], "m");
+    });
+}
