Refuse a job with an item that can be sent to no endpoint

What callers saw: none reported.

Change: the gateway prepares the request of each item when the job is submitted and answers 400 if one cannot be sent; nothing is stored.

The test `a_job_with_an_item_that_cannot_be_sent_is_refused` failed before with 202.

--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -26,6 +26,7 @@
 use crate::driver::JobSpec;
 use crate::driver::PARTS_KIND;
 use crate::driver::WATCHERS_KEY;
+use crate::item_request::ItemSender;
 use crate::model::BatchTerms;
 use crate::model::ItemResult;
 use crate::model::ItemState;
@@ -34,6 +35,7 @@
 use crate::model::ResultPage;
 use crate::model::Route;
 use crate::node::Node;
+use crate::request::EndpointRequest;
 
 /// Maximum number of items of a job, as defined by the platform.
 const MAX_ITEMS: usize = 200;
@@ -88,6 +90,14 @@
             return response::plain(StatusCode::BAD_REQUEST, "not a batch job\n");
         }
     };
+    let can_be_sent = |item| {
+        let names = node.dialect.names();
+        EndpointRequest::for_item(names, &route.host, ItemSender::Unkeyed, item)
+    };
+    if let Some(err) = items.iter().find_map(|item| can_be_sent(item).err()) {
+        log::info!("job {id} has an item that cannot be sent: {err}");
+        return response::plain(StatusCode::BAD_REQUEST, "an item cannot be sent to an endpoint\n");
+    }
     let count = items.len();
     let tokens: u64 = items.iter().map(|item| item.tokens).sum();
     let bodies = bodies_hash(&items);
--- a/dogwoodtray_gateway/tests/jobs.rs
+++ b/dogwoodtray_gateway/tests/jobs.rs
@@ -379,3 +379,31 @@
         read_all(&site, "j1", 1).await;
     });
 }
+
+/// Guards against an item that is accepted and then given up without a run, because it can be sent to
+/// no endpoint: the whole job is refused instead.
+#[test]
+fn a_job_with_an_item_that_cannot_be_sent_is_refused() {
+    run_local(async {
+        let (site, endpoint, _running) = Site::with_processes("engine", 2).await;
+        let sound = submission(&["a", "b"]);
+        let odd = [
+            (r#""id":"b""#, r#""id":"b\u0001""#),
+            (r#""id":"b""#, r#""id":"""#),
+            (r#""path":"/job/b""#, r#""path":"/job/b b""#),
+            (r#""path":"/job/b""#, r#""path":"http://other.example/job/b""#),
+            (r#""path":"/job/b""#, r#""path":"""#),
+            (r#""Model":"m""#, r#""Mod el":"m""#),
+            (r#""Model":"m""#, r#""Model":"m\r\nTenant: x""#),
+        ];
+        for (number, (from, to)) in odd.into_iter().enumerate() {
+            let body = sound.replace(from, to);
+            assert_ne!(body, sound);
+            let response = site.post("/job/x", &format!("j{number}"), &body).await;
+            assert_eq!(response.status, StatusCode::BAD_REQUEST, "{body}");
+        }
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(endpoint.request_count(), 0);
+        assert_eq!(site.post("/job/x", "sound", &sound).await.status, StatusCode::ACCEPTED);
+    });
+}
