Bound the log lines about entries that name no endpoint

What operators saw: a line DT5004 for each odd entry, without a limit in number or length, and with line breaks of its name as they are, so that a name could pass for a line of its own. The counter added an entry again with each list.

Cause: the name of an entry was logged as it is, and names were forgotten as soon as the list changed.

Change: at most 100 lines in 10 minutes, fields of at most 200 characters with escaped control characters, and the gauge `dogwoodtray_unreadable_entries`.

The test `lines_about_odd_entries_are_bounded_in_number_and_length` failed before at the line break of the first name.

--- a/dogwoodtray_gateway/src/endpoint_list.rs
+++ b/dogwoodtray_gateway/src/endpoint_list.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep;
 
 use crate::directory::Applied;
+use crate::ignored_entries::loggable;
 use crate::model::Endpoint;
 use crate::model::EndpointChanges;
 use crate::model::EndpointState;
@@ -44,9 +45,6 @@
 /// takes a tenth of a second on a slow link.
 const LIST_FETCH_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Maximum length of an error in the log; an entry may hold up to 1 MB.
-const MAX_ERROR_CHARS: usize = 200;
-
 /// # Listing
 impl Node {
     /// Lists the endpoints whenever no recent list is relayed to this process.
@@ -97,11 +95,11 @@
         self.peers.broadcast_to_accepted(self.encode_changes(&changes));
     }
 
-    /// Decodes the entries that name endpoints. Logs each of the others once.
+    /// Decodes the entries that name endpoints. Logs each of the others once, up to a limit.
     fn decode_entries(&self, objects: &[Object]) -> Vec<Endpoint> {
         let mut list = Vec::with_capacity(objects.len());
         let mut ignored = HashSet::new();
-        let mut logged = self.ignored_entries.borrow_mut();
+        let mut entries = self.ignored_entries.borrow_mut();
         for object in objects {
             let err = match self.dialect.endpoint(&object.name, object.spec.get()) {
                 Ok(endpoint) => {
@@ -110,16 +108,17 @@
                 }
                 Err(err) => err,
             };
-            metrics::counter!("dogwoodtray_unreadable_entries_total").increment(1);
-            if !logged.contains(&object.name) {
-                let error: String = err.to_string().chars().take(MAX_ERROR_CHARS).collect();
+            if entries.should_log(self.now(), &object.name) {
+                let (name, error) = (loggable(&object.name), loggable(&err.to_string()));
                 let fields: [(&str, &dyn Display); 3] =
-                    [("entry", &object.name), ("revision", &object.revision.0), ("error", &error)];
+                    [("entry", &name), ("revision", &object.revision.0), ("error", &error)];
                 self.events.emit(&catalogue::ENTRY_IGNORED, None, &fields);
             }
-            ignored.insert(Name::clone(&object.name));
+            ignored.insert(&object.name);
         }
-        *logged = ignored;
+        entries.retain(&ignored);
+        metrics::counter!("dogwoodtray_unreadable_entries_total").increment(ignored.len() as u64);
+        metrics::gauge!("dogwoodtray_unreadable_entries").set(ignored.len() as f64);
         list
     }
 
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod endpoint_list;
 mod forward;
 mod http;
+mod ignored_entries;
 mod item_request;
 mod leaving;
 mod model;
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -8,7 +8,6 @@
 use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +35,7 @@
 use crate::drain::Drain;
 use crate::driver::Driver;
 use crate::forward::ForwardedPlace;
+use crate::ignored_entries::IgnoredEntries;
 use crate::model::Dialect;
 use crate::peers::Peers;
 use crate::places::Places;
@@ -119,7 +119,7 @@
     /// Processes that are registered in the store.
     pub(crate) registered_nodes: RefCell<Vec<RegisteredNode>>,
     /// Entries in the list of endpoints that name none.
-    pub(crate) ignored_entries: RefCell<HashSet<Name>>,
+    pub(crate) ignored_entries: RefCell<IgnoredEntries>,
     /// Places that this process requests or holds for others.
     pub(crate) forwarded_places: RefCell<HashMap<PlaceId, ForwardedPlace>>,
     pub(crate) calls: PendingCalls,
@@ -165,7 +165,7 @@
             endpoint_fetched_at: Cell::default(),
             config_age,
             registered_nodes: RefCell::new(Vec::new()),
-            ignored_entries: RefCell::new(HashSet::new()),
+            ignored_entries: RefCell::default(),
             forwarded_places: RefCell::new(HashMap::new()),
             calls: PendingCalls::default(),
             cancelled_jobs: RefCell::default(),
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -28,6 +28,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::ignored_entries::loggable;
 use crate::model::Organization;
 use crate::node::Node;
 use crate::node::NodeRole;
@@ -307,7 +308,7 @@
         let is_unsendable = |name: &&Name| Organization::name_header(name).is_none();
         let names = config.organizations().iter().map(|organization| &organization.name);
         for name in names.filter(is_unsendable).take(MAX_LOGGED_ORGANIZATIONS) {
-            let name = name.escape_debug();
+            let name = loggable(name);
             self.events.emit(&catalogue::ORGANIZATION_UNSENDABLE, None, &[("organization", &name)]);
         }
     }
