Give no access to a job by the name under which it is stored

On a host with an open batch route, a caller without a key could read and end the job of any organization by its full name, 16 hexadecimal digits of a hash of the organization's name, `-` and the id.

Cause: everyone's jobs kept their id as their name, whatever it looked like, so names of two owners could be the same.

Change: `JobOwner::object_name` escapes such ids. Names of all other jobs stay.

The test `the_name_of_a_stored_job_gives_no_access_to_it` failed before: 200 for a read without a key.

--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -13,6 +13,7 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_http::CallerStream;
 use dogwoodtray_http::FlushBeforeError;
+use dogwoodtray_policy::JobOwner;
 use dogwoodtray_runtime::MetricsHandle;
 use dogwoodtray_runtime::catalogue;
 use hyper::Method;
@@ -45,7 +46,6 @@
 use super::response::GatewayResponse;
 use super::trace::Trace;
 use crate::caller::organization_of;
-use crate::caller::scoped_name;
 use crate::caller::set_organization;
 use crate::model::Organization;
 use crate::model::Route;
@@ -303,7 +303,7 @@
         Err(response) => return *response,
     };
     if let RouteKind::Batch(terms) = route.kind {
-        let job = scoped_name(organization.as_ref().map(|org| &org.name), &id);
+        let job = owner_of(organization.as_deref()).object_name(&id);
         let target = (route, organization.as_deref());
         let response = jobs::submit(node, target, terms, &job, &body).await;
         node.drain.record(node.now(), &route.name, node.now() - arrived);
@@ -386,10 +386,16 @@
     };
     let host = header_text(headers, &header::HOST).unwrap_or_default();
     if !headers.contains_key(header::AUTHORIZATION) && config.has_anonymous_jobs(host) {
-        return Ok(Name::from(job));
+        return Ok(JobOwner::Everyone.object_name(job));
     }
     let organization = identify_caller(node, &config, None, headers)?;
-    Ok(scoped_name(organization.as_ref().map(|org| &org.name), job))
+    Ok(owner_of(organization.as_deref()).object_name(job))
+}
+
+/// Returns the owner of a job that a caller of this organization submits.
+fn owner_of(organization: Option<&Organization>) -> JobOwner {
+    let name = organization.map(|organization| Name::clone(&organization.name));
+    name.map_or(JobOwner::Everyone, JobOwner::Organization)
 }
 
 /// Returns the response to a request that may not end before this process stops.
--- a/dogwoodtray_gateway/tests/organizations.rs
+++ b/dogwoodtray_gateway/tests/organizations.rs
@@ -8,6 +8,7 @@
 
 use dogwoodtray_gateway::Gateway;
 use dogwoodtray_gateway::JobDriver;
+use dogwoodtray_policy::JobOwner;
 use hyper::Method;
 use hyper::StatusCode;
 use support::Behavior;
@@ -248,3 +249,34 @@
         assert_eq!(headers["model"], "m");
     });
 }
+
+/// Guards against a caller without a key that reads or ends the job of an organization, on a host with an
+/// open route, by the name under which the job is stored.
+#[test]
+fn the_name_of_a_stored_job_gives_no_access_to_it() {
+    run_local(async {
+        let keyed = KeyedSite::start().await;
+        *keyed.engine.default_behavior.borrow_mut() = support::BUSY;
+        assert_eq!(keyed.submit("j1", "k-clinic", &["i1"]).await, 202);
+        wait_until("the item runs", || keyed.engine.request_count() == 1).await;
+        let open = config_with_organizations(3, &[CLINIC, WARD]);
+        let open = open.replace(r#""name":"job","#, r#""name":"job","anonymous":true,"#);
+        keyed.site.store.put("config", "main", &open);
+        let applied = async {
+            while keyed.site.get("/api/lots/none?after=0").await.status != 404 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(WAIT_TIMEOUT, applied).await.unwrap();
+        let name = JobOwner::Organization("clinic".into()).object_name("j1");
+        let path = format!("/api/lots/{name}");
+        assert_eq!(keyed.site.get(&format!("{path}?after=0")).await.status, 404);
+        assert_eq!(keyed.site.get(&format!("/api/items/{name}?id=i1")).await.status, 404);
+        keyed.site.delete(&path).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert!(*keyed.engine.requests.borrow()[0].in_progress.borrow(), "the job was ended");
+        // A job of everyone may have such an id.
+        assert_eq!(keyed.site.post("/job/x", &name, &submission(&["i2"])).await.status, 202);
+        assert_eq!(keyed.site.get(&format!("{path}?after=0")).await.status, 200);
+    });
+}
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -466,11 +466,22 @@
 
     /// Starts a further gateway. Returns the address at which it serves callers.
     pub(crate) async fn start_other_gateway(&self, node: &str) -> (SocketAddr, Gateway) {
-        let (caller_addr, admin_addr) = (free_addr(), free_addr());
-        let gateway = start_gateway(node, caller_addr, admin_addr, self.store.clone()).await;
+        let mut cfg = node_config(node, NodeRole::Gateway);
+        cfg.revocation = self.revocation;
+        let caller_addr = free_addr();
+        let gateway = self.start_configured_gateway(cfg, caller_addr).await;
         (caller_addr, gateway)
     }
 
+    /// Starts a further gateway with these settings.
+    pub(crate) async fn start_configured_gateway(
+        &self,
+        cfg: NodeConfig,
+        caller_addr: SocketAddr,
+    ) -> Gateway {
+        start_configured_gateway(cfg, caller_addr, free_addr(), self.store.clone()).await
+    }
+
     /// Starts a gateway that can reach the gateway `g1`, but neither the driver `d1` nor the store.
     pub(crate) async fn start_isolated_gateway(&self) -> IsolatedGateway {
         let store = MemoryObjects::new();
@@ -574,6 +585,25 @@
     }
 }
 
+/// Sends a request with a body, these headers and a key, if any.
+pub(crate) async fn call(
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    key: Option<&str>,
+    body: &str,
+) -> TestResponse {
+    let mut req = Request::builder().method(method).uri(path).header("host", HOST);
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    if let Some(key) = key {
+        req = req.header("authorization", format!("Bearer {key}"));
+    }
+    exchange(to, req.body(Full::new(Bytes::from(body.to_owned()))).unwrap()).await
+}
+
 fn keyed(method: Method, path: &str, key: &str) -> hyper::http::request::Builder {
     let credentials = format!("Bearer {key}");
     Request::builder()
@@ -599,17 +629,6 @@
     _gateway: Gateway,
 }
 
-/// Starts a gateway and waits until it is ready.
-async fn start_gateway(
-    node: &str,
-    caller_addr: SocketAddr,
-    admin_addr: SocketAddr,
-    store: MemoryObjects,
-) -> Gateway {
-    let cfg = node_config(node, NodeRole::Gateway);
-    start_configured_gateway(cfg, caller_addr, admin_addr, store).await
-}
-
 async fn start_configured_gateway(
     cfg: NodeConfig,
     caller_addr: SocketAddr,
