Find a job by what it is and by the key of its caller

Also 404 if the open route had been removed since.

Cause: who a caller is was decided at the submission by its route, and again at each later call by its key alone (docs/design/job-access.md).

Change: a call looks for the job of its caller's organization, then for that of everyone, and takes the first that exists (`JobCaller::candidates`). A submission notes the organization of its key, so that it is accepted once also if its route changes to the other kind. The search needs to know whether a job exists: a probe in `JobRead`, and `job_found` in the reply for a missing item. Open jobs need no proof of the configuration's age.

--- a/dogwoodtray_gateway/src/caller.rs
+++ b/dogwoodtray_gateway/src/caller.rs
@@ -1,9 +1,11 @@
 //! Organization of a caller.
 
+use std::fmt::Display;
 use std::sync::Arc;
 
 use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Name;
+use dogwoodtray_runtime::catalogue;
 use hyper::header;
 use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
@@ -13,6 +15,7 @@
 use crate::model::Organization;
 use crate::model::Route;
 use crate::model::SiteConfig;
+use crate::node::Node;
 
 /// Scheme of the credentials in the header `Authorization`.
 const SCHEME: &str = "bearer";
@@ -58,6 +61,17 @@
     Ok(token)
 }
 
+/// # Keys
+impl Node {
+    /// Records that a request was answered 401.
+    pub(crate) fn on_key_rejected(&self, error: KeyError, generation: u64) {
+        metrics::counter!("dogwoodtray_rejected_keys_total", "reason" => error.to_string())
+            .increment(1);
+        let fields: [(&str, &dyn Display); 2] = [("key", &error), ("generation", &generation)];
+        self.events.emit(&catalogue::KEY_REJECTED, None, &fields);
+    }
+}
+
 /// Replaces the credentials of a caller by the name of its organization, in the headers that an
 /// endpoint receives. Without an organization, the endpoint receives neither.
 pub(crate) fn set_organization(
--- a/dogwoodtray_gateway/src/config_age.rs
+++ b/dogwoodtray_gateway/src/config_age.rs
@@ -81,11 +81,18 @@
     /// Decides whether a request with a key may be accepted now. If not, returns the time after
     /// which it is to be repeated.
     pub(crate) fn verify(&self) -> Result<(), Duration> {
+        self.check().inspect_err(|_| self.count_refusal())
+    }
+
+    /// Decides like `verify`, for a request that may be accepted all the same.
+    pub(crate) fn check(&self) -> Result<(), Duration> {
         let Some(state) = &self.state else { return Ok(()) };
-        state.borrow().verify(self.clock.now()).map_err(|unproven| {
-            metrics::counter!("dogwoodtray_unproven_requests_total").increment(1);
-            unproven.retry_after
-        })
+        state.borrow().verify(self.clock.now()).map_err(|unproven| unproven.retry_after)
+    }
+
+    /// Counts a request that was refused because of the age.
+    pub(crate) fn count_refusal(&self) {
+        metrics::counter!("dogwoodtray_unproven_requests_total").increment(1);
     }
 
     /// Returns what is to be done now, and the time until there may be more to do.
--- a/dogwoodtray_gateway/src/driver/reads.rs
+++ b/dogwoodtray_gateway/src/driver/reads.rs
@@ -42,6 +42,9 @@
             Lookup::Missing => return page(JobReadStatus::Missing),
             Lookup::Unavailable => return page(JobReadStatus::Unavailable),
         };
+        if read.probe {
+            return messages::JobPage { total: job.spec.total, ..page(JobReadStatus::Found) };
+        }
         let after = read.after as usize;
         // If the position is beyond the local results, another process has added more.
         let caller_is_ahead = after > job.results().len();
@@ -86,23 +89,24 @@
         node: &Rc<Node>,
         read: messages::JobItemRead,
     ) -> messages::JobItemBody {
-        let reply = |status: JobReadStatus, body: bytes::Bytes| messages::JobItemBody {
+        let reply = |status: JobReadStatus| messages::JobItemBody {
             call: read.call,
             status: status.into(),
-            body,
+            ..messages::JobItemBody::default()
         };
-        let empty = bytes::Bytes::new();
         let job = match self.find_job(node, &Name::from(read.job.as_str())).await {
             Lookup::Job(job) => job,
-            Lookup::Missing => return reply(JobReadStatus::Missing, empty),
-            Lookup::Unavailable => return reply(JobReadStatus::Unavailable, empty),
+            Lookup::Missing => return reply(JobReadStatus::Missing),
+            Lookup::Unavailable => return reply(JobReadStatus::Unavailable),
         };
         let Ok(items) = job.items(node).await else {
-            return reply(JobReadStatus::Unavailable, empty);
+            return reply(JobReadStatus::Unavailable);
         };
         match items.iter().find(|item| *item.id == *read.item) {
-            Some(item) if !job.is_cancelled() => reply(JobReadStatus::Found, item.body.clone()),
-            _ => reply(JobReadStatus::Missing, empty),
+            Some(item) if !job.is_cancelled() => {
+                messages::JobItemBody { body: item.body.clone(), ..reply(JobReadStatus::Found) }
+            }
+            _ => messages::JobItemBody { job_found: true, ..reply(JobReadStatus::Missing) },
         }
     }
 
--- a/dogwoodtray_gateway/src/driver/spec.rs
+++ b/dogwoodtray_gateway/src/driver/spec.rs
@@ -29,6 +29,9 @@
     /// Organization that submitted the job, if the configuration named any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) organization: Option<Name>,
+    /// Organization whose key came with the submission, if the job belongs to everyone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) sender: Option<Name>,
     /// Rank of its items among those that wait; 0 is the highest.
     #[serde(default)]
     pub(crate) priority: u32,
@@ -111,6 +114,7 @@
             route: Name::clone(&route.name),
             host: Name::clone(&route.host),
             organization: organization.map(|organization| Name::clone(&organization.name)),
+            sender: None,
             priority: priority_of(route, organization),
             generation,
             accepted_unix_ms,
--- a/dogwoodtray_gateway/src/http/jobs.rs
+++ b/dogwoodtray_gateway/src/http/jobs.rs
@@ -7,6 +7,9 @@
 use bytes::Bytes;
 use dogwoodtray_coord::Name;
 use dogwoodtray_platform::CreateResult;
+use dogwoodtray_platform::GetResult;
+use dogwoodtray_policy::JobAcceptance;
+use dogwoodtray_policy::JobOwner;
 use dogwoodtray_runtime::Clock;
 use dogwoodtray_runtime::catalogue;
 use dogwoodtray_runtime::millis;
@@ -74,14 +77,43 @@
     TooLate,
 }
 
+/// Reply to a call for a job.
+#[derive(Debug)]
+pub(super) enum JobReply<T> {
+    /// The job exists.
+    Found(T),
+    /// There is no such job.
+    Missing,
+    /// Neither the drivers nor the store could tell.
+    Unavailable,
+}
+
+impl<T> JobReply<T> {
+    /// Converts what a call found.
+    pub(super) fn map<U>(self, convert: impl FnOnce(T) -> U) -> JobReply<U> {
+        match self {
+            Self::Found(found) => JobReply::Found(convert(found)),
+            Self::Missing => JobReply::Missing,
+            Self::Unavailable => JobReply::Unavailable,
+        }
+    }
+}
+
 /// Accepts a job. It is accepted once its submission exists in the store.
-pub(crate) async fn submit(
+pub(super) async fn submit(
     node: &Rc<Node>,
     (route, organization): (&Route, Option<&Organization>),
     terms: BatchTerms,
-    id: &Name,
+    (id, acceptance): (&Name, JobAcceptance),
     body: &Bytes,
 ) -> GatewayResponse {
+    match find_twin(node, &route.host, id, &acceptance).await {
+        JobReply::Found(twin) => return accept_again(node, &twin),
+        JobReply::Missing => {}
+        JobReply::Unavailable => return unavailable(),
+    }
+    let id = &acceptance.owner.object_name(id);
+    let target = (route, organization, acceptance.sender);
     let items = match node.dialect.submission(body) {
         Ok(items) if (1..=MAX_ITEMS).contains(&items.len()) => items,
         Ok(_) => return response::plain(StatusCode::BAD_REQUEST, "1 to 200 items are allowed\n"),
@@ -101,7 +133,7 @@
     let count = items.len();
     let tokens: u64 = items.iter().map(|item| item.tokens).sum();
     let bodies = bodies_hash(&items);
-    let submitted = admit_and_store(node, (route, organization), terms, id, items).await;
+    let submitted = admit_and_store(node, target, terms, id, items).await;
     let response = submission_response(&submitted);
     if matches!(submitted, Submitted::Stored(CreateResult::Done | CreateResult::Exists))
         && let Some(link) = node.peers.preferred_link(node, id)
@@ -141,6 +173,51 @@
     response
 }
 
+/// Looks for the job under the name of its other owner, if it may have been accepted while its route was
+/// of the other kind. Returns that name.
+async fn find_twin(
+    node: &Node,
+    host: &str,
+    id: &str,
+    acceptance: &JobAcceptance,
+) -> JobReply<Name> {
+    let Some(twin) = &acceptance.twin else { return JobReply::Missing };
+    let has_open_jobs = || {
+        let config = node.directory.borrow().config().cloned();
+        config.is_some_and(|config| config.has_anonymous_jobs(host))
+            || node.open_hosts.borrow().was_open(node.now(), host)
+    };
+    if *twin == JobOwner::Everyone && !has_open_jobs() {
+        return JobReply::Missing;
+    }
+    let name = twin.object_name(id);
+    let object = match node.read(JOBS_KIND, &name).await {
+        GetResult::Found(object) => object,
+        GetResult::Missing => return JobReply::Missing,
+        GetResult::Unavailable => return JobReply::Unavailable,
+    };
+    let spec: JobSpec = match serde_json::from_str(object.spec.get()) {
+        Ok(spec) => spec,
+        Err(err) => {
+            log::error!("cannot decode the submission of job {name}: {err}");
+            return JobReply::Unavailable;
+        }
+    };
+    if acceptance.is_twin(spec.sender.as_ref()) { JobReply::Found(name) } else { JobReply::Missing }
+}
+
+/// Answers the submission of a job that has been accepted before.
+fn accept_again(node: &Rc<Node>, id: &Name) -> GatewayResponse {
+    if let Some(link) = node.peers.preferred_link(node, id) {
+        link.send(messages::JobAccepted { job: id.to_string() });
+    }
+    let response = response::plain(StatusCode::ACCEPTED, "");
+    let status = response.status().as_u16();
+    let fields: [(&str, &dyn Display); 2] = [("status", &status), ("store", &"accepted before")];
+    node.events.emit(&catalogue::JOB_ACCEPTED, Some(id), &fields);
+    response
+}
+
 fn submission_response(submitted: &Submitted) -> GatewayResponse {
     match submitted {
         Submitted::Stored(CreateResult::Done | CreateResult::Exists) => {
@@ -164,12 +241,12 @@
 /// Stores a job, after its admission if the route limits the tokens of its unfinished items.
 async fn admit_and_store(
     node: &Rc<Node>,
-    (route, organization): (&Route, Option<&Organization>),
+    (route, organization, sender): (&Route, Option<&Organization>, Option<Name>),
     terms: BatchTerms,
     id: &Name,
     items: Vec<JobItem>,
 ) -> Submitted {
-    let spec = new_spec(node, route, organization, terms, items);
+    let spec = JobSpec { sender, ..new_spec(node, route, organization, terms, items) };
     if terms.max_waiting_tokens == 0 {
         return Submitted::Stored(store_job(node, spec, id).await);
     }
@@ -248,7 +325,7 @@
 }
 
 /// Cancels a job.
-pub(crate) async fn cancel(node: &Rc<Node>, id: &Name) -> GatewayResponse {
+pub(super) async fn cancel(node: &Rc<Node>, id: &Name) -> GatewayResponse {
     let created = node.create(CANCELLATIONS_KIND, id, "{}".to_owned()).await;
     let response = match created {
         CreateResult::Done | CreateResult::Exists => response::plain(StatusCode::OK, ""),
@@ -266,13 +343,40 @@
     response
 }
 
+/// Returns the response to a call while neither the drivers nor the store can tell whether its job exists.
+pub(super) fn unavailable() -> GatewayResponse {
+    response::refused(RETRY_AFTER)
+}
+
+/// Finds out whether a job exists, from the drivers or the store.
+pub(super) async fn find(node: &Rc<Node>, id: &Name) -> JobReply<()> {
+    let reply = call_driver(node, id, READ_REPLY_MARGIN, |call| messages::JobRead {
+        call,
+        job: id.to_string(),
+        probe: true,
+        ..messages::JobRead::default()
+    });
+    if let Some(Kind::JobPage(page)) = reply.await {
+        return if page.status() == JobReadStatus::Missing {
+            JobReply::Missing
+        } else {
+            JobReply::Found(())
+        };
+    }
+    match node.read(JOBS_KIND, id).await {
+        GetResult::Found(_) => JobReply::Found(()),
+        GetResult::Missing => JobReply::Missing,
+        GetResult::Unavailable => JobReply::Unavailable,
+    }
+}
+
 /// Reads results from a position on.
-pub(crate) async fn read(
+pub(super) async fn read(
     node: &Rc<Node>,
     id: &Name,
     after: u32,
     wait: Duration,
-) -> GatewayResponse {
+) -> JobReply<GatewayResponse> {
     debug_assert!(wait <= MAX_READ_WAIT, "the server bounds the wait");
     let wait_ms = millis(wait);
     let reply = call_driver(node, id, wait + READ_REPLY_MARGIN, |call| messages::JobRead {
@@ -280,29 +384,33 @@
         job: id.to_string(),
         after,
         wait_ms,
+        ..messages::JobRead::default()
     });
-    let Some(Kind::JobPage(page)) = reply.await else { return response::refused(RETRY_AFTER) };
+    let Some(Kind::JobPage(page)) = reply.await else { return JobReply::Unavailable };
     if page.status() == JobReadStatus::Missing {
-        return response::plain(StatusCode::NOT_FOUND, "no such job\n");
+        return JobReply::Missing;
     }
     let results: Vec<ItemResult> = page.results.into_iter().map(item_result).collect();
     let count = u32::try_from(results.len()).unwrap_or(u32::MAX);
     let page = ResultPage { total: page.total, next: after.saturating_add(count), results };
-    response::json(node.dialect.page(&page))
+    JobReply::Found(response::json(node.dialect.page(&page)))
 }
 
 /// Reads the body of an item.
-pub(crate) async fn read_item(node: &Rc<Node>, id: &Name, item: &str) -> GatewayResponse {
+pub(super) async fn read_item(node: &Rc<Node>, id: &Name, item: &str) -> JobReply<GatewayResponse> {
     let reply = call_driver(node, id, READ_REPLY_MARGIN, |call| messages::JobItemRead {
         call,
         job: id.to_string(),
         item: item.to_owned(),
     });
-    let Some(Kind::JobItemBody(body)) = reply.await else { return response::refused(RETRY_AFTER) };
-    if body.status() == JobReadStatus::Missing {
-        return response::plain(StatusCode::NOT_FOUND, "no such item\n");
+    let Some(Kind::JobItemBody(body)) = reply.await else { return JobReply::Unavailable };
+    match body.status() {
+        JobReadStatus::Missing if body.job_found => {
+            JobReply::Found(response::plain(StatusCode::NOT_FOUND, "no such item\n"))
+        }
+        JobReadStatus::Missing => JobReply::Missing,
+        _ => JobReply::Found(Response::new(ResponseBody::full(body.body))),
     }
-    Response::new(ResponseBody::full(body.body))
 }
 
 /// Calls the preferred driver for a key, and the next one if it does not reply or is unavailable.
--- a/dogwoodtray_gateway/src/http/mod.rs
+++ b/dogwoodtray_gateway/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod body;
+mod job_calls;
 mod jobs;
 mod online;
 mod request_body;
--- a/dogwoodtray_gateway/src/http/server.rs
+++ b/dogwoodtray_gateway/src/http/server.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::fmt::Display;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -13,10 +12,7 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_http::CallerStream;
 use dogwoodtray_http::FlushBeforeError;
-use dogwoodtray_policy::JobOwner;
 use dogwoodtray_runtime::MetricsHandle;
-use dogwoodtray_runtime::catalogue;
-use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -38,6 +34,8 @@
 
 use super::attempt::Attempts;
 use super::body::ResponseBody;
+use super::job_calls;
+use super::job_calls::JobAccess;
 use super::jobs;
 use super::online;
 use super::request_body::RequestBodyError;
@@ -74,10 +72,6 @@
 /// Timeout of a request that states no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Time that a call for a job takes at most, in addition to its wait for a result. A call to the store
-/// times out after 1 s.
-const JOB_CALL_TIME: Duration = Duration::from_millis(1_300);
-
 /// Time that the submission of a job takes at most while the store replies. One that is cut comes
 /// again and is accepted once.
 const JOB_SUBMIT_TIME: Duration = Duration::from_secs(2);
@@ -226,31 +220,20 @@
     let (parts, body) = req.into_parts();
     let names = node.dialect.names();
     let path = parts.uri.path().to_owned();
+    let Some(config) = node.directory.borrow().config().cloned() else {
+        return response::refused(STARTING_RETRY_AFTER);
+    };
     if let Some(job) = path.strip_prefix(names.job_path) {
-        return match identify_job(node, &parts.headers, job) {
-            Ok(job) => handle_job(node, &parts, &job).await,
-            Err(response) => *response,
-        };
+        return job_calls::handle(node, &config, &parts, job).await;
     }
     if let Some(job) = path.strip_prefix(names.item_path) {
-        let job = match identify_job(node, &parts.headers, job) {
-            Ok(job) => job,
-            Err(response) => return *response,
-        };
-        if !node.drain.takes(arrived, None, arrived + JOB_CALL_TIME) {
-            return response::stopping();
-        }
-        let item = query_param(&parts, names.item_param).unwrap_or_default();
-        return jobs::read_item(node, &job, &item).await;
+        return job_calls::handle_item(node, &config, &parts, job).await;
     }
-    let Some(config) = node.directory.borrow().config().cloned() else {
-        return response::refused(STARTING_RETRY_AFTER);
-    };
     let host = header_text(&parts.headers, &header::HOST).unwrap_or_default();
     let Some(route) = config.route(host, &path) else {
         return response::plain(StatusCode::NOT_FOUND, "no such route\n");
     };
-    let uploader = match identify_caller(node, &config, Some(route), &parts.headers) {
+    let uploader = match identify_caller(node, &config, route, &parts.headers) {
         Ok(uploader) => uploader,
         Err(response) => return *response,
     };
@@ -294,7 +277,7 @@
     // The configuration may have changed or become too old meanwhile.
     let current = node.directory.borrow().config().map_or_else(|| Rc::clone(&config), Rc::clone);
     let current_route = current.route(host, &path).unwrap_or(route);
-    let organization = match identify_caller(node, &current, Some(current_route), &parts.headers) {
+    let organization = match identify_caller(node, &current, current_route, &parts.headers) {
         Ok(organization) => organization,
         Err(response) => return *response,
     };
@@ -303,9 +286,14 @@
         Err(response) => return *response,
     };
     if let RouteKind::Batch(terms) = route.kind {
-        let job = owner_of(organization.as_deref()).object_name(&id);
+        let access = JobAccess::new(node, &current, &parts.headers);
+        let needs_key = !current.organizations().is_empty() && !current_route.anonymous;
+        let acceptance = match access.caller.accept(needs_key) {
+            Ok(acceptance) => acceptance,
+            Err(reason) => return access.refuse(node, &id, reason),
+        };
         let target = (route, organization.as_deref());
-        let response = jobs::submit(node, target, terms, &job, &body).await;
+        let response = jobs::submit(node, target, terms, (&id, acceptance), &body).await;
         node.drain.record(node.now(), &route.name, node.now() - arrived);
         return response;
     }
@@ -342,10 +330,10 @@
 fn identify_caller(
     node: &Node,
     config: &SiteConfig,
-    route: Option<&Route>,
+    route: &Route,
     headers: &HeaderMap,
 ) -> Result<Option<Arc<Organization>>, Box<GatewayResponse>> {
-    if config.organizations().is_empty() || route.is_some_and(|route| route.anonymous) {
+    if config.organizations().is_empty() || route.anonymous {
         return Ok(None);
     }
     // Also for an unknown key, as a newer configuration may name it.
@@ -355,11 +343,7 @@
     match organization_of(config, headers) {
         Ok(organization) => Ok(Some(Arc::clone(organization))),
         Err(err) => {
-            metrics::counter!("dogwoodtray_rejected_keys_total", "reason" => err.to_string())
-                .increment(1);
-            let generation = config.generation.0;
-            let fields: [(&str, &dyn Display); 2] = [("key", &err), ("generation", &generation)];
-            node.events.emit(&catalogue::KEY_REJECTED, None, &fields);
+            node.on_key_rejected(err, config.generation.0);
             Err(Box::new(response::unauthorized()))
         }
     }
@@ -378,26 +362,6 @@
     Err(Box::new(response::refused(UNSENDABLE_RETRY_AFTER)))
 }
 
-/// Returns the name under which a job of a caller is kept. Returns the response if the request is not
-/// accepted.
-fn identify_job(node: &Node, headers: &HeaderMap, job: &str) -> Result<Name, Box<GatewayResponse>> {
-    let Some(config) = node.directory.borrow().config().cloned() else {
-        return Err(Box::new(response::refused(STARTING_RETRY_AFTER)));
-    };
-    let host = header_text(headers, &header::HOST).unwrap_or_default();
-    if !headers.contains_key(header::AUTHORIZATION) && config.has_anonymous_jobs(host) {
-        return Ok(JobOwner::Everyone.object_name(job));
-    }
-    let organization = identify_caller(node, &config, None, headers)?;
-    Ok(owner_of(organization.as_deref()).object_name(job))
-}
-
-/// Returns the owner of a job that a caller of this organization submits.
-fn owner_of(organization: Option<&Organization>) -> JobOwner {
-    let name = organization.map(|organization| Name::clone(&organization.name));
-    name.map_or(JobOwner::Everyone, JobOwner::Organization)
-}
-
 /// Returns the response to a request that may not end before this process stops.
 fn refuse_stopping(mut trace: Trace) -> GatewayResponse {
     let response = response::stopping();
@@ -406,32 +370,11 @@
     response
 }
 
-async fn handle_job(node: &Rc<Node>, parts: &Parts, job: &Name) -> GatewayResponse {
-    let names = node.dialect.names();
-    let wait = header_text(&parts.headers, &names.wait_ms)
-        .and_then(|text| text.parse().ok())
-        .map_or(Duration::ZERO, Duration::from_millis)
-        .min(jobs::MAX_READ_WAIT);
-    let now = node.now();
-    if !node.drain.takes(now, None, now + wait + JOB_CALL_TIME) {
-        return response::stopping();
-    }
-    if parts.method == Method::DELETE {
-        return jobs::cancel(node, job).await;
-    }
-    if parts.method != Method::GET {
-        return response::plain(StatusCode::METHOD_NOT_ALLOWED, "read or cancel a job\n");
-    }
-    let after =
-        query_param(parts, names.after_param).and_then(|text| text.parse().ok()).unwrap_or(0);
-    jobs::read(node, job, after, wait).await
-}
-
-fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+pub(super) fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
-fn query_param(parts: &Parts, name: &str) -> Option<String> {
+pub(super) fn query_param(parts: &Parts, name: &str) -> Option<String> {
     parts.uri.query()?.split('&').find_map(|pair| {
         let (key, value) = pair.split_once('=')?;
         (key == name).then(|| value.to_owned())
--- a/dogwoodtray_gateway/src/lib.rs
+++ b/dogwoodtray_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod net;
 mod node;
 mod observed_run;
+mod open_hosts;
 mod peers;
 mod places;
 mod process;
--- a/dogwoodtray_gateway/src/node.rs
+++ b/dogwoodtray_gateway/src/node.rs
@@ -37,6 +37,7 @@
 use crate::forward::ForwardedPlace;
 use crate::ignored_entries::IgnoredEntries;
 use crate::model::Dialect;
+use crate::open_hosts::OpenHosts;
 use crate::peers::Peers;
 use crate::places::Places;
 use crate::routing::Routing;
@@ -120,6 +121,8 @@
     pub(crate) registered_nodes: RefCell<Vec<RegisteredNode>>,
     /// Entries in the list of endpoints that name none.
     pub(crate) ignored_entries: RefCell<IgnoredEntries>,
+    /// Hosts that had batch routes without a key until recently.
+    pub(crate) open_hosts: RefCell<OpenHosts>,
     /// Places that this process requests or holds for others.
     pub(crate) forwarded_places: RefCell<HashMap<PlaceId, ForwardedPlace>>,
     pub(crate) calls: PendingCalls,
@@ -166,6 +169,7 @@
             config_age,
             registered_nodes: RefCell::new(Vec::new()),
             ignored_entries: RefCell::default(),
+            open_hosts: RefCell::default(),
             forwarded_places: RefCell::new(HashMap::new()),
             calls: PendingCalls::default(),
             cancelled_jobs: RefCell::default(),
--- a/dogwoodtray_gateway/src/sync.rs
+++ b/dogwoodtray_gateway/src/sync.rs
@@ -282,9 +282,13 @@
         };
         let generation = config.generation;
         let routes = config.routes().len();
+        let replaced = self.directory.borrow().config().cloned();
         if !self.directory.borrow_mut().set_config(config) {
             return Some(generation);
         }
+        if let Some(replaced) = replaced {
+            self.open_hosts.borrow_mut().on_replaced(self.now(), &replaced);
+        }
         self.config_age.on_config(generation);
         let fields: [(&str, &dyn Display); 3] =
             [("generation", &generation.0), ("routes", &routes), ("source", &source)];
--- a/dogwoodtray_policy/tests/job_access.rs
+++ b/dogwoodtray_policy/tests/job_access.rs
@@ -280,7 +280,7 @@
     let a = Name::from("a");
     let own = JobOwner::Organization(Name::clone(&a));
     let member = JobCaller::Member(a);
-    assert_eq!(member.ends_ahead(true), [own.clone()]);
+    assert_eq!(member.ends_ahead(true), std::slice::from_ref(&own));
     assert_eq!(member.ends_ahead(false), [own, JobOwner::Everyone]);
     assert_eq!(JobCaller::Unkeyed.ends_ahead(false), [JobOwner::Everyone]);
     assert_eq!(JobCaller::Unkeyed.ends_ahead(true), []);
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -114,6 +114,8 @@
     ITEM_HELD = 3009, Info, "item is held for a blocked content";
     /// An item counts as complete because several runs in turn had no further event.
     ITEM_COMPLETED_BY_EMPTY_RUNS = 3010, Info, "item is complete after empty runs";
+    /// A call for a job found none that its caller may use.
+    JOB_NOT_FOUND = 3011, Debug, "no job for a call";
 
     /// A key range was claimed.
     RANGE_CLAIMED = 3101, Info, "key range claimed";
