Read the other objects in an answer that has unreadable bytes

What callers saw: one entry of another writer has the bytes 01 and 02 in a string.

Cause: a page of a list, and the changes of a watch, are decoded as one JSON text, in which a control character may not stand. Bytes that are no UTF-8 were replaced, these were not, and the whole list counted as unavailable.

Change: if an answer is no JSON, what may not stand in its strings is replaced and it is decoded again (`decode_json`, also for the list of VMs); sound answers cost nothing more. An entry in which something was replaced names no endpoint and no VM, and a list goes on after a name that could be read as it is.

Not covered: bytes that change where a string ends, such as a single backslash before its closing quote.

--- a/dogwoodtray_gateway/src/endpoint_list.rs
+++ b/dogwoodtray_gateway/src/endpoint_list.rs
@@ -108,7 +108,7 @@
                 }
                 Err(err) => err,
             };
-            if entries.should_log(self.now(), &object.name) {
+            if entries.should_log(&object.name) {
                 let (name, error) = (loggable(&object.name), loggable(&err.to_string()));
                 let fields: [(&str, &dyn Display); 3] =
                     [("entry", &name), ("revision", &object.revision.0), ("error", &error)];
--- a/dogwoodtray_gateway/src/ignored_entries.rs
+++ b/dogwoodtray_gateway/src/ignored_entries.rs
@@ -1,16 +1,9 @@
 //! Log lines about entries that name no endpoint.
 
 use std::collections::HashSet;
-use std::time::Duration;
 
 use dogwoodtray_coord::Name;
-use dogwoodtray_coord::Timestamp;
-
-/// Maximum number of lines in one period. Another writer may write any number of entries.
-const MAX_LINES: usize = 100;
-
-/// Period in which the number of lines is limited.
-const LINE_PERIOD: Duration = Duration::from_secs(600);
+use dogwoodtray_platform::LineLimit;
 
 /// Maximum length of a field in the log; an entry may hold up to 1 MB.
 const MAX_FIELD_CHARS: usize = 200;
@@ -19,25 +12,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct IgnoredEntries {
     logged: HashSet<Name>,
-    period_start: Timestamp,
-    lines: usize,
+    limit: LineLimit,
 }
 
 impl IgnoredEntries {
     /// Returns `true` if an entry is to be logged: it has not been, since it appeared in the list, and
     /// the limit of the period is not reached.
-    pub(crate) fn should_log(&mut self, now: Timestamp, name: &Name) -> bool {
-        if self.logged.contains(name) {
-            return false;
-        }
-        if now - self.period_start >= LINE_PERIOD {
-            (self.period_start, self.lines) = (now, 0);
-        }
-        if self.lines >= MAX_LINES {
-            return false;
-        }
-        self.lines += 1;
-        self.logged.insert(Name::clone(name))
+    pub(crate) fn should_log(&mut self, name: &Name) -> bool {
+        !self.logged.contains(name)
+            && self.limit.allows_line()
+            && self.logged.insert(Name::clone(name))
     }
 
     /// Forgets the entries that are no longer ignored.
--- a/dogwoodtray_gateway/tests/open_jobs.rs
+++ b/dogwoodtray_gateway/tests/open_jobs.rs
@@ -303,5 +303,10 @@
         assert_eq!(open.submit(1, "/open/x", "open-2", Some(KEYS[0])).await, 202);
         assert_eq!(open.submit(1, "/job/x", "own-2", Some(KEYS[0])).await, 503);
         open.assert_read_by_all("open-2", &ALL_KEYS, StatusCode::OK).await;
+        for (id, status) in [("open", 200), ("own", 503), ("none", 503)] {
+            let path = format!("/api/lots/{id}");
+            let end = open.call(1, Method::DELETE, &path, Some(KEYS[0])).await;
+            assert_eq!(end.status.as_u16(), status, "{id}");
+        }
     });
 }
--- a/dogwoodtray_platform/src/http.rs
+++ b/dogwoodtray_platform/src/http.rs
@@ -32,6 +32,8 @@
 use crate::addr::listening_addr;
 use crate::budget::BudgetConfig;
 use crate::budget::CallBudget;
+use crate::json_text::decode_json;
+use crate::json_text::has_unreadable_bytes;
 use crate::store::BoxFuture;
 use crate::store::Store;
 use crate::store::VmEntry;
@@ -224,7 +226,7 @@
         else {
             return None;
         };
-        let list: VmsBody = serde_json::from_slice(&body)
+        let list: VmsBody = decode_json(&body)
             .inspect_err(|err| log::warn!("failed to decode the list of VMs: {err}"))
             .ok()?;
         let vms: Vec<VmEntry> = list.vms.iter().filter_map(|vm| decode_vm(vm)).collect();
@@ -328,7 +330,7 @@
 fn decode_vm(entry: &RawValue) -> Option<VmEntry> {
     let vm: VmEntry = serde_json::from_str(entry.get()).ok()?;
     let is_usable = listening_addr(&vm.addr).is_some() && !vm.name.is_empty();
-    is_usable.then_some(vm)
+    (is_usable && !has_unreadable_bytes(entry.get())).then_some(vm)
 }
 
 fn decode_reply(
@@ -357,7 +359,7 @@
         (StoreOp::Put { .. }, Some(version)) => StoreReply::Written { version },
         (StoreOp::Put { .. }, None) => StoreReply::Ambiguous,
         (StoreOp::Delete { .. }, _) => StoreReply::Deleted,
-        (StoreOp::List { .. }, _) => match serde_json::from_slice::<ListBody>(&body) {
+        (StoreOp::List { .. }, _) => match decode_json::<ListBody>(&body) {
             Ok(list) => StoreReply::Listed {
                 entries: list
                     .entries
--- a/dogwoodtray_platform/src/lib.rs
+++ b/dogwoodtray_platform/src/lib.rs
@@ -7,6 +7,8 @@
 mod addr;
 mod budget;
 mod http;
+mod json_text;
+mod line_limit;
 mod memory;
 mod memory_objects;
 mod objects;
@@ -19,6 +21,9 @@
 pub use crate::http::HttpStoreConfig;
 pub use crate::http::percent_decode;
 pub use crate::http::percent_encode;
+pub use crate::json_text::decode_json;
+pub use crate::json_text::has_unreadable_bytes;
+pub use crate::line_limit::LineLimit;
 pub use crate::memory::MemoryFault;
 pub use crate::memory::MemoryStore;
 pub use crate::memory_objects::MemoryObjects;
--- a/dogwoodtray_platform/tests/vm_list.rs
+++ b/dogwoodtray_platform/tests/vm_list.rs
@@ -51,6 +51,9 @@
         vm("x", "10.0.0.3:80").replace("\"agent\"", "7"),
         vm("x", "10.0.0.3:80").replace("\"agent\"", &nested),
         nested,
+        // Bytes that cannot be read.
+        vm("x\u{1}\u{2}", "10.0.0.3:80"),
+        vm("x\\\u{1}", "10.0.0.3:80"),
         "null".to_owned(),
         "1e999".to_owned(),
     ];
