Resume an answer whose leaving endpoint ended

Cause: whether such an endpoint has ended was asked only for one that is listed as ready; one that leaves was taken to end its answers first.

Change: if an answer can go on elsewhere after its last event, each end at an endpoint that refuses connections counts as a break.

--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -212,10 +212,13 @@
                 self.node.on_answer_head(&endpoint, &exchange.parts, &self.id);
             }
             match sent {
-                Ok(Ok(exchange)) => match classify_response(names, &exchange.parts, &self.id) {
+                Ok(Ok(mut exchange)) => match classify_response(names, &exchange.parts, &self.id) {
                     class @ (ResponseClass::Answer | ResponseClass::Failure) => {
                         self.possible_runs += 1;
                         self.trace.on_head(exchange.body.framing());
+                        if self.is_stream() && self.route.kind.is_repeatable() {
+                            exchange.body.set_resumable();
+                        }
                         if class == ResponseClass::Failure {
                             run.on_failure();
                             run.set_outcome(PlaceOutcome::Errored);
--- a/dogwoodtray_gateway/src/net/endpoint_body.rs
+++ b/dogwoodtray_gateway/src/net/endpoint_body.rs
@@ -28,18 +28,25 @@
 ///
 /// An answer without length and chunks ends with its connection, which the process of an endpoint closes
 /// as well when it crashes. Such an end counts only if the endpoint is still there, or was about to
-/// leave.
+/// leave and the rest of the answer, if any, cannot be requested elsewhere.
 pub(crate) struct EndpointBody {
     inner: AnswerBody,
     node: Rc<Node>,
     endpoint: Rc<Endpoint>,
+    /// Whether another endpoint can continue the answer after its last event.
+    is_resumable: bool,
     /// Check at the end of the body.
     confirmation: Option<Pin<Box<dyn Future<Output = BodyFrame>>>>,
 }
 
 impl EndpointBody {
     pub(super) const fn new(inner: AnswerBody, node: Rc<Node>, endpoint: Rc<Endpoint>) -> Self {
-        Self { inner, node, endpoint, confirmation: None }
+        Self { inner, node, endpoint, is_resumable: false, confirmation: None }
+    }
+
+    /// States that another endpoint can continue the answer after its last event.
+    pub(crate) const fn set_resumable(&mut self) {
+        self.is_resumable = true;
     }
 
     /// Returns the upper bound of the body length, if the head of the response specifies one.
@@ -66,8 +73,10 @@
     /// Starts to confirm the end of the body.
     fn confirm(&self, end: BodyFrame) -> Pin<Box<dyn Future<Output = BodyFrame>>> {
         let (node, endpoint) = (Rc::clone(&self.node), Rc::clone(&self.endpoint));
+        // One that leaves as planned may also end in the middle of its answers.
+        let may_be_planned = !self.is_resumable;
         Box::pin(async move {
-            if node.is_gone(&endpoint).await {
+            if node.is_gone(&endpoint, may_be_planned).await {
                 metrics::counter!("dogwoodtray_unconfirmed_ends_total").increment(1);
                 return Some(Err(Truncation::EndpointGone.into()));
             }
@@ -110,10 +119,11 @@
 
 /// # Endpoints that are gone
 impl Node {
-    /// Returns `true` if an endpoint has ended unexpectedly: it is listed as ready, and its address
-    /// refuses connections.
-    pub(crate) async fn is_gone(&self, endpoint: &Endpoint) -> bool {
+    /// Returns `true` if an endpoint has ended: its address refuses connections. If its end may be
+    /// planned, only one that is listed as ready counts.
+    pub(crate) async fn is_gone(&self, endpoint: &Endpoint, may_be_planned: bool) -> bool {
         let listed = self.directory.borrow().endpoint(&endpoint.id).cloned();
-        listed.is_some_and(|listed| listed.addr == endpoint.addr) && is_refused(endpoint.addr).await
+        let is_listed = listed.is_some_and(|listed| listed.addr == endpoint.addr);
+        (is_listed || !may_be_planned) && is_refused(endpoint.addr).await
     }
 }
--- a/dogwoodtray_gateway/tests/answer_ends.rs
+++ b/dogwoodtray_gateway/tests/answer_ends.rs
@@ -8,12 +8,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dogwoodtray_coord::Name;
 use dogwoodtray_gateway::Gateway;
 use dogwoodtray_gateway::JobDriver;
+use dogwoodtray_platform::ObjectStore;
 use hyper::StatusCode;
 use support::DyingEndpoint;
+use support::Endpoint;
 use support::ScriptedFleet;
 use support::Site;
+use support::WAIT_TIMEOUT;
 use support::head;
 use support::header;
 use support::post_http10;
@@ -26,10 +30,14 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Time after which both endpoints are used again after a failure.
 const AVOIDANCE_TIME: Duration = Duration::from_millis(900);
 
+/// Time in which all processes read the list of endpoints. A stream waits for its next event as long.
+const LIST_TIME: Duration = Duration::from_millis(500);
+
 /// Ends of a body within an event.
 const PARTS_OF_EVENTS: [&str; 4] = ["id: 2\nda", "id: 2\ndata: e2\n", ":", "data: [DONE]\r"];
 
@@ -358,6 +366,86 @@
     });
 }
 
+/// How an endpoint leaves while it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leave {
+    /// Its answer says so.
+    Said,
+    /// Its entry says so.
+    Draining,
+    /// Its entry is removed.
+    Unlisted,
+}
+
+/// Starts a site whose endpoint answers one request with one of three events.
+async fn start_leaving(leave: Leave) -> (Site, DyingEndpoint, (JobDriver, Gateway)) {
+    let said = if leave == Leave::Said { "server-leaving: 1\r\n" } else { "" };
+    let site = Site::new();
+    let text = answer(said, "id: 1\ndata: e1\n\n");
+    let dying = DyingEndpoint::start_waiting(&site, "e1", "engine", text).await;
+    let driver = site.start_driver("d1").await;
+    let gateway = site.start_gateway().await;
+    (site, dying, (driver, gateway))
+}
+
+/// Lets the endpoint leave and end in the middle of its answer, when another endpoint is there.
+async fn leave_and_end(site: &Site, dying: &DyingEndpoint, leave: Leave) -> Endpoint {
+    wait_until("the endpoint has answered", || dying.has_begun.get()).await;
+    let other = site.add_endpoint("e2", "engine", 8).await;
+    let entry = site.store.spec("servers", "e1").unwrap();
+    match leave {
+        Leave::Said => {}
+        Leave::Draining => site.store.put("servers", "e1", &entry.replace("ready", "draining")),
+        Leave::Unlisted => {
+            site.store.remove("servers", &Name::from("e1")).await;
+        }
+    }
+    sleep(LIST_TIME).await;
+    dying.end();
+    other
+}
+
+const LEAVES: [Leave; 3] = [Leave::Said, Leave::Draining, Leave::Unlisted];
+
+/// Guards against a result of an item that lacks events because its endpoint, which was leaving, ended
+/// between two of them (review/6).
+#[test]
+fn an_item_whose_leaving_endpoint_ends_between_events_goes_on_elsewhere() {
+    run_local(async {
+        for leave in LEAVES {
+            let (site, dying, _running) = start_leaving(leave).await;
+            site.post("/job/x", "j1", &submission(&["a"])).await;
+            let _other = leave_and_end(&site, &dying, leave).await;
+            let done = async {
+                loop {
+                    let body = site.get("/api/lots/j1?after=0").await.body;
+                    if body.contains("completed") {
+                        return body;
+                    }
+                    sleep(Duration::from_millis(50)).await;
+                }
+            };
+            let body = timeout(WAIT_TIMEOUT, done).await.unwrap();
+            assert!(body.contains(r"e1\ne2\ne3"), "{leave:?}: {body}");
+        }
+    });
+}
+
+/// Guards against a resumable stream that ends after a part of its events, since its endpoint was
+/// leaving.
+#[test]
+fn a_stream_whose_leaving_endpoint_ends_between_events_goes_on_elsewhere() {
+    run_local(async {
+        for leave in LEAVES {
+            let (site, dying, _running) = start_leaving(leave).await;
+            let left = leave_and_end(&site, &dying, leave);
+            let (response, _other) = tokio::join!(site.post("/resume/x", "r1", "slip"), left);
+            assert!(response.complete, "{leave:?}: {response:?}");
+            assert_eq!(response.body.matches("data: ").count(), 3, "{leave:?}: {response:?}");
+        }
+    });
+}
+
 /// Guards against a sound stream without length and chunks that is broken off, or held back, because its
 /// endpoint stops as planned after it.
 #[test]
