Take only what adds to an answer for progress

Cause: each event that the splitter returned began the time without progress anew, and an empty line ends one.

Change: only an event with data or a new id is progress, for items and resumable streams, and counts as output for a blocked content.

--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout_at;
 
 use super::job::Job;
+use super::progress::Appended;
 use super::progress::Progress;
 use crate::contents::place_cost;
 use crate::contents::request_contents;
@@ -256,7 +257,7 @@
 ) -> (RunOutcome, PlaceOutcome, String) {
     let mut parser = EventParser::default();
     let mut last_replicated = Instant::now();
-    // Bytes that complete no event are no progress.
+    // Bytes that add no event to the output are no progress.
     let mut last_event_at = Instant::now();
     loop {
         let idle_until = last_event_at + ITEM_IDLE_TIMEOUT;
@@ -337,14 +338,15 @@
     }
 }
 
-/// Appends all complete events to the output and returns their number.
+/// Appends all complete events to the output and returns the number of those that added to it.
 fn append_events(parser: &mut EventParser, progress: &mut Progress) -> Result<usize, EventError> {
     let mut count = 0;
     while let Some(event) = parser.next_event()? {
-        if !progress.append(event.id(), event.data()) {
-            return Err(EventError::Missing);
+        match progress.append(event.id(), event.data()) {
+            Appended::Output => count += 1,
+            Appended::Nothing => {}
+            Appended::Gap => return Err(EventError::Missing),
         }
-        count += 1;
     }
     if progress.output_bytes() > MAX_OUTPUT_BYTES {
         return Err(EventError::OutputTooLarge);
--- a/dogwoodtray_gateway/src/driver/progress.rs
+++ b/dogwoodtray_gateway/src/driver/progress.rs
@@ -16,6 +16,17 @@
     lease: ByteLease,
 }
 
+/// What an event added to the output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Appended {
+    /// An event that follows the last one.
+    Output,
+    /// Nothing: the event is a duplicate, or has neither an id nor data.
+    Nothing,
+    /// Nothing, as events before it are missing.
+    Gap,
+}
+
 impl Progress {
     /// Creates an empty output.
     pub(super) fn new(buffers: &ByteBudget) -> Self {
@@ -63,20 +74,23 @@
         self.data.len()
     }
 
-    /// Appends an event unless it is a duplicate. Returns `false` if events before it are missing.
-    pub(super) fn append(&mut self, id: Option<u64>, data: Option<String>) -> bool {
+    /// Appends an event unless it is a duplicate.
+    pub(super) fn append(&mut self, id: Option<u64>, data: Option<String>) -> Appended {
         if let (Some(last_event_id), Some(id)) = (self.last_event_id, id) {
             if id <= last_event_id {
-                return true;
+                return Appended::Nothing;
             }
             if id != last_event_id + 1 {
-                return false;
+                return Appended::Gap;
             }
         }
+        if id.is_none() && data.is_none() {
+            return Appended::Nothing;
+        }
         self.last_event_id = id.or(self.last_event_id);
         self.bytes += data.as_ref().map_or(0, String::len);
         self.data.extend(data);
-        true
+        Appended::Output
     }
 
     /// Returns the data of all events, joined by line feeds.
--- a/dogwoodtray_gateway/src/http/stream.rs
+++ b/dogwoodtray_gateway/src/http/stream.rs
@@ -164,7 +164,7 @@
     let mut last_event_at = Instant::now();
     let mut gaps = run.gap_monitor();
     loop {
-        // Bytes that complete no event are no progress.
+        // Bytes that complete no event, and lines without output, are no progress.
         let limit = attempts.remaining().min(idle_timeout.saturating_sub(last_event_at.elapsed()));
         let frame = match gaps.watch(timeout(limit, body.frame())).await {
             Ok(Some(Ok(frame))) => frame,
@@ -180,6 +180,7 @@
         parser.push(&data);
         let mut events = bytes::BytesMut::new();
         let mut is_in_order = true;
+        let mut has_output = false;
         loop {
             let event = match parser.next_event() {
                 Ok(Some(event)) => event,
@@ -190,7 +191,6 @@
                     return ExchangeOutcome::Interrupted("event without end");
                 }
             };
-            last_event_at = Instant::now();
             if !follows(event.id(), *last_event_id) {
                 log::warn!("endpoint sent events of request {} out of order", attempts.id);
                 metrics::counter!("dogwoodtray_endpoint_violations_total").increment(1);
@@ -198,11 +198,15 @@
                 break;
             }
             *last_event_id = event.id().or(*last_event_id);
+            has_output |= event.has_output();
             events.extend_from_slice(&event.raw);
         }
-        if !events.is_empty() {
+        if has_output {
+            last_event_at = Instant::now();
             run.on_output();
             gaps.on_event();
+        }
+        if !events.is_empty() {
             let pushed_at = Instant::now();
             if !queue.push(events.freeze()).await {
                 return ExchangeOutcome::CallerDisconnected;
--- a/dogwoodtray_gateway/tests/endless.rs
+++ b/dogwoodtray_gateway/tests/endless.rs
@@ -14,6 +14,7 @@
 use support::Behavior;
 use support::Site;
 use support::TestResponse;
+use support::WAIT_TIMEOUT;
 use support::header;
 use support::read_request;
 use support::run_local;
@@ -24,6 +25,7 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Maximum number of bytes that an endpoint can send before its connection is closed: the limit of
 /// the gateway, and what the sockets on both sides buffer.
@@ -52,6 +54,14 @@
     Event,
     /// One byte of an event each 50 ms, after a first event.
     Trickle,
+    /// Empty lines, one each 50 ms, after a first event.
+    EmptyLines,
+    /// Comments, one each 50 ms, after a first event.
+    Comments,
+    /// The first event, once more each 50 ms.
+    Repeats,
+    /// Events with new ids and without data, one each 50 ms.
+    EmptyEvents,
     /// Bytes after a complete response.
     Excess,
     /// Digits of the size of a chunk, after a first event.
@@ -62,6 +72,15 @@
     Trailers,
 }
 
+impl Noise {
+    const fn is_slow(self) -> bool {
+        matches!(
+            self,
+            Self::Trickle | Self::EmptyLines | Self::Comments | Self::Repeats | Self::EmptyEvents
+        )
+    }
+}
+
 /// Endpoint that sends bytes without end.
 struct RawEndpoint {
     sent: Rc<Cell<usize>>,
@@ -102,7 +121,16 @@
     let Some(request) = read_request(&mut stream).await else { return };
     let id = header(&request, "attempt-id");
     let filler = "a".repeat(4_000);
+    let after_event = |repeated: &str| {
+        let mut first = head(id).into_bytes();
+        first.extend(chunk("id: 1\ndata: e1\n\n"));
+        (first, chunk(repeated))
+    };
     let (first, repeated) = match noise {
+        Noise::EmptyLines => after_event("\n"),
+        Noise::Comments => after_event(": x\n\n"),
+        Noise::Repeats => after_event("id: 1\ndata: e1\n\n"),
+        Noise::EmptyEvents => (head(id).into_bytes(), Vec::new()),
         Noise::Headers => {
             ("HTTP/1.1 200 OK\r\n".into(), format!("x-filler: {filler}\r\n").into_bytes())
         }
@@ -142,9 +170,16 @@
     if stream.write_all(&first).await.is_err() {
         return;
     }
-    while stream.write_all(&repeated).await.is_ok() {
+    for number in 1.. {
+        let repeated = match noise {
+            Noise::EmptyEvents => &chunk(&format!("id: {number}\n\n")),
+            _ => &repeated,
+        };
+        if stream.write_all(repeated).await.is_err() {
+            return;
+        }
         sent.set(sent.get() + repeated.len());
-        if noise == Noise::Trickle {
+        if noise.is_slow() {
             sleep(Duration::from_millis(50)).await;
         }
         // Lets the gateway run, which shares the thread.
@@ -269,6 +304,78 @@
     });
 }
 
+/// Events that add nothing to an answer.
+const NO_OUTPUT: [Noise; 3] = [Noise::EmptyLines, Noise::Comments, Noise::Repeats];
+
+/// Guards against an item that stays for good at an endpoint that sends lines without output (review/8).
+#[test]
+fn an_item_moves_away_from_lines_without_output() {
+    for noise in NO_OUTPUT {
+        run_local(async {
+            let site = Site::new();
+            let noisy = RawEndpoint::start(&site, "e2", noise).await;
+            let _driver = site.start_driver("d1").await;
+            let _gateway = site.start_gateway().await;
+            site.post("/job/x", "j1", &submission(&["i1"])).await;
+            wait_until("the item runs", || noisy.connections.get() > 0).await;
+            let _sound = site.add_endpoint("e1", "engine", 2).await;
+            wait_until_closed(&noisy).await;
+            let is_done = async {
+                while !site.get("/api/lots/j1?after=0").await.body.contains(r"e1\ne2\ne3") {
+                    sleep(Duration::from_millis(50)).await;
+                }
+            };
+            assert!(timeout(WAIT_TIMEOUT, is_done).await.is_ok(), "{noise:?}");
+        });
+    }
+}
+
+/// Guards against a resumable stream that stays at an endpoint that sends lines without output until its
+/// time is over.
+#[test]
+fn a_stream_moves_away_from_lines_without_output() {
+    // An event that comes again breaks the order of a stream, which moves at once.
+    for noise in [Noise::EmptyLines, Noise::Comments] {
+        run_local(async {
+            let site = Site::new();
+            let noisy = RawEndpoint::start(&site, "e2", noise).await;
+            let _driver = site.start_driver("d1").await;
+            let _gateway = site.start_gateway().await;
+            let started = Instant::now();
+            let sound = async {
+                wait_until("the stream runs", || noisy.connections.get() > 0).await;
+                site.add_endpoint("e1", "engine", 2).await
+            };
+            let (response, _sound) = tokio::join!(site.post("/resume/x", "r1", "slip"), sound);
+            assert!(response.complete, "{noise:?}: {response:?}");
+            assert_eq!(response.body.matches("data: ").count(), 3, "{noise:?}: {response:?}");
+            assert!(started.elapsed() < Duration::from_secs(3), "{noise:?}");
+        });
+    }
+}
+
+/// Guards against an item that keeps its endpoint, and is never listed, when its retention is over.
+#[test]
+fn a_run_ends_with_the_retention_of_its_item() {
+    run_local(async {
+        let site = Site::new();
+        let short = support::config(2).replace(r#""retention-s":60"#, r#""retention-s":2"#);
+        site.store.put("config", "main", &short);
+        let noisy = RawEndpoint::start(&site, "e2", Noise::EmptyEvents).await;
+        let _driver = site.start_driver("d1").await;
+        let _gateway = site.start_gateway().await;
+        site.post("/job/x", "j1", &submission(&["i1"])).await;
+        wait_until("the item runs", || noisy.connections.get() > 0).await;
+        wait_until_closed(&noisy).await;
+        let is_given_up = async {
+            while !site.get("/api/lots/j1?after=0").await.body.contains("dead_letter") {
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        assert!(timeout(WAIT_TIMEOUT, is_given_up).await.is_ok());
+    });
+}
+
 /// Guards against a slow but sound stream that is cut although nothing better is free, with
 /// endpoints that take 20 and 30 times as long for an event.
 #[test]
