Report a VM as emptied only when another driver can take over

Cause: a driver that is to retire reported completion as soon as it drove no job, whether or not another one was there.

Change: it hands over and reports only while another sound driver stays; of two that are to retire, the one whose name comes first stays. Until then it serves, and DT5203 says why its VM is not emptied.

--- a/dogwoodtray_gateway/src/driver/mod.rs
+++ b/dogwoodtray_gateway/src/driver/mod.rs
@@ -95,6 +95,10 @@
     estimator: RunTimeEstimator,
     /// Number of jobs with a task that drives them.
     driven_jobs: Cell<usize>,
+    /// VMs that are to be removed.
+    retiring: RefCell<HashSet<Name>>,
+    /// Whether a graceful stop has started.
+    stopping: Cell<bool>,
 }
 
 /// Returns how the jobs and cancellations are watched.
@@ -160,6 +164,15 @@
         self.driven_jobs.get() == 0
     }
 
+    /// Records that a graceful stop has started.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.set(true);
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
     fn on_jobs(self: &Rc<Self>, node: &Rc<Node>, update: Update) {
         match update {
             Update::All(objects) => {
--- a/dogwoodtray_gateway/src/driver/retire.rs
+++ b/dogwoodtray_gateway/src/driver/retire.rs
@@ -1,6 +1,7 @@
 //! Drains VMs that are about to be removed.
 //!
-//! A VM holds no durable state, so a driver is drained once it drives no job and grants no places.
+//! A VM holds no durable state, so a driver is drained once it drives no job and another driver can take
+//! its place. The last driver keeps serving, and its VM is not reported as drained.
 
 use std::collections::HashSet;
 use std::fmt::Display;
@@ -39,13 +40,19 @@
         |_| WATCH_TIMEOUT,
         move |node, update| {
             let objects = match update {
-                Update::All(objects) => objects,
+                Update::All(objects) => {
+                    driver.retiring.borrow_mut().clear();
+                    objects
+                }
                 Update::One(Change::Put(object)) => vec![object],
                 Update::One(Change::Removed(name)) => {
                     started.remove(&name);
+                    driver.retiring.borrow_mut().remove(&name);
                     return;
                 }
             };
+            let names = objects.iter().map(|object| Name::clone(&object.name));
+            driver.retiring.borrow_mut().extend(names);
             for object in objects.iter().filter(|object| is_pending(node, object)) {
                 if started.insert(Name::clone(&object.name)) {
                     let (node, driver) = (Rc::clone(node), Rc::clone(&driver));
@@ -67,10 +74,9 @@
     node.events.emit(&catalogue::RETIREMENT_STARTED, None, &[("vm", name)]);
     if *name == node.cfg.node {
         set_status(node, name, false).await;
-        node.draining.set(true);
-        node.announce_leaving();
-        while !driver.is_idle() {
-            sleep(POLL_PERIOD).await;
+        if !hand_over(node, driver).await {
+            // The others record the retirement when this process is gone.
+            return;
         }
     } else {
         sleep(SELF_RETIREMENT_TIME).await;
@@ -81,6 +87,36 @@
     set_status(node, name, true).await;
 }
 
+/// Hands the work of this driver over to others, for as long as one of them stays. Returns `false` if
+/// this process stops meanwhile.
+async fn hand_over(node: &Rc<Node>, driver: &Driver) -> bool {
+    let mut is_reported = false;
+    while !driver.is_stopping() {
+        let has_successor = node.peers.has_driver(node, |other| driver.outlasts(node, other));
+        if node.draining.replace(has_successor) != has_successor {
+            node.announce_leaving();
+        }
+        if has_successor && driver.is_idle() {
+            return true;
+        }
+        if !has_successor && !is_reported {
+            is_reported = true;
+            let fields: [(&str, &dyn Display); 1] = [("vm", &node.cfg.node)];
+            node.events.emit(&catalogue::RETIREMENT_WAITS, None, &fields);
+        }
+        sleep(POLL_PERIOD).await;
+    }
+    false
+}
+
+impl Driver {
+    /// Returns `true` if another driver stays when this one has retired. Of two that are to retire, the
+    /// one whose name comes first stays until there is another one.
+    fn outlasts(&self, node: &Node, other: &Name) -> bool {
+        !self.retiring.borrow().contains(other) || *other < node.cfg.node
+    }
+}
+
 /// Stores the state of a retirement, with retries until it is stored or the retirement is removed.
 async fn set_status(node: &Node, name: &Name, done: bool) {
     let kind = node.dialect.names().retirements;
--- a/dogwoodtray_gateway/src/peers/view.rs
+++ b/dogwoodtray_gateway/src/peers/view.rs
@@ -287,6 +287,15 @@
             .is_some_and(|peer| peer.link.is_some() || now - peer.disconnected_at < TAKEOVER_DELAY)
     }
 
+    /// Returns `true` if another driver that is accepted can take over work from this one.
+    pub(crate) fn has_driver(&self, node: &Node, accepts: impl Fn(&Name) -> bool) -> bool {
+        let now = node.now();
+        self.dialed.borrow().iter().any(|(name, peer)| {
+            let is_sound = peer.is_available(now) && !peer.stale;
+            peer.role == NodeRole::Driver && is_sound && accepts(name)
+        })
+    }
+
     pub(crate) fn link_to(&self, name: &str) -> Option<LinkHandle> {
         self.dialed.borrow().get(name).and_then(|driver| driver.link.clone())
     }
--- a/dogwoodtray_gateway/src/process.rs
+++ b/dogwoodtray_gateway/src/process.rs
@@ -140,6 +140,7 @@
     /// Stops gracefully: stores finished results and hands the jobs over to other drivers.
     pub async fn drain(self) {
         let started_at = Instant::now();
+        self.driver.begin_stop();
         self.node.draining.set(true);
         self.node.announce_leaving();
         self.node.events.emit(&catalogue::DRAIN_STARTED, None, &[]);
--- a/dogwoodtray_gateway/tests/endless.rs
+++ b/dogwoodtray_gateway/tests/endless.rs
@@ -287,7 +287,7 @@
                 sleep(Duration::from_millis(50)).await;
             }
         };
-        tokio::time::timeout(Duration::from_secs(20), is_done).await.unwrap();
+        timeout(Duration::from_secs(20), is_done).await.unwrap();
         wait_until_closed(&noisy).await;
     });
 }
--- a/dogwoodtray_gateway/tests/jobs.rs
+++ b/dogwoodtray_gateway/tests/jobs.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use serde_json::Value;
 use support::Behavior;
+use support::KillableDriver;
 use support::Site;
 use support::TestResponse;
 use support::run_local;
@@ -380,6 +381,44 @@
     });
 }
 
+/// Guards against an operator who takes the last driver away because its VM is reported as emptied, and
+/// against two drivers that wait for each other (review/2).
+#[test]
+fn the_last_driver_is_emptied_only_when_another_one_can_take_over() {
+    run_local(async {
+        let site = Site::new();
+        let endpoint = site.add_endpoint("e1", "engine", 4).await;
+        *endpoint.default_behavior.borrow_mut() =
+            Behavior::Stream { to: 40, pause: Duration::from_millis(20) };
+        let mut drivers = vec![("d1", KillableDriver::start(&site, "d1"))];
+        drivers.push(("d2", KillableDriver::start(&site, "d2")));
+        let _gateway = site.start_gateway().await;
+        assert_eq!(site.post("/job/x", "j1", &submission(&["a"])).await.status, 202);
+        wait_until("the item runs", || endpoint.request_count() > 0).await;
+        for name in ["d1", "d2"] {
+            site.store.put("retirements", name, r#"{"duration-s":10}"#);
+        }
+        let status = |name: &str| site.store.status("retirements", name).unwrap_or_default();
+        let completed = || drivers.iter().position(|(name, _)| status(name).contains("completed"));
+        wait_until("one is emptied", || completed().is_some()).await;
+        let first = drivers.remove(completed().unwrap());
+        drop(first);
+        assert_eq!(read_all(&site, "j1", 1).await.len(), 1);
+        let (last, driver) = drivers.remove(0);
+        sleep(Duration::from_secs(4)).await;
+        assert!(status(last).contains("running"), "{}", status(last));
+        assert_eq!(site.post("/job/x", "j2", &submission(&["b"])).await.status, 202);
+        assert_eq!(read_all(&site, "j2", 1).await.len(), 1);
+        let _successor = site.start_driver("d3").await;
+        wait_until("the last one is emptied", || status(last).contains("completed")).await;
+        drop(driver);
+        assert_eq!(site.post("/job/x", "j3", &submission(&["c"])).await.status, 202);
+        for job in ["j1", "j2", "j3"] {
+            assert_eq!(read_all(&site, job, 1).await.len(), 1);
+        }
+    });
+}
+
 /// Guards against an item that is accepted and then given up without a run, because it can be sent to
 /// no endpoint: the whole job is refused instead.
 #[test]
--- a/dogwoodtray_runtime/src/events/catalogue.rs
+++ b/dogwoodtray_runtime/src/events/catalogue.rs
@@ -163,4 +163,6 @@
     RETIREMENT_STARTED = 5201, Info, "retirement of a VM started";
     /// The state of a retirement was written to the store.
     RETIREMENT_RECORDED = 5202, Info, "retirement of a VM recorded";
+    /// A VM with the last driver is not drained until there is another one.
+    RETIREMENT_WAITS = 5203, Warn, "retirement waits for another driver";
 }
