Reserve the ports of a local fleet until they are bound

What callers saw: a fleet of `dogwoodtray local` or of a test does not start, AddrInUse, 1 of 40 plays of broken_answers.

Cause: a port that was found free was given back before it was bound, so that another fleet, or an outgoing connection, could take it.

Change: a bound socket that does not listen holds each port while the fleet lives. The system gives such a port to nobody who asks for a free one, and lets the listener that names it bind it.

`fleets_that_start_at_the_same_time_take_no_port_of_each_other` failed before (AddrInUse in the second round), and passed in 40 of 40 plays, four at a time. A counter of ports outside the range of outgoing connections, tried first, failed in 3 of 20 such plays.

--- a/dogwoodtray_cli/src/local/fleet.rs
+++ b/dogwoodtray_cli/src/local/fleet.rs
@@ -20,7 +20,7 @@
 use dogwoodtray_standin::VmRole;
 use quick_error::quick_error;
 
-use super::ports::free_addr;
+use super::ports::PortReservations;
 
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -105,6 +105,7 @@
     pub agents: Vec<Agent>,
     /// The entries.
     pub entries: Vec<Entry>,
+    ports: PortReservations,
 }
 
 impl Fleet {
@@ -115,8 +116,13 @@
     /// Returns an error if a part cannot be started or does not become ready in time.
     pub async fn start(cfg: &FleetConfig) -> Result<Self, FleetError> {
         let platform = PlatformStandin::bind(PlatformConfig::default()).await?;
-        let mut fleet =
-            Self { platform, engines: Vec::new(), agents: Vec::new(), entries: Vec::new() };
+        let mut fleet = Self {
+            platform,
+            engines: Vec::new(),
+            agents: Vec::new(),
+            entries: Vec::new(),
+            ports: PortReservations::default(),
+        };
         for index in 0..cfg.endpoints {
             fleet.start_endpoint(cfg, index).await?;
         }
@@ -141,8 +147,8 @@
         let settings = AgentSettings {
             node: Name::clone(&node),
             data_centre: Name::clone(&data_centre),
-            peer: free_addr()?,
-            admin: free_addr()?,
+            peer: self.ports.reserve()?,
+            admin: self.ports.reserve()?,
             endpoint: engine.addr(),
             kind: EndpointKind::Engine,
             models: vec![Name::clone(&cfg.model)],
@@ -166,9 +172,9 @@
         let mut settings = EntrySettings::new(
             Name::clone(&node),
             Name::clone(&data_centre),
-            free_addr()?,
-            free_addr()?,
-            free_addr()?,
+            self.ports.reserve()?,
+            self.ports.reserve()?,
+            self.ports.reserve()?,
             self.platform.addr(),
         );
         settings.routing = Name::clone(&cfg.routing);
