Avoid an entry at whose address another endpoint answers

What callers saw: none reported. With six outdated entries at the address of a sound endpoint, which answers 421 for them, the second stream got 503 though the endpoint was idle.

Six such answers ended a request.

Such answers, and endpoints that cannot be addressed, no longer count towards the six rejections of a request, but have a limit of 32.

`outdated_entries_at_the_address_of_an_endpoint_harm_no_request` failed before with 503.

--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -212,6 +212,9 @@
         ResponseClass::NotRun if status == StatusCode::SERVICE_UNAVAILABLE => {
             interrupted(PlaceOutcome::Full, &status)
         }
+        ResponseClass::NotRun if status == StatusCode::MISDIRECTED_REQUEST => {
+            interrupted(PlaceOutcome::Failed, &status)
+        }
         ResponseClass::NotRun => interrupted(PlaceOutcome::Withdrawn, &status),
         ResponseClass::Malformed => interrupted(PlaceOutcome::Errored, &"damaged answer"),
         ResponseClass::Failure if status == StatusCode::INTERNAL_SERVER_ERROR => {
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -57,6 +57,10 @@
 /// that the request was not run, or a connection that could not be opened.
 const MAX_REJECTIONS: u32 = 6;
 
+/// Maximum number of entries of the list that name no endpoint, or another one, before a request fails.
+/// Each answer takes a round trip, and no entry is tried again within the time of a request.
+const MAX_MISDIRECTIONS: u32 = 32;
+
 /// Maximum number of endpoints that a request avoids after failures there. The oldest is dropped,
 /// so that not all endpoints of a small service are excluded.
 const MAX_EXCLUDED: usize = 2;
@@ -108,6 +112,8 @@
     possible_runs: u32,
     /// Number of attempts that did not run the request.
     rejections: u32,
+    /// Number of attempts whose place was at no endpoint that has its name.
+    misdirections: u32,
 }
 
 impl Attempts {
@@ -143,6 +149,7 @@
             trial: None,
             possible_runs: 0,
             rejections: 0,
+            misdirections: 0,
         }
     }
 
@@ -194,7 +201,7 @@
                 Ok(req) => req,
                 Err(err) => {
                     self.trial = run.on_not_run(TrialProgress::Unreachable);
-                    self.on_rejected(&mut run, PlaceOutcome::Failed, &err)?;
+                    self.on_misdirected(&mut run, &err)?;
                     continue;
                 }
             };
@@ -227,6 +234,12 @@
                         }
                         return Ok((exchange, run));
                     }
+                    ResponseClass::NotRun
+                        if exchange.parts.status == StatusCode::MISDIRECTED_REQUEST =>
+                    {
+                        self.trial = run.on_not_run(TrialProgress::NotRun);
+                        self.on_misdirected(&mut run, &exchange.parts.status)?;
+                    }
                     ResponseClass::NotRun => {
                         let is_full = exchange.parts.status == StatusCode::SERVICE_UNAVAILABLE;
                         let place_outcome =
@@ -357,7 +370,7 @@
     fn place_params(&self) -> PlaceParams {
         let now = self.node.now();
         let objective = self.arrived + self.route.latency_objective.saturating_sub(FIRST_BYTE_TIME);
-        let is_retry = self.possible_runs + self.rejections > 0;
+        let is_retry = self.possible_runs + self.rejections + self.misdirections > 0;
         PlaceParams {
             service: Name::clone(&self.service.name),
             class: Class::Online,
@@ -404,6 +417,17 @@
         Ok(())
     }
 
+    /// Records that no endpoint with the name of the place can be reached. Returns an error if the request
+    /// cannot be retried.
+    fn on_misdirected(&mut self, run: &mut Run, reason: &dyn Display) -> Result<(), AttemptError> {
+        self.misdirections += 1;
+        self.on_failed(run, PlaceOutcome::Failed, reason);
+        if self.misdirections >= MAX_MISDIRECTIONS || self.remaining().is_zero() {
+            return Err(AttemptError::NoPlace(EXPIRED_RETRY_AFTER));
+        }
+        Ok(())
+    }
+
     /// Records a failure of an endpoint and excludes it from the next attempts.
     fn on_failed(&mut self, run: &mut Run, place_outcome: PlaceOutcome, reason: &dyn Display) {
         self.trace.log_retry(run.endpoint(), reason);
--- a/dogwoodtray_gateway/tests/odd_entries.rs
+++ b/dogwoodtray_gateway/tests/odd_entries.rs
@@ -34,6 +34,9 @@
 /// Number of requests that have to be served after each entry.
 const REQUESTS: usize = 12;
 
+/// Number of outdated entries of each endpoint.
+const OUTDATED: usize = 6;
+
 /// Depth of a nested entry.
 const DEPTH: usize = 100_000;
 
@@ -184,6 +187,27 @@
     assert_eq!(page.matches("completed").count(), REQUESTS, "{page}");
 }
 
+/// Guards against places at entries that name no endpoint any more, which are offered again at once when
+/// the endpoint at their address says that it is another one.
+#[test]
+fn outdated_entries_at_the_address_of_an_endpoint_harm_no_request() {
+    run_local(async {
+        let (site, engine, _processes) = Site::with_processes("engine", 8).await;
+        let ledger = site.add_endpoint("p1", "ledger", 8).await;
+        for number in 0..OUTDATED {
+            for endpoint in [&engine, &ledger] {
+                let spec = endpoint.entry("ready").replace(r#""slots":8"#, r#""slots":64"#);
+                site.store.put("servers", &format!("old-{}-{number}", endpoint.id), &spec);
+            }
+        }
+        sleep(LIST_TIME).await;
+        assert_all_served(&site).await;
+        // Each is tried once, and again after pauses that grow.
+        let misdirected = engine.misdirected.get() + ledger.misdirected.get();
+        assert!(misdirected < 8 * OUTDATED, "{misdirected} requests to outdated entries");
+    });
+}
+
 /// Dialect of an older process, which takes an entry with any name for an endpoint.
 #[derive(Debug)]
 struct LenientDialect(SiteDialect);
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -174,6 +174,8 @@
     pub(crate) leaving: Rc<RefCell<Vec<&'static str>>>,
     /// Start of its life in Unix milliseconds.
     pub(crate) born: Rc<Cell<u64>>,
+    /// Number of requests that were addressed to another endpoint, and refused.
+    pub(crate) misdirected: Rc<Cell<usize>>,
 }
 
 impl Endpoint {
@@ -192,6 +194,7 @@
             default_behavior: Rc::new(RefCell::new(default_behavior)),
             leaving: Rc::default(),
             born: Rc::new(Cell::new(1)),
+            misdirected: Rc::default(),
         };
         let this = endpoint.clone();
         spawn_local(async move {
@@ -252,6 +255,11 @@
         let behavior = self.queued_behaviors.borrow_mut().pop_front();
         let behavior = behavior.unwrap_or_else(|| self.default_behavior.borrow().clone());
         let expected = text("expect-instance").unwrap_or_default();
+        if expected != self.id {
+            self.misdirected.set(self.misdirected.get() + 1);
+            let refusal = Response::builder().status(StatusCode::MISDIRECTED_REQUEST);
+            return Ok(refusal.body(whole(String::new())).unwrap());
+        }
         if let Behavior::NotRun(status) = behavior {
             let refusal = Response::builder().status(status).header("not-executed", "1");
             return Ok(refusal.body(whole("".to_owned())).unwrap());
