Use an item or request for one trial of a failed endpoint

Cause: a failed endpoint is tried with a repeatable request before all others. An item that fails there asks again 0.4 s later, and with many failed endpoints another one is due by then. A repeatable request met six of them and was refused.

Change: an item asks as a repeatable request only until it is interrupted without progress, and an online request only at its first attempt, so that the next place is at a sound endpoint. A refused connection counts like an entry without an endpoint, not towards the six rejections.

`many_entries_at_which_nothing_listens_keep_no_item_and_no_request` failed before with 503.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -123,7 +123,8 @@
             start_by: due.saturating_sub(remaining),
             due,
             expires_at: (now + place_timeout).min(expires_at),
-            repeatable: true,
+            // One trial of an endpoint that failed is enough until the item makes progress.
+            repeatable: interruptions == 0,
             excluded: excluded.clone(),
             trial: trial.as_ref().map(|trial| trial.key().clone()),
             organization: job.spec.organization.clone(),
--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 use std::future::Future;
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -57,8 +58,8 @@
 /// that the request was not run, or a connection that could not be opened.
 const MAX_REJECTIONS: u32 = 6;
 
-/// Maximum number of entries of the list that name no endpoint, or another one, before a request fails.
-/// Each answer takes a round trip, and no entry is tried again within the time of a request.
+/// Maximum number of entries of the list at which there is no endpoint, or another one, before a request
+/// fails. Each answer takes a round trip, and the dispatcher avoids the entry after it.
 const MAX_MISDIRECTIONS: u32 = 32;
 
 /// Maximum number of endpoints that a request avoids after failures there. The oldest is dropped,
@@ -112,7 +113,7 @@
     possible_runs: u32,
     /// Number of attempts that did not run the request.
     rejections: u32,
-    /// Number of attempts whose place was at no endpoint that has its name.
+    /// Number of attempts whose place was at an entry without an endpoint of its name.
     misdirections: u32,
 }
 
@@ -253,6 +254,12 @@
                         return Err(AttemptError::OutcomeUnknown);
                     }
                 },
+                Ok(Err(SendError::NotSent(err)))
+                    if err.kind() == io::ErrorKind::ConnectionRefused =>
+                {
+                    self.trial = run.on_not_run(TrialProgress::Unreachable);
+                    self.on_misdirected(&mut run, &err)?;
+                }
                 Ok(Err(SendError::NotSent(err))) => {
                     self.trial = run.on_not_run(TrialProgress::Unreachable);
                     self.on_rejected(&mut run, PlaceOutcome::Failed, &err)?;
@@ -377,7 +384,8 @@
             start_by: if is_retry { objective.max(now + RETRY_PLACE_TIMEOUT) } else { objective },
             due: self.deadline,
             expires_at: self.deadline,
-            repeatable: self.route.kind.is_repeatable() && self.route.max_attempts > 1,
+            // One trial of an endpoint that failed is enough for a request.
+            repeatable: self.route.kind.is_repeatable() && self.route.max_attempts > 1 && !is_retry,
             excluded: self.excluded.clone(),
             trial: self.trial.as_ref().map(|trial| trial.key().clone()),
             organization: self.organization.as_ref().map(|org| Name::clone(&org.name)),
--- a/dogwoodtray_gateway/tests/odd_entries.rs
+++ b/dogwoodtray_gateway/tests/odd_entries.rs
@@ -37,6 +37,9 @@
 /// Number of outdated entries of each endpoint.
 const OUTDATED: usize = 6;
 
+/// Number of entries of each service at which nothing listens.
+const DEAD: usize = 24;
+
 /// Depth of a nested entry.
 const DEPTH: usize = 100_000;
 
@@ -208,6 +211,34 @@
     });
 }
 
+/// Guards against an item that is used for one trial of a failed endpoint after another and never runs,
+/// and against requests that are refused for it, though a sound endpoint is idle.
+#[test]
+fn many_entries_at_which_nothing_listens_keep_no_item_and_no_request() {
+    run_local(async {
+        let (site, _engine, _processes) = Site::with_processes("engine", 16).await;
+        let _ledger = site.add_endpoint("p1", "ledger", 16).await;
+        for number in 0..DEAD {
+            for service in ["engine", "ledger"] {
+                let spec = entry(&[("service", &format!("{service:?}"))]);
+                site.store.put("servers", &format!("dead-{service}-{number}"), &spec);
+            }
+        }
+        sleep(LIST_TIME).await;
+        for round in 0..3 {
+            for path in ["/resume/x", "/plain/x"] {
+                for request in 0..REQUESTS {
+                    let id = format!("r{round}.{request}");
+                    let response = site.post(path, &id, "slip").await;
+                    assert_eq!(response.status, StatusCode::OK, "{path}: {id}");
+                }
+            }
+            sleep(Duration::from_secs(1)).await;
+        }
+        assert_all_served(&site).await;
+    });
+}
+
 /// Dialect of an older process, which takes an entry with any name for an endpoint.
 #[derive(Debug)]
 struct LenientDialect(SiteDialect);
