--- a/dogwoodtray_gateway/src/driver/item_run.rs
+++ b/dogwoodtray_gateway/src/driver/item_run.rs
@@ -180,26 +180,25 @@
     let contents = &prepared.contents;
     let mut observed =
         ObservedRun::start(node, &item.id, contents, endpoint, RunKind::Item, trial.take());
-    let mut exchange =
-        match timeout(head_timeout, send(node, &target, req, AnswerKind::Stream)).await {
-            Ok(Ok(exchange)) => exchange,
-            Ok(Err(err)) => {
-                // After bytes that are no response, the driver closed the connection itself.
-                if matches!(&err, SendError::Lost(err) if !err.is_parse()) {
-                    let outcome = broken_off(&mut observed, &err).await;
-                    return (outcome, PlaceOutcome::Failed, err.to_string());
-                }
-                if matches!(err, SendError::NotSent(_)) {
-                    *trial = observed.on_not_run(TrialProgress::Unreachable);
-                }
-                if matches!(err, SendError::BadStatus(_)) {
-                    observed.on_failure();
-                    return interrupted(PlaceOutcome::Errored, &err);
-                }
-                return interrupted(PlaceOutcome::Failed, &err);
+    let exchange = match timeout(head_timeout, send(node, &target, req, AnswerKind::Stream)).await {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err(err)) => {
+            // After bytes that are no response, the driver closed the connection itself.
+            if matches!(&err, SendError::Lost(err) if !err.is_parse()) {
+                let outcome = broken_off(&mut observed, &err).await;
+                return (outcome, PlaceOutcome::Failed, err.to_string());
             }
-            Err(_) => return (RunOutcome::Queued, PlaceOutcome::Full, String::new()),
-        };
+            if matches!(err, SendError::NotSent(_)) {
+                *trial = observed.on_not_run(TrialProgress::Unreachable);
+            }
+            if matches!(err, SendError::BadStatus(_)) {
+                observed.on_failure();
+                return interrupted(PlaceOutcome::Errored, &err);
+            }
+            return interrupted(PlaceOutcome::Failed, &err);
+        }
+        Err(_) => return (RunOutcome::Queued, PlaceOutcome::Full, String::new()),
+    };
     node.on_answer_head(&target, &exchange.parts, &item.id);
     let status = exchange.parts.status;
     let class = classify_response(names, &exchange.parts, &item.id);
@@ -224,8 +223,9 @@
         ResponseClass::Answer if status.is_success() => {
             let replicate = || replicate_output(node, job, item, &progress.borrow());
             observed.on_head();
-            exchange.body.set_resumable();
-            read_events(exchange.body, progress, &mut observed, gaps, replicate).await
+            let mut body = exchange.body;
+            body.set_resumable();
+            read_events(body, progress, &mut observed, gaps, replicate).await
         }
         ResponseClass::Answer if status == StatusCode::UNPROCESSABLE_ENTITY => {
             (RunOutcome::Unprocessable, PlaceOutcome::Answered, status.to_string())
--- a/dogwoodtray_gateway/src/model/endpoint.rs
+++ b/dogwoodtray_gateway/src/model/endpoint.rs
@@ -3,7 +3,7 @@
 use dogwoodtray_coord::Name;
 use hyper::header::HeaderValue;
 
-use super::header_text::name_header;
+use super::name_header::name_header;
 
 /// State of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/dogwoodtray_gateway/src/model/mod.rs
+++ b/dogwoodtray_gateway/src/model/mod.rs
@@ -3,8 +3,8 @@
 mod dialect;
 mod endpoint;
 mod endpoint_changes;
-mod header_text;
 mod job;
+mod name_header;
 mod organization;
 mod route;
 
@@ -16,12 +16,12 @@
 pub use self::endpoint::EndpointState;
 pub use self::endpoint_changes::EndpointChanges;
 pub use self::endpoint_changes::ListDigest;
-pub(crate) use self::header_text::name_header;
 pub use self::job::ItemResult;
 pub use self::job::ItemState;
 pub use self::job::JobItem;
 pub use self::job::MAX_ITEM_TOKENS;
 pub use self::job::ResultPage;
+pub(crate) use self::name_header::name_header;
 pub use self::organization::Organization;
 pub use self::organization::Organizations;
 pub use self::route::BatchTerms;
--- a/dogwoodtray_gateway/src/model/organization.rs
+++ b/dogwoodtray_gateway/src/model/organization.rs
@@ -7,7 +7,7 @@
 use dogwoodtray_coord::Name;
 use hyper::header::HeaderValue;
 
-use super::header_text::name_header;
+use super::name_header::name_header;
 
 /// Organization whose callers may use the service.
 #[derive(Clone, Debug, PartialEq)]
