--- a/dogwoodtray_gateway/tests/leaving.rs
+++ b/dogwoodtray_gateway/tests/leaving.rs
@@ -268,6 +268,7 @@
         let _ = site.store.remove("servers", &Name::from("a")).await;
         a.leaving.borrow_mut().clear();
         *a.default_behavior.borrow_mut() = Behavior::Stream { to: 2, pause: Duration::ZERO };
+        a.own_id.set("c");
         let entry = a.entry("ready").replace(r#""service":"ledger""#, r#""service":"engine""#);
         site.store.put("servers", "c", &entry);
         let before = a.request_count();
--- a/dogwoodtray_gateway/tests/support/mod.rs
+++ b/dogwoodtray_gateway/tests/support/mod.rs
@@ -174,6 +174,8 @@
     pub(crate) leaving: Rc<RefCell<Vec<&'static str>>>,
     /// Start of its life in Unix milliseconds.
     pub(crate) born: Rc<Cell<u64>>,
+    /// Id by which requests have to name it.
+    pub(crate) own_id: Rc<Cell<&'static str>>,
     /// Number of requests that were addressed to another endpoint, and refused.
     pub(crate) misdirected: Rc<Cell<usize>>,
 }
@@ -194,6 +196,7 @@
             default_behavior: Rc::new(RefCell::new(default_behavior)),
             leaving: Rc::default(),
             born: Rc::new(Cell::new(1)),
+            own_id: Rc::new(Cell::new(id)),
             misdirected: Rc::default(),
         };
         let this = endpoint.clone();
@@ -255,7 +258,7 @@
         let behavior = self.queued_behaviors.borrow_mut().pop_front();
         let behavior = behavior.unwrap_or_else(|| self.default_behavior.borrow().clone());
         let expected = text("expect-instance").unwrap_or_default();
-        if expected != self.id {
+        if expected != self.own_id.get() {
             self.misdirected.set(self.misdirected.get() + 1);
             let refusal = Response::builder().status(StatusCode::MISDIRECTED_REQUEST);
             return Ok(refusal.body(whole(String::new())).unwrap());
