Let a run with output go on beyond the retention of its item

What callers saw: none reported; found by the whole suite after. A run that had output was cut when the retention of its item ended, and a sound item given up, which `an_item_is_given_up_when_its_retention_ends_while_it_waits` showed: three of three items given up where only the two that wait are.

Cause: ended each run with the retention, because events with new ids and no data counted as progress.

Change: an event without data is no progress and is ignored, also its id, so that a run without output ends after 1.5 s and needs no other limit. The test of the retention now has an item whose only endpoint sends such events, and they are one more kind in `an_item_moves_away_from_lines_without_output`.

--- a/dogwoodtray_gateway/src/driver/item.rs
+++ b/dogwoodtray_gateway/src/driver/item.rs
@@ -14,7 +14,6 @@
 use dogwoodtray_policy::Class;
 use dogwoodtray_runtime::catalogue;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use super::item_run::ITEM_IDLE_TIMEOUT;
 use super::item_run::PreparedItem;
@@ -166,11 +165,9 @@
         let last_event_before = progress.borrow().last_event_id();
         let (started_at, events_before) = (node.now(), progress.borrow().event_count());
         let is_trial = trial.is_some();
-        let run =
-            run_once(&node, &job, &item, &prepared, &progress, (permit, &mut trial), head_timeout);
-        // An endpoint may send events without end.
-        let ended = timeout(expires_at - node.now(), run).await;
-        let mut outcome = ended.unwrap_or(RunOutcome::Interrupted);
+        let mut outcome =
+            run_once(&node, &job, &item, &prepared, &progress, (permit, &mut trial), head_timeout)
+                .await;
         kept = trial;
         was_tried |= is_trial && kept.is_none();
         if progress.borrow().event_count() > events_before {
--- a/dogwoodtray_gateway/src/driver/progress.rs
+++ b/dogwoodtray_gateway/src/driver/progress.rs
@@ -21,7 +21,7 @@
 pub(super) enum Appended {
     /// An event that follows the last one.
     Output,
-    /// Nothing: the event is a duplicate, or has neither an id nor data.
+    /// Nothing: the event is a duplicate, or has no data.
     Nothing,
     /// Nothing, as events before it are missing.
     Gap,
@@ -74,8 +74,9 @@
         self.data.len()
     }
 
-    /// Appends an event unless it is a duplicate.
+    /// Appends an event unless it is a duplicate. One without data is ignored, whatever its id.
     pub(super) fn append(&mut self, id: Option<u64>, data: Option<String>) -> Appended {
+        let Some(data) = data else { return Appended::Nothing };
         if let (Some(last_event_id), Some(id)) = (self.last_event_id, id) {
             if id <= last_event_id {
                 return Appended::Nothing;
@@ -84,12 +85,9 @@
                 return Appended::Gap;
             }
         }
-        if id.is_none() && data.is_none() {
-            return Appended::Nothing;
-        }
         self.last_event_id = id.or(self.last_event_id);
-        self.bytes += data.as_ref().map_or(0, String::len);
-        self.data.extend(data);
+        self.bytes += data.len();
+        self.data.push(data);
         Appended::Output
     }
 
--- a/dogwoodtray_gateway/src/net/events.rs
+++ b/dogwoodtray_gateway/src/net/events.rs
@@ -19,10 +19,10 @@
             .find_map(|(field, value)| (field == b"id").then(|| parse_number(value)).flatten())
     }
 
-    /// Returns `true` if the event has an id or data. Empty lines and comments have neither.
+    /// Returns `true` if the event has data. Empty lines and comments have none.
     #[must_use]
     pub fn has_output(&self) -> bool {
-        self.id().is_some() || self.data().is_some()
+        self.data().is_some()
     }
 
     /// Returns the data of the event, if any. Multiple `data` lines are joined with line feeds.
--- a/dogwoodtray_gateway/tests/endless.rs
+++ b/dogwoodtray_gateway/tests/endless.rs
@@ -309,7 +309,8 @@
 }
 
 /// Events that add nothing to an answer.
-const NO_OUTPUT: [Noise; 3] = [Noise::EmptyLines, Noise::Comments, Noise::Repeats];
+const NO_OUTPUT: [Noise; 4] =
+    [Noise::EmptyLines, Noise::Comments, Noise::Repeats, Noise::EmptyEvents];
 
 /// Guards against an item that stays for good at an endpoint that sends lines without output (review/8).
 #[test]
@@ -358,9 +359,9 @@
     }
 }
 
-/// Guards against an item that keeps its endpoint, and is never listed, when its retention is over.
+/// Guards against an item that keeps the only endpoint, and is never listed, when its retention is over.
 #[test]
-fn a_run_ends_with_the_retention_of_its_item() {
+fn an_item_without_output_is_given_up_with_its_retention() {
     run_local(async {
         let site = Site::new();
         let short = support::config(2).replace(r#""retention-s":60"#, r#""retention-s":2"#);
