Try each refusing entry once before a request is refused

What callers saw: none reported; found by the whole suite after. With all endpoints down, a request asked them again and again, up to 32 times, and was held for 2 s where it had been refused at once: `a_trial_that_reaches_no_endpoint_delays_the_next_by_a_pause` failed.

Cause: gave entries without an endpoint a limit of their own, also if the same one refused again.

Change: each such entry beyond the first six is tried once; one that refuses again counts like any other rejection.

`an_item_that_was_tried_leaves_the_next_trial_to_others` compared a count after the run of the other item had ended, when the first item may run again, since that run clears their content (3 of 80 plays beside load). It now compares the count at the time the other item is received, which is what it guards.

--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -58,9 +58,9 @@
 /// that the request was not run, or a connection that could not be opened.
 const MAX_REJECTIONS: u32 = 6;
 
-/// Maximum number of entries of the list at which there is no endpoint, or another one, before a request
-/// fails. Each answer takes a round trip, and the dispatcher avoids the entry after it.
-const MAX_MISDIRECTIONS: u32 = 32;
+/// Maximum number of entries of the list at which there is no endpoint, or another one, that a request
+/// meets beyond `MAX_REJECTIONS`. Each answer takes a round trip.
+const MAX_MISDIRECTIONS: usize = 32;
 
 /// Maximum number of endpoints that a request avoids after failures there. The oldest is dropped,
 /// so that not all endpoints of a small service are excluded.
@@ -113,8 +113,8 @@
     possible_runs: u32,
     /// Number of attempts that did not run the request.
     rejections: u32,
-    /// Number of attempts whose place was at an entry without an endpoint of its name.
-    misdirections: u32,
+    /// Entries at which there was no endpoint of their name.
+    misdirected: Vec<Name>,
 }
 
 impl Attempts {
@@ -150,7 +150,7 @@
             trial: None,
             possible_runs: 0,
             rejections: 0,
-            misdirections: 0,
+            misdirected: Vec::new(),
         }
     }
 
@@ -377,7 +377,7 @@
     fn place_params(&self) -> PlaceParams {
         let now = self.node.now();
         let objective = self.arrived + self.route.latency_objective.saturating_sub(FIRST_BYTE_TIME);
-        let is_retry = self.possible_runs + self.rejections + self.misdirections > 0;
+        let is_retry = self.possible_runs + self.rejections > 0;
         PlaceParams {
             service: Name::clone(&self.service.name),
             class: Class::Online,
@@ -425,12 +425,17 @@
         Ok(())
     }
 
-    /// Records that no endpoint with the name of the place can be reached. Returns an error if the request
-    /// cannot be retried.
+    /// Records that there is no endpoint of its name at the entry of a place. Returns an error if the request
+    /// cannot be retried. It may go on to each other entry once, as that takes a round trip only.
     fn on_misdirected(&mut self, run: &mut Run, reason: &dyn Display) -> Result<(), AttemptError> {
-        self.misdirections += 1;
+        let is_new = !self.misdirected.contains(run.endpoint());
+        if !is_new || self.misdirected.len() >= MAX_MISDIRECTIONS {
+            return self.on_rejected(run, PlaceOutcome::Failed, reason);
+        }
+        self.misdirected.push(Name::clone(run.endpoint()));
+        self.rejections += 1;
         self.on_failed(run, PlaceOutcome::Failed, reason);
-        if self.misdirections >= MAX_MISDIRECTIONS || self.remaining().is_zero() {
+        if self.remaining().is_zero() {
             return Err(AttemptError::NoPlace(EXPIRED_RETRY_AFTER));
         }
         Ok(())
--- a/dogwoodtray_gateway/tests/support/crashing.rs
+++ b/dogwoodtray_gateway/tests/support/crashing.rs
@@ -57,6 +57,8 @@
 pub(crate) struct Counts {
     /// Requests with the deadly text that an endpoint received.
     pub(crate) deadly: Cell<u32>,
+    /// Requests with the deadly text that had been received when the last other one was.
+    pub(crate) deadly_before_other: Cell<u32>,
     /// Requests that an endpoint answered in full.
     pub(crate) sound: Cell<u32>,
     /// Requests that an endpoint received.
@@ -80,6 +82,7 @@
     fn new() -> Self {
         Self {
             deadly: Cell::default(),
+            deadly_before_other: Cell::default(),
             sound: Cell::default(),
             received: Cell::default(),
             crashes: Cell::default(),
@@ -174,6 +177,8 @@
         let is_deadly = text.contains(DEADLY) && !self.counts.is_healed.get();
         if text.contains(DEADLY) {
             self.counts.deadly.set(self.counts.deadly.get() + 1);
+        } else {
+            self.counts.deadly_before_other.set(self.counts.deadly.get());
         }
         let id = header(&text, "attempt-id");
         let head = format!(
--- a/dogwoodtray_gateway/tests/trials.rs
+++ b/dogwoodtray_gateway/tests/trials.rs
@@ -348,6 +348,8 @@
         submit_items(&fleet.site, "j2", &[Item::new("i2", "a1:9,i2:9", "sound")]).await;
         sleep(Duration::from_secs(3)).await;
         wait_until("the other item is complete", || fleet.counts.sound.get() > sound).await;
-        assert_eq!(fleet.counts.deadly.get(), before + 1, "the first item was tried again");
+        // The run of the other item clears the content, so that the first one may run again after it.
+        let tried = fleet.counts.deadly_before_other.get();
+        assert_eq!(tried, before + 1, "the first item was tried again");
     });
 }
