--- a/dogwoodtray_gateway/src/http/attempt.rs
+++ b/dogwoodtray_gateway/src/http/attempt.rs
@@ -58,8 +58,8 @@
 /// that the request was not run, or a connection that could not be opened.
 const MAX_REJECTIONS: u32 = 6;
 
-/// Maximum number of entries of the list at which there is no endpoint, or another one, that a request
-/// meets beyond `MAX_REJECTIONS`. Each answer takes a round trip.
+/// Maximum number of entries at which there is no endpoint, or another one, that a request tries, each of
+/// them once, before they count like other rejections. Such an answer takes a round trip.
 const MAX_MISDIRECTIONS: usize = 32;
 
 /// Maximum number of endpoints that a request avoids after failures there. The oldest is dropped,
