Tell whether an event has output without copying its data

Cause: asked each event of a resumable stream for its data, which copies it, on the path of every event. Data that is not UTF-8 counted as none, so that a stream of such events would have moved after 0.6 s.

Change: the fields of the event are looked at only. Events of items are decoded as before. Found by reading; endless, answer_ends and online pass.

--- a/dogwoodtray_gateway/src/net/events.rs
+++ b/dogwoodtray_gateway/src/net/events.rs
@@ -22,7 +22,7 @@
     /// Returns `true` if the event has data. Empty lines and comments have none.
     #[must_use]
     pub fn has_output(&self) -> bool {
-        self.data().is_some()
+        self.lines().any(|(field, _)| field == b"data")
     }
 
     /// Returns the data of the event, if any. Multiple `data` lines are joined with line feeds.
