Say once which routes are open, and how names of an organization are made

Whether a route accepts jobs without a key stood in the configuration and in `OpenHosts`, and the form of a scoped name in `scoped_name` and `JobOwner::object_name`. Both now have one piece each; no behaviour changes. open_jobs, organizations and admissions pass.

--- a/dogwoodtray_gateway/src/caller.rs
+++ b/dogwoodtray_gateway/src/caller.rs
@@ -3,8 +3,8 @@
 use std::fmt::Display;
 use std::sync::Arc;
 
-use dogwoodtray_coord::ContentHash;
 use dogwoodtray_coord::Name;
+use dogwoodtray_policy::JobOwner;
 use dogwoodtray_runtime::catalogue;
 use hyper::header;
 use hyper::header::HeaderMap;
@@ -97,10 +97,7 @@
 pub(crate) fn scoped_name(organization: Option<&Name>, name: &str) -> Name {
     organization.map_or_else(
         || Name::from(name),
-        |organization| {
-            let scope = ContentHash::of(organization.as_bytes()).0;
-            Name::from(format!("{scope:016x}-{name}"))
-        },
+        |organization| JobOwner::Organization(Name::clone(organization)).object_name(name),
     )
 }
 
--- a/dogwoodtray_gateway/src/model/route.rs
+++ b/dogwoodtray_gateway/src/model/route.rs
@@ -75,6 +75,12 @@
 }
 
 impl Route {
+    /// Returns `true` if it accepts batch jobs without a key, which then have no owner.
+    #[must_use]
+    pub const fn has_anonymous_jobs(&self) -> bool {
+        self.anonymous && matches!(self.kind, RouteKind::Batch(_))
+    }
+
     /// Selects a service by weight. `point` is in `0.0..1.0`.
     #[must_use]
     pub fn pick_service(&self, point: f64) -> Option<&Name> {
@@ -170,7 +176,7 @@
     pub fn has_anonymous_jobs(&self, host: &str) -> bool {
         let indices = self.by_host.get(host).map_or(&[][..], Vec::as_slice);
         let mut routes = indices.iter().map(|index| &self.routes[*index]);
-        routes.any(|route| route.anonymous && matches!(route.kind, RouteKind::Batch(_)))
+        routes.any(Route::has_anonymous_jobs)
     }
 
     /// Returns all routes.
--- a/dogwoodtray_gateway/src/open_hosts.rs
+++ b/dogwoodtray_gateway/src/open_hosts.rs
@@ -6,7 +6,6 @@
 use dogwoodtray_coord::Name;
 use dogwoodtray_coord::Timestamp;
 
-use crate::model::RouteKind;
 use crate::model::SiteConfig;
 
 /// Time in which a job that was accepted on an open route may be submitted again after its route came to
@@ -23,10 +22,7 @@
     /// Records the hosts of a configuration that is replaced.
     pub(crate) fn on_replaced(&mut self, now: Timestamp, config: &SiteConfig) {
         self.closed_at.retain(|_, at| now - *at < RESUBMISSION_TIME);
-        let open = config
-            .routes()
-            .iter()
-            .filter(|route| route.anonymous && matches!(route.kind, RouteKind::Batch(_)));
+        let open = config.routes().iter().filter(|route| route.has_anonymous_jobs());
         self.closed_at.extend(open.map(|route| (Name::clone(&route.host), now)));
     }
 
