--- a/dogwoodtray_policy/src/job_access.rs
+++ b/dogwoodtray_policy/src/job_access.rs
@@ -160,23 +160,21 @@
     ///
     /// Returns the reason if it needs a key and brings none that counts.
     pub fn accept(&self, needs_key: bool) -> Result<JobAcceptance, NoJob> {
-        let member = match self {
-            Self::Member(name) => Some(JobOwner::Organization(Name::clone(name))),
-            _ => None,
-        };
-        if !needs_key {
-            let sender = match self {
-                Self::Member(name) => Some(Name::clone(name)),
-                _ => None,
-            };
-            return Ok(JobAcceptance { owner: JobOwner::Everyone, sender, twin: member });
-        }
-        match (member, self) {
-            (Some(owner), _) => {
-                Ok(JobAcceptance { owner, sender: None, twin: Some(JobOwner::Everyone) })
+        match self {
+            Self::Member(name) => {
+                let own = JobOwner::Organization(Name::clone(name));
+                Ok(if needs_key {
+                    JobAcceptance { owner: own, sender: None, twin: Some(JobOwner::Everyone) }
+                } else {
+                    let sender = Some(Name::clone(name));
+                    JobAcceptance { owner: JobOwner::Everyone, sender, twin: Some(own) }
+                })
+            }
+            _ if !needs_key => {
+                Ok(JobAcceptance { owner: JobOwner::Everyone, sender: None, twin: None })
             }
-            (None, Self::Unproven(_)) => Err(NoJob::Unproven),
-            (None, _) => Err(NoJob::Unauthorized),
+            Self::Unproven(_) => Err(NoJob::Unproven),
+            Self::Unkeyed | Self::Unknown => Err(NoJob::Unauthorized),
         }
     }
 }
