--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -6,9 +6,10 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use crate::cluster::{CannotRun, Cluster, Outcome, SIGCONT, SIGSTOP, send};
+use crate::cluster::{CannotRun, Cluster, Outcome, SIGCONT, SIGSTOP, free_addr, send};
 use crate::http::{End, Seen};
 use crate::json::{base64, entries, member, member_string};
+use crate::link::Link;
 use crate::worker::data;
 
 const HOST: &str = "ficu95.example";
@@ -23,6 +24,7 @@
     match name {
         "spot" => spot(record, trouble),
         "frozen-read" => frozen_read(record, trouble),
+        "reborn" => reborn(record, trouble),
         _ => Err(CannotRun(format!("no case {name}"))),
     }
 }
@@ -262,3 +264,77 @@
     }
     Ok(is_broken)
 }
+
+/// One of six workers is partitioned from all machines for 1.2 s. It crashes behind the cut and is back
+/// after 0.8 s. All workers answer with neither a length nor chunks.
+fn reborn(record: &Path, trouble: bool) -> Outcome<bool> {
+    const JOB: &str = "7c41e09b52d6a3f8";
+    const EVENTS: u64 = 100;
+    const ITEMS: usize = 12;
+    const WORKERS: usize = 6;
+    let mut cluster = Cluster::start(record, 3, 2, CONFIG)?;
+    let mut links = Vec::new();
+    for index in 0..WORKERS {
+        let (addr, listen) = (free_addr()?, free_addr()?);
+        links.push((Link::start(&addr, &listen)?, addr.clone(), listen.clone()));
+        cluster.start_worker_at((&addr, &listen), &format!("i-7f3a91c{index}"), 25, true)?;
+    }
+    cluster.wait_until_ready()?;
+    let gateways = cluster.gateways.clone();
+    let status = submit(&gateways[0], JOB, &[EVENTS; ITEMS]);
+    cluster.record.note(&format!("job {JOB} submitted: {status}"));
+    if status != 202 {
+        return Err(CannotRun(format!("the job was answered {status}")));
+    }
+    sleep(Duration::from_millis(700));
+    if trouble {
+        let runs = std::fs::read_to_string(&cluster.runs).unwrap_or_default();
+        let count =
+            |id: &str| runs.lines().filter(|line| line.contains(&format!(" {id} runs"))).count();
+        let busiest =
+            (0..WORKERS).max_by_key(|index| count(&cluster.workers[*index].name)).unwrap_or(0);
+        let name = cluster.workers[busiest].name.clone();
+        let (link, addr, listen) = &links[busiest];
+        cluster.record.note(&format!("{name} is cut off"));
+        link.set_cut(true);
+        sleep(Duration::from_millis(150));
+        cluster.record.note(&format!("{name} crashes"));
+        cluster.workers[busiest].kill();
+        sleep(Duration::from_millis(800));
+        cluster.record.note("the worker is back, as i-02d9e6b4");
+        cluster.start_worker_at((addr, listen), "i-02d9e6b4", 25, true)?;
+        sleep(Duration::from_millis(250));
+        cluster.record.note("the cut has healed");
+        link.set_cut(false);
+    }
+    let until = Instant::now() + Duration::from_secs(25);
+    let mut results = Vec::new();
+    while results.len() < ITEMS && Instant::now() < until {
+        if let (_, Some(page)) = read(&gateways[1], JOB, results.len(), 1_000) {
+            for (id, state, output) in page.results {
+                let position = results.len();
+                let events = output.split('\n').filter(|line| !line.is_empty()).count();
+                cluster.record.note(&format!(
+                    "position {position}: item {id}, {state}, {events} of {EVENTS} events"
+                ));
+                results.push((id, state, output));
+            }
+        }
+        sleep(Duration::from_millis(200));
+    }
+    let mut is_broken = false;
+    for (id, state, output) in &results {
+        let whole: Vec<String> = (1..=EVENTS).map(|number| data(id, number)).collect();
+        if state == "completed" && *output != whole.join("\n") {
+            is_broken = true;
+            cluster.record.note(&format!(
+                "BROKEN: {id} is completed, and its text isn't the item's whole output"
+            ));
+        }
+    }
+    cluster.note_runs();
+    if results.len() < ITEMS {
+        return Err(CannotRun(format!("{} of {ITEMS} results were listed", results.len())));
+    }
+    Ok(is_broken)
+}
--- a/review/harness-3/cluster.rs
+++ b/review/harness-3/cluster.rs
@@ -194,11 +194,24 @@
 
     /// Starts a worker of `kegtalk`.
     pub fn start_worker(&mut self, id: &str, gap_ms: u64, is_unframed: bool) -> Outcome<()> {
+        let addr = free_addr()?;
+        self.start_worker_at((&addr, &addr), id, gap_ms, is_unframed)
+    }
+
+    /// Starts a worker of `kegtalk` that registers the first address and listens at the second.
+    pub fn start_worker_at(
+        &mut self,
+        (addr, listen): (&str, &str),
+        id: &str,
+        gap_ms: u64,
+        is_unframed: bool,
+    ) -> Outcome<()> {
         let program = std::env::current_exe()?;
         let args = [
             "worker".to_owned(),
             format!("--id={id}"),
-            format!("--addr={}", free_addr()?),
+            format!("--addr={addr}"),
+            format!("--listen={listen}"),
             format!("--store={}", self.store_addr),
             "--service=kegtalk".to_owned(),
             format!("--log={}", self.runs.display()),
--- /dev/null
+++ b/review/harness-3/link.rs
@@ -0,0 +1,70 @@
+//! Link between a worker and all machines, which can be cut. It holds back what is sent while it is cut,
+//! ends of connections too, and passes it on afterwards.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{sleep, spawn};
+use std::time::Duration;
+
+use crate::cluster::Outcome;
+
+#[derive(Clone)]
+pub struct Link {
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    /// Listens at `addr` and connects to `target` for each connection.
+    pub fn start(addr: &str, target: &str) -> Outcome<Self> {
+        let listener = TcpListener::bind(addr)?;
+        let link = Self { is_cut: Arc::new(AtomicBool::new(false)) };
+        let (accepting, target) = (link.clone(), target.to_owned());
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (link, target) = (accepting.clone(), target.clone());
+                spawn(move || link.join(&stream, &target));
+            }
+        });
+        Ok(link)
+    }
+
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+
+    fn wait_while_cut(&self) {
+        while self.is_cut.load(Ordering::SeqCst) {
+            sleep(Duration::from_millis(2));
+        }
+    }
+
+    fn join(&self, near: &TcpStream, target: &str) {
+        self.wait_while_cut();
+        let Ok(far) = TcpStream::connect(target) else { return };
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let (Ok(near_in), Ok(far_out)) = (near.try_clone(), far.try_clone()) else { return };
+        let link = self.clone();
+        let there = spawn(move || link.copy(near_in, far_out));
+        if let (Ok(far_in), Ok(near_out)) = (far.try_clone(), near.try_clone()) {
+            self.copy(far_in, near_out);
+        }
+        let _ = far.shutdown(Shutdown::Both);
+        let _ = near.shutdown(Shutdown::Both);
+        let _ = there.join();
+    }
+
+    fn copy(&self, mut from: TcpStream, mut to: TcpStream) {
+        let mut buf = [0; 4096];
+        loop {
+            let read = from.read(&mut buf);
+            self.wait_while_cut();
+            match read {
+                Ok(count) if count > 0 && to.write_all(&buf[..count]).is_ok() => {}
+                _ => break,
+            }
+        }
+        let _ = to.shutdown(Shutdown::Write);
+    }
+}
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod http;
 mod json;
+mod link;
 mod store;
 mod worker;
 
--- a/review/harness-3/worker.rs
+++ b/review/harness-3/worker.rs
@@ -20,7 +20,10 @@
 
 pub struct Settings {
     pub id: String,
+    /// Address that it registers.
     pub addr: String,
+    /// Address at which it listens, if it is another one.
+    pub listen: String,
     pub store: String,
     pub service: String,
     /// File to which it appends what it ran.
@@ -41,6 +44,7 @@
         Self {
             id: text("id"),
             addr: text("addr"),
+            listen: text("listen"),
             store: text("store"),
             service: text("service"),
             log: text("log"),
@@ -64,7 +68,8 @@
 }
 
 pub fn run(settings: Settings) -> io::Result<()> {
-    let listener = TcpListener::bind(&settings.addr)?;
+    let listen = if settings.listen.is_empty() { &settings.addr } else { &settings.listen };
+    let listener = TcpListener::bind(listen)?;
     let log = OpenOptions::new().create(true).append(true).open(&settings.log)?;
     let worker = Arc::new(Worker {
         settings,
