--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -25,6 +25,7 @@
         "spot" => spot(record, trouble),
         "frozen-read" => frozen_read(record, trouble),
         "reborn" => reborn(record, trouble),
+        "vanish" => vanish(record, trouble),
         _ => Err(CannotRun(format!("no case {name}"))),
     }
 }
@@ -83,12 +84,7 @@
         .collect();
     sleep(Duration::from_millis(600));
     if trouble {
-        let runs = std::fs::read_to_string(&cluster.lock().unwrap().runs).unwrap_or_default();
-        let count = |id: &str| runs.lines().filter(|line| line.contains(&format!(" {id} runs"))).count();
-        let busiest = {
-            let cluster = cluster.lock().unwrap();
-            (0..7).max_by_key(|index| count(&cluster.workers[*index].name)).unwrap_or(0)
-        };
+        let busiest = cluster.lock().unwrap().busiest_worker();
         {
             let mut cluster = cluster.lock().unwrap();
             let name = cluster.workers[busiest].name.clone();
@@ -288,11 +284,7 @@
     }
     sleep(Duration::from_millis(700));
     if trouble {
-        let runs = std::fs::read_to_string(&cluster.runs).unwrap_or_default();
-        let count =
-            |id: &str| runs.lines().filter(|line| line.contains(&format!(" {id} runs"))).count();
-        let busiest =
-            (0..WORKERS).max_by_key(|index| count(&cluster.workers[*index].name)).unwrap_or(0);
+        let busiest = cluster.busiest_worker();
         let name = cluster.workers[busiest].name.clone();
         let (link, addr, listen) = &links[busiest];
         cluster.record.note(&format!("{name} is cut off"));
@@ -307,15 +299,60 @@
         cluster.record.note("the cut has healed");
         link.set_cut(false);
     }
+    check_results(&cluster, JOB, ITEMS, EVENTS)
+}
+
+/// One of seven workers is taken away: it says that it is draining and goes on with what it runs. 2 s after
+/// its notice its processes end, and its machine does not respond any more. All workers answer with neither a
+/// length nor chunks.
+fn vanish(record: &Path, trouble: bool) -> Outcome<bool> {
+    const JOB: &str = "7c41e09b52d6a3f8";
+    const EVENTS: u64 = 120;
+    const ITEMS: usize = 14;
+    const WORKERS: usize = 7;
+    let mut cluster = Cluster::start(record, 3, 2, CONFIG)?;
+    let mut links = Vec::new();
+    for index in 0..WORKERS {
+        let (addr, listen) = (free_addr()?, free_addr()?);
+        links.push(Link::start(&addr, &listen)?);
+        cluster.start_worker_at((&addr, &listen), &format!("i-7f3a91c{index}"), 30, true)?;
+    }
+    cluster.wait_until_ready()?;
+    let status = submit(&cluster.gateways[0], JOB, &[EVENTS; ITEMS]);
+    cluster.record.note(&format!("job {JOB} submitted: {status}"));
+    if status != 202 {
+        return Err(CannotRun(format!("the job was answered {status}")));
+    }
+    sleep(Duration::from_millis(700));
+    let mut kept = Vec::new();
+    if trouble {
+        let busiest = cluster.busiest_worker();
+        let name = cluster.workers[busiest].name.clone();
+        cluster.record.note(&format!("{name} says that it is draining"));
+        cluster.workers[busiest].say("drain")?;
+        sleep(Duration::from_secs(2));
+        kept = links[busiest].vanish()?;
+        cluster.record.note(&format!("{name} is gone, and its machine does not respond"));
+        cluster.workers[busiest].kill();
+        cluster.store.remove("servers", &name);
+    }
+    let is_broken = check_results(&cluster, JOB, ITEMS, EVENTS);
+    drop(kept);
+    is_broken
+}
+
+/// Reads the results of a job whose items have `count` events each. Returns whether one is `completed` with
+/// another text than the whole output.
+fn check_results(cluster: &Cluster, job: &str, items: usize, count: u64) -> Outcome<bool> {
     let until = Instant::now() + Duration::from_secs(25);
     let mut results = Vec::new();
-    while results.len() < ITEMS && Instant::now() < until {
-        if let (_, Some(page)) = read(&gateways[1], JOB, results.len(), 1_000) {
+    while results.len() < items && Instant::now() < until {
+        if let (_, Some(page)) = read(&cluster.gateways[1], job, results.len(), 1_000) {
             for (id, state, output) in page.results {
                 let position = results.len();
                 let events = output.split('\n').filter(|line| !line.is_empty()).count();
                 cluster.record.note(&format!(
-                    "position {position}: item {id}, {state}, {events} of {EVENTS} events"
+                    "position {position}: item {id}, {state}, {events} of {count} events"
                 ));
                 results.push((id, state, output));
             }
@@ -324,7 +361,7 @@
     }
     let mut is_broken = false;
     for (id, state, output) in &results {
-        let whole: Vec<String> = (1..=EVENTS).map(|number| data(id, number)).collect();
+        let whole: Vec<String> = (1..=count).map(|number| data(id, number)).collect();
         if state == "completed" && *output != whole.join("\n") {
             is_broken = true;
             cluster.record.note(&format!(
@@ -333,8 +370,8 @@
         }
     }
     cluster.note_runs();
-    if results.len() < ITEMS {
-        return Err(CannotRun(format!("{} of {ITEMS} results were listed", results.len())));
+    if results.len() < items {
+        return Err(CannotRun(format!("{} of {items} results were listed", results.len())));
     }
     Ok(is_broken)
 }
--- a/review/harness-3/cluster.rs
+++ b/review/harness-3/cluster.rs
@@ -240,6 +240,16 @@
         Err(CannotRun("the processes did not become ready".to_owned()))
     }
 
+    /// Returns the index of the worker that has begun most runs.
+    pub fn busiest_worker(&self) -> usize {
+        let runs = std::fs::read_to_string(&self.runs).unwrap_or_default();
+        let count = |index: &usize| {
+            let begun = format!(" {} runs", self.workers[*index].name);
+            runs.lines().filter(|line| line.contains(&begun)).count()
+        };
+        (0..self.workers.len()).max_by_key(count).unwrap_or(0)
+    }
+
     /// Copies what the workers ran to the record.
     pub fn note_runs(&self) {
         let text = std::fs::read_to_string(&self.runs).unwrap_or_default();
--- a/review/harness-3/link.rs
+++ b/review/harness-3/link.rs
@@ -1,8 +1,9 @@
 //! Link between a worker and all machines, which can be cut. It holds back what is sent while it is cut,
-//! ends of connections too, and passes it on afterwards.
+//! ends of connections too, and passes it on afterwards. It can also vanish for good.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{sleep, spawn};
@@ -10,19 +11,32 @@
 
 use crate::cluster::Outcome;
 
+unsafe extern "C" {
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
 #[derive(Clone)]
 pub struct Link {
+    listener: Arc<TcpListener>,
     is_cut: Arc<AtomicBool>,
+    is_gone: Arc<AtomicBool>,
 }
 
 impl Link {
     /// Listens at `addr` and connects to `target` for each connection.
     pub fn start(addr: &str, target: &str) -> Outcome<Self> {
         let listener = TcpListener::bind(addr)?;
-        let link = Self { is_cut: Arc::new(AtomicBool::new(false)) };
+        let link = Self {
+            listener: Arc::new(listener),
+            is_cut: Arc::default(),
+            is_gone: Arc::default(),
+        };
         let (accepting, target) = (link.clone(), target.to_owned());
         spawn(move || {
-            for stream in listener.incoming().flatten() {
+            for stream in accepting.listener.incoming().flatten() {
+                if accepting.is_gone.load(Ordering::SeqCst) {
+                    return;
+                }
                 let (link, target) = (accepting.clone(), target.clone());
                 spawn(move || link.join(&stream, &target));
             }
@@ -34,6 +48,22 @@
         self.is_cut.store(is_cut, Ordering::SeqCst);
     }
 
+    /// From now on, the address does not respond: the opening packet of a connection gets no answer. Returns
+    /// the connections that fill the queue of the listener, which are to be kept.
+    pub fn vanish(&self) -> Outcome<Vec<TcpStream>> {
+        let addr = self.listener.local_addr()?;
+        self.is_gone.store(true, Ordering::SeqCst);
+        // SAFETY: plain system call on an open socket, which shortens its queue.
+        unsafe { listen(self.listener.as_raw_fd(), 0) };
+        // The first one ends the thread that accepts.
+        let mut kept = vec![TcpStream::connect(addr)?];
+        sleep(Duration::from_millis(20));
+        while let Ok(stream) = TcpStream::connect_timeout(&addr, Duration::from_millis(50)) {
+            kept.push(stream);
+        }
+        Ok(kept)
+    }
+
     fn wait_while_cut(&self) {
         while self.is_cut.load(Ordering::SeqCst) {
             sleep(Duration::from_millis(2));
