--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -2,13 +2,26 @@
 
 use std::collections::HashMap;
 use std::path::Path;
-use std::sync::{Arc, Mutex};
-use std::thread::{sleep, spawn};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread::sleep;
+use std::thread::spawn;
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::cluster::{CannotRun, Cluster, Outcome, SIGCONT, SIGSTOP, free_addr, send};
-use crate::http::{End, Seen};
-use crate::json::{base64, entries, member, member_string};
+use crate::cluster::CannotRun;
+use crate::cluster::Cluster;
+use crate::cluster::Outcome;
+use crate::cluster::SIGCONT;
+use crate::cluster::SIGSTOP;
+use crate::cluster::free_addr;
+use crate::cluster::send;
+use crate::http::End;
+use crate::http::Seen;
+use crate::json::base64;
+use crate::json::entries;
+use crate::json::member;
+use crate::json::member_string;
 use crate::link::Link;
 use crate::worker::data;
 
@@ -158,10 +171,8 @@
 /// Reads results. Returns the status, and the page of a 200.
 fn read(gateway: &str, job: &str, after: usize, wait_ms: u64) -> (u16, Option<Page>) {
     let wait = if wait_ms > 0 { format!("Wait-Ms: {wait_ms}\r\n") } else { String::new() };
-    let text =
-        format!("GET /api/lots/{job}?after={after} HTTP/1.1\r\nHost: {HOST}\r\n{wait}\r\n");
-    let seen =
-        crate::http::call(gateway, text.as_bytes(), Duration::from_millis(wait_ms + 2_500));
+    let text = format!("GET /api/lots/{job}?after={after} HTTP/1.1\r\nHost: {HOST}\r\n{wait}\r\n");
+    let seen = crate::http::call(gateway, text.as_bytes(), Duration::from_millis(wait_ms + 2_500));
     if seen.status != 200 || seen.end != End::Complete {
         return (if seen.end == End::Complete { seen.status } else { 0 }, None);
     }
--- a/review/harness-3/cluster.rs
+++ b/review/harness-3/cluster.rs
@@ -1,16 +1,23 @@
 //! The programs of the deploy file as separate processes, on loopback.
 
-use std::fs::{File, OpenOptions};
+use std::fs::File;
+use std::fs::OpenOptions;
 use std::io::Write;
 use std::net::TcpListener;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::http::{Seen, call};
+use crate::http::Seen;
+use crate::http::call;
 use crate::store::Store;
 
 pub const SIGKILL: i32 = 9;
@@ -227,8 +234,7 @@
     pub fn wait_until_ready(&self) -> Outcome<()> {
         let until = Instant::now() + Duration::from_secs(20);
         let request = b"GET /api/ready HTTP/1.1\r\nHost: ready\r\n\r\n";
-        let is_ready =
-            |addr: &String| call(addr, request, Duration::from_secs(1)).status == 200;
+        let is_ready = |addr: &String| call(addr, request, Duration::from_secs(1)).status == 200;
         while Instant::now() < until {
             let is_listed = self.store.names("servers").len() == self.workers.len();
             if is_listed && self.ready.iter().all(is_ready) {
--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -2,9 +2,14 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::time::{Duration, Instant};
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
 
 /// A request, as a server reads it.
 pub struct Request {
@@ -140,8 +145,7 @@
 
 /// Writes an answer with a length.
 pub fn reply(out: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> io::Result<()> {
-    let head =
-        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+    let head = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
     out.write_all(&[head.as_bytes(), body].concat())
 }
 
--- a/review/harness-3/link.rs
+++ b/review/harness-3/link.rs
@@ -1,12 +1,17 @@
 //! Link between a worker and all machines, which can be cut. It holds back what is sent while it is cut,
 //! ends of connections too, and passes it on afterwards. It can also vanish for good.
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpListener;
+use std::net::TcpStream;
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::{sleep, spawn};
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::thread::spawn;
 use std::time::Duration;
 
 use crate::cluster::Outcome;
@@ -26,11 +31,8 @@
     /// Listens at `addr` and connects to `target` for each connection.
     pub fn start(addr: &str, target: &str) -> Outcome<Self> {
         let listener = TcpListener::bind(addr)?;
-        let link = Self {
-            listener: Arc::new(listener),
-            is_cut: Arc::default(),
-            is_gone: Arc::default(),
-        };
+        let link =
+            Self { listener: Arc::new(listener), is_cut: Arc::default(), is_gone: Arc::default() };
         let (accepting, target) = (link.clone(), target.to_owned());
         spawn(move || {
             for stream in accepting.listener.incoming().flatten() {
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -12,7 +12,8 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use cluster::{CannotRun, Outcome};
+use cluster::CannotRun;
+use cluster::Outcome;
 
 fn run(args: &[String]) -> Outcome<bool> {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -2,12 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
-use std::time::{Duration, Instant};
-
-use crate::http::{Request, percent_decode, reply, serve};
-use crate::json::{member, member_number, member_string};
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::http::Request;
+use crate::http::percent_decode;
+use crate::http::reply;
+use crate::http::serve;
+use crate::json::member;
+use crate::json::member_number;
+use crate::json::member_string;
 
 #[derive(Clone)]
 struct Object {
@@ -145,13 +154,7 @@
         ("201 Created", self.store(&mut state, key, object))
     }
 
-    fn put(
-        &self,
-        kind: &str,
-        name: &str,
-        is_status: bool,
-        body: &str,
-    ) -> (&'static str, String) {
+    fn put(&self, kind: &str, name: &str, is_status: bool, body: &str) -> (&'static str, String) {
         let mut state = self.state.0.lock().unwrap();
         let key = (kind.to_owned(), name.to_owned());
         let Some(object) = state.objects.get(&key).cloned() else {
--- a/review/harness-3/worker.rs
+++ b/review/harness-3/worker.rs
@@ -3,14 +3,25 @@
 
 use std::fs::OpenOptions;
 use std::io;
-use std::io::{BufRead, Write};
-use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::io::BufRead;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
-use crate::http::{Request, call, reply, serve};
+use crate::http::Request;
+use crate::http::call;
+use crate::http::reply;
+use crate::http::serve;
 
 /// Requests that a worker runs at the same time.
 pub const SLOTS: usize = 8;
